--- /dev/null
+++ b/packages/codes/src/events.ts
@@ -0,0 +1,101 @@
+/**
+ * The catalogue of log events.
+ *
+ * Hundreds tell the area: 1 node, 2 membership and assignment, 3 ledger,
+ * 4 calls, 5 dispatch and placement, 6 configuration and operators,
+ * 7 platform, 8 targets. docs/EVENTS.md repeats this table; the linter checks
+ * that both agree.
+ */
+
+/** The level a log event is written at. */
+export type EventLevel = "debug" | "info" | "warn" | "error";
+
+/** What a log event means. */
+export interface EventData {
+  readonly event: number;
+  readonly name: string;
+  readonly level: EventLevel;
+  readonly meaning: string;
+}
+
+/** Every log event, by name. */
+export const EVENTS = {
+  NodeStarted: defineEvent(
+    101,
+    "NodeStarted",
+    "info",
+    "The node serves callers and peers.",
+  ),
+  NodeStopping: defineEvent(
+    102,
+    "NodeStopping",
+    "info",
+    "A planned stop began.",
+  ),
+  NodeStopped: defineEvent(
+    103,
+    "NodeStopped",
+    "info",
+    "Every connection has ended.",
+  ),
+  CallAccepted: defineEvent(
+    401,
+    "CallAccepted",
+    "info",
+    "A call was accepted under a program.",
+  ),
+  AttemptStarted: defineEvent(
+    402,
+    "AttemptStarted",
+    "info",
+    "An attempt was sent to a target.",
+  ),
+  AttemptEnded: defineEvent(
+    403,
+    "AttemptEnded",
+    "info",
+    "An attempt ended, with its result.",
+  ),
+  CallEnded: defineEvent(
+    404,
+    "CallEnded",
+    "info",
+    "A call ended with an outcome.",
+  ),
+  CallRetried: defineEvent(
+    405,
+    "CallRetried",
+    "info",
+    "A call is placed again after an attempt.",
+  ),
+  TargetChosen: defineEvent(
+    501,
+    "TargetChosen",
+    "info",
+    "A placement decision, with candidates and reason.",
+  ),
+  SlotGranted: defineEvent(
+    502,
+    "SlotGranted",
+    "info",
+    "A dispatcher granted a slot.",
+  ),
+  SlotRefused: defineEvent(
+    503,
+    "SlotRefused",
+    "info",
+    "A dispatcher refused a slot.",
+  ),
+} as const;
+
+/** The name of a log event. */
+export type EventName = keyof typeof EVENTS;
+
+function defineEvent(
+  event: number,
+  name: string,
+  level: EventLevel,
+  meaning: string,
+): EventData {
+  return { event, name, level, meaning };
+}
--- /dev/null
+++ b/packages/codes/src/result_codes.ts
@@ -0,0 +1,294 @@
+/**
+ * The catalogue of result codes that callers and operators may see.
+ *
+ * Thousands tell the area: 1 request, 2 program, 3 budget, 4 target, 5 owner,
+ * 6 platform, 7 operator language, 8 settings, 9 node. docs/RESULT_CODES.md
+ * repeats this table; the linter checks that both agree.
+ */
+
+/** What a result code means to whoever receives it. */
+export interface ResultCodeData {
+  readonly code: number;
+  readonly name: string;
+  readonly httpStatus: number;
+  /** Whether the same request may succeed later. */
+  readonly retryable: boolean;
+  readonly meaning: string;
+}
+
+/** Every result code, by name. */
+export const RESULT_CODES = {
+  BodyInvalid: defineCode(
+    1001,
+    "BodyInvalid",
+    400,
+    false,
+    "The request body doesn't match the schema.",
+  ),
+  BodyTooLarge: defineCode(
+    1002,
+    "BodyTooLarge",
+    413,
+    false,
+    "The request body is larger than the limit.",
+  ),
+  HeaderInvalid: defineCode(
+    1003,
+    "HeaderInvalid",
+    400,
+    false,
+    "A request header is missing or malformed.",
+  ),
+  PathUnknown: defineCode(
+    1004,
+    "PathUnknown",
+    404,
+    false,
+    "No such path or method.",
+  ),
+  KeyReused: defineCode(
+    1005,
+    "KeyReused",
+    422,
+    false,
+    "The idempotency key was used for another call.",
+  ),
+  OffsetBeyondText: defineCode(
+    1006,
+    "OffsetBeyondText",
+    416,
+    false,
+    "The resume offset is beyond the text produced.",
+  ),
+  ProgramUnknown: defineCode(
+    2001,
+    "ProgramUnknown",
+    404,
+    false,
+    "No such program.",
+  ),
+  ProgramEnded: defineCode(
+    2002,
+    "ProgramEnded",
+    409,
+    false,
+    "The program has ended.",
+  ),
+  ProgramIdInvalid: defineCode(
+    2003,
+    "ProgramIdInvalid",
+    400,
+    false,
+    "The program id is malformed.",
+  ),
+  CallUnknown: defineCode(2004, "CallUnknown", 404, false, "No such call."),
+  TurnLimitReached: defineCode(
+    2005,
+    "TurnLimitReached",
+    409,
+    false,
+    "The program has reached its turn limit.",
+  ),
+  DeadlinePassed: defineCode(
+    2006,
+    "DeadlinePassed",
+    409,
+    false,
+    "The program's deadline has passed.",
+  ),
+  HistoryTooLong: defineCode(
+    2007,
+    "HistoryTooLong",
+    409,
+    false,
+    "The program's history is longer than the limit.",
+  ),
+  BudgetExhausted: defineCode(
+    3001,
+    "BudgetExhausted",
+    402,
+    false,
+    "The program's budget doesn't cover the call.",
+  ),
+  SharedBudgetExhausted: defineCode(
+    3002,
+    "SharedBudgetExhausted",
+    402,
+    true,
+    "The team's or partner's budget doesn't cover the call.",
+  ),
+  NoTarget: defineCode(
+    4001,
+    "NoTarget",
+    503,
+    true,
+    "No target serves the model or service.",
+  ),
+  TargetRejected: defineCode(
+    4002,
+    "TargetRejected",
+    502,
+    false,
+    "The target answered with an error.",
+  ),
+  TargetBroken: defineCode(
+    4003,
+    "TargetBroken",
+    502,
+    true,
+    "The connection to the target broke.",
+  ),
+  TargetStalled: defineCode(
+    4004,
+    "TargetStalled",
+    504,
+    true,
+    "The target made no progress in time.",
+  ),
+  OutcomeUnknown: defineCode(
+    4005,
+    "OutcomeUnknown",
+    502,
+    false,
+    "A non-idempotent attempt may have run; it isn't run again.",
+  ),
+  Overloaded: defineCode(
+    4006,
+    "Overloaded",
+    503,
+    true,
+    "The pool is at its limit; the call wasn't run.",
+  ),
+  AnswerCut: defineCode(
+    4007,
+    "AnswerCut",
+    502,
+    true,
+    "The answer's length or digest doesn't match.",
+  ),
+  OwnerUnreachable: defineCode(
+    5001,
+    "OwnerUnreachable",
+    503,
+    true,
+    "The program's owner can't be reached; nothing was run.",
+  ),
+  OwnerSuperseded: defineCode(
+    5002,
+    "OwnerSuperseded",
+    503,
+    true,
+    "The owner lost the shard; retry to reach the new one.",
+  ),
+  LedgerFull: defineCode(
+    5003,
+    "LedgerFull",
+    503,
+    true,
+    "The ledger holds too much that isn't stored yet.",
+  ),
+  AnswerUncertain: defineCode(
+    5004,
+    "AnswerUncertain",
+    504,
+    true,
+    "The owner went silent; retry with the same key.",
+  ),
+  PlatformUnavailable: defineCode(
+    6001,
+    "PlatformUnavailable",
+    503,
+    true,
+    "The platform's service can't be reached.",
+  ),
+  PlatformConflict: defineCode(
+    6002,
+    "PlatformConflict",
+    409,
+    true,
+    "Another change was stored first.",
+  ),
+  StatementInvalid: defineCode(
+    7001,
+    "StatementInvalid",
+    400,
+    false,
+    "The statement doesn't parse.",
+  ),
+  RevisionMismatch: defineCode(
+    7002,
+    "RevisionMismatch",
+    409,
+    false,
+    "The configuration isn't at the named revision.",
+  ),
+  ChangeInvalid: defineCode(
+    7003,
+    "ChangeInvalid",
+    422,
+    false,
+    "The change breaks a rule of the configuration.",
+  ),
+  ChangeUncertain: defineCode(
+    7004,
+    "ChangeUncertain",
+    504,
+    true,
+    "Whether the change was stored isn't known yet.",
+  ),
+  SettingsInvalid: defineCode(
+    8001,
+    "SettingsInvalid",
+    500,
+    false,
+    "The settings file has errors.",
+  ),
+  SettingsUnreadable: defineCode(
+    8002,
+    "SettingsUnreadable",
+    500,
+    false,
+    "The settings file can't be read.",
+  ),
+  NodeStopping: defineCode(
+    9001,
+    "NodeStopping",
+    503,
+    true,
+    "The node is stopping; use another.",
+  ),
+  NodeNotReady: defineCode(
+    9002,
+    "NodeNotReady",
+    503,
+    true,
+    "The node doesn't know the configuration yet.",
+  ),
+  NodeCutOff: defineCode(
+    9003,
+    "NodeCutOff",
+    503,
+    true,
+    "The node is cut off from most others.",
+  ),
+  Internal: defineCode(
+    9999,
+    "Internal",
+    500,
+    false,
+    "A defect in the node; its log has the details.",
+  ),
+} as const;
+
+/** The name of a result code. */
+export type ResultCodeName = keyof typeof RESULT_CODES;
+
+function defineCode(
+  code: number,
+  name: string,
+  httpStatus: number,
+  retryable: boolean,
+  meaning: string,
+): ResultCodeData {
+  return { code, name, httpStatus, retryable, meaning };
+}
--- /dev/null
+++ b/packages/types/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Types that the packages share: identifiers, programs, ledger entries,
+ * messages between nodes and the effects that decisions ask for.
+ */
+export * from "./src/caller.ts";
+export * from "./src/effect.ts";
+export * from "./src/ids.ts";
+export * from "./src/ledger_entry.ts";
+export * from "./src/membership.ts";
+export * from "./src/peer_message.ts";
+export * from "./src/platform.ts";
+export * from "./src/program.ts";
+export * from "./src/shard.ts";
+export * from "./src/target.ts";
--- /dev/null
+++ b/packages/types/src/peer_message.ts
@@ -0,0 +1,225 @@
+/**
+ * Messages between the system's own processes.
+ *
+ * Receivers ignore fields they don't know, so that two releases run side by
+ * side; a message of an unknown kind is dropped and logged.
+ */
+import type {
+  AttemptId,
+  Epoch,
+  Partner,
+  ProgramId,
+  RequestId,
+  Revision,
+  ShardId,
+  TargetId,
+  VmId,
+} from "./ids.ts";
+import type { CallerAnswer, CallerRequest } from "./caller.ts";
+import type { LedgerEntry } from "./ledger_entry.ts";
+import type { NodeSpec, NodeState, ShardAssignment } from "./membership.ts";
+import type { ProgramClass } from "./program.ts";
+
+/** Any message between two nodes. */
+export type PeerMessage =
+  | OwnerMessage
+  | KeeperMessage
+  | DispatchMessage
+  | MembershipMessage
+  | ConfigurationMessage;
+
+/** Between the entry of a caller and the owner of a program. */
+export type OwnerMessage =
+  | {
+    readonly kind: "owner_request";
+    readonly requestId: RequestId;
+    readonly shard: ShardId;
+    readonly request: CallerRequest;
+  }
+  | {
+    readonly kind: "owner_answer";
+    readonly requestId: RequestId;
+    readonly answer: CallerAnswer;
+  }
+  | {
+    /** The receiver doesn't own the shard; nothing was done. */
+    readonly kind: "not_owner";
+    readonly requestId: RequestId;
+    readonly shard: ShardId;
+    readonly knownEpoch: Epoch;
+  }
+  | { readonly kind: "caller_gone"; readonly requestId: RequestId };
+
+/** Between the owner of a shard and the keepers of its recent entries. */
+export type KeeperMessage =
+  | {
+    readonly kind: "keep_entries";
+    readonly shard: ShardId;
+    readonly epoch: Epoch;
+    readonly entries: readonly LedgerEntry[];
+    /** Entries up to this sequence are on the platform: drop them. */
+    readonly storedThrough: number;
+    /** Echoed in the answer; an answer confirms the epoch at that moment. */
+    readonly token: number;
+  }
+  | {
+    readonly kind: "entries_kept";
+    readonly shard: ShardId;
+    readonly epoch: Epoch;
+    /** Every entry up to this sequence is held here or on the platform. */
+    readonly keptThrough: number;
+    readonly token: number;
+  }
+  | {
+    /** A higher epoch has sealed this keeper; the sender isn't the owner. */
+    readonly kind: "keep_refused";
+    readonly shard: ShardId;
+    readonly epoch: Epoch;
+    readonly sealedEpoch: Epoch;
+    readonly token: number;
+  }
+  | {
+    readonly kind: "seal_keeper";
+    readonly shard: ShardId;
+    readonly epoch: Epoch;
+    readonly token: number;
+  }
+  | {
+    readonly kind: "keeper_sealed";
+    readonly shard: ShardId;
+    readonly epoch: Epoch;
+    readonly entries: readonly LedgerEntry[];
+    readonly storedThrough: number;
+    /** False when the process started after the previous epoch began. */
+    readonly complete: boolean;
+    readonly token: number;
+  };
+
+/** Between the node that runs a call and the dispatcher of a target. */
+export type DispatchMessage =
+  | {
+    readonly kind: "slot_request";
+    readonly attemptId: AttemptId;
+    readonly targetId: TargetId;
+    readonly partner: Partner;
+    readonly programClass: ProgramClass;
+    readonly agent: string;
+    readonly programId: ProgramId;
+    /** Service time the whole program tree has had, in milliseconds. */
+    readonly attainedMs: number;
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly maxTokens: number;
+  }
+  | {
+    readonly kind: "slot_granted";
+    readonly attemptId: AttemptId;
+    readonly targetId: TargetId;
+    /** Life of the grant unless renewed, from its arrival. */
+    readonly expiresInMs: number;
+  }
+  | {
+    readonly kind: "slot_refused";
+    readonly attemptId: AttemptId;
+    readonly targetId: TargetId;
+    readonly reason:
+      | "queue_full"
+      | "leaving"
+      | "slow"
+      | "unknown_target"
+      | "expired";
+    readonly retryAfterMs: number;
+  }
+  | {
+    readonly kind: "slot_renewed";
+    readonly attemptId: AttemptId;
+    readonly targetId: TargetId;
+    /** Tokens received since the last renewal. */
+    readonly tokens: number;
+  }
+  | {
+    readonly kind: "slot_released";
+    readonly attemptId: AttemptId;
+    readonly targetId: TargetId;
+    readonly outcome: "completed" | "failed" | "cancelled" | "stalled";
+    readonly firstTokenMs: number;
+    readonly durationMs: number;
+    readonly tokens: number;
+  }
+  | {
+    readonly kind: "target_loads";
+    readonly loads: readonly TargetLoad[];
+  };
+
+/** A dispatcher's summary of one target, spread to the nodes that place. */
+export interface TargetLoad {
+  readonly targetId: TargetId;
+  readonly running: number;
+  readonly queued: number;
+  /** Concurrency the dispatcher allows at present. */
+  readonly limit: number;
+  /** Prompt tokens waiting or in prefill. */
+  readonly queuedPromptTokens: number;
+  /** Recent speed relative to the target's peers, one being usual. */
+  readonly relativeSpeed: number;
+}
+
+/** Between all nodes, about who is alive and who owns what. */
+export type MembershipMessage =
+  | {
+    readonly kind: "heartbeat";
+    readonly spec: NodeSpec;
+    readonly state: "alive" | "leaving";
+    readonly revision: Revision;
+    readonly number: number;
+    readonly digest: readonly NodeDigest[];
+  }
+  | {
+    readonly kind: "heartbeat_ack";
+    readonly number: number;
+    readonly revision: Revision;
+    readonly digest: readonly NodeDigest[];
+  }
+  | {
+    /** Asks a third node to probe one that doesn't answer the sender. */
+    readonly kind: "probe_request";
+    readonly vmId: VmId;
+    readonly number: number;
+  }
+  | {
+    readonly kind: "probe_result";
+    readonly vmId: VmId;
+    readonly number: number;
+    readonly reached: boolean;
+  }
+  | {
+    readonly kind: "assignment_news";
+    readonly assignments: readonly ShardAssignment[];
+  }
+  | {
+    /** The present owner is ready for the receiver to take these shards. */
+    readonly kind: "handover_offer";
+    readonly shards: readonly ShardId[];
+  };
+
+/** A rumour about a node. The higher incarnation and state count win. */
+export interface NodeDigest {
+  readonly spec: NodeSpec;
+  readonly state: NodeState;
+  /** Heartbeats the node itself has issued; orders rumours about it. */
+  readonly number: number;
+  readonly revision: Revision;
+}
+
+/** Between all nodes, about the configuration. */
+export type ConfigurationMessage =
+  | {
+    readonly kind: "configuration_request";
+    readonly afterRevision: Revision;
+  }
+  | {
+    readonly kind: "configuration_offer";
+    readonly revision: Revision;
+    /** The stored object of that revision, as on the platform. */
+    readonly value: Uint8Array;
+  };
