--- a/packages/types/mod.ts
+++ b/packages/types/mod.ts
@@ -7,6 +7,7 @@
 export * from "./src/ids.ts";
 export * from "./src/ledger_entry.ts";
 export * from "./src/membership.ts";
+export * from "./src/never.ts";
 export * from "./src/peer_message.ts";
 export * from "./src/platform.ts";
 export * from "./src/program.ts";
