--- /dev/null
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -0,0 +1,194 @@
+/**
+ * Starts attempts: placement, slot, durable intent, then one send.
+ */
+import type { Failure } from "@camphorlock/codes";
+import type { AttemptId, AttemptOrder } from "@camphorlock/types";
+import { ok, type Result } from "neverthrow";
+import type { OwnerContext } from "./owner_context.ts";
+import type { PlacementChoice } from "./ports.ts";
+import { computePromptBound } from "./pricing.ts";
+import type { RunningAttempt, RunningCall } from "./running_call.ts";
+
+/** Brings calls from the queue to a sent attempt. */
+export class AttemptStarter {
+  readonly #context: OwnerContext;
+  readonly #byAttempt: Map<AttemptId, RunningCall>;
+
+  constructor(
+    context: OwnerContext,
+    byAttempt: Map<AttemptId, RunningCall>,
+  ) {
+    this.#context = context;
+    this.#byAttempt = byAttempt;
+  }
+
+  /** Chooses a target and asks its dispatcher for a slot. */
+  start(running: RunningCall): Result<void, Failure> {
+    const { spec, state } = running;
+    const { call } = state;
+    const promptTokens = call.kind === "model" ? computePromptBound(call) : 0;
+    const choice = this.#context.options.placer.choose({
+      programId: spec.programId,
+      partner: spec.partner,
+      programClass: spec.programClass,
+      agent: spec.agent,
+      call,
+      promptTokens,
+      excluded: running.excluded,
+    }, this.#context.nowMs);
+    if (choice.isErr()) return choice.map(() => undefined);
+    for (const effect of choice.value.effects) this.#context.emit(effect);
+    this.#askSlot(running, choice.value, promptTokens);
+    return ok(undefined);
+  }
+
+  /** Appends the intent of the granted attempt and sends it once durable. */
+  intend(running: RunningCall, expiresInMs: number): void {
+    const { attempt } = running;
+    if (attempt === undefined) return;
+    running.phase = "intending";
+    const intendedAtMs = this.#context.nowMs;
+    this.#context.append([{
+      kind: "attempt_started",
+      programId: running.spec.programId,
+      callId: running.state.callId,
+      attemptId: attempt.attemptId,
+      targetId: attempt.targetId,
+    }], () => {
+      this.#sendIntended(running, attempt, { intendedAtMs, expiresInMs });
+    });
+  }
+
+  /** Follows the last attempt of an earlier owner instead of a new one. */
+  resume(running: RunningCall): void {
+    const last = running.state.attempts.at(-1);
+    if (last === undefined) return;
+    const attempt = this.#createAttempt(last.attemptId, {
+      targetId: last.targetId,
+      dispatcher: this.#context.options.self,
+      inherited: true,
+    });
+    running.attempt = attempt;
+    running.mayHaveRun = true;
+    running.phase = "running";
+    this.#byAttempt.set(attempt.attemptId, running);
+    const order = this.#buildOrder(running, attempt);
+    this.#context.emit({ kind: "resume_attempt", order });
+  }
+
+  /** Renews the slot of the present attempt when its period has passed. */
+  renew(running: RunningCall): void {
+    const { attempt } = running;
+    const { nowMs, options } = this.#context;
+    if (attempt === undefined) return;
+    if (nowMs - attempt.renewedAtMs < options.limits.renewPeriodMs) return;
+    attempt.renewedAtMs = nowMs;
+    this.#context.send(attempt.dispatcher, {
+      kind: "slot_renewed",
+      attemptId: attempt.attemptId,
+      targetId: attempt.targetId,
+      tokens: attempt.unreportedTokens,
+    });
+    attempt.unreportedTokens = 0;
+  }
+
+  #askSlot(
+    running: RunningCall,
+    choice: PlacementChoice,
+    promptTokens: number,
+  ): void {
+    const { spec, state } = running;
+    running.attemptsBegun += 1;
+    const number = running.attemptsBegun;
+    const attemptId =
+      `${state.callId}.${this.#context.options.epoch}.${number}`;
+    running.attempt = this.#createAttempt(attemptId, {
+      targetId: choice.targetId,
+      dispatcher: choice.dispatcher,
+      inherited: false,
+    });
+    running.phase = "waiting_slot";
+    this.#byAttempt.set(attemptId, running);
+    this.#context.send(choice.dispatcher, {
+      kind: "slot_request",
+      attemptId,
+      targetId: choice.targetId,
+      partner: spec.partner,
+      programClass: spec.programClass,
+      agent: spec.agent,
+      programId: spec.programId,
+      attainedMs: this.#computeAttained(running),
+      promptTokens,
+      cachedTokens: choice.cachedTokens,
+      maxTokens: state.call.kind === "model" ? state.call.maxTokens : 0,
+    });
+  }
+
+  #createAttempt(
+    attemptId: AttemptId,
+    place: Pick<RunningAttempt, "targetId" | "dispatcher" | "inherited">,
+  ): RunningAttempt {
+    const { nowMs } = this.#context;
+    return {
+      attemptId,
+      ...place,
+      askedAtMs: nowMs,
+      sentAtMs: nowMs,
+      firstTokenMs: 0,
+      tokens: 0,
+      unreportedTokens: 0,
+      renewedAtMs: nowMs,
+    };
+  }
+
+  /** Sends at once, or after a new proof where the intent took long. */
+  #sendIntended(
+    running: RunningCall,
+    attempt: RunningAttempt,
+    intent: { readonly intendedAtMs: number; readonly expiresInMs: number },
+  ): void {
+    if (!this.#isPresent(running, attempt)) return;
+    const ageMs = this.#context.nowMs - intent.intendedAtMs;
+    if (ageMs < this.#context.options.limits.intentAgeMs) {
+      return this.#send(running, attempt);
+    }
+    this.#context.confirm(() => {
+      if (this.#isPresent(running, attempt)) this.#send(running, attempt);
+    });
+  }
+
+  #isPresent(running: RunningCall, attempt: RunningAttempt): boolean {
+    return running.phase === "intending" && running.attempt === attempt;
+  }
+
+  #send(running: RunningCall, attempt: RunningAttempt): void {
+    running.phase = "running";
+    running.attemptsSent += 1;
+    attempt.sentAtMs = this.#context.nowMs;
+    const order = this.#buildOrder(running, attempt);
+    this.#context.log("AttemptStarted", {
+      callId: order.callId,
+      attemptId: order.attemptId,
+      targetId: order.targetId,
+    });
+    this.#context.emit({ kind: "start_attempt", order });
+  }
+
+  #buildOrder(running: RunningCall, attempt: RunningAttempt): AttemptOrder {
+    return {
+      attemptId: attempt.attemptId,
+      programId: running.spec.programId,
+      callId: running.state.callId,
+      targetId: attempt.targetId,
+      call: running.state.call,
+      prefixText: running.text,
+      progressTimeoutMs: this.#context.options.limits.progressTimeoutMs,
+    };
+  }
+
+  #computeAttained(running: RunningCall): number {
+    const { programId } = running.spec;
+    const program = this.#context.state.programs.get(programId);
+    return program?.attainedMs ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -0,0 +1,205 @@
+/**
+ * Drives accepted calls to their outcomes: turn, placement, slot, durable
+ * intent, one send, and the durable end.
+ */
+import type { Failure } from "@camphorlock/codes";
+import {
+  type AttemptEvent,
+  type AttemptId,
+  type CallId,
+  checkNever,
+  type DispatchMessage,
+  type ProgramId,
+} from "@camphorlock/types";
+import { AttemptStarter } from "./attempt_starter.ts";
+import { CallEnder } from "./call_ender.ts";
+import type { OwnerContext } from "./owner_context.ts";
+import type { CallState, ProgramState } from "./program_state.ts";
+import { createRunningCall, type RunningCall } from "./running_call.ts";
+import type { Waiters } from "./waiters.ts";
+
+/** Every call of a shard that has no durable outcome. */
+export class CallRunner {
+  readonly #context: OwnerContext;
+  readonly #waiters: Waiters;
+  readonly #calls = new Map<CallId, RunningCall>();
+  readonly #byAttempt = new Map<AttemptId, RunningCall>();
+  readonly #byProgram = new Map<ProgramId, Set<RunningCall>>();
+  readonly #starter: AttemptStarter;
+  readonly #ender: CallEnder;
+
+  constructor(context: OwnerContext, waiters: Waiters) {
+    this.#context = context;
+    this.#waiters = waiters;
+    this.#starter = new AttemptStarter(context, this.#byAttempt);
+    this.#ender = new CallEnder(context, {
+      forgetAttempt: (attemptId) => this.#byAttempt.delete(attemptId),
+      finish: (running) => this.#finish(running),
+    });
+  }
+
+  /** Finds a call that has no durable outcome yet. */
+  find(callId: CallId): RunningCall | undefined {
+    return this.#calls.get(callId);
+  }
+
+  /** Adds a call whose acceptance was just appended. */
+  addAccepted(program: ProgramState, state: CallState): RunningCall {
+    return this.#add(program, state, "accepting");
+  }
+
+  /** Adds a call that an earlier owner left without an outcome. */
+  addRecovered(program: ProgramState, state: CallState): void {
+    const running = this.#add(program, state, "queued");
+    if (state.attempts.length === 0) return;
+    this.#starter.resume(running);
+  }
+
+  /** Takes a call whose acceptance has become durable into the queue. */
+  startAccepted(running: RunningCall): void {
+    if (running.phase === "accepting") running.phase = "queued";
+    this.startNext(running.spec.programId);
+  }
+
+  /** Starts every queued call of the program whose turn it is. */
+  startNext(programId: ProgramId): void {
+    const calls = this.#byProgram.get(programId);
+    if (calls === undefined) return;
+    for (const running of [...calls]) {
+      if (running.phase === "queued") this.#start(running);
+      if (!running.spec.parallel) return;
+    }
+  }
+
+  /** Ends the calls of a program that is being stopped. */
+  stopProgram(programId: ProgramId): void {
+    for (const running of [...this.#byProgram.get(programId) ?? []]) {
+      this.#ender.stop(running);
+    }
+  }
+
+  /** Handles the answer of a dispatcher. */
+  handleSlot(message: DispatchMessage): void {
+    switch (message.kind) {
+      case "slot_granted":
+        return this.#handleGranted(message.attemptId, message.expiresInMs);
+      case "slot_refused":
+        return this.#handleRefused(message.attemptId, message.retryAfterMs);
+      case "slot_request":
+      case "slot_renewed":
+      case "slot_released":
+      case "target_loads":
+        return;
+      default:
+        return checkNever(message);
+    }
+  }
+
+  /** Handles what the edge observed of an attempt. */
+  handleAttempt(attemptId: AttemptId, event: AttemptEvent): void {
+    const running = this.#byAttempt.get(attemptId);
+    if (running === undefined || running.phase !== "running") return;
+    if (event.kind === "text") return this.#handleText(running, event);
+    this.#ender.handle(running, event);
+  }
+
+  /** Renews slots, gives up on silent dispatchers and starts retries. */
+  handleTick(): void {
+    for (const running of [...this.#calls.values()]) this.#check(running);
+  }
+
+  #add(
+    program: ProgramState,
+    state: CallState,
+    phase: "accepting" | "queued",
+  ): RunningCall {
+    const { nowMs } = this.#context;
+    const running = createRunningCall(program.spec, state, { phase, nowMs });
+    const { programId } = program.spec;
+    this.#calls.set(state.callId, running);
+    const siblings = this.#byProgram.get(programId) ?? new Set();
+    siblings.add(running);
+    this.#byProgram.set(programId, siblings);
+    return running;
+  }
+
+  #start(running: RunningCall): void {
+    if (running.notBeforeMs > this.#context.nowMs) return;
+    const started = this.#starter.start(running);
+    if (started.isErr()) this.#postpone(running, started.error);
+  }
+
+  #postpone(running: RunningCall, failure: Failure): void {
+    const { limits } = this.#context.options;
+    const waitedMs = this.#context.nowMs - running.sinceMs;
+    if (waitedMs >= limits.placeTimeoutMs) {
+      return this.#ender.endNotRun(running, failure);
+    }
+    running.phase = "queued";
+    running.notBeforeMs = this.#context.nowMs + limits.renewPeriodMs;
+  }
+
+  #handleGranted(attemptId: AttemptId, expiresInMs: number): void {
+    const running = this.#byAttempt.get(attemptId);
+    if (running === undefined) return;
+    if (running.phase !== "waiting_slot") return;
+    this.#starter.intend(running, expiresInMs);
+  }
+
+  #handleRefused(attemptId: AttemptId, retryAfterMs: number): void {
+    const running = this.#byAttempt.get(attemptId);
+    if (running === undefined) return;
+    if (running.phase !== "waiting_slot") return;
+    this.#ender.handleSlotRefused(running, retryAfterMs);
+  }
+
+  #handleText(
+    running: RunningCall,
+    event: Extract<AttemptEvent, { kind: "text" }>,
+  ): void {
+    const { attempt } = running;
+    if (attempt === undefined) return;
+    if (attempt.tokens === 0) {
+      attempt.firstTokenMs = this.#context.nowMs - attempt.sentAtMs;
+    }
+    attempt.tokens += event.tokens;
+    attempt.unreportedTokens += event.tokens;
+    const through = event.offset + event.text.length;
+    if (event.offset > running.text.length) return;
+    if (through <= running.text.length) return;
+    running.text = running.text.slice(0, event.offset) + event.text;
+    this.#waiters.sendText(running.state.callId, running.text);
+  }
+
+  #check(running: RunningCall): void {
+    const { nowMs, options } = this.#context;
+    switch (running.phase) {
+      case "queued":
+        return this.startNext(running.spec.programId);
+      case "waiting_slot": {
+        const askedAtMs = running.attempt?.askedAtMs ?? nowMs;
+        if (nowMs - askedAtMs < options.limits.slotTimeoutMs) return;
+        return this.#ender.handleSlotRefused(running, 0);
+      }
+      case "intending":
+      case "running":
+        return this.#starter.renew(running);
+      case "accepting":
+      case "ending":
+        return;
+      default:
+        return checkNever(running.phase);
+    }
+  }
+
+  #finish(running: RunningCall): void {
+    const { callId, outcome } = running.state;
+    const { programId } = running.spec;
+    this.#calls.delete(callId);
+    const siblings = this.#byProgram.get(programId);
+    siblings?.delete(running);
+    if (siblings?.size === 0) this.#byProgram.delete(programId);
+    if (outcome !== undefined) this.#waiters.sendOutcome(callId, outcome);
+    this.startNext(programId);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -0,0 +1,247 @@
+/**
+ * Handles the requests of callers for the programs of one shard.
+ */
+import { createFailure } from "@camphorlock/codes";
+import {
+  type CallerAnswer,
+  type CallerRequest,
+  checkNever,
+  type ProgramEnded,
+  type ProgramId,
+  type ProgramSpec,
+} from "@camphorlock/types";
+import type { CallRunner } from "./call_runner.ts";
+import { buildCallId, computeCallDigest } from "./digest.ts";
+import type { MemoryReleaser } from "./memory_releaser.ts";
+import type { OwnerContext, RequestOrigin } from "./owner_context.ts";
+import { computeWorstCase } from "./pricing.ts";
+import {
+  type CallState,
+  computeRest,
+  type ProgramState,
+} from "./program_state.ts";
+import { buildHistory, buildProgramView } from "./shard_state.ts";
+import type { Waiters } from "./waiters.ts";
+
+type RunCallRequest = Extract<CallerRequest, { kind: "run_call" }>;
+type ShowCallRequest = Extract<CallerRequest, { kind: "show_call" }>;
+
+/** The parts that requests act on. */
+export interface RequestParts {
+  readonly waiters: Waiters;
+  readonly runner: CallRunner;
+  readonly releaser: MemoryReleaser;
+}
+
+/** Answers requests, or passes them on to the parts that will. */
+export class RequestHandler {
+  readonly #context: OwnerContext;
+  readonly #parts: RequestParts;
+
+  constructor(context: OwnerContext, parts: RequestParts) {
+    this.#context = context;
+    this.#parts = parts;
+  }
+
+  /** Handles one request. */
+  handle(origin: RequestOrigin, request: CallerRequest): void {
+    switch (request.kind) {
+      case "create_program":
+        return this.#createProgram(origin, request.spec);
+      case "run_call":
+        return this.#runCall(origin, request);
+      case "show_call":
+        return this.#showCall(origin, request);
+      case "show_program":
+        return this.#answerLatest(origin, request.programId, answerView);
+      case "read_history":
+        return this.#answerLatest(origin, request.programId, answerHistory);
+      case "end_program":
+        return this.#endProgram(origin, request.programId);
+      default:
+        return checkNever(request);
+    }
+  }
+
+  /** Ends a program and its sub-programs. */
+  endProgram(program: ProgramState, reason: ProgramEnded["reason"]): void {
+    for (const child of program.children) this.endProgram(child, reason);
+    if (program.endReason !== undefined) return;
+    const { programId } = program.spec;
+    this.#context.append([{ kind: "program_ended", programId, reason }]);
+    this.#parts.runner.stopProgram(programId);
+    this.#parts.releaser.add(program);
+  }
+
+  #createProgram(origin: RequestOrigin, spec: ProgramSpec): void {
+    const existing = this.#context.state.programs.get(spec.programId);
+    if (existing !== undefined) {
+      return this.#answerDurable(origin, existing, answerView);
+    }
+    const refusal = this.#checkParent(spec);
+    if (refusal !== undefined) {
+      return this.#context.refuseConfirmed(origin, refusal, "parent program");
+    }
+    this.#context.append([{ kind: "program_created", spec }]);
+    const program = this.#context.state.programs.get(spec.programId);
+    if (program !== undefined) {
+      this.#answerDurable(origin, program, answerView);
+    }
+  }
+
+  #checkParent(
+    spec: ProgramSpec,
+  ): "ProgramUnknown" | "ProgramEnded" | "BudgetExhausted" | undefined {
+    if (spec.parentId === undefined) return undefined;
+    const parent = this.#context.state.programs.get(spec.parentId);
+    if (parent === undefined) return "ProgramUnknown";
+    if (parent.endReason !== undefined) return "ProgramEnded";
+    if (computeRest(parent) < spec.budgetMicros) return "BudgetExhausted";
+    return undefined;
+  }
+
+  #runCall(origin: RequestOrigin, request: RunCallRequest): void {
+    const program = this.#context.state.programs.get(request.programId);
+    if (program === undefined) {
+      const detail = `program ${request.programId}`;
+      return this.#context.refuseConfirmed(origin, "ProgramUnknown", detail);
+    }
+    const digest = computeCallDigest(request.call);
+    const earlier = program.callsByKey.get(request.key);
+    if (earlier === undefined || earlier.outcome?.status === "not_run") {
+      return this.#acceptCall(origin, program, { request, digest });
+    }
+    if (earlier.requestDigest !== digest) {
+      const detail = `key ${request.key}`;
+      return this.#context.refuse(origin, createFailure("KeyReused", detail));
+    }
+    this.#joinCall(origin, earlier, request.fromOffset);
+  }
+
+  #acceptCall(
+    origin: RequestOrigin,
+    program: ProgramState,
+    asked: { readonly request: RunCallRequest; readonly digest: string },
+  ): void {
+    const { request, digest } = asked;
+    const { prices } = this.#context.options.getConfiguration();
+    const reservedMicros = computeWorstCase(request.call, prices);
+    const refusal = this.#checkAcceptable(program, reservedMicros);
+    if (refusal !== undefined) {
+      const detail = `program ${request.programId}`;
+      return this.#context.refuseConfirmed(origin, refusal, detail);
+    }
+    const run = program.callsById.size + 1;
+    const { programId, key, call } = request;
+    const callId = buildCallId(programId, key, run);
+    const body = { kind: "call_accepted", programId, callId, key } as const;
+    const rest = { requestDigest: digest, call, reservedMicros };
+    this.#parts.waiters.add(callId, origin, request.fromOffset);
+    let accepted = (): void => undefined;
+    this.#context.append([{ ...body, ...rest }], () => accepted());
+    const state = program.callsById.get(callId);
+    if (state === undefined) return;
+    const running = this.#parts.runner.addAccepted(program, state);
+    accepted = () => this.#parts.runner.startAccepted(running);
+    this.#context.log("CallAccepted", { programId, callId, reservedMicros });
+  }
+
+  #checkAcceptable(
+    program: ProgramState,
+    reservedMicros: number,
+  ):
+    | "ProgramEnded"
+    | "TurnLimitReached"
+    | "DeadlinePassed"
+    | "BudgetExhausted"
+    | "LedgerFull"
+    | undefined {
+    const { limits, ledger, getWallClockMs } = this.#context.options;
+    const { deadlineAtMs } = program.spec;
+    if (program.endReason !== undefined) return "ProgramEnded";
+    if (program.callsById.size >= limits.maxCallsOfProgram) {
+      return "TurnLimitReached";
+    }
+    if (deadlineAtMs !== undefined && getWallClockMs() > deadlineAtMs) {
+      return "DeadlinePassed";
+    }
+    if (computeRest(program) < reservedMicros) return "BudgetExhausted";
+    if (ledger.fill > limits.maxLedgerFill) return "LedgerFull";
+    return undefined;
+  }
+
+  #joinCall(origin: RequestOrigin, call: CallState, fromOffset: number): void {
+    const { callId } = call;
+    const running = this.#parts.runner.find(callId);
+    if (running === undefined) return this.#answerEnded(origin, call);
+    this.#parts.waiters.add(callId, origin, fromOffset);
+    this.#context.answer(origin, { kind: "running", callId });
+    this.#parts.waiters.sendText(callId, running.text);
+  }
+
+  /** A stored outcome never changes, so that it needs no confirmation. */
+  #answerEnded(origin: RequestOrigin, call: CallState): void {
+    const { callId, outcome } = call;
+    if (outcome === undefined) return;
+    this.#context.answer(origin, { kind: "outcome", callId, outcome });
+  }
+
+  #showCall(origin: RequestOrigin, request: ShowCallRequest): void {
+    const program = this.#context.state.programs.get(request.programId);
+    const call = program?.callsByKey.get(request.key);
+    if (call === undefined) {
+      const detail = `key ${request.key}`;
+      return this.#context.refuseConfirmed(origin, "CallUnknown", detail);
+    }
+    const { callId } = call;
+    const running = this.#parts.runner.find(callId);
+    if (running === undefined) return this.#answerEnded(origin, call);
+    this.#context.answer(origin, { kind: "running", callId });
+  }
+
+  #endProgram(origin: RequestOrigin, programId: ProgramId): void {
+    const program = this.#context.state.programs.get(programId);
+    if (program === undefined) {
+      const detail = `program ${programId}`;
+      return this.#context.refuseConfirmed(origin, "ProgramUnknown", detail);
+    }
+    this.endProgram(program, "caller");
+    this.#answerDurable(origin, program, answerView);
+  }
+
+  /** Answers with the latest state, proved to be the latest. */
+  #answerLatest(
+    origin: RequestOrigin,
+    programId: ProgramId,
+    build: AnswerBuilder,
+  ): void {
+    this.#context.confirm(() => {
+      const program = this.#context.state.programs.get(programId);
+      if (program !== undefined) {
+        return this.#context.answer(origin, build(program));
+      }
+      const detail = `program ${programId}`;
+      this.#context.refuse(origin, createFailure("ProgramUnknown", detail));
+    });
+  }
+
+  /** Answers once everything appended so far is durable and the epoch stands. */
+  #answerDurable(
+    origin: RequestOrigin,
+    program: ProgramState,
+    build: AnswerBuilder,
+  ): void {
+    this.#context.confirm(() => this.#context.answer(origin, build(program)));
+  }
+}
+
+type AnswerBuilder = (program: ProgramState) => CallerAnswer;
+
+function answerView(program: ProgramState): CallerAnswer {
+  return { kind: "program", program: buildProgramView(program) };
+}
+
+function answerHistory(program: ProgramState): CallerAnswer {
+  const { programId } = program.spec;
+  return { kind: "history", programId, items: buildHistory(program) };
+}
--- /dev/null
+++ b/packages/scheduler/src/owner/running_call.ts
@@ -0,0 +1,83 @@
+/**
+ * The volatile state of a call that has no outcome yet.
+ */
+import type {
+  AttemptId,
+  ProgramSpec,
+  TargetId,
+  VmId,
+} from "@camphorlock/types";
+import type { CallState } from "./program_state.ts";
+
+/**
+ * Where a call stands.
+ *
+ * `accepting`: its acceptance isn't durable. `queued`: it waits for its turn
+ * in the program or for a new try. `waiting_slot`: a dispatcher was asked.
+ * `intending`: the intent of the attempt isn't durable. `running`: the attempt
+ * was sent. `ending`: the outcome isn't durable.
+ */
+export type CallPhase =
+  | "accepting"
+  | "queued"
+  | "waiting_slot"
+  | "intending"
+  | "running"
+  | "ending";
+
+/** A call without an outcome, as its owner drives it. */
+export interface RunningCall {
+  readonly spec: ProgramSpec;
+  readonly state: CallState;
+  phase: CallPhase;
+  /** When the call was accepted or taken over, by the monotonic clock. */
+  readonly sinceMs: number;
+  /** Not placed before this moment, by the monotonic clock. */
+  notBeforeMs: number;
+  /** The text of the answer so far. */
+  text: string;
+  attempt?: RunningAttempt;
+  /** Attempts begun under this epoch. */
+  attemptsBegun: number;
+  /** Attempts sent under this epoch. */
+  attemptsSent: number;
+  /** Whether an attempt may have reached a target, so that `not_run` is out. */
+  mayHaveRun: boolean;
+  excluded: TargetId[];
+}
+
+/** The present attempt of a call. */
+export interface RunningAttempt {
+  readonly attemptId: AttemptId;
+  readonly targetId: TargetId;
+  readonly dispatcher: VmId;
+  /** Whether an earlier owner sent it, so that its use isn't known. */
+  readonly inherited: boolean;
+  readonly askedAtMs: number;
+  sentAtMs: number;
+  firstTokenMs: number;
+  /** Tokens received in all, and those not reported to the dispatcher. */
+  tokens: number;
+  unreportedTokens: number;
+  renewedAtMs: number;
+}
+
+/** Creates the record of a call that begins or is taken over. */
+export function createRunningCall(
+  spec: ProgramSpec,
+  state: CallState,
+  options: { readonly phase: CallPhase; readonly nowMs: number },
+): RunningCall {
+  return {
+    spec,
+    state,
+    phase: options.phase,
+    sinceMs: options.nowMs,
+    notBeforeMs: options.nowMs,
+    text: "",
+    attemptsBegun: 0,
+    attemptsSent: 0,
+    mayHaveRun: false,
+    excluded: [],
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -0,0 +1,139 @@
+/**
+ * The owner of one shard: orders the calls of its programs and holds their
+ * histories, budgets, intents and results, as the single writer of an epoch.
+ */
+import {
+  type AttemptEvent,
+  type AttemptId,
+  checkNever,
+  type DispatchMessage,
+  type Effect,
+  type LedgerEntry,
+  type OwnerMessage,
+  type ProgramView,
+  type TargetOrderResult,
+  type VmId,
+} from "@camphorlock/types";
+import { CallRunner } from "./call_runner.ts";
+import { MemoryReleaser } from "./memory_releaser.ts";
+import { OwnerContext } from "./owner_context.ts";
+import type { OwnerOptions } from "./ports.ts";
+import { RequestHandler } from "./request_handler.ts";
+import { buildProgramView } from "./shard_state.ts";
+import { Waiters } from "./waiters.ts";
+
+/** What an owner is told. */
+export type OwnerInput =
+  | {
+    readonly kind: "request";
+    readonly from: VmId;
+    readonly message: OwnerMessage;
+  }
+  | { readonly kind: "slot"; readonly message: DispatchMessage }
+  | {
+    readonly kind: "attempt";
+    readonly attemptId: AttemptId;
+    readonly event: AttemptEvent;
+  }
+  | {
+    readonly kind: "order_result";
+    readonly number: number;
+    readonly result: TargetOrderResult;
+  }
+  | { readonly kind: "durable"; readonly through: number }
+  | { readonly kind: "confirmed"; readonly token: number }
+  | {
+    /** Entries of earlier epochs, in order, before any other input. */
+    readonly kind: "recovered";
+    readonly entries: readonly LedgerEntry[];
+  }
+  | { readonly kind: "tick" };
+
+/** The state machine of a shard's owner. */
+export class ShardOwner {
+  readonly #context: OwnerContext;
+  readonly #waiters: Waiters;
+  readonly #runner: CallRunner;
+  readonly #releaser: MemoryReleaser;
+  readonly #requests: RequestHandler;
+
+  constructor(options: OwnerOptions) {
+    this.#context = new OwnerContext(options);
+    this.#waiters = new Waiters(this.#context);
+    this.#runner = new CallRunner(this.#context, this.#waiters);
+    this.#releaser = new MemoryReleaser(this.#context);
+    this.#requests = new RequestHandler(this.#context, {
+      waiters: this.#waiters,
+      runner: this.#runner,
+      releaser: this.#releaser,
+    });
+  }
+
+  /** Handles one input and returns what has to be done. */
+  handle(input: OwnerInput, nowMs: number): Effect[] {
+    this.#context.nowMs = nowMs;
+    this.#dispatch(input);
+    return this.#context.takeEffects();
+  }
+
+  /** Lists the programs of the shard as operators see them. */
+  listPrograms(): ProgramView[] {
+    return [...this.#context.state.programs.values()].map(buildProgramView);
+  }
+
+  #dispatch(input: OwnerInput): void {
+    switch (input.kind) {
+      case "request":
+        return this.#handleRequest(input.from, input.message);
+      case "slot":
+        return this.#runner.handleSlot(input.message);
+      case "attempt":
+        return this.#runner.handleAttempt(input.attemptId, input.event);
+      case "order_result":
+        return this.#releaser.handleResult(input.number, input.result);
+      case "durable":
+        return this.#context.settleDurable(input.through);
+      case "confirmed":
+        return this.#context.settleConfirmed(input.token);
+      case "recovered":
+        return this.#recover(input.entries);
+      case "tick":
+        return this.#handleTick();
+      default:
+        return checkNever(input);
+    }
+  }
+
+  #handleRequest(entry: VmId, message: OwnerMessage): void {
+    switch (message.kind) {
+      case "owner_request": {
+        const { requestId, request } = message;
+        return this.#requests.handle({ requestId, entry }, request);
+      }
+      case "caller_gone":
+        return this.#waiters.remove(message.requestId);
+      case "owner_answer":
+      case "not_owner":
+        return;
+      default:
+        return checkNever(message);
+    }
+  }
+
+  #recover(entries: readonly LedgerEntry[]): void {
+    const { state } = this.#context;
+    for (const entry of entries) state.apply(entry.body);
+    for (const program of state.programs.values()) {
+      for (const call of program.openCalls) {
+        this.#runner.addRecovered(program, call);
+      }
+      if (program.endReason !== undefined) this.#releaser.add(program);
+      this.#runner.startNext(program.spec.programId);
+    }
+  }
+
+  #handleTick(): void {
+    this.#runner.handleTick();
+    this.#releaser.handleTick();
+  }
+}
--- a/packages/types/src/ledger_entry.ts
+++ b/packages/types/src/ledger_entry.ts
@@ -17,6 +17,7 @@
   | ProgramCreated
   | CallAccepted
   | AttemptStarted
+  | AttemptLost
   | CallEnded
   | ProgramEnded
   | MemoryReleased;
@@ -52,6 +53,18 @@
   readonly targetId: TargetId;
 }
 
+/** An attempt of an idempotent call broke; its result is lost. */
+export interface AttemptLost {
+  readonly kind: "attempt_lost";
+  readonly programId: ProgramId;
+  readonly callId: CallId;
+  readonly attemptId: AttemptId;
+  /** The most that it can have cost: what the budget counts. */
+  readonly heldMicros: Micros;
+  /** What was seen of it: what the partner is charged. */
+  readonly chargedMicros: Micros;
+}
+
 /** A call ended with an outcome that never changes. */
 export interface CallEnded {
   readonly kind: "call_ended";
@@ -59,6 +72,8 @@
   readonly callId: CallId;
   readonly outcome: CallOutcome;
   readonly endedAtMs: number;
+  /** Time that targets spent on the call, in milliseconds. */
+  readonly serviceMs: number;
 }
 
 /** A program takes no more calls. */
