--- /dev/null
+++ b/packages/scheduler/src/entry/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The entry role: between callers and the owners of programs.
+ */
+export * from "./entry.ts";
