--- /dev/null
+++ b/packages/camphorlock/src/logs/log_writer.ts
@@ -0,0 +1,67 @@
+/**
+ * Writes catalogued log events, as JSON lines or for people to read.
+ */
+import { type EventData, type EventLevel, EVENTS } from "@camphorlock/codes";
+import type { LogFields, LogRecord } from "@camphorlock/types";
+import { createLogger, format, type Logger, transports } from "winston";
+
+/** How and how much is logged. */
+export interface LogOptions {
+  readonly vmId: string;
+  readonly level: EventLevel;
+  readonly format: "json" | "readable";
+}
+
+const EVENT_BY_NUMBER = new Map<number, EventData>(
+  Object.values(EVENTS).map((data) => [data.event, data]),
+);
+
+/** Writes log records to standard error. */
+export class LogWriter {
+  readonly #logger: Logger;
+  readonly #vmId: string;
+
+  constructor(options: LogOptions) {
+    this.#vmId = options.vmId;
+    this.#logger = createLogger({
+      level: options.level,
+      format: options.format === "json"
+        ? format.combine(format.timestamp(), format.json())
+        : format.combine(format.timestamp(), format.printf(formatReadable)),
+      transports: [
+        new transports.Console({
+          stderrLevels: ["debug", "info", "warn", "error"],
+        }),
+      ],
+    });
+  }
+
+  /** Writes one record at the level of its event. */
+  write(record: LogRecord): void {
+    const data = EVENT_BY_NUMBER.get(record.event);
+    this.#logger.log({
+      level: data?.level ?? "error",
+      message: data?.name ?? "Unlisted",
+      event: record.event,
+      vm: this.#vmId,
+      fields: record.fields,
+    });
+  }
+}
+
+function formatReadable(info: { readonly [key: string]: unknown }): string {
+  const fields = formatFields(info.fields as LogFields);
+  return `${info.timestamp} ${info.level} ${info.event} ${info.message} ` +
+    `vm=${info.vm} ${fields}`;
+}
+
+function formatFields(fields: LogFields): string {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${formatValue(value)}`)
+    .join(" ");
+}
+
+function formatValue(value: LogFields[string]): string {
+  return typeof value === "object" ? JSON.stringify(value) : String(value);
+}
