--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -187,6 +187,13 @@
     true,
     "The ledger holds too much that isn't stored yet.",
   ),
+  EntryTooLarge: defineCode(
+    5005,
+    "EntryTooLarge",
+    413,
+    false,
+    "A call or answer is too large for one ledger entry.",
+  ),
   AnswerUncertain: defineCode(
     5004,
     "AnswerUncertain",
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -42,21 +42,24 @@
     return ok(undefined);
   }
 
-  /** Appends the intent of the granted attempt and sends it once durable. */
-  intend(running: RunningCall, expiresInMs: number): void {
+  /**
+   * Appends the intent of the granted attempt and sends it once durable.
+   *
+   * Fails when the ledger refuses the intent; nothing is sent then.
+   */
+  intend(running: RunningCall): Result<void, Failure> {
     const { attempt } = running;
-    if (attempt === undefined) return;
-    running.phase = "intending";
+    if (attempt === undefined) return ok(undefined);
     const intendedAtMs = this.#context.nowMs;
-    this.#context.append([{
+    const appended = this.#context.append([{
       kind: "attempt_started",
       programId: running.spec.programId,
       callId: running.state.callId,
       attemptId: attempt.attemptId,
       targetId: attempt.targetId,
-    }], () => {
-      this.#sendIntended(running, attempt, { intendedAtMs, expiresInMs });
-    });
+    }], () => this.#sendIntended(running, attempt, intendedAtMs));
+    if (appended.isOk()) running.phase = "intending";
+    return appended;
   }
 
   /** Follows the last attempt of an earlier owner instead of a new one. */
@@ -145,10 +148,10 @@
   #sendIntended(
     running: RunningCall,
     attempt: RunningAttempt,
-    intent: { readonly intendedAtMs: number; readonly expiresInMs: number },
+    intendedAtMs: number,
   ): void {
     if (!this.#isPresent(running, attempt)) return;
-    const ageMs = this.#context.nowMs - intent.intendedAtMs;
+    const ageMs = this.#context.nowMs - intendedAtMs;
     if (ageMs < this.#context.options.limits.intentAgeMs) {
       return this.#send(running, attempt);
     }
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -2,16 +2,18 @@
  * Ends attempts and calls: what may be tried again is, everything else gets
  * its one durable outcome.
  */
-import { createFailure, type Failure } from "@camphorlock/codes";
+import { createFailure, type Failure, RESULT_CODES } from "@camphorlock/codes";
 import {
   type AttemptEvent,
   type AttemptId,
   type CallOutcome,
   checkNever,
+  type CompletedOutcome,
   type FailedOutcome,
   type Micros,
   type Usage,
 } from "@camphorlock/types";
+import { ok, type Result } from "neverthrow";
 import { computeDigest } from "./digest.ts";
 import type { OwnerContext } from "./owner_context.ts";
 import { computeCost, computePromptBound } from "./pricing.ts";
@@ -24,6 +26,8 @@
 /** What the ender tells the runner. */
 interface EnderHooks {
   forgetAttempt(attemptId: AttemptId): void;
+  /** The call is in the queue again. */
+  requeue(running: RunningCall): void;
   /** The outcome is durable. */
   finish(running: RunningCall): void;
 }
@@ -83,6 +87,12 @@
     this.#end(running, { ...outcome, retryAfterMs });
   }
 
+  /** Tries again to append an outcome that the ledger refused. */
+  endPending(running: RunningCall): void {
+    const { pendingOutcome } = running;
+    if (pendingOutcome !== undefined) this.#end(running, pendingOutcome);
+  }
+
   /** Ends a call because its program is stopped. */
   stop(running: RunningCall): void {
     const failure = createFailure("ProgramEnded", "the program was ended");
@@ -140,8 +150,8 @@
     const lostMicros = this.#computeLost(running);
     this.#cancelSent(running);
     if (this.#canTryAgain(running) && this.#canPay(running)) {
-      this.#appendLost(running, lostMicros);
-      return this.#retry(running);
+      const appended = this.#appendLost(running, lostMicros);
+      if (appended.isOk()) return this.#retry(running);
     }
     const failure = createFailure("TargetBroken", detail);
     this.#fail(running, failure, lostMicros);
@@ -195,12 +205,12 @@
   }
 
   #end(running: RunningCall, outcome: CallOutcome): void {
-    running.phase = "ending";
     const { callId } = running.state;
     const { programId } = running.spec;
     const endedAtMs = this.#context.options.getWallClockMs();
-    this.#context.log("CallEnded", { callId, status: outcome.status });
-    this.#context.append([{
+    running.phase = "ending";
+    running.pendingOutcome = undefined;
+    const appended = this.#context.append([{
       kind: "call_ended",
       programId,
       callId,
@@ -208,6 +218,23 @@
       endedAtMs,
       serviceMs: this.#computeService(running),
     }], () => this.#hooks.finish(running));
+    if (appended.isErr()) {
+      return this.#postponeEnd(running, outcome, appended.error);
+    }
+    this.#context.log("CallEnded", { callId, status: outcome.status });
+  }
+
+  /** Keeps the outcome until there's space; a text too large fails. */
+  #postponeEnd(
+    running: RunningCall,
+    outcome: CallOutcome,
+    failure: Failure,
+  ): void {
+    const isTooLarge = outcome.status === "completed" &&
+      failure.code === RESULT_CODES.EntryTooLarge.code;
+    running.pendingOutcome = isTooLarge
+      ? buildTooLarge(outcome, failure)
+      : outcome;
   }
 
   #retry(running: RunningCall): void {
@@ -224,6 +251,7 @@
     running.attempt = undefined;
     running.phase = "queued";
     running.notBeforeMs = this.#context.nowMs + delayMs;
+    this.#hooks.requeue(running);
   }
 
   #canTryAgain(running: RunningCall): boolean {
@@ -246,10 +274,13 @@
    * Records a lost attempt at once. Its target may go on unseen, so that the
    * budget counts the whole reservation.
    */
-  #appendLost(running: RunningCall, chargedMicros: Micros): void {
+  #appendLost(
+    running: RunningCall,
+    chargedMicros: Micros,
+  ): Result<void, Failure> {
     const { attempt, state } = running;
-    if (attempt === undefined) return;
-    this.#context.append([{
+    if (attempt === undefined) return ok(undefined);
+    return this.#context.append([{
       kind: "attempt_lost",
       programId: running.spec.programId,
       callId: state.callId,
@@ -322,6 +353,16 @@
   }
 }
 
+/** Builds the outcome of a call whose answer no ledger entry can hold. */
+function buildTooLarge(
+  outcome: CompletedOutcome,
+  failure: Failure,
+): FailedOutcome {
+  const { chargeMicros, agreementRevision } = outcome;
+  const { code, detail } = failure;
+  return { status: "failed", code, detail, chargeMicros, agreementRevision };
+}
+
 /** Whether a second run of the call can't harm its caller. */
 function isIdempotent(running: RunningCall): boolean {
   const { call } = running.state;
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -34,6 +34,7 @@
     this.#starter = new AttemptStarter(context, this.#byAttempt);
     this.#ender = new CallEnder(context, {
       forgetAttempt: (attemptId) => this.#byAttempt.delete(attemptId),
+      requeue: (running) => this.startNext(running.spec.programId),
       finish: (running) => this.#finish(running),
     });
   }
@@ -82,7 +83,7 @@
   handleSlot(message: DispatchMessage): void {
     switch (message.kind) {
       case "slot_granted":
-        return this.#handleGranted(message.attemptId, message.expiresInMs);
+        return this.#handleGranted(message.attemptId);
       case "slot_refused":
         return this.#handleRefused(message.attemptId, message.retryAfterMs);
       case "slot_request":
@@ -139,11 +140,12 @@
     running.notBeforeMs = this.#context.nowMs + limits.renewPeriodMs;
   }
 
-  #handleGranted(attemptId: AttemptId, expiresInMs: number): void {
+  #handleGranted(attemptId: AttemptId): void {
     const running = this.#byAttempt.get(attemptId);
     if (running === undefined) return;
     if (running.phase !== "waiting_slot") return;
-    this.#starter.intend(running, expiresInMs);
+    const intended = this.#starter.intend(running);
+    if (intended.isErr()) this.#ender.handleSlotRefused(running, 0);
   }
 
   #handleRefused(attemptId: AttemptId, retryAfterMs: number): void {
@@ -184,8 +186,9 @@
       case "intending":
       case "running":
         return this.#starter.renew(running);
-      case "accepting":
       case "ending":
+        return this.#ender.endPending(running);
+      case "accepting":
         return;
       default:
         return checkNever(running.phase);
--- a/packages/scheduler/src/owner/owner_context.ts
+++ b/packages/scheduler/src/owner/owner_context.ts
@@ -18,6 +18,7 @@
   RequestId,
   VmId,
 } from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
 import type { OwnerOptions } from "./ports.ts";
 import { ShardState } from "./shard_state.ts";
 
@@ -84,14 +85,23 @@
     this.emit({ kind: "log", record: { event, fields: { shard, ...fields } } });
   }
 
-  /** Appends entries, applies them, and runs `then` once they are durable. */
-  append(bodies: readonly EntryBody[], then?: () => void): void {
-    for (const body of bodies) this.state.apply(body);
+  /**
+   * Appends entries, applies them, and runs `then` once they are durable.
+   *
+   * Has no effect when the ledger refuses them.
+   */
+  append(
+    bodies: readonly EntryBody[],
+    then?: () => void,
+  ): Result<void, Failure> {
     const appended = this.options.ledger.append(bodies, this.nowMs);
-    this.#effects.push(...appended.effects);
-    this.#lastSequence = appended.sequence;
-    if (then === undefined) return;
-    this.#durableWork.push({ sequence: appended.sequence, run: then });
+    if (appended.isErr()) return err(appended.error);
+    for (const body of bodies) this.state.apply(body);
+    const { effects, sequence } = appended.value;
+    this.#effects.push(...effects);
+    this.#lastSequence = sequence;
+    if (then !== undefined) this.#durableWork.push({ sequence, run: then });
+    return ok(undefined);
   }
 
   /**
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -20,12 +20,15 @@
 
 /** The durable ledger of the owned shard. */
 export interface OwnerLedger {
-  /** Appends entries; a notice tells when they are durable. */
-  append(bodies: readonly EntryBody[], nowMs: number): LedgerAppend;
+  /** Appends entries, or none; a notice tells when they are durable. */
+  append(
+    bodies: readonly EntryBody[],
+    nowMs: number,
+  ): Result<LedgerAppend, Failure>;
   /** Asks for a proof, from after this moment, that the epoch still stands. */
   confirm(nowMs: number): LedgerConfirm;
   /** Share of the space for entries that aren't stored yet, from 0 to 1. */
-  readonly fill: number;
+  readonly usage: number;
 }
 
 /** The place of appended entries and what has to be done for them. */
@@ -91,7 +94,7 @@
   /** Most attempts for one call. */
   readonly maxAttempts: number;
   /** Share of the ledger's space above which no new call is accepted. */
-  readonly maxLedgerFill: number;
+  readonly maxLedgerUsage: number;
   /** How long a call waits for a target before it ends as not run. */
   readonly placeTimeoutMs: number;
   /** How long a request for a slot may stay unanswered. */
@@ -107,7 +110,7 @@
 export const DEFAULT_OWNER_LIMITS: OwnerLimits = {
   maxCallsOfProgram: 1_000,
   maxAttempts: 4,
-  maxLedgerFill: 0.8,
+  maxLedgerUsage: 0.8,
   placeTimeoutMs: 20_000,
   slotTimeoutMs: 3_000,
   renewPeriodMs: 500,
--- a/packages/scheduler/src/owner/program_state.ts
+++ b/packages/scheduler/src/owner/program_state.ts
@@ -50,6 +50,8 @@
   /** Time that targets spent on this program and its sub-programs, in ms. */
   attainedMs: number;
   readonly parent?: ProgramState;
+  /** The model call that was accepted last. */
+  latestModelCall?: CallState;
   endReason?: ProgramEnded["reason"];
 }
 
--- a/packages/scheduler/src/owner/request_handler.ts
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -1,7 +1,7 @@
 /**
  * Handles the requests of callers for the programs of one shard.
  */
-import { createFailure } from "@camphorlock/codes";
+import { createFailure, type Failure } from "@camphorlock/codes";
 import {
   type CallerAnswer,
   type CallerRequest,
@@ -10,6 +10,7 @@
   type ProgramId,
   type ProgramSpec,
 } from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
 import type { CallRunner } from "./call_runner.ts";
 import { buildCallId, computeCallDigest } from "./digest.ts";
 import type { MemoryReleaser } from "./memory_releaser.ts";
@@ -20,6 +21,7 @@
   computeRest,
   type ProgramState,
 } from "./program_state.ts";
+import { buildStoredCall } from "./shared_messages.ts";
 import { buildHistory, buildProgramView } from "./shard_state.ts";
 import type { Waiters } from "./waiters.ts";
 
@@ -68,7 +70,8 @@
     for (const child of program.children) this.endProgram(child, reason);
     if (program.endReason !== undefined) return;
     const { programId } = program.spec;
-    this.#context.append([{ kind: "program_ended", programId, reason }]);
+    const body = { kind: "program_ended", programId, reason } as const;
+    if (this.#context.append([body]).isErr()) return;
     this.#parts.runner.stopProgram(programId);
     this.#parts.releaser.add(program);
   }
@@ -82,7 +85,8 @@
     if (refusal !== undefined) {
       return this.#context.refuseConfirmed(origin, refusal, "parent program");
     }
-    this.#context.append([{ kind: "program_created", spec }]);
+    const appended = this.#context.append([{ kind: "program_created", spec }]);
+    if (appended.isErr()) return this.#context.refuse(origin, appended.error);
     const program = this.#context.state.programs.get(spec.programId);
     if (program !== undefined) {
       this.#answerDurable(origin, program, answerView);
@@ -123,7 +127,7 @@
     program: ProgramState,
     asked: { readonly request: RunCallRequest; readonly digest: string },
   ): void {
-    const { request, digest } = asked;
+    const { request } = asked;
     const { prices } = this.#context.options.getConfiguration();
     const reservedMicros = computeWorstCase(request.call, prices);
     const refusal = this.#checkAcceptable(program, reservedMicros);
@@ -131,19 +135,44 @@
       const detail = `program ${request.programId}`;
       return this.#context.refuseConfirmed(origin, refusal, detail);
     }
+    const state = this.#appendAccepted(program, { ...asked, reservedMicros });
+    if (state.isErr()) {
+      const failure = state.error;
+      return this.#context.confirm(() => this.#context.refuse(origin, failure));
+    }
+    this.#parts.waiters.add(state.value.callId, origin, request.fromOffset);
+  }
+
+  #appendAccepted(
+    program: ProgramState,
+    asked: {
+      readonly request: RunCallRequest;
+      readonly digest: string;
+      readonly reservedMicros: number;
+    },
+  ): Result<CallState, Failure> {
+    const { programId, key, call } = asked.request;
+    const { reservedMicros, digest } = asked;
     const run = program.callsById.size + 1;
-    const { programId, key, call } = request;
     const callId = buildCallId(programId, key, run);
-    const body = { kind: "call_accepted", programId, callId, key } as const;
-    const rest = { requestDigest: digest, call, reservedMicros };
-    this.#parts.waiters.add(callId, origin, request.fromOffset);
-    let accepted = (): void => undefined;
-    this.#context.append([{ ...body, ...rest }], () => accepted());
+    const stored = buildStoredCall(program, call);
+    let startAccepted = (): void => undefined;
+    const appended = this.#context.append([{
+      kind: "call_accepted",
+      programId,
+      callId,
+      key,
+      requestDigest: digest,
+      reservedMicros,
+      ...stored,
+    }], () => startAccepted());
     const state = program.callsById.get(callId);
-    if (state === undefined) return;
+    if (appended.isErr()) return err(appended.error);
+    if (state === undefined) return err(createFailure("Internal", callId));
     const running = this.#parts.runner.addAccepted(program, state);
-    accepted = () => this.#parts.runner.startAccepted(running);
+    startAccepted = () => this.#parts.runner.startAccepted(running);
     this.#context.log("CallAccepted", { programId, callId, reservedMicros });
+    return ok(state);
   }
 
   #checkAcceptable(
@@ -166,7 +195,7 @@
       return "DeadlinePassed";
     }
     if (computeRest(program) < reservedMicros) return "BudgetExhausted";
-    if (ledger.fill > limits.maxLedgerFill) return "LedgerFull";
+    if (ledger.usage > limits.maxLedgerUsage) return "LedgerFull";
     return undefined;
   }
 
--- a/packages/scheduler/src/owner/running_call.ts
+++ b/packages/scheduler/src/owner/running_call.ts
@@ -3,6 +3,7 @@
  */
 import type {
   AttemptId,
+  CallOutcome,
   ProgramSpec,
   TargetId,
   VmId,
@@ -37,6 +38,8 @@
   /** The text of the answer so far. */
   text: string;
   attempt?: RunningAttempt;
+  /** The outcome that the ledger had no space for yet. */
+  pendingOutcome?: CallOutcome;
   /** Attempts begun under this epoch. */
   attemptsBegun: number;
   /** Attempts sent under this epoch. */
--- a/packages/scheduler/src/owner/shard_state.ts
+++ b/packages/scheduler/src/owner/shard_state.ts
@@ -25,6 +25,7 @@
   createProgramState,
   type ProgramState,
 } from "./program_state.ts";
+import { expandStoredCall } from "./shared_messages.ts";
 
 /** All programs of one shard. */
 export class ShardState {
@@ -75,7 +76,7 @@
       callId: body.callId,
       key: body.key,
       requestDigest: body.requestDigest,
-      call: body.call,
+      call: expandStoredCall(program, body),
       reservedMicros: body.reservedMicros,
       lostHeldMicros: 0,
       lostChargedMicros: 0,
@@ -84,6 +85,7 @@
     program.callsById.set(body.callId, call);
     program.callsByKey.set(body.key, call);
     program.openCalls.add(call);
+    if (call.call.kind === "model") program.latestModelCall = call;
   }
 
   #applyAttempt(body: AttemptStarted): void {
--- a/packages/types/src/ledger_entry.ts
+++ b/packages/types/src/ledger_entry.ts
@@ -36,7 +36,10 @@
   readonly key: string;
   /** SHA-256 of the call, to refuse the same key for another call. */
   readonly requestDigest: string;
+  /** The call without the messages that it shares with an earlier one. */
   readonly call: Call;
+  /** The earlier call whose messages and answer come first, and how many. */
+  readonly shared?: { readonly callId: CallId; readonly count: number };
   readonly reservedMicros: Micros;
 }
 
