--- a/packages/callers/src/app.ts
+++ b/packages/callers/src/app.ts
@@ -33,8 +33,8 @@
   CALL_STREAM_FORMAT,
   type CallerSubmission,
   type FinalAnswer,
-  submitStreamed,
-  submitWhole,
+  runStreamed,
+  runWhole,
 } from "./submit.ts";
 
 /** The largest body that a caller may send, in bytes. */
@@ -150,12 +150,12 @@
   const submission = buildSubmission(context, programId, call);
   if (submission.isErr()) return refuseRequest(context, submission.error);
   if (body.value.stream) {
-    return submitStreamed(context, port, {
+    return runStreamed(context, port, {
       submission: submission.value,
       format: CALL_STREAM_FORMAT,
     });
   }
-  const answer = await submitWhole(port, submission.value);
+  const answer = await runWhole(port, submission.value);
   return answerFinal(context, answer);
 }
 
@@ -175,9 +175,9 @@
   if (stream) {
     const format = createChatFormat(model);
     const options = { submission: submission.value, format };
-    return submitStreamed(context, port, options);
+    return runStreamed(context, port, options);
   }
-  const answer = await submitWhole(port, submission.value);
+  const answer = await runWhole(port, submission.value);
   if (answer.kind === "outcome" && answer.outcome.status === "completed") {
     return context.json(renderChat(model, answer.callId, answer.outcome));
   }
@@ -220,7 +220,7 @@
   port: CallerPort,
   request: CallerRequest,
 ): Promise<Response> {
-  const answer = await submitWhole(port, { request, mayBeRepeat: true });
+  const answer = await runWhole(port, { request, mayBeRepeat: true });
   return answerFinal(context, answer);
 }
 
--- a/packages/callers/src/port.ts
+++ b/packages/callers/src/port.ts
@@ -46,7 +46,7 @@
 
 /** The node as the caller API sees it. */
 export interface CallerPort {
-  submit(request: CallerRequest, options: SubmitOptions): SubmittedRequest;
+  runRequest(request: CallerRequest, options: SubmitOptions): SubmittedRequest;
   createProgramId(seed: ProgramIdSeed): Result<ProgramId, Failure>;
   operate(request: OperateRequest): Promise<Result<OperateAnswer, Failure>>;
   /** Whether the node takes new requests, or why not. */
--- a/packages/callers/src/submit.ts
+++ b/packages/callers/src/submit.ts
@@ -23,12 +23,12 @@
 }
 
 /** Submits a request and waits for its last answer. */
-export function submitWhole(
+export function runWhole(
   port: CallerPort,
   submission: CallerSubmission,
 ): Promise<FinalAnswer> {
   return new Promise((resolve) => {
-    port.submit(submission.request, {
+    port.runRequest(submission.request, {
       mayBeRepeat: submission.mayBeRepeat,
       onAnswer(answer): void {
         if (answer.kind !== "text") resolve(answer);
@@ -68,7 +68,7 @@
 };
 
 /** Submits a request and streams its answers as server-sent events. */
-export function submitStreamed(
+export function runStreamed(
   context: Context,
   port: CallerPort,
   options: {
@@ -78,7 +78,7 @@
 ): Response {
   return streamSSE(context, async (stream) => {
     const answers = new AnswerQueue();
-    const submitted = port.submit(options.submission.request, {
+    const submitted = port.runRequest(options.submission.request, {
       mayBeRepeat: options.submission.mayBeRepeat,
       onAnswer: (answer) => answers.add(answer),
     });
--- a/packages/scheduler/src/entry/entry.ts
+++ b/packages/scheduler/src/entry/entry.ts
@@ -85,11 +85,11 @@
   handle(input: EntryInput, nowMs: number): Effect[] {
     this.#nowMs = nowMs;
     this.#effects = [];
-    this.#dispatch(input);
+    this.#handleInput(input);
     return this.#effects;
   }
 
-  #dispatch(input: EntryInput): void {
+  #handleInput(input: EntryInput): void {
     switch (input.kind) {
       case "caller_request":
         return this.#openRequest(input);
@@ -116,7 +116,7 @@
     }
     const open = createOpenRequest(input, { shard, nowMs: this.#nowMs });
     this.#open.set(requestId, open);
-    this.#forward(open);
+    this.#sendRequest(open);
   }
 
   #closeRequest(requestId: RequestId): void {
@@ -150,28 +150,28 @@
       return this.#send(from, { kind: "caller_gone", requestId });
     }
     open.lastHeardMs = this.#nowMs;
-    this.#relay(open, message.answer);
+    this.#sendAnswer(open, message.answer);
   }
 
-  #relay(open: OpenRequest, answer: CallerAnswer): void {
+  #sendAnswer(open: OpenRequest, answer: CallerAnswer): void {
     switch (answer.kind) {
       case "text":
-        return this.#relayText(open, answer);
+        return this.#sendText(open, answer);
       case "outcome":
-        return this.#relayOutcome(open, answer);
+        return this.#sendOutcome(open, answer);
       case "running":
         if (open.request.kind !== "show_call") return;
-        return this.#finish(open, answer);
+        return this.#closeCall(open, answer);
       case "program":
       case "history":
       case "refused":
-        return this.#finish(open, answer);
+        return this.#closeCall(open, answer);
       default:
         return checkNever(answer);
     }
   }
 
-  #relayText(
+  #sendText(
     open: OpenRequest,
     answer: Extract<CallerAnswer, { kind: "text" }>,
   ): void {
@@ -184,23 +184,23 @@
           text: applied.text,
         });
       case "gap":
-        return this.#forward(open);
+        return this.#sendRequest(open);
       case "known":
         return;
       case "differs":
-        return this.#finish(open, createCutAnswer("the text changed"));
+        return this.#closeCall(open, createCutAnswer("the text changed"));
       default:
         return checkNever(applied);
     }
   }
 
-  #relayOutcome(
+  #sendOutcome(
     open: OpenRequest,
     answer: Extract<CallerAnswer, { kind: "outcome" }>,
   ): void {
     const problem = checkOutcome(open, answer);
     if (problem !== undefined) {
-      return this.#finish(open, createCutAnswer(problem));
+      return this.#closeCall(open, createCutAnswer(problem));
     }
     const { outcome, callId } = answer;
     if (outcome.status === "completed") {
@@ -210,7 +210,7 @@
         this.#answer(open.requestId, { kind: "text", callId, offset, text });
       }
     }
-    this.#finish(open, answer);
+    this.#closeCall(open, answer);
   }
 
   /** The owner has moved: asks the present one at once if it's known. */
@@ -219,7 +219,7 @@
     if (open === undefined || open.sentTo !== from) return;
     open.sentTo = undefined;
     const owner = this.#options.findOwner(open.shard);
-    if (owner !== undefined && owner.owner !== from) this.#forward(open);
+    if (owner !== undefined && owner.owner !== from) this.#sendRequest(open);
   }
 
   #handleTick(): void {
@@ -228,14 +228,16 @@
 
   #check(open: OpenRequest): void {
     const { resendMs, giveUpMs } = this.#options.limits;
-    if (this.#nowMs - open.lastHeardMs >= giveUpMs) return this.#giveUp(open);
+    if (this.#nowMs - open.lastHeardMs >= giveUpMs) {
+      return this.#endUnanswered(open);
+    }
     const owner = this.#options.findOwner(open.shard);
     const hasMoved = owner !== undefined && owner.owner !== open.sentTo;
     const silentMs = this.#nowMs - Math.max(open.lastHeardMs, open.sentAtMs);
-    if (hasMoved || silentMs >= resendMs) this.#forward(open);
+    if (hasMoved || silentMs >= resendMs) this.#sendRequest(open);
   }
 
-  #forward(open: OpenRequest): void {
+  #sendRequest(open: OpenRequest): void {
     const owner = this.#options.findOwner(open.shard);
     if (owner === undefined) return;
     open.sentTo = owner.owner;
@@ -248,16 +250,16 @@
   }
 
   /** Says "not run" only of what was never sent and can't be a repeat. */
-  #giveUp(open: OpenRequest): void {
+  #endUnanswered(open: OpenRequest): void {
     const detail = `shard ${open.shard}`;
     const name = open.wasSent || open.mayBeRepeat
       ? "AnswerUncertain"
       : "OwnerUnreachable";
     const failure = createFailure(name, detail, this.#options.limits.resendMs);
-    this.#finish(open, { kind: "refused", failure });
+    this.#closeCall(open, { kind: "refused", failure });
   }
 
-  #finish(open: OpenRequest, answer: CallerAnswer): void {
+  #closeCall(open: OpenRequest, answer: CallerAnswer): void {
     this.#open.delete(open.requestId);
     this.#answer(open.requestId, answer);
   }
--- /dev/null
+++ b/packages/scheduler/src/owner/attempt_closer.ts
@@ -0,0 +1,98 @@
+/**
+ * Closes attempts: gives the slot back, stops what still runs, and records
+ * what the attempt cost and left in its target's cache.
+ */
+import type { Failure } from "@camphorlock/codes";
+import type { AttemptId, Micros, Usage } from "@camphorlock/types";
+import { ok, type Result } from "neverthrow";
+import type { OwnerContext } from "./owner_context.ts";
+import { computeCost, computePromptBound } from "./pricing.ts";
+import type { RunningAttempt, RunningCall } from "./running_call.ts";
+
+/** How an attempt ended, as its dispatcher is told. */
+export type SlotOutcome = "completed" | "failed" | "cancelled" | "stalled";
+
+/** Closes the present attempt of calls. */
+export class AttemptCloser {
+  readonly #context: OwnerContext;
+  readonly #byAttempt: Map<AttemptId, RunningCall>;
+
+  constructor(
+    context: OwnerContext,
+    byAttempt: Map<AttemptId, RunningCall>,
+  ) {
+    this.#context = context;
+    this.#byAttempt = byAttempt;
+  }
+
+  /** Gives the slot of the present attempt back; later events are ignored. */
+  releaseSlot(running: RunningCall, outcome: SlotOutcome): void {
+    const { attempt } = running;
+    if (attempt === undefined) return;
+    this.#byAttempt.delete(attempt.attemptId);
+    this.#context.send(attempt.dispatcher, {
+      kind: "slot_released",
+      attemptId: attempt.attemptId,
+      targetId: attempt.targetId,
+      outcome,
+      firstTokenMs: attempt.firstTokenMs,
+      durationMs: this.#context.nowMs - attempt.sentAtMs,
+      tokens: attempt.tokens,
+    });
+  }
+
+  /** Tells the target to stop the present attempt. */
+  cancelSent(running: RunningCall): void {
+    const { attempt } = running;
+    if (attempt === undefined) return;
+    const { attemptId, targetId } = attempt;
+    this.#context.addEffect({ kind: "cancel_attempt", attemptId, targetId });
+  }
+
+  /**
+   * Records an attempt whose result is lost. Its target may go on unseen, so
+   * that the budget counts the whole reservation.
+   */
+  appendLost(running: RunningCall): Result<void, Failure> {
+    const { attempt, state } = running;
+    if (attempt === undefined) return ok(undefined);
+    return this.#context.append([{
+      kind: "attempt_lost",
+      programId: running.spec.programId,
+      callId: state.callId,
+      attemptId: attempt.attemptId,
+      heldMicros: state.reservedMicros,
+      chargedMicros: this.computeSeen(running),
+    }]);
+  }
+
+  /** Computes the cost of what was seen of the present attempt. */
+  computeSeen(running: RunningCall): Micros {
+    const { state, attempt } = running;
+    const { prices } = this.#context.options.getConfiguration();
+    if (attempt === undefined) return 0;
+    if (attempt.inherited) return state.reservedMicros;
+    if (state.call.kind === "service") return prices.serviceCallMicros;
+    const usage: Usage = {
+      promptTokens: computePromptBound(state.call),
+      cachedTokens: 0,
+      completionTokens: attempt.tokens,
+    };
+    const cost = computeCost(state.call, usage, prices);
+    return Math.min(cost, state.reservedMicros);
+  }
+
+  /** Records what the attempt left in the cache of its target. */
+  recordCached(
+    running: RunningCall,
+    attempt: RunningAttempt,
+    usage: Usage,
+  ): void {
+    if (running.state.call.kind !== "model") return;
+    this.#context.options.placer.recordCached(running.spec.programId, {
+      targetId: attempt.targetId,
+      tokens: usage.promptTokens + usage.completionTokens,
+      nowMs: this.#context.nowMs,
+    });
+  }
+}
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -37,8 +37,8 @@
       excluded: running.excluded,
     }, this.#context.nowMs);
     if (choice.isErr()) return choice.map(() => undefined);
-    for (const effect of choice.value.effects) this.#context.emit(effect);
-    this.#askSlot(running, choice.value, promptTokens);
+    for (const effect of choice.value.effects) this.#context.addEffect(effect);
+    this.#sendSlotRequest(running, choice.value, promptTokens);
     return ok(undefined);
   }
 
@@ -47,7 +47,7 @@
    *
    * Fails when the ledger refuses the intent; nothing is sent then.
    */
-  intend(running: RunningCall): Result<void, Failure> {
+  recordIntent(running: RunningCall): Result<void, Failure> {
     const { attempt } = running;
     if (attempt === undefined) return ok(undefined);
     const intendedAtMs = this.#context.nowMs;
@@ -76,7 +76,7 @@
     running.phase = "running";
     this.#byAttempt.set(attempt.attemptId, running);
     const order = this.#buildOrder(running, attempt);
-    this.#context.emit({ kind: "resume_attempt", order });
+    this.#context.addEffect({ kind: "resume_attempt", order });
   }
 
   /** Renews the slot of the present attempt when its period has passed. */
@@ -95,7 +95,7 @@
     attempt.unreportedTokens = 0;
   }
 
-  #askSlot(
+  #sendSlotRequest(
     running: RunningCall,
     choice: PlacementChoice,
     promptTokens: number,
@@ -167,6 +167,7 @@
   #send(running: RunningCall, attempt: RunningAttempt): void {
     running.phase = "running";
     running.attemptsSent += 1;
+    running.placingSinceMs = Infinity;
     attempt.sentAtMs = this.#context.nowMs;
     const order = this.#buildOrder(running, attempt);
     this.#context.log("AttemptStarted", {
@@ -174,7 +175,7 @@
       attemptId: order.attemptId,
       targetId: order.targetId,
     });
-    this.#context.emit({ kind: "start_attempt", order });
+    this.#context.addEffect({ kind: "start_attempt", order });
   }
 
   #buildOrder(running: RunningCall, attempt: RunningAttempt): AttemptOrder {
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -5,43 +5,43 @@
 import { createFailure, type Failure, RESULT_CODES } from "@camphorlock/codes";
 import {
   type AttemptEvent,
-  type AttemptId,
   type CallOutcome,
   checkNever,
   type CompletedOutcome,
   type FailedOutcome,
-  type Micros,
   type Usage,
 } from "@camphorlock/types";
-import { ok, type Result } from "neverthrow";
+import type { AttemptCloser } from "./attempt_closer.ts";
 import { computeDigest } from "./digest.ts";
 import type { OwnerContext } from "./owner_context.ts";
-import { computeCost, computePromptBound } from "./pricing.ts";
+import { computeCost } from "./pricing.ts";
 import { computeRest } from "./program_state.ts";
-import type { RunningCall } from "./running_call.ts";
+import { isIdempotent, type RunningCall } from "./running_call.ts";
 
 /** An event that ends an attempt. */
 type EndEvent = Exclude<AttemptEvent, { kind: "text" }>;
 
 /** What the ender tells the runner. */
 interface EnderHooks {
-  forgetAttempt(attemptId: AttemptId): void;
   /** The call is in the queue again. */
   requeue(running: RunningCall): void;
   /** The outcome is durable. */
   finish(running: RunningCall): void;
 }
 
-/** How an attempt ended, as its dispatcher is told. */
-type SlotOutcome = "completed" | "failed" | "cancelled" | "stalled";
-
 /** Decides between a new attempt and an outcome. */
 export class CallEnder {
   readonly #context: OwnerContext;
+  readonly #closer: AttemptCloser;
   readonly #hooks: EnderHooks;
 
-  constructor(context: OwnerContext, hooks: EnderHooks) {
+  constructor(
+    context: OwnerContext,
+    closer: AttemptCloser,
+    hooks: EnderHooks,
+  ) {
     this.#context = context;
+    this.#closer = closer;
     this.#hooks = hooks;
   }
 
@@ -50,11 +50,11 @@
     this.#logEnd(running, event);
     switch (event.kind) {
       case "completed":
-        return this.#complete(running, event.text, event.usage);
+        return this.#endCompleted(running, event.text, event.usage);
       case "rejected":
         return this.#handleRejected(running, event);
       case "not_sent":
-        return this.#retryNotRun(running, event.detail);
+        return this.#handleNotRun(running, event.detail);
       case "broken":
         return this.#handleBroken(running, event.detail);
       default:
@@ -65,14 +65,14 @@
   /** Handles a refused or unanswered request for a slot: nothing was sent. */
   handleSlotRefused(running: RunningCall, retryAfterMs: number): void {
     const { limits } = this.#context.options;
-    const waitedMs = this.#context.nowMs - running.sinceMs;
+    const waitedMs = this.#context.nowMs - running.placingSinceMs;
     if (waitedMs >= limits.placeTimeoutMs) {
       const detail = "no dispatcher granted a slot in time";
       const failure = createFailure("Overloaded", detail, retryAfterMs);
       return this.endNotRun(running, failure);
     }
-    this.#releaseSlot(running, "cancelled");
-    this.#requeue(running, retryAfterMs);
+    this.#closer.releaseSlot(running, "cancelled");
+    this.#setQueued(running, retryAfterMs);
   }
 
   /**
@@ -80,7 +80,7 @@
    * reached a target.
    */
   endNotRun(running: RunningCall, failure: Failure): void {
-    if (running.mayHaveRun) return this.#fail(running, failure, 0);
+    if (running.mayHaveRun) return this.#endFailed(running, failure, 0);
     const { code, detail, retryAfterMs } = failure;
     const outcome = { status: "not_run", code, detail } as const;
     if (retryAfterMs === undefined) return this.#end(running, outcome);
@@ -101,7 +101,7 @@
       case "queued":
       case "waiting_slot":
       case "intending":
-        this.#releaseSlot(running, "cancelled");
+        this.#closer.releaseSlot(running, "cancelled");
         return this.endNotRun(running, failure);
       case "running":
         return this.#stopSent(running, failure);
@@ -114,47 +114,48 @@
 
   #stopSent(running: RunningCall, failure: Failure): void {
     if (!isIdempotent(running)) return;
-    this.#cancelSent(running);
-    this.#releaseSlot(running, "cancelled");
-    this.#fail(running, failure, this.#computeLost(running));
+    this.#closer.cancelSent(running);
+    this.#closer.releaseSlot(running, "cancelled");
+    this.#closer.appendLost(running);
+    this.#endFailed(running, failure, 0);
   }
 
   #handleRejected(
     running: RunningCall,
     event: Extract<EndEvent, { kind: "rejected" }>,
   ): void {
-    if (event.notRun) return this.#retryNotRun(running, event.detail);
-    this.#releaseSlot(running, "failed");
+    if (event.notRun) return this.#handleNotRun(running, event.detail);
+    this.#closer.releaseSlot(running, "failed");
     const detail = `status ${event.status}: ${event.detail}`;
     const failure = createFailure("TargetRejected", detail);
-    this.#fail(running, failure, this.#computeLost(running));
+    this.#endFailed(running, failure, this.#closer.computeSeen(running));
   }
 
   /**
    * Tries again what didn't reach its target. For an attempt of an earlier
    * owner only the question about it failed: it counts as broken.
    */
-  #retryNotRun(running: RunningCall, detail: string): void {
+  #handleNotRun(running: RunningCall, detail: string): void {
     if (running.attempt?.inherited === true) {
       return this.#handleBroken(running, detail);
     }
-    this.#releaseSlot(running, "failed");
-    if (this.#canTryAgain(running)) return this.#retry(running);
+    this.#closer.releaseSlot(running, "failed");
+    if (this.#canTryAgain(running)) return this.#startAgain(running);
     this.endNotRun(running, createFailure("TargetBroken", detail));
   }
 
   #handleBroken(running: RunningCall, detail: string): void {
-    this.#releaseSlot(running, "stalled");
+    this.#closer.releaseSlot(running, "stalled");
     running.mayHaveRun = true;
     if (!isIdempotent(running)) return this.#endUnknown(running, detail);
-    const lostMicros = this.#computeLost(running);
-    this.#cancelSent(running);
-    if (this.#canTryAgain(running) && this.#canPay(running)) {
-      const appended = this.#appendLost(running, lostMicros);
-      if (appended.isOk()) return this.#retry(running);
+    this.#closer.cancelSent(running);
+    const appended = this.#closer.appendLost(running);
+    if (
+      appended.isOk() && this.#canTryAgain(running) && this.#canPay(running)
+    ) {
+      return this.#startAgain(running);
     }
-    const failure = createFailure("TargetBroken", detail);
-    this.#fail(running, failure, lostMicros);
+    this.#endFailed(running, createFailure("TargetBroken", detail), 0);
   }
 
   /** A non-idempotent attempt may have run: that is stored, with its price. */
@@ -169,7 +170,7 @@
     });
   }
 
-  #complete(running: RunningCall, text: string, usage: Usage): void {
+  #endCompleted(running: RunningCall, text: string, usage: Usage): void {
     const { attempt, state } = running;
     if (attempt === undefined) return;
     if (!text.startsWith(running.text)) {
@@ -179,8 +180,8 @@
     const cost = computeCost(state.call, usage, configuration.prices);
     const used = state.lostChargedMicros +
       Math.min(cost, state.reservedMicros);
-    this.#recordCached(running, usage);
-    this.#releaseSlot(running, "completed");
+    this.#closer.recordCached(running, attempt, usage);
+    this.#closer.releaseSlot(running, "completed");
     this.#end(running, {
       status: "completed",
       attemptId: attempt.attemptId,
@@ -193,7 +194,7 @@
     });
   }
 
-  #fail(running: RunningCall, failure: Failure, lostMicros: Micros): void {
+  #endFailed(running: RunningCall, failure: Failure, lostMicros: number): void {
     const outcome: FailedOutcome = {
       status: "failed",
       code: failure.code,
@@ -219,13 +220,13 @@
       serviceMs: this.#computeService(running),
     }], () => this.#hooks.finish(running));
     if (appended.isErr()) {
-      return this.#postponeEnd(running, outcome, appended.error);
+      return this.#setPendingOutcome(running, outcome, appended.error);
     }
     this.#context.log("CallEnded", { callId, status: outcome.status });
   }
 
   /** Keeps the outcome until there's space; a text too large fails. */
-  #postponeEnd(
+  #setPendingOutcome(
     running: RunningCall,
     outcome: CallOutcome,
     failure: Failure,
@@ -237,17 +238,17 @@
       : outcome;
   }
 
-  #retry(running: RunningCall): void {
+  #startAgain(running: RunningCall): void {
     const { attempt, state } = running;
     if (attempt !== undefined) running.excluded.push(attempt.targetId);
     this.#context.log("CallRetried", {
       callId: state.callId,
       attempts: running.attemptsBegun,
     });
-    this.#requeue(running, 0);
+    this.#setQueued(running, 0);
   }
 
-  #requeue(running: RunningCall, delayMs: number): void {
+  #setQueued(running: RunningCall, delayMs: number): void {
     running.attempt = undefined;
     running.phase = "queued";
     running.notBeforeMs = this.#context.nowMs + delayMs;
@@ -270,80 +271,12 @@
     return computeRest(program) >= running.state.reservedMicros;
   }
 
-  /**
-   * Records a lost attempt at once. Its target may go on unseen, so that the
-   * budget counts the whole reservation.
-   */
-  #appendLost(
-    running: RunningCall,
-    chargedMicros: Micros,
-  ): Result<void, Failure> {
-    const { attempt, state } = running;
-    if (attempt === undefined) return ok(undefined);
-    return this.#context.append([{
-      kind: "attempt_lost",
-      programId: running.spec.programId,
-      callId: state.callId,
-      attemptId: attempt.attemptId,
-      heldMicros: state.reservedMicros,
-      chargedMicros,
-    }]);
-  }
-
-  #cancelSent(running: RunningCall): void {
-    const { attempt } = running;
-    if (attempt === undefined) return;
-    const { attemptId, targetId } = attempt;
-    this.#context.emit({ kind: "cancel_attempt", attemptId, targetId });
-  }
-
   #computeService(running: RunningCall): number {
     const { attempt } = running;
     if (attempt === undefined || running.state.attempts.length === 0) return 0;
     return Math.round(this.#context.nowMs - attempt.sentAtMs);
   }
 
-  /** Computes an upper bound of what the present attempt used. */
-  #computeLost(running: RunningCall): Micros {
-    const { state, attempt } = running;
-    const { prices } = this.#context.options.getConfiguration();
-    if (attempt === undefined) return 0;
-    if (attempt.inherited) return state.reservedMicros;
-    if (state.call.kind === "service") return prices.serviceCallMicros;
-    const usage: Usage = {
-      promptTokens: computePromptBound(state.call),
-      cachedTokens: 0,
-      completionTokens: attempt.tokens,
-    };
-    const cost = computeCost(state.call, usage, prices);
-    return Math.min(cost, state.reservedMicros);
-  }
-
-  #recordCached(running: RunningCall, usage: Usage): void {
-    const { attempt, spec, state } = running;
-    if (attempt === undefined || state.call.kind !== "model") return;
-    this.#context.options.placer.recordCached(spec.programId, {
-      targetId: attempt.targetId,
-      tokens: usage.promptTokens + usage.completionTokens,
-      nowMs: this.#context.nowMs,
-    });
-  }
-
-  #releaseSlot(running: RunningCall, outcome: SlotOutcome): void {
-    const { attempt } = running;
-    if (attempt === undefined) return;
-    this.#hooks.forgetAttempt(attempt.attemptId);
-    this.#context.send(attempt.dispatcher, {
-      kind: "slot_released",
-      attemptId: attempt.attemptId,
-      targetId: attempt.targetId,
-      outcome,
-      firstTokenMs: attempt.firstTokenMs,
-      durationMs: this.#context.nowMs - attempt.sentAtMs,
-      tokens: attempt.tokens,
-    });
-  }
-
   #logEnd(running: RunningCall, event: EndEvent): void {
     this.#context.log("AttemptEnded", {
       attemptId: running.attempt?.attemptId,
@@ -362,9 +295,3 @@
   const { code, detail } = failure;
   return { status: "failed", code, detail, chargeMicros, agreementRevision };
 }
-
-/** Whether a second run of the call can't harm its caller. */
-function isIdempotent(running: RunningCall): boolean {
-  const { call } = running.state;
-  return call.kind === "model" || call.idempotent;
-}
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -11,6 +11,7 @@
   type DispatchMessage,
   type ProgramId,
 } from "@camphorlock/types";
+import { AttemptCloser } from "./attempt_closer.ts";
 import { AttemptStarter } from "./attempt_starter.ts";
 import { CallEnder } from "./call_ender.ts";
 import type { OwnerContext } from "./owner_context.ts";
@@ -32,10 +33,10 @@
     this.#context = context;
     this.#waiters = waiters;
     this.#starter = new AttemptStarter(context, this.#byAttempt);
-    this.#ender = new CallEnder(context, {
-      forgetAttempt: (attemptId) => this.#byAttempt.delete(attemptId),
+    const closer = new AttemptCloser(context, this.#byAttempt);
+    this.#ender = new CallEnder(context, closer, {
       requeue: (running) => this.startNext(running.spec.programId),
-      finish: (running) => this.#finish(running),
+      finish: (running) => this.#closeCall(running),
     });
   }
 
@@ -125,14 +126,18 @@
   }
 
   #start(running: RunningCall): void {
-    if (running.notBeforeMs > this.#context.nowMs) return;
+    const { nowMs } = this.#context;
+    if (running.notBeforeMs > nowMs) return;
+    if (!Number.isFinite(running.placingSinceMs)) {
+      running.placingSinceMs = nowMs;
+    }
     const started = this.#starter.start(running);
-    if (started.isErr()) this.#postpone(running, started.error);
+    if (started.isErr()) this.#handlePlaceFailure(running, started.error);
   }
 
-  #postpone(running: RunningCall, failure: Failure): void {
+  #handlePlaceFailure(running: RunningCall, failure: Failure): void {
     const { limits } = this.#context.options;
-    const waitedMs = this.#context.nowMs - running.sinceMs;
+    const waitedMs = this.#context.nowMs - running.placingSinceMs;
     if (waitedMs >= limits.placeTimeoutMs) {
       return this.#ender.endNotRun(running, failure);
     }
@@ -144,7 +149,7 @@
     const running = this.#byAttempt.get(attemptId);
     if (running === undefined) return;
     if (running.phase !== "waiting_slot") return;
-    const intended = this.#starter.intend(running);
+    const intended = this.#starter.recordIntent(running);
     if (intended.isErr()) this.#ender.handleSlotRefused(running, 0);
   }
 
@@ -195,7 +200,7 @@
     }
   }
 
-  #finish(running: RunningCall): void {
+  #closeCall(running: RunningCall): void {
     const { callId, outcome } = running.state;
     const { programId } = running.spec;
     this.#calls.delete(callId);
--- a/packages/scheduler/src/owner/memory_releaser.ts
+++ b/packages/scheduler/src/owner/memory_releaser.ts
@@ -33,7 +33,7 @@
   /** Adds a program that has ended. */
   add(program: ProgramState): void {
     this.#ending.add(program);
-    this.#orderReleases(program);
+    this.#sendReleases(program);
   }
 
   /** Repeats the orders that weren't confirmed. */
@@ -42,7 +42,7 @@
     if (nowMs - this.#lastRoundMs < options.limits.releaseRetryMs) return;
     this.#lastRoundMs = nowMs;
     this.#pending.clear();
-    for (const program of this.#ending) this.#orderReleases(program);
+    for (const program of this.#ending) this.#sendReleases(program);
   }
 
   /** Handles a target's answer to an order. */
@@ -53,7 +53,7 @@
     this.#appendReleased(pending);
   }
 
-  #orderReleases(program: ProgramState): void {
+  #sendReleases(program: ProgramState): void {
     if (program.openCalls.size > 0) return;
     if (program.heldBy.size === 0) {
       this.#ending.delete(program);
@@ -61,11 +61,11 @@
     }
     const { programId } = program.spec;
     for (const targetId of [...program.heldBy]) {
-      this.#orderRelease({ programId, targetId });
+      this.#sendRelease({ programId, targetId });
     }
   }
 
-  #orderRelease(release: PendingRelease): void {
+  #sendRelease(release: PendingRelease): void {
     const { programId, targetId } = release;
     if (!this.#context.options.placer.hasTarget(targetId)) {
       return this.#appendReleased(release);
@@ -73,7 +73,7 @@
     const number = this.#nextNumber++;
     this.#pending.set(number, release);
     const order = { kind: "release", programId } as const;
-    this.#context.emit({ kind: "order_target", targetId, number, order });
+    this.#context.addEffect({ kind: "order_target", targetId, number, order });
   }
 
   #appendReleased(release: PendingRelease): void {
--- a/packages/scheduler/src/owner/owner_context.ts
+++ b/packages/scheduler/src/owner/owner_context.ts
@@ -44,13 +44,13 @@
   }
 
   /** Adds an effect to the answer of the input being handled. */
-  emit(effect: Effect): void {
+  addEffect(effect: Effect): void {
     this.#effects.push(effect);
   }
 
   /** Sends a message to another node, or to this one. */
   send(to: VmId, message: PeerMessage): void {
-    this.emit({ kind: "send_peer", to, message });
+    this.addEffect({ kind: "send_peer", to, message });
   }
 
   /** Answers a request at the entry that forwarded it. */
@@ -82,7 +82,10 @@
   log(name: EventName, fields: LogFields): void {
     const { event } = EVENTS[name];
     const shard = this.options.shard;
-    this.emit({ kind: "log", record: { event, fields: { shard, ...fields } } });
+    this.addEffect({
+      kind: "log",
+      record: { event, fields: { shard, ...fields } },
+    });
   }
 
   /**
--- a/packages/scheduler/src/owner/request_handler.ts
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -53,7 +53,7 @@
       case "run_call":
         return this.#runCall(origin, request);
       case "show_call":
-        return this.#showCall(origin, request);
+        return this.#answerCallState(origin, request);
       case "show_program":
         return this.#answerLatest(origin, request.programId, answerView);
       case "read_history":
@@ -113,16 +113,16 @@
     const digest = computeCallDigest(request.call);
     const earlier = program.callsByKey.get(request.key);
     if (earlier === undefined || earlier.outcome?.status === "not_run") {
-      return this.#acceptCall(origin, program, { request, digest });
+      return this.#openCall(origin, program, { request, digest });
     }
     if (earlier.requestDigest !== digest) {
       const detail = `key ${request.key}`;
       return this.#context.refuse(origin, createFailure("KeyReused", detail));
     }
-    this.#joinCall(origin, earlier, request.fromOffset);
+    this.#subscribeToCall(origin, earlier, request.fromOffset);
   }
 
-  #acceptCall(
+  #openCall(
     origin: RequestOrigin,
     program: ProgramState,
     asked: { readonly request: RunCallRequest; readonly digest: string },
@@ -199,7 +199,11 @@
     return undefined;
   }
 
-  #joinCall(origin: RequestOrigin, call: CallState, fromOffset: number): void {
+  #subscribeToCall(
+    origin: RequestOrigin,
+    call: CallState,
+    fromOffset: number,
+  ): void {
     const { callId } = call;
     const running = this.#parts.runner.find(callId);
     if (running === undefined) return this.#answerEnded(origin, call);
@@ -215,7 +219,7 @@
     this.#context.answer(origin, { kind: "outcome", callId, outcome });
   }
 
-  #showCall(origin: RequestOrigin, request: ShowCallRequest): void {
+  #answerCallState(origin: RequestOrigin, request: ShowCallRequest): void {
     const program = this.#context.state.programs.get(request.programId);
     const call = program?.callsByKey.get(request.key);
     if (call === undefined) {
--- a/packages/scheduler/src/owner/running_call.ts
+++ b/packages/scheduler/src/owner/running_call.ts
@@ -31,8 +31,8 @@
   readonly spec: ProgramSpec;
   readonly state: CallState;
   phase: CallPhase;
-  /** When the call was accepted or taken over, by the monotonic clock. */
-  readonly sinceMs: number;
+  /** Since when a target is sought, infinite when none is, monotonic clock. */
+  placingSinceMs: number;
   /** Not placed before this moment, by the monotonic clock. */
   notBeforeMs: number;
   /** The text of the answer so far. */
@@ -75,7 +75,7 @@
     spec,
     state,
     phase: options.phase,
-    sinceMs: options.nowMs,
+    placingSinceMs: Infinity,
     notBeforeMs: options.nowMs,
     text: "",
     attemptsBegun: 0,
@@ -84,3 +84,9 @@
     excluded: [],
   };
 }
+
+/** Whether a second run of the call can't harm its caller. */
+export function isIdempotent(running: RunningCall): boolean {
+  const { call } = running.state;
+  return call.kind === "model" || call.idempotent;
+}
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -72,7 +72,7 @@
   /** Handles one input and returns what has to be done. */
   handle(input: OwnerInput, nowMs: number): Effect[] {
     this.#context.nowMs = nowMs;
-    this.#dispatch(input);
+    this.#handleInput(input);
     return this.#context.takeEffects();
   }
 
@@ -81,7 +81,7 @@
     return [...this.#context.state.programs.values()].map(buildProgramView);
   }
 
-  #dispatch(input: OwnerInput): void {
+  #handleInput(input: OwnerInput): void {
     switch (input.kind) {
       case "request":
         return this.#handleRequest(input.from, input.message);
@@ -96,7 +96,7 @@
       case "confirmed":
         return this.#context.settleConfirmed(input.token);
       case "recovered":
-        return this.#recover(input.entries);
+        return this.#applyRecovered(input.entries);
       case "tick":
         return this.#handleTick();
       default:
@@ -120,7 +120,7 @@
     }
   }
 
-  #recover(entries: readonly LedgerEntry[]): void {
+  #applyRecovered(entries: readonly LedgerEntry[]): void {
     const { state } = this.#context;
     for (const entry of entries) state.apply(entry.body);
     for (const program of state.programs.values()) {
--- a/packages/scheduler/src/owner/shard_state.ts
+++ b/packages/scheduler/src/owner/shard_state.ts
@@ -25,7 +25,7 @@
   createProgramState,
   type ProgramState,
 } from "./program_state.ts";
-import { expandStoredCall } from "./shared_messages.ts";
+import { mergeStoredCall } from "./shared_messages.ts";
 
 /** All programs of one shard. */
 export class ShardState {
@@ -76,7 +76,7 @@
       callId: body.callId,
       key: body.key,
       requestDigest: body.requestDigest,
-      call: expandStoredCall(program, body),
+      call: mergeStoredCall(program, body),
       reservedMicros: body.reservedMicros,
       lostHeldMicros: 0,
       lostChargedMicros: 0,
--- a/packages/scheduler/src/owner/shared_messages.ts
+++ b/packages/scheduler/src/owner/shared_messages.ts
@@ -37,7 +37,7 @@
 }
 
 /** Puts the shared messages of a stored call back. */
-export function expandStoredCall(
+export function mergeStoredCall(
   program: ProgramState,
   stored: StoredCall,
 ): Call {
--- /dev/null
+++ b/tools/lint/plugin.ts
@@ -0,0 +1,147 @@
+/**
+ * The project's own lint rules: verb names, import direction, module heads,
+ * file length and no file banners.
+ */
+import { isVerbName } from "./verbs.ts";
+
+const MAX_FILE_LINES = 300;
+const MAX_TEST_LINES = 450;
+const BANNER_PATTERN = /copyright|\blicen[sc]ed?\b|SPDX/i;
+
+/** Packages that the decisions may import: types, catalogues, pure code. */
+const SCHEDULER_IMPORTS: readonly string[] = [
+  "@camphorlock/types",
+  "@camphorlock/codes",
+  "neverthrow",
+  "msgpackr",
+  "pure-rand",
+  "node:crypto",
+];
+
+/** Imports that tests may add. */
+const TEST_IMPORTS: readonly string[] = ["chai", "fast-check", "node:fs"];
+
+function isTest(file: string): boolean {
+  return /_test\.ts$/.test(file);
+}
+
+/** Catalogues are tables, which may be long. */
+function getMaxLines(file: string): number {
+  if (/packages\/codes\/src\//.test(file)) return Number.MAX_SAFE_INTEGER;
+  return isTest(file) ? MAX_TEST_LINES : MAX_FILE_LINES;
+}
+
+function getPackage(file: string): string | undefined {
+  return /packages\/([a-z]+)\//.exec(file)?.[1];
+}
+
+function isAllowedImport(file: string, source: string): boolean {
+  const name = getPackage(file);
+  if (source.startsWith(".")) return !isOutsidePackage(file, source);
+  if (name !== "scheduler" && name !== "types") return true;
+  if (isTest(file) && TEST_IMPORTS.includes(source)) return true;
+  const allowed = name === "scheduler" ? SCHEDULER_IMPORTS : ["neverthrow"];
+  return allowed.some((each) =>
+    source === each || source.startsWith(`${each}/`)
+  );
+}
+
+function isOutsidePackage(file: string, source: string): boolean {
+  const inside = /packages\/[a-z]+\/(.*)$/.exec(file)?.[1];
+  if (inside === undefined) return false;
+  const depth = inside.split("/").length - 1;
+  const ups = source.split("/").filter((part) => part === "..").length;
+  return ups > depth;
+}
+
+function getName(node: { type: string; name?: unknown }): string | undefined {
+  return node.type === "Identifier" && typeof node.name === "string"
+    ? node.name
+    : undefined;
+}
+
+const plugin: Deno.lint.Plugin = {
+  name: "camphorlock",
+  rules: {
+    "verb-names": {
+      create(context) {
+        const check = (node: Deno.lint.Node, name: string | undefined) => {
+          if (name === undefined || isVerbName(name)) return;
+          if (isTest(context.filename)) return;
+          const message = `${name} begins with no verb of docs/VERBS.md`;
+          context.report({ node, message });
+        };
+        return {
+          FunctionDeclaration(node) {
+            if (node.id !== null) check(node, getName(node.id));
+          },
+          MethodDefinition(node) {
+            if (node.kind !== "method" || node.computed) return;
+            const { key } = node;
+            const name = key.type === "PrivateIdentifier"
+              ? key.name
+              : getName(key as { type: string; name?: unknown });
+            check(node, name?.replace(/^#/, ""));
+          },
+        };
+      },
+    },
+    "import-direction": {
+      create(context) {
+        const check = (node: Deno.lint.Node, source: string) => {
+          if (isAllowedImport(context.filename, source)) return;
+          const message = `this package may not import ${source}`;
+          context.report({ node, message });
+        };
+        return {
+          ImportDeclaration: (node) => check(node, node.source.value),
+          ExportAllDeclaration: (node) => check(node, node.source.value),
+          ExportNamedDeclaration(node) {
+            if (node.source) check(node, node.source.value);
+          },
+        };
+      },
+    },
+    "module-head": {
+      create(context) {
+        return {
+          Program(node) {
+            if (isTest(context.filename)) return;
+            const text = context.sourceCode.text.trimStart();
+            if (text.startsWith("/**") || text.startsWith("#!")) return;
+            const message = "a module begins with a doc comment";
+            context.report({ node, message });
+          },
+        };
+      },
+    },
+    "no-banner": {
+      create(context) {
+        return {
+          Program(node) {
+            const head = context.sourceCode.text.slice(0, 600);
+            const comment = /^\s*(\/\*[\s\S]*?\*\/|(\/\/.*\n)+)/.exec(head);
+            if (comment === null || !BANNER_PATTERN.test(comment[0])) return;
+            const message = "files carry no licence notice or banner";
+            context.report({ node, message });
+          },
+        };
+      },
+    },
+    "file-length": {
+      create(context) {
+        return {
+          Program(node) {
+            const lines = context.sourceCode.text.split("\n").length;
+            const most = getMaxLines(context.filename);
+            if (lines <= most + 1) return;
+            const message = `${lines} lines; at most ${most}`;
+            context.report({ node, message });
+          },
+        };
+      },
+    },
+  },
+};
+
+export default plugin;
