Add the clients of platform, engines and services with stand-ins

Cause: the decisions need edges that carry their effects out, and peers to try them against.

Change: an HTTP exchange that sends a request at most once and says not_sent only before its first byte; clients of the object API, model engines and services over it; an object store with versions, conditions, watches, rates and planned faults, in process and over HTTP; stand-ins of an engine, a service and the balancer.

--- /dev/null
+++ b/packages/engines/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Clients of model engines.
+ */
+export * from "./src/attempt_stream.ts";
+export * from "./src/engine_client.ts";
+export * from "./src/engines.ts";
+export * from "./src/headers.ts";
--- /dev/null
+++ b/packages/engines/src/engine_client.ts
@@ -0,0 +1,224 @@
+/**
+ * Client of one model engine.
+ *
+ * An attempt is sent once and followed by its stream; a stream that broke can
+ * be followed again by attempt id. `docs/EDGES.md` has the HTTP form.
+ */
+import type {
+  AttemptId,
+  AttemptOrder,
+  ProgramId,
+  TargetOrder,
+  TargetOrderResult,
+} from "@camphorlock/types";
+import { checkNever } from "@camphorlock/types";
+import {
+  type Exchange,
+  PeerConnection,
+  type PeerRequest,
+  runWhole,
+  type WholeAnswer,
+} from "@camphorlock/platform";
+import { type AttemptListener, AttemptStream } from "./attempt_stream.ts";
+import { encodeChatRequest } from "./chat_request.ts";
+import { ATTEMPT_HEADER, FENCE_HEADER, PROGRAM_HEADER } from "./headers.ts";
+import { decodeOrderAnswer } from "./order_answer.ts";
+
+const ORDER_TIMEOUT_MS = 5_000;
+const MAX_ORDER_BYTES = 64 * 1024;
+const CANCEL_DELAYS_MS = [0, 250, 750] as const;
+
+/** Settings of an engine client. */
+export interface EngineClientOptions {
+  /** `ip:port` of the engine. */
+  readonly address: string;
+  readonly connectTimeoutMs?: number;
+}
+
+/** An attempt that's being followed. */
+export interface RunningAttempt {
+  /** Reports nothing more and tells the engine to stop. */
+  cancel(): void;
+}
+
+/** Where a resumed stream begins. */
+export interface ResumeOptions {
+  /** Characters of the attempt's own text that are skipped. */
+  readonly fromOffset: number;
+  readonly onEvent: AttemptListener;
+}
+
+/** Client of one model engine. */
+export class EngineClient {
+  readonly #connection: PeerConnection;
+
+  constructor(options: EngineClientOptions) {
+    this.#connection = new PeerConnection({
+      baseUrl: `http://${options.address}`,
+      ...(options.connectTimeoutMs === undefined
+        ? {}
+        : { connectTimeoutMs: options.connectTimeoutMs }),
+    });
+  }
+
+  /** Sends an attempt, once, and reports its events. */
+  runAttempt(order: AttemptOrder, onEvent: AttemptListener): RunningAttempt {
+    if (order.call.kind !== "model") {
+      return refuseAttempt("an engine runs model calls only", onEvent);
+    }
+    const request: PeerRequest = {
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: {
+        "content-type": "application/json",
+        [ATTEMPT_HEADER]: order.attemptId,
+        [PROGRAM_HEADER]: order.programId,
+      },
+      body: encodeChatRequest(order.call, order),
+      silenceTimeoutMs: order.progressTimeoutMs,
+      freshConnection: false,
+    };
+    return this.#startStream(order, {
+      request,
+      fromOffset: 0,
+      onEvent,
+      wasSentBefore: false,
+    });
+  }
+
+  /** Follows an attempt that was sent before, from an offset of its text. */
+  resumeAttempt(order: AttemptOrder, options: ResumeOptions): RunningAttempt {
+    const path = formatStreamPath(order.attemptId);
+    const request: PeerRequest = {
+      method: "GET",
+      path: `${path}?offset=${options.fromOffset}`,
+      headers: { [ATTEMPT_HEADER]: order.attemptId },
+      silenceTimeoutMs: order.progressTimeoutMs,
+      freshConnection: true,
+    };
+    return this.#startStream(order, {
+      request,
+      ...options,
+      wasSentBefore: true,
+    });
+  }
+
+  /** Tells the engine to stop an attempt, whoever started it. */
+  async cancelAttempt(attemptId: AttemptId): Promise<TargetOrderResult> {
+    const answer = await this.#run("DELETE", formatStreamPath(attemptId));
+    return decodeOrderAnswer(answer);
+  }
+
+  /** Carries out an order about what the engine holds or serves. */
+  async runOrder(order: TargetOrder): Promise<TargetOrderResult> {
+    return decodeOrderAnswer(await this.#sendOrder(order));
+  }
+
+  /** Gives back what the engine holds for a program. */
+  releaseProgram(programId: ProgramId): Promise<TargetOrderResult> {
+    return this.runOrder({ kind: "release", programId });
+  }
+
+  /** Takes nothing new and closes when what runs has ended. */
+  async closeWhenIdle(): Promise<void> {
+    await this.#connection.closeWhenIdle();
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await this.#connection.close();
+  }
+
+  /**
+   * The request to cancel may overtake the attempt itself, so that it's sent
+   * again until the engine knows the attempt or a second has passed.
+   */
+  async #settleCancel(attemptId: AttemptId): Promise<void> {
+    for (const delayMs of CANCEL_DELAYS_MS) {
+      if (delayMs > 0) await waitFor(delayMs);
+      const answer = await this.#run("DELETE", formatStreamPath(attemptId));
+      if (answer.kind === "answered" && answer.status < 300) return;
+    }
+  }
+
+  #sendOrder(order: TargetOrder): Promise<WholeAnswer> {
+    switch (order.kind) {
+      case "release":
+        return this.#run("DELETE", formatMemoryPath(order.programId));
+      case "load_model":
+        return this.#run("PUT", formatModelPath(order.model), order.fence);
+      case "unload_model":
+        return this.#run("DELETE", formatModelPath(order.model), order.fence);
+      default:
+        return checkNever(order);
+    }
+  }
+
+  #run(
+    method: "PUT" | "DELETE",
+    path: string,
+    fence?: number,
+  ): Promise<WholeAnswer> {
+    return runWhole(
+      this.#connection,
+      {
+        method,
+        path,
+        headers: fence === undefined ? {} : { [FENCE_HEADER]: String(fence) },
+        silenceTimeoutMs: ORDER_TIMEOUT_MS,
+        freshConnection: true,
+      },
+      { totalTimeoutMs: ORDER_TIMEOUT_MS, maxBytes: MAX_ORDER_BYTES },
+    );
+  }
+
+  #startStream(order: AttemptOrder, options: FollowOptions): RunningAttempt {
+    const stream = new AttemptStream(order, {
+      fromOffset: options.fromOffset,
+      onEvent: options.onEvent,
+      wasSentBefore: options.wasSentBefore,
+      onFault: () => exchange.cancel(),
+    });
+    const exchange: Exchange = this.#connection.start(options.request, stream);
+    return {
+      cancel: () => {
+        const wasSent = exchange.wasSent();
+        stream.close();
+        exchange.cancel();
+        const mayRun = options.wasSentBefore || wasSent;
+        if (mayRun) void this.#settleCancel(order.attemptId);
+      },
+    };
+  }
+}
+
+interface FollowOptions {
+  readonly request: PeerRequest;
+  readonly fromOffset: number;
+  readonly onEvent: AttemptListener;
+  readonly wasSentBefore: boolean;
+}
+
+function refuseAttempt(
+  detail: string,
+  onEvent: AttemptListener,
+): RunningAttempt {
+  queueMicrotask(() => onEvent({ kind: "not_sent", detail }));
+  return { cancel: () => {} };
+}
+
+function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function formatStreamPath(attemptId: AttemptId): string {
+  return `/v1/streams/${encodeURIComponent(attemptId)}`;
+}
+
+function formatMemoryPath(programId: ProgramId): string {
+  return `/v1/programs/${encodeURIComponent(programId)}/memory`;
+}
+
+function formatModelPath(model: string): string {
+  return `/v1/models/${encodeURIComponent(model)}`;
+}
--- /dev/null
+++ b/packages/engines/src/engine_client_test.ts
@@ -0,0 +1,246 @@
+import type {
+  AttemptEvent,
+  AttemptOrder,
+  ChatMessage,
+} from "@camphorlock/types";
+import {
+  buildAnswerText,
+  type RunningEngine,
+  serveEngine,
+} from "@camphorlock/standins";
+import { expect } from "chai";
+import { EngineClient } from "./engine_client.ts";
+
+const MAX_TOKENS = 200;
+
+function buildOrder(
+  attemptId: string,
+  options: { tokens?: number; prefixText?: string; timeoutMs?: number } = {},
+): AttemptOrder {
+  const content = `quote ${attemptId} [answer_tokens=${options.tokens ?? 20}]`;
+  return {
+    attemptId,
+    programId: "p0001-a",
+    callId: "c1",
+    targetId: "engine-1",
+    call: {
+      kind: "model",
+      model: "quote-model",
+      messages: [{ role: "user", content }],
+      maxTokens: MAX_TOKENS,
+    },
+    prefixText: options.prefixText ?? "",
+    progressTimeoutMs: options.timeoutMs ?? 2_000,
+  };
+}
+
+function getAnswer(order: AttemptOrder): string {
+  const messages: readonly ChatMessage[] = order.call.kind === "model"
+    ? order.call.messages
+    : [];
+  return buildAnswerText(messages, MAX_TOKENS).text;
+}
+
+/** Collects the events of one attempt. */
+class Recorder {
+  readonly events: AttemptEvent[] = [];
+  readonly #waiting: (() => void)[] = [];
+
+  readonly receive = (event: AttemptEvent): void => {
+    this.events.push(event);
+    for (const wake of this.#waiting.splice(0)) wake();
+  };
+
+  get last(): AttemptEvent | undefined {
+    return this.events.at(-1);
+  }
+
+  get text(): string {
+    return this.events.map((each) => each.kind === "text" ? each.text : "")
+      .join("");
+  }
+
+  async waitFor(isReached: () => boolean): Promise<void> {
+    while (!isReached()) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    }
+  }
+
+  async waitForEnd(): Promise<AttemptEvent | undefined> {
+    await this.waitFor(() =>
+      this.last !== undefined && this.last.kind !== "text"
+    );
+    return this.last;
+  }
+}
+
+describe("engine client", () => {
+  let engine: RunningEngine;
+  let client: EngineClient;
+
+  beforeEach(async () => {
+    engine = await serveEngine({ tokenMs: 1, firstTokenMs: 1 });
+    client = new EngineClient({ address: engine.address });
+  });
+
+  afterEach(async () => {
+    await client.close();
+    await engine.stop();
+  });
+
+  it("streams a whole answer with its usage", async () => {
+    const order = buildOrder("a1");
+    const recorder = new Recorder();
+    client.runAttempt(order, recorder.receive);
+    const end = await recorder.waitForEnd();
+    expect(end).to.deep.include({ kind: "completed", text: getAnswer(order) });
+    expect(recorder.text).to.equal(getAnswer(order));
+    expect(end).to.have.nested.property("usage.completionTokens", 20);
+    const tokens = recorder.events.reduce(
+      (sum, each) => sum + (each.kind === "text" ? each.tokens : 0),
+      0,
+    );
+    expect(tokens).to.equal(20);
+  });
+
+  it("continues from the text of an earlier attempt", async () => {
+    const order = buildOrder("a1");
+    const answer = getAnswer(order);
+    const prefixText = answer.slice(0, 31);
+    const recorder = new Recorder();
+    client.runAttempt({ ...order, prefixText }, recorder.receive);
+    const end = await recorder.waitForEnd();
+    expect(end).to.deep.include({ kind: "completed", text: answer });
+    const first = recorder.events[0];
+    expect(first?.kind === "text" && first.offset).to.equal(31);
+    expect(prefixText + recorder.text).to.equal(answer);
+  });
+
+  it("says not_sent when nothing listens", async () => {
+    await engine.stop();
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1"), recorder.receive);
+    expect((await recorder.waitForEnd())?.kind).to.equal("not_sent");
+  });
+
+  it("says broken when the connection ends after sending", async () => {
+    engine.control.silent = true;
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1"), recorder.receive);
+    await waitUntil(() => engine.control.requests === 1);
+    await engine.stop();
+    expect((await recorder.waitForEnd())?.kind).to.equal("broken");
+  });
+
+  it("says broken when the engine stays silent", async () => {
+    engine.control.silent = true;
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1", { timeoutMs: 100 }), recorder.receive);
+    expect(await recorder.waitForEnd()).to.deep.equal({
+      kind: "broken",
+      detail: "silent for 100 ms",
+    });
+  });
+
+  it("resumes a stream that went silent, on a fresh connection", async () => {
+    const order = buildOrder("a1", { tokens: 100, timeoutMs: 150 });
+    const recorder = new Recorder();
+    client.runAttempt(order, recorder.receive);
+    await recorder.waitFor(() => recorder.events.length > 0);
+    engine.control.setOpenStreamsSilent();
+    expect((await recorder.waitForEnd())?.kind).to.equal("broken");
+    const rest = new Recorder();
+    client.resumeAttempt(order, {
+      fromOffset: recorder.text.length,
+      onEvent: rest.receive,
+    });
+    expect((await rest.waitForEnd())?.kind).to.equal("completed");
+    expect(recorder.text + rest.text).to.equal(getAnswer(order));
+    expect(engine.control.runs).to.have.length(1);
+  });
+
+  it("never takes a cut answer for a whole one", async () => {
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1", { tokens: 100 }), recorder.receive);
+    await recorder.waitFor(() => recorder.events.length > 0);
+    engine.control.closeOpenStreams();
+    expect((await recorder.waitForEnd())?.kind).to.equal("broken");
+  });
+
+  it("delivers nothing of an answer to another attempt", async () => {
+    engine.control.crossedAnswers = 1;
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1"), recorder.receive);
+    expect((await recorder.waitForEnd())?.kind).to.equal("broken");
+    expect(recorder.text).to.equal("");
+  });
+
+  it("says that a refused attempt was not run only as stated", async () => {
+    engine.control.refusing = true;
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1"), recorder.receive);
+    expect(await recorder.waitForEnd()).to.deep.equal({
+      kind: "rejected",
+      status: 503,
+      detail: "taking no new work",
+      notRun: true,
+    });
+    const resumed = new Recorder();
+    client.resumeAttempt(buildOrder("a2"), {
+      fromOffset: 0,
+      onEvent: resumed.receive,
+    });
+    expect(await resumed.waitForEnd()).to.deep.include({
+      kind: "rejected",
+      status: 404,
+      notRun: false,
+    });
+  });
+
+  it("never says not_sent of an attempt that it only follows", async () => {
+    await engine.stop();
+    const recorder = new Recorder();
+    client.resumeAttempt(buildOrder("a1"), {
+      fromOffset: 0,
+      onEvent: recorder.receive,
+    });
+    expect((await recorder.waitForEnd())?.kind).to.equal("broken");
+  });
+
+  it("stops the engine's work when it's cancelled", async () => {
+    const recorder = new Recorder();
+    const order = buildOrder("a1", { tokens: MAX_TOKENS });
+    const running = client.runAttempt(order, recorder.receive);
+    await recorder.waitFor(() => recorder.events.length > 0);
+    running.cancel();
+    await waitUntil(() => !engine.control.isRunning("a1"));
+    expect(recorder.events.every((each) => each.kind === "text")).to.equal(
+      true,
+    );
+    expect(engine.control.getLoad().running).to.equal(0);
+  });
+
+  it("releases what the engine holds for a program", async () => {
+    const recorder = new Recorder();
+    client.runAttempt(buildOrder("a1"), recorder.receive);
+    await recorder.waitForEnd();
+    expect(engine.control.sumHeldTokens("p0001-a")).to.be.greaterThan(0);
+    expect(await client.releaseProgram("p0001-a")).to.deep.equal({
+      kind: "done",
+    });
+    expect(engine.control.sumHeldTokens("p0001-a")).to.equal(0);
+  });
+
+  it("tells a fenced order from a done one", async () => {
+    const load = (fence: number): Promise<unknown> =>
+      client.runOrder({ kind: "load_model", model: "m", fence });
+    expect(await load(7)).to.deep.equal({ kind: "done" });
+    expect(await load(6)).to.deep.equal({ kind: "fenced", highest: 7 });
+  });
+});
+
+async function waitUntil(isReached: () => boolean): Promise<void> {
+  while (!isReached()) {
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
--- /dev/null
+++ b/packages/platform/src/platform_client.ts
@@ -0,0 +1,95 @@
+/**
+ * Client of the platform's object API.
+ *
+ * A call never rejects. A write whose answer didn't arrive is `lost`, because
+ * it may have taken effect; `refused` and `rate_limited` had no effect.
+ */
+import type { PlatformAnswer, PlatformRequest } from "@camphorlock/types";
+import { PeerConnection } from "./http/peer_connection.ts";
+import { runWhole } from "./http/whole_answer.ts";
+import { decodeAnswer } from "./decode_answer.ts";
+import { encodeRequest } from "./encode_request.ts";
+import { TokenBucket } from "./token_bucket.ts";
+
+const CALL_TIMEOUT_MS = 3_000;
+const WATCH_WAIT_MS = 15_000;
+const WATCH_GRACE_MS = 5_000;
+const MAX_QUEUE_MS = 1_000;
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const BURST_SECONDS = 0.5;
+
+/** Settings of a platform client. */
+export interface PlatformClientOptions {
+  readonly baseUrl: string;
+  readonly callTimeoutMs?: number;
+  /** How long a watch waits for a change before it answers without one. */
+  readonly watchWaitMs?: number;
+  /** This node's part of the platform's rates; unlimited when absent. */
+  readonly readsPerSecond?: number;
+  readonly writesPerSecond?: number;
+  /** Longest wait for this node's own limit before a call is refused. */
+  readonly maxQueueMs?: number;
+}
+
+/** Client of the object API, with a limit of calls per second. */
+export class PlatformClient {
+  readonly #options: PlatformClientOptions;
+  readonly #connection: PeerConnection;
+  readonly #reads: TokenBucket | undefined;
+  readonly #writes: TokenBucket | undefined;
+
+  constructor(options: PlatformClientOptions) {
+    this.#options = options;
+    this.#connection = new PeerConnection({ baseUrl: options.baseUrl });
+    this.#reads = createBucket(options.readsPerSecond);
+    this.#writes = createBucket(options.writesPerSecond);
+  }
+
+  /** Makes one call. Never rejects. */
+  async call(request: PlatformRequest): Promise<PlatformAnswer> {
+    const waitMs = this.#takeCall(request);
+    if (waitMs === undefined) return { kind: "failed", reason: "rate_limited" };
+    if (waitMs > 0) await waitFor(waitMs);
+    return await this.#exchange(request);
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#connection.close();
+  }
+
+  async #exchange(request: PlatformRequest): Promise<PlatformAnswer> {
+    const watchWaitMs = this.#options.watchWaitMs ?? WATCH_WAIT_MS;
+    const timeoutMs = request.kind === "watch"
+      ? watchWaitMs + WATCH_GRACE_MS
+      : this.#options.callTimeoutMs ?? CALL_TIMEOUT_MS;
+    const answer = await runWhole(
+      this.#connection,
+      {
+        ...encodeRequest(request, watchWaitMs),
+        silenceTimeoutMs: timeoutMs,
+        freshConnection: false,
+      },
+      { totalTimeoutMs: timeoutMs, maxBytes: MAX_ANSWER_BYTES },
+    );
+    return decodeAnswer(request, answer);
+  }
+
+  #takeCall(request: PlatformRequest): number | undefined {
+    const isWrite = request.kind === "put" || request.kind === "delete";
+    const bucket = isWrite ? this.#writes : this.#reads;
+    if (bucket === undefined) return 0;
+    const maxWaitMs = this.#options.maxQueueMs ?? MAX_QUEUE_MS;
+    return bucket.takeLater(performance.now(), maxWaitMs);
+  }
+}
+
+function createBucket(perSecond: number | undefined): TokenBucket | undefined {
+  if (perSecond === undefined) return undefined;
+  const burst = Math.max(1, perSecond * BURST_SECONDS);
+  return new TokenBucket({ perSecond, burst }, performance.now());
+}
+
+function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/services/src/service_client_test.ts
@@ -0,0 +1,130 @@
+import type { AttemptEvent, AttemptOrder } from "@camphorlock/types";
+import {
+  buildOperationText,
+  type RunningService,
+  serveService,
+} from "@camphorlock/standins";
+import { expect } from "chai";
+import { ServiceClient } from "./service_client.ts";
+
+const BODY = '{"order":17}';
+
+function buildOrder(attemptId: string, timeoutMs = 2_000): AttemptOrder {
+  return {
+    attemptId,
+    programId: "p0001-a",
+    callId: "c1",
+    targetId: "stock-1",
+    call: {
+      kind: "service",
+      service: "stock",
+      operation: "capture_payment",
+      body: BODY,
+      idempotent: false,
+    },
+    prefixText: "",
+    progressTimeoutMs: timeoutMs,
+  };
+}
+
+describe("service client", () => {
+  let service: RunningService;
+  let client: ServiceClient;
+
+  beforeEach(async () => {
+    service = await serveService();
+    client = new ServiceClient({ address: service.address });
+  });
+
+  afterEach(async () => {
+    await client.close();
+    await service.stop();
+  });
+
+  function run(order: AttemptOrder): Promise<AttemptEvent> {
+    return new Promise((resolve) => {
+      client.runAttempt(order, (event) => {
+        if (event.kind !== "text") resolve(event);
+      });
+    });
+  }
+
+  it("runs an operation once and answers its whole text", async () => {
+    const event = await run(buildOrder("a1"));
+    expect(event).to.deep.include({
+      kind: "completed",
+      text: buildOperationText("capture_payment", BODY),
+    });
+    expect(service.control.runs.runs).to.have.length(1);
+    expect(service.control.runs.runs[0]).to.include({
+      key: "a1",
+      programId: "p0001-a",
+    });
+  });
+
+  it("says not_sent when nothing listens", async () => {
+    await service.stop();
+    expect((await run(buildOrder("a1"))).kind).to.equal("not_sent");
+  });
+
+  for (const kind of ["break_before", "break_after"] as const) {
+    it(`says broken after ${kind}, and never sends again`, async () => {
+      service.control.addNext({ kind });
+      expect((await run(buildOrder("a1"))).kind).to.equal("broken");
+      const runs = kind === "break_after" ? 1 : 0;
+      expect(service.control.runs.countRuns("a1")).to.equal(runs);
+      expect(service.control.requests).to.equal(1);
+    });
+  }
+
+  for (const kind of ["hang", "hang_after"] as const) {
+    it(`says broken after ${kind}`, async () => {
+      service.control.addNext({ kind });
+      expect((await run(buildOrder("a1", 100))).kind).to.equal("broken");
+      expect(service.control.requests).to.equal(1);
+    });
+  }
+
+  it("says that it was not run only when the service states it", async () => {
+    service.control.addNext({ kind: "refuse" });
+    service.control.addNext({ kind: "fail", detail: "no stock" });
+    expect(await run(buildOrder("a1"))).to.include({
+      kind: "rejected",
+      notRun: true,
+    });
+    expect(await run(buildOrder("a2"))).to.include({
+      kind: "rejected",
+      notRun: false,
+      detail: "no stock",
+    });
+  });
+
+  it("asks for the outcome of an attempt that broke", async () => {
+    service.control.addNext({ kind: "break_after" });
+    await run(buildOrder("a1"));
+    expect(await client.settleOutcome("a1")).to.deep.equal({
+      kind: "completed",
+      text: buildOperationText("capture_payment", BODY),
+    });
+    service.control.addNext({ kind: "hang" });
+    await run(buildOrder("a2", 100));
+    expect(await client.settleOutcome("a2")).to.deep.equal({ kind: "running" });
+  });
+
+  it("is refused after the service told it as not run", async () => {
+    expect(await client.settleOutcome("a1")).to.deep.equal({ kind: "not_run" });
+    expect(await run(buildOrder("a1"))).to.include({
+      kind: "rejected",
+      notRun: true,
+    });
+    expect(service.control.runs.runs).to.have.length(0);
+  });
+
+  it("says unknown where the service can't tell", async () => {
+    await service.stop();
+    service = await serveService({ tellsOutcomes: false });
+    await client.close();
+    client = new ServiceClient({ address: service.address });
+    expect((await client.settleOutcome("a1")).kind).to.equal("unknown");
+  });
+});
--- /dev/null
+++ b/packages/standins/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * Stand-ins for the peers of the system: small fakes at its interfaces, for
+ * tests and for the development command.
+ */
+export * from "./src/engine_server/answer_text.ts";
+export * from "./src/engine_server/engine_control.ts";
+export * from "./src/engine_server/engine_core.ts";
+export * from "./src/engine_server/serve_engine.ts";
+export * from "./src/http_server.ts";
+export * from "./src/platform/fault_plan.ts";
+export * from "./src/platform/faulty_store.ts";
+export * from "./src/platform/object_store.ts";
+export * from "./src/platform/platform_control.ts";
+export * from "./src/platform/serve_platform.ts";
+export * from "./src/platform/vm_list.ts";
+export * from "./src/service/serve_service.ts";
+export * from "./src/service/service_control.ts";
+export * from "./src/service/service_runs.ts";
+export * from "./src/balancer/serve_balancer.ts";
--- /dev/null
+++ b/packages/standins/src/engine_server/chat_form.ts
@@ -0,0 +1,90 @@
+/**
+ * Reads chat-completions requests as the engine stand-in takes them.
+ */
+import { createHash } from "node:crypto";
+import type { AttemptId, ChatMessage, ProgramId } from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import {
+  type AnswerText,
+  buildAnswerText,
+  countTokens,
+  encodeMessage,
+} from "./answer_text.ts";
+import type { GenerateRequest, PromptPart } from "./engine_core.ts";
+
+const DEFAULT_MAX_TOKENS = 256;
+
+const CHAT_BODY = z.object({
+  model: z.string().min(1),
+  messages: z.array(z.object({
+    role: z.enum(["system", "user", "assistant", "tool"]),
+    content: z.string(),
+  })).min(1),
+  max_tokens: z.int().positive().optional(),
+  stream: z.literal(true),
+  continue_final_message: z.boolean().optional(),
+});
+
+/** A generation with the answer that it will have. */
+export interface PlannedAnswer {
+  readonly request: GenerateRequest;
+  readonly answer: AnswerText;
+  /** Characters of the answer that the caller already has. */
+  readonly prefixLength: number;
+}
+
+/** Who asks. */
+export interface ChatIds {
+  readonly attemptId: AttemptId;
+  readonly programId: ProgramId;
+}
+
+/** Plans the answer to a request body, or says what's wrong with the body. */
+export function parseChatRequest(
+  body: unknown,
+  ids: ChatIds,
+): Result<PlannedAnswer, string> {
+  const parsed = CHAT_BODY.safeParse(body);
+  if (!parsed.success) return err(z.prettifyError(parsed.error));
+  const { data } = parsed;
+  const continues = data.continue_final_message === true;
+  const messages = continues ? data.messages.slice(0, -1) : data.messages;
+  const prefix = continues ? data.messages.at(-1)?.content ?? "" : "";
+  const maxTokens = data.max_tokens ?? DEFAULT_MAX_TOKENS;
+  const answer = buildAnswerText(messages, maxTokens);
+  if (!answer.text.startsWith(prefix)) {
+    return err("the continued message isn't the beginning of the answer");
+  }
+  const parts = buildParts(messages);
+  const final: ChatMessage = { role: "assistant", content: answer.text };
+  const stored = buildParts([...messages, final]).at(-1);
+  return ok({
+    request: {
+      ...ids,
+      model: data.model,
+      promptTokens: parts.at(-1)?.tokens ?? 1,
+      parts,
+      storeKey: stored?.key ?? "",
+      completionTokens: answer.ends.length,
+      producedTokens: answer.ends.filter((end) => end <= prefix.length).length,
+    },
+    answer,
+    prefixLength: prefix.length,
+  });
+}
+
+/** Builds the cacheable parts of a prompt: one more message each. */
+function buildParts(messages: readonly ChatMessage[]): PromptPart[] {
+  const hash = createHash("sha256");
+  let tokens = 0;
+  return messages.map((message, index) => {
+    hash.update(encodeMessage(message));
+    tokens += countTokens(message.content);
+    return {
+      key: hash.copy().digest("base64url"),
+      tokens: Math.max(1, tokens),
+      shared: index === 0 && message.role === "system",
+    };
+  });
+}
--- /dev/null
+++ b/packages/standins/src/platform/change_log.ts
@@ -0,0 +1,45 @@
+/**
+ * The latest changes of an object store, by position.
+ */
+const MAX_CHANGES = 100_000;
+const KEPT_CHANGES = 50_000;
+
+/** A bounded log of which key changed at which position. */
+export class ChangeLog {
+  #keys: string[] = [];
+  #dropped = 0;
+
+  /** The position of the latest change, zero when there was none. */
+  get position(): number {
+    return this.#dropped + this.#keys.length;
+  }
+
+  /** The lowest position after which every change is still known. */
+  get firstPosition(): number {
+    return this.#dropped;
+  }
+
+  /** Adds a change and returns its position. */
+  append(key: string): number {
+    this.#keys.push(key);
+    if (this.#keys.length > MAX_CHANGES) this.#removeOldest();
+    return this.position;
+  }
+
+  /** Lists the keys below a prefix that changed after a position. */
+  listAfter(position: number, prefix: string): string[] {
+    const start = Math.max(0, position - this.#dropped);
+    const changed = new Set<string>();
+    for (let index = start; index < this.#keys.length; index += 1) {
+      const key = this.#keys[index];
+      if (key?.startsWith(prefix)) changed.add(key);
+    }
+    return [...changed].sort();
+  }
+
+  #removeOldest(): void {
+    const count = this.#keys.length - KEPT_CHANGES;
+    this.#keys = this.#keys.slice(count);
+    this.#dropped += count;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/platform/faulty_store_test.ts
@@ -0,0 +1,80 @@
+import type { PlatformRequest } from "@camphorlock/types";
+import { expect } from "chai";
+import { FaultPlan, type PlatformFault } from "./fault_plan.ts";
+import { FaultyStore } from "./faulty_store.ts";
+import { ObjectStore } from "./object_store.ts";
+
+const PUT: PlatformRequest = {
+  kind: "put",
+  key: "a",
+  value: new Uint8Array(1),
+  condition: { kind: "absent" },
+};
+const GET: PlatformRequest = { kind: "get", key: "a" };
+
+function createStore(fault: PlatformFault): FaultyStore {
+  const plan = new FaultPlan({ seed: 3, faults: [fault] });
+  return new FaultyStore(new ObjectStore(), plan);
+}
+
+describe("faulty store", () => {
+  const interval = { fromMs: 0, untilMs: 100 };
+
+  it("refuses during an outage, without effect", () => {
+    const faulty = createStore({ kind: "outage", ...interval });
+    expect(faulty.handle(PUT, 50)).to.deep.equal({
+      kind: "answered",
+      answer: { kind: "failed", reason: "refused" },
+      delayMs: 0,
+    });
+    expect(faulty.store.handle(GET, 100).kind).to.equal("absent");
+    expect(faulty.handle(PUT, 100)).to.have.nested.property("answer.kind")
+      .that.equals("stored");
+  });
+
+  it("loses an answer after the write took effect", () => {
+    const faulty = createStore({ kind: "lost_answer", share: 1, ...interval });
+    expect(faulty.handle(PUT, 50).kind).to.equal("cut");
+    expect(faulty.store.handle(GET, 50).kind).to.equal("found");
+  });
+
+  it("applies a late write when it's due", () => {
+    const faulty = createStore({
+      kind: "late_effect",
+      share: 1,
+      delayMs: 500,
+      ...interval,
+    });
+    expect(faulty.handle(PUT, 50).kind).to.equal("cut");
+    expect(faulty.handle(GET, 549)).to.have.nested.property("answer.kind")
+      .that.equals("absent");
+    expect(faulty.findNextLate()).to.equal(550);
+    expect(faulty.handle(GET, 550)).to.have.nested.property("answer.kind")
+      .that.equals("found");
+  });
+
+  it("hits the same requests with the same seed", () => {
+    const run = (): string => {
+      const faulty = createStore({
+        kind: "lost_answer",
+        share: 0.3,
+        ...interval,
+      });
+      const kinds = Array.from(
+        { length: 40 },
+        () => faulty.handle(GET, 1).kind,
+      );
+      return kinds.join();
+    };
+    expect(run()).to.equal(run());
+    expect(run()).to.include("cut").and.to.include("answered");
+  });
+
+  it("holds a fault to its prefix", () => {
+    const faulty = createStore({ kind: "silent", prefix: "b", ...interval });
+    expect(faulty.handle(GET, 1).kind).to.equal("answered");
+    expect(faulty.handle({ kind: "get", key: "b/1" }, 1).kind).to.equal(
+      "silent",
+    );
+  });
+});
--- /dev/null
+++ b/packages/standins/src/platform/object_store.ts
@@ -0,0 +1,234 @@
+/**
+ * The platform's object API in memory.
+ *
+ * Synchronous and without timers: the present time is an argument, so that the
+ * same store serves tests under virtual time and the HTTP stand-in. Every
+ * change takes the next position, which is also the new version of its object;
+ * a version therefore never comes back, even when a key is created anew.
+ */
+import {
+  checkNever,
+  type PlatformAnswer,
+  type PlatformKey,
+  type PlatformRequest,
+  type WriteCondition,
+} from "@camphorlock/types";
+import { TokenBucket } from "@camphorlock/platform";
+import { ChangeLog } from "./change_log.ts";
+import { SortedKeys } from "./sorted_keys.ts";
+
+const MAX_VALUE_BYTES = 1024 * 1024;
+const MAX_LISTED = 1_000;
+
+/** Rates of the object API. Unlimited where absent. */
+export interface ObjectStoreOptions {
+  readonly readsPerSecond?: number;
+  readonly writesPerSecond?: number;
+}
+
+/** Calls since the start, by what they were. */
+export interface CallCounts {
+  reads: number;
+  writes: number;
+  watches: number;
+  rateLimited: number;
+  conflicts: number;
+}
+
+/** Receives the answer of a watch. */
+export type WatchListener = (answer: PlatformAnswer) => void;
+
+type WatchRequest = Extract<PlatformRequest, { kind: "watch" }>;
+type WriteRequest = Extract<PlatformRequest, { kind: "put" | "delete" }>;
+
+interface StoredObject {
+  readonly value: Uint8Array;
+  readonly version: number;
+}
+
+interface WaitingWatch {
+  readonly request: WatchRequest;
+  readonly answer: WatchListener;
+}
+
+/** An object store with versions, conditional updates, lists and watches. */
+export class ObjectStore {
+  /** Every call that arrived; a waiting watch counts once, when it begins. */
+  readonly counts: CallCounts = {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    rateLimited: 0,
+    conflicts: 0,
+  };
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #keys = new SortedKeys();
+  readonly #changes = new ChangeLog();
+  readonly #waiting = new Set<WaitingWatch>();
+  readonly #reads: TokenBucket | undefined;
+  readonly #writes: TokenBucket | undefined;
+
+  constructor(options: ObjectStoreOptions = {}) {
+    this.#reads = createBucket(options.readsPerSecond);
+    this.#writes = createBucket(options.writesPerSecond);
+  }
+
+  /** Watches that wait for a change at present. */
+  get waitingWatches(): number {
+    return this.#waiting.size;
+  }
+
+  /** The position of the latest change. */
+  get position(): number {
+    return this.#changes.position;
+  }
+
+  /**
+   * Answers a request at once. A watch without a change answers with no keys;
+   * use `watch` to wait for one.
+   */
+  handle(request: PlatformRequest, nowMs: number): PlatformAnswer {
+    if (!this.#takeCall(request, nowMs)) {
+      return { kind: "failed", reason: "rate_limited" };
+    }
+    switch (request.kind) {
+      case "get":
+        return this.#get(request.key);
+      case "put":
+        return this.#put(request);
+      case "delete":
+        return this.#delete(request);
+      case "list":
+        return this.#list(request);
+      case "watch":
+        return this.#findChanges(request);
+      default:
+        return checkNever(request);
+    }
+  }
+
+  /**
+   * Answers once, now or as soon as a key below the prefix changes. The result
+   * gives the watch up, which answers it with no keys.
+   */
+  watch(
+    request: WatchRequest,
+    options: { readonly nowMs: number; readonly answer: WatchListener },
+  ): () => void {
+    const present = this.handle(request, options.nowMs);
+    const mustWait = present.kind === "changed" &&
+      present.keys.length === 0 && request.afterPosition > 0;
+    if (!mustWait) {
+      options.answer(present);
+      return () => {};
+    }
+    const waiting = { request, answer: options.answer };
+    this.#waiting.add(waiting);
+    return () => {
+      if (!this.#waiting.delete(waiting)) return;
+      options.answer(this.#findChanges(request));
+    };
+  }
+
+  #get(key: string): PlatformAnswer {
+    const stored = this.#objects.get(key);
+    if (stored === undefined) return { kind: "absent", key };
+    return { kind: "found", object: { key, ...stored } };
+  }
+
+  #put(request: Extract<WriteRequest, { kind: "put" }>): PlatformAnswer {
+    const { key, value } = request;
+    if (value.length > MAX_VALUE_BYTES) {
+      return { kind: "failed", reason: "refused" };
+    }
+    const conflict = this.#findConflict(key, request.condition);
+    if (conflict !== undefined) return conflict;
+    const version = this.#changes.append(key);
+    if (!this.#objects.has(key)) this.#keys.add(key);
+    this.#objects.set(key, { value: Uint8Array.from(value), version });
+    this.#answerWatches(key);
+    return { kind: "stored", key, version };
+  }
+
+  #delete(request: Extract<WriteRequest, { kind: "delete" }>): PlatformAnswer {
+    const { key } = request;
+    const conflict = this.#findConflict(key, request.condition);
+    if (conflict !== undefined) return conflict;
+    if (!this.#objects.delete(key)) return { kind: "absent", key };
+    this.#keys.remove(key);
+    this.#changes.append(key);
+    this.#answerWatches(key);
+    return { kind: "deleted", key };
+  }
+
+  #findConflict(
+    key: string,
+    condition: WriteCondition,
+  ): PlatformAnswer | undefined {
+    const version = this.#objects.get(key)?.version ?? 0;
+    if (isConditionMet(condition, version)) return undefined;
+    this.counts.conflicts += 1;
+    return { kind: "conflict", key, version };
+  }
+
+  #list(
+    request: Extract<PlatformRequest, { kind: "list" }>,
+  ): PlatformAnswer {
+    const keys = this.#keys.list(request.prefix, {
+      after: request.after,
+      limit: Math.min(request.limit, MAX_LISTED),
+    });
+    return { kind: "listed", keys: keys.map((key) => this.#getListedKey(key)) };
+  }
+
+  #findChanges(request: WatchRequest): PlatformAnswer {
+    const changed = request.afterPosition < this.#changes.firstPosition
+      ? this.#keys.list(request.prefix, { limit: Infinity })
+      : this.#changes.listAfter(request.afterPosition, request.prefix);
+    return {
+      kind: "changed",
+      keys: changed.map((key) => this.#getListedKey(key)),
+      position: this.#changes.position,
+    };
+  }
+
+  #getListedKey(key: string): PlatformKey {
+    return { key, version: this.#objects.get(key)?.version ?? 0 };
+  }
+
+  #answerWatches(key: string): void {
+    for (const waiting of [...this.#waiting]) {
+      if (!key.startsWith(waiting.request.prefix)) continue;
+      this.#waiting.delete(waiting);
+      waiting.answer(this.#findChanges(waiting.request));
+    }
+  }
+
+  #takeCall(request: PlatformRequest, nowMs: number): boolean {
+    const isWrite = request.kind === "put" || request.kind === "delete";
+    this.counts[isWrite ? "writes" : "reads"] += 1;
+    if (request.kind === "watch") this.counts.watches += 1;
+    const bucket = isWrite ? this.#writes : this.#reads;
+    if (bucket === undefined || bucket.take(nowMs)) return true;
+    this.counts.rateLimited += 1;
+    return false;
+  }
+}
+
+function isConditionMet(condition: WriteCondition, version: number): boolean {
+  switch (condition.kind) {
+    case "absent":
+      return version === 0;
+    case "version":
+      return version === condition.version;
+    case "any":
+      return true;
+    default:
+      return checkNever(condition);
+  }
+}
+
+function createBucket(perSecond: number | undefined): TokenBucket | undefined {
+  if (perSecond === undefined) return undefined;
+  return new TokenBucket({ perSecond, burst: perSecond }, 0);
+}
--- /dev/null
+++ b/packages/standins/src/platform/serve_platform.ts
@@ -0,0 +1,149 @@
+/**
+ * The object API over HTTP, with faults that can be switched.
+ *
+ * `docs/EDGES.md` has the form. The paths under `/control` belong to the
+ * stand-in alone.
+ */
+import {
+  checkNever,
+  type PlatformAnswer,
+  type PlatformRequest,
+} from "@camphorlock/types";
+import { type Context, Hono } from "hono";
+import {
+  closeConnection,
+  type ListenOptions,
+  type RunningServer,
+  type StandinEnv,
+  startServer,
+  waitFor,
+  waitForever,
+} from "../http_server.ts";
+import {
+  encodeAnswer,
+  parseObjectRequest,
+  parseQueryRequest,
+} from "./http_form.ts";
+import { FaultPlan } from "./fault_plan.ts";
+import { FaultyStore } from "./faulty_store.ts";
+import { ObjectStore, type ObjectStoreOptions } from "./object_store.ts";
+import { PlatformControl } from "./platform_control.ts";
+import { addControlRoutes } from "./control_routes.ts";
+import { addVmRoutes, VmList } from "./vm_list.ts";
+import { addWeightRoutes, type WeightStoreOptions } from "./weight_store.ts";
+
+const MAX_WATCH_WAIT_MS = 60_000;
+const LATE_CHECK_MS = 20;
+
+/** Settings of the platform stand-in. */
+export interface ServePlatformOptions extends ListenOptions {
+  readonly seed?: number;
+  readonly rates?: ObjectStoreOptions;
+  /** How far the VM list lags behind. */
+  readonly vmListLagMs?: number;
+  readonly weights?: WeightStoreOptions;
+}
+
+/** A running platform stand-in. */
+export interface RunningPlatform extends RunningServer {
+  readonly control: PlatformControl;
+  readonly store: ObjectStore;
+  readonly vms: VmList;
+}
+
+type WatchRequest = Extract<PlatformRequest, { kind: "watch" }>;
+
+/** Serves the object API, the VM list and the weight store. */
+export async function servePlatform(
+  options: ServePlatformOptions = {},
+): Promise<RunningPlatform> {
+  const startedAtMs = performance.now();
+  const readNow = (): number => performance.now() - startedAtMs;
+  const store = new ObjectStore(options.rates);
+  const plan = new FaultPlan({ seed: options.seed ?? 1, faults: [] });
+  const faulty = new FaultyStore(store, plan);
+  const control = new PlatformControl(faulty, readNow);
+  const vms = new VmList(options.vmListLagMs ?? 0);
+  const app = new Hono<StandinEnv>();
+  addObjectRoutes(app, { faulty, readNow });
+  addControlRoutes(app, control);
+  addVmRoutes(app, { vms, readNow });
+  addWeightRoutes(app, { ...options.weights, readNow });
+  const server = await startServer(app, options);
+  const lateTimer = setInterval(
+    () => faulty.applyLate(readNow()),
+    LATE_CHECK_MS,
+  );
+  return {
+    address: server.address,
+    control,
+    store,
+    vms,
+    stop: () => {
+      clearInterval(lateTimer);
+      return server.stop();
+    },
+  };
+}
+
+interface ObjectRouteOptions {
+  readonly faulty: FaultyStore;
+  readonly readNow: () => number;
+}
+
+function addObjectRoutes(
+  app: Hono<StandinEnv>,
+  options: ObjectRouteOptions,
+): void {
+  app.get("/v1/objects", async (context) => {
+    const request = parseQueryRequest(context, "list");
+    return await answerOnce(context, { ...options, request });
+  });
+  app.all("/v1/objects/*", async (context) => {
+    const request = await parseObjectRequest(context);
+    if (request === undefined) return context.text("bad request", 400);
+    return await answerOnce(context, { ...options, request });
+  });
+  app.get("/v1/watch", async (context) => {
+    const request = parseQueryRequest(context, "watch");
+    if (request.kind !== "watch") return context.text("bad request", 400);
+    return encodeAnswer(await waitForChange(context, { ...options, request }));
+  });
+}
+
+async function answerOnce(
+  context: Context<StandinEnv>,
+  options: ObjectRouteOptions & { readonly request: PlatformRequest },
+): Promise<Response> {
+  const result = options.faulty.handle(options.request, options.readNow());
+  switch (result.kind) {
+    case "silent":
+      return await waitForever();
+    case "cut":
+      return await closeConnection(context);
+    case "answered":
+      if (result.delayMs > 0) await waitFor(result.delayMs);
+      return encodeAnswer(result.answer);
+    default:
+      return checkNever(result);
+  }
+}
+
+function waitForChange(
+  context: Context<StandinEnv>,
+  options: ObjectRouteOptions & { readonly request: WatchRequest },
+): Promise<PlatformAnswer> {
+  const asked = Number(context.req.query("wait_ms") ?? MAX_WATCH_WAIT_MS);
+  const waitMs = Math.min(asked, MAX_WATCH_WAIT_MS);
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => stop(), waitMs);
+    const stop = options.faulty.watch(options.request, {
+      nowMs: options.readNow(),
+      answer: (answer) => {
+        clearTimeout(timer);
+        resolve(answer);
+      },
+    });
+    context.req.raw.signal.addEventListener("abort", stop, { once: true });
+  });
+}
--- /dev/null
+++ b/packages/standins/src/platform/vm_list.ts
@@ -0,0 +1,64 @@
+/**
+ * The platform's list of live and leaving VMs, which lags behind.
+ */
+import type { Hono } from "hono";
+import type { StandinEnv } from "../http_server.ts";
+
+/** A VM as the platform lists it. */
+export interface ListedVm {
+  readonly vmId: string;
+  readonly address: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly state: "live" | "leaving";
+}
+
+interface VmChange {
+  readonly atMs: number;
+  readonly vmId: string;
+  /** Absent when the VM is gone. */
+  readonly vm?: ListedVm;
+}
+
+/** A VM list that shows each change only after a lag. */
+export class VmList {
+  readonly #lagMs: number;
+  #changes: VmChange[] = [];
+  readonly #visible = new Map<string, ListedVm>();
+
+  constructor(lagMs: number) {
+    this.#lagMs = lagMs;
+  }
+
+  /** Adds a VM or changes its state. */
+  set(vm: ListedVm, nowMs: number): void {
+    this.#changes.push({ atMs: nowMs + this.#lagMs, vmId: vm.vmId, vm });
+  }
+
+  /** Removes a VM. */
+  remove(vmId: string, nowMs: number): void {
+    this.#changes.push({ atMs: nowMs + this.#lagMs, vmId });
+  }
+
+  /** Lists the VMs as the platform shows them at a time. */
+  list(nowMs: number): ListedVm[] {
+    const due = this.#changes.filter((change) => change.atMs <= nowMs);
+    this.#changes = this.#changes.filter((change) => change.atMs > nowMs);
+    for (const { vmId, vm } of due) {
+      if (vm === undefined) this.#visible.delete(vmId);
+      else this.#visible.set(vmId, vm);
+    }
+    return [...this.#visible.values()];
+  }
+}
+
+/** Adds `GET /v1/vms`. */
+export function addVmRoutes(
+  app: Hono<StandinEnv>,
+  options: { readonly vms: VmList; readonly readNow: () => number },
+): void {
+  app.get(
+    "/v1/vms",
+    (context) => context.json({ vms: options.vms.list(options.readNow()) }),
+  );
+}
