Find out which nodes are alive by gossip

Cause: takeover of shards, keepers and draining need a view of the nodes that doesn't depend on a coordination service.

Messages gain the sender's statement number and the answering incarnation.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -38,6 +38,30 @@
     "info",
     "Every connection has ended.",
   ),
+  NodeStateChanged: defineEvent(
+    201,
+    "NodeStateChanged",
+    "info",
+    "The view of another node's state changed.",
+  ),
+  AssignmentProposed: defineEvent(
+    211,
+    "AssignmentProposed",
+    "info",
+    "A change of shard owners or keepers was proposed, with its reason.",
+  ),
+  ShardGained: defineEvent(
+    212,
+    "ShardGained",
+    "info",
+    "This node owns a shard under a new epoch.",
+  ),
+  ShardLost: defineEvent(
+    213,
+    "ShardLost",
+    "info",
+    "Another epoch superseded this node's ownership of a shard.",
+  ),
   CallAccepted: defineEvent(
     401,
     "CallAccepted",
--- a/packages/types/src/membership.ts
+++ b/packages/types/src/membership.ts
@@ -51,3 +51,13 @@
   /** Up to three keepers, in distinct failure domains where there are. */
   readonly keepers: readonly VmId[];
 }
+
+/** A VM in the platform's list, which lags behind. */
+export interface VmListing {
+  readonly vmId: VmId;
+  /** `ip:port` of the protocol between nodes. */
+  readonly peerAddress: string;
+  readonly region: Region;
+  readonly failureDomain: FailureDomain;
+  readonly state: "live" | "leaving";
+}
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -171,12 +171,19 @@
     readonly spec: NodeSpec;
     readonly state: "alive" | "leaving";
     readonly revision: Revision;
+    /** Echoed in the acknowledgement. */
     readonly number: number;
+    /** Number of the sender's statement about itself, see `NodeDigest`. */
+    readonly stateNumber: number;
+    /** Nodes that the sender knows; one that knows few is sent more. */
+    readonly knownNodes: number;
     readonly digest: readonly NodeDigest[];
   }
   | {
     readonly kind: "heartbeat_ack";
     readonly number: number;
+    /** The process that answers, which may have started since. */
+    readonly incarnation: number;
     readonly revision: Revision;
     readonly digest: readonly NodeDigest[];
   }
@@ -202,11 +209,11 @@
     readonly shards: readonly ShardId[];
   };
 
-/** A rumour about a node. The higher incarnation and state count win. */
+/** A rumour about a node. The higher incarnation, then number, then state win. */
 export interface NodeDigest {
   readonly spec: NodeSpec;
   readonly state: NodeState;
-  /** Heartbeats the node itself has issued; orders rumours about it. */
+  /** Rises when the node restates itself, as to refute that it is dead. */
   readonly number: number;
   readonly revision: Revision;
 }
