--- a/tools/lint/verbs.ts
+++ b/tools/lint/verbs.ts
@@ -82,6 +82,7 @@
 /** Whether a function may have the name. */
 export function isVerbName(name: string): boolean {
   if (PRESCRIBED_NAMES.includes(name)) return true;
+  if (/^on[A-Z]/.test(name)) return true;
   const verb = /^[a-z]+/.exec(name)?.[0];
   return verb !== undefined && VERBS.includes(verb);
 }
