--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -10,7 +10,6 @@
   CallerRequest,
   Effect,
   EntryBody,
-  LedgerEntry,
   ProgramSpec,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
@@ -21,6 +20,7 @@
   PlacementChoice,
 } from "./ports.ts";
 import { DEFAULT_OWNER_LIMITS } from "./ports.ts";
+import { decodeSnapshot } from "./state_snapshot.ts";
 import { type OwnerInput, ShardOwner } from "./shard_owner.ts";
 
 export const PROGRAM = "p0000-1";
@@ -191,9 +191,18 @@
   /** Builds a second owner from this one's entries. */
   takeOver(): OwnerFixture {
     const next = new OwnerFixture(2);
-    const entries: LedgerEntry[] = this.ledger.entries
-      .map((body, at) => ({ shard: 0, epoch: 1, sequence: at + 1, body }));
-    next.ledger.entries.push(...this.ledger.entries);
+    const { entries } = this.ledger;
+    next.ledger.entries.push(...entries);
+    next.handle({ kind: "recovered", entries });
+    next.settle();
+    return next;
+  }
+
+  /** Builds a second owner from a snapshot of this one. */
+  takeOverBySnapshot(): OwnerFixture {
+    const next = new OwnerFixture(2);
+    const parts = this.#owner.encodeSnapshot();
+    const entries = decodeSnapshot(parts)._unsafeUnwrap();
     next.handle({ kind: "recovered", entries });
     next.settle();
     return next;
--- a/packages/scheduler/src/owner/program_state.ts
+++ b/packages/scheduler/src/owner/program_state.ts
@@ -31,6 +31,10 @@
   lostChargedMicros: Micros;
   readonly attempts: AttemptRecord[];
   outcome?: CallOutcome;
+  /** Wall-clock time of the end, in milliseconds since the Unix epoch. */
+  endedAtMs: number;
+  /** Time that targets spent on the call, in milliseconds. */
+  serviceMs: number;
 }
 
 /** One program. Calls keep the order in which they were accepted. */
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -8,7 +8,7 @@
   checkNever,
   type DispatchMessage,
   type Effect,
-  type LedgerEntry,
+  type EntryBody,
   type OwnerMessage,
   type ProgramView,
   type TargetOrderResult,
@@ -20,6 +20,7 @@
 import type { OwnerOptions } from "./ports.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { buildProgramView } from "./shard_state.ts";
+import { encodeSnapshot } from "./state_snapshot.ts";
 import { Waiters } from "./waiters.ts";
 
 /** What an owner is told. */
@@ -45,7 +46,7 @@
   | {
     /** Entries of earlier epochs, in order, before any other input. */
     readonly kind: "recovered";
-    readonly entries: readonly LedgerEntry[];
+    readonly entries: readonly EntryBody[];
   }
   | { readonly kind: "tick" };
 
@@ -81,6 +82,11 @@
     return [...this.#context.state.programs.values()].map(buildProgramView);
   }
 
+  /** Encodes the state of every entry appended so far. */
+  encodeSnapshot(): Uint8Array[] {
+    return encodeSnapshot(this.#context.state);
+  }
+
   #handleInput(input: OwnerInput): void {
     switch (input.kind) {
       case "request":
@@ -120,9 +126,9 @@
     }
   }
 
-  #applyRecovered(entries: readonly LedgerEntry[]): void {
+  #applyRecovered(entries: readonly EntryBody[]): void {
     const { state } = this.#context;
-    for (const entry of entries) state.apply(entry.body);
+    for (const entry of entries) state.apply(entry);
     for (const program of state.programs.values()) {
       for (const call of program.openCalls) {
         this.#runner.addRecovered(program, call);
--- a/packages/scheduler/src/owner/shard_owner_test.ts
+++ b/packages/scheduler/src/owner/shard_owner_test.ts
@@ -317,6 +317,10 @@
     expect(showProgram(next)).to.deep.equal(before);
     const repeat = next.run("k", MODEL_CALL);
     expect(getStatus(next.answersTo(repeat))).to.equal("completed");
+    const other = fixture.takeOverBySnapshot();
+    expect(showProgram(other)).to.deep.equal(before);
+    const again = other.run("k", MODEL_CALL);
+    expect(getStatus(other.answersTo(again))).to.equal("completed");
   });
 
   it("goes on releasing memory of ended programs", () => {
--- a/packages/scheduler/src/owner/shard_state.ts
+++ b/packages/scheduler/src/owner/shard_state.ts
@@ -81,6 +81,8 @@
       lostHeldMicros: 0,
       lostChargedMicros: 0,
       attempts: [],
+      endedAtMs: 0,
+      serviceMs: 0,
     };
     program.callsById.set(body.callId, call);
     program.callsByKey.set(body.key, call);
@@ -110,6 +112,8 @@
     if (program === undefined || call === undefined) return;
     if (call.outcome !== undefined) return;
     call.outcome = body.outcome;
+    call.endedAtMs = body.endedAtMs;
+    call.serviceMs = body.serviceMs;
     program.openCalls.delete(call);
     addAttained(program, body.serviceMs);
     program.spentMicros += call.lostHeldMicros - call.lostChargedMicros;
