--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -86,6 +86,36 @@
     "info",
     "A dispatcher refused a slot.",
   ),
+  ConfigurationInForce: defineEvent(
+    601,
+    "ConfigurationInForce",
+    "info",
+    "A configuration revision came into force on this node.",
+  ),
+  ChangeAccepted: defineEvent(
+    602,
+    "ChangeAccepted",
+    "info",
+    "A change of the configuration was stored.",
+  ),
+  ChangeRefused: defineEvent(
+    603,
+    "ChangeRefused",
+    "info",
+    "A change of the configuration was refused.",
+  ),
+  ConfigurationStale: defineEvent(
+    604,
+    "ConfigurationStale",
+    "warn",
+    "The node can't tell whether its configuration is the latest.",
+  ),
+  StaleRevisionRemoved: defineEvent(
+    605,
+    "StaleRevisionRemoved",
+    "warn",
+    "A revision written below the trimmed ones was removed.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -236,6 +236,27 @@
     true,
     "Whether the change was stored isn't known yet.",
   ),
+  ChangeQueueFull: defineCode(
+    7005,
+    "ChangeQueueFull",
+    503,
+    true,
+    "The node has too many changes under way; nothing was changed.",
+  ),
+  RevisionUnavailable: defineCode(
+    7006,
+    "RevisionUnavailable",
+    404,
+    false,
+    "The node doesn't hold the named revision.",
+  ),
+  QueryInvalid: defineCode(
+    7007,
+    "QueryInvalid",
+    400,
+    false,
+    "The query names a column or value that doesn't exist.",
+  ),
   SettingsInvalid: defineCode(
     8001,
     "SettingsInvalid",
--- /dev/null
+++ b/packages/operators/src/parse_statement.ts
@@ -0,0 +1,109 @@
+/**
+ * Parses statements of the operator language, and tells operators what is
+ * wrong with those that don't parse.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import { findNearestName } from "@camphorlock/scheduler";
+import type { OperatorCommand } from "@camphorlock/types";
+import { EOF, type IToken, Lexer } from "chevrotain";
+import { err, ok, type Result } from "neverthrow";
+import { StatementParser } from "./statement_parser.ts";
+import { listTexts, TOKENS } from "./tokens.ts";
+
+/** Longest statement that is parsed, in UTF-16 code units. */
+export const STATEMENT_LIMIT = 4_096;
+
+const LISTED_EXPECTATIONS = 16;
+
+const lexer = new Lexer([...TOKENS], { ensureOptimizations: false });
+const parser = new StatementParser();
+
+/**
+ * Parses one statement.
+ *
+ * Fails with `StatementInvalid`, whose detail names line, column, what was
+ * found, what is expected there and the nearest keyword.
+ */
+export function parseStatement(text: string): Result<OperatorCommand, Failure> {
+  if (text.length > STATEMENT_LIMIT) {
+    const detail = `a statement has at most ${STATEMENT_LIMIT} characters`;
+    return err(createFailure("StatementInvalid", detail));
+  }
+  const { tokens, errors } = lexer.tokenize(text);
+  const wrong = errors[0];
+  if (wrong !== undefined) {
+    const found = text.slice(wrong.offset, wrong.offset + wrong.length);
+    return err(buildFailure({
+      line: wrong.line ?? 1,
+      column: wrong.column ?? 1,
+      found: JSON.stringify(found),
+      expected: listExpected(tokens.filter((token) => {
+        return token.startOffset < wrong.offset;
+      })),
+    }));
+  }
+  return parseTokens(text, tokens);
+}
+
+function parseTokens(
+  text: string,
+  tokens: IToken[],
+): Result<OperatorCommand, Failure> {
+  parser.input = tokens;
+  parser.problems = [];
+  const command = parser.statement();
+  const error = parser.errors[0];
+  if (error !== undefined) return err(explainToken(text, tokens, error.token));
+  const problem = parser.problems[0];
+  if (problem === undefined) return ok(command);
+  return err(buildFailure({
+    line: problem.token.startLine ?? 1,
+    column: problem.token.startColumn ?? 1,
+    found: problem.token.image,
+    expected: [problem.expected],
+  }));
+}
+
+function explainToken(
+  text: string,
+  tokens: readonly IToken[],
+  token: IToken,
+): Failure {
+  const isEnd = token.tokenType === EOF;
+  const index = isEnd ? tokens.length : tokens.indexOf(token);
+  const expected = listExpected(tokens.slice(0, index));
+  if (!isEnd) {
+    const { image: found, startLine, startColumn } = token;
+    const line = startLine ?? 1;
+    return buildFailure({ line, column: startColumn ?? 1, found, expected });
+  }
+  const lines = text.trimEnd().split("\n");
+  const column = (lines.at(-1) ?? "").length + 1;
+  const found = "the end of the statement";
+  return buildFailure({ line: lines.length, column, found, expected });
+}
+
+/** Lists what the grammar allows after some tokens. */
+function listExpected(before: readonly IToken[]): readonly string[] {
+  const paths = parser.computeContentAssist("statement", [...before]);
+  const texts = paths.flatMap((path) => listTexts(path.nextTokenType));
+  return texts.length === 0 ? ["the end of the statement"] : [
+    ...new Set(texts),
+  ];
+}
+
+function buildFailure(error: {
+  readonly line: number;
+  readonly column: number;
+  readonly found: string;
+  readonly expected: readonly string[];
+}): Failure {
+  const { line, column, found, expected } = error;
+  const nearest = findNearestName(found, expected);
+  const hint = nearest === undefined ? "" : `; did you mean ${nearest}?`;
+  const listed = expected.slice(0, LISTED_EXPECTATIONS).join(", ");
+  const wanted = expected.length > 1 ? `one of ${listed}` : listed;
+  const detail = `line ${line}, column ${column}: found ${found}, ` +
+    `expected ${wanted}${hint}`;
+  return createFailure("StatementInvalid", detail);
+}
--- /dev/null
+++ b/packages/scheduler/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The decisions of the scheduler, as deterministic state machines.
+ */
+export * from "./src/agreement/mod.ts";
+export * from "./src/budget/mod.ts";
+export * from "./src/configuration/mod.ts";
--- /dev/null
+++ b/packages/scheduler/src/agreement/charge_outbox.ts
@@ -0,0 +1,325 @@
+/**
+ * Publishes the charges of one shard from its ledger to the platform.
+ *
+ * The ledger itself is the outbox: a charge exists exactly when its call's end
+ * is durable. Batches have successive names, created where absent, and each
+ * tells up to which ledger entry it goes. The next batch starts right after,
+ * so that a charge is in one place whoever publishes, however often, and
+ * whatever became of an answer.
+ */
+import {
+  type CallId,
+  type Charge,
+  checkNever,
+  type Effect,
+  type PlatformAnswer,
+  type PlatformRequest,
+  type PlatformToken,
+  type ShardId,
+} from "@camphorlock/types";
+import {
+  addCharges,
+  type ChargeBatch,
+  decodeBatch,
+  encodeBatch,
+  formatBatchKey,
+  formatBatchPrefix,
+  parseBatchNumber,
+} from "./charge_lines.ts";
+
+/** The usual time from one batch of a shard to the next. */
+export const PUBLISH_EVERY_MS = 60_000;
+
+const RETRY_MS = 1_000;
+const ANSWER_TIMEOUT_MS = 10_000;
+const LIST_LIMIT = 1_000;
+const DAY_DIGITS = 10;
+
+/** What the outbox is told. */
+export type OutboxInput =
+  | {
+    /** A durable end of a call, in the order of the ledger. */
+    readonly kind: "call_ended";
+    readonly sequence: number;
+    readonly charge: Charge;
+  }
+  | {
+    readonly kind: "platform";
+    readonly token: PlatformToken;
+    readonly answer: PlatformAnswer;
+  }
+  | { readonly kind: "tick" };
+
+/** What the outbox asks for. */
+export interface OutboxStep {
+  readonly effects: readonly Effect[];
+}
+
+/** The shard and the rate of its outbox. */
+export interface OutboxOptions {
+  readonly shard: ShardId;
+  readonly publishEveryMs?: number;
+  /** A batch known to exist, for instance from a snapshot of the ledger. */
+  readonly knownNumber?: number;
+}
+
+/** A charge and the ledger entry that it comes from. */
+export interface PendingCharge {
+  readonly sequence: number;
+  readonly charge: Charge;
+}
+
+type OutboxState =
+  | { readonly kind: "listing"; readonly after: number }
+  | { readonly kind: "reading"; readonly number: number }
+  | { readonly kind: "writing"; readonly batch: ChargeBatch }
+  | { readonly kind: "resting" };
+
+/** The charges of one shard that aren't published yet. */
+export class ChargeOutbox {
+  readonly #shard: ShardId;
+  readonly #publishEveryMs: number;
+  #pending: PendingCharge[] = [];
+  readonly #pendingCalls = new Set<CallId>();
+  #last: ChargeBatch;
+  #state: OutboxState;
+  #dueAtMs = 0;
+  #number = 0;
+  #openNumber: number | undefined;
+  #openUntilMs = 0;
+
+  constructor(options: OutboxOptions) {
+    this.#shard = options.shard;
+    this.#publishEveryMs = options.publishEveryMs ?? PUBLISH_EVERY_MS;
+    this.#last = buildEmptyBatch(options.shard);
+    this.#state = { kind: "listing", after: (options.knownNumber ?? 1) - 1 };
+  }
+
+  /** Charges of entries up to this sequence are published for good. */
+  get publishedThrough(): number {
+    return this.#last.throughSequence;
+  }
+
+  /** The highest batch known to be stored, for a snapshot of the ledger. */
+  get lastNumber(): number {
+    return this.#last.number;
+  }
+
+  /**
+   * Lists the charges that wait to be published. A snapshot of the ledger that
+   * replaces their entries has to carry them.
+   */
+  listPending(): readonly PendingCharge[] {
+    return [...this.#pending];
+  }
+
+  /** Takes one input and gives what has to be done. */
+  handle(input: OutboxInput, nowMs: number): OutboxStep {
+    switch (input.kind) {
+      case "call_ended":
+        this.#addPending(input.sequence, input.charge);
+        return { effects: [] };
+      case "platform":
+        if (input.token.number !== this.#openNumber) return { effects: [] };
+        this.#openNumber = undefined;
+        return { effects: this.#handleAnswer(input.answer, nowMs) };
+      case "tick":
+        return { effects: this.#handleTick(nowMs) };
+      default:
+        return checkNever(input);
+    }
+  }
+
+  #addPending(sequence: number, charge: Charge): void {
+    if (sequence <= this.publishedThrough) return;
+    const last = this.#pending.at(-1)?.sequence ?? 0;
+    if (sequence <= last) return;
+    if (this.#pendingCalls.has(charge.callId)) return;
+    this.#pendingCalls.add(charge.callId);
+    this.#pending.push({ sequence, charge });
+  }
+
+  #handleTick(nowMs: number): readonly Effect[] {
+    if (this.#openNumber !== undefined) {
+      if (nowMs < this.#openUntilMs) return [];
+      this.#openNumber = undefined;
+      return this.#handleAnswer({ kind: "failed", reason: "lost" }, nowMs);
+    }
+    if (nowMs < this.#dueAtMs) return [];
+    switch (this.#state.kind) {
+      case "listing":
+        return this.#list(this.#state.after, nowMs);
+      case "reading":
+        return this.#read(this.#state.number, nowMs);
+      case "writing":
+        return this.#write(this.#state.batch, nowMs);
+      case "resting":
+        return this.#publish(nowMs);
+      default:
+        return checkNever(this.#state);
+    }
+  }
+
+  #handleAnswer(answer: PlatformAnswer, nowMs: number): readonly Effect[] {
+    switch (this.#state.kind) {
+      case "listing":
+        return this.#handleList(answer, nowMs);
+      case "reading":
+        return this.#handleBatch(answer, nowMs);
+      case "writing":
+        return this.#handleWritten(this.#state.batch, answer, nowMs);
+      case "resting":
+        return [];
+      default:
+        return checkNever(this.#state);
+    }
+  }
+
+  #list(after: number, nowMs: number): readonly Effect[] {
+    this.#state = { kind: "listing", after };
+    return this.#send({
+      kind: "list",
+      prefix: formatBatchPrefix(this.#shard),
+      after: formatBatchKey(this.#shard, after),
+      limit: LIST_LIMIT,
+    }, nowMs);
+  }
+
+  #handleList(answer: PlatformAnswer, nowMs: number): readonly Effect[] {
+    if (answer.kind !== "listed") return this.#wait(nowMs);
+    const numbers = answer.keys.flatMap(({ key }) => {
+      return parseBatchNumber(key) ?? [];
+    });
+    const highest = numbers.at(-1);
+    if (highest === undefined) return this.#endList(nowMs);
+    if (answer.keys.length >= LIST_LIMIT) return this.#list(highest, nowMs);
+    return this.#read(highest, nowMs);
+  }
+
+  #endList(nowMs: number): readonly Effect[] {
+    const after = this.#state.kind === "listing" ? this.#state.after : 0;
+    if (after > this.#last.number) return this.#read(after, nowMs);
+    return this.#rest(nowMs);
+  }
+
+  #read(number: number, nowMs: number): readonly Effect[] {
+    this.#state = { kind: "reading", number };
+    const key = formatBatchKey(this.#shard, number);
+    return this.#send({ kind: "get", key }, nowMs);
+  }
+
+  #handleBatch(answer: PlatformAnswer, nowMs: number): readonly Effect[] {
+    if (answer.kind === "absent") return this.#list(this.#last.number, nowMs);
+    if (answer.kind !== "found") return this.#wait(nowMs);
+    const batch = decodeBatch(answer.object.value);
+    if (batch.isErr()) return this.#wait(nowMs);
+    this.#setLast(batch.value);
+    return this.#rest(nowMs);
+  }
+
+  #publish(nowMs: number): readonly Effect[] {
+    const first = this.#pending[0];
+    if (first === undefined) return [];
+    return this.#write(this.#buildBatch(first), nowMs);
+  }
+
+  /** Charges of one day; a charge never goes back to an earlier day. */
+  #buildBatch(first: PendingCharge): ChargeBatch {
+    const day = this.#chooseDay(first);
+    const end = this.#pending.findIndex((each) => {
+      return this.#chooseDay(each) !== day;
+    });
+    const taken = end < 0 ? this.#pending : this.#pending.slice(0, end);
+    const before = day === this.#last.day ? this.#last.lines : [];
+    return {
+      shard: this.#shard,
+      number: this.#last.number + 1,
+      day,
+      throughSequence: taken.at(-1)?.sequence ?? this.publishedThrough,
+      lines: addCharges(before, taken.map((each) => each.charge)),
+    };
+  }
+
+  #chooseDay(pending: PendingCharge): string {
+    const day = formatDay(pending.charge.endedAtMs);
+    return day > this.#last.day ? day : this.#last.day;
+  }
+
+  #write(batch: ChargeBatch, nowMs: number): readonly Effect[] {
+    this.#state = { kind: "writing", batch };
+    return this.#send({
+      kind: "put",
+      key: formatBatchKey(this.#shard, batch.number),
+      value: encodeBatch(batch),
+      condition: { kind: "absent" },
+    }, nowMs);
+  }
+
+  #handleWritten(
+    batch: ChargeBatch,
+    answer: PlatformAnswer,
+    nowMs: number,
+  ): readonly Effect[] {
+    if (answer.kind === "conflict") return this.#read(batch.number, nowMs);
+    // The same bytes are written again until the name exists.
+    if (answer.kind !== "stored") return this.#wait(nowMs);
+    const replaced = this.#last;
+    this.#setLast(batch);
+    const effects = this.#trim(replaced, batch);
+    this.#rest(nowMs);
+    return effects;
+  }
+
+  /** Drops the batch that a later one of the same day replaces. */
+  #trim(replaced: ChargeBatch, by: ChargeBatch): readonly Effect[] {
+    if (replaced.number === 0 || replaced.day !== by.day) return [];
+    const key = formatBatchKey(this.#shard, replaced.number);
+    const condition = { kind: "any" } as const;
+    this.#number += 1;
+    const token = this.#buildToken();
+    const request = { kind: "delete", key, condition } as const;
+    return [{ kind: "call_platform", token, request }];
+  }
+
+  #setLast(batch: ChargeBatch): void {
+    this.#last = batch;
+    const kept = this.#pending.findIndex((each) => {
+      return each.sequence > batch.throughSequence;
+    });
+    const count = kept < 0 ? this.#pending.length : kept;
+    for (const { charge } of this.#pending.splice(0, count)) {
+      this.#pendingCalls.delete(charge.callId);
+    }
+  }
+
+  #rest(nowMs: number): readonly Effect[] {
+    this.#state = { kind: "resting" };
+    this.#dueAtMs = nowMs + this.#publishEveryMs;
+    return [];
+  }
+
+  #wait(nowMs: number): readonly Effect[] {
+    this.#dueAtMs = nowMs + RETRY_MS;
+    return [];
+  }
+
+  #send(request: PlatformRequest, nowMs: number): readonly Effect[] {
+    this.#number += 1;
+    this.#openNumber = this.#number;
+    this.#openUntilMs = nowMs + ANSWER_TIMEOUT_MS;
+    return [{ kind: "call_platform", token: this.#buildToken(), request }];
+  }
+
+  #buildToken(): PlatformToken {
+    return { role: "charge", shard: this.#shard, number: this.#number };
+  }
+}
+
+function buildEmptyBatch(shard: ShardId): ChargeBatch {
+  return { shard, number: 0, day: "", throughSequence: 0, lines: [] };
+}
+
+/** The ISO date in UTC of a wall-clock time. */
+function formatDay(atMs: number): string {
+  return new Date(atMs).toISOString().slice(0, DAY_DIGITS);
+}
--- /dev/null
+++ b/packages/scheduler/src/budget/portion.ts
@@ -0,0 +1,345 @@
+/**
+ * One node's portion of one shared budget, and the changes by which it grows
+ * and shrinks.
+ *
+ * A change is written under the version of the object that it was built on.
+ * After a lost answer the object is read back: the change is in it, or the
+ * version has moved on and the change can never be, or it's written again.
+ */
+import {
+  checkNever,
+  type Micros,
+  type PlatformAnswer,
+  type PlatformRequest,
+  type VmId,
+} from "@camphorlock/types";
+import {
+  applyBudgetChange,
+  type BudgetChange,
+  type BudgetObject,
+  decodeBudget,
+  EMPTY_BUDGET,
+  encodeBudget,
+  findHolder,
+  formatBudgetObjectKey,
+  hasChange,
+  mergeGoneHolders,
+  sumBudget,
+} from "./budget_object.ts";
+
+/** Share of the last portion that is left when the next one is drawn. */
+const DRAW_AHEAD_PART = 0.25;
+
+/** Times the wanted amount that a first portion has. */
+const FIRST_PORTION_TIMES = 4;
+
+/** Times the last portion that the next one has at most. */
+const LARGEST_GROWTH = 8;
+
+/** An exhausted budget isn't asked again for this long. */
+export const EXHAUSTED_MS = 5_000;
+
+const RETRY_MS = 500;
+const SHORTEST_USE_MS = 1_000;
+
+/** What a portion needs to know about the fleet when it draws. */
+export interface DrawContext {
+  readonly owner: { readonly vmId: VmId; readonly incarnation: number };
+  readonly limitMicros: Micros;
+  /** How long a portion should last. */
+  readonly horizonMs: number;
+  /** The VMs that are members at present. */
+  readonly present: ReadonlySet<VmId>;
+}
+
+type DrawState =
+  | { readonly kind: "idle" }
+  | { readonly kind: "reading" }
+  | { readonly kind: "writing"; readonly change: OpenChange }
+  | { readonly kind: "settling"; readonly change: OpenChange }
+  | {
+    readonly kind: "waiting";
+    readonly untilMs: number;
+    readonly change?: OpenChange;
+  };
+
+interface OpenChange extends BudgetChange {
+  /** The version the write was conditional on, zero for absent. */
+  readonly version: number;
+  readonly object: BudgetObject;
+}
+
+/** A node's portion of one shared budget. */
+export class Portion {
+  readonly key: string;
+  #heldMicros: Micros = 0;
+  #spentMicros: Micros = 0;
+  #reservedMicros: Micros = 0;
+  /** On its way back to the object and not to be spent. */
+  #returningMicros: Micros = 0;
+  #wantedMicros: Micros = 0;
+  #wantsReturn = false;
+  #lastPortionMicros: Micros = 0;
+  #spentSinceDrawMicros: Micros = 0;
+  #drawnAtMs = 0;
+  #usedAtMs = 0;
+  #changeNumber = 0;
+  #exhaustedUntilMs = 0;
+  #state: DrawState = { kind: "idle" };
+
+  constructor(key: string) {
+    this.key = key;
+  }
+
+  /** What can be reserved at once. */
+  get restMicros(): Micros {
+    return this.#heldMicros - this.#spentMicros - this.#reservedMicros -
+      this.#returningMicros;
+  }
+
+  /** What this node has drawn and not returned. */
+  get heldMicros(): Micros {
+    return this.#heldMicros;
+  }
+
+  /** When the portion was last reserved from. */
+  get usedAtMs(): number {
+    return this.#usedAtMs;
+  }
+
+  /** Whether an answer of the platform is awaited. */
+  get isAsking(): boolean {
+    const { kind } = this.#state;
+    return kind !== "idle" && kind !== "waiting";
+  }
+
+  /** Whether the object has lately had less than was wanted. */
+  isExhausted(nowMs: number): boolean {
+    return nowMs < this.#exhaustedUntilMs;
+  }
+
+  /** Takes an amount from the portion, or notes that it's wanted. */
+  reserve(micros: Micros, nowMs: number): boolean {
+    this.#usedAtMs = nowMs;
+    this.#wantsReturn = false;
+    if (micros <= this.restMicros) {
+      this.#reservedMicros += micros;
+      this.#spentSinceDrawMicros += micros;
+      const least = this.#lastPortionMicros * DRAW_AHEAD_PART;
+      if (this.restMicros < least) this.#want(micros);
+      return true;
+    }
+    this.#want(micros);
+    return false;
+  }
+
+  /** Settles a reservation to what was charged of it. */
+  settle(reservedMicros: Micros, chargedMicros: Micros): void {
+    const charged = Math.max(0, Math.min(chargedMicros, reservedMicros));
+    this.#reservedMicros -= reservedMicros;
+    this.#spentMicros += charged;
+    this.#spentSinceDrawMicros -= reservedMicros - charged;
+  }
+
+  /** Asks for what isn't needed to be given back. */
+  release(): void {
+    this.#wantsReturn = true;
+    this.#wantedMicros = 0;
+  }
+
+  /** Starts what is due; gives the request to send, if any. */
+  handleTick(nowMs: number): PlatformRequest | undefined {
+    const state = this.#state;
+    switch (state.kind) {
+      case "idle":
+        return this.#startChange(nowMs);
+      case "waiting":
+        if (state.untilMs > nowMs) return undefined;
+        return state.change === undefined
+          ? this.#read()
+          : this.#readBack(state.change);
+      case "reading":
+      case "writing":
+      case "settling":
+        return undefined;
+      default:
+        return checkNever(state);
+    }
+  }
+
+  /** Takes the answer to the open request; gives the next one, if any. */
+  handleAnswer(
+    answer: PlatformAnswer,
+    options: { readonly context: DrawContext; readonly nowMs: number },
+  ): PlatformRequest | undefined {
+    const state = this.#state;
+    switch (state.kind) {
+      case "reading":
+        return this.#handleRead(answer, options);
+      case "writing":
+        return this.#handleWritten(state.change, answer, options.nowMs);
+      case "settling":
+        return this.#handleReadBack(state.change, answer, options.nowMs);
+      case "idle":
+      case "waiting":
+        return undefined;
+      default:
+        return checkNever(state);
+    }
+  }
+
+  #want(micros: Micros): void {
+    this.#wantedMicros = Math.max(this.#wantedMicros, micros);
+  }
+
+  #startChange(nowMs: number): PlatformRequest | undefined {
+    const draws = this.#wantedMicros > 0 && !this.isExhausted(nowMs);
+    const returns = this.#wantsReturn && this.restMicros > 0;
+    return draws || returns ? this.#read() : undefined;
+  }
+
+  #read(): PlatformRequest {
+    this.#state = { kind: "reading" };
+    return { kind: "get", key: formatBudgetObjectKey(this.key) };
+  }
+
+  #readBack(change: OpenChange): PlatformRequest {
+    this.#state = { kind: "settling", change };
+    return { kind: "get", key: formatBudgetObjectKey(this.key) };
+  }
+
+  #handleRead(
+    answer: PlatformAnswer,
+    options: { readonly context: DrawContext; readonly nowMs: number },
+  ): PlatformRequest | undefined {
+    const stored = readStored(answer);
+    if (stored === undefined) return this.#wait(options.nowMs);
+    const { context, nowMs } = options;
+    const budget = mergeGoneHolders(stored.budget, context.present);
+    const micros = this.#wantsReturn
+      ? -this.restMicros
+      : this.#computePortion(budget, { context, nowMs });
+    if (micros === 0) return this.#endChange();
+    const change = {
+      ...context.owner,
+      changeNumber: this.#changeNumber + 1,
+      micros,
+    };
+    const applied = applyBudgetChange(budget, change, context.limitMicros);
+    if (applied.isErr()) return this.#handleRefused(change, nowMs);
+    this.#changeNumber += 1;
+    if (micros < 0) this.#returningMicros = -micros;
+    const { version } = stored;
+    return this.#write({ ...change, version, object: applied.value });
+  }
+
+  /** How much to draw; zero when the object has less than is wanted. */
+  #computePortion(
+    budget: BudgetObject,
+    options: { readonly context: DrawContext; readonly nowMs: number },
+  ): Micros {
+    const { context, nowMs } = options;
+    if (this.#wantedMicros === 0) return 0;
+    const leftMicros = context.limitMicros - sumBudget(budget);
+    if (leftMicros < this.#wantedMicros) {
+      this.#exhaustedUntilMs = nowMs + EXHAUSTED_MS;
+      return 0;
+    }
+    const usedMs = Math.max(SHORTEST_USE_MS, nowMs - this.#drawnAtMs);
+    const rate = Math.max(0, this.#spentSinceDrawMicros) / usedMs;
+    const grown = this.#lastPortionMicros * LARGEST_GROWTH;
+    const byRate = Math.min(rate * context.horizonMs, grown);
+    const usual = Math.max(
+      this.#wantedMicros * FIRST_PORTION_TIMES,
+      Math.ceil(byRate),
+    );
+    const fairMicros = Math.floor(leftMicros / (2 * context.present.size + 1));
+    return Math.max(this.#wantedMicros, Math.min(usual, fairMicros));
+  }
+
+  #write(change: OpenChange): PlatformRequest {
+    this.#state = { kind: "writing", change };
+    const { version } = change;
+    return {
+      kind: "put",
+      key: formatBudgetObjectKey(this.key),
+      value: encodeBudget(change.object),
+      condition: version === 0
+        ? { kind: "absent" }
+        : { kind: "version", version },
+    };
+  }
+
+  #handleWritten(
+    change: OpenChange,
+    answer: PlatformAnswer,
+    nowMs: number,
+  ): PlatformRequest | undefined {
+    if (answer.kind === "stored") return this.#credit(change, nowMs);
+    if (answer.kind === "conflict") return this.#readBack(change);
+    return this.#wait(nowMs, change);
+  }
+
+  #handleReadBack(
+    change: OpenChange,
+    answer: PlatformAnswer,
+    nowMs: number,
+  ): PlatformRequest | undefined {
+    const stored = readStored(answer);
+    if (stored === undefined) return this.#wait(nowMs, change);
+    if (hasChange(stored.budget, change)) return this.#credit(change, nowMs);
+    if (stored.version === change.version) return this.#write(change);
+    // Without an entry a return can't be told from one that was merged away.
+    const isForgotten = findHolder(stored.budget, change) === undefined;
+    if (change.micros < 0 && isForgotten) return this.#credit(change, nowMs);
+    this.#returningMicros = 0;
+    return this.#read();
+  }
+
+  #credit(change: OpenChange, nowMs: number): undefined {
+    this.#heldMicros += change.micros;
+    this.#returningMicros = 0;
+    if (change.micros > 0) {
+      this.#lastPortionMicros = change.micros;
+      this.#spentSinceDrawMicros = 0;
+      this.#drawnAtMs = nowMs;
+      this.#wantedMicros = 0;
+    }
+    return this.#endChange();
+  }
+
+  #handleRefused(change: BudgetChange, nowMs: number): undefined {
+    // What can't be returned is counted as spent: it mustn't be used either.
+    if (change.micros < 0) this.#heldMicros += change.micros;
+    else this.#exhaustedUntilMs = nowMs + EXHAUSTED_MS;
+    return this.#endChange();
+  }
+
+  #endChange(): undefined {
+    if (this.#wantsReturn) this.#wantsReturn = false;
+    this.#state = { kind: "idle" };
+    return undefined;
+  }
+
+  #wait(nowMs: number, change?: OpenChange): undefined {
+    const untilMs = nowMs + RETRY_MS;
+    this.#state = change === undefined
+      ? { kind: "waiting", untilMs }
+      : { kind: "waiting", untilMs, change };
+    return undefined;
+  }
+}
+
+interface StoredBudget {
+  readonly budget: BudgetObject;
+  readonly version: number;
+}
+
+function readStored(answer: PlatformAnswer): StoredBudget | undefined {
+  if (answer.kind === "absent") return { budget: EMPTY_BUDGET, version: 0 };
+  if (answer.kind !== "found") return undefined;
+  const { object } = answer;
+  const budget = decodeBudget(object.value);
+  if (budget.isErr()) return undefined;
+  return { budget: budget.value, version: object.version };
+}
--- /dev/null
+++ b/packages/scheduler/src/configuration/apply_change.ts
@@ -0,0 +1,331 @@
+/**
+ * Turns an operator's change into the next configuration, by rules that keep
+ * the configuration sound. Pure: the same change on the same value gives the
+ * same result on every node.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import {
+  type ChangeCommand,
+  checkNever,
+  type ConfigurationValue,
+  type CostSplit,
+  PARTNERS,
+  type Revision,
+  type TeamSpec,
+} from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import { checkShares, isAmount } from "./amounts.ts";
+import { formatUnknown } from "./nearest_name.ts";
+import { checkPolicy } from "./policy_settings.ts";
+import { removeItem, setItem, sortSection } from "./section.ts";
+import { checkConfiguration } from "./check_configuration.ts";
+import { SECTION_KEYS, sortConfiguration } from "./value.ts";
+
+/** Replaced cost splits that the configuration keeps. */
+const PAST_SPLITS_KEPT = 1_024;
+
+/** The outcome of applying a change. */
+export type ChangeResult = Result<ConfigurationValue, Failure>;
+
+type Change<Kind extends ChangeCommand["kind"]> = Extract<
+  ChangeCommand,
+  { readonly kind: Kind }
+>;
+
+/**
+ * Applies a change to a configuration.
+ *
+ * `revision` is the one that the result will have. Fails with `ChangeInvalid`
+ * and the rule that the change breaks.
+ */
+export function applyChange(
+  value: ConfigurationValue,
+  change: ChangeCommand,
+  options: { readonly revision: Revision },
+): ChangeResult {
+  switch (change.kind) {
+    case "set_budget":
+      return applyBudget(value, change);
+    case "set_model_price":
+      return applyModelPrice(value, change);
+    case "set_service_price":
+      return applyServicePrice(value, change);
+    case "set_policy":
+      return applyPolicy(value, change);
+    case "set_team":
+      return applyTeam(value, change);
+    case "set_target":
+      return applyTarget(value, change);
+    case "remove_target":
+      return applyTargetRemoval(value, change);
+    case "split_costs":
+      return applySplit(value, change, options);
+    case "drain_target":
+      return applyTargetDrain(value, change);
+    case "drain_vm":
+      return applyVmDrain(value, change);
+    case "place_partner":
+      return applyPlacement(value, change);
+    case "import_configuration":
+      return applyImport(value, change, options);
+    default:
+      return checkNever(change);
+  }
+}
+
+function applyBudget(
+  value: ConfigurationValue,
+  change: Change<"set_budget">,
+): ChangeResult {
+  const { budget: kind, name, limitMicros } = change;
+  if (!isAmount(limitMicros)) {
+    return refuse(`a budget can't be ${limitMicros} micros`);
+  }
+  const known = listBudgetNames(value, kind);
+  if (!known.includes(name)) {
+    return refuse(formatUnknown(kind, { name, known }));
+  }
+  const budgets = setItem(value.budgets, {
+    item: { kind, name, limitMicros },
+    keyOf: SECTION_KEYS.budgets,
+  });
+  return ok({ ...value, budgets });
+}
+
+function listBudgetNames(
+  value: ConfigurationValue,
+  kind: Change<"set_budget">["budget"],
+): readonly string[] {
+  switch (kind) {
+    case "program":
+      return ["default"];
+    case "team":
+      return value.teams.map((item) => item.team);
+    case "partner":
+      return PARTNERS;
+    default:
+      return checkNever(kind);
+  }
+}
+
+function applyModelPrice(
+  value: ConfigurationValue,
+  change: Change<"set_model_price">,
+): ChangeResult {
+  const { model, part, micros } = change;
+  if (!isAmount(micros)) return refuse(`a price can't be ${micros} micros`);
+  const known = value.models.find((item) => item.model === model) ??
+    buildModelPrice(value, model);
+  if (known === undefined) {
+    const names = listServed(value);
+    return refuse(formatUnknown("model", { name: model, known: names }));
+  }
+  const models = setItem(value.models, {
+    item: { ...known, [`${part}Micros`]: micros },
+    keyOf: SECTION_KEYS.models,
+  });
+  return ok({ ...value, models });
+}
+
+/** A price list for a model that a target serves and that has none yet. */
+function buildModelPrice(
+  value: ConfigurationValue,
+  model: string,
+): ConfigurationValue["models"][number] | undefined {
+  if (!listServed(value).includes(model)) return undefined;
+  return { model, promptMicros: 0, cachedMicros: 0, completionMicros: 0 };
+}
+
+function listServed(value: ConfigurationValue): readonly string[] {
+  return [...new Set(value.targets.flatMap((item) => item.serves))];
+}
+
+function applyServicePrice(
+  value: ConfigurationValue,
+  change: Change<"set_service_price">,
+): ChangeResult {
+  const { service, micros } = change;
+  if (!isAmount(micros)) return refuse(`a price can't be ${micros} micros`);
+  const priced = value.services.map((item) => item.service);
+  const known = [...new Set([...priced, ...listServed(value)])];
+  if (!known.includes(service)) {
+    return refuse(formatUnknown("service", { name: service, known }));
+  }
+  const services = setItem(value.services, {
+    item: { service, callMicros: micros },
+    keyOf: SECTION_KEYS.services,
+  });
+  return ok({ ...value, services });
+}
+
+function applyPolicy(
+  value: ConfigurationValue,
+  change: Change<"set_policy">,
+): ChangeResult {
+  return checkPolicy(change.name, change.value).map((item) => ({
+    ...value,
+    policies: setItem(value.policies, { item, keyOf: SECTION_KEYS.policies }),
+  }));
+}
+
+function applyTeam(
+  value: ConfigurationValue,
+  change: Change<"set_team">,
+): ChangeResult {
+  const { team, partner, sharedWork } = change;
+  const wrong = checkTeam(value, { team, partner, sharedWork });
+  if (wrong !== undefined) return refuse(wrong);
+  const teams = setItem(value.teams, {
+    item: { team, partner, sharedWork },
+    keyOf: SECTION_KEYS.teams,
+  });
+  return ok({ ...value, teams });
+}
+
+/** A charge's cost class follows from its team, so that this never changes. */
+function checkTeam(
+  value: ConfigurationValue,
+  team: TeamSpec,
+): string | undefined {
+  const present = value.teams.find((item) => item.team === team.team);
+  if (present === undefined) return undefined;
+  if (present.partner !== team.partner) {
+    return `team ${team.team} belongs to ${present.partner}`;
+  }
+  if (present.sharedWork === team.sharedWork) return undefined;
+  return `whether the work of team ${team.team} is shared can't change`;
+}
+
+function applyTarget(
+  value: ConfigurationValue,
+  change: Change<"set_target">,
+): ChangeResult {
+  if (change.target.serves.length === 0) {
+    return refuse(`target ${change.target.targetId} serves nothing`);
+  }
+  const targets = setItem(value.targets, {
+    item: change.target,
+    keyOf: SECTION_KEYS.targets,
+  });
+  return ok({ ...value, targets });
+}
+
+function applyTargetRemoval(
+  value: ConfigurationValue,
+  change: Change<"remove_target">,
+): ChangeResult {
+  const found = findTarget(value, change.targetId);
+  if (found.isErr()) return err(found.error);
+  if (!found.value.leaving) {
+    return refuse(`target ${change.targetId} isn't drained`);
+  }
+  const targets = removeItem(value.targets, {
+    key: change.targetId,
+    keyOf: SECTION_KEYS.targets,
+  });
+  return ok({ ...value, targets });
+}
+
+function findTarget(
+  value: ConfigurationValue,
+  name: string,
+): Result<ConfigurationValue["targets"][number], Failure> {
+  const target = value.targets.find((item) => item.targetId === name);
+  if (target !== undefined) return ok(target);
+  const known = value.targets.map((item) => item.targetId);
+  return refuse(formatUnknown("target", { name, known }));
+}
+
+function applySplit(
+  value: ConfigurationValue,
+  change: Change<"split_costs">,
+  options: { readonly revision: Revision },
+): ChangeResult {
+  const { costClass, shares } = change;
+  const wrong = checkShares(shares);
+  if (wrong !== undefined) return refuse(wrong);
+  const present = value.costSplits.find((item) => item.costClass === costClass);
+  const remainderTo = change.remainderTo ?? present?.remainderTo ?? PARTNERS[0];
+  const costSplits = setItem(value.costSplits, {
+    item: { costClass, shares, remainderTo, since: options.revision },
+    keyOf: SECTION_KEYS.costSplits,
+  });
+  const replaced = present === undefined ? [] : [present];
+  const pastSplits = appendPastSplits(value, replaced);
+  return ok({ ...value, costSplits, pastSplits });
+}
+
+/** Keeps replaced splits, the latest ones, for charges that name them. */
+function appendPastSplits(
+  value: ConfigurationValue,
+  replaced: readonly CostSplit[],
+): readonly CostSplit[] {
+  const oldestFirst = [...value.pastSplits, ...replaced]
+    .sort((a, b) => a.since - b.since);
+  const kept = oldestFirst.slice(-PAST_SPLITS_KEPT);
+  return sortSection(kept, SECTION_KEYS.pastSplits);
+}
+
+function applyImport(
+  value: ConfigurationValue,
+  change: Change<"import_configuration">,
+  options: { readonly revision: Revision },
+): ChangeResult {
+  const moved = change.value.teams.find((team) => {
+    return checkTeam(value, team) !== undefined;
+  });
+  const wrong = moved === undefined ? undefined : checkTeam(value, moved);
+  if (wrong !== undefined) return refuse(wrong);
+  const since = options.revision;
+  const imported = {
+    ...change.value,
+    costSplits: change.value.costSplits.map((item) => ({ ...item, since })),
+    pastSplits: appendPastSplits(value, value.costSplits),
+  };
+  return checkConfiguration(sortConfiguration(imported));
+}
+
+function applyTargetDrain(
+  value: ConfigurationValue,
+  change: Change<"drain_target">,
+): ChangeResult {
+  return findTarget(value, change.targetId).map((target) => ({
+    ...value,
+    targets: setItem(value.targets, {
+      item: { ...target, leaving: change.draining },
+      keyOf: SECTION_KEYS.targets,
+    }),
+  }));
+}
+
+function applyVmDrain(
+  value: ConfigurationValue,
+  change: Change<"drain_vm">,
+): ChangeResult {
+  const { vmId, draining } = change;
+  const keyOf = SECTION_KEYS.vmDrains;
+  const vmDrains = draining
+    ? setItem(value.vmDrains, { item: { vmId }, keyOf })
+    : removeItem(value.vmDrains, { key: vmId, keyOf });
+  return ok({ ...value, vmDrains });
+}
+
+function applyPlacement(
+  value: ConfigurationValue,
+  change: Change<"place_partner">,
+): ChangeResult {
+  const known = [...new Set(value.targets.map((item) => item.region))];
+  const name = change.regions.find((region) => !known.includes(region));
+  if (name !== undefined) {
+    return refuse(formatUnknown("region", { name, known }));
+  }
+  const placementRules = setItem(value.placementRules, {
+    item: { partner: change.partner, regions: change.regions },
+    keyOf: SECTION_KEYS.placementRules,
+  });
+  return ok({ ...value, placementRules });
+}
+
+function refuse<T>(detail: string): Result<T, Failure> {
+  return err(createFailure("ChangeInvalid", detail));
+}
--- /dev/null
+++ b/packages/scheduler/src/configuration/history.ts
@@ -0,0 +1,162 @@
+/**
+ * The configuration in force on a node and the revisions before it, as far as
+ * the node holds them. The revision never goes down.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import type {
+  ConfigurationValue,
+  Revision,
+  RevisionRecord,
+} from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import { CHECKPOINT_EVERY, encodeRecord, isCheckpoint } from "./record.ts";
+import { applyPatch, EMPTY_CONFIGURATION } from "./value.ts";
+
+/** Largest gap that is closed by patches instead of a whole configuration. */
+export const LARGEST_PATCH_GAP = CHECKPOINT_EVERY;
+
+/** What became of a record that a node was shown. */
+export type AdoptResult = "adopted" | "known" | "gap";
+
+interface HeldRevision {
+  readonly record: RevisionRecord;
+  /** The value after this revision, kept at checkpoints only. */
+  readonly value?: ConfigurationValue;
+}
+
+/** The revisions that a node holds. */
+export class RevisionHistory {
+  #revision: Revision = 0;
+  #value: ConfigurationValue = EMPTY_CONFIGURATION;
+  #encodedFull?: { readonly revision: Revision; readonly bytes: Uint8Array };
+  readonly #held = new Map<Revision, HeldRevision>();
+  readonly #changes = new Map<string, Revision>();
+  readonly #bound: number;
+
+  constructor(bound: number) {
+    this.#bound = bound;
+  }
+
+  /** The highest revision that the node has seen. */
+  get revision(): Revision {
+    return this.#revision;
+  }
+
+  /** The configuration in force. */
+  get value(): ConfigurationValue {
+    return this.#value;
+  }
+
+  /** Applies a record if it's the next one or carries everything. */
+  apply(record: RevisionRecord): AdoptResult {
+    if (record.revision <= this.#revision) return "known";
+    const follows = record.revision === this.#revision + 1;
+    if (!follows && record.full === undefined) return "gap";
+    this.#value = follows
+      ? applyPatch(this.#value, record.patch)
+      : record.full ?? this.#value;
+    if (!follows) this.#held.clear();
+    this.#revision = record.revision;
+    this.#add(record, !follows || isCheckpoint(record.revision));
+    return "adopted";
+  }
+
+  /** Finds the revision that a change was stored at, if held. */
+  findChange(changeId: string): Revision | undefined {
+    return this.#changes.get(changeId);
+  }
+
+  /** Lists the held records after a revision, in order. */
+  listAfter(revision: Revision): readonly RevisionRecord[] {
+    const records: RevisionRecord[] = [];
+    for (let next = revision + 1; next <= this.#revision; next += 1) {
+      const held = this.#held.get(next);
+      if (held !== undefined) records.push(held.record);
+    }
+    return records;
+  }
+
+  /** Builds what a peer at a revision needs to reach this node's, encoded. */
+  encodeAfter(
+    revision: Revision,
+  ): readonly { readonly revision: Revision; readonly bytes: Uint8Array }[] {
+    if (revision >= this.#revision) return [];
+    const records = this.listAfter(revision);
+    const gap = this.#revision - revision;
+    if (gap > LARGEST_PATCH_GAP || records.length < gap) {
+      return [this.#encodeFull()];
+    }
+    return records.map((record) => ({
+      revision: record.revision,
+      bytes: encodeRecord(record),
+    }));
+  }
+
+  /** Gives the configuration as of a revision. */
+  getValueAsOf(revision: Revision): Result<ConfigurationValue, Failure> {
+    if (revision === this.#revision) return ok(this.#value);
+    const base = this.#findBase(revision);
+    const start = this.#held.get(base)?.value;
+    if (start === undefined) return err(this.#buildUnavailable(revision));
+    return ok(this.#foldFrom(start, { base, revision }));
+  }
+
+  /** The nearest held revision at or before this one that has its value. */
+  #findBase(revision: Revision): Revision {
+    let base = revision;
+    while (this.#held.has(base)) {
+      if (this.#held.get(base)?.value !== undefined) return base;
+      base -= 1;
+    }
+    return base;
+  }
+
+  #foldFrom(
+    start: ConfigurationValue,
+    range: { readonly base: Revision; readonly revision: Revision },
+  ): ConfigurationValue {
+    let value = start;
+    for (let next = range.base + 1; next <= range.revision; next += 1) {
+      const held = this.#held.get(next);
+      if (held !== undefined) value = applyPatch(value, held.record.patch);
+    }
+    return value;
+  }
+
+  #buildUnavailable(revision: Revision): Failure {
+    const values = [...this.#held.entries()];
+    const oldest = values.find(([, held]) => held.value !== undefined)?.[0];
+    const detail = `revision ${revision} isn't held here; ` +
+      `this node holds ${oldest ?? this.#revision} to ${this.#revision}`;
+    return createFailure("RevisionUnavailable", detail);
+  }
+
+  #add(record: RevisionRecord, keepsValue: boolean): void {
+    const { full: _full, ...slim } = record;
+    const held = keepsValue
+      ? { record: slim, value: this.#value }
+      : { record: slim };
+    this.#held.set(record.revision, held);
+    this.#changes.set(record.changeId, record.revision);
+    for (const revision of this.#held.keys()) {
+      if (this.#held.size <= this.#bound) break;
+      this.#held.delete(revision);
+    }
+    for (const changeId of this.#changes.keys()) {
+      if (this.#changes.size <= this.#bound) break;
+      this.#changes.delete(changeId);
+    }
+  }
+
+  #encodeFull(): { readonly revision: Revision; readonly bytes: Uint8Array } {
+    if (this.#encodedFull?.revision === this.#revision) {
+      return this.#encodedFull;
+    }
+    const held = this.#held.get(this.#revision);
+    const record = held?.record;
+    if (record === undefined) throw new TypeError("no record is held");
+    const bytes = encodeRecord({ ...record, full: this.#value });
+    this.#encodedFull = { revision: this.#revision, bytes };
+    return this.#encodedFull;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/configuration/next_record.ts
@@ -0,0 +1,118 @@
+/**
+ * Builds the record of a change on top of the configuration in force, or
+ * tells why the change doesn't apply any more.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import type {
+  ConfigurationValue,
+  OperatorName,
+  Revision,
+  RevisionRecord,
+} from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import { applyChange } from "./apply_change.ts";
+import type { RevisionHistory } from "./history.ts";
+import type { ChangeInput } from "./inputs.ts";
+import { isCheckpoint } from "./record.ts";
+import { buildPatch, listTouchedItems } from "./value.ts";
+
+/** A change that isn't stored yet. */
+export interface PendingChange {
+  readonly input: ChangeInput;
+  readonly changeId: string;
+  /** The node's revision when the operator ordered the change. */
+  readonly base: Revision;
+}
+
+/**
+ * Builds the record that stores a change as the next revision.
+ *
+ * Fails with `RevisionMismatch` where the change names another revision or
+ * another operator changed the same item meanwhile, and with `ChangeInvalid`
+ * where it breaks a rule.
+ */
+export function buildNextRecord(
+  history: RevisionHistory,
+  pending: PendingChange,
+): Result<RevisionRecord, Failure> {
+  const { input } = pending;
+  const { ifRevision } = input;
+  if (ifRevision !== undefined && ifRevision !== history.revision) {
+    return err(buildWrongRevision(history, ifRevision));
+  }
+  const revision = history.revision + 1;
+  return applyChange(history.value, input.change, { revision })
+    .andThen((value) => checkOverlap(history, { pending, value }))
+    .map((value) => buildRecord(history, { pending, value }));
+}
+
+/** Builds the failure that names who was first, and with what. */
+export function buildMismatch(winner: RevisionRecord): Failure {
+  return createFailure("RevisionMismatch", formatWinner(winner));
+}
+
+function buildWrongRevision(
+  history: RevisionHistory,
+  ifRevision: Revision,
+): Failure {
+  const { revision } = history;
+  const latest = history.listAfter(revision - 1)[0];
+  const winner = latest === undefined ? "" : `; ${formatWinner(latest)}`;
+  const detail = `the configuration is at revision ${revision}, ` +
+    `not ${ifRevision}${winner}`;
+  return createFailure("RevisionMismatch", detail);
+}
+
+function formatWinner(record: RevisionRecord): string {
+  const { revision, by, command } = record;
+  return `revision ${revision} is by ${by.operator} of ${by.partner}: ` +
+    command;
+}
+
+/** Refuses a change to an item that was changed since it was ordered. */
+function checkOverlap(
+  history: RevisionHistory,
+  options: {
+    readonly pending: PendingChange;
+    readonly value: ConfigurationValue;
+  },
+): Result<ConfigurationValue, Failure> {
+  const { pending, value } = options;
+  const since = history.listAfter(pending.base);
+  if (since.length < history.revision - pending.base) {
+    const detail = `the configuration moved from revision ${pending.base} ` +
+      `to ${history.revision} meanwhile; order the change again`;
+    return err(createFailure("RevisionMismatch", detail));
+  }
+  const touched = new Set(listTouchedItems(buildPatch(history.value, value)));
+  const { by } = pending.input;
+  const winner = since.find((record) => {
+    if (isSameOperator(record.by, by)) return false;
+    return listTouchedItems(record.patch).some((item) => touched.has(item));
+  });
+  return winner === undefined ? ok(value) : err(buildMismatch(winner));
+}
+
+function isSameOperator(left: OperatorName, right: OperatorName): boolean {
+  return left.partner === right.partner && left.operator === right.operator;
+}
+
+function buildRecord(
+  history: RevisionHistory,
+  options: {
+    readonly pending: PendingChange;
+    readonly value: ConfigurationValue;
+  },
+): RevisionRecord {
+  const { pending, value } = options;
+  const revision = history.revision + 1;
+  const record = {
+    revision,
+    changeId: pending.changeId,
+    by: pending.input.by,
+    command: pending.input.text,
+    atMs: pending.input.atMs,
+    patch: buildPatch(history.value, value),
+  };
+  return isCheckpoint(revision) ? { ...record, full: value } : record;
+}
--- /dev/null
+++ b/packages/scheduler/src/configuration/reader.ts
@@ -0,0 +1,177 @@
+/**
+ * Reads revisions from the platform until none is left unread.
+ *
+ * Names are listed first: a node that was away for longer than revisions are
+ * kept would find the next name absent and take an old revision for the
+ * latest. A list shows the gap, which is then jumped by a checkpoint.
+ */
+import {
+  checkNever,
+  type Effect,
+  type PlatformAnswer,
+  type PlatformRequest,
+  type Revision,
+} from "@camphorlock/types";
+import { LARGEST_PATCH_GAP, type RevisionHistory } from "./history.ts";
+import {
+  computeCheckpoint,
+  decodeRecord,
+  formatRevisionKey,
+  parseRevisionKey,
+  REVISION_PREFIX,
+} from "./record.ts";
+import type { PlatformCalls } from "./platform_calls.ts";
+
+const LIST_LIMIT = 1_000;
+const FIRST_RETRY_MS = 250;
+const LONGEST_RETRY_MS = 4_000;
+
+type ReaderState =
+  | { readonly kind: "idle" }
+  | { readonly kind: "waiting"; readonly untilMs: number }
+  | { readonly kind: "listing"; readonly after: Revision }
+  | {
+    readonly kind: "reading";
+    readonly next: Revision;
+    readonly head: Revision;
+  };
+
+/** Brings a node's history up to what the platform holds. */
+export class RevisionReader {
+  #state: ReaderState = { kind: "idle" };
+  #wanted = false;
+  #failures = 0;
+  #headSeenAtMs: number | undefined;
+  #failedSinceMs: number | undefined;
+  readonly #history: RevisionHistory;
+  readonly #calls: PlatformCalls;
+
+  constructor(history: RevisionHistory, calls: PlatformCalls) {
+    this.#history = history;
+    this.#calls = calls;
+  }
+
+  /** When the node last held every revision of the platform, if ever. */
+  get headSeenAtMs(): number | undefined {
+    return this.#headSeenAtMs;
+  }
+
+  /** Since when every request failed, `undefined` while the platform works. */
+  get failedSinceMs(): number | undefined {
+    return this.#failedSinceMs;
+  }
+
+  /** Whether no read is under way or due. */
+  get isIdle(): boolean {
+    return this.#state.kind === "idle";
+  }
+
+  /** Starts reading, or reads once more after the present round. */
+  start(nowMs: number): readonly Effect[] {
+    if (this.#state.kind !== "idle") {
+      this.#wanted = true;
+      return [];
+    }
+    return this.#list(this.#history.revision, nowMs);
+  }
+
+  /** Starts the retry of a failed round when it's due. */
+  handleTick(nowMs: number): readonly Effect[] {
+    if (this.#state.kind !== "waiting") return [];
+    if (this.#state.untilMs > nowMs) return [];
+    return this.#list(this.#history.revision, nowMs);
+  }
+
+  /** Takes the answer to the reader's one open request. */
+  handleAnswer(answer: PlatformAnswer, nowMs: number): readonly Effect[] {
+    if (answer.kind === "failed") return this.#handleFailure(nowMs);
+    this.#failures = 0;
+    this.#failedSinceMs = undefined;
+    switch (this.#state.kind) {
+      case "listing":
+        return this.#handleList(answer, nowMs);
+      case "reading":
+        return this.#handleRecord(answer, nowMs);
+      case "idle":
+      case "waiting":
+        return [];
+      default:
+        return checkNever(this.#state);
+    }
+  }
+
+  #handleFailure(nowMs: number): readonly Effect[] {
+    const delayMs = FIRST_RETRY_MS * 2 ** Math.min(this.#failures, 10);
+    this.#failures += 1;
+    this.#failedSinceMs ??= nowMs;
+    const untilMs = nowMs + Math.min(delayMs, LONGEST_RETRY_MS);
+    this.#state = { kind: "waiting", untilMs };
+    return [];
+  }
+
+  #list(after: Revision, nowMs: number): readonly Effect[] {
+    this.#wanted = false;
+    this.#state = { kind: "listing", after };
+    return [this.#send({
+      kind: "list",
+      prefix: REVISION_PREFIX,
+      after: formatRevisionKey(after),
+      limit: LIST_LIMIT,
+    }, nowMs)];
+  }
+
+  #handleList(answer: PlatformAnswer, nowMs: number): readonly Effect[] {
+    if (answer.kind !== "listed") return this.#handleFailure(nowMs);
+    const revisions = answer.keys.flatMap(({ key }) => {
+      return parseRevisionKey(key) ?? [];
+    });
+    const last = revisions.at(-1);
+    if (last === undefined) return this.#handleHead(nowMs);
+    if (answer.keys.length >= LIST_LIMIT) return this.#list(last, nowMs);
+    return this.#read(last, nowMs);
+  }
+
+  #handleHead(nowMs: number): readonly Effect[] {
+    const after = this.#state.kind === "listing" ? this.#state.after : 0;
+    // A long list that ended on a full page ends with an empty one.
+    if (after > this.#history.revision) return this.#read(after, nowMs);
+    this.#headSeenAtMs = nowMs;
+    if (this.#wanted) return this.#list(this.#history.revision, nowMs);
+    this.#state = { kind: "idle" };
+    return [];
+  }
+
+  #read(head: Revision, nowMs: number): readonly Effect[] {
+    const current = this.#history.revision;
+    const next = head - current <= LARGEST_PATCH_GAP
+      ? current + 1
+      : computeCheckpoint(head);
+    return this.#get({ next, head }, nowMs);
+  }
+
+  #get(
+    range: { readonly next: Revision; readonly head: Revision },
+    nowMs: number,
+  ): readonly Effect[] {
+    const next = Math.max(range.next, this.#history.revision + 1);
+    if (next > range.head) return this.#list(this.#history.revision, nowMs);
+    this.#state = { kind: "reading", next, head: range.head };
+    const key = formatRevisionKey(next);
+    return [this.#send({ kind: "get", key }, nowMs)];
+  }
+
+  #handleRecord(answer: PlatformAnswer, nowMs: number): readonly Effect[] {
+    if (answer.kind !== "found") return this.#handleFailure(nowMs);
+    const record = decodeRecord(answer.object.value);
+    if (record.isErr()) return this.#handleFailure(nowMs);
+    if (this.#history.apply(record.value) === "gap") {
+      return this.#handleFailure(nowMs);
+    }
+    const head = this.#state.kind === "reading" ? this.#state.head : 0;
+    return this.#get({ next: record.value.revision + 1, head }, nowMs);
+  }
+
+  #send(request: PlatformRequest, nowMs: number): Effect {
+    return this.#calls.send(request, { purpose: "reader", nowMs });
+  }
+}
--- /dev/null
+++ b/packages/types/src/charge.ts
@@ -0,0 +1,27 @@
+/**
+ * Charges for ended calls and their split between the partners.
+ */
+import type { CostClass } from "./configuration.ts";
+import type { CallId, Micros, Partner, ProgramId, Revision } from "./ids.ts";
+
+/** A partner's part of a charge. */
+export interface PartnerAmount {
+  readonly partner: Partner;
+  readonly micros: Micros;
+}
+
+/** The charge of one ended call. */
+export interface Charge {
+  readonly callId: CallId;
+  readonly programId: ProgramId;
+  /** The partner whose program ran the call. */
+  readonly partner: Partner;
+  readonly team?: string;
+  readonly costClass: CostClass;
+  readonly micros: Micros;
+  /** The agreement in force when the call ended. */
+  readonly agreementRevision: Revision;
+  readonly endedAtMs: number;
+  /** Adds up to `micros`. */
+  readonly split: readonly PartnerAmount[];
+}
