Add reports, KV moves, lists and the two deployments

Change: engine reports and KV moves, clients of the VM list and the weight store, deployment files with a schema that names every error, and one call that starts a deployment's stand-ins.

Measured: npm test passes.

--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -12,6 +12,7 @@
   TargetOrderResult,
 } from "@camphorlock/types";
 import { checkNever } from "@camphorlock/types";
+import type { Failure } from "@camphorlock/codes";
 import {
   type Exchange,
   PeerConnection,
@@ -19,8 +20,19 @@
   runWhole,
   type WholeAnswer,
 } from "@camphorlock/platform";
+import type { Result } from "neverthrow";
 import { type AttemptListener, AttemptStream } from "./attempt_stream.ts";
 import { encodeChatRequest } from "./chat_request.ts";
+import { exportMemory, importMemory } from "./engine_memory.ts";
+import {
+  type CacheEventBatch,
+  type EngineLoad,
+  type HeldMemory,
+  listHeldMemory,
+  listModels,
+  readCacheEvents,
+  readLoad,
+} from "./engine_reports.ts";
 import { ATTEMPT_HEADER, FENCE_HEADER, PROGRAM_HEADER } from "./headers.ts";
 import { decodeOrderAnswer } from "./order_answer.ts";
 
@@ -119,6 +131,39 @@
     return this.runOrder({ kind: "release", programId });
   }
 
+  /** Reads the load, as it was some time ago. */
+  readLoad(): Promise<Result<EngineLoad, Failure>> {
+    return readLoad(this.#connection);
+  }
+
+  /** Lists the memory that the engine holds, by program. */
+  listHeldMemory(): Promise<Result<readonly HeldMemory[], Failure>> {
+    return listHeldMemory(this.#connection);
+  }
+
+  /** Lists the models that the engine serves. */
+  listModels(): Promise<Result<readonly string[], Failure>> {
+    return listModels(this.#connection);
+  }
+
+  /** Reads the cache events after a number, late and with gaps. */
+  readCacheEvents(after: number): Promise<Result<CacheEventBatch, Failure>> {
+    return readCacheEvents(this.#connection, after);
+  }
+
+  /** Reads a program's KV cache. */
+  exportMemory(programId: ProgramId): Promise<Result<Uint8Array, Failure>> {
+    return exportMemory(this.#connection, programId);
+  }
+
+  /** Writes a program's KV cache that another engine gave. */
+  importMemory(
+    programId: ProgramId,
+    bytes: Uint8Array,
+  ): Promise<Result<Uint8Array, Failure>> {
+    return importMemory(this.#connection, { programId, bytes });
+  }
+
   /** Takes nothing new and closes when what runs has ended. */
   async closeWhenIdle(): Promise<void> {
     await this.#connection.closeWhenIdle();
--- a/packages/engines/src/order_answer.ts
+++ b/packages/engines/src/order_answer.ts
@@ -3,7 +3,7 @@
  */
 import type { TargetOrderResult } from "@camphorlock/types";
 import { checkNever } from "@camphorlock/types";
-import type { WholeAnswer } from "@camphorlock/platform";
+import { parseJson, type WholeAnswer } from "@camphorlock/platform";
 import { z } from "zod";
 
 const FENCED = z.object({ highest: z.int().nonnegative() });
@@ -27,16 +27,8 @@
   if (isDone || status === 404) return { kind: "done" };
   const text = Buffer.from(body).toString("utf8");
   if (status !== 412) return { kind: "failed", detail: `${status} ${text}` };
-  const fenced = FENCED.safeParse(parseJson(text));
+  const fenced = FENCED.safeParse(parseJson(body));
   return fenced.success
     ? { kind: "fenced", highest: fenced.data.highest }
     : { kind: "failed", detail: "the fencing answer is malformed" };
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/platform/src/decode_answer.ts
+++ b/packages/platform/src/decode_answer.ts
@@ -9,6 +9,7 @@
   type PlatformRequest,
 } from "@camphorlock/types";
 import { z } from "zod";
+import { parseJson } from "./http/read_json.ts";
 import { getHeader, type WholeAnswer } from "./http/whole_answer.ts";
 
 const KEYS = z.array(
@@ -106,11 +107,3 @@
   const match = /^"(\d+)"$/.exec(getHeader(answer.headers, "etag") ?? "");
   return match === null ? undefined : Number(match[1]);
 }
-
-function parseJson(body: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(body).toString("utf8"));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/services/src/service_outcome.ts
+++ b/packages/services/src/service_outcome.ts
@@ -2,7 +2,7 @@
  * What a service tells about the outcome of an attempt.
  */
 import { checkNever } from "@camphorlock/types";
-import type { WholeAnswer } from "@camphorlock/platform";
+import { parseJson, type WholeAnswer } from "@camphorlock/platform";
 import { z } from "zod";
 
 const OUTCOME = z.discriminatedUnion("state", [
@@ -62,11 +62,3 @@
       return checkNever(outcome);
   }
 }
-
-function parseJson(body: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(body).toString("utf8"));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -17,3 +17,6 @@
 export * from "./src/service/service_control.ts";
 export * from "./src/service/service_runs.ts";
 export * from "./src/balancer/serve_balancer.ts";
+export * from "./src/deployment/load_deployment.ts";
+export * from "./src/deployment/schema.ts";
+export * from "./src/deployment/serve_deployment.ts";
--- /dev/null
+++ b/packages/standins/src/deployment/schema.ts
@@ -0,0 +1,76 @@
+/**
+ * The schema of a deployment file: what the stand-ins of a deployment are.
+ *
+ * Names in the file are in snake case; delays are one way and carry their unit.
+ */
+import { PARTNERS } from "@camphorlock/types";
+import { z } from "zod";
+
+const NAME = z.string().regex(/^[a-z0-9-]+$/, "lower-case letters, digits, -");
+const DELAY_MS = z.number().nonnegative().max(1_000);
+
+const DEPLOYMENT = z.strictObject({ name: NAME, partner: z.enum(PARTNERS) });
+
+const DELAYS = z.strictObject({
+  between_failure_domains_ms: DELAY_MS,
+  between_regions_ms: DELAY_MS,
+  to_clients_ms: DELAY_MS,
+});
+
+const REGION = z.strictObject({
+  name: NAME,
+  failure_domains: z.array(NAME).min(1),
+});
+
+const PLACE = { region: NAME, "failure_domain": NAME };
+
+const NODE = z.strictObject({
+  vm: NAME,
+  ...PLACE,
+  has_disk: z.boolean().default(false),
+});
+
+const TARGET = z.strictObject({
+  target: NAME,
+  kind: z.enum(["engine", "service"]),
+  serves: z.array(NAME).min(1),
+  ...PLACE,
+  checks_fencing: z.boolean(),
+});
+
+/** The whole deployment file. */
+export const DEPLOYMENT_SCHEMA = z.strictObject({
+  deployment: DEPLOYMENT,
+  delays: DELAYS,
+  regions: z.array(REGION).min(1),
+  nodes: z.array(NODE).min(1),
+  targets: z.array(TARGET).min(1),
+}).check((context) => checkPlaces(context));
+
+/** A deployment as its file describes it. */
+export type Deployment = z.infer<typeof DEPLOYMENT_SCHEMA>;
+
+interface PlaceCheck {
+  readonly value: {
+    readonly regions: readonly z.infer<typeof REGION>[];
+    readonly nodes: readonly z.infer<typeof NODE>[];
+    readonly targets: readonly z.infer<typeof TARGET>[];
+  };
+  readonly issues: unknown[];
+}
+
+/** Every node and target stands in a failure domain that a region names. */
+function checkPlaces({ value, issues }: PlaceCheck): void {
+  for (const section of ["nodes", "targets"] as const) {
+    value[section].forEach((each, index) => {
+      const region = value.regions.find(({ name }) => name === each.region);
+      if (region?.failure_domains.includes(each.failure_domain)) return;
+      issues.push({
+        code: "custom",
+        input: each.failure_domain,
+        path: [section, index, "failure_domain"],
+        message: `no failure domain ${each.failure_domain} of ${each.region}`,
+      });
+    });
+  }
+}
--- a/packages/standins/src/engine_server/engine_control.ts
+++ b/packages/standins/src/engine_server/engine_control.ts
@@ -55,6 +55,13 @@
       .reduce((sum, prefix) => sum + prefix.heldTokens, 0);
   }
 
+  /** Leaves a cache event out of what's published. */
+  removeCacheEvent(number: number): void {
+    const events = this.#driver.cacheEvents;
+    const place = events.findIndex((event) => event.number === number);
+    if (place >= 0) events.splice(place, 1);
+  }
+
   /** Whether an attempt still runs. */
   isRunning(attemptId: AttemptId): boolean {
     const stream = this.#driver.streams.get(attemptId);
--- a/packages/standins/src/platform/vm_list.ts
+++ b/packages/standins/src/platform/vm_list.ts
@@ -1,18 +1,10 @@
 /**
  * The platform's list of live and leaving VMs, which lags behind.
  */
+import type { ListedVm } from "@camphorlock/platform";
 import type { Hono } from "hono";
 import type { StandinEnv } from "../http_server.ts";
 
-/** A VM as the platform lists it. */
-export interface ListedVm {
-  readonly vmId: string;
-  readonly address: string;
-  readonly region: string;
-  readonly failureDomain: string;
-  readonly state: "live" | "leaving";
-}
-
 interface VmChange {
   readonly atMs: number;
   readonly vmId: string;
