--- a/packages/scheduler/src/owner/attempt_closer.ts
+++ b/packages/scheduler/src/owner/attempt_closer.ts
@@ -6,7 +6,8 @@
 import type { AttemptId, Micros, Usage } from "@camphorlock/types";
 import { ok, type Result } from "neverthrow";
 import type { OwnerContext } from "./owner_context.ts";
-import { computeCost, computePromptBound } from "./pricing.ts";
+import { computePromptBound } from "../budget/mod.ts";
+import { computeCallCharge } from "./call_charge.ts";
 import type { RunningAttempt, RunningCall } from "./running_call.ts";
 
 /** How an attempt ended, as its dispatcher is told. */
@@ -69,16 +70,18 @@
   /** Computes the cost of what was seen of the present attempt. */
   computeSeen(running: RunningCall): Micros {
     const { state, attempt } = running;
-    const { prices } = this.#context.options.getConfiguration();
+    const { value } = this.#context.options.getConfiguration();
     if (attempt === undefined) return 0;
     if (attempt.inherited) return state.reservedMicros;
-    if (state.call.kind === "service") return prices.serviceCallMicros;
+    const promptTokens = state.call.kind === "model"
+      ? computePromptBound(state.call.messages)
+      : 0;
     const usage: Usage = {
-      promptTokens: computePromptBound(state.call),
+      promptTokens,
       cachedTokens: 0,
       completionTokens: attempt.tokens,
     };
-    const cost = computeCost(state.call, usage, prices);
+    const cost = computeCallCharge(value, state.call, usage);
     return Math.min(cost, state.reservedMicros);
   }
 
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -6,7 +6,7 @@
 import { ok, type Result } from "neverthrow";
 import type { OwnerContext } from "./owner_context.ts";
 import type { PlacementChoice } from "./ports.ts";
-import { computePromptBound } from "./pricing.ts";
+import { computePromptBound } from "../budget/mod.ts";
 import type { RunningAttempt, RunningCall } from "./running_call.ts";
 
 /** Brings calls from the queue to a sent attempt. */
@@ -26,7 +26,9 @@
   start(running: RunningCall): Result<void, Failure> {
     const { spec, state } = running;
     const { call } = state;
-    const promptTokens = call.kind === "model" ? computePromptBound(call) : 0;
+    const promptTokens = call.kind === "model"
+      ? computePromptBound(call.messages)
+      : 0;
     const choice = this.#context.options.placer.choose({
       programId: spec.programId,
       partner: spec.partner,
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -14,7 +14,7 @@
 import type { AttemptCloser } from "./attempt_closer.ts";
 import { computeDigest } from "./digest.ts";
 import type { OwnerContext } from "./owner_context.ts";
-import { computeCost } from "./pricing.ts";
+import { computeCallCharge } from "./call_charge.ts";
 import { computeRest } from "./program_state.ts";
 import { isIdempotent, type RunningCall } from "./running_call.ts";
 
@@ -177,7 +177,7 @@
       return this.#handleBroken(running, "the answer differs from its stream");
     }
     const configuration = this.#context.options.getConfiguration();
-    const cost = computeCost(state.call, usage, configuration.prices);
+    const cost = computeCallCharge(configuration.value, state.call, usage);
     const used = state.lostChargedMicros +
       Math.min(cost, state.reservedMicros);
     this.#closer.recordCached(running, attempt, usage);
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -12,6 +12,7 @@
   EntryBody,
   ProgramSpec,
 } from "@camphorlock/types";
+import { EMPTY_CONFIGURATION } from "../configuration/mod.ts";
 import { err, ok, type Result } from "neverthrow";
 import type {
   LedgerAppend,
@@ -90,11 +91,15 @@
       },
       getConfiguration: () => ({
         revision: 7,
-        prices: {
-          promptTokenMicros: 1,
-          cachedTokenMicros: 0,
-          completionTokenMicros: 10,
-          serviceCallMicros: 500,
+        value: {
+          ...EMPTY_CONFIGURATION,
+          models: [{
+            model: "m",
+            promptMicros: 1_000,
+            cachedMicros: 0,
+            completionMicros: 10_000,
+          }],
+          services: [{ service: "stock", callMicros: 500 }],
         },
       }),
       getWallClockMs: () => this.nowMs,
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "@camphorlock/codes";
 import type {
   Call,
+  ConfigurationValue,
   Effect,
   EntryBody,
   Epoch,
@@ -16,7 +17,6 @@
   VmId,
 } from "@camphorlock/types";
 import type { Result } from "neverthrow";
-import type { PriceList } from "./pricing.ts";
 
 /** The durable ledger of the owned shard. */
 export interface OwnerLedger {
@@ -84,7 +84,7 @@
 /** The part of the configuration that an owner uses. */
 export interface OwnerConfiguration {
   readonly revision: Revision;
-  readonly prices: PriceList;
+  readonly value: ConfigurationValue;
 }
 
 /** Bounds of programs and periods of the owner's work. */
--- a/packages/scheduler/src/owner/request_handler.ts
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -15,7 +15,7 @@
 import { buildCallId, computeCallDigest } from "./digest.ts";
 import type { MemoryReleaser } from "./memory_releaser.ts";
 import type { OwnerContext, RequestOrigin } from "./owner_context.ts";
-import { computeWorstCase } from "./pricing.ts";
+import { computeWorstCase } from "../budget/mod.ts";
 import {
   type CallState,
   computeRest,
@@ -128,8 +128,8 @@
     asked: { readonly request: RunCallRequest; readonly digest: string },
   ): void {
     const { request } = asked;
-    const { prices } = this.#context.options.getConfiguration();
-    const reservedMicros = computeWorstCase(request.call, prices);
+    const { value } = this.#context.options.getConfiguration();
+    const reservedMicros = computeWorstCase(value, request.call);
     const refusal = this.#checkAcceptable(program, reservedMicros);
     if (refusal !== undefined) {
       const detail = `program ${request.programId}`;
