--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -38,6 +38,42 @@
     "info",
     "Every connection has ended.",
   ),
+  LedgerSuperseded: defineEvent(
+    301,
+    "LedgerSuperseded",
+    "warn",
+    "Another owner took the shard; its ledger ended.",
+  ),
+  ShardRecovered: defineEvent(
+    302,
+    "ShardRecovered",
+    "info",
+    "A shard's log was read, sealed and opened again.",
+  ),
+  RecoveryWaiting: defineEvent(
+    303,
+    "RecoveryWaiting",
+    "warn",
+    "A recovery waits for keepers that don't answer.",
+  ),
+  ShardExposed: defineEvent(
+    304,
+    "ShardExposed",
+    "error",
+    "Durable entries may be lost with their keepers.",
+  ),
+  LogDamaged: defineEvent(
+    305,
+    "LogDamaged",
+    "error",
+    "A shard's log can't be read; it isn't served.",
+  ),
+  RecoverySuperseded: defineEvent(
+    306,
+    "RecoverySuperseded",
+    "info",
+    "Another node recovers the shard instead.",
+  ),
   CallAccepted: defineEvent(
     401,
     "CallAccepted",
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -194,6 +194,20 @@
     true,
     "The owner went silent; retry with the same key.",
   ),
+  EntryTooLarge: defineCode(
+    5301,
+    "EntryTooLarge",
+    413,
+    false,
+    "An entry is larger than a ledger segment may be.",
+  ),
+  SegmentUnreadable: defineCode(
+    5302,
+    "SegmentUnreadable",
+    500,
+    false,
+    "A stored segment or snapshot can't be decoded.",
+  ),
   PlatformUnavailable: defineCode(
     6001,
     "PlatformUnavailable",
--- /dev/null
+++ b/packages/scheduler/src/ledger/ledger_types.ts
@@ -0,0 +1,89 @@
+/**
+ * Limits, inputs and notices of a shard's ledger.
+ */
+import type {
+  Effect,
+  Epoch,
+  KeeperMessage,
+  PlatformAnswer,
+  PlatformToken,
+  VmId,
+} from "@camphorlock/types";
+
+/** Bounds and periods of one shard's ledger. */
+export interface LedgerLimits {
+  /** Segments on the platform, before the oldest name is used again. */
+  readonly ringSize: number;
+  /** Segments after which a snapshot is due. */
+  readonly snapshotAfterSegments: number;
+  /** Encoded entries of one segment, in bytes. */
+  readonly segmentBytes: number;
+  /** Encoded entries of one message to a keeper, in bytes. */
+  readonly messageBytes: number;
+  /** Encoded entries that aren't on the platform yet, in bytes. */
+  readonly unstoredBytes: number;
+  /** Silence of a keeper after which a message is sent again. */
+  readonly resendAfterMs: number;
+  /** Longest pause between two messages to a silent keeper. */
+  readonly resendAtMostMs: number;
+  /** Silence of the platform after which an answer counts as lost. */
+  readonly platformTimeoutMs: number;
+}
+
+/** The limits that a node uses unless its settings say otherwise. */
+export const DEFAULT_LEDGER_LIMITS: LedgerLimits = {
+  ringSize: 512,
+  snapshotAfterSegments: 128,
+  segmentBytes: 900_000,
+  messageBytes: 256_000,
+  unstoredBytes: 8_000_000,
+  resendAfterMs: 100,
+  resendAtMostMs: 2_000,
+  platformTimeoutMs: 10_000,
+};
+
+/** What a ledger, a recovery or their parts are told. */
+export type LedgerInput =
+  | {
+    readonly kind: "peer";
+    readonly from: VmId;
+    readonly message: KeeperMessage;
+  }
+  | {
+    readonly kind: "platform";
+    readonly token: PlatformToken;
+    readonly answer: PlatformAnswer;
+  }
+  | { readonly kind: "tick" };
+
+/** What the owner of a shard has to act on. */
+export type LedgerNotice =
+  | {
+    /** Entries up to this sequence survive the loss of any one domain. */
+    readonly kind: "durable";
+    readonly through: number;
+  }
+  | {
+    /** The epoch held at a moment after the question was put. */
+    readonly kind: "confirmed";
+    readonly token: number;
+  }
+  | {
+    /** Another owner takes the shard: answer nothing more from it. */
+    readonly kind: "superseded";
+    readonly epoch: Epoch;
+  }
+  | {
+    readonly kind: "snapshot_stored";
+    readonly throughSequence: number;
+  }
+  | {
+    /** Everything appended is on the platform and the log is closed. */
+    readonly kind: "closed";
+  };
+
+/** What a ledger asks for and reports after an input. */
+export interface LedgerStep {
+  readonly effects: readonly Effect[];
+  readonly notices: readonly LedgerNotice[];
+}
--- /dev/null
+++ b/packages/scheduler/src/ledger/segment_index.ts
@@ -0,0 +1,43 @@
+/**
+ * Which entries the live segments of a shard's log hold.
+ */
+
+/** A segment with the last entry that it or one before it holds. */
+export interface LogExtent {
+  readonly number: number;
+  readonly throughSequence: number;
+}
+
+/** The segments that no snapshot covers. */
+export class SegmentIndex {
+  #extents: LogExtent[];
+
+  constructor(extents: readonly LogExtent[]) {
+    this.#extents = [...extents];
+  }
+
+  /** Live segments. */
+  get count(): number {
+    return this.#extents.length;
+  }
+
+  /** Appends the newest segment. */
+  append(extent: LogExtent): void {
+    this.#extents.push(extent);
+  }
+
+  /** Finds the first segment that may hold entries after a sequence. */
+  findFirstAfter(throughSequence: number): number | undefined {
+    const first = this.#extents.find((extent) =>
+      extent.throughSequence > throughSequence
+    );
+    const last = this.#extents.at(-1);
+    if (first !== undefined) return first.number;
+    return last === undefined ? undefined : last.number + 1;
+  }
+
+  /** Drops the segments that a snapshot covers. */
+  removeBefore(number: number): void {
+    this.#extents = this.#extents.filter((extent) => extent.number >= number);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/ledger/shard_ledger.ts
@@ -0,0 +1,350 @@
+/**
+ * The owner's side of a shard's ledger.
+ *
+ * Entries are numbered, sent to the keepers at once and written to the
+ * platform in segments. An entry is durable when a stored segment holds it or
+ * two keepers in two failure domains do. The first refusal by a keeper or
+ * foreign segment under the next name ends the ledger: it accepts and reports
+ * nothing more.
+ */
+import { createFailure, EVENTS, type Failure } from "@camphorlock/codes";
+import {
+  checkNever,
+  type Effect,
+  type EntryBody,
+  type Epoch,
+  type FailureDomain,
+  type KeeperMessage,
+  type ShardId,
+  type VmId,
+} from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import { KeeperGroup } from "./keeper_group.ts";
+import type {
+  LedgerInput,
+  LedgerLimits,
+  LedgerNotice,
+  LedgerStep,
+} from "./ledger_types.ts";
+import {
+  type CommitDemand,
+  type CommitNews,
+  LogCommitter,
+  type SnapshotContent,
+} from "./log_committer.ts";
+import { encodeEntry, type KeeperProcess } from "./segment.ts";
+import type { LogExtent } from "./segment_index.ts";
+import { type EncodedEntry, UnstoredEntries } from "./unstored_entries.ts";
+import type { WritePacer, WriteUrgency } from "./write_pacer.ts";
+
+/** Where an owner goes on in a shard's log. A recovery gives it. */
+export interface LedgerStart {
+  readonly keepers: readonly KeeperProcess[];
+  /** The sequence of the first entry to be appended. */
+  readonly firstSequence: number;
+  readonly nextSegment: number;
+  /** Segments that no snapshot covers yet. */
+  readonly extents: readonly LogExtent[];
+}
+
+/** The options of a shard's ledger. */
+export interface ShardLedgerOptions extends LedgerStart {
+  readonly self: VmId;
+  readonly shard: ShardId;
+  readonly epoch: Epoch;
+  readonly failureDomainOf: (vmId: VmId) => FailureDomain;
+  readonly limits: LedgerLimits;
+  readonly pacer: WritePacer;
+}
+
+/** What an append gave. */
+export interface AppendStep {
+  /** The sequence of the last entry. */
+  readonly sequence: number;
+  readonly effects: readonly Effect[];
+}
+
+/** A question whether the epoch holds. */
+export interface ConfirmStep {
+  /** The notice `confirmed` repeats it. */
+  readonly token: number;
+  readonly effects: readonly Effect[];
+}
+
+interface Question {
+  readonly token: number;
+  readonly askedAtMs: number;
+}
+
+type LedgerState = "serving" | "closing" | "closed" | "superseded";
+
+/** Questions wait this long for keepers before the platform is asked. */
+const CONFIRM_BY_KEEPERS_MS = 250;
+const RETRY_WHEN_FULL_MS = 1_000;
+
+/** The durable log of one owned shard. */
+export class ShardLedger {
+  readonly #options: ShardLedgerOptions;
+  readonly #keepers: KeeperGroup;
+  readonly #committer: LogCommitter;
+  readonly #unstored: UnstoredEntries;
+  #state: LedgerState = "serving";
+  #durableThrough: number;
+  #questions: Question[] = [];
+  /** Token of the moment when the last stored segment was begun. */
+  #storedToken = 0;
+
+  constructor(options: ShardLedgerOptions) {
+    const { epoch, keepers, firstSequence } = options;
+    this.#options = options;
+    this.#keepers = new KeeperGroup(options);
+    this.#committer = new LogCommitter({
+      ...options,
+      open: { epoch, keepers },
+    });
+    this.#unstored = new UnstoredEntries(firstSequence - 1);
+    this.#durableThrough = firstSequence - 1;
+  }
+
+  /** Entries up to here are durable. */
+  get durableThrough(): number {
+    return this.#durableThrough;
+  }
+
+  /** Entries up to here are on the platform. */
+  get storedThrough(): number {
+    return this.#unstored.storedThrough;
+  }
+
+  /** The sequence of the last entry appended. */
+  get lastSequence(): number {
+    return this.#unstored.lastSequence;
+  }
+
+  /** Whether entries are taken: neither superseded nor closing. */
+  get isServing(): boolean {
+    return this.#state === "serving";
+  }
+
+  /** Share of the bounded space that is in use, from 0 to 1. */
+  get usage(): number {
+    const bytes = this.#unstored.bytes / this.#options.limits.unstoredBytes;
+    return Math.max(bytes, this.#committer.usage);
+  }
+
+  /** Whether the owner should give a snapshot now. */
+  get needsSnapshot(): boolean {
+    return this.isServing && this.#committer.needsSnapshot;
+  }
+
+  /**
+   * Appends entries in their order.
+   *
+   * Refuses all of them with `OwnerSuperseded`, `LedgerFull` or
+   * `EntryTooLarge`.
+   */
+  append(
+    bodies: readonly EntryBody[],
+    nowMs: number,
+  ): Result<AppendStep, Failure> {
+    if (!this.isServing) {
+      const detail = `shard ${this.#options.shard} is served elsewhere`;
+      return err(createFailure("OwnerSuperseded", detail));
+    }
+    const entries = this.#encodeBodies(bodies);
+    const refusal = this.#checkSpace(entries);
+    if (refusal !== undefined) return err(refusal);
+    for (const entry of entries) this.#unstored.append(entry);
+    const effects = this.#sendDue(nowMs);
+    return ok({ sequence: this.#unstored.lastSequence, effects });
+  }
+
+  /**
+   * Asks whether the epoch still holds; a notice `confirmed` answers.
+   *
+   * Once the ledger is closed or superseded there is no answer.
+   */
+  confirm(nowMs: number): ConfirmStep {
+    const token = this.#keepers.takeToken();
+    if (!this.isServing) return { token, effects: [] };
+    this.#questions.push({ token, askedAtMs: nowMs });
+    return { token, effects: this.#sendDue(nowMs) };
+  }
+
+  /** Takes the state of the owner; a notice tells when it's stored. */
+  startSnapshot(content: SnapshotContent, nowMs: number): readonly Effect[] {
+    this.#committer.startSnapshot(content);
+    return this.#sendDue(nowMs);
+  }
+
+  /** Writes everything to the platform and closes the log for a handover. */
+  close(nowMs: number): readonly Effect[] {
+    if (!this.isServing) return [];
+    this.#state = "closing";
+    this.#questions = [];
+    return this.#sendDue(nowMs);
+  }
+
+  /** Advances by one input. */
+  handle(input: LedgerInput, nowMs: number): LedgerStep {
+    if (this.#isOver) return { effects: [], notices: [] };
+    const notices = this.#applyInput(input, nowMs);
+    if (this.#isOver) return { effects: this.#logEnd(notices), notices };
+    const reports = this.#collectReports();
+    const effects = this.#sendDue(nowMs);
+    return { effects, notices: [...notices, ...reports] };
+  }
+
+  get #isOver(): boolean {
+    return this.#state === "closed" || this.#state === "superseded";
+  }
+
+  #applyInput(input: LedgerInput, nowMs: number): LedgerNotice[] {
+    switch (input.kind) {
+      case "peer":
+        return this.#applyPeer(input.from, input.message);
+      case "platform":
+        return this.#applyCommit(this.#committer.handle(input, nowMs));
+      case "tick":
+        this.#committer.checkTimeouts(nowMs);
+        return [];
+      default:
+        return checkNever(input);
+    }
+  }
+
+  #applyPeer(from: VmId, message: KeeperMessage): LedgerNotice[] {
+    const { shard, epoch } = this.#options;
+    if (message.shard !== shard || message.epoch !== epoch) return [];
+    const news = this.#keepers.handle(from, message);
+    return news.kind === "superseded" ? this.#endSuperseded(news.epoch) : [];
+  }
+
+  #applyCommit(news: CommitNews): LedgerNotice[] {
+    switch (news.kind) {
+      case "pending":
+        return [];
+      case "taken":
+        return this.#endSuperseded(news.epoch);
+      case "snapshot_stored":
+        return [news];
+      case "stored":
+        return this.#applyStored(news);
+      default:
+        return checkNever(news);
+    }
+  }
+
+  #applyStored(news: Extract<CommitNews, { kind: "stored" }>): LedgerNotice[] {
+    const { number, role, entries } = news.segment;
+    const throughSequence = this.#unstored.storedThrough + entries.length;
+    this.#unstored.removeThrough(throughSequence);
+    this.#committer.recordStored({ number, throughSequence });
+    this.#keepers.applyStored(news.beganToken);
+    this.#storedToken = news.beganToken;
+    if (role !== "close") return [];
+    this.#state = "closed";
+    this.#committer.stop();
+    const reports = this.#collectReports();
+    return [...reports, { kind: "closed" }];
+  }
+
+  #endSuperseded(epoch: Epoch): LedgerNotice[] {
+    this.#state = "superseded";
+    this.#questions = [];
+    this.#committer.stop();
+    return [{ kind: "superseded", epoch }];
+  }
+
+  #collectReports(): LedgerNotice[] {
+    const durable = this.#reportDurable();
+    return [...durable, ...this.#settleQuestions()];
+  }
+
+  /** A successor doesn't ask the keepers once it finds the log closed. */
+  #reportDurable(): LedgerNotice[] {
+    const isByKeepers = !this.#committer.hasBegunClose;
+    const kept = isByKeepers ? this.#keepers.keptThrough : 0;
+    const through = Math.max(this.#unstored.storedThrough, kept);
+    if (through <= this.#durableThrough) return [];
+    this.#durableThrough = through;
+    return [{ kind: "durable", through }];
+  }
+
+  /** Settles the questions put before what keepers or platform answered. */
+  #settleQuestions(): LedgerNotice[] {
+    const { confirmedToken } = this.#keepers;
+    const settled = Math.max(confirmedToken, this.#storedToken);
+    const answered = this.#questions.filter((each) => each.token < settled);
+    if (answered.length === 0) return [];
+    this.#questions = this.#questions.slice(answered.length);
+    return answered.map(({ token }) => ({ kind: "confirmed", token }));
+  }
+
+  #sendDue(nowMs: number): Effect[] {
+    if (this.#isOver) return [];
+    const source = {
+      unstored: this.#unstored,
+      durableThrough: this.#durableThrough,
+      askedToken: this.#questions.at(-1)?.token ?? 0,
+    };
+    const messages = this.#keepers.sendDue(source, nowMs);
+    const requests = this.#committer.sendDue(this.#createDemand(nowMs), nowMs);
+    return [...messages, ...requests];
+  }
+
+  #createDemand(nowMs: number): CommitDemand {
+    return {
+      unstored: this.#unstored,
+      urgency: this.#chooseUrgency(nowMs),
+      isClosing: this.#state === "closing",
+      takeToken: () => this.#keepers.takeToken(),
+    };
+  }
+
+  /** Somebody waits for the platform when the keepers can't answer. */
+  #chooseUrgency(nowMs: number): WriteUrgency | "none" {
+    if (this.#state === "closing") return "urgent";
+    const { hasPair } = this.#keepers;
+    const askedAtMs = this.#questions[0]?.askedAtMs ?? Infinity;
+    const isAsked = askedAtMs < Infinity;
+    if (nowMs - askedAtMs >= CONFIRM_BY_KEEPERS_MS) return "urgent";
+    const isWaiting = isAsked || this.lastSequence > this.#durableThrough;
+    if (isWaiting && !hasPair) return "urgent";
+    const { segmentBytes } = this.#options.limits;
+    if (this.#unstored.bytes >= segmentBytes) return "urgent";
+    const hasNews = this.#unstored.bytes > 0 || this.#keepers.needsProof;
+    return hasNews ? "regular" : "none";
+  }
+
+  #encodeBodies(bodies: readonly EntryBody[]): EncodedEntry[] {
+    const { shard, epoch } = this.#options;
+    const last = this.#unstored.lastSequence;
+    return bodies.map((body, index) => {
+      const entry = { shard, epoch, sequence: last + index + 1, body };
+      return { entry, value: encodeEntry(entry) };
+    });
+  }
+
+  #checkSpace(entries: readonly EncodedEntry[]): Failure | undefined {
+    const { limits, shard } = this.#options;
+    const largest = Math.max(0, ...entries.map((each) => each.value.length));
+    if (largest > limits.segmentBytes) {
+      const detail = `${largest} of ${limits.segmentBytes} bytes`;
+      return createFailure("EntryTooLarge", detail);
+    }
+    const added = entries.reduce((sum, each) => sum + each.value.length, 0);
+    if (this.#unstored.bytes + added <= limits.unstoredBytes) return undefined;
+    const detail = `shard ${shard} holds ${this.#unstored.bytes} bytes`;
+    return createFailure("LedgerFull", detail, RETRY_WHEN_FULL_MS);
+  }
+
+  #logEnd(notices: readonly LedgerNotice[]): Effect[] {
+    const { shard, epoch } = this.#options;
+    const end = notices.at(-1);
+    if (end?.kind !== "superseded") return [];
+    const { event } = EVENTS.LedgerSuperseded;
+    const fields = { shard, epoch, by: end.epoch };
+    return [{ kind: "log", record: { event, fields } }];
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/ledger/shard_recovery.ts
@@ -0,0 +1,293 @@
+/**
+ * Takes over one shard for the owner of a new epoch.
+ *
+ * The steps are: read the snapshot and the log to its end, occupy the next name
+ * with a seal, seal the keepers of the last owner that served, write the
+ * entries that only they held, and open the log under the new epoch. The shard
+ * may be served only after the notice `recovered`.
+ */
+import { createFailure } from "@camphorlock/codes";
+import {
+  checkNever,
+  type Effect,
+  type Epoch,
+  type KeeperMessage,
+  type PlatformAnswer,
+  type PlatformToken,
+  type VmId,
+} from "@camphorlock/types";
+import { KeeperSeals } from "./keeper_seals.ts";
+import { createRecoveryRecord } from "./recovery_log.ts";
+import { type ReaderNews, RecoveryReader } from "./recovery_reader.ts";
+import type {
+  RecoveryInput,
+  RecoveryNotice,
+  RecoveryStep,
+  ShardRecoveryOptions,
+} from "./recovery_types.ts";
+import { RecoveryWriter, type WriterNews } from "./recovery_writer.ts";
+import type { KeeperProcess } from "./segment.ts";
+import type { LedgerStart } from "./shard_ledger.ts";
+
+type Phase =
+  | "reading"
+  | "sealing_log"
+  | "sealing_keepers"
+  | "writing_tail"
+  | "ended";
+
+const MOST_READS_AT_ONCE = 8;
+/** Silent keepers are reported after this long. */
+const REPORT_WAITING_AFTER_MS = 2_000;
+/** Keepers of the new epoch that are slow to answer aren't waited for. */
+const LEARN_KEEPERS_MS = 200;
+
+/** The takeover of one shard. */
+export class ShardRecovery {
+  readonly #options: ShardRecoveryOptions;
+  readonly #reader: RecoveryReader;
+  readonly #writer: RecoveryWriter;
+  readonly #gone = new Set<VmId>();
+  #phase: Phase = "reading";
+  #seals: KeeperSeals | undefined;
+  #sealsBeganAtMs = 0;
+  #processes: readonly KeeperProcess[] = [];
+  #hasParts = false;
+  #hasReported = false;
+  #isExposed = false;
+
+  constructor(options: ShardRecoveryOptions) {
+    const { shard, epoch, limits } = options;
+    const { ringSize, platformTimeoutMs } = limits;
+    this.#options = options;
+    this.#writer = new RecoveryWriter({ shard, epoch, limits });
+    this.#reader = new RecoveryReader({
+      shard,
+      epoch,
+      ringSize,
+      mostReadsAtOnce: MOST_READS_AT_ONCE,
+      platformTimeoutMs,
+    });
+  }
+
+  /** Sends the first reads. */
+  start(nowMs: number): RecoveryStep {
+    return this.handle({ kind: "tick" }, nowMs);
+  }
+
+  /** Advances by one input. */
+  handle(input: RecoveryInput, nowMs: number): RecoveryStep {
+    if (this.#phase === "ended") return { effects: [], notices: [] };
+    const notices = this.#applyInput(input, nowMs);
+    const progress = this.#checkKeepers(nowMs);
+    const effects = this.#sendDue(nowMs);
+    const all = [...notices, ...progress];
+    return { effects: [...effects, ...this.#logNotices(all)], notices: all };
+  }
+
+  #applyInput(input: RecoveryInput, nowMs: number): RecoveryNotice[] {
+    switch (input.kind) {
+      case "tick":
+        this.#writer.checkTimeout(nowMs);
+        return [];
+      case "vms_gone":
+        for (const vmId of input.vmIds) this.#gone.add(vmId);
+        return [];
+      case "peer":
+        return this.#applyPeer(input.from, input.message);
+      case "platform":
+        return this.#applyPlatform(input, nowMs);
+      default:
+        return checkNever(input);
+    }
+  }
+
+  #applyPeer(from: VmId, message: KeeperMessage): RecoveryNotice[] {
+    const { shard, epoch } = this.#options;
+    if (message.shard !== shard || message.epoch !== epoch) return [];
+    const sealedEpoch = this.#seals?.handle(from, message);
+    return sealedEpoch === undefined ? [] : this.#endSuperseded(sealedEpoch);
+  }
+
+  #applyPlatform(
+    input: { readonly token: PlatformToken; readonly answer: PlatformAnswer },
+    nowMs: number,
+  ): RecoveryNotice[] {
+    if (this.#writer.isWaitingFor(input.token)) {
+      return this.#applyWriter(this.#writer.handle(input.answer, nowMs), nowMs);
+    }
+    return this.#applyReader(this.#reader.handle(input, nowMs), nowMs);
+  }
+
+  #applyReader(news: ReaderNews, nowMs: number): RecoveryNotice[] {
+    switch (news.kind) {
+      case "reading":
+        return [];
+      case "end_reached":
+        return this.#sealLog(news.version, nowMs);
+      case "snapshot_read":
+        this.#hasParts = true;
+        return [];
+      case "superseded":
+        return this.#endSuperseded(news.epoch);
+      case "damaged":
+        this.#phase = "ended";
+        return [news];
+      default:
+        return checkNever(news);
+    }
+  }
+
+  #applyWriter(news: WriterNews, nowMs: number): RecoveryNotice[] {
+    switch (news.kind) {
+      case "pending":
+        return [];
+      case "taken":
+        return this.#applyTaken(news.epoch);
+      case "sealed":
+        this.#reader.log.append(news.segment);
+        this.#sealKeepers(nowMs);
+        return [];
+      case "opened":
+        return this.#endRecovered(news.extents);
+      default:
+        return checkNever(news);
+    }
+  }
+
+  /** The former owner wrote once more: its segment belongs to the log. */
+  #applyTaken(epoch: Epoch): RecoveryNotice[] {
+    if (epoch >= this.#options.epoch) return this.#endSuperseded(epoch);
+    this.#phase = "reading";
+    this.#reader.readOn();
+    return [];
+  }
+
+  #sealLog(version: number, nowMs: number): RecoveryNotice[] {
+    const { log } = this.#reader;
+    this.#writer.setPosition(log.nextSegment, version);
+    if (log.sealedBy === this.#options.epoch) {
+      this.#sealKeepers(nowMs);
+      return [];
+    }
+    this.#phase = "sealing_log";
+    this.#writer.startSeal();
+    return this.#checkRing(1);
+  }
+
+  #sealKeepers(nowMs: number): void {
+    const { shard, epoch, keepers, limits } = this.#options;
+    const { log } = this.#reader;
+    this.#phase = "sealing_keepers";
+    this.#sealsBeganAtMs = nowMs;
+    this.#hasParts = this.#reader.head === undefined;
+    this.#reader.readParts();
+    this.#seals = new KeeperSeals({
+      shard,
+      epoch,
+      open: log.isClosed ? undefined : log.open,
+      newKeepers: keepers,
+      storedThrough: log.lastSequence,
+      resendAfterMs: limits.resendAfterMs,
+      resendAtMostMs: limits.resendAtMostMs,
+    });
+  }
+
+  /** Goes on to the tail once enough keepers have answered. */
+  #checkKeepers(nowMs: number): RecoveryNotice[] {
+    const seals = this.#seals;
+    if (this.#phase !== "sealing_keepers" || seals === undefined) return [];
+    if (!this.#hasParts) return [];
+    for (const vmId of this.#gone) seals.setGone(vmId);
+    const waitedMs = nowMs - this.#sealsBeganAtMs;
+    switch (seals.verdict) {
+      case "proved":
+        if (!seals.isComplete && waitedMs < LEARN_KEEPERS_MS) return [];
+        return this.#writeTail(seals);
+      case "fenced":
+        return this.#checkExposure(seals, waitedMs);
+      case "unproved":
+        return this.#reportWaiting(seals, waitedMs);
+      default:
+        return checkNever(seals.verdict);
+    }
+  }
+
+  #checkExposure(seals: KeeperSeals, waitedMs: number): RecoveryNotice[] {
+    const { missing } = seals;
+    const isOver = missing.length === 0 ||
+      waitedMs >= this.#options.exposeAfterMs;
+    if (!isOver) return this.#reportWaiting(seals, waitedMs);
+    this.#isExposed = true;
+    return [{ kind: "exposed", missing }, ...this.#writeTail(seals)];
+  }
+
+  #reportWaiting(seals: KeeperSeals, waitedMs: number): RecoveryNotice[] {
+    if (this.#hasReported || waitedMs < REPORT_WAITING_AFTER_MS) return [];
+    this.#hasReported = true;
+    return [{ kind: "waiting", missing: seals.missing }];
+  }
+
+  #writeTail(seals: KeeperSeals): RecoveryNotice[] {
+    const { log } = this.#reader;
+    const tail = seals.mergeTail();
+    const storedThrough = log.lastSequence;
+    this.#processes = seals.newProcesses;
+    this.#phase = "writing_tail";
+    log.appendTail(tail);
+    this.#writer.startTail(tail, { keepers: this.#processes, storedThrough });
+    return this.#checkRing(this.#writer.plannedCount);
+  }
+
+  /** No segment may take the name of one that no snapshot covers. */
+  #checkRing(added: number): RecoveryNotice[] {
+    const live = this.#reader.log.extents.length + added;
+    const { ringSize } = this.#options.limits;
+    if (live <= ringSize) return [];
+    this.#phase = "ended";
+    const detail = `${live} segments of ${ringSize} would be in use`;
+    const failure = createFailure("LedgerFull", detail);
+    return [{ kind: "damaged", failure }];
+  }
+
+  #endRecovered(extents: LedgerStart["extents"]): RecoveryNotice[] {
+    this.#phase = "ended";
+    const { log, head, parts } = this.#reader;
+    const snapshot = head === undefined || parts === undefined
+      ? {}
+      : { snapshot: { throughSequence: head.throughSequence, parts } };
+    const start: LedgerStart = {
+      keepers: this.#processes,
+      firstSequence: log.lastSequence + 1,
+      nextSegment: this.#writer.nextSegment,
+      extents: [...log.extents, ...extents],
+    };
+    const { entries } = log;
+    const isExposed = this.#isExposed;
+    const shard = { ...snapshot, entries, start, isExposed };
+    return [{ kind: "recovered", shard }];
+  }
+
+  #endSuperseded(epoch: Epoch): RecoveryNotice[] {
+    this.#phase = "ended";
+    return [{ kind: "superseded", epoch }];
+  }
+
+  #sendDue(nowMs: number): Effect[] {
+    if (this.#phase === "ended") return [];
+    const seals = this.#phase === "sealing_keepers" ? this.#seals : undefined;
+    return [
+      ...this.#reader.sendDue(nowMs),
+      ...this.#writer.sendDue(nowMs),
+      ...(seals?.sendDue(nowMs) ?? []),
+    ];
+  }
+
+  #logNotices(notices: readonly RecoveryNotice[]): Effect[] {
+    const { shard, epoch } = this.#options;
+    return notices.map((notice) => {
+      const record = createRecoveryRecord(notice, { shard, epoch });
+      return { kind: "log", record };
+    });
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/ledger/snapshot.ts
@@ -0,0 +1,84 @@
+/**
+ * Snapshots of a shard's state on the platform, and their names.
+ *
+ * A snapshot holds the owner's encoded state after an entry that is on the
+ * platform, in parts, and a head that is written last. Names carry the epoch,
+ * so that two writers never mix their parts.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import type { Epoch, ShardId } from "@camphorlock/types";
+import { Packr } from "msgpackr";
+import { err, ok, type Result } from "neverthrow";
+import type { OpenRecord } from "./segment.ts";
+
+/** The last object of a snapshot; without it the snapshot isn't whole. */
+export interface SnapshotHead {
+  readonly epoch: Epoch;
+  /** The state is that after this entry. */
+  readonly throughSequence: number;
+  /** The first segment that may hold later entries. */
+  readonly nextSegment: number;
+  readonly partCount: number;
+  /** The latest open record before `nextSegment`. */
+  readonly open: OpenRecord;
+}
+
+/** Where a snapshot stands among those of its shard. */
+export interface SnapshotName {
+  readonly throughSequence: number;
+  readonly epoch: Epoch;
+}
+
+const packr = new Packr({ useRecords: false });
+const SEQUENCE_DIGITS = 16;
+const PART_DIGITS = 4;
+
+/** Formats the prefix of all snapshot heads of a shard. */
+export function formatHeadPrefix(shard: ShardId): string {
+  return `snapshot/${shard}/head/`;
+}
+
+/** Formats the prefix of all snapshot parts of a shard. */
+export function formatPartPrefix(shard: ShardId): string {
+  return `snapshot/${shard}/part/`;
+}
+
+/** Formats the name of a snapshot's head. */
+export function formatHeadKey(shard: ShardId, name: SnapshotName): string {
+  return formatHeadPrefix(shard) + formatName(name);
+}
+
+/** Formats the name of one part of a snapshot. */
+export function formatPartKey(
+  shard: ShardId,
+  name: SnapshotName & { readonly part: number },
+): string {
+  const part = String(name.part).padStart(PART_DIGITS, "0");
+  return `${formatPartPrefix(shard)}${formatName(name)}/${part}`;
+}
+
+/** Reads the sequence out of the name of a head or part. */
+export function parseThroughSequence(key: string): number {
+  const match = /\/(\d+)-\d+(\/\d+)?$/.exec(key);
+  return Number.parseInt(match?.[1] ?? "0", 10);
+}
+
+/** Encodes a snapshot's head as a platform value. */
+export function encodeHead(head: SnapshotHead): Uint8Array {
+  return packr.pack(head);
+}
+
+/** Decodes a snapshot's head. */
+export function decodeHead(value: Uint8Array): Result<SnapshotHead, Failure> {
+  try {
+    return ok(packr.unpack(value) as SnapshotHead);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return err(createFailure("SegmentUnreadable", detail));
+  }
+}
+
+function formatName(name: SnapshotName): string {
+  const sequence = String(name.throughSequence).padStart(SEQUENCE_DIGITS, "0");
+  return `${sequence}-${name.epoch}`;
+}
--- /dev/null
+++ b/packages/scheduler/src/ledger/write_pacer.ts
@@ -0,0 +1,150 @@
+/**
+ * Shares a node's part of the platform's write rate between its shards.
+ *
+ * Writers wait in two queues, urgent ones first, each in the order of arrival.
+ * The rate is halved when the platform limits it and returns step by step;
+ * while the platform fails, one writer at a time probes it after pauses that
+ * double up to a bound.
+ */
+import type { PlatformAnswer, ShardId } from "@camphorlock/types";
+
+/** How soon a writer needs its turn. */
+export type WriteUrgency = "urgent" | "regular";
+
+/** The options of a pacer. */
+export interface WritePacerOptions {
+  /** Writes a second that this node may use. */
+  readonly writesPerSecond: number;
+}
+
+interface WaitingWriter {
+  urgency: WriteUrgency;
+  askedAtMs: number;
+}
+
+const BURST_SECONDS = 0.25;
+const LOWEST_SHARE = 1 / 16;
+const RATE_STEP_SHARE = 1 / 64;
+const FIRST_PAUSE_MS = 250;
+const LONGEST_PAUSE_MS = 8_000;
+/** A writer that asked longer ago than this lost its place in the queue. */
+const PLACE_LIFE_MS = 2_000;
+const SHORTEST_INTERVAL_MS = 50;
+
+/** Grants platform writes to the shards of one node. */
+export class WritePacer {
+  readonly #fullRate: number;
+  #rate: number;
+  #tokens: number;
+  #filledAtMs: number | undefined;
+  #pauseMs = 0;
+  #pausedUntilMs = 0;
+  readonly #waiting = new Map<ShardId, WaitingWriter>();
+  readonly #writers = new Set<ShardId>();
+
+  constructor(options: WritePacerOptions) {
+    this.#fullRate = options.writesPerSecond;
+    this.#rate = options.writesPerSecond;
+    this.#tokens = 1;
+  }
+
+  /** Writes a second granted at present. */
+  get writesPerSecond(): number {
+    return this.#rate;
+  }
+
+  /** Time between two segments of a shard when every shard writes. */
+  get intervalMs(): number {
+    const interval = this.#writers.size * 1000 / this.#rate;
+    return Math.max(SHORTEST_INTERVAL_MS, interval);
+  }
+
+  /** Whether the platform failed and the next probe isn't due. */
+  isPaused(nowMs: number): boolean {
+    return nowMs < this.#pausedUntilMs;
+  }
+
+  /** Counts a shard in the interval. */
+  addWriter(shard: ShardId): void {
+    this.#writers.add(shard);
+  }
+
+  /** Forgets a shard that this node no longer owns. */
+  removeWriter(shard: ShardId): void {
+    this.#writers.delete(shard);
+    this.#waiting.delete(shard);
+  }
+
+  /** Grants one write, or keeps the shard's place in the queue. */
+  takeWrite(shard: ShardId, urgency: WriteUrgency, nowMs: number): boolean {
+    this.#fillTokens(nowMs);
+    this.#keepPlace(shard, { urgency, askedAtMs: nowMs });
+    if (this.isPaused(nowMs)) return false;
+    if (this.#countBefore(shard, nowMs) + 1 > this.#tokens) return false;
+    this.#tokens -= 1;
+    this.#waiting.delete(shard);
+    if (this.#pauseMs > 0) this.#pausedUntilMs = nowMs + this.#pauseMs;
+    return true;
+  }
+
+  /** Adapts to the platform's answer to a write. */
+  recordAnswer(answer: PlatformAnswer, nowMs: number): void {
+    if (answer.kind !== "failed") {
+      this.#recordSuccess();
+      return;
+    }
+    if (answer.reason === "rate_limited") {
+      this.#rate = Math.max(this.#rate / 2, this.#fullRate * LOWEST_SHARE);
+      this.#tokens = Math.min(this.#tokens, 0);
+      return;
+    }
+    const doubled = Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2);
+    this.#pauseMs = Math.min(LONGEST_PAUSE_MS, doubled);
+    this.#pausedUntilMs = nowMs + this.#pauseMs;
+  }
+
+  #recordSuccess(): void {
+    const step = this.#fullRate * RATE_STEP_SHARE;
+    this.#rate = Math.min(this.#fullRate, this.#rate + step);
+    this.#pauseMs = 0;
+    this.#pausedUntilMs = 0;
+  }
+
+  #fillTokens(nowMs: number): void {
+    const elapsedMs = nowMs - (this.#filledAtMs ?? nowMs);
+    const most = Math.max(1, this.#rate * BURST_SECONDS);
+    const filled = this.#tokens + elapsedMs * this.#rate / 1000;
+    this.#tokens = Math.min(most, filled);
+    this.#filledAtMs = nowMs;
+  }
+
+  #keepPlace(shard: ShardId, writer: WaitingWriter): void {
+    const held = this.#waiting.get(shard);
+    if (held === undefined) {
+      this.#waiting.set(shard, writer);
+      return;
+    }
+    held.askedAtMs = writer.askedAtMs;
+    held.urgency = writer.urgency;
+  }
+
+  /** Counts the writers whose turn comes first. */
+  #countBefore(shard: ShardId, nowMs: number): number {
+    const own = this.#waiting.get(shard);
+    let before = 0;
+    let reached = false;
+    for (const [other, writer] of this.#waiting) {
+      if (other === shard) {
+        reached = true;
+        continue;
+      }
+      if (nowMs - writer.askedAtMs > PLACE_LIFE_MS) {
+        this.#waiting.delete(other);
+        continue;
+      }
+      if (writer.urgency === own?.urgency) before += reached ? 0 : 1;
+      else if (writer.urgency === "urgent") before += 1;
+    }
+    return before;
+  }
+}
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -59,6 +59,10 @@
     readonly entries: readonly LedgerEntry[];
     /** Entries up to this sequence are on the platform: drop them. */
     readonly storedThrough: number;
+    /** Entries up to this sequence were reported durable by the sender. */
+    readonly durableThrough: number;
+    /** The keeper process that is meant; zero asks which one runs. */
+    readonly keeperIncarnation: number;
     /** Echoed in the answer; an answer confirms the epoch at that moment. */
     readonly token: number;
   }
@@ -68,6 +72,8 @@
     readonly epoch: Epoch;
     /** Every entry up to this sequence is held here or on the platform. */
     readonly keptThrough: number;
+    /** The keeper process that answers. */
+    readonly keeperIncarnation: number;
     readonly token: number;
   }
   | {
@@ -82,16 +88,24 @@
     readonly kind: "seal_keeper";
     readonly shard: ShardId;
     readonly epoch: Epoch;
+    /** Only entries beyond this sequence are wanted. */
+    readonly afterSequence: number;
     readonly token: number;
   }
   | {
     readonly kind: "keeper_sealed";
     readonly shard: ShardId;
     readonly epoch: Epoch;
+    /** The epoch whose entries are held; zero when there are none. */
+    readonly heldEpoch: Epoch;
     readonly entries: readonly LedgerEntry[];
+    /** Whether entries beyond the last one sent are held, too. */
+    readonly more: boolean;
     readonly storedThrough: number;
-    /** False when the process started after the previous epoch began. */
+    readonly keptThrough: number;
+    /** Whether every entry reported durable under `heldEpoch` is held. */
     readonly complete: boolean;
+    readonly keeperIncarnation: number;
     readonly token: number;
   };
 
