--- /dev/null
+++ b/packages/scheduler/src/node/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * A node: its roles and what passes between them.
+ */
+export * from "./node_core.ts";
+export * from "./node_input.ts";
+export * from "./node_settings.ts";
--- /dev/null
+++ b/packages/scheduler/src/node/node_core.ts
@@ -0,0 +1,457 @@
+/**
+ * One node: builds its roles and passes each input to the role that it's for.
+ *
+ * Effects that are addressed to the node itself are handled at once; the others
+ * go to the edges. Like its roles, a node is deterministic.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import {
+  checkNever,
+  type ConfigurationMessage,
+  type ConfigurationValue,
+  type DispatchMessage,
+  type Effect,
+  type FailureDomain,
+  type KeeperMessage,
+  type MembershipMessage,
+  type MembershipView,
+  type OwnerMessage,
+  parseShardOf,
+  type PeerMessage,
+  type ProgramView,
+  type Revision,
+  type VmId,
+} from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type AssignmentNotice,
+  type AssignmentStep,
+  ShardAssigner,
+} from "../assignment/mod.ts";
+import {
+  Configuration,
+  CONFIGURATION_TICK_MS,
+  type ConfigurationStep,
+} from "../configuration/mod.ts";
+import { Entry } from "../entry/mod.ts";
+import { Keeper, WritePacer } from "../ledger/mod.ts";
+import { Membership, type MembershipStep } from "../membership/mod.ts";
+import type { NodeInput, NodeNotice, NodeStep } from "./node_input.ts";
+import type { NodeOptions } from "./node_settings.ts";
+import { OpenPolicy } from "./open_policy.ts";
+import {
+  findAttemptShard,
+  ShardHosts,
+  type ShardHostsStep,
+} from "./shard_hosts.ts";
+import { TimerService } from "./timer_service.ts";
+
+const ROLE_TICK_MS = 50;
+const VIEW_TICK_MS = 250;
+
+/** The state machine of a node. */
+export class NodeCore {
+  readonly #options: NodeOptions;
+  readonly #timers = new TimerService();
+  readonly #membership: Membership;
+  readonly #assigner: ShardAssigner;
+  readonly #configuration: Configuration;
+  readonly #policy: OpenPolicy;
+  readonly #keeper: Keeper;
+  readonly #hosts: ShardHosts;
+  readonly #entry: Entry;
+  #queue: NodeInput[] = [];
+  #effects: Effect[] = [];
+  #notices: NodeNotice[] = [];
+  #nowMs = 0;
+  #isStopping = false;
+
+  constructor(options: NodeOptions) {
+    const { spec, limits, seed, initial } = options;
+    const self = spec.vmId;
+    this.#options = options;
+    this.#membership = new Membership({
+      self: spec,
+      seed,
+      settings: limits.membership,
+    });
+    this.#assigner = new ShardAssigner({
+      self: spec,
+      settings: limits.assignment,
+    });
+    this.#configuration = new Configuration({
+      self,
+      incarnation: spec.incarnation,
+      region: spec.region,
+      ...(initial === undefined ? {} : { initial }),
+    });
+    this.#policy = new OpenPolicy(self, () => this.#configuration.value);
+    this.#keeper = new Keeper({
+      incarnation: spec.incarnation,
+      maxBytes: limits.keeperBytes,
+      messageBytes: limits.ledger.messageBytes,
+    });
+    this.#hosts = this.#createHosts();
+    this.#entry = new Entry({
+      self,
+      limits: limits.entry,
+      findOwner: (shard) => this.#assigner.view().ownerOf(shard),
+    });
+    this.#subscribeTimers();
+  }
+
+  /** The highest configuration revision in force on this node. */
+  get revision(): Revision {
+    return this.#configuration.revision;
+  }
+
+  /** The configuration in force on this node. */
+  get configuration(): ConfigurationValue {
+    return this.#configuration.value;
+  }
+
+  /** Requests of callers that wait for their answers at this node. */
+  get openRequests(): number {
+    return this.#entry.openCount;
+  }
+
+  /** The nodes as this one sees them. */
+  getView(): MembershipView {
+    return this.#membership.view();
+  }
+
+  /** Finds the address of another node. */
+  findPeerAddress(vmId: VmId): string | undefined {
+    return this.#membership.findPeerAddress(vmId);
+  }
+
+  /** Lists the programs of the shards that this node owns. */
+  listPrograms(): ProgramView[] {
+    return this.#hosts.listPrograms();
+  }
+
+  /** Counts the shards that this node hosts and serves. */
+  countShards(): { readonly hosted: number; readonly serving: number } {
+    return this.#hosts.countShards();
+  }
+
+  /** Whether the node takes new requests, or why not. */
+  checkReady(nowMs: number): Result<void, Failure> {
+    if (this.#isStopping) {
+      return err(createFailure("NodeStopping", "use another node"));
+    }
+    if (!this.#configuration.isReady) {
+      return err(createFailure("NodeNotReady", "the configuration is awaited"));
+    }
+    if (this.#membership.isCutOff(nowMs)) {
+      return err(createFailure("NodeCutOff", "most nodes can't be reached"));
+    }
+    return ok(undefined);
+  }
+
+  /** Handles one input and what it leads to within the node. */
+  handle(input: NodeInput, nowMs: number): NodeStep {
+    this.#nowMs = nowMs;
+    this.#queue.push(input);
+    for (let at = 0; at < this.#queue.length; at++) {
+      const next = this.#queue[at];
+      if (next !== undefined) this.#handleInput(next);
+    }
+    this.#queue = [];
+    const step = { effects: this.#effects, notices: this.#notices };
+    this.#effects = [];
+    this.#notices = [];
+    return step;
+  }
+
+  #createHosts(): ShardHosts {
+    const { spec, limits, getWallClockMs } = this.#options;
+    return new ShardHosts({
+      self: spec.vmId,
+      placer: this.#policy,
+      getConfiguration: () => ({
+        revision: this.#configuration.revision,
+        value: this.#configuration.value,
+      }),
+      getWallClockMs,
+      failureDomainOf: (vmId) => this.#findDomain(vmId),
+      ownerLimits: limits.owner,
+      ledgerLimits: limits.ledger,
+      pacer: new WritePacer({ writesPerSecond: limits.writesPerSecond }),
+      exposeAfterMs: limits.exposeAfterMs,
+    });
+  }
+
+  #findDomain(vmId: VmId): FailureDomain {
+    const node = this.#membership.view().nodes
+      .find((each) => each.spec.vmId === vmId);
+    return node?.spec.failureDomain ?? "";
+  }
+
+  #subscribeTimers(): void {
+    const tick = { kind: "tick" } as const;
+    this.#timers.subscribe(ROLE_TICK_MS, (nowMs) => {
+      this.#applyMembership(this.#membership.handle(tick, nowMs));
+      this.#applyAssignment(this.#assigner.handle(tick, nowMs));
+      this.#applyHosts(this.#hosts.handleAll(tick, nowMs));
+      this.#addEffects(this.#entry.handle(tick, nowMs));
+    });
+    this.#timers.subscribe(CONFIGURATION_TICK_MS, (nowMs) => {
+      this.#applyConfiguration(this.#configuration.handle(tick, nowMs));
+    });
+    this.#timers.subscribe(VIEW_TICK_MS, (nowMs) => this.#spreadView(nowMs));
+  }
+
+  /** Tells the roles how this node sees the others. */
+  #spreadView(nowMs: number): void {
+    const view = this.#membership.view();
+    const isCutOff = this.#membership.isCutOff(nowMs);
+    const { revision } = this.#configuration;
+    this.#applyAssignment(
+      this.#assigner.handle({ kind: "membership", view, isCutOff }, nowMs),
+    );
+    this.#applyConfiguration(
+      this.#configuration.handle({ kind: "members", view }, nowMs),
+    );
+    this.#applyMembership(
+      this.#membership.handle({ kind: "revision", revision }, nowMs),
+    );
+  }
+
+  #handleInput(input: NodeInput): void {
+    switch (input.kind) {
+      case "caller_request":
+      case "caller_gone":
+        return this.#addEffects(this.#entry.handle(input, this.#nowMs));
+      case "peer":
+        return this.#handlePeer(input.from, input.message);
+      case "platform":
+        return this.#handlePlatform(input);
+      case "attempt": {
+        const shard = findAttemptShard(input.attemptId);
+        return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
+      }
+      case "order_result": {
+        const shard = parseShardOf(input.programId);
+        return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
+      }
+      case "change":
+        return this.#applyConfiguration(
+          this.#configuration.handle(input, this.#nowMs),
+        );
+      case "vm_list":
+        return this.#applyMembership(
+          this.#membership.handle(input, this.#nowMs),
+        );
+      case "tick":
+        return this.#timers.runDue(this.#nowMs);
+      case "stop":
+        return this.#startStop();
+      default:
+        return checkNever(input);
+    }
+  }
+
+  #startStop(): void {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    this.#applyMembership(this.#membership.announceLeaving(this.#nowMs));
+    this.#applyAssignment(
+      this.#assigner.handle({ kind: "leave" }, this.#nowMs),
+    );
+  }
+
+  #handlePlatform(input: Extract<NodeInput, { kind: "platform" }>): void {
+    const { role, shard } = input.token;
+    switch (role) {
+      case "ledger":
+      case "recovery":
+        return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
+      case "assignment":
+        return this.#applyAssignment(
+          this.#assigner.handle(input, this.#nowMs),
+        );
+      case "configuration":
+        return this.#applyConfiguration(
+          this.#configuration.handle(input, this.#nowMs),
+        );
+      case "budget":
+      case "charge":
+        return;
+      default:
+        return checkNever(role);
+    }
+  }
+
+  #handlePeer(from: VmId, message: PeerMessage): void {
+    switch (message.kind) {
+      case "owner_request":
+      case "owner_answer":
+      case "not_owner":
+      case "caller_gone":
+        return this.#handleOwnerMessage(from, message);
+      case "keep_entries":
+      case "entries_kept":
+      case "keep_refused":
+      case "seal_keeper":
+      case "keeper_sealed":
+        return this.#handleKeeperMessage(from, message);
+      case "slot_request":
+      case "slot_granted":
+      case "slot_refused":
+      case "slot_renewed":
+      case "slot_released":
+      case "target_loads":
+        return this.#handleDispatchMessage(from, message);
+      case "heartbeat":
+      case "heartbeat_ack":
+      case "probe_request":
+      case "probe_result":
+      case "assignment_news":
+      case "handover_offer":
+        return this.#handleMembershipMessage(from, message);
+      case "configuration_request":
+      case "configuration_offer":
+        return this.#handleConfigurationMessage(from, message);
+      default:
+        return checkNever(message);
+    }
+  }
+
+  #handleOwnerMessage(from: VmId, message: OwnerMessage): void {
+    switch (message.kind) {
+      case "owner_request":
+        return this.#applyHosts(
+          this.#hosts.handleRequest(from, message, this.#nowMs),
+        );
+      case "caller_gone":
+        return this.#applyHosts(
+          this.#hosts.handleAll(
+            { kind: "request", from, message },
+            this.#nowMs,
+          ),
+        );
+      case "owner_answer":
+      case "not_owner":
+        return this.#addEffects(
+          this.#entry.handle({ kind: "peer", from, message }, this.#nowMs),
+        );
+      default:
+        return checkNever(message);
+    }
+  }
+
+  #handleKeeperMessage(from: VmId, message: KeeperMessage): void {
+    const { shard } = message;
+    switch (message.kind) {
+      case "keep_entries":
+      case "seal_keeper":
+        return this.#addEffects(this.#keeper.handle(from, message));
+      case "entries_kept":
+      case "keep_refused":
+      case "keeper_sealed": {
+        const input = { kind: "keeper", from, message } as const;
+        return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
+      }
+      default:
+        return checkNever(message);
+    }
+  }
+
+  #handleDispatchMessage(from: VmId, message: DispatchMessage): void {
+    switch (message.kind) {
+      case "slot_granted":
+      case "slot_refused": {
+        const shard = findAttemptShard(message.attemptId);
+        const input = { kind: "slot", message } as const;
+        return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
+      }
+      case "slot_request":
+      case "slot_renewed":
+      case "slot_released":
+      case "target_loads":
+        return this.#addEffects(this.#policy.handle(from, message));
+      default:
+        return checkNever(message);
+    }
+  }
+
+  #handleMembershipMessage(from: VmId, message: MembershipMessage): void {
+    const input = { kind: "peer", from, message } as const;
+    this.#applyMembership(this.#membership.handle(input, this.#nowMs));
+    this.#applyAssignment(this.#assigner.handle(input, this.#nowMs));
+    if (message.kind !== "heartbeat" && message.kind !== "heartbeat_ack") {
+      return;
+    }
+    const { revision } = message;
+    const seen = { kind: "peer_revision", vmId: from, revision } as const;
+    this.#applyConfiguration(this.#configuration.handle(seen, this.#nowMs));
+  }
+
+  #handleConfigurationMessage(
+    from: VmId,
+    message: ConfigurationMessage,
+  ): void {
+    const input = { kind: "peer", from, message } as const;
+    this.#applyConfiguration(this.#configuration.handle(input, this.#nowMs));
+  }
+
+  #applyMembership(step: MembershipStep): void {
+    this.#addEffects(step.effects);
+    for (const notice of step.notices) {
+      if (notice.kind === "self_superseded") {
+        this.#notices.push({ kind: "superseded" });
+      }
+    }
+  }
+
+  #applyAssignment(step: AssignmentStep): void {
+    this.#addEffects(step.effects);
+    for (const notice of step.notices) this.#applyAssignmentNotice(notice);
+  }
+
+  #applyAssignmentNotice(notice: AssignmentNotice): void {
+    switch (notice.kind) {
+      case "gained":
+      case "keepers_changed":
+        return this.#applyHosts(
+          this.#hosts.add(notice.assignment, this.#nowMs),
+        );
+      case "lost":
+        return this.#hosts.remove(notice.shard, notice.epoch);
+      case "changed":
+        return;
+      case "handed_over":
+        this.#notices.push(notice);
+        return;
+      default:
+        return checkNever(notice);
+    }
+  }
+
+  #applyConfiguration(step: ConfigurationStep): void {
+    this.#addEffects(step.effects);
+    this.#notices.push(...step.notices);
+  }
+
+  #applyHosts(step: ShardHostsStep): void {
+    this.#addEffects(step.effects);
+    for (const { shard, epoch } of step.recovered) {
+      const input = { kind: "recovered", shard, epoch } as const;
+      this.#applyAssignment(this.#assigner.handle(input, this.#nowMs));
+    }
+  }
+
+  /** Queues what the node sends to itself, and keeps the rest for the edges. */
+  #addEffects(effects: readonly Effect[]): void {
+    const self = this.#options.spec.vmId;
+    for (const effect of effects) {
+      if (effect.kind === "send_peer" && effect.to === self) {
+        const { message } = effect;
+        this.#queue.push({ kind: "peer", from: self, message });
+      } else {
+        this.#effects.push(effect);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/node/shard_host.ts
@@ -0,0 +1,309 @@
+/**
+ * One shard that this node owns: its recovery, then its ledger and owner.
+ *
+ * The platform has already named this node as the owner of the epoch. Requests
+ * that arrive during the recovery wait for its end.
+ */
+import {
+  type AttemptEvent,
+  type AttemptId,
+  checkNever,
+  type DispatchMessage,
+  type Effect,
+  type FailureDomain,
+  type KeeperMessage,
+  type OwnerMessage,
+  type PlatformAnswer,
+  type PlatformToken,
+  type ProgramView,
+  type ShardAssignment,
+  type TargetOrderResult,
+  type VmId,
+} from "@camphorlock/types";
+import {
+  type LedgerInput,
+  type LedgerLimits,
+  type LedgerNotice,
+  type RecoveredShard,
+  type RecoveryNotice,
+  type RecoveryStep,
+  ShardLedger,
+  ShardRecovery,
+  type WritePacer,
+} from "../ledger/mod.ts";
+import {
+  type CallPlacer,
+  type OwnerConfiguration,
+  type OwnerInput,
+  type OwnerLimits,
+  ShardOwner,
+} from "../owner/mod.ts";
+import { decodeSnapshot } from "../owner/state_snapshot.ts";
+
+/** What all shards of a node share. */
+export interface ShardHostParts {
+  readonly self: VmId;
+  readonly placer: CallPlacer;
+  readonly getConfiguration: () => OwnerConfiguration;
+  readonly getWallClockMs: () => number;
+  readonly failureDomainOf: (vmId: VmId) => FailureDomain;
+  readonly ownerLimits: OwnerLimits;
+  readonly ledgerLimits: LedgerLimits;
+  readonly pacer: WritePacer;
+  /** Wait for silent keepers after which entries are given up as lost. */
+  readonly exposeAfterMs: number;
+}
+
+/** What a hosted shard is told. */
+export type ShardHostInput =
+  | {
+    readonly kind: "keeper";
+    readonly from: VmId;
+    readonly message: KeeperMessage;
+  }
+  | {
+    readonly kind: "platform";
+    readonly token: PlatformToken;
+    readonly answer: PlatformAnswer;
+  }
+  | {
+    readonly kind: "request";
+    readonly from: VmId;
+    readonly message: OwnerMessage;
+  }
+  | { readonly kind: "slot"; readonly message: DispatchMessage }
+  | {
+    readonly kind: "attempt";
+    readonly attemptId: AttemptId;
+    readonly event: AttemptEvent;
+  }
+  | {
+    readonly kind: "order_result";
+    readonly number: number;
+    readonly result: TargetOrderResult;
+  }
+  | { readonly kind: "vms_gone"; readonly vmIds: readonly VmId[] }
+  | { readonly kind: "tick" };
+
+/** What the node has to act on. */
+export type ShardHostNotice =
+  | { readonly kind: "recovered" }
+  /** Another owner has the shard, or its log can't be read. */
+  | { readonly kind: "ended" };
+
+/** What a hosted shard asks for. */
+export interface ShardHostStep {
+  readonly effects: readonly Effect[];
+  readonly notices: readonly ShardHostNotice[];
+}
+
+/** The most requests that wait for a recovery. */
+const MAX_WAITING = 1_000;
+
+type RequestInput = Extract<ShardHostInput, { kind: "request" }>;
+
+/** The recovery, ledger and owner of one shard. */
+export class ShardHost {
+  readonly #assignment: ShardAssignment;
+  readonly #parts: ShardHostParts;
+  readonly #recovery: ShardRecovery;
+  #ledger: ShardLedger | undefined;
+  #owner: ShardOwner | undefined;
+  #waiting: RequestInput[] = [];
+  #effects: Effect[] = [];
+  #notices: ShardHostNotice[] = [];
+  #nowMs = 0;
+  #isEnded = false;
+
+  constructor(assignment: ShardAssignment, parts: ShardHostParts) {
+    this.#assignment = assignment;
+    this.#parts = parts;
+    this.#recovery = new ShardRecovery({
+      shard: assignment.shard,
+      epoch: assignment.epoch,
+      keepers: assignment.keepers,
+      limits: parts.ledgerLimits,
+      exposeAfterMs: parts.exposeAfterMs,
+    });
+  }
+
+  /** The epoch under which the shard is owned. */
+  get epoch(): number {
+    return this.#assignment.epoch;
+  }
+
+  /** Whether requests are served. */
+  get isServing(): boolean {
+    return this.#owner !== undefined && !this.#isEnded;
+  }
+
+  /** Starts the recovery. */
+  start(nowMs: number): ShardHostStep {
+    this.#nowMs = nowMs;
+    this.#applyRecovery(this.#recovery.start(nowMs));
+    return this.#takeStep();
+  }
+
+  /** Handles one input. */
+  handle(input: ShardHostInput, nowMs: number): ShardHostStep {
+    this.#nowMs = nowMs;
+    if (!this.#isEnded) this.#handleInput(input);
+    return this.#takeStep();
+  }
+
+  /** Writes everything to the platform and closes the log for a handover. */
+  close(nowMs: number): ShardHostStep {
+    this.#nowMs = nowMs;
+    this.#effects.push(...this.#ledger?.close(nowMs) ?? []);
+    return this.#takeStep();
+  }
+
+  /** Lists the programs of the shard. */
+  listPrograms(): ProgramView[] {
+    return this.#owner?.listPrograms() ?? [];
+  }
+
+  #handleInput(input: ShardHostInput): void {
+    switch (input.kind) {
+      case "keeper":
+        return this.#handleLedger({ ...input, kind: "peer" });
+      case "platform":
+        return this.#handleLedger(input);
+      case "request":
+        return this.#handleRequest(input);
+      case "slot":
+      case "attempt":
+      case "order_result":
+        return this.#runOwner(input);
+      case "vms_gone":
+        if (this.#ledger !== undefined) return;
+        return this.#applyRecovery(this.#recovery.handle(input, this.#nowMs));
+      case "tick":
+        this.#handleLedger(input);
+        return this.#handleTick();
+      default:
+        return checkNever(input);
+    }
+  }
+
+  #handleLedger(input: LedgerInput): void {
+    if (this.#ledger === undefined) {
+      return this.#applyRecovery(this.#recovery.handle(input, this.#nowMs));
+    }
+    const step = this.#ledger.handle(input, this.#nowMs);
+    this.#effects.push(...step.effects);
+    for (const notice of step.notices) this.#applyNotice(notice);
+  }
+
+  #handleRequest(input: RequestInput): void {
+    if (this.#owner !== undefined) return this.#runOwner(input);
+    if (this.#waiting.length < MAX_WAITING) this.#waiting.push(input);
+  }
+
+  #handleTick(): void {
+    this.#runOwner({ kind: "tick" });
+    if (this.#ledger?.needsSnapshot !== true) return;
+    if (this.#owner === undefined) return;
+    const content = {
+      throughSequence: this.#ledger.lastSequence,
+      parts: this.#owner.encodeSnapshot(),
+    };
+    this.#effects.push(...this.#ledger.startSnapshot(content, this.#nowMs));
+  }
+
+  #runOwner(input: OwnerInput): void {
+    if (this.#owner === undefined) return;
+    this.#effects.push(...this.#owner.handle(input, this.#nowMs));
+  }
+
+  #applyNotice(notice: LedgerNotice): void {
+    switch (notice.kind) {
+      case "durable":
+      case "confirmed":
+        return this.#runOwner(notice);
+      case "superseded":
+        return this.#end();
+      case "closed":
+        return this.#end();
+      case "snapshot_stored":
+        return;
+      default:
+        return checkNever(notice);
+    }
+  }
+
+  #applyRecovery(step: RecoveryStep): void {
+    this.#effects.push(...step.effects);
+    for (const notice of step.notices) this.#applyRecoveryNotice(notice);
+  }
+
+  #applyRecoveryNotice(notice: RecoveryNotice): void {
+    switch (notice.kind) {
+      case "recovered":
+        return this.#startOwner(notice.shard);
+      case "superseded":
+      case "damaged":
+        return this.#end();
+      case "waiting":
+      case "exposed":
+        return;
+      default:
+        return checkNever(notice);
+    }
+  }
+
+  #startOwner(recovered: RecoveredShard): void {
+    const snapshot = decodeSnapshot(recovered.snapshot?.parts ?? []);
+    if (snapshot.isErr()) return this.#end();
+    const { shard, epoch } = this.#assignment;
+    const { self, failureDomainOf, ledgerLimits, pacer } = this.#parts;
+    const ledger = new ShardLedger({
+      ...recovered.start,
+      self,
+      shard,
+      epoch,
+      failureDomainOf,
+      limits: ledgerLimits,
+      pacer,
+    });
+    this.#ledger = ledger;
+    this.#owner = this.#createOwner(ledger);
+    const entries = recovered.entries.map((entry) => entry.body);
+    const through = ledger.durableThrough;
+    this.#runOwner({ kind: "durable", through });
+    this.#runOwner({
+      kind: "recovered",
+      entries: [...snapshot.value, ...entries],
+    });
+    for (const input of this.#waiting.splice(0)) this.#runOwner(input);
+    this.#notices.push({ kind: "recovered" });
+  }
+
+  #createOwner(ledger: ShardLedger): ShardOwner {
+    const { shard, epoch } = this.#assignment;
+    const { self, placer, getConfiguration, getWallClockMs } = this.#parts;
+    return new ShardOwner({
+      self,
+      shard,
+      epoch,
+      ledger,
+      placer,
+      getConfiguration,
+      getWallClockMs,
+      limits: this.#parts.ownerLimits,
+    });
+  }
+
+  #end(): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    this.#notices.push({ kind: "ended" });
+  }
+
+  #takeStep(): ShardHostStep {
+    const step = { effects: this.#effects, notices: this.#notices };
+    this.#effects = [];
+    this.#notices = [];
+    return step;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/node/shard_hosts.ts
@@ -0,0 +1,130 @@
+/**
+ * The shards that this node owns, by number.
+ */
+import {
+  type AttemptId,
+  type Effect,
+  type Epoch,
+  type OwnerMessage,
+  parseShardOf,
+  type ProgramId,
+  type ProgramView,
+  type ShardAssignment,
+  type ShardId,
+  type VmId,
+} from "@camphorlock/types";
+import {
+  ShardHost,
+  type ShardHostInput,
+  type ShardHostParts,
+  type ShardHostStep,
+} from "./shard_host.ts";
+
+/** A shard whose recovery has ended. */
+export interface RecoveredNotice {
+  readonly shard: ShardId;
+  readonly epoch: Epoch;
+}
+
+/** What the hosts ask for. */
+export interface ShardHostsStep {
+  readonly effects: readonly Effect[];
+  readonly recovered: readonly RecoveredNotice[];
+}
+
+/** Passes inputs to the hosted shards that they are for. */
+export class ShardHosts {
+  readonly #parts: ShardHostParts;
+  readonly #hosts = new Map<ShardId, ShardHost>();
+
+  constructor(parts: ShardHostParts) {
+    this.#parts = parts;
+  }
+
+  /** Shards that are hosted, and those of them that serve requests. */
+  countShards(): { readonly hosted: number; readonly serving: number } {
+    const hosts = [...this.#hosts.values()];
+    const serving = hosts.filter((host) => host.isServing).length;
+    return { hosted: hosts.length, serving };
+  }
+
+  /** Starts to host a shard under a new epoch. */
+  add(assignment: ShardAssignment, nowMs: number): ShardHostsStep {
+    const host = new ShardHost(assignment, this.#parts);
+    this.#hosts.set(assignment.shard, host);
+    return this.#applyStep(assignment.shard, host.start(nowMs));
+  }
+
+  /** Ends a shard that this node owned under an epoch. */
+  remove(shard: ShardId, epoch: Epoch): void {
+    const host = this.#hosts.get(shard);
+    if (host !== undefined && host.epoch <= epoch) this.#hosts.delete(shard);
+  }
+
+  /** Handles an input for one shard; one that isn't hosted has no effect. */
+  handle(
+    shard: ShardId | undefined,
+    input: ShardHostInput,
+    nowMs: number,
+  ): ShardHostsStep {
+    const host = shard === undefined ? undefined : this.#hosts.get(shard);
+    if (host === undefined || shard === undefined) return NO_STEP;
+    return this.#applyStep(shard, host.handle(input, nowMs));
+  }
+
+  /** Handles an input for every shard. */
+  handleAll(input: ShardHostInput, nowMs: number): ShardHostsStep {
+    const effects: Effect[] = [];
+    const recovered: RecoveredNotice[] = [];
+    for (const shard of [...this.#hosts.keys()]) {
+      const step = this.handle(shard, input, nowMs);
+      effects.push(...step.effects);
+      recovered.push(...step.recovered);
+    }
+    return { effects, recovered };
+  }
+
+  /** Handles a request, or says that this node doesn't own the shard. */
+  handleRequest(
+    from: VmId,
+    message: Extract<OwnerMessage, { kind: "owner_request" }>,
+    nowMs: number,
+  ): ShardHostsStep {
+    const { shard, requestId } = message;
+    if (this.#hosts.has(shard)) {
+      return this.handle(shard, { kind: "request", from, message }, nowMs);
+    }
+    const answer = { kind: "not_owner", requestId, shard } as const;
+    return {
+      effects: [{
+        kind: "send_peer",
+        to: from,
+        message: { ...answer, knownEpoch: 0 },
+      }],
+      recovered: [],
+    };
+  }
+
+  /** Lists the programs of every hosted shard. */
+  listPrograms(): ProgramView[] {
+    return [...this.#hosts.values()].flatMap((host) => host.listPrograms());
+  }
+
+  #applyStep(shard: ShardId, step: ShardHostStep): ShardHostsStep {
+    const recovered: RecoveredNotice[] = [];
+    for (const notice of step.notices) {
+      const epoch = this.#hosts.get(shard)?.epoch ?? 0;
+      if (notice.kind === "ended") this.#hosts.delete(shard);
+      else recovered.push({ shard, epoch });
+    }
+    return { effects: step.effects, recovered };
+  }
+}
+
+const NO_STEP: ShardHostsStep = { effects: [], recovered: [] };
+
+/** Finds the shard of an attempt, which its id begins with. */
+export function findAttemptShard(attemptId: AttemptId): ShardId | undefined {
+  const programId: ProgramId = attemptId.split(".")[0] ?? "";
+  return parseShardOf(programId);
+}
