--- /dev/null
+++ b/packages/standins/src/fleet/virtual_fleet.ts
@@ -0,0 +1,227 @@
+/**
+ * A few whole nodes under virtual time, with fakes at their interfaces, for
+ * focused tests of failures.
+ */
+import {
+  EMPTY_CONFIGURATION,
+  type NodeNotice,
+  type NodeOptions,
+} from "@camphorlock/scheduler";
+import type {
+  CallerAnswer,
+  CallerRequest,
+  ConfigurationValue,
+  LogRecord,
+  NodeSpec,
+  TargetSpec,
+  VmId,
+  VmListing,
+} from "@camphorlock/types";
+import { FaultPlan } from "../platform/fault_plan.ts";
+import { FaultyStore } from "../platform/faulty_store.ts";
+import { ObjectStore } from "../platform/object_store.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+import { VirtualNetwork } from "./virtual_network.ts";
+import { VirtualNode, type VirtualWorld } from "./virtual_node.ts";
+import { VirtualTargets } from "./virtual_targets.ts";
+
+const VM_LIST_MS = 2_000;
+const REGIONS = ["marmara", "ege", "ic-anadolu"] as const;
+
+/** What a virtual fleet is made of. */
+export interface VirtualFleetOptions {
+  readonly seed: number;
+  readonly nodeCount: number;
+  readonly engineCount: number;
+  readonly serviceCount: number;
+  readonly shardCount: number;
+  readonly limits?: Partial<NodeOptions["limits"]>;
+}
+
+/** A request of a caller and what it was answered. */
+export interface VirtualRequest {
+  readonly requestId: string;
+  readonly vmId: VmId;
+  readonly request: CallerRequest;
+  readonly sentAtMs: number;
+  readonly answers: CallerAnswer[];
+  endedAtMs?: number;
+}
+
+/** Something that a node reported. */
+export interface ReportedNotice {
+  readonly vmId: VmId;
+  readonly atMs: number;
+  readonly notice: NodeNotice;
+}
+
+/** The nodes, their platform, targets and callers. */
+export class VirtualFleet implements VirtualWorld {
+  readonly clock = new VirtualClock();
+  readonly network: VirtualNetwork;
+  readonly targets: VirtualTargets;
+  readonly store = new ObjectStore();
+  readonly platform: FaultyStore;
+  readonly nodes = new Map<VmId, VirtualNode>();
+  readonly requests: VirtualRequest[] = [];
+  readonly notices: ReportedNotice[] = [];
+  readonly logs: LogRecord[] = [];
+  readonly #options: VirtualFleetOptions;
+  readonly #byId = new Map<string, VirtualRequest>();
+  #starts = 0;
+
+  constructor(options: VirtualFleetOptions) {
+    this.#options = options;
+    this.network = new VirtualNetwork(this.clock, options.seed);
+    this.targets = new VirtualTargets(this.clock);
+    const plan = new FaultPlan({ seed: options.seed, faults: [] });
+    this.platform = new FaultyStore(this.store, plan);
+    for (let at = 1; at <= options.nodeCount; at++) this.startNode(`vm-${at}`);
+    this.#sendVmLists();
+  }
+
+  /** Starts a node, or starts it again after its end. */
+  startNode(vmId: VmId): void {
+    this.#starts += 1;
+    const spec = buildSpec(vmId, this.#starts);
+    const { seed, limits, shardCount } = this.#options;
+    const node = new VirtualNode(
+      {
+        spec,
+        seed: seed * 1_000 + this.#starts,
+        limits: {
+          ...limits,
+          assignment: { ...limits?.assignment, shardCount },
+        },
+        initial: {
+          value: this.#buildConfiguration(),
+          by: { partner: "zincir", operator: "installer" },
+          atMs: 0,
+        },
+      },
+      this,
+      {
+        onAnswer: ({ requestId, answer }) =>
+          this.#recordAnswer(requestId, answer),
+        onNotice: (notice) =>
+          this.notices.push({ vmId, atMs: this.clock.nowMs, notice }),
+        onLog: (record) => this.logs.push(record),
+      },
+    );
+    this.nodes.set(vmId, node);
+  }
+
+  /** Gets a node by name. */
+  getNode(vmId: VmId): VirtualNode {
+    const node = this.nodes.get(vmId);
+    if (node === undefined) throw new TypeError(`no node ${vmId}`);
+    return node;
+  }
+
+  /** Ends a node's process at once. */
+  endNode(vmId: VmId): void {
+    this.getNode(vmId).end();
+  }
+
+  /** Sends a request to a node as a caller. */
+  send(vmId: VmId, request: CallerRequest): VirtualRequest {
+    const requestId = `q${this.requests.length + 1}`;
+    const sentAtMs = this.clock.nowMs;
+    const sent = { requestId, vmId, request, sentAtMs, answers: [] };
+    this.requests.push(sent);
+    this.#byId.set(requestId, sent);
+    const input = { kind: "caller_request", requestId, request } as const;
+    this.getNode(vmId).handle({ ...input, mayBeRepeat: true });
+    return sent;
+  }
+
+  /** Runs until every shard is served by a living node. */
+  waitServing(limitMs: number): boolean {
+    return this.clock.runUntil(() => this.#isServing(), limitMs);
+  }
+
+  /** Runs until a request has ended. */
+  waitEnded(sent: VirtualRequest, limitMs: number): boolean {
+    return this.clock.runUntil(() => sent.endedAtMs !== undefined, limitMs);
+  }
+
+  #isServing(): boolean {
+    let serving = 0;
+    for (const node of this.nodes.values()) {
+      if (!node.isEnded) serving += node.core.countShards().serving;
+    }
+    return serving >= this.#options.shardCount;
+  }
+
+  #recordAnswer(requestId: string, answer: CallerAnswer): void {
+    const sent = this.#byId.get(requestId);
+    if (sent === undefined) return;
+    sent.answers.push(answer);
+    if (answer.kind !== "text") sent.endedAtMs = this.clock.nowMs;
+  }
+
+  /** The platform's list lags: it names every VM that was started. */
+  #sendVmLists(): void {
+    const vms = [...this.nodes.values()].map(buildListing);
+    for (const node of this.nodes.values()) {
+      node.handle({ kind: "vm_list", vms });
+    }
+    this.clock.add(VM_LIST_MS, () => this.#sendVmLists());
+  }
+
+  #buildConfiguration(): ConfigurationValue {
+    const { engineCount, serviceCount } = this.#options;
+    const engines = buildTargets("engine", engineCount, ["loom"]);
+    const services = buildTargets("service", serviceCount, ["stock"]);
+    return {
+      ...EMPTY_CONFIGURATION,
+      targets: [...engines, ...services],
+      models: [{
+        model: "loom",
+        promptMicros: 1_000,
+        cachedMicros: 100,
+        completionMicros: 4_000,
+      }],
+      services: [{ service: "stock", callMicros: 500 }],
+    };
+  }
+}
+
+function buildTargets(
+  kind: TargetSpec["kind"],
+  count: number,
+  serves: readonly string[],
+): TargetSpec[] {
+  return Array.from({ length: count }, (_, at) => {
+    const region = REGIONS[at % REGIONS.length] ?? "ege";
+    return {
+      targetId: `${kind}-${at + 1}`,
+      kind,
+      serves,
+      region,
+      failureDomain: `${region}-1`,
+      address: "127.0.0.1:1",
+      checksFencing: false,
+      leaving: false,
+    };
+  });
+}
+
+function buildSpec(vmId: VmId, incarnation: number): NodeSpec {
+  const number = Number(vmId.split("-")[1]);
+  const region = REGIONS[number % REGIONS.length] ?? "ege";
+  return {
+    vmId,
+    incarnation,
+    region,
+    failureDomain: `${region}-1`,
+    peerAddress: `127.0.0.1:${number}`,
+    callerAddress: `127.0.0.1:${number}`,
+    hasDisk: false,
+  };
+}
+
+function buildListing(node: VirtualNode): VmListing {
+  const { vmId, peerAddress, region, failureDomain } = node.spec;
+  return { vmId, peerAddress, region, failureDomain, state: "live" };
+}
--- /dev/null
+++ b/packages/standins/src/fleet/virtual_targets.ts
@@ -0,0 +1,238 @@
+/**
+ * Engines and services under virtual time, for tests of whole nodes.
+ *
+ * Each keeps its own record of what it ran, which the history checker compares
+ * with what callers were told. The answer to a call is derived from the call.
+ */
+import type {
+  AttemptEvent,
+  AttemptId,
+  AttemptOrder,
+  Call,
+  ProgramId,
+  TargetId,
+  TargetOrderResult,
+  Usage,
+} from "@camphorlock/types";
+import { buildAnswerText, countTokens } from "../engine_server/answer_text.ts";
+import { buildOperationText } from "../service/serve_service.ts";
+import type { VirtualClock } from "./virtual_clock.ts";
+
+const LINK_MS = 1;
+const TOKEN_MS = 5;
+const FIRST_TOKEN_MS = 20;
+const SERVICE_MS = 10;
+const TOKENS_PER_EVENT = 8;
+
+/** How a target treats what arrives. */
+export type TargetMode =
+  | "serving"
+  /** Refuses connections: nothing is sent. */
+  | "down"
+  /** Takes requests and never answers. */
+  | "silent"
+  /** Runs requests and breaks the connection before the answer. */
+  | "breaking";
+
+/** One run of a call on a target, as the target saw it. */
+export interface TargetRun {
+  readonly targetId: TargetId;
+  readonly attemptId: AttemptId;
+  readonly programId: ProgramId;
+  readonly call: Call;
+  readonly atMs: number;
+  endedAtMs?: number;
+  text?: string;
+}
+
+/** Receives the events of an attempt. */
+export type EventListener = (event: AttemptEvent) => void;
+
+interface Stream {
+  readonly run: TargetRun;
+  readonly events: AttemptEvent[];
+  listeners: EventListener[];
+  isCancelled: boolean;
+}
+
+/** All targets of a virtual fleet. */
+export class VirtualTargets {
+  readonly runs: TargetRun[] = [];
+  readonly #clock: VirtualClock;
+  readonly #modes = new Map<TargetId, TargetMode>();
+  readonly #streams = new Map<AttemptId, Stream>();
+  /** Programs that each engine holds cache memory for. */
+  readonly #held = new Map<TargetId, Set<ProgramId>>();
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  /** Sets how a target treats what arrives. */
+  setMode(targetId: TargetId, mode: TargetMode): void {
+    this.#modes.set(targetId, mode);
+  }
+
+  /** Lists the programs that a target holds memory for. */
+  listHeld(targetId: TargetId): ProgramId[] {
+    return [...this.#held.get(targetId) ?? []];
+  }
+
+  /** Runs an attempt that arrives after the link's delay. */
+  start(order: AttemptOrder, listener: EventListener): void {
+    this.#clock.add(LINK_MS, () => this.#receive(order, listener));
+  }
+
+  /** Follows an attempt again, from its beginning. */
+  resume(order: AttemptOrder, listener: EventListener): void {
+    this.#clock.add(LINK_MS, () => {
+      const stream = this.#streams.get(order.attemptId);
+      const mode = this.#getMode(order.targetId);
+      if (mode === "silent") return this.#breakLater(order, listener);
+      if (stream === undefined || mode !== "serving") {
+        return listener({ kind: "broken", detail: "the attempt isn't known" });
+      }
+      for (const event of stream.events) listener(event);
+      stream.listeners = [listener];
+    });
+  }
+
+  /** Stops an attempt. */
+  cancel(attemptId: AttemptId): void {
+    this.#clock.add(LINK_MS, () => {
+      const stream = this.#streams.get(attemptId);
+      if (stream !== undefined) stream.isCancelled = true;
+    });
+  }
+
+  /** Releases what a target holds for a program. */
+  release(
+    targetId: TargetId,
+    programId: ProgramId,
+    answer: (result: TargetOrderResult) => void,
+  ): void {
+    this.#clock.add(LINK_MS, () => {
+      const mode = this.#getMode(targetId);
+      if (mode === "silent") return;
+      if (mode === "down") {
+        return answer({ kind: "failed", detail: "connection refused" });
+      }
+      this.#held.get(targetId)?.delete(programId);
+      answer({ kind: "done" });
+    });
+  }
+
+  #receive(order: AttemptOrder, listener: EventListener): void {
+    const mode = this.#getMode(order.targetId);
+    if (mode === "down") {
+      return listener({ kind: "not_sent", detail: "connection refused" });
+    }
+    const run: TargetRun = {
+      targetId: order.targetId,
+      attemptId: order.attemptId,
+      programId: order.programId,
+      call: order.call,
+      atMs: this.#clock.nowMs,
+    };
+    this.runs.push(run);
+    const stream = {
+      run,
+      events: [],
+      listeners: [listener],
+      isCancelled: false,
+    };
+    this.#streams.set(order.attemptId, stream);
+    if (order.call.kind === "model") this.#addHeld(order);
+    if (mode === "silent") return this.#breakLater(order, listener);
+    if (mode === "breaking") stream.listeners = [];
+    if (mode === "breaking") this.#breakLater(order, listener);
+    if (order.call.kind === "model") this.#generate(order, stream);
+    else this.#operate(order.call, stream);
+  }
+
+  #generate(order: AttemptOrder, stream: Stream): void {
+    const { call } = order;
+    if (call.kind !== "model") return;
+    const { text, ends } = buildAnswerText(call.messages, call.maxTokens);
+    const prompt = call.messages.map((message) => message.content).join("");
+    const usage: Usage = {
+      promptTokens: countTokens(prompt),
+      cachedTokens: 0,
+      completionTokens: ends.length,
+    };
+    const from = order.prefixText.length;
+    this.#sendTokens({ text, ends, from, usage }, stream);
+  }
+
+  #sendTokens(answer: GeneratedAnswer, stream: Stream): void {
+    const { text, ends, usage } = answer;
+    let from = answer.from;
+    let delayMs = FIRST_TOKEN_MS;
+    for (let at = TOKENS_PER_EVENT; at < ends.length; at += TOKENS_PER_EVENT) {
+      const end = ends[at - 1] ?? text.length;
+      if (end <= from) continue;
+      const event: AttemptEvent = {
+        kind: "text",
+        offset: from,
+        text: text.slice(from, end),
+        tokens: TOKENS_PER_EVENT,
+      };
+      from = end;
+      this.#clock.add(delayMs, () => this.#report(stream, event));
+      delayMs += TOKENS_PER_EVENT * TOKEN_MS;
+    }
+    this.#clock.add(delayMs, () => {
+      this.#end(stream, { kind: "completed", text, usage });
+    });
+  }
+
+  #operate(call: Extract<Call, { kind: "service" }>, stream: Stream): void {
+    const text = buildOperationText(call.operation, call.body);
+    const usage = { promptTokens: 0, cachedTokens: 0, completionTokens: 0 };
+    this.#clock.add(SERVICE_MS, () => {
+      this.#end(stream, { kind: "completed", text, usage });
+    });
+  }
+
+  #end(
+    stream: Stream,
+    event: Extract<AttemptEvent, { kind: "completed" }>,
+  ): void {
+    if (stream.isCancelled) return;
+    stream.run.endedAtMs = this.#clock.nowMs;
+    stream.run.text = event.text;
+    this.#report(stream, event);
+  }
+
+  #report(stream: Stream, event: AttemptEvent): void {
+    if (stream.isCancelled) return;
+    if (this.#getMode(stream.run.targetId) === "silent") return;
+    stream.events.push(event);
+    for (const listener of stream.listeners) listener(event);
+  }
+
+  /** The client's progress timeout ends the attempt. */
+  #breakLater(order: AttemptOrder, listener: EventListener): void {
+    this.#clock.add(order.progressTimeoutMs, () => {
+      listener({ kind: "broken", detail: "no progress" });
+    });
+  }
+
+  #addHeld(order: AttemptOrder): void {
+    const held = this.#held.get(order.targetId) ?? new Set();
+    held.add(order.programId);
+    this.#held.set(order.targetId, held);
+  }
+
+  #getMode(targetId: TargetId): TargetMode {
+    return this.#modes.get(targetId) ?? "serving";
+  }
+}
+
+interface GeneratedAnswer {
+  readonly text: string;
+  readonly ends: readonly number[];
+  /** Characters that an earlier attempt already produced. */
+  readonly from: number;
+  readonly usage: Usage;
+}
