--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -38,6 +38,30 @@
     "info",
     "Every connection has ended.",
   ),
+  PeerConnected: defineEvent(
+    111,
+    "PeerConnected",
+    "info",
+    "A stream to another node is open.",
+  ),
+  PeerDisconnected: defineEvent(
+    112,
+    "PeerDisconnected",
+    "info",
+    "A stream to another node ended, with the reason.",
+  ),
+  PeerRefused: defineEvent(
+    113,
+    "PeerRefused",
+    "warn",
+    "A stream, frame or message of another node was refused.",
+  ),
+  PeerMessagesDropped: defineEvent(
+    114,
+    "PeerMessagesDropped",
+    "warn",
+    "Messages to another node were dropped.",
+  ),
   NodeStateChanged: defineEvent(
     201,
     "NodeStateChanged",
