--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -20,3 +20,4 @@
 export * from "./src/deployment/load_deployment.ts";
 export * from "./src/deployment/schema.ts";
 export * from "./src/deployment/serve_deployment.ts";
+export * from "./src/bench/engines_bench.ts";
--- /dev/null
+++ b/packages/standins/src/bench/engines_bench.ts
@@ -0,0 +1,142 @@
+/**
+ * Measures the streamed tokens per second that one client process follows.
+ */
+import { type EventLoopUtilization, performance } from "node:perf_hooks";
+import { Worker } from "node:worker_threads";
+import type { AttemptOrder } from "@camphorlock/types";
+import { EngineClient } from "@camphorlock/engines";
+
+const MS_PER_SECOND = 1_000;
+const PROGRESS_TIMEOUT_MS = 30_000;
+
+/** A worker doesn't inherit the loader of TypeScript from its process. */
+const LOAD_TYPESCRIPT = `
+  const { createRequire } = require("node:module");
+  const { href } = require("node:worker_threads").workerData;
+  const api = createRequire(href).resolve("tsx/esm/api");
+  import(api.replace(/cjs$/, "mjs")).then(({ register }) => {
+    register();
+    return import(href);
+  });
+`;
+
+/** Settings of the bench. */
+export interface EnginesBenchOptions {
+  /** Streams that are open at the same time. */
+  readonly streams: number;
+  readonly tokensPerStream: number;
+  /** Time between two tokens of a stream; zero sends without a pause. */
+  readonly stepMs: number;
+  /** Threads that send; one may be slower than the client. */
+  readonly servers: number;
+}
+
+/** What the bench measured. */
+export interface EnginesBenchReport {
+  readonly tokens: number;
+  readonly seconds: number;
+  readonly tokensPerSecond: number;
+  /** Share of the time that the client's event loop was busy. */
+  readonly utilization: number;
+  /** Tokens per second of a client that's busy all the time. */
+  readonly tokensPerSecondAtFullCore: number;
+  readonly tokensPerEvent: number;
+}
+
+interface Tally {
+  tokens: number;
+  events: number;
+}
+
+/** Streams from worker threads into one client until every stream ended. */
+export async function runEnginesBench(
+  options: EnginesBenchOptions,
+): Promise<EnginesBenchReport> {
+  const workers = Array.from(
+    { length: options.servers },
+    () => createWorker(options),
+  );
+  const addresses = await Promise.all(workers.map(waitForAddress));
+  const clients = addresses.map((address) => new EngineClient({ address }));
+  const tally: Tally = { tokens: 0, events: 0 };
+  const startedAtMs = performance.now();
+  const loopAtStart = performance.eventLoopUtilization();
+  await Promise.all(Array.from({ length: options.streams }, (_, index) => {
+    const client = clients[index % clients.length];
+    if (client === undefined) return Promise.resolve();
+    return runStream(client, { order: buildOrder(index), tally });
+  }));
+  const seconds = (performance.now() - startedAtMs) / MS_PER_SECOND;
+  const report = buildReport(tally, { seconds, loopAtStart });
+  await Promise.all(clients.map((client) => client.close()));
+  await Promise.all(workers.map((worker) => worker.terminate()));
+  return report;
+}
+
+function createWorker(options: EnginesBenchOptions): Worker {
+  const { tokensPerStream, stepMs } = options;
+  const { href } = new URL("./token_server.ts", import.meta.url);
+  return new Worker(LOAD_TYPESCRIPT, {
+    eval: true,
+    workerData: { tokensPerStream, stepMs, href },
+  });
+}
+
+function waitForAddress(worker: Worker): Promise<string> {
+  return new Promise((resolve, reject) => {
+    worker.once("message", (address) => resolve(String(address)));
+    worker.once("error", reject);
+  });
+}
+
+function runStream(
+  client: EngineClient,
+  options: { readonly order: AttemptOrder; readonly tally: Tally },
+): Promise<void> {
+  const { order, tally } = options;
+  return new Promise((resolve, reject) => {
+    client.runAttempt(order, (event) => {
+      if (event.kind === "text") {
+        tally.tokens += event.tokens;
+        tally.events += 1;
+      } else if (event.kind === "completed") {
+        resolve();
+      } else {
+        reject(new Error(`${event.kind}: ${event.detail}`));
+      }
+    });
+  });
+}
+
+function buildReport(
+  tally: Tally,
+  run: { readonly seconds: number; readonly loopAtStart: EventLoopUtilization },
+): EnginesBenchReport {
+  const { utilization } = performance.eventLoopUtilization(run.loopAtStart);
+  const tokensPerSecond = tally.tokens / run.seconds;
+  return {
+    tokens: tally.tokens,
+    seconds: run.seconds,
+    tokensPerSecond,
+    utilization,
+    tokensPerSecondAtFullCore: tokensPerSecond / utilization,
+    tokensPerEvent: tally.tokens / tally.events,
+  };
+}
+
+function buildOrder(index: number): AttemptOrder {
+  return {
+    attemptId: `attempt-${index}`,
+    programId: `program-${index}`,
+    callId: `call-${index}`,
+    targetId: "engine",
+    call: {
+      kind: "model",
+      model: "bench",
+      messages: [{ role: "user", content: "bench" }],
+      maxTokens: 1,
+    },
+    prefixText: "",
+    progressTimeoutMs: PROGRESS_TIMEOUT_MS,
+  };
+}
