Begin the names of the edges with listed verbs

Cause: the verb rule had to stay off for names of the edges.

Change: renames; `call` joins the list for requests of a peer.

Conclusion: the rule can come back once the scheduler's names settle.

--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -23,7 +23,7 @@
 import type { Result } from "neverthrow";
 import { type AttemptListener, AttemptStream } from "./attempt_stream.ts";
 import { encodeChatRequest } from "./chat_request.ts";
-import { exportMemory, importMemory } from "./engine_memory.ts";
+import { readMemory, writeMemory } from "./engine_memory.ts";
 import {
   type CacheEventBatch,
   type EngineLoad,
@@ -152,16 +152,16 @@
   }
 
   /** Reads a program's KV cache. */
-  exportMemory(programId: ProgramId): Promise<Result<Uint8Array, Failure>> {
-    return exportMemory(this.#connection, programId);
+  readMemory(programId: ProgramId): Promise<Result<Uint8Array, Failure>> {
+    return readMemory(this.#connection, programId);
   }
 
   /** Writes a program's KV cache that another engine gave. */
-  importMemory(
+  writeMemory(
     programId: ProgramId,
     bytes: Uint8Array,
   ): Promise<Result<Uint8Array, Failure>> {
-    return importMemory(this.#connection, { programId, bytes });
+    return writeMemory(this.#connection, { programId, bytes });
   }
 
   /** Takes nothing new and closes when what runs has ended. */
@@ -227,7 +227,7 @@
     const exchange: Exchange = this.#connection.start(options.request, stream);
     return {
       cancel: () => {
-        const wasSent = exchange.wasSent();
+        const wasSent = exchange.wasSent;
         stream.close();
         exchange.cancel();
         const mayRun = options.wasSentBefore || wasSent;
--- a/packages/engines/src/engine_memory.ts
+++ b/packages/engines/src/engine_memory.ts
@@ -19,7 +19,7 @@
 };
 
 /** Reads a program's KV cache. Fails with `TargetBroken`/`TargetRejected`. */
-export async function exportMemory(
+export async function readMemory(
   connection: PeerConnection,
   programId: ProgramId,
 ): Promise<Result<Uint8Array, Failure>> {
@@ -32,7 +32,7 @@
 }
 
 /** Writes a program's KV cache. Fails with `TargetBroken`/`TargetRejected`. */
-export async function importMemory(
+export async function writeMemory(
   connection: PeerConnection,
   memory: { readonly programId: ProgramId; readonly bytes: Uint8Array },
 ): Promise<Result<Uint8Array, Failure>> {
--- a/packages/engines/src/engine_reports_test.ts
+++ b/packages/engines/src/engine_reports_test.ts
@@ -77,10 +77,10 @@
   it("moves a program's KV cache to another engine", async () => {
     const [first, second] = getClients();
     await run(first, ORDER);
-    const bytes = (await first.exportMemory("p0001-a"))._unsafeUnwrap();
-    expect((await second.importMemory("p0001-a", bytes)).isOk()).to.equal(true);
+    const bytes = (await first.readMemory("p0001-a"))._unsafeUnwrap();
+    expect((await second.writeMemory("p0001-a", bytes)).isOk()).to.equal(true);
     expect(engines[1]?.control.sumHeldTokens("p0001-a")).to.be.greaterThan(0);
-    const none = await first.exportMemory("p0001-b");
+    const none = await first.readMemory("p0001-b");
     expect(none._unsafeUnwrapErr().name).to.equal("TargetRejected");
   });
 
--- a/packages/platform/src/http/peer_connection.ts
+++ b/packages/platform/src/http/peer_connection.ts
@@ -48,7 +48,7 @@
   /** Stops it without a further report. Has no effect once it has ended. */
   cancel(): void;
   /** Whether a byte of the request may have been written. */
-  wasSent(): boolean;
+  readonly wasSent: boolean;
 }
 
 /** Settings of a connection to a peer. */
@@ -155,7 +155,7 @@
     this.#controller?.abort(new Error("cancelled"));
   }
 
-  wasSent(): boolean {
+  get wasSent(): boolean {
     return this.#controller !== undefined;
   }
 
@@ -203,7 +203,7 @@
   }
 
   #endFailed(detail: string): void {
-    const kind = this.wasSent() ? "broken" : "not_sent";
+    const kind = this.wasSent ? "broken" : "not_sent";
     this.#end({ kind, detail });
   }
 
--- a/packages/platform/src/http/whole_answer.ts
+++ b/packages/platform/src/http/whole_answer.ts
@@ -106,7 +106,7 @@
   }
 
   #endEarly(detail: string): void {
-    const kind = this.#exchange?.wasSent() === false ? "not_sent" : "broken";
+    const kind = this.#exchange?.wasSent === false ? "not_sent" : "broken";
     this.cancel();
     this.#resolve({ kind, detail });
   }
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -50,7 +50,7 @@
     const waitMs = this.#takeCall(request);
     if (waitMs === undefined) return { kind: "failed", reason: "rate_limited" };
     if (waitMs > 0) await waitFor(waitMs);
-    return await this.#exchange(request);
+    return await this.#sendRequest(request);
   }
 
   /** Closes the connections. */
@@ -58,7 +58,7 @@
     await this.#connection.close();
   }
 
-  async #exchange(request: PlatformRequest): Promise<PlatformAnswer> {
+  async #sendRequest(request: PlatformRequest): Promise<PlatformAnswer> {
     const watchWaitMs = this.#options.watchWaitMs ?? WATCH_WAIT_MS;
     const timeoutMs = request.kind === "watch"
       ? watchWaitMs + WATCH_GRACE_MS
--- a/packages/platform/src/token_bucket.ts
+++ b/packages/platform/src/token_bucket.ts
@@ -24,7 +24,7 @@
 
   /** Takes one call if there's one left. */
   take(nowMs: number): boolean {
-    this.#refill(nowMs);
+    this.#addEarned(nowMs);
     if (this.#tokens < 1) return false;
     this.#tokens -= 1;
     return true;
@@ -35,7 +35,7 @@
    * `undefined` when that's longer than `maxWaitMs`.
    */
   takeLater(nowMs: number, maxWaitMs: number): number | undefined {
-    this.#refill(nowMs);
+    this.#addEarned(nowMs);
     const missing = Math.max(0, 1 - this.#tokens);
     const waitMs = (missing / this.#options.perSecond) * MS_PER_SECOND;
     if (waitMs > maxWaitMs) return undefined;
@@ -43,7 +43,7 @@
     return waitMs;
   }
 
-  #refill(nowMs: number): void {
+  #addEarned(nowMs: number): void {
     const elapsedMs = Math.max(0, nowMs - this.#refilledAtMs);
     const earned = (elapsedMs / MS_PER_SECOND) * this.#options.perSecond;
     this.#tokens = Math.min(this.#options.burst, this.#tokens + earned);
--- a/packages/standins/src/engine_server/simple_engine.ts
+++ b/packages/standins/src/engine_server/simple_engine.ts
@@ -80,7 +80,7 @@
       case "order":
         return this.#applyOrder(input.order, atMs);
       case "import_prefix":
-        return this.#storePrefix(
+        return this.#addPrefix(
           { ...input, heldTokens: input.tokens },
           atMs,
         );
@@ -133,7 +133,7 @@
     this.#running.delete(attemptId);
     return [
       token,
-      ...this.#storeSequence(sequence, atMs),
+      ...this.#addSequence(sequence, atMs),
       {
         kind: "completed",
         atMs,
@@ -145,16 +145,16 @@
     ];
   }
 
-  #storeSequence(sequence: Sequence, atMs: number): EngineOutput[] {
+  #addSequence(sequence: Sequence, atMs: number): EngineOutput[] {
     const { programId, promptTokens, storeKey } = sequence.request;
     const tokens = promptTokens + sequence.produced;
-    return this.#storePrefix(
+    return this.#addPrefix(
       { key: storeKey, programId, tokens, heldTokens: tokens },
       atMs,
     );
   }
 
-  #storePrefix(prefix: HeldPrefix, atMs: number): EngineOutput[] {
+  #addPrefix(prefix: HeldPrefix, atMs: number): EngineOutput[] {
     const { key, programId, tokens, heldTokens } = prefix;
     this.#prefixes.set(key, { key, programId, tokens, heldTokens });
     return [this.#buildEvent("stored", { prefix, atMs })];
--- a/packages/standins/src/platform/object_store.ts
+++ b/packages/standins/src/platform/object_store.ts
@@ -95,9 +95,9 @@
       case "get":
         return this.#get(request.key);
       case "put":
-        return this.#put(request);
+        return this.#write(request);
       case "delete":
-        return this.#delete(request);
+        return this.#remove(request);
       case "list":
         return this.#list(request);
       case "watch":
@@ -136,7 +136,7 @@
     return { kind: "found", object: { key, ...stored } };
   }
 
-  #put(request: Extract<WriteRequest, { kind: "put" }>): PlatformAnswer {
+  #write(request: Extract<WriteRequest, { kind: "put" }>): PlatformAnswer {
     const { key, value } = request;
     if (value.length > MAX_VALUE_BYTES) {
       return { kind: "failed", reason: "refused" };
@@ -150,7 +150,7 @@
     return { kind: "stored", key, version };
   }
 
-  #delete(request: Extract<WriteRequest, { kind: "delete" }>): PlatformAnswer {
+  #remove(request: Extract<WriteRequest, { kind: "delete" }>): PlatformAnswer {
     const { key } = request;
     const conflict = this.#findConflict(key, request.condition);
     if (conflict !== undefined) return conflict;
--- a/tools/lint/verbs.ts
+++ b/tools/lint/verbs.ts
@@ -14,6 +14,7 @@
   "build",
   "create",
   "define",
+  "call",
   "cancel",
   "check",
   "choose",
