Prove the exchange and the attempt stream against broken peers

Cause: a write that may have reached a peer must never be told as not sent, and a cut or foreign answer never as whole.

--- a/packages/engines/src/attempt_stream.ts
+++ b/packages/engines/src/attempt_stream.ts
@@ -3,7 +3,8 @@
  *
  * An answer is whole when every chunk names the attempt, offsets have no gap,
  * the engine said that it finished and what was used, and the end mark came.
- * Anything less ends as `broken`.
+ * Anything less ends as `broken`. A whole answer is reported at its end mark,
+ * whatever happens to the connection after it.
  */
 import type { AttemptEvent, AttemptOrder, Usage } from "@camphorlock/types";
 import {
@@ -18,6 +19,7 @@
 
 const END_MARK = "[DONE]";
 const MAX_ERROR_BYTES = 4_096;
+const MAX_ANSWER_CHARACTERS = 16 * 1024 * 1024;
 const STATUS_OK = 200;
 
 /** Receives what happens to an attempt. */
@@ -49,7 +51,6 @@
   #flushPlanned = false;
   #finished = false;
   #usage: Usage | undefined;
-  #hasEndMark = false;
   #closed = false;
 
   constructor(order: AttemptOrder, options: AttemptStreamOptions) {
@@ -58,6 +59,11 @@
     this.#length = options.fromOffset;
   }
 
+  /** Whether the attempt's end was reported, or nothing more is wanted. */
+  get isClosed(): boolean {
+    return this.#closed;
+  }
+
   /** Reports nothing more. */
   close(): void {
     this.#closed = true;
@@ -86,25 +92,20 @@
 
   handleEnd(end: ExchangeEnd): void {
     if (this.#closed) return;
-    this.#sendBatch();
     if (end.kind !== "ended") {
       const isNotSent = end.kind === "not_sent" && !this.#options.wasSentBefore;
       const kind = isNotSent ? "not_sent" : "broken";
-      this.#sendEvent({ kind, detail: end.detail });
+      this.#end({ kind, detail: end.detail });
     } else if (this.#status !== STATUS_OK) {
-      this.#sendEvent(this.#buildRejected());
+      this.#end(this.#buildRejected());
     } else {
-      this.#sendEvent(this.#buildCompleted());
+      this.#endBroken("the answer has no end mark");
     }
-    this.#closed = true;
   }
 
   #handleEvent(data: string): void {
     if (this.#closed) return;
-    if (data === END_MARK) {
-      this.#hasEndMark = true;
-      return;
-    }
+    if (data === END_MARK) return this.#end(this.#buildCompleted());
     const chunk = parseAnswerChunk(data);
     const fault = this.#findFault(chunk);
     if (chunk === undefined || fault !== undefined) {
@@ -123,7 +124,7 @@
     if (chunk.offset !== undefined && chunk.offset !== this.#length) {
       return `a chunk begins at ${chunk.offset} instead of ${this.#length}`;
     }
-    if (this.#hasEndMark) return "a chunk follows the end mark";
+    if (this.#length > MAX_ANSWER_CHARACTERS) return "the answer is too long";
     return undefined;
   }
 
@@ -150,11 +151,12 @@
     this.#parts.push(text);
     const generatedBefore = this.#length - text.length;
     const offset = this.#order.prefixText.length + generatedBefore;
-    this.#sendEvent({ kind: "text", offset, text, tokens });
+    this.#options.onEvent({ kind: "text", offset, text, tokens });
   }
 
   #buildCompleted(): AttemptEvent {
-    if (!this.#hasEndMark || !this.#finished) {
+    this.#sendBatch();
+    if (!this.#finished) {
       return { kind: "broken", detail: "the answer ended early" };
     }
     if (this.#usage === undefined) {
@@ -176,17 +178,20 @@
   #appendError(bytes: Uint8Array): void {
     const length = this.#errorParts.reduce((sum, part) => sum + part.length, 0);
     this.#errorParts.push(bytes.subarray(0, MAX_ERROR_BYTES - length));
+    if (length + bytes.length < MAX_ERROR_BYTES) return;
+    this.#end(this.#buildRejected());
+    this.#options.onFault();
   }
 
   #endBroken(detail: string): void {
     if (this.#closed) return;
-    this.#sendBatch();
-    this.#sendEvent({ kind: "broken", detail });
-    this.#closed = true;
+    this.#end({ kind: "broken", detail });
     this.#options.onFault();
   }
 
-  #sendEvent(event: AttemptEvent): void {
+  #end(event: AttemptEvent): void {
+    this.#sendBatch();
+    this.#closed = true;
     this.#options.onEvent(event);
   }
 }
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -227,10 +227,10 @@
     const exchange: Exchange = this.#connection.start(options.request, stream);
     return {
       cancel: () => {
-        const wasSent = exchange.wasSent;
+        if (stream.isClosed) return;
         stream.close();
         exchange.cancel();
-        const mayRun = options.wasSentBefore || wasSent;
+        const mayRun = options.wasSentBefore || exchange.wasSent;
         if (mayRun) void this.#settleCancel(order.attemptId);
       },
     };
--- a/packages/engines/src/engine_client_test.ts
+++ b/packages/engines/src/engine_client_test.ts
@@ -79,7 +79,7 @@
   let client: EngineClient;
 
   beforeEach(async () => {
-    engine = await serveEngine({ tokenMs: 1, firstTokenMs: 1 });
+    engine = await serveEngine({ tokenMs: 2, firstTokenMs: 1 });
     client = new EngineClient({ address: engine.address });
   });
 
@@ -220,6 +220,17 @@
     expect(engine.control.getLoad().running).to.equal(0);
   });
 
+  it("stops an attempt that its cancellation overtook", async () => {
+    engine.control.startDelayMs = 60;
+    const order = buildOrder("a1", { tokens: MAX_TOKENS });
+    const running = client.runAttempt(order, () => {});
+    await waitUntil(() => engine.control.requests === 1);
+    running.cancel();
+    await waitUntil(() => engine.control.runs.length === 1);
+    await waitUntil(() => !engine.control.isRunning("a1"));
+    expect(engine.control.sumHeldTokens("p0001-a")).to.equal(0);
+  });
+
   it("releases what the engine holds for a program", async () => {
     const recorder = new Recorder();
     client.runAttempt(buildOrder("a1"), recorder.receive);
--- a/packages/platform/src/http/whole_answer.ts
+++ b/packages/platform/src/http/whole_answer.ts
@@ -58,10 +58,10 @@
 class WholeReader implements AnswerReceiver, RunningWhole {
   readonly answer: Promise<WholeAnswer>;
   readonly #limits: WholeAnswerLimits;
-  readonly #timer: NodeJS.Timeout;
   readonly #chunks: Uint8Array[] = [];
   #resolve: (answer: WholeAnswer) => void = () => {};
   #exchange: Exchange | undefined;
+  #timer: NodeJS.Timeout | undefined;
   #bytes = 0;
   #status = 0;
   #headers: PeerHeaders = {};
@@ -71,14 +71,16 @@
     this.answer = new Promise((resolve) => {
       this.#resolve = resolve;
     });
-    this.#timer = setTimeout(
-      () => this.#endEarly(`no whole answer in ${limits.totalTimeoutMs} ms`),
-      limits.totalTimeoutMs,
-    );
   }
 
   start(connection: PeerConnection, request: PeerRequest): void {
     this.#exchange = connection.start(request, this);
+    // Starts after the exchange's own timer, so that silence is told first.
+    const { totalTimeoutMs } = this.#limits;
+    this.#timer = setTimeout(
+      () => this.#endEarly(`no whole answer in ${totalTimeoutMs} ms`),
+      totalTimeoutMs,
+    );
   }
 
   cancel(): void {
--- a/packages/standins/src/engine_server/engine_control.ts
+++ b/packages/standins/src/engine_server/engine_control.ts
@@ -14,6 +14,8 @@
   crossedAnswers = 0;
   /** Whether new work is refused, with the statement that it wasn't run. */
   refusing = false;
+  /** Time between the arrival of an attempt and its start. */
+  startDelayMs = 0;
   /** Requests that arrived, of any kind. */
   requests = 0;
 
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -14,6 +14,7 @@
   type RunningServer,
   type StandinEnv,
   startServer,
+  waitFor,
   waitForever,
 } from "../http_server.ts";
 import { parseChatRequest } from "./chat_form.ts";
@@ -88,6 +89,7 @@
     }
     const planned = parseChatRequest(body, { attemptId, programId });
     if (planned.isErr()) return refuse(context, 400, planned.error);
+    if (control.startDelayMs > 0) await waitFor(control.startDelayMs);
     const reply = driver.startAnswer(planned.value);
     if (reply.kind === "rejected") return refuse(context, 409, reply.detail);
     return openStream(context, { ...options, attemptId, fromOffset: 0 });
