--- a/packages/scheduler/src/ledger/log_committer.ts
+++ b/packages/scheduler/src/ledger/log_committer.ts
@@ -10,7 +10,7 @@
   type PlatformToken,
   type ShardId,
 } from "@camphorlock/types";
-import type { LedgerLimits } from "./ledger_types.ts";
+import type { LedgerLimits, SnapshotContent } from "./ledger_types.ts";
 import type { EncodedSegment, OpenRecord, SegmentRole } from "./segment.ts";
 import { type LogExtent, SegmentIndex } from "./segment_index.ts";
 import { SegmentWriter } from "./segment_writer.ts";
@@ -31,13 +31,6 @@
   readonly pacer: WritePacer;
 }
 
-/** The owner's encoded state after an entry. */
-export interface SnapshotContent {
-  readonly throughSequence: number;
-  /** Each below 1 MB. */
-  readonly parts: readonly Uint8Array[];
-}
-
 /** What the committer is to bring to the platform. */
 export interface CommitDemand {
   readonly unstored: UnstoredEntries;
@@ -135,7 +128,7 @@
 
   /** Sends the requests that are due and that the pacer grants. */
   sendDue(demand: CommitDemand, nowMs: number): Effect[] {
-    this.#beginSnapshot(demand.unstored.storedThrough);
+    this.#openSnapshot(demand.unstored.storedThrough);
     const effects = this.#writer.isBusy
       ? this.#sendAgain(demand, nowMs)
       : this.#sendFirst(demand, nowMs);
@@ -202,7 +195,7 @@
   }
 
   /** Begins the snapshot once the platform has every entry of it. */
-  #beginSnapshot(storedThrough: number): void {
+  #openSnapshot(storedThrough: number): void {
     const content = this.#snapshot;
     if (content === undefined) return;
     const { throughSequence, parts } = content;
--- a/packages/scheduler/src/ledger/platform_reads.ts
+++ b/packages/scheduler/src/ledger/platform_reads.ts
@@ -64,7 +64,7 @@
 
   /** Sends what may be sent now. */
   sendDue(nowMs: number): Effect[] {
-    this.#dropTimedOut(nowMs);
+    this.#checkTimeouts(nowMs);
     if (nowMs < this.#pausedUntilMs) return [];
     const underWay = this.#reads.filter((read) => read.pending !== undefined);
     const room = Math.max(0, this.#options.mostAtOnce - underWay.length);
@@ -85,7 +85,7 @@
     if (read === undefined) return undefined;
     read.pending = undefined;
     if (input.answer.kind === "failed") {
-      this.#pause(nowMs);
+      this.#setPause(nowMs);
       return undefined;
     }
     this.#pauseMs = 0;
@@ -105,18 +105,18 @@
     return { kind: "call_platform", token, request: read.request };
   }
 
-  #pause(nowMs: number): void {
+  #setPause(nowMs: number): void {
     const doubled = Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2);
     this.#pauseMs = Math.min(LONGEST_PAUSE_MS, doubled);
     this.#pausedUntilMs = nowMs + this.#pauseMs;
   }
 
-  #dropTimedOut(nowMs: number): void {
+  #checkTimeouts(nowMs: number): void {
     for (const read of this.#reads) {
       const sentAtMs = read.pending?.sentAtMs ?? nowMs;
       if (nowMs - sentAtMs < this.#options.platformTimeoutMs) continue;
       read.pending = undefined;
-      this.#pause(nowMs);
+      this.#setPause(nowMs);
     }
   }
 }
--- a/packages/scheduler/src/ledger/write_pacer.ts
+++ b/packages/scheduler/src/ledger/write_pacer.ts
@@ -77,8 +77,8 @@
 
   /** Grants one write, or keeps the shard's place in the queue. */
   takeWrite(shard: ShardId, urgency: WriteUrgency, nowMs: number): boolean {
-    this.#fillTokens(nowMs);
-    this.#keepPlace(shard, { urgency, askedAtMs: nowMs });
+    this.#updateTokens(nowMs);
+    this.#setPlace(shard, { urgency, askedAtMs: nowMs });
     if (this.isPaused(nowMs)) return false;
     if (this.#countBefore(shard, nowMs) + 1 > this.#tokens) return false;
     this.#tokens -= 1;
@@ -110,7 +110,7 @@
     this.#pausedUntilMs = 0;
   }
 
-  #fillTokens(nowMs: number): void {
+  #updateTokens(nowMs: number): void {
     const elapsedMs = nowMs - (this.#filledAtMs ?? nowMs);
     const most = Math.max(1, this.#rate * BURST_SECONDS);
     const filled = this.#tokens + elapsedMs * this.#rate / 1000;
@@ -118,7 +118,7 @@
     this.#filledAtMs = nowMs;
   }
 
-  #keepPlace(shard: ShardId, writer: WaitingWriter): void {
+  #setPlace(shard: ShardId, writer: WaitingWriter): void {
     const held = this.#waiting.get(shard);
     if (held === undefined) {
       this.#waiting.set(shard, writer);
--- /dev/null
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -0,0 +1,297 @@
+/**
+ * Ends attempts and calls: what may be tried again is, everything else gets
+ * its one durable outcome.
+ */
+import { createFailure, type Failure, RESULT_CODES } from "@camphorlock/codes";
+import {
+  type AttemptEvent,
+  type CallOutcome,
+  checkNever,
+  type CompletedOutcome,
+  type FailedOutcome,
+  type Usage,
+} from "@camphorlock/types";
+import type { AttemptCloser } from "./attempt_closer.ts";
+import { computeDigest } from "./digest.ts";
+import type { OwnerContext } from "./owner_context.ts";
+import { computeCost } from "./pricing.ts";
+import { computeRest } from "./program_state.ts";
+import { isIdempotent, type RunningCall } from "./running_call.ts";
+
+/** An event that ends an attempt. */
+type EndEvent = Exclude<AttemptEvent, { kind: "text" }>;
+
+/** What the ender tells the runner. */
+interface EnderHooks {
+  /** The call is in the queue again. */
+  requeue(running: RunningCall): void;
+  /** The outcome is durable. */
+  finish(running: RunningCall): void;
+}
+
+/** Decides between a new attempt and an outcome. */
+export class CallEnder {
+  readonly #context: OwnerContext;
+  readonly #closer: AttemptCloser;
+  readonly #hooks: EnderHooks;
+
+  constructor(
+    context: OwnerContext,
+    closer: AttemptCloser,
+    hooks: EnderHooks,
+  ) {
+    this.#context = context;
+    this.#closer = closer;
+    this.#hooks = hooks;
+  }
+
+  /** Handles the end of the present attempt. */
+  handle(running: RunningCall, event: EndEvent): void {
+    this.#logEnd(running, event);
+    switch (event.kind) {
+      case "completed":
+        return this.#endCompleted(running, event.text, event.usage);
+      case "rejected":
+        return this.#handleRejected(running, event);
+      case "not_sent":
+        return this.#handleNotRun(running, event.detail);
+      case "broken":
+        return this.#handleBroken(running, event.detail);
+      default:
+        return checkNever(event);
+    }
+  }
+
+  /** Handles a refused or unanswered request for a slot: nothing was sent. */
+  handleSlotRefused(running: RunningCall, retryAfterMs: number): void {
+    const { limits } = this.#context.options;
+    const waitedMs = this.#context.nowMs - running.placingSinceMs;
+    if (waitedMs >= limits.placeTimeoutMs) {
+      const detail = "no dispatcher granted a slot in time";
+      const failure = createFailure("Overloaded", detail, retryAfterMs);
+      return this.endNotRun(running, failure);
+    }
+    this.#closer.releaseSlot(running, "cancelled");
+    this.#setQueued(running, retryAfterMs);
+  }
+
+  /**
+   * Ends a call that isn't tried again: as not run only if no attempt can have
+   * reached a target.
+   */
+  endNotRun(running: RunningCall, failure: Failure): void {
+    if (running.mayHaveRun) return this.#endFailed(running, failure, 0);
+    const { code, detail, retryAfterMs } = failure;
+    const outcome = { status: "not_run", code, detail } as const;
+    if (retryAfterMs === undefined) return this.#end(running, outcome);
+    this.#end(running, { ...outcome, retryAfterMs });
+  }
+
+  /** Tries again to append an outcome that the ledger refused. */
+  endPending(running: RunningCall): void {
+    const { pendingOutcome } = running;
+    if (pendingOutcome !== undefined) this.#end(running, pendingOutcome);
+  }
+
+  /** Ends a call because its program is stopped. */
+  stop(running: RunningCall): void {
+    const failure = createFailure("ProgramEnded", "the program was ended");
+    switch (running.phase) {
+      case "accepting":
+      case "queued":
+      case "waiting_slot":
+      case "intending":
+        this.#closer.releaseSlot(running, "cancelled");
+        return this.endNotRun(running, failure);
+      case "running":
+        return this.#stopSent(running, failure);
+      case "ending":
+        return;
+      default:
+        return checkNever(running.phase);
+    }
+  }
+
+  #stopSent(running: RunningCall, failure: Failure): void {
+    if (!isIdempotent(running)) return;
+    this.#closer.cancelSent(running);
+    this.#closer.releaseSlot(running, "cancelled");
+    this.#closer.appendLost(running);
+    this.#endFailed(running, failure, 0);
+  }
+
+  #handleRejected(
+    running: RunningCall,
+    event: Extract<EndEvent, { kind: "rejected" }>,
+  ): void {
+    if (event.notRun) return this.#handleNotRun(running, event.detail);
+    this.#closer.releaseSlot(running, "failed");
+    const detail = `status ${event.status}: ${event.detail}`;
+    const failure = createFailure("TargetRejected", detail);
+    this.#endFailed(running, failure, this.#closer.computeSeen(running));
+  }
+
+  /**
+   * Tries again what didn't reach its target. For an attempt of an earlier
+   * owner only the question about it failed: it counts as broken.
+   */
+  #handleNotRun(running: RunningCall, detail: string): void {
+    if (running.attempt?.inherited === true) {
+      return this.#handleBroken(running, detail);
+    }
+    this.#closer.releaseSlot(running, "failed");
+    if (this.#canTryAgain(running)) return this.#startAgain(running);
+    this.endNotRun(running, createFailure("TargetBroken", detail));
+  }
+
+  #handleBroken(running: RunningCall, detail: string): void {
+    this.#closer.releaseSlot(running, "stalled");
+    running.mayHaveRun = true;
+    if (!isIdempotent(running)) return this.#endUnknown(running, detail);
+    this.#closer.cancelSent(running);
+    const appended = this.#closer.appendLost(running);
+    if (
+      appended.isOk() && this.#canTryAgain(running) && this.#canPay(running)
+    ) {
+      return this.#startAgain(running);
+    }
+    this.#endFailed(running, createFailure("TargetBroken", detail), 0);
+  }
+
+  /** A non-idempotent attempt may have run: that is stored, with its price. */
+  #endUnknown(running: RunningCall, detail: string): void {
+    const { code } = createFailure("OutcomeUnknown", detail);
+    this.#end(running, {
+      status: "unknown",
+      code,
+      detail,
+      chargeMicros: running.state.reservedMicros,
+      agreementRevision: this.#context.options.getConfiguration().revision,
+    });
+  }
+
+  #endCompleted(running: RunningCall, text: string, usage: Usage): void {
+    const { attempt, state } = running;
+    if (attempt === undefined) return;
+    if (!text.startsWith(running.text)) {
+      return this.#handleBroken(running, "the answer differs from its stream");
+    }
+    const configuration = this.#context.options.getConfiguration();
+    const cost = computeCost(state.call, usage, configuration.prices);
+    const used = state.lostChargedMicros +
+      Math.min(cost, state.reservedMicros);
+    this.#closer.recordCached(running, attempt, usage);
+    this.#closer.releaseSlot(running, "completed");
+    this.#end(running, {
+      status: "completed",
+      attemptId: attempt.attemptId,
+      targetId: attempt.targetId,
+      text,
+      usage,
+      chargeMicros: used,
+      agreementRevision: configuration.revision,
+      digest: computeDigest(text),
+    });
+  }
+
+  #endFailed(running: RunningCall, failure: Failure, lostMicros: number): void {
+    const outcome: FailedOutcome = {
+      status: "failed",
+      code: failure.code,
+      detail: failure.detail,
+      chargeMicros: running.state.lostChargedMicros + lostMicros,
+      agreementRevision: this.#context.options.getConfiguration().revision,
+    };
+    this.#end(running, outcome);
+  }
+
+  #end(running: RunningCall, outcome: CallOutcome): void {
+    const { callId } = running.state;
+    const { programId } = running.spec;
+    const endedAtMs = this.#context.options.getWallClockMs();
+    running.phase = "ending";
+    running.pendingOutcome = undefined;
+    const appended = this.#context.append([{
+      kind: "call_ended",
+      programId,
+      callId,
+      outcome,
+      endedAtMs,
+      serviceMs: this.#computeService(running),
+    }], () => this.#hooks.finish(running));
+    if (appended.isErr()) {
+      return this.#setPendingOutcome(running, outcome, appended.error);
+    }
+    this.#context.log("CallEnded", { callId, status: outcome.status });
+  }
+
+  /** Keeps the outcome until there's space; a text too large fails. */
+  #setPendingOutcome(
+    running: RunningCall,
+    outcome: CallOutcome,
+    failure: Failure,
+  ): void {
+    const isTooLarge = outcome.status === "completed" &&
+      failure.code === RESULT_CODES.EntryTooLarge.code;
+    running.pendingOutcome = isTooLarge
+      ? buildTooLarge(outcome, failure)
+      : outcome;
+  }
+
+  #startAgain(running: RunningCall): void {
+    const { attempt, state } = running;
+    if (attempt !== undefined) running.excluded.push(attempt.targetId);
+    this.#context.log("CallRetried", {
+      callId: state.callId,
+      attempts: running.attemptsBegun,
+    });
+    this.#setQueued(running, 0);
+  }
+
+  #setQueued(running: RunningCall, delayMs: number): void {
+    running.attempt = undefined;
+    running.phase = "queued";
+    running.notBeforeMs = this.#context.nowMs + delayMs;
+    this.#hooks.requeue(running);
+  }
+
+  #canTryAgain(running: RunningCall): boolean {
+    const { maxAttempts } = this.#context.options.limits;
+    if (running.attemptsSent >= maxAttempts) return false;
+    const { programId } = running.spec;
+    const program = this.#context.state.programs.get(programId);
+    return program !== undefined && program.endReason === undefined;
+  }
+
+  /** Whether the budget covers the lost attempt beside the reservation. */
+  #canPay(running: RunningCall): boolean {
+    const { programId } = running.spec;
+    const program = this.#context.state.programs.get(programId);
+    if (program === undefined) return false;
+    return computeRest(program) >= running.state.reservedMicros;
+  }
+
+  #computeService(running: RunningCall): number {
+    const { attempt } = running;
+    if (attempt === undefined || running.state.attempts.length === 0) return 0;
+    return Math.round(this.#context.nowMs - attempt.sentAtMs);
+  }
+
+  #logEnd(running: RunningCall, event: EndEvent): void {
+    this.#context.log("AttemptEnded", {
+      attemptId: running.attempt?.attemptId,
+      targetId: running.attempt?.targetId,
+      result: event.kind,
+    });
+  }
+}
+
+/** Builds the outcome of a call whose answer no ledger entry can hold. */
+function buildTooLarge(
+  outcome: CompletedOutcome,
+  failure: Failure,
+): FailedOutcome {
+  const { chargeMicros, agreementRevision } = outcome;
+  const { code, detail } = failure;
+  return { status: "failed", code, detail, chargeMicros, agreementRevision };
+}
