--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -194,15 +194,8 @@
     true,
     "The owner went silent; retry with the same key.",
   ),
-  EntryTooLarge: defineCode(
-    5301,
-    "EntryTooLarge",
-    413,
-    false,
-    "An entry is larger than a ledger segment may be.",
-  ),
   SegmentUnreadable: defineCode(
-    5302,
+    5301,
     "SegmentUnreadable",
     500,
     false,
--- a/packages/scheduler/src/ledger/keeper.ts
+++ b/packages/scheduler/src/ledger/keeper.ts
@@ -74,7 +74,7 @@
   handle(from: VmId, message: KeeperMessage): Effect[] {
     switch (message.kind) {
       case "keep_entries":
-        return [createSend(from, this.#keepEntries(message))];
+        return [createSend(from, this.#addEntries(message))];
       case "seal_keeper":
         return [createSend(from, this.#closeShard(message))];
       case "entries_kept":
@@ -86,7 +86,7 @@
     }
   }
 
-  #keepEntries(message: KeepMessage): KeeperMessage {
+  #addEntries(message: KeepMessage): KeeperMessage {
     const sealedEpoch = this.#shards.get(message.shard)?.sealedEpoch ?? 0;
     if (message.epoch < sealedEpoch) return createRefusal(message, sealedEpoch);
     if (message.keeperIncarnation !== this.#options.incarnation) {
@@ -97,7 +97,7 @@
       shard.durableThrough,
       message.durableThrough,
     );
-    this.#dropStored(shard, message.storedThrough);
+    this.#removeStored(shard, message.storedThrough);
     for (const entry of message.entries) this.#addEntry(shard, entry);
     return this.#createAck(message, shard.keptThrough);
   }
@@ -112,7 +112,7 @@
     return opened;
   }
 
-  #dropStored(shard: KeptShard, storedThrough: number): void {
+  #removeStored(shard: KeptShard, storedThrough: number): void {
     if (storedThrough <= shard.storedThrough) return;
     const count = storedThrough - shard.storedThrough;
     this.#bytes -= sumBytes(shard.entries.splice(0, count));
--- a/packages/scheduler/src/ledger/ledger_types.ts
+++ b/packages/scheduler/src/ledger/ledger_types.ts
@@ -1,14 +1,19 @@
 /**
- * Limits, inputs and notices of a shard's ledger.
+ * Options, limits, inputs and notices of a shard's ledger.
  */
 import type {
   Effect,
   Epoch,
+  FailureDomain,
   KeeperMessage,
   PlatformAnswer,
   PlatformToken,
+  ShardId,
   VmId,
 } from "@camphorlock/types";
+import type { KeeperProcess } from "./segment.ts";
+import type { LogExtent } from "./segment_index.ts";
+import type { WritePacer } from "./write_pacer.ts";
 
 /** Bounds and periods of one shard's ledger. */
 export interface LedgerLimits {
@@ -87,3 +92,44 @@
   readonly effects: readonly Effect[];
   readonly notices: readonly LedgerNotice[];
 }
+
+/** Where an owner goes on in a shard's log. A recovery gives it. */
+export interface LedgerStart {
+  readonly keepers: readonly KeeperProcess[];
+  /** The sequence of the first entry to be appended. */
+  readonly firstSequence: number;
+  readonly nextSegment: number;
+  /** Segments that no snapshot covers yet. */
+  readonly extents: readonly LogExtent[];
+}
+
+/** The options of a shard's ledger. */
+export interface ShardLedgerOptions extends LedgerStart {
+  readonly self: VmId;
+  readonly shard: ShardId;
+  readonly epoch: Epoch;
+  readonly failureDomainOf: (vmId: VmId) => FailureDomain;
+  readonly limits: LedgerLimits;
+  readonly pacer: WritePacer;
+}
+
+/** What an append gave. */
+export interface AppendStep {
+  /** The sequence of the last entry. */
+  readonly sequence: number;
+  readonly effects: readonly Effect[];
+}
+
+/** A question whether the epoch holds. */
+export interface ConfirmStep {
+  /** The notice `confirmed` repeats it. */
+  readonly token: number;
+  readonly effects: readonly Effect[];
+}
+
+/** The owner's encoded state after an entry. */
+export interface SnapshotContent {
+  readonly throughSequence: number;
+  /** Each below 1 MB. */
+  readonly parts: readonly Uint8Array[];
+}
--- a/packages/scheduler/src/ledger/recovery_types.ts
+++ b/packages/scheduler/src/ledger/recovery_types.ts
@@ -9,8 +9,7 @@
   ShardId,
   VmId,
 } from "@camphorlock/types";
-import type { LedgerInput, LedgerLimits } from "./ledger_types.ts";
-import type { LedgerStart } from "./shard_ledger.ts";
+import type { LedgerInput, LedgerLimits, LedgerStart } from "./ledger_types.ts";
 
 /** The options of a recovery. */
 export interface ShardRecoveryOptions {
--- a/packages/scheduler/src/ledger/recovery_writer.ts
+++ b/packages/scheduler/src/ledger/recovery_writer.ts
@@ -101,7 +101,7 @@
   startTail(tail: readonly LedgerEntry[], start: TailStart): void {
     const { epoch } = this.#options;
     const open: OpenRecord = { epoch, keepers: start.keepers };
-    this.#planned = this.#planTail(tail, open);
+    this.#planned = this.#splitTail(tail, open);
     this.#throughSequence = start.storedThrough;
     this.#startPlanned();
   }
@@ -113,7 +113,7 @@
 
   /** Treats a request without an answer as lost. */
   checkTimeout(nowMs: number): void {
-    if (this.#writer.checkTimeout(nowMs)) this.#pause(nowMs);
+    if (this.#writer.checkTimeout(nowMs)) this.#setPause(nowMs);
   }
 
   /** Sends the request that is needed, unless a pause is on. */
@@ -124,7 +124,7 @@
 
   /** Applies the answer to the request under way. */
   handle(answer: PlatformAnswer, nowMs: number): WriterNews {
-    if (answer.kind === "failed") this.#pause(nowMs);
+    if (answer.kind === "failed") this.#setPause(nowMs);
     else this.#pauseMs = 0;
     const outcome = this.#writer.handle(answer);
     if (outcome === undefined) return { kind: "pending" };
@@ -150,7 +150,7 @@
   }
 
   /** Splits the tail; there's always a last segment, which opens the log. */
-  #planTail(tail: readonly LedgerEntry[], open: OpenRecord): PlannedSegment[] {
+  #splitTail(tail: readonly LedgerEntry[], open: OpenRecord): PlannedSegment[] {
     const { epoch, limits } = this.#options;
     const groups = splitEntries(tail, limits.segmentBytes);
     return groups.map((entries, index) => {
@@ -166,7 +166,7 @@
     if (next !== undefined) this.#writer.start(next);
   }
 
-  #pause(nowMs: number): void {
+  #setPause(nowMs: number): void {
     const doubled = Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2);
     this.#pauseMs = Math.min(LONGEST_PAUSE_MS, doubled);
     this.#pausedUntilMs = nowMs + this.#pauseMs;
--- a/packages/scheduler/src/ledger/shard_ledger.ts
+++ b/packages/scheduler/src/ledger/shard_ledger.ts
@@ -13,74 +13,34 @@
   type Effect,
   type EntryBody,
   type Epoch,
-  type FailureDomain,
   type KeeperMessage,
-  type ShardId,
   type VmId,
 } from "@camphorlock/types";
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
+import { createEntries } from "./create_entries.ts";
+import { EpochQuestions } from "./epoch_questions.ts";
 import { KeeperGroup } from "./keeper_group.ts";
 import type {
+  AppendStep,
+  ConfirmStep,
   LedgerInput,
-  LedgerLimits,
   LedgerNotice,
   LedgerStep,
+  ShardLedgerOptions,
+  SnapshotContent,
 } from "./ledger_types.ts";
 import {
   type CommitDemand,
   type CommitNews,
   LogCommitter,
-  type SnapshotContent,
 } from "./log_committer.ts";
-import { encodeEntry, type KeeperProcess } from "./segment.ts";
-import type { LogExtent } from "./segment_index.ts";
 import { type EncodedEntry, UnstoredEntries } from "./unstored_entries.ts";
-import type { WritePacer, WriteUrgency } from "./write_pacer.ts";
-
-/** Where an owner goes on in a shard's log. A recovery gives it. */
-export interface LedgerStart {
-  readonly keepers: readonly KeeperProcess[];
-  /** The sequence of the first entry to be appended. */
-  readonly firstSequence: number;
-  readonly nextSegment: number;
-  /** Segments that no snapshot covers yet. */
-  readonly extents: readonly LogExtent[];
-}
-
-/** The options of a shard's ledger. */
-export interface ShardLedgerOptions extends LedgerStart {
-  readonly self: VmId;
-  readonly shard: ShardId;
-  readonly epoch: Epoch;
-  readonly failureDomainOf: (vmId: VmId) => FailureDomain;
-  readonly limits: LedgerLimits;
-  readonly pacer: WritePacer;
-}
-
-/** What an append gave. */
-export interface AppendStep {
-  /** The sequence of the last entry. */
-  readonly sequence: number;
-  readonly effects: readonly Effect[];
-}
-
-/** A question whether the epoch holds. */
-export interface ConfirmStep {
-  /** The notice `confirmed` repeats it. */
-  readonly token: number;
-  readonly effects: readonly Effect[];
-}
-
-interface Question {
-  readonly token: number;
-  readonly askedAtMs: number;
-}
+import type { WriteUrgency } from "./write_pacer.ts";
 
 type LedgerState = "serving" | "closing" | "closed" | "superseded";
 
 /** Questions wait this long for keepers before the platform is asked. */
 const CONFIRM_BY_KEEPERS_MS = 250;
-const RETRY_WHEN_FULL_MS = 1_000;
 
 /** The durable log of one owned shard. */
 export class ShardLedger {
@@ -90,7 +50,7 @@
   readonly #unstored: UnstoredEntries;
   #state: LedgerState = "serving";
   #durableThrough: number;
-  #questions: Question[] = [];
+  readonly #questions = new EpochQuestions();
   /** Token of the moment when the last stored segment was begun. */
   #storedToken = 0;
 
@@ -151,12 +111,11 @@
       const detail = `shard ${this.#options.shard} is served elsewhere`;
       return err(createFailure("OwnerSuperseded", detail));
     }
-    const entries = this.#encodeBodies(bodies);
-    const refusal = this.#checkSpace(entries);
-    if (refusal !== undefined) return err(refusal);
-    for (const entry of entries) this.#unstored.append(entry);
-    const effects = this.#sendDue(nowMs);
-    return ok({ sequence: this.#unstored.lastSequence, effects });
+    return this.#createEntries(bodies).map((entries) => {
+      for (const entry of entries) this.#unstored.append(entry);
+      const effects = this.#sendDue(nowMs);
+      return { sequence: this.#unstored.lastSequence, effects };
+    });
   }
 
   /**
@@ -167,7 +126,7 @@
   confirm(nowMs: number): ConfirmStep {
     const token = this.#keepers.takeToken();
     if (!this.isServing) return { token, effects: [] };
-    this.#questions.push({ token, askedAtMs: nowMs });
+    this.#questions.add({ token, askedAtMs: nowMs });
     return { token, effects: this.#sendDue(nowMs) };
   }
 
@@ -181,7 +140,7 @@
   close(nowMs: number): readonly Effect[] {
     if (!this.isServing) return [];
     this.#state = "closing";
-    this.#questions = [];
+    this.#questions.removeAll();
     return this.#sendDue(nowMs);
   }
 
@@ -190,7 +149,7 @@
     if (this.#isOver) return { effects: [], notices: [] };
     const notices = this.#applyInput(input, nowMs);
     if (this.#isOver) return { effects: this.#logEnd(notices), notices };
-    const reports = this.#collectReports();
+    const reports = this.#listReports();
     const effects = this.#sendDue(nowMs);
     return { effects, notices: [...notices, ...reports] };
   }
@@ -245,24 +204,24 @@
     if (role !== "close") return [];
     this.#state = "closed";
     this.#committer.stop();
-    const reports = this.#collectReports();
+    const reports = this.#listReports();
     return [...reports, { kind: "closed" }];
   }
 
   #endSuperseded(epoch: Epoch): LedgerNotice[] {
     this.#state = "superseded";
-    this.#questions = [];
+    this.#questions.removeAll();
     this.#committer.stop();
     return [{ kind: "superseded", epoch }];
   }
 
-  #collectReports(): LedgerNotice[] {
-    const durable = this.#reportDurable();
+  #listReports(): LedgerNotice[] {
+    const durable = this.#updateDurable();
     return [...durable, ...this.#settleQuestions()];
   }
 
   /** A successor doesn't ask the keepers once it finds the log closed. */
-  #reportDurable(): LedgerNotice[] {
+  #updateDurable(): LedgerNotice[] {
     const isByKeepers = !this.#committer.hasBegunClose;
     const kept = isByKeepers ? this.#keepers.keptThrough : 0;
     const through = Math.max(this.#unstored.storedThrough, kept);
@@ -274,11 +233,9 @@
   /** Settles the questions put before what keepers or platform answered. */
   #settleQuestions(): LedgerNotice[] {
     const { confirmedToken } = this.#keepers;
-    const settled = Math.max(confirmedToken, this.#storedToken);
-    const answered = this.#questions.filter((each) => each.token < settled);
-    if (answered.length === 0) return [];
-    this.#questions = this.#questions.slice(answered.length);
-    return answered.map(({ token }) => ({ kind: "confirmed", token }));
+    const settledToken = Math.max(confirmedToken, this.#storedToken);
+    const tokens = this.#questions.takeBefore(settledToken);
+    return tokens.map((token) => ({ kind: "confirmed", token }));
   }
 
   #sendDue(nowMs: number): Effect[] {
@@ -286,7 +243,7 @@
     const source = {
       unstored: this.#unstored,
       durableThrough: this.#durableThrough,
-      askedToken: this.#questions.at(-1)?.token ?? 0,
+      askedToken: this.#questions.newestToken,
     };
     const messages = this.#keepers.sendDue(source, nowMs);
     const requests = this.#committer.sendDue(this.#createDemand(nowMs), nowMs);
@@ -306,7 +263,7 @@
   #chooseUrgency(nowMs: number): WriteUrgency | "none" {
     if (this.#state === "closing") return "urgent";
     const { hasPair } = this.#keepers;
-    const askedAtMs = this.#questions[0]?.askedAtMs ?? Infinity;
+    const { askedAtMs } = this.#questions;
     const isAsked = askedAtMs < Infinity;
     if (nowMs - askedAtMs >= CONFIRM_BY_KEEPERS_MS) return "urgent";
     const isWaiting = isAsked || this.lastSequence > this.#durableThrough;
@@ -317,26 +274,13 @@
     return hasNews ? "regular" : "none";
   }
 
-  #encodeBodies(bodies: readonly EntryBody[]): EncodedEntry[] {
-    const { shard, epoch } = this.#options;
-    const last = this.#unstored.lastSequence;
-    return bodies.map((body, index) => {
-      const entry = { shard, epoch, sequence: last + index + 1, body };
-      return { entry, value: encodeEntry(entry) };
-    });
-  }
-
-  #checkSpace(entries: readonly EncodedEntry[]): Failure | undefined {
-    const { limits, shard } = this.#options;
-    const largest = Math.max(0, ...entries.map((each) => each.value.length));
-    if (largest > limits.segmentBytes) {
-      const detail = `${largest} of ${limits.segmentBytes} bytes`;
-      return createFailure("EntryTooLarge", detail);
-    }
-    const added = entries.reduce((sum, each) => sum + each.value.length, 0);
-    if (this.#unstored.bytes + added <= limits.unstoredBytes) return undefined;
-    const detail = `shard ${shard} holds ${this.#unstored.bytes} bytes`;
-    return createFailure("LedgerFull", detail, RETRY_WHEN_FULL_MS);
+  #createEntries(
+    bodies: readonly EntryBody[],
+  ): Result<readonly EncodedEntry[], Failure> {
+    const { shard, epoch, limits } = this.#options;
+    const { bytes, lastSequence } = this.#unstored;
+    const position = { shard, epoch, afterSequence: lastSequence };
+    return createEntries(bodies, { ...position, limits, heldBytes: bytes });
   }
 
   #logEnd(notices: readonly LedgerNotice[]): Effect[] {
--- a/packages/scheduler/src/ledger/shard_recovery.ts
+++ b/packages/scheduler/src/ledger/shard_recovery.ts
@@ -17,6 +17,7 @@
   type VmId,
 } from "@camphorlock/types";
 import { KeeperSeals } from "./keeper_seals.ts";
+import type { LedgerStart } from "./ledger_types.ts";
 import { createRecoveryRecord } from "./recovery_log.ts";
 import { type ReaderNews, RecoveryReader } from "./recovery_reader.ts";
 import type {
@@ -27,7 +28,6 @@
 } from "./recovery_types.ts";
 import { RecoveryWriter, type WriterNews } from "./recovery_writer.ts";
 import type { KeeperProcess } from "./segment.ts";
-import type { LedgerStart } from "./shard_ledger.ts";
 
 type Phase =
   | "reading"
@@ -124,7 +124,7 @@
       case "reading":
         return [];
       case "end_reached":
-        return this.#sealLog(news.version, nowMs);
+        return this.#closeLog(news.version, nowMs);
       case "snapshot_read":
         this.#hasParts = true;
         return [];
@@ -146,7 +146,7 @@
         return this.#applyTaken(news.epoch);
       case "sealed":
         this.#reader.log.append(news.segment);
-        this.#sealKeepers(nowMs);
+        this.#closeKeepers(nowMs);
         return [];
       case "opened":
         return this.#endRecovered(news.extents);
@@ -163,11 +163,11 @@
     return [];
   }
 
-  #sealLog(version: number, nowMs: number): RecoveryNotice[] {
+  #closeLog(version: number, nowMs: number): RecoveryNotice[] {
     const { log } = this.#reader;
     this.#writer.setPosition(log.nextSegment, version);
     if (log.sealedBy === this.#options.epoch) {
-      this.#sealKeepers(nowMs);
+      this.#closeKeepers(nowMs);
       return [];
     }
     this.#phase = "sealing_log";
@@ -175,7 +175,7 @@
     return this.#checkRing(1);
   }
 
-  #sealKeepers(nowMs: number): void {
+  #closeKeepers(nowMs: number): void {
     const { shard, epoch, keepers, limits } = this.#options;
     const { log } = this.#reader;
     this.#phase = "sealing_keepers";
@@ -207,7 +207,7 @@
       case "fenced":
         return this.#checkExposure(seals, waitedMs);
       case "unproved":
-        return this.#reportWaiting(seals, waitedMs);
+        return this.#checkWaiting(seals, waitedMs);
       default:
         return checkNever(seals.verdict);
     }
@@ -217,12 +217,12 @@
     const { missing } = seals;
     const isOver = missing.length === 0 ||
       waitedMs >= this.#options.exposeAfterMs;
-    if (!isOver) return this.#reportWaiting(seals, waitedMs);
+    if (!isOver) return this.#checkWaiting(seals, waitedMs);
     this.#isExposed = true;
     return [{ kind: "exposed", missing }, ...this.#writeTail(seals)];
   }
 
-  #reportWaiting(seals: KeeperSeals, waitedMs: number): RecoveryNotice[] {
+  #checkWaiting(seals: KeeperSeals, waitedMs: number): RecoveryNotice[] {
     if (this.#hasReported || waitedMs < REPORT_WAITING_AFTER_MS) return [];
     this.#hasReported = true;
     return [{ kind: "waiting", missing: seals.missing }];
