--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -194,6 +194,13 @@
     true,
     "The owner went silent; retry with the same key.",
   ),
+  EntryTooLarge: defineCode(
+    5005,
+    "EntryTooLarge",
+    413,
+    false,
+    "A call or answer is too large for one ledger entry.",
+  ),
   SegmentUnreadable: defineCode(
     5301,
     "SegmentUnreadable",
