Run nodes as processes with their edges, and a development command

The decisions met no edge yet. Wires them to gRPC between nodes, HTTP towards callers, engines, services and the platform, and adds the command line: serve, dev, check-settings, operate.

--- a/packages/callers/src/schema.ts
+++ b/packages/callers/src/schema.ts
@@ -43,7 +43,7 @@
   kind: z.literal("service"),
   service: name,
   operation: name,
-  body: z.unknown(),
+  body: z.unknown().optional(),
   idempotent: z.boolean().default(false),
   stream: z.boolean().default(false),
 });
--- /dev/null
+++ b/packages/camphorlock/src/cli/dev/free_ports.ts
@@ -0,0 +1,27 @@
+/**
+ * Finds ports on loopback that nothing listens on.
+ */
+import { createServer } from "node:net";
+
+const HOST = "127.0.0.1";
+const LAST_PORT = 65_535;
+
+/** Finds free ports from a first one on. */
+export async function findFreePorts(
+  first: number,
+  count: number,
+): Promise<number[]> {
+  const ports: number[] = [];
+  for (let port = first; port <= LAST_PORT && ports.length < count; port++) {
+    if (await isFree(port)) ports.push(port);
+  }
+  return ports;
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, HOST, () => server.close(() => resolve(true)));
+  });
+}
--- /dev/null
+++ b/packages/camphorlock/src/cli/operate/command.ts
@@ -0,0 +1,65 @@
+/**
+ * `camphorlock operate`: runs a statement of the operator language at a node.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import type { Command } from "commander";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { request } from "undici";
+import { printFailure } from "../exit_codes.ts";
+
+interface OperateOptions {
+  readonly node: string;
+  readonly by: string;
+  readonly json?: boolean;
+}
+
+interface OperateBody {
+  readonly text: string;
+  readonly data: unknown;
+}
+
+interface FailureBody {
+  readonly error: Failure;
+}
+
+/** Defines the command. */
+export function defineOperate(program: Command): void {
+  program.command("operate")
+    .description("runs a statement of the operator language")
+    .argument("<statement...>", "for instance: show nodes")
+    .option("--node <host:port>", "the node to ask", "127.0.0.1:7400")
+    .option("--by <partner/operator>", "who asks", "zincir/operator")
+    .option("--json", "prints the answer's data")
+    .action(async (words: string[], options: OperateOptions) => {
+      const answer = await sendStatement(words.join(" "), options);
+      if (answer.isErr()) {
+        const isRefused = answer.error.name !== "PlatformUnavailable";
+        return printFailure(answer.error, isRefused ? "failed" : "unreachable");
+      }
+      const { text, data } = answer.value;
+      console.log(options.json === true ? JSON.stringify(data) : text);
+    });
+}
+
+function sendStatement(
+  statement: string,
+  options: OperateOptions,
+): ResultAsync<OperateBody, Failure> {
+  const sent = request(`http://${options.node}/v1/operate`, {
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({ statement, by: options.by }),
+  });
+  return ResultAsync.fromPromise(sent, createUnreachable)
+    .andThen(({ statusCode, body }) =>
+      ResultAsync.fromPromise(body.json(), createUnreachable)
+        .andThen((json) => {
+          if (statusCode === 200) return okAsync(json as OperateBody);
+          return errAsync((json as FailureBody).error);
+        })
+    );
+}
+
+function createUnreachable(error: unknown): Failure {
+  return createFailure("PlatformUnavailable", String(error));
+}
--- /dev/null
+++ b/packages/camphorlock/src/node/node_limits.ts
@@ -0,0 +1,29 @@
+/**
+ * Maps checked settings to the limits of a node's roles.
+ */
+import type { NodeLimits } from "@camphorlock/scheduler";
+import type { NodeSettings } from "../settings/schema.ts";
+
+/** Builds the limits that the settings ask for; the rest are defaults. */
+export function buildLimits(
+  settings: NodeSettings,
+  defaults: NodeLimits,
+): NodeLimits {
+  const { calls, installation, platform } = settings;
+  return {
+    ...defaults,
+    entry: { ...defaults.entry, giveUpMs: calls.give_up_ms },
+    owner: {
+      ...defaults.owner,
+      maxCallsOfProgram: calls.max_calls_of_program,
+      maxAttempts: calls.max_attempts,
+      placeTimeoutMs: calls.place_timeout_ms,
+      progressTimeoutMs: calls.progress_timeout_ms,
+    },
+    assignment: {
+      ...defaults.assignment,
+      shardCount: installation.shard_count,
+    },
+    writesPerSecond: platform.writes_per_second,
+  };
+}
--- /dev/null
+++ b/packages/camphorlock/src/node/node_process.ts
@@ -0,0 +1,293 @@
+/**
+ * One node as a process: wires its decisions to its edges, and starts and
+ * stops them.
+ */
+import {
+  createCallerApp,
+  type RunningServer,
+  serveApp,
+} from "@camphorlock/callers";
+import { EVENTS, type Failure } from "@camphorlock/codes";
+import { Engines } from "@camphorlock/engines";
+import { PeerNetwork, type PeerSecurity } from "@camphorlock/nodes";
+import { PlatformClient, VmListClient } from "@camphorlock/platform";
+import {
+  DEFAULT_NODE_LIMITS,
+  NodeCore,
+  type NodeInput,
+  type NodeNotice,
+  type NodeOptions,
+} from "@camphorlock/scheduler";
+import { Services } from "@camphorlock/services";
+import type { NodeSpec } from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import { randomBytes } from "node:crypto";
+import { LogWriter } from "../logs/log_writer.ts";
+import { Metrics } from "../metrics/metrics.ts";
+import type { NodeSettings } from "../settings/schema.ts";
+import { AttemptBook } from "./attempt_book.ts";
+import { CallerGateway } from "./caller_gateway.ts";
+import { EffectRunner } from "./effect_runner.ts";
+import { buildLimits } from "./node_limits.ts";
+import { Operations } from "./operations.ts";
+
+const TICK_MS = 50;
+const VM_LIST_MS = 2_000;
+const DRAIN_POLL_MS = 50;
+const SEED_BYTES = 4;
+
+/** What a process is started with besides its settings. */
+export interface NodeProcessOptions {
+  readonly settings: NodeSettings;
+  readonly initial?: NodeOptions["initial"];
+  readonly logs?: LogWriter;
+}
+
+/** A running node. */
+export class NodeProcess {
+  readonly core: NodeCore;
+  readonly metrics = new Metrics();
+  readonly #settings: NodeSettings;
+  readonly #spec: NodeSpec;
+  readonly #logs: LogWriter;
+  readonly #network: PeerNetwork;
+  readonly #platform: PlatformClient;
+  readonly #vmList: VmListClient;
+  readonly #engines = new Engines();
+  readonly #services = new Services();
+  readonly #attempts: AttemptBook;
+  readonly #runner: EffectRunner;
+  readonly #gateway: CallerGateway;
+  readonly #operations: Operations;
+  readonly #timers: NodeJS.Timeout[] = [];
+  #server: RunningServer | undefined;
+  #isHandedOver = false;
+
+  constructor(options: NodeProcessOptions) {
+    const { settings, initial } = options;
+    this.#settings = settings;
+    this.#spec = buildSpec(settings);
+    this.#logs = options.logs ?? createLogs(settings);
+    this.core = new NodeCore({
+      spec: this.#spec,
+      seed: randomBytes(SEED_BYTES).readUInt32LE(),
+      limits: buildLimits(settings, DEFAULT_NODE_LIMITS),
+      getWallClockMs: () => Date.now(),
+      ...(initial === undefined ? {} : { initial }),
+    });
+    this.#network = this.#createNetwork();
+    this.#platform = new PlatformClient({
+      baseUrl: settings.platform.base_url,
+      readsPerSecond: settings.platform.calls_per_second,
+    });
+    this.#vmList = new VmListClient({ baseUrl: settings.platform.base_url });
+    this.#attempts = new AttemptBook({
+      engines: this.#engines,
+      services: this.#services,
+      report: (attemptId, event) =>
+        this.#handle({ kind: "attempt", attemptId, event }),
+    });
+    this.#operations = this.#createOperations();
+    this.#gateway = this.#createGateway();
+    this.#runner = this.#createRunner();
+  }
+
+  /** The address that callers reach the node at, once it has started. */
+  get callerAddress(): string {
+    const { host, port } = this.#server?.address ?? { host: "", port: 0 };
+    return `${host}:${port}`;
+  }
+
+  /** Listens for peers and callers and starts the timers. */
+  async start(): Promise<Result<void, Failure>> {
+    const peers = await this.#network.start();
+    if (peers.isErr()) return err(peers.error);
+    const { host, caller_port: port } = this.#settings.listen;
+    const app = createCallerApp(this.#gateway);
+    const server = await serveApp(app, { host, port });
+    if (server.isErr()) return err(server.error);
+    this.#server = server.value;
+    this.#startTimers();
+    this.#log("NodeStarted");
+    return ok(undefined);
+  }
+
+  /**
+   * Stops as planned: takes nothing new, hands the shards over, lets open
+   * requests end, then closes.
+   */
+  async stop(limitMs: number): Promise<void> {
+    this.#log("NodeStopping");
+    this.#handle({ kind: "stop" });
+    const untilMs = performance.now() + limitMs;
+    while (!this.#isDrained() && performance.now() < untilMs) {
+      await waitFor(DRAIN_POLL_MS);
+    }
+    await this.close();
+    this.#log("NodeStopped");
+  }
+
+  /** Closes every connection at once. */
+  async close(): Promise<void> {
+    for (const timer of this.#timers) clearInterval(timer);
+    await this.#server?.stop();
+    await this.#network.stop();
+    await this.#engines.close();
+    await this.#services.close();
+    await this.#platform.close();
+    await this.#vmList.close();
+  }
+
+  #isDrained(): boolean {
+    return this.#isHandedOver && this.core.openRequests === 0 &&
+      this.#attempts.count === 0;
+  }
+
+  #handle(input: NodeInput): void {
+    const startedAtMs = performance.now();
+    const step = this.core.handle(input, startedAtMs);
+    for (const effect of step.effects) this.#runner.run(effect);
+    for (const notice of step.notices) this.#handleNotice(notice);
+    this.metrics.record("node_step", performance.now() - startedAtMs);
+  }
+
+  #handleNotice(notice: NodeNotice): void {
+    this.#operations.waiters.handle(notice);
+    if (notice.kind === "handed_over") this.#isHandedOver = true;
+    if (notice.kind !== "in_force") return;
+    this.#engines.setTargets(notice.value.targets);
+    this.#services.setTargets(notice.value.targets);
+  }
+
+  #startTimers(): void {
+    const tick = (): void => this.#handle({ kind: "tick" });
+    this.#timers.push(setInterval(tick, TICK_MS));
+    const readList = (): void => void this.#readVmList();
+    this.#timers.push(setInterval(readList, VM_LIST_MS));
+    readList();
+  }
+
+  async #readVmList(): Promise<void> {
+    const listed = await this.#vmList.list();
+    if (listed.isErr()) return;
+    const vms = listed.value.map(({ address, ...rest }) => ({
+      ...rest,
+      peerAddress: address,
+    }));
+    this.#handle({ kind: "vm_list", vms });
+  }
+
+  #createNetwork(): PeerNetwork {
+    const { host, peer_port: port } = this.#settings.listen;
+    return new PeerNetwork({
+      self: this.#spec,
+      listenAddress: `${host}:${port}`,
+      security: buildSecurity(this.#settings),
+      log: (record) => this.#logs.write(record),
+      onMessage: (from, message) => {
+        this.metrics.add("peer_messages_received");
+        this.#handle({ kind: "peer", from, message });
+      },
+    });
+  }
+
+  #createGateway(): CallerGateway {
+    return new CallerGateway({
+      core: this.core,
+      shardCount: this.#settings.installation.shard_count,
+      processName: this.#formatProcess(),
+      metrics: this.metrics,
+      handle: (input) => this.#handle(input),
+      operate: (request) => this.#operations.run(request),
+    });
+  }
+
+  #createOperations(): Operations {
+    return new Operations({
+      core: this.core,
+      processName: this.#formatProcess(),
+      handle: (input) => this.#handle(input),
+      stopProgram: (programId) => this.#stopProgram(programId),
+    });
+  }
+
+  #createRunner(): EffectRunner {
+    return new EffectRunner({
+      network: this.#network,
+      platform: this.#platform,
+      engines: this.#engines,
+      attempts: this.#attempts,
+      logs: this.#logs,
+      metrics: this.metrics,
+      findPeerAddress: (vmId) => this.core.findPeerAddress(vmId),
+      answerCaller: (requestId, answer) =>
+        this.#gateway.answer(requestId, answer),
+      handle: (input) => this.#handle(input),
+    });
+  }
+
+  #stopProgram(
+    programId: string,
+  ): ReturnType<Operations["run"]> {
+    return new Promise((resolve) => {
+      this.#gateway.runRequest({ kind: "end_program", programId }, {
+        mayBeRepeat: true,
+        onAnswer(answer): void {
+          if (answer.kind === "refused") {
+            const name = "ProgramUnknown";
+            resolve(err({ name, ...answer.failure }));
+          } else if (answer.kind === "program") {
+            const text = `program ${programId} ended`;
+            resolve(ok({ text, data: answer.program }));
+          }
+        },
+      });
+    });
+  }
+
+  #formatProcess(): string {
+    return `${this.#spec.vmId}-${this.#spec.incarnation.toString(36)}`;
+  }
+
+  #log(name: "NodeStarted" | "NodeStopping" | "NodeStopped"): void {
+    const { event } = EVENTS[name];
+    const { region, incarnation } = this.#spec;
+    const callers = this.callerAddress;
+    this.#logs.write({ event, fields: { region, incarnation, callers } });
+  }
+}
+
+function buildSpec(settings: NodeSettings): NodeSpec {
+  const { node, listen } = settings;
+  return {
+    vmId: node.vm,
+    incarnation: Date.now(),
+    region: node.region,
+    failureDomain: node.failure_domain,
+    peerAddress: `${listen.host}:${listen.peer_port}`,
+    callerAddress: `${listen.host}:${listen.caller_port}`,
+    hasDisk: false,
+  };
+}
+
+function createLogs(settings: NodeSettings): LogWriter {
+  const { level, format } = settings.log;
+  return new LogWriter({ vmId: settings.node.vm, level, format });
+}
+
+function buildSecurity(settings: NodeSettings): PeerSecurity {
+  const { peers } = settings;
+  if (peers.tls === undefined) return { kind: "plain" };
+  const { authority_file, certificate_file, key_file, server_name } = peers.tls;
+  return {
+    kind: "tls",
+    authority: { kind: "path", path: authority_file },
+    certificate: { kind: "path", path: certificate_file },
+    key: { kind: "path", path: key_file },
+    serverName: server_name,
+  };
+}
+
+function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/camphorlock/src/settings/schema.ts
+++ b/packages/camphorlock/src/settings/schema.ts
@@ -34,9 +34,14 @@
 const peersSection = z.strictObject({
   /** Addresses of other nodes, asked until the VM list is known. */
   seeds: z.array(address).default([]),
-  certificate_file: z.string().optional(),
-  key_file: z.string().optional(),
-  authority_file: z.string().optional(),
+  /** Mutual TLS between nodes; without it connections are in plain text. */
+  tls: z.strictObject({
+    authority_file: z.string(),
+    certificate_file: z.string(),
+    key_file: z.string(),
+    /** The DNS name in every node's certificate. */
+    server_name: z.string(),
+  }).optional(),
 });
 
 const installationSection = z.strictObject({
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -110,6 +110,13 @@
     return this.#configuration.value;
   }
 
+  /** Gets the configuration that was in force at an earlier revision. */
+  getConfigurationAsOf(
+    revision: Revision,
+  ): Result<ConfigurationValue, Failure> {
+    return this.#configuration.getValueAsOf(revision);
+  }
+
   /** Requests of callers that wait for their answers at this node. */
   get openRequests(): number {
     return this.#entry.openCount;
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -54,7 +54,7 @@
       case "rejected":
         return this.#handleRejected(running, event);
       case "not_sent":
-        return this.#handleNotRun(running, event.detail);
+        return this.#handleNotSent(running, event.detail);
       case "broken":
         return this.#handleBroken(running, event.detail);
       default:
@@ -132,13 +132,18 @@
   }
 
   /**
-   * Tries again what didn't reach its target. For an attempt of an earlier
-   * owner only the question about it failed: it counts as broken.
+   * Handles what didn't reach its target. For an attempt of an earlier owner
+   * only the question about it failed: it counts as broken.
    */
-  #handleNotRun(running: RunningCall, detail: string): void {
+  #handleNotSent(running: RunningCall, detail: string): void {
     if (running.attempt?.inherited === true) {
       return this.#handleBroken(running, detail);
     }
+    this.#handleNotRun(running, detail);
+  }
+
+  /** Tries again what its target says it didn't run and won't. */
+  #handleNotRun(running: RunningCall, detail: string): void {
     this.#closer.releaseSlot(running, "failed");
     if (this.#canTryAgain(running)) return this.#startAgain(running);
     this.endNotRun(running, createFailure("TargetBroken", detail));
