--- a/packages/standins/src/fleet/virtual_network.ts
+++ b/packages/standins/src/fleet/virtual_network.ts
@@ -61,6 +61,11 @@
     this.#cuts.add(`${from}>${to}`);
   }
 
+  /** Ends a cut. */
+  openLink(from: VmId, to: VmId): void {
+    this.#cuts.delete(`${from}>${to}`);
+  }
+
   /** Ends every cut. */
   openLinks(): void {
     this.#cuts.clear();
--- a/packages/standins/src/fleet/virtual_targets.ts
+++ b/packages/standins/src/fleet/virtual_targets.ts
@@ -51,6 +51,7 @@
 interface Stream {
   readonly run: TargetRun;
   readonly events: AttemptEvent[];
+  readonly progressTimeoutMs: number;
   listeners: EventListener[];
   isCancelled: boolean;
 }
@@ -88,7 +89,9 @@
     this.#clock.add(LINK_MS, () => {
       const stream = this.#streams.get(order.attemptId);
       const mode = this.#getMode(order.targetId);
-      if (mode === "silent") return this.#breakLater(order, listener);
+      if (mode === "silent") {
+        return this.#breakLater(order.progressTimeoutMs, listener);
+      }
       if (stream === undefined || mode !== "serving") {
         return listener({ kind: "broken", detail: "the attempt isn't known" });
       }
@@ -135,17 +138,22 @@
       atMs: this.#clock.nowMs,
     };
     this.runs.push(run);
-    const stream = {
+    const stream: Stream = {
       run,
       events: [],
       listeners: [listener],
+      progressTimeoutMs: order.progressTimeoutMs,
       isCancelled: false,
     };
     this.#streams.set(order.attemptId, stream);
     if (order.call.kind === "model") this.#addHeld(order);
-    if (mode === "silent") return this.#breakLater(order, listener);
+    if (mode === "silent") {
+      return this.#breakLater(order.progressTimeoutMs, listener);
+    }
     if (mode === "breaking") stream.listeners = [];
-    if (mode === "breaking") this.#breakLater(order, listener);
+    if (mode === "breaking") {
+      this.#breakLater(order.progressTimeoutMs, listener);
+    }
     if (order.call.kind === "model") this.#generate(order, stream);
     else this.#operate(order.call, stream);
   }
@@ -206,14 +214,24 @@
 
   #report(stream: Stream, event: AttemptEvent): void {
     if (stream.isCancelled) return;
-    if (this.#getMode(stream.run.targetId) === "silent") return;
     stream.events.push(event);
+    if (this.#getMode(stream.run.targetId) === "silent") {
+      return this.#closeSilently(stream);
+    }
     for (const listener of stream.listeners) listener(event);
   }
 
+  /** The stream stays silent, until its clients lose patience. */
+  #closeSilently(stream: Stream): void {
+    const listeners = stream.listeners.splice(0);
+    for (const listener of listeners) {
+      this.#breakLater(stream.progressTimeoutMs, listener);
+    }
+  }
+
   /** The client's progress timeout ends the attempt. */
-  #breakLater(order: AttemptOrder, listener: EventListener): void {
-    this.#clock.add(order.progressTimeoutMs, () => {
+  #breakLater(timeoutMs: number, listener: EventListener): void {
+    this.#clock.add(timeoutMs, () => {
       listener({ kind: "broken", detail: "no progress" });
     });
   }
--- /dev/null
+++ b/packages/standins/src/proof/main.ts
@@ -0,0 +1,39 @@
+/**
+ * Runs random fault schedules and prints every broken promise, with the
+ * command that repeats it.
+ */
+import { Command } from "commander";
+import { checkHistory } from "./check_history.ts";
+import { runSchedule } from "./run_schedule.ts";
+
+const program = new Command("schedules")
+  .option("--from <seed>", "the first seed", "1")
+  .option("--seeds <count>", "how many seeds", "100")
+  .option("--events", "prints the faults of each seed")
+  .action(runSeeds);
+
+function runSeeds(
+  options: {
+    readonly from: string;
+    readonly seeds: string;
+    readonly events?: boolean;
+  },
+): void {
+  const from = Number(options.from);
+  let broken = 0;
+  let calls = 0;
+  for (let seed = from; seed < from + Number(options.seeds); seed++) {
+    const { history, events } = runSchedule(seed);
+    calls += history.calls.length;
+    if (options.events === true) console.log(JSON.stringify(events));
+    const violations = checkHistory(history);
+    if (violations.length > 0) broken += 1;
+    for (const { check, detail } of violations) {
+      console.log(`seed ${seed}: ${check}: ${detail}`);
+    }
+  }
+  console.log(`${options.seeds} seeds, ${calls} calls, ${broken} broken`);
+  if (broken > 0) process.exitCode = 1;
+}
+
+await program.parseAsync();
