Add the engine model

The policy is measured against engines that batch continuously, admit in order of arrival and keep a limited prefix cache.

--- /dev/null
+++ b/packages/scheduler/src/random/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Seeded random values.
+ */
+export * from "./random_source.ts";
--- /dev/null
+++ b/packages/standins/src/engine/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The model of a model engine, free of I/O.
+ */
+export * from "./engine_model.ts";
+export * from "./engine_types.ts";
+export * from "./prefix_cache.ts";
