--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -1,4 +1,9 @@
 /**
- * The decisions of the scheduler: deterministic and free of I/O.
+ * The decisions of the scheduler, as deterministic state machines.
  */
+export * from "./src/agreement/mod.ts";
+export * from "./src/budget/mod.ts";
+export * from "./src/configuration/mod.ts";
+export * from "./src/node/mod.ts";
+export type { OwnerLimits } from "./src/owner/mod.ts";
 export * from "./src/random/mod.ts";
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -1,4 +1,28 @@
 /**
- * Small stand-ins for engines, services and the platform, and the benches.
+ * Stand-ins for the peers of the system: small fakes at its interfaces, for
+ * tests and for the development command.
  */
-export * from "./src/engine/mod.ts";
+export {
+  DEFAULT_ENGINE_SETTINGS,
+  EngineModel,
+  type EngineSettings,
+} from "./src/engine/mod.ts";
+export * from "./src/engine_server/answer_text.ts";
+export * from "./src/engine_server/engine_control.ts";
+export * from "./src/engine_server/engine_core.ts";
+export * from "./src/engine_server/serve_engine.ts";
+export * from "./src/http_server.ts";
+export * from "./src/platform/fault_plan.ts";
+export * from "./src/platform/faulty_store.ts";
+export * from "./src/platform/object_store.ts";
+export * from "./src/platform/platform_control.ts";
+export * from "./src/platform/serve_platform.ts";
+export * from "./src/platform/vm_list.ts";
+export * from "./src/service/serve_service.ts";
+export * from "./src/service/service_control.ts";
+export * from "./src/service/service_runs.ts";
+export * from "./src/balancer/serve_balancer.ts";
+export * from "./src/deployment/load_deployment.ts";
+export * from "./src/deployment/schema.ts";
+export * from "./src/deployment/serve_deployment.ts";
+export * from "./src/bench/engines_bench.ts";
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -59,6 +59,10 @@
     readonly entries: readonly LedgerEntry[];
     /** Entries up to this sequence are on the platform: drop them. */
     readonly storedThrough: number;
+    /** Entries up to this sequence were reported durable by the sender. */
+    readonly durableThrough: number;
+    /** The keeper process that is meant; zero asks which one runs. */
+    readonly keeperIncarnation: number;
     /** Echoed in the answer; an answer confirms the epoch at that moment. */
     readonly token: number;
   }
@@ -68,6 +72,8 @@
     readonly epoch: Epoch;
     /** Every entry up to this sequence is held here or on the platform. */
     readonly keptThrough: number;
+    /** The keeper process that answers. */
+    readonly keeperIncarnation: number;
     readonly token: number;
   }
   | {
@@ -82,16 +88,24 @@
     readonly kind: "seal_keeper";
     readonly shard: ShardId;
     readonly epoch: Epoch;
+    /** Only entries beyond this sequence are wanted. */
+    readonly afterSequence: number;
     readonly token: number;
   }
   | {
     readonly kind: "keeper_sealed";
     readonly shard: ShardId;
     readonly epoch: Epoch;
+    /** The epoch whose entries are held; zero when there are none. */
+    readonly heldEpoch: Epoch;
     readonly entries: readonly LedgerEntry[];
+    /** Whether entries beyond the last one sent are held, too. */
+    readonly more: boolean;
     readonly storedThrough: number;
-    /** False when the process started after the previous epoch began. */
+    readonly keptThrough: number;
+    /** Whether every entry reported durable under `heldEpoch` is held. */
     readonly complete: boolean;
+    readonly keeperIncarnation: number;
     readonly token: number;
   };
 
@@ -110,6 +124,8 @@
     readonly promptTokens: number;
     readonly cachedTokens: number;
     readonly maxTokens: number;
+    /** Age of the program tree, which orders equals. */
+    readonly programAgeMs?: number;
   }
   | {
     readonly kind: "slot_granted";
@@ -117,6 +133,8 @@
     readonly targetId: TargetId;
     /** Life of the grant unless renewed, from its arrival. */
     readonly expiresInMs: number;
+    /** The target's load at this moment, fresher than the spread ones. */
+    readonly load?: TargetLoad;
   }
   | {
     readonly kind: "slot_refused";
@@ -129,6 +147,7 @@
       | "unknown_target"
       | "expired";
     readonly retryAfterMs: number;
+    readonly load?: TargetLoad;
   }
   | {
     readonly kind: "slot_renewed";
@@ -162,6 +181,12 @@
   readonly queuedPromptTokens: number;
   /** Recent speed relative to the target's peers, one being usual. */
   readonly relativeSpeed: number;
+  /** Observed time between two tokens of a stream; absent when unknown. */
+  readonly tokenMs?: number;
+  /** Usual time for which a slot is held. */
+  readonly slotMs?: number;
+  /** Prompt tokens that running slots have still to compute. */
+  readonly prefillTokens?: number;
 }
 
 /** Between all nodes, about who is alive and who owns what. */
@@ -171,12 +196,19 @@
     readonly spec: NodeSpec;
     readonly state: "alive" | "leaving";
     readonly revision: Revision;
+    /** Echoed in the acknowledgement. */
     readonly number: number;
+    /** Number of the sender's statement about itself, see `NodeDigest`. */
+    readonly stateNumber: number;
+    /** Nodes that the sender knows; one that knows few is sent more. */
+    readonly knownNodes: number;
     readonly digest: readonly NodeDigest[];
   }
   | {
     readonly kind: "heartbeat_ack";
     readonly number: number;
+    /** The process that answers, which may have started since. */
+    readonly incarnation: number;
     readonly revision: Revision;
     readonly digest: readonly NodeDigest[];
   }
@@ -202,11 +234,11 @@
     readonly shards: readonly ShardId[];
   };
 
-/** A rumour about a node. The higher incarnation and state count win. */
+/** A rumour about a node. The higher incarnation, then number, then state win. */
 export interface NodeDigest {
   readonly spec: NodeSpec;
   readonly state: NodeState;
-  /** Heartbeats the node itself has issued; orders rumours about it. */
+  /** Rises when the node restates itself, as to refute that it is dead. */
   readonly number: number;
   readonly revision: Revision;
 }
