Carry a target's load in the answer to a slot request

Spread loads are stale by their period. The answer of a dispatcher is fresher and costs no message of its own. The fields are optional, so that a release without them runs beside this one.

--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -74,6 +74,9 @@
   limit: isAmount,
   queuedPromptTokens: isAmount,
   relativeSpeed: isAmount,
+  tokenMs: isAbsentOr(isAmount),
+  slotMs: isAbsentOr(isAmount),
+  prefillTokens: isAbsentOr(isAmount),
 };
 
 const MESSAGE_SHAPES: MessageShapes = {
@@ -132,17 +135,20 @@
     promptTokens: isAmount,
     cachedTokens: isAmount,
     maxTokens: isAmount,
+    programAgeMs: isAbsentOr(isAmount),
   },
   "slot_granted": {
     attemptId: isText,
     targetId: isText,
     expiresInMs: isAmount,
+    load: isAbsentOr(isShape(TARGET_LOAD)),
   },
   "slot_refused": {
     attemptId: isText,
     targetId: isText,
     reason: isText,
     retryAfterMs: isAmount,
+    load: isAbsentOr(isShape(TARGET_LOAD)),
   },
   "slot_renewed": { attemptId: isText, targetId: isText, tokens: isAmount },
   "slot_released": {
@@ -220,3 +226,7 @@
 function isOneOf(members: readonly string[]): FieldCheck {
   return (value) => typeof value === "string" && members.includes(value);
 }
+
+function isAbsentOr(check: FieldCheck): FieldCheck {
+  return (value) => value === undefined || check(value);
+}
