Add dispatchers and placement

Engines admit whatever arrives, so queueing has to happen before them. A dispatcher orders calls by the attained service of their program in doubling levels with ageing, shares slots between partners, keeps room for short calls, bounds prompt computation, adapts the number of slots to the observed token cadence and refuses early when the wait would be long. Placement estimates when a call would end on each of a bounded set of candidates. Every behaviour is a union with a baseline.

--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -4,6 +4,9 @@
 export * from "./src/agreement/mod.ts";
 export * from "./src/budget/mod.ts";
 export * from "./src/configuration/mod.ts";
+export * from "./src/dispatch/mod.ts";
 export * from "./src/node/mod.ts";
 export type { OwnerLimits } from "./src/owner/mod.ts";
+export type { PlacementRequest } from "./src/owner/mod.ts";
+export * from "./src/placement/mod.ts";
 export * from "./src/random/mod.ts";
--- /dev/null
+++ b/packages/scheduler/src/dispatch/slot_queue.ts
@@ -0,0 +1,149 @@
+/**
+ * The waiting calls of one target: which is next, and which is given up.
+ */
+import type { AttemptId, Partner } from "@camphorlock/types";
+import type { FairShare } from "./fair_share.ts";
+import type { OrderPolicy } from "./settings.ts";
+import {
+  compareAge,
+  computeRank,
+  countUncachedTokens,
+  isFresh,
+  type WaitingCall,
+} from "./waiting_call.ts";
+
+/** Decides whether a waiting call fits at present. */
+export type FitCheck = (call: WaitingCall) => boolean;
+
+/** The queue of one target. */
+export class SlotQueue {
+  readonly #order: OrderPolicy;
+  readonly #calls = new Map<AttemptId, WaitingCall>();
+  #promptTokens = 0;
+
+  constructor(order: OrderPolicy) {
+    this.#order = order;
+  }
+
+  /** The number of waiting calls. */
+  get size(): number {
+    return this.#calls.size;
+  }
+
+  /** Prompt tokens that the waiting calls need computed. */
+  get promptTokens(): number {
+    return this.#promptTokens;
+  }
+
+  /** Whether the attempt waits here. */
+  has(attemptId: AttemptId): boolean {
+    return this.#calls.has(attemptId);
+  }
+
+  /** Adds a call. */
+  add(call: WaitingCall): void {
+    this.#calls.set(call.request.attemptId, call);
+    this.#promptTokens += countUncachedTokens(call.request);
+  }
+
+  /** Removes a call, if it waits here. */
+  remove(attemptId: AttemptId): WaitingCall | undefined {
+    const call = this.#calls.get(attemptId);
+    if (call === undefined) return undefined;
+    this.#calls.delete(attemptId);
+    this.#promptTokens -= countUncachedTokens(call.request);
+    return call;
+  }
+
+  /** Lists the calls that arrived before a time. */
+  listBefore(atMs: number): WaitingCall[] {
+    return this.list().filter((each) => each.arrivedAtMs < atMs);
+  }
+
+  /** Lists every waiting call. */
+  list(): WaitingCall[] {
+    return [...this.#calls.values()];
+  }
+
+  /** Finds the call that gets the next slot, among those that fit. */
+  findNext(
+    fits: FitCheck,
+    options: { readonly share: FairShare; readonly nowMs: number },
+  ): WaitingCall | undefined {
+    const fitting = this.list().filter(fits);
+    const partners = new Set<Partner>(
+      fitting.map((each) => each.request.partner),
+    );
+    const [partner] = options.share.sortPartners(partners);
+    const candidates = partner === undefined
+      ? fitting
+      : fitting.filter((each) => each.request.partner === partner);
+    return this.#findBest(candidates, options.nowMs);
+  }
+
+  /**
+   * Counts the calls that would get a slot before this one: those of its own
+   * partner that rank before it, and the share of the other partner's that
+   * gets its slots in the meantime.
+   */
+  countBefore(
+    call: WaitingCall,
+    options: { readonly share: FairShare; readonly nowMs: number },
+  ): number {
+    const { share, nowMs } = options;
+    const { partner } = call.request;
+    const rank = computeRank(call, this.#order, nowMs);
+    const before = this.list().filter((each) =>
+      computeRank(each, this.#order, nowMs) <= rank
+    );
+    const own = before.filter((each) => each.request.partner === partner);
+    const others = before.length - own.length;
+    const interleaved = (own.length + 1) * share.getOtherShare(partner);
+    return own.length + Math.min(others, interleaved);
+  }
+
+  /**
+   * Finds the call to give up first: of the partner that waits most, the last
+   * in order of those whose program hasn't begun.
+   */
+  findLeastUrgent(nowMs: number): WaitingCall | undefined {
+    const fresh = this.list().filter((each) => isFresh(each.request));
+    const partner = findMostFrequent(fresh.map((each) => each.request.partner));
+    let worst: WaitingCall | undefined;
+    let worstRank = -Infinity;
+    for (const call of fresh) {
+      if (call.request.partner !== partner) continue;
+      const rank = computeRank(call, this.#order, nowMs);
+      if (rank < worstRank) continue;
+      worst = call;
+      worstRank = rank;
+    }
+    return worst;
+  }
+
+  #findBest(
+    calls: readonly WaitingCall[],
+    nowMs: number,
+  ): WaitingCall | undefined {
+    let best: WaitingCall | undefined;
+    let bestRank = Infinity;
+    for (const call of calls) {
+      const rank = computeRank(call, this.#order, nowMs);
+      if (rank > bestRank) continue;
+      const isTie = best !== undefined && rank === bestRank;
+      if (isTie && best !== undefined && compareAge(best, call) <= 0) continue;
+      best = call;
+      bestRank = rank;
+    }
+    return best;
+  }
+}
+
+function findMostFrequent(partners: readonly Partner[]): Partner | undefined {
+  const counts = new Map<Partner, number>();
+  for (const partner of partners) {
+    counts.set(partner, (counts.get(partner) ?? 0) + 1);
+  }
+  const sorted = [...counts].sort(([, left], [, right]) => right - left);
+  return sorted[0]?.[0];
+}
--- /dev/null
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -0,0 +1,354 @@
+/**
+ * Queues the calls of one target and grants its slots.
+ *
+ * The state is soft: a new dispatcher learns of running slots by their
+ * renewals, and of waiting calls because their nodes ask again.
+ */
+import type {
+  AttemptId,
+  DispatchMessage,
+  Effect,
+  TargetId,
+  TargetLoad,
+  VmId,
+} from "@camphorlock/types";
+import { EVENTS } from "@camphorlock/codes";
+import type { RandomSource } from "../random/mod.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { FairShare } from "./fair_share.ts";
+import { createSlot, type RunningSlot, RunningSlots } from "./running_slots.ts";
+import type { DispatchSettings } from "./settings.ts";
+import { SlotQueue } from "./slot_queue.ts";
+import {
+  countUncachedTokens,
+  isFresh,
+  type SlotRequest,
+  type WaitingCall,
+} from "./waiting_call.ts";
+
+/** Why a slot is refused. */
+export type RefusalReason = Extract<
+  DispatchMessage,
+  { kind: "slot_refused" }
+>["reason"];
+
+/** The usual time for which a slot is held, until it's observed. */
+const INITIAL_SLOT_MS = 4_000;
+const SLOT_SMOOTHING = 0.05;
+const LEAST_RETRY_MS = 250;
+const MOST_RETRY_MS = 15_000;
+const MAX_ENDED = 512;
+
+/** What a dispatcher of one target is built from. */
+export interface TargetDispatcherOptions {
+  readonly targetId: TargetId;
+  readonly settings: DispatchSettings;
+  readonly random: RandomSource;
+  readonly nowMs: number;
+  /** The last limit that another dispatcher of the target reported. */
+  readonly knownLimit?: number;
+}
+
+/** The dispatcher of one target. */
+export class TargetDispatcher {
+  readonly #targetId: TargetId;
+  readonly #settings: DispatchSettings;
+  readonly #random: RandomSource;
+  readonly #queue: SlotQueue;
+  readonly #running = new RunningSlots();
+  readonly #share: FairShare;
+  readonly #limit: ConcurrencyLimit;
+  readonly #ended = new Set<AttemptId>();
+  #slotMs = INITIAL_SLOT_MS;
+  #number = 0;
+  #isLeaving = false;
+  #wasBinding = false;
+
+  constructor(options: TargetDispatcherOptions) {
+    const { settings, nowMs, knownLimit } = options;
+    this.#targetId = options.targetId;
+    this.#settings = settings;
+    this.#random = options.random;
+    this.#queue = new SlotQueue(settings.order);
+    this.#share = new FairShare(settings.share);
+    this.#limit = new ConcurrencyLimit(settings.limit, nowMs);
+    if (knownLimit !== undefined) this.#limit.setSlots(knownLimit);
+  }
+
+  /** Whether nothing waits and nothing runs. */
+  get isIdle(): boolean {
+    return this.#queue.size === 0 && this.#running.size === 0;
+  }
+
+  /** Stops granting, and refuses what waits. */
+  setLeaving(isLeaving: boolean): Effect[] {
+    this.#isLeaving = isLeaving;
+    if (!isLeaving) return [];
+    return this.#queue.list().flatMap((call) =>
+      this.#dropCall(call, "leaving")
+    );
+  }
+
+  /** Queues a call, or refuses it at once. */
+  handleRequest(from: VmId, request: SlotRequest, nowMs: number): Effect[] {
+    const { attemptId } = request;
+    if (this.#isLeaving) return [this.#refuse(from, attemptId, "leaving")];
+    if (this.#ended.has(attemptId)) {
+      return [this.#refuse(from, attemptId, "expired")];
+    }
+    const running = this.#running.find(attemptId);
+    if (running !== undefined) return [this.#answerAgain(running)];
+    if (this.#queue.has(attemptId)) return [];
+    this.#number += 1;
+    const number = this.#number;
+    const call = { from, request, arrivedAtMs: nowMs, number };
+    return [...this.#admit(call, nowMs), ...this.#grantSlots(nowMs)];
+  }
+
+  /** Prolongs a slot and records the tokens that its stream gave. */
+  handleRenewal(
+    from: VmId,
+    renewal: { readonly attemptId: AttemptId; readonly tokens: number },
+    nowMs: number,
+  ): Effect[] {
+    const { attemptId, tokens } = renewal;
+    if (this.#ended.has(attemptId)) return [];
+    const slot = this.#running.find(attemptId) ??
+      this.#adoptSlot(from, attemptId, nowMs);
+    if (tokens > 0) this.#recordTokens(slot, tokens, nowMs);
+    slot.expiresAtMs = nowMs + this.#settings.grantLifeMs;
+    slot.renewedAtMs = nowMs;
+    return [];
+  }
+
+  /** Frees a slot and learns from how it went. */
+  handleRelease(
+    released: Extract<DispatchMessage, { kind: "slot_released" }>,
+    nowMs: number,
+  ): Effect[] {
+    this.#queue.remove(released.attemptId);
+    this.#recordEnded(released.attemptId);
+    const slot = this.#running.remove(released.attemptId);
+    if (slot === undefined) return [];
+    const heldMs = nowMs - slot.grantedAtMs;
+    this.#share.recordService(slot.partner, heldMs - slot.countedMs);
+    if (released.outcome === "completed") {
+      this.#slotMs += SLOT_SMOOTHING * (heldMs - this.#slotMs);
+    }
+    return this.#grantSlots(nowMs);
+  }
+
+  /** Frees expired slots, adapts the limit and grants. */
+  handleTick(nowMs: number): Effect[] {
+    const effects: Effect[] = [];
+    for (const slot of this.#running.listExpired(nowMs)) {
+      this.#running.remove(slot.attemptId);
+      this.#recordEnded(slot.attemptId);
+      effects.push(this.#refuse(slot.holder, slot.attemptId, "expired"));
+    }
+    const oldestMs = nowMs - this.#settings.waitLifeMs;
+    for (const call of this.#queue.listBefore(oldestMs)) {
+      effects.push(...this.#dropCall(call, "expired"));
+    }
+    this.#limit.update({
+      wasBinding: this.#wasBinding,
+      running: this.#running.size,
+    }, nowMs);
+    this.#wasBinding = this.#queue.size > 0;
+    return [...effects, ...this.#grantSlots(nowMs)];
+  }
+
+  /** Summarizes the target for the nodes that place. */
+  getLoad(): TargetLoad {
+    const { tokenMs } = this.#limit;
+    return {
+      targetId: this.#targetId,
+      running: this.#running.size,
+      queued: this.#queue.size,
+      limit: this.#limit.slots,
+      queuedPromptTokens: this.#queue.promptTokens,
+      relativeSpeed: 1,
+      ...(tokenMs === undefined ? {} : { tokenMs }),
+      slotMs: Math.round(this.#slotMs),
+      prefillTokens: this.#running.prefillTokens,
+    };
+  }
+
+  #admit(call: WaitingCall, nowMs: number): Effect[] {
+    const { queue } = this.#settings;
+    if (queue.kind === "unbounded") {
+      this.#queue.add(call);
+      return [];
+    }
+    if (isFresh(call.request) && this.#waitsTooLong(call, nowMs)) {
+      return this.#dropCall(call, "queue_full");
+    }
+    this.#queue.add(call);
+    if (this.#queue.size <= queue.mostWaiting) return [];
+    const victim = this.#queue.findLeastUrgent(nowMs) ?? call;
+    return this.#dropCall(victim, "queue_full");
+  }
+
+  #waitsTooLong(call: WaitingCall, nowMs: number): boolean {
+    const { queue } = this.#settings;
+    if (queue.kind === "unbounded") return false;
+    if (this.#running.size < this.#limit.slots) return false;
+    const share = this.#share;
+    const before = this.#queue.countBefore(call, { share, nowMs });
+    const waitMs = this.#computeWait(before);
+    return waitMs > queue.freshWaitMs[call.request.programClass];
+  }
+
+  #computeWait(callsBefore: number): number {
+    return callsBefore * this.#slotMs / Math.max(1, this.#limit.slots);
+  }
+
+  #grantSlots(nowMs: number): Effect[] {
+    const effects: Effect[] = [];
+    while (!this.#isLeaving && this.#queue.size > 0) {
+      const call = this.#queue.findNext(
+        (each) => this.#fits(each),
+        { share: this.#share, nowMs },
+      );
+      if (call === undefined) break;
+      effects.push(...this.#grantSlot(call, nowMs));
+    }
+    if (this.#queue.size > 0) this.#wasBinding = true;
+    return effects;
+  }
+
+  #grantSlot(call: WaitingCall, nowMs: number): Effect[] {
+    const { attemptId, partner } = call.request;
+    this.#queue.remove(attemptId);
+    const lifeMs = this.#settings.grantLifeMs;
+    const countedMs = this.#slotMs;
+    const slot = createSlot(call, { nowMs, lifeMs, countedMs });
+    this.#running.add(slot);
+    this.#share.recordService(partner, countedMs);
+    const granted = EVENTS.SlotGranted;
+    return [this.#answerAgain(slot), {
+      kind: "log",
+      record: {
+        event: granted.event,
+        fields: {
+          attemptId,
+          targetId: this.#targetId,
+          waitedMs: nowMs - call.arrivedAtMs,
+          running: this.#running.size,
+          limit: this.#limit.slots,
+          queued: this.#queue.size,
+        },
+      },
+    }];
+  }
+
+  #fits(call: WaitingCall): boolean {
+    const isShort = call.request.programClass === "short";
+    const { slots } = this.#limit;
+    if (this.#running.size >= slots) return false;
+    if (!isShort && this.#running.longCount >= this.#countLongSlots(slots)) {
+      return false;
+    }
+    const { prefill } = this.#settings;
+    if (prefill.kind === "none") return true;
+    const tokens = countUncachedTokens(call.request);
+    const inFlight = this.#running.prefillTokens;
+    return inFlight === 0 || inFlight + tokens <= prefill.mostTokens;
+  }
+
+  #countLongSlots(slots: number): number {
+    const { shortRoom } = this.#settings;
+    if (shortRoom.kind === "none") return slots;
+    return Math.max(1, slots - Math.ceil(slots * shortRoom.slotShare));
+  }
+
+  #recordTokens(slot: RunningSlot, tokens: number, nowMs: number): void {
+    if (slot.hasTokens) {
+      this.#limit.recordTokens(tokens, nowMs - slot.renewedAtMs);
+    }
+    this.#running.setFirstToken(slot);
+  }
+
+  /** Takes over a slot that an earlier dispatcher granted. */
+  #adoptSlot(from: VmId, attemptId: AttemptId, nowMs: number): RunningSlot {
+    const slot: RunningSlot = {
+      attemptId,
+      holder: from,
+      partner: "zincir",
+      isShort: false,
+      uncachedTokens: 0,
+      countedMs: 0,
+      grantedAtMs: nowMs,
+      expiresAtMs: nowMs,
+      renewedAtMs: nowMs,
+      hasTokens: true,
+    };
+    this.#queue.remove(attemptId);
+    this.#running.add(slot);
+    return slot;
+  }
+
+  #recordEnded(attemptId: AttemptId): void {
+    this.#ended.add(attemptId);
+    if (this.#ended.size <= MAX_ENDED) return;
+    const oldest = this.#ended.values().next().value;
+    if (oldest !== undefined) this.#ended.delete(oldest);
+  }
+
+  #answerAgain(slot: RunningSlot): Effect {
+    return {
+      kind: "send_peer",
+      to: slot.holder,
+      message: {
+        kind: "slot_granted",
+        attemptId: slot.attemptId,
+        targetId: this.#targetId,
+        expiresInMs: this.#settings.grantLifeMs,
+        load: this.getLoad(),
+      },
+    };
+  }
+
+  #dropCall(call: WaitingCall, reason: RefusalReason): Effect[] {
+    const { attemptId } = call.request;
+    this.#queue.remove(attemptId);
+    this.#recordEnded(attemptId);
+    return [this.#refuse(call.from, attemptId, reason), {
+      kind: "log",
+      record: {
+        event: EVENTS.SlotRefused.event,
+        fields: {
+          attemptId,
+          targetId: this.#targetId,
+          reason,
+          running: this.#running.size,
+          limit: this.#limit.slots,
+          queued: this.#queue.size,
+        },
+      },
+    }];
+  }
+
+  #refuse(to: VmId, attemptId: AttemptId, reason: RefusalReason): Effect {
+    return {
+      kind: "send_peer",
+      to,
+      message: {
+        kind: "slot_refused",
+        attemptId,
+        targetId: this.#targetId,
+        reason,
+        retryAfterMs: this.#computeRetryAfter(),
+        load: this.getLoad(),
+      },
+    };
+  }
+
+  /** Spreads the return of refused calls over the time the queue needs. */
+  #computeRetryAfter(): number {
+    const drainMs = this.#computeWait(this.#queue.size);
+    const spread = this.#random.takeBetween(0.5, 2);
+    const retryMs = Math.max(LEAST_RETRY_MS, drainMs) * spread;
+    return Math.round(Math.min(MOST_RETRY_MS, retryMs));
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/placement/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The choice of a target for each call.
+ */
+export * from "./choose_dispatcher.ts";
+export * from "./decision.ts";
+export * from "./placement.ts";
+export type { CacheReport } from "./prefix_index.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/scheduler/src/placement/placement.ts
@@ -0,0 +1,289 @@
+/**
+ * Chooses a target for each call from loads that are stale and a record of
+ * prefixes that may be wrong.
+ *
+ * A decision looks at a bounded set of candidates: the holders of the program's
+ * prefix and a random sample, most of it from the node's own region. Its time
+ * doesn't grow with the number of targets.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import {
+  checkNever,
+  type MembershipView,
+  type PlacementRule,
+  type ProgramId,
+  type Region,
+  type TargetId,
+  type TargetLoad,
+  type TargetSpec,
+  type VmId,
+} from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import type {
+  CachedUse,
+  CallPlacer,
+  PlacementRequest,
+} from "../owner/ports.ts";
+import { RandomSource } from "../random/mod.ts";
+import { AgentStatistics } from "./agent_statistics.ts";
+import { DispatcherChooser } from "./choose_dispatcher.ts";
+import { type Choice, chooseTarget } from "./choose_target.ts";
+import { buildDecisionLog, type PlacementDecision } from "./decision.ts";
+import { LoadTable } from "./load_table.ts";
+import { type CacheReport, PrefixIndex } from "./prefix_index.ts";
+import type { PlacementSettings } from "./settings.ts";
+import { updateSpeeds } from "./slow_targets.ts";
+import { type ServingTargets, TargetIndex } from "./target_index.ts";
+
+/** What placement is told of. */
+export type PlacementInput =
+  | { readonly kind: "loads"; readonly loads: readonly TargetLoad[] }
+  | { readonly kind: "cache_event"; readonly report: CacheReport }
+  | {
+    /** A call ended with an answer of this length. */
+    readonly kind: "call_ended";
+    readonly agent: string;
+    readonly completionTokens: number;
+  }
+  | { readonly kind: "program_ended"; readonly programId: ProgramId }
+  | { readonly kind: "tick" };
+
+/** What placement is built from. */
+export interface PlacementOptions {
+  readonly region: Region;
+  readonly settings: PlacementSettings;
+  readonly seed: number;
+  readonly getTargets: () => readonly TargetSpec[];
+  readonly getRules: () => readonly PlacementRule[];
+  readonly getView: () => MembershipView;
+}
+
+const SPEED_PERIOD_MS = 400;
+
+/** The placement of one node. */
+export class Placement implements CallPlacer {
+  readonly #options: PlacementOptions;
+  readonly #random: RandomSource;
+  readonly #index: TargetIndex;
+  readonly #loads = new LoadTable();
+  readonly #dispatchers = new DispatcherChooser();
+  readonly #agents = new AgentStatistics();
+  #prefixes: PrefixIndex;
+  #settings: PlacementSettings;
+  #number = 0;
+  #speedsAtMs = -Infinity;
+
+  constructor(options: PlacementOptions) {
+    this.#options = options;
+    this.#settings = options.settings;
+    this.#random = new RandomSource(options.seed);
+    this.#index = new TargetIndex(options.region);
+    this.#prefixes = new PrefixIndex(options.settings.mostPrograms);
+    this.#number = this.#random.takeIndex(1_000);
+  }
+
+  /** Takes in what was heard or has ended. */
+  handle(input: PlacementInput, nowMs: number): void {
+    switch (input.kind) {
+      case "loads":
+        for (const load of input.loads) this.#loads.record(load, nowMs);
+        return;
+      case "cache_event":
+        return this.#prefixes.apply(input.report);
+      case "call_ended":
+        return this.#agents.record(input.agent, input.completionTokens);
+      case "program_ended":
+        return this.#prefixes.removeProgram(input.programId);
+      case "tick":
+        return this.#updateSpeeds(nowMs);
+      default:
+        return checkNever(input);
+    }
+  }
+
+  /** Changes the policy. */
+  setSettings(settings: PlacementSettings): void {
+    this.#settings = settings;
+  }
+
+  /** Chooses a target. Fails with `NoTarget` where none serves the call. */
+  choose(
+    request: PlacementRequest,
+    nowMs: number,
+  ): Result<PlacementDecision, Failure> {
+    this.#index.update(this.#options.getTargets());
+    const { call } = request;
+    const [kind, name] = call.kind === "model"
+      ? ["engine" as const, call.model]
+      : ["service" as const, call.service];
+    const serving = this.#index.getServing(kind, name);
+    const targets = this.#listCandidates(request, serving);
+    this.#number += 1;
+    const choice = chooseTarget(targets, this.#buildContext(request, nowMs));
+    if (choice === undefined) return err(createFailure("NoTarget", name));
+    return ok(this.#decide(request, choice));
+  }
+
+  /** Records what an attempt left in the cache of its target. */
+  recordCached(programId: ProgramId, use: CachedUse): void {
+    const { targetId, tokens, nowMs } = use;
+    this.#prefixes.record(programId, { targetId, tokens, atMs: nowMs });
+  }
+
+  /** Records that a target released what it held of a program. */
+  recordReleased(programId: ProgramId, targetId: TargetId): void {
+    this.#prefixes.removeHolder(programId, targetId);
+  }
+
+  /** Whether the target is configured. */
+  hasTarget(targetId: TargetId): boolean {
+    this.#index.update(this.#options.getTargets());
+    return this.#index.find(targetId) !== undefined;
+  }
+
+  /** Finds the load of a target as last heard. */
+  findLoad(targetId: TargetId): TargetLoad | undefined {
+    return this.#loads.find(targetId)?.load;
+  }
+
+  /** Finds the node that dispatches for a target. */
+  findDispatcher(targetId: TargetId): VmId | undefined {
+    this.#index.update(this.#options.getTargets());
+    const target = this.#index.find(targetId);
+    if (target === undefined) return undefined;
+    return this.#dispatchers.choose(target, this.#options.getView());
+  }
+
+  /** Lists the loads known of the targets that serve a model or service. */
+  listLoads(kind: TargetSpec["kind"], name: string): TargetLoad[] {
+    this.#index.update(this.#options.getTargets());
+    return this.#index.getServing(kind, name).all.flatMap((each) =>
+      this.#loads.find(each.targetId)?.load ?? []
+    );
+  }
+
+  #decide(
+    request: PlacementRequest,
+    choice: Choice,
+  ): PlacementDecision {
+    const { target, reason, candidates } = choice;
+    const { targetId } = target;
+    const cachedTokens = this.#findCached(request, targetId);
+    const uncached = Math.max(0, request.promptTokens - cachedTokens);
+    this.#loads.recordPlaced(targetId, uncached);
+    const view = this.#options.getView();
+    const dispatcher = this.#dispatchers.choose(target, view);
+    const decision = { targetId, dispatcher, cachedTokens, reason, candidates };
+    return { ...decision, effects: [buildDecisionLog(request, decision)] };
+  }
+
+  #findCached(request: PlacementRequest, targetId: TargetId): number {
+    const holder = this.#prefixes.listHolders(request.programId).find((each) =>
+      each.targetId === targetId
+    );
+    return Math.min(holder?.tokens ?? 0, request.promptTokens);
+  }
+
+  #buildContext(
+    request: PlacementRequest,
+    nowMs: number,
+  ): Parameters<typeof chooseTarget>[1] {
+    const { call, agent } = request;
+    const { completionTokens } = this.#settings.estimate;
+    const mean = this.#agents.findMean(agent) ?? completionTokens;
+    return {
+      request,
+      settings: this.#settings,
+      loads: this.#loads,
+      prefixes: this.#prefixes,
+      random: this.#random,
+      number: this.#number,
+      ownRegion: this.#options.region,
+      completionTokens: call.kind === "model"
+        ? Math.min(mean, call.maxTokens)
+        : 1,
+      nowMs,
+    };
+  }
+
+  #listCandidates(
+    request: PlacementRequest,
+    serving: ServingTargets,
+  ): readonly TargetSpec[] {
+    const allowed = this.#filterAllowed(request, serving);
+    const { sampleNear, sampleFar, mostHolders } = this.#settings;
+    const most = sampleNear + sampleFar;
+    const candidates = allowed.all.length <= most
+      ? [...allowed.all]
+      : this.#sample(allowed);
+    for (
+      const holder of this.#prefixes.listHolders(request.programId)
+        .slice(0, mostHolders)
+    ) {
+      if (candidates.some((each) => each.targetId === holder.targetId)) {
+        continue;
+      }
+      const target = this.#index.find(holder.targetId);
+      if (target !== undefined && allowed.all.includes(target)) {
+        candidates.push(target);
+      }
+    }
+    const fresh = candidates.filter((each) =>
+      !request.excluded.includes(each.targetId)
+    );
+    return fresh.length > 0 ? fresh : candidates;
+  }
+
+  #filterAllowed(
+    request: PlacementRequest,
+    serving: ServingTargets,
+  ): ServingTargets {
+    const rule = this.#options.getRules().find((each) =>
+      each.partner === request.partner
+    );
+    if (rule === undefined || rule.regions.length === 0) return serving;
+    const { regions } = rule;
+    const isAllowed = (target: TargetSpec): boolean =>
+      regions.includes(target.region);
+    return {
+      all: serving.all.filter(isAllowed),
+      near: serving.near.filter(isAllowed),
+      far: serving.far.filter(isAllowed),
+    };
+  }
+
+  #sample(serving: ServingTargets): TargetSpec[] {
+    const { sampleNear, sampleFar } = this.#settings;
+    const chosen = new Set<TargetSpec>();
+    this.#addSample(chosen, serving.near, sampleNear);
+    const missing = sampleNear + sampleFar - chosen.size;
+    this.#addSample(chosen, serving.far, Math.max(sampleFar, missing));
+    return [...chosen];
+  }
+
+  #addSample(
+    chosen: Set<TargetSpec>,
+    targets: readonly TargetSpec[],
+    count: number,
+  ): void {
+    if (targets.length <= count) {
+      targets.forEach((each) => chosen.add(each));
+      return;
+    }
+    for (let taken = 0; taken < count; taken += 1) {
+      const target = targets[this.#random.takeIndex(targets.length)];
+      if (target !== undefined) chosen.add(target);
+    }
+  }
+
+  #updateSpeeds(nowMs: number): void {
+    if (nowMs - this.#speedsAtMs < SPEED_PERIOD_MS) return;
+    this.#speedsAtMs = nowMs;
+    this.#index.update(this.#options.getTargets());
+    const { estimate } = this.#settings;
+    for (const { all } of this.#index.listServing()) {
+      updateSpeeds(all, { loads: this.#loads, estimate });
+    }
+    this.#loads.removeExcept((each) => this.#index.find(each) !== undefined);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/placement/settings.ts
@@ -0,0 +1,86 @@
+/**
+ * The settings of placement. Each behaviour is a union, so that an operator can
+ * pick a baseline.
+ */
+
+/** How a target is chosen. */
+export type PlacementPolicy =
+  | { readonly kind: "random" }
+  | { readonly kind: "round_robin" }
+  | { readonly kind: "least_loaded" }
+  | { readonly kind: "cache_affinity" }
+  | { readonly kind: "estimated_finish" };
+
+/** What is done about targets slower than their peers. */
+export type SlowTargetPolicy =
+  | { readonly kind: "ignore" }
+  | {
+    readonly kind: "shift";
+    /** Speed relative to the median of the peers below which work shifts. */
+    readonly slowBelow: number;
+    /** Largest share of a model's targets that may be avoided. */
+    readonly mostAvoidedShare: number;
+  };
+
+/** Sizes and speeds that the estimate assumes until it's told better. */
+export interface EstimateSettings {
+  readonly prefillTokenMs: number;
+  readonly tokenMs: number;
+  /** How much one more sequence in the batch lengthens a token. */
+  readonly tokenPerSequenceMs: number;
+  readonly completionTokens: number;
+  readonly slotMs: number;
+  readonly slots: number;
+  /** Added for each crossing between regions, both ways together. */
+  readonly crossRegionMs: number;
+  /** Milliseconds of latency that a paid megabyte between regions is worth. */
+  readonly paidMegabyteMs: number;
+  /**
+   * Weight of prompt tokens to compute beyond the call's own wait, since they
+   * also hold back the others of the target.
+   */
+  readonly recomputeWeight: number;
+}
+
+/** All settings of placement. */
+export interface PlacementSettings {
+  readonly policy: PlacementPolicy;
+  readonly slowTargets: SlowTargetPolicy;
+  readonly estimate: EstimateSettings;
+  /** Targets with a cached prefix that are considered. */
+  readonly mostHolders: number;
+  /** Targets of the region sampled for one decision. */
+  readonly sampleNear: number;
+  /** Targets of the other regions sampled for one decision. */
+  readonly sampleFar: number;
+  /** Programs in the prefix index. */
+  readonly mostPrograms: number;
+  /** Age beyond which a load says nothing. */
+  readonly loadLifeMs: number;
+}
+
+/** The settings used unless an operator says otherwise. */
+export const DEFAULT_PLACEMENT_SETTINGS: PlacementSettings = {
+  policy: { kind: "estimated_finish" },
+  slowTargets: {
+    kind: "shift",
+    slowBelow: 0.6,
+    mostAvoidedShare: 0.5,
+  },
+  estimate: {
+    prefillTokenMs: 0.03,
+    tokenMs: 20,
+    tokenPerSequenceMs: 0.5,
+    completionTokens: 150,
+    slotMs: 4_000,
+    slots: 24,
+    crossRegionMs: 32,
+    paidMegabyteMs: 200,
+    recomputeWeight: 2,
+  },
+  mostHolders: 3,
+  sampleNear: 6,
+  sampleFar: 3,
+  mostPrograms: 20_000,
+  loadLifeMs: 10_000,
+};
--- /dev/null
+++ b/packages/scheduler/src/placement/slow_targets.ts
@@ -0,0 +1,66 @@
+/**
+ * Finds targets that are slower than their peers of the same model.
+ *
+ * The time between tokens is compared after allowing for the batch, since a
+ * fuller target is slower without being disturbed.
+ */
+import { checkNever, type TargetSpec } from "@camphorlock/types";
+import type { KnownLoad, LoadTable } from "./load_table.ts";
+import type { EstimateSettings, SlowTargetPolicy } from "./settings.ts";
+
+const MOST_COMPARED = 64;
+
+/** Sets each target's speed relative to the median of its peers. */
+export function updateSpeeds(
+  targets: readonly TargetSpec[],
+  options: {
+    readonly loads: LoadTable;
+    readonly estimate: EstimateSettings;
+  },
+): void {
+  const measured: { known: KnownLoad; excess: number }[] = [];
+  for (const target of targets) {
+    const known = options.loads.find(target.targetId);
+    if (known === undefined) continue;
+    const excess = computeExcess(known, options.estimate);
+    if (excess === undefined) known.speed = 1;
+    else measured.push({ known, excess });
+  }
+  const sample = measured.slice(0, MOST_COMPARED).map((each) => each.excess);
+  const median = computeMedian(sample);
+  for (const { known, excess } of measured) {
+    known.speed = Math.min(1.5, median / excess);
+  }
+}
+
+/** Whether new work avoids the target at present. */
+export function isAvoided(
+  known: KnownLoad | undefined,
+  policy: SlowTargetPolicy,
+): boolean {
+  switch (policy.kind) {
+    case "ignore":
+      return false;
+    case "shift":
+      return known !== undefined && known.speed < policy.slowBelow;
+    default:
+      return checkNever(policy);
+  }
+}
+
+/** The observed time of a token over the usual one at the same batch. */
+function computeExcess(
+  known: KnownLoad,
+  estimate: EstimateSettings,
+): number | undefined {
+  const { tokenMs, running } = known.load;
+  if (tokenMs === undefined || tokenMs <= 0) return undefined;
+  return tokenMs / (estimate.tokenMs + running * estimate.tokenPerSequenceMs);
+}
+
+function computeMedian(values: readonly number[]): number {
+  if (values.length === 0) return 1;
+  const sorted = [...values].sort((left, right) => left - right);
+  const lower = sorted[Math.floor((sorted.length - 1) / 2)] ?? 1;
+  return lower;
+}
--- /dev/null
+++ b/packages/scheduler/src/placement/target_index.ts
@@ -0,0 +1,79 @@
+/**
+ * The targets by what they serve and by region, for bounded sampling.
+ */
+import type { Region, TargetId, TargetSpec } from "@camphorlock/types";
+
+/** The targets that serve one model or service. */
+export interface ServingTargets {
+  readonly all: readonly TargetSpec[];
+  /** Those of the node's own region. */
+  readonly near: readonly TargetSpec[];
+  readonly far: readonly TargetSpec[];
+}
+
+const NONE: ServingTargets = { all: [], near: [], far: [] };
+
+/** An index of the configured targets. */
+export class TargetIndex {
+  readonly #region: Region;
+  #targets: readonly TargetSpec[] = [];
+  #byId = new Map<TargetId, TargetSpec>();
+  #serving = new Map<string, ServingTargets>();
+
+  constructor(region: Region) {
+    this.#region = region;
+  }
+
+  /** Rebuilds the index when the list isn't the one it was built from. */
+  update(targets: readonly TargetSpec[]): void {
+    if (targets === this.#targets) return;
+    this.#targets = targets;
+    this.#byId = new Map(targets.map((each) => [each.targetId, each]));
+    this.#serving = new Map();
+  }
+
+  /** Finds a target. */
+  find(targetId: TargetId): TargetSpec | undefined {
+    return this.#byId.get(targetId);
+  }
+
+  /** Gets the targets that serve a name and aren't leaving. */
+  getServing(kind: TargetSpec["kind"], name: string): ServingTargets {
+    if (this.#serving.size === 0) this.#buildServing();
+    return this.#serving.get(formatKey(kind, name)) ?? NONE;
+  }
+
+  /** Lists the targets of every model and service. */
+  listServing(): ServingTargets[] {
+    if (this.#serving.size === 0) this.#buildServing();
+    return [...this.#serving.values()];
+  }
+
+  #buildServing(): void {
+    const lists = new Map<string, TargetSpec[]>();
+    for (const target of this.#targets) {
+      if (target.leaving) continue;
+      for (const name of target.serves) addTo(lists, target, name);
+    }
+    for (const [key, all] of lists) {
+      const near = all.filter((each) => each.region === this.#region);
+      const far = all.filter((each) => each.region !== this.#region);
+      this.#serving.set(key, { all, near, far });
+    }
+  }
+}
+
+function addTo(
+  lists: Map<string, TargetSpec[]>,
+  target: TargetSpec,
+  name: string,
+): void {
+  const key = formatKey(target.kind, name);
+  const list = lists.get(key);
+  if (list === undefined) lists.set(key, [target]);
+  else list.push(target);
+}
+
+function formatKey(kind: TargetSpec["kind"], name: string): string {
+  return `${kind}/${name}`;
+}
