--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -2,6 +2,11 @@
  * Stand-ins for the peers of the system: small fakes at its interfaces, for
  * tests and for the development command.
  */
+export {
+  DEFAULT_ENGINE_SETTINGS,
+  EngineModel,
+  type EngineSettings,
+} from "./src/engine/mod.ts";
 export * from "./src/engine_server/answer_text.ts";
 export * from "./src/engine_server/engine_control.ts";
 export * from "./src/engine_server/engine_core.ts";
