Read a shard group afresh before a proposal

Cause: at 120 nodes nearly every proposal of a node that doesn't watch failed first, since news don't carry the group's version, and backup proposers wrote again what the first had stored (140 conflicts in 30 s).

Change: need is judged by the highest assignment known; a proposal is made on a read of the last second. Watches gather changes for a second. A group at rest isn't looked at again before something changes. The poll follows the fleet.

--- a/packages/scheduler/src/assignment/fake_platform.ts
+++ b/packages/scheduler/src/assignment/fake_platform.ts
@@ -73,6 +73,11 @@
     }
   }
 
+  /** Counts the watches that wait. */
+  countWatches(): number {
+    return this.#watches.length;
+  }
+
   /** Lists the stored objects. */
   listObjects(): PlatformObject[] {
     return [...this.#objects.values()];
--- a/packages/scheduler/src/assignment/fleet.ts
+++ b/packages/scheduler/src/assignment/fleet.ts
@@ -13,6 +13,7 @@
 
 /** A membership view, indexed. */
 export class Fleet {
+  readonly #view: MembershipView;
   readonly #nodes: ReadonlyMap<VmId, NodeView>;
   /** Nodes that may be given shards. */
   readonly candidates: readonly NodeView[];
@@ -20,11 +21,23 @@
   readonly candidateIds: readonly VmId[];
 
   constructor(view: MembershipView) {
+    this.#view = view;
     this.#nodes = new Map(view.nodes.map((node) => [node.spec.vmId, node]));
     this.candidates = view.nodes.filter((node) => node.state === "alive");
     this.candidateIds = this.candidates.map((node) => node.spec.vmId).sort();
   }
 
+  /** Whether a view differs in a process or a state; revisions don't count. */
+  isChangedBy(view: MembershipView): boolean {
+    if (view === this.#view) return false;
+    if (view.nodes.length !== this.#nodes.size) return true;
+    return view.nodes.some((node) => {
+      const known = this.#nodes.get(node.spec.vmId);
+      return known?.state !== node.state ||
+        known.spec.incarnation !== node.spec.incarnation;
+    });
+  }
+
   /** Finds a node. */
   find(vmId: VmId): NodeView | undefined {
     return this.#nodes.get(vmId);
--- a/packages/scheduler/src/assignment/group_book.ts
+++ b/packages/scheduler/src/assignment/group_book.ts
@@ -21,6 +21,8 @@
   busy: boolean;
   /** Since when shards have needed an owner. */
   needSinceMs: number | undefined;
+  /** Whether nothing is to be done until something changes. */
+  isSettled: boolean;
   /** Before this time nothing is proposed, after a conflict. */
   proposeAtMs: number;
   /** Conflicts since the last write that took effect. */
@@ -57,14 +59,25 @@
     return this.#groups[Math.floor(shard / this.#groupSize)];
   }
 
-  /** Asks for a read of the groups that changed since they were learnt. */
-  applyKeys(keys: readonly PlatformKey[], nowMs: number): void {
+  /** Looks at all groups again. */
+  setUnsettled(): void {
+    for (const state of this.#groups) state.isSettled = false;
+  }
+
+  /** Looks at the group of a shard again. */
+  setUnsettledOf(shard: ShardId): void {
+    const state = this.findOf(shard);
+    if (state !== undefined) state.isSettled = false;
+  }
+
+  /** Asks for a read, from a time on, of the groups that have changed. */
+  applyKeys(keys: readonly PlatformKey[], atMs: number): void {
     for (const { key, version } of keys) {
       const group = parseGroupKey(key);
       const state = group === undefined ? undefined : this.find(group);
       if (state === undefined) continue;
       if (state.version !== undefined && state.version >= version) continue;
-      state.readAtMs ??= nowMs;
+      state.readAtMs ??= atMs;
     }
   }
 
@@ -94,6 +107,7 @@
     readAtMs: undefined,
     busy: false,
     needSinceMs: undefined,
+    isSettled: false,
     proposeAtMs: 0,
     conflicts: 0,
   };
--- a/packages/scheduler/src/assignment/news.ts
+++ b/packages/scheduler/src/assignment/news.ts
@@ -41,6 +41,11 @@
     this.#direct.set(to, news);
   }
 
+  /** Whether there's nothing to pass on. */
+  isEmpty(): boolean {
+    return this.#items.size === 0 && this.#direct.size === 0;
+  }
+
   /** Takes the messages of one round. */
   takeMessages(others: readonly VmId[]): Effect[] {
     const effects: Effect[] = [];
--- a/packages/scheduler/src/assignment/proposer.ts
+++ b/packages/scheduler/src/assignment/proposer.ts
@@ -1,46 +1,48 @@
 /**
  * Decides when this node proposes which change of a group.
+ *
+ * The living nodes are ordered for each group; the first of them places shards
+ * without an owner, and each further one only after a longer wait. A proposal
+ * is made on a fresh read, so that few of them fail.
  */
-import type { Epoch, NodeSpec, ShardId, VmId } from "@camphorlock/types";
+import type { NodeSpec, ShardAssignment } from "@camphorlock/types";
 import type { AssignmentTable } from "./assignment_table.ts";
 import { Fleet } from "./fleet.ts";
 import type { GroupState } from "./group_book.ts";
-import { buildPlan, needsOwner, type PlannedChange } from "./plan_group.ts";
+import type { PendingNotes } from "./pending_notes.ts";
+import { buildPlan, type PlannedChange } from "./plan_group.ts";
 import { computeFraction, computeRank } from "./rendezvous.ts";
 import type { AssignmentSettings } from "./settings.ts";
 import { StandingTracker } from "./standing.ts";
 
-interface TimedOffer {
-  readonly from: VmId;
-  readonly expiresAtMs: number;
+/** What is to be done about a group. */
+export type GroupDecision =
+  | { readonly kind: "wait" }
+  | { readonly kind: "read" }
+  | {
+    readonly kind: "propose";
+    readonly changes: readonly PlannedChange[];
+  };
+
+/** What a proposer is made of. */
+export interface ProposerParts {
+  readonly self: NodeSpec;
+  readonly settings: AssignmentSettings;
+  readonly table: AssignmentTable;
+  readonly notes: PendingNotes;
 }
 
-interface Recovery {
-  readonly epoch: Epoch;
-  readonly atMs: number;
-}
+const WAIT: GroupDecision = { kind: "wait" };
 
 /** The proposals of one node. */
 export class Proposer {
-  readonly #self: NodeSpec;
-  readonly #settings: AssignmentSettings;
-  readonly #table: AssignmentTable;
+  readonly #parts: ProposerParts;
   readonly #standing: StandingTracker;
-  readonly #offers = new Map<ShardId, TimedOffer>();
-  readonly #recovered = new Map<ShardId, Recovery>();
   readonly #ranks = new Map<number, number>();
   #fleet = new Fleet({ self: "", nodes: [] });
 
-  constructor(
-    parts: {
-      self: NodeSpec;
-      settings: AssignmentSettings;
-      table: AssignmentTable;
-    },
-  ) {
-    this.#self = parts.self;
-    this.#settings = parts.settings;
-    this.#table = parts.table;
+  constructor(parts: ProposerParts) {
+    this.#parts = parts;
     this.#standing = new StandingTracker(parts.settings);
   }
 
@@ -56,79 +58,88 @@
     this.#standing.update(fleet);
   }
 
-  /** Notes an owner's offer of its shards to this node. */
-  addOffer(
-    from: VmId,
-    offer: { shards: readonly ShardId[]; nowMs: number },
-  ): void {
-    const expiresAtMs = offer.nowMs + this.#settings.offerTimeoutMs;
-    for (const shard of offer.shards) {
-      this.#offers.set(shard, { from, expiresAtMs });
+  /** Decides what to do about a group at this time. */
+  decide(state: GroupState, nowMs: number): GroupDecision {
+    if (state.isSettled) return WAIT;
+    const { shardIds } = state;
+    const { notes } = this.#parts;
+    const takesOver = this.#isTurn(state, nowMs);
+    const owns = this.#ownsSome(state);
+    const hasNotes = notes.hasSome(shardIds);
+    const replacesKeepers = owns && this.#isKeeperTurn(state, nowMs);
+    if (!takesOver && !hasNotes && !replacesKeepers) {
+      state.isSettled = !owns && state.needSinceMs === undefined &&
+        !this.#hasUnknown(state);
+      return WAIT;
     }
+    const changes = this.#plan(state, { takesOver, replacesKeepers, nowMs });
+    if (changes.length > 0) return this.#decideOn(state, { changes, nowMs });
+    state.isSettled = replacesKeepers && !hasNotes &&
+      state.needSinceMs === undefined && !this.#hasUnknown(state) &&
+      this.#hasKeepers(state);
+    return WAIT;
   }
 
-  /** Notes that this process holds all of a shard's former state. */
-  addRecovered(shard: ShardId, recovery: Recovery): void {
-    this.#recovered.set(shard, recovery);
+  #decideOn(
+    state: GroupState,
+    plan: { changes: readonly PlannedChange[]; nowMs: number },
+  ): GroupDecision {
+    const ageMs = plan.nowMs - state.learntAtMs;
+    if (ageMs > this.#parts.settings.freshMs) return { kind: "read" };
+    if (this.#isOutdated(state)) return { kind: "read" };
+    return { kind: "propose", changes: plan.changes };
   }
 
-  /** Works out what this node proposes for a group at this time. */
-  buildChanges(state: GroupState, nowMs: number): PlannedChange[] {
+  #plan(
+    state: GroupState,
+    turn: { takesOver: boolean; replacesKeepers: boolean; nowMs: number },
+  ): PlannedChange[] {
+    const { self, settings, table, notes } = this.#parts;
+    const { takesOver, replacesKeepers, nowMs } = turn;
     const at = { fleet: this.#fleet, nowMs };
-    const isOwnerGone = (
-      assignment: Parameters<
-        StandingTracker["isOwnerGone"]
-      >[0],
-    ): boolean => this.#standing.isOwnerGone(assignment, at);
-    const takesOver = this.#isTurn(state, { isOwnerGone, nowMs });
-    const lists = this.#listOffers(state, nowMs);
-    const recovered = this.#listRecovered(state, nowMs);
-    const owns = this.#ownsSome(state);
-    if (!takesOver && !owns && lists.size === 0) return [];
+    const { shardIds, stored } = state;
+    const isCandidate = this.#fleet.find(self.vmId)?.state === "alive";
     return buildPlan({
-      self: this.#self,
+      self,
       fleet: this.#fleet,
-      shardCount: this.#settings.shardCount,
-      shardIds: state.shardIds,
-      stored: state.stored,
-      loads: takesOver ? this.#table.countLoads(this.#fleet) : new Map(),
-      isOwnerGone,
+      shardCount: settings.shardCount,
+      shardIds,
+      stored,
+      loads: takesOver ? table.countLoads(this.#fleet) : new Map(),
+      isOwnerGone: (assignment) => this.#standing.isOwnerGone(assignment, at),
       isKeeperGone: (vmId) => this.#standing.isKeeperGone(vmId, at),
       takesOver,
-      replacesKeepers: owns && this.#isKeeperTurn(state, nowMs),
-      offers: lists,
-      recovered,
+      replacesKeepers,
+      offers: isCandidate ? notes.listOffers(shardIds, nowMs) : new Map(),
+      recovered: notes.listRecovered(shardIds, nowMs),
     });
   }
 
   /** Whether this node's turn to place the group's shards has come. */
-  #isTurn(
-    state: GroupState,
-    at: {
-      isOwnerGone: Parameters<typeof needsOwner>[1];
-      nowMs: number;
-    },
-  ): boolean {
-    const needs = state.shardIds.some((shard) =>
-      needsOwner(state.stored.get(shard), at.isOwnerGone)
-    );
+  #isTurn(state: GroupState, nowMs: number): boolean {
+    const at = { fleet: this.#fleet, nowMs };
+    const { table, settings } = this.#parts;
+    const needs = state.shardIds.some((shard) => {
+      const known = table.find(shard);
+      return known === undefined || this.#standing.isOwnerGone(known, at);
+    });
     if (!needs) {
       state.needSinceMs = undefined;
       return false;
     }
-    state.needSinceMs ??= at.nowMs;
+    state.needSinceMs ??= nowMs;
     const rank = this.#getRank(state.group);
     if (rank < 0) return false;
-    const { backupDelayMs } = this.#settings;
-    const delayMs = rank * backupDelayMs + this.#computeSpread(state.group);
-    return at.nowMs - state.needSinceMs >= delayMs;
+    const delayMs = rank * settings.backupDelayMs +
+      this.#computeSpread(state.group);
+    return nowMs - state.needSinceMs >= delayMs;
   }
 
   #getRank(group: number): number {
     const known = this.#ranks.get(group);
     if (known !== undefined) return known;
     const rank = computeRank(`group|${group}`, {
-      vmId: this.#self.vmId,
+      vmId: this.#parts.self.vmId,
       vmIds: this.#fleet.candidateIds,
     });
     this.#ranks.set(group, rank);
@@ -136,49 +147,50 @@
   }
 
   #computeSpread(group: number): number {
-    const { proposalSpreadMs } = this.#settings;
-    const key = `${this.#self.vmId}|spread|${group}`;
-    return computeFraction(key) * proposalSpreadMs;
+    const { self, settings } = this.#parts;
+    const fraction = computeFraction(`${self.vmId}|spread|${group}`);
+    return fraction * settings.proposalSpreadMs;
   }
 
   /** Owners look at their keepers in turns, so that they don't collide. */
   #isKeeperTurn(state: GroupState, nowMs: number): boolean {
-    const { keeperSpreadMs, planPeriodMs } = this.#settings;
-    const key = `${this.#self.vmId}|keepers|${state.group}`;
-    const offsetMs = computeFraction(key) * keeperSpreadMs;
-    return (nowMs + offsetMs) % keeperSpreadMs < planPeriodMs;
+    const { self, settings } = this.#parts;
+    const { keeperSpreadMs, planPeriodMs } = settings;
+    const fraction = computeFraction(`${self.vmId}|keepers|${state.group}`);
+    const offsetMs = fraction * keeperSpreadMs;
+    return (nowMs + offsetMs) % keeperSpreadMs < 2 * planPeriodMs;
   }
 
   #ownsSome(state: GroupState): boolean {
-    return state.shardIds.some((shard) =>
-      this.#table.findOwned(shard) !== undefined
-    );
+    const { table } = this.#parts;
+    return state.shardIds.some((shard) => table.findOwned(shard) !== undefined);
   }
 
-  #listOffers(state: GroupState, nowMs: number): Map<ShardId, VmId> {
-    const offers = new Map<ShardId, VmId>();
-    if (this.#fleet.find(this.#self.vmId)?.state !== "alive") return offers;
-    for (const shard of state.shardIds) {
-      const offer = this.#offers.get(shard);
-      if (offer === undefined) continue;
-      if (offer.expiresAtMs > nowMs) offers.set(shard, offer.from);
-      else this.#offers.delete(shard);
-    }
-    return offers;
+  /** Whether news name a higher epoch than the stored state as last read. */
+  #isOutdated(state: GroupState): boolean {
+    return state.shardIds.some((shard) => {
+      const stored = state.stored.get(shard)?.assignment.epoch ?? 0;
+      return (this.#parts.table.find(shard)?.epoch ?? 0) > stored;
+    });
   }
 
-  #listRecovered(state: GroupState, nowMs: number): Map<ShardId, Epoch> {
-    const { recoveredDelayMs } = this.#settings;
-    const recovered = new Map<ShardId, Epoch>();
-    for (const shard of state.shardIds) {
-      const recovery = this.#recovered.get(shard);
-      if (recovery === undefined) continue;
-      const owned = this.#table.findOwned(shard);
-      if (owned?.epoch !== recovery.epoch) this.#recovered.delete(shard);
-      else if (nowMs - recovery.atMs >= recoveredDelayMs) {
-        recovered.set(shard, recovery.epoch);
-      }
-    }
-    return recovered;
+  #hasUnknown(state: GroupState): boolean {
+    return state.shardIds.some((shard) => {
+      const known = this.#parts.table.find(shard);
+      return known === undefined ||
+        this.#fleet.getOwnerStanding(known) === "unknown";
+    });
+  }
+
+  /** Whether every keeper of this node's shards in the group is present. */
+  #hasKeepers(state: GroupState): boolean {
+    const isKept = (owned: ShardAssignment): boolean =>
+      owned.keepers.every((keeper) =>
+        this.#fleet.getKeeperStanding(keeper) === "present"
+      );
+    return state.shardIds.every((shard) => {
+      const owned = this.#parts.table.findOwned(shard);
+      return owned === undefined || isKept(owned);
+    });
   }
 }
--- a/packages/scheduler/src/assignment/settings.ts
+++ b/packages/scheduler/src/assignment/settings.ts
@@ -14,6 +14,8 @@
   readonly startSpreadMs: number;
   /** Time between looks at what has to change. */
   readonly planPeriodMs: number;
+  /** Age up to which a read is fresh enough to propose on. */
+  readonly freshMs: number;
   /** Time over which the first proposers of groups spread their proposals. */
   readonly proposalSpreadMs: number;
   /** Time that each further proposer of a group waits for the one before. */
@@ -40,10 +42,14 @@
   readonly recoveredDelayMs: number;
   /** Nodes in each region that wait for changes at the platform. */
   readonly watchersPerRegion: number;
+  /** Time for which changes that a watch tells of are gathered. */
+  readonly watchGatherMs: number;
   /** Time after which a watch without an answer is asked again. */
   readonly watchTimeoutMs: number;
-  /** Time between looks at all versions, whatever the news say. */
+  /** Shortest time between looks at all versions, whatever the news say. */
   readonly pollPeriodMs: number;
+  /** The same for each node of the fleet, so that the rate has a bound. */
+  readonly pollPeriodPerNodeMs: number;
   /** Shortest time between two reads of one group. */
   readonly readGapMs: number;
   /** Time after which a platform call counts as lost. */
@@ -71,6 +77,7 @@
   settleMs: 3_000,
   startSpreadMs: 2_000,
   planPeriodMs: 250,
+  freshMs: 1_000,
   proposalSpreadMs: 300,
   backupDelayMs: 1_500,
   proposalsPerSecond: 4,
@@ -84,8 +91,10 @@
   offerTimeoutMs: 2_000,
   recoveredDelayMs: 2_000,
   watchersPerRegion: 2,
+  watchGatherMs: 1_000,
   watchTimeoutMs: 60_000,
   pollPeriodMs: 120_000,
+  pollPeriodPerNodeMs: 1_000,
   readGapMs: 250,
   callTimeoutMs: 10_000,
   backoffBaseMs: 500,
--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -10,7 +10,9 @@
 import {
   checkNever,
   type Effect,
+  type Epoch,
   type MembershipMessage,
+  type MembershipView,
   type PlatformAnswer,
   type ShardAssignment,
   type ShardId,
@@ -42,6 +44,7 @@
 } from "./messages.ts";
 import { NewsQueue } from "./news.ts";
 import { type Offer, Offers } from "./offers.ts";
+import { PendingNotes } from "./pending_notes.ts";
 import type { PlannedChange } from "./plan_group.ts";
 import { type OpenCall, PlatformCalls } from "./platform_calls.ts";
 import { Proposer } from "./proposer.ts";
@@ -62,6 +65,7 @@
   readonly #table: AssignmentTable;
   readonly #groups: GroupBook;
   readonly #calls: PlatformCalls;
+  readonly #notes: PendingNotes;
   readonly #proposer: Proposer;
   readonly #offers: Offers;
   readonly #news: NewsQueue;
@@ -70,8 +74,10 @@
   #isLeaving = false;
   #isHandedOver = false;
   #isListing = false;
+  #isWatcher = false;
   #isWatching = false;
   #watchPosition = 0;
+  #nextWatchMs = 0;
   #nextPollMs: number | undefined;
   #nextPlanMs = 0;
   #nextRebalanceMs = 0;
@@ -87,7 +93,13 @@
     this.#table = new AssignmentTable(self);
     this.#groups = new GroupBook(settings);
     this.#calls = new PlatformCalls(settings, this.#formatName(self));
-    this.#proposer = new Proposer({ self, settings, table: this.#table });
+    this.#notes = new PendingNotes(settings, this.#table);
+    this.#proposer = new Proposer({
+      self,
+      settings,
+      table: this.#table,
+      notes: this.#notes,
+    });
     this.#offers = new Offers(settings);
     this.#news = new NewsQueue(settings, random);
   }
@@ -96,7 +108,7 @@
   handle(input: AssignmentInput, nowMs: number): AssignmentStep {
     switch (input.kind) {
       case "membership":
-        this.#proposer.setFleet(new Fleet(input.view));
+        this.#setView(input.view);
         this.#isCutOff = input.isCutOff;
         break;
       case "peer":
@@ -112,10 +124,7 @@
         this.#isLeaving = true;
         break;
       case "recovered":
-        this.#proposer.addRecovered(input.shard, {
-          epoch: input.epoch,
-          atMs: nowMs,
-        });
+        this.#addRecovered(input.shard, { epoch: input.epoch, nowMs });
         break;
       case "stale":
         this.#readIfOlder(input.shard, { epoch: input.knownEpoch, nowMs });
@@ -134,6 +143,23 @@
     };
   }
 
+  #setView(view: MembershipView): void {
+    if (!this.#proposer.getFleet().isChangedBy(view)) return;
+    const fleet = new Fleet(view);
+    this.#proposer.setFleet(fleet);
+    this.#updateWatcher(fleet);
+    this.#groups.setUnsettled();
+  }
+
+  #addRecovered(
+    shard: ShardId,
+    recovery: { epoch: Epoch; nowMs: number },
+  ): void {
+    const { epoch, nowMs } = recovery;
+    this.#notes.addRecovered(shard, { epoch, atMs: nowMs });
+    this.#groups.setUnsettledOf(shard);
+  }
+
   #handleTick(nowMs: number): void {
     this.#startedAtMs ??= nowMs;
     for (const call of this.#calls.takeTimedOut(nowMs)) {
@@ -173,7 +199,8 @@
   }
 
   #watch(nowMs: number): void {
-    if (this.#isWatching || !this.#isWatcher()) return;
+    if (this.#isWatching || nowMs < this.#nextWatchMs) return;
+    if (!this.#isWatcher) return;
     this.#isWatching = true;
     const afterPosition = this.#watchPosition;
     this.#call({ kind: "watch" }, {
@@ -182,15 +209,15 @@
     });
   }
 
-  /** Whether this node is one of the few of its region that watch. */
-  #isWatcher(): boolean {
+  /** Finds out whether this node is one of the few of its region that watch. */
+  #updateWatcher(fleet: Fleet): void {
     const { region, vmId } = this.#self;
-    const near = this.#proposer.getFleet().candidates
+    const near = fleet.candidates
       .filter((node) => node.spec.region === region)
       .map((node) => node.spec.vmId);
     const { watchersPerRegion } = this.#settings;
-    return sortByScore("watch", near).slice(0, watchersPerRegion)
-      .includes(vmId);
+    const watchers = sortByScore("watch", near).slice(0, watchersPerRegion);
+    this.#isWatcher = watchers.includes(vmId);
   }
 
   #readGroups(nowMs: number): void {
@@ -214,17 +241,21 @@
     for (const state of this.#groups.list()) {
       if (state.busy || state.version === undefined) continue;
       if (state.readAtMs !== undefined || nowMs < state.proposeAtMs) continue;
-      const changes = this.#proposer.buildChanges(state, nowMs);
-      if (changes.length === 0) continue;
-      if (this.#calls.hasFailedSince(state.learntAtMs)) {
+      const decision = this.#proposer.decide(state, nowMs);
+      if (decision.kind === "wait") continue;
+      if (decision.kind === "read" || this.#hasFailedSince(state)) {
         this.#read(state, nowMs);
         continue;
       }
       if (!this.#calls.takeWrite(nowMs)) return;
-      this.#write(state, { changes, nowMs });
+      this.#write(state, { changes: decision.changes, nowMs });
     }
   }
 
+  #hasFailedSince(state: GroupState): boolean {
+    return this.#calls.hasFailedSince(state.learntAtMs);
+  }
+
   #write(
     state: GroupState,
     plan: { changes: readonly PlannedChange[]; nowMs: number },
@@ -312,9 +343,11 @@
 
   #handleListed(answer: PlatformAnswer, nowMs: number): void {
     this.#isListing = false;
-    const { pollPeriodMs } = this.#settings;
+    const { pollPeriodMs, pollPeriodPerNodeMs } = this.#settings;
+    const nodes = this.#proposer.getFleet().candidates.length;
+    const periodMs = Math.max(pollPeriodMs, nodes * pollPeriodPerNodeMs);
     const jitter = computeFraction(`${this.#self.vmId}|${nowMs}`);
-    this.#nextPollMs = nowMs + pollPeriodMs * (0.75 + jitter / 2);
+    this.#nextPollMs = nowMs + periodMs * (0.75 + jitter / 2);
     if (answer.kind !== "listed") return;
     this.#groups.applyKeys(answer.keys, nowMs);
     this.#groups.applyAbsent(answer.keys, nowMs);
@@ -324,7 +357,9 @@
     this.#isWatching = false;
     if (answer.kind !== "changed") return;
     this.#watchPosition = answer.position;
-    this.#groups.applyKeys(answer.keys, nowMs);
+    const { watchGatherMs } = this.#settings;
+    this.#nextWatchMs = nowMs + watchGatherMs;
+    this.#groups.applyKeys(answer.keys, nowMs + watchGatherMs);
   }
 
   #handleRead(
@@ -335,6 +370,7 @@
     if (state === undefined) return;
     state.busy = false;
     const { answer, nowMs } = given;
+    this.#nextPlanMs = nowMs;
     if (answer.kind === "absent") {
       state.version ??= 0;
       state.learntAtMs = nowMs;
@@ -394,6 +430,12 @@
     }
   }
 
+  #forgetRecovered(stored: StoredShard): void {
+    const { assignment, predecessors } = stored;
+    if (predecessors.length > 0 || !this.#table.isOwn(assignment)) return;
+    this.#notes.removeRecovered(assignment.shard);
+  }
+
   #tellOwner(assignment: ShardAssignment): void {
     const { owner } = assignment;
     if (owner !== this.#self.vmId) this.#news.addDirect(owner, assignment);
@@ -410,11 +452,13 @@
   ): void {
     if (read.version < (state.version ?? 0)) return;
     state.version = read.version;
+    state.isSettled = false;
     state.learntAtMs = read.nowMs;
     state.stored = new Map(
       read.shards.map((stored) => [stored.assignment.shard, stored]),
     );
     for (const stored of read.shards) {
+      this.#forgetRecovered(stored);
       const isNews = this.#table.isNews(stored.assignment);
       this.#addNotices(this.#table.applyStored(stored));
       if (!isNews || read.isFirst) continue;
@@ -440,6 +484,7 @@
       if (!isShardAssignment(assignment)) continue;
       if (!this.#table.isNews(assignment)) continue;
       this.#addNotices(this.#table.applyNews(assignment));
+      this.#groups.setUnsettledOf(assignment.shard);
       this.#news.add(assignment);
       if (this.#table.isOwn(assignment)) {
         this.#readSoon(assignment.shard, nowMs);
@@ -452,8 +497,9 @@
     offer: { shards: readonly ShardId[]; nowMs: number },
   ): void {
     if (this.#isLeaving) return;
-    this.#proposer.addOffer(from, offer);
+    this.#notes.addOffer(from, offer);
     for (const shard of offer.shards) {
+      this.#groups.setUnsettledOf(shard);
       const state = this.#groups.findOf(shard);
       const known = state?.stored.get(shard)?.assignment;
       if (known?.owner !== from) this.#readSoon(shard, offer.nowMs);
@@ -474,6 +520,7 @@
   }
 
   #handOver(nowMs: number): void {
+    if (!this.#isLeaving && nowMs < this.#nextRebalanceMs) return;
     const owned = this.#table.listOwned();
     if (this.#isLeaving && owned.length === 0 && !this.#isHandedOver) {
       this.#isHandedOver = true;
@@ -487,7 +534,7 @@
       }
       return;
     }
-    if (nowMs < this.#nextRebalanceMs || !this.#canPropose(nowMs)) return;
+    if (!this.#canPropose(nowMs)) return;
     const { rebalancePeriodMs } = this.#settings;
     const jitter = computeFraction(`${this.#self.vmId}|even|${nowMs}`);
     this.#nextRebalanceMs = nowMs + rebalancePeriodMs * (0.5 + jitter);
@@ -512,6 +559,7 @@
   }
 
   #spreadNews(): void {
+    if (this.#news.isEmpty()) return;
     const others = this.#proposer.getFleet().candidateIds
       .filter((vmId) => vmId !== this.#self.vmId);
     this.#effects.push(...this.#news.takeMessages(others));
