Forget confirmed recoveries at once

Cause: a recovery note of a shard without predecessors was kept, so that its group was planned four times a second for ever.

--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -156,6 +156,8 @@
     recovery: { epoch: Epoch; nowMs: number },
   ): void {
     const { epoch, nowMs } = recovery;
+    const stored = this.#groups.findOf(shard)?.stored.get(shard);
+    if (stored === undefined || stored.predecessors.length === 0) return;
     this.#notes.addRecovered(shard, { epoch, atMs: nowMs });
     this.#groups.setUnsettledOf(shard);
   }
