Add the policy bench's cluster, workloads and baselines

Capacity is reckoned from the workload: the programs a second at a cadence of 36 ms when no prompt token is computed twice. The engine model's step now grows with the context in decode, so that throughput doesn't rise with the batch without bound.

--- /dev/null
+++ b/packages/standins/src/bench/policy/bench_cluster.ts
@@ -0,0 +1,288 @@
+/**
+ * Runs a workload on nodes and engine models in virtual time.
+ */
+import type { DispatchMessage, Region, VmId } from "@camphorlock/types";
+import {
+  type EngineInput,
+  EngineModel,
+  type EngineOutput,
+} from "../../engine/mod.ts";
+import { type BenchLink, BenchNode, createRun } from "./bench_node.ts";
+import { EventQueue } from "./event_queue.ts";
+import type { ProgramRecord, RunCounters, RunRecords } from "./measurements.ts";
+import type { PolicySet } from "./policies.ts";
+import { getDelay, type Topology } from "./topology.ts";
+import type { PlannedProgram, Workload } from "./workload.ts";
+
+/** A change of an engine's speed. */
+export interface SpeedChange {
+  readonly atMs: number;
+  readonly engine: number;
+  readonly speed: number;
+}
+
+/** What a run is made from. */
+export interface RunOptions {
+  readonly topology: Topology;
+  readonly policies: PolicySet;
+  readonly workload: Workload;
+  readonly seed: number;
+  readonly speedChanges: readonly SpeedChange[];
+  /** Time after the last arrival until the run is cut off. */
+  readonly drainMs: number;
+  /** How long a caller comes back after refusals. */
+  readonly patienceMs: number;
+}
+
+interface EngineHost {
+  readonly model: EngineModel;
+  readonly region: Region;
+  readonly targetId: string;
+  wakesAtMs: number;
+}
+
+const TICK_MS = 50;
+
+/** Runs a workload to its end and returns the records. */
+export function runCluster(options: RunOptions): RunRecords {
+  return new BenchCluster(options).run();
+}
+
+class BenchCluster {
+  readonly #options: RunOptions;
+  readonly #events = new EventQueue();
+  readonly #nodes = new Map<VmId, BenchNode>();
+  readonly #regions = new Map<VmId, Region>();
+  readonly #engines = new Map<string, EngineHost>();
+  readonly #attemptNodes = new Map<string, VmId>();
+  readonly #records: ProgramRecord[] = [];
+  readonly #open = new Map<string, PlannedProgram>();
+  readonly #refusals = new Map<string, number>();
+  readonly #counters: RunCounters = {
+    computedPromptTokens: 0,
+    paidBytes: 0,
+    decisions: 0,
+    queueRefusals: 0,
+    slowestRefusalMs: 0,
+    firstTokens: [],
+    tokenTimes: [],
+  };
+
+  constructor(options: RunOptions) {
+    this.#options = options;
+    this.#createEngines();
+    this.#createNodes();
+  }
+
+  run(): RunRecords {
+    const { workload, drainMs } = this.#options;
+    for (const program of workload.programs) {
+      this.#events.add(
+        program.arrivesAtMs,
+        (atMs) => this.#submit(program, atMs),
+      );
+      this.#open.set(program.programId, program);
+    }
+    this.#scheduleSpeeds();
+    const lastMs = workload.programs.at(-1)?.arrivesAtMs ?? 0;
+    const endMs = this.#runUntilDone(lastMs + drainMs);
+    for (const program of this.#open.values()) {
+      const refusals = this.#refusals.get(program.programId) ?? 0;
+      const record = { program, endedAtMs: undefined, gaveUp: false, refusals };
+      this.#records.push(record);
+    }
+    for (const { model } of this.#engines.values()) {
+      this.#counters.computedPromptTokens += model.countComputedPromptTokens();
+    }
+    const counters = this.#counters;
+    return { workload, programs: this.#records, counters, endMs };
+  }
+
+  #runUntilDone(endMs: number): number {
+    let atMs = 0;
+    while (atMs < endMs && this.#open.size > 0) {
+      atMs = Math.min(endMs, atMs + 1_000);
+      this.#events.runUntil(atMs);
+    }
+    return atMs;
+  }
+
+  #createEngines(): void {
+    const { topology, seed } = this.#options;
+    topology.engines.forEach((target, index) => {
+      const settings = { ...topology.engine, seed: seed * 50 + index };
+      this.#engines.set(target.targetId, {
+        model: new EngineModel(settings),
+        region: target.region,
+        targetId: target.targetId,
+        wakesAtMs: Infinity,
+      });
+    });
+  }
+
+  #createNodes(): void {
+    const { topology, policies, seed } = this.#options;
+    topology.nodes.forEach((node, index) => {
+      const { vmId, region } = node.spec;
+      this.#regions.set(vmId, region);
+      const link = this.#createLink(vmId, region);
+      const nodeSeed = seed * 1_000 + index * 10;
+      const options = { node, topology, policies, seed: nodeSeed, link };
+      const benchNode = new BenchNode(options);
+      this.#nodes.set(vmId, benchNode);
+      this.#scheduleTick(benchNode, index * TICK_MS / topology.nodes.length);
+    });
+  }
+
+  #scheduleTick(node: BenchNode, atMs: number): void {
+    this.#events.add(atMs, (nowMs) => {
+      node.handleTick(nowMs);
+      this.#scheduleTick(node, nowMs + TICK_MS);
+    });
+  }
+
+  #createLink(vmId: VmId, region: Region): BenchLink {
+    return {
+      counters: this.#counters,
+      send: (to, message) => this.#send({ vmId, region }, to, message),
+      wait: (delayMs, run) =>
+        this.#events.add(this.#events.nowMs + delayMs, run),
+      generate: (targetId, request) => {
+        this.#attemptNodes.set(request.attemptId, vmId);
+        this.#sendToEngine(targetId, region, { kind: "generate", request });
+      },
+      cancel: (targetId, attemptId) =>
+        this.#sendToEngine(targetId, region, { kind: "cancel", attemptId }),
+    };
+  }
+
+  #send(
+    from: { readonly vmId: VmId; readonly region: Region },
+    to: VmId,
+    message: DispatchMessage,
+  ): void {
+    const node = this.#nodes.get(to);
+    if (node === undefined) return;
+    const delayMs = to === from.vmId ? 0 : getDelay(
+      this.#options.topology.delays,
+      from.region,
+      this.#regions.get(to) ?? "",
+    );
+    this.#events.add(this.#events.nowMs + delayMs, (atMs) => {
+      node.receive(from.vmId, message, atMs);
+    });
+  }
+
+  #sendToEngine(targetId: string, from: Region, input: EngineInput): void {
+    const host = this.#engines.get(targetId);
+    if (host === undefined) return;
+    const delays = this.#options.topology.delays;
+    const delayMs = getDelay(delays, from, host.region);
+    this.#events.add(this.#events.nowMs + delayMs, (atMs) => {
+      this.#handleEngine(host, input, atMs);
+    });
+  }
+
+  #handleEngine(host: EngineHost, input: EngineInput, nowMs: number): void {
+    const outputs = host.model.handle(input, nowMs);
+    for (const output of outputs) this.#deliver(host, output);
+    const nextAtMs = host.model.getNextAtMs();
+    if (nextAtMs === Infinity || nextAtMs === host.wakesAtMs) return;
+    host.wakesAtMs = nextAtMs;
+    this.#events.add(nextAtMs, (atMs) => {
+      if (host.wakesAtMs !== atMs) return;
+      host.wakesAtMs = Infinity;
+      this.#handleEngine(host, { kind: "advance" }, atMs);
+    });
+  }
+
+  #deliver(host: EngineHost, output: EngineOutput): void {
+    if (output.kind === "cache_event") {
+      for (const node of this.#nodes.values()) {
+        node.receiveCacheEvent(host.targetId, output);
+      }
+      return;
+    }
+    if (output.kind !== "tokens" && output.kind !== "completed") return;
+    const vmId = this.#attemptNodes.get(output.attemptId);
+    const node = vmId === undefined ? undefined : this.#nodes.get(vmId);
+    if (vmId === undefined || node === undefined) return;
+    const delays = this.#options.topology.delays;
+    const region = this.#regions.get(vmId) ?? "";
+    const arrivesAtMs = output.atMs + getDelay(delays, host.region, region);
+    if (output.kind === "tokens" && output.offset > 0) {
+      node.receiveOutput(output, arrivesAtMs);
+      return;
+    }
+    this.#events.add(arrivesAtMs, (atMs) => node.receiveOutput(output, atMs));
+    if (output.kind === "completed") {
+      this.#attemptNodes.delete(output.attemptId);
+    }
+  }
+
+  #scheduleSpeeds(): void {
+    const targets = this.#options.topology.engines;
+    for (const { atMs, engine, speed } of this.#options.speedChanges) {
+      const host = this.#engines.get(targets[engine]?.targetId ?? "");
+      if (host === undefined) continue;
+      this.#events.add(
+        atMs,
+        (nowMs) =>
+          this.#handleEngine(host, { kind: "set_speed", speed }, nowMs),
+      );
+    }
+  }
+
+  /** A caller asks a node, and comes back as told when it's refused. */
+  #submit(program: PlannedProgram, nowMs: number): void {
+    const nodes = [...this.#nodes.values()];
+    const tries = this.#refusals.get(program.programId) ?? 0;
+    const node = nodes[(program.place + tries) % nodes.length];
+    if (node === undefined) return;
+    const tree = { startedAtMs: program.arrivesAtMs, attainedMs: 0 };
+    const run = createRun(program, {
+      tree,
+      onEnd: (atMs) => this.#recordEnd(program, atMs),
+      onRefused: (retryAfterMs, atMs) =>
+        this.#settleRefusal(program, retryAfterMs, atMs),
+    });
+    const { toClientMs } = this.#options.topology.delays;
+    this.#events.add(nowMs + toClientMs, (atMs) => {
+      node.startProgram(run, { isFresh: true, nowMs: atMs });
+    });
+  }
+
+  #settleRefusal(
+    program: PlannedProgram,
+    retryAfterMs: number,
+    nowMs: number,
+  ): void {
+    const { programId, arrivesAtMs } = program;
+    const refusals = (this.#refusals.get(programId) ?? 0) + 1;
+    this.#refusals.set(programId, refusals);
+    const backAtMs = nowMs + retryAfterMs;
+    if (backAtMs - arrivesAtMs <= this.#options.patienceMs) {
+      this.#events.add(backAtMs, (atMs) => this.#submit(program, atMs));
+      return;
+    }
+    this.#open.delete(programId);
+    this.#records.push({
+      program,
+      endedAtMs: undefined,
+      gaveUp: true,
+      refusals,
+    });
+  }
+
+  #recordEnd(program: PlannedProgram, nowMs: number): void {
+    const { programId } = program;
+    const { toClientMs } = this.#options.topology.delays;
+    this.#open.delete(programId);
+    this.#records.push({
+      program,
+      endedAtMs: nowMs + toClientMs,
+      gaveUp: false,
+      refusals: this.#refusals.get(programId) ?? 0,
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -0,0 +1,457 @@
+/**
+ * One node of a bench: the real dispatchers and placement with its own stale
+ * view, and a fake owner that runs programs through them.
+ */
+import {
+  checkAdmission,
+  chooseRetry,
+  DispatcherSet,
+  Placement,
+  type PlacementDecision,
+  type PlacementRequest,
+  RandomSource,
+  RetryBudget,
+} from "@camphorlock/scheduler";
+import type {
+  DispatchMessage,
+  Effect,
+  NodeView,
+  VmId,
+} from "@camphorlock/types";
+import type { EngineOutput, GenerateRequest } from "../../engine/mod.ts";
+import type { RunCounters } from "./measurements.ts";
+import type { PolicySet } from "./policies.ts";
+import type { AttemptRun, ProgramRun } from "./program_run.ts";
+import { BENCH_MODEL, createView, type Topology } from "./topology.ts";
+import type { PlannedCall, PlannedProgram } from "./workload.ts";
+
+/** What a node needs of the cluster around it. */
+export interface BenchLink {
+  send(to: VmId, message: DispatchMessage): void;
+  generate(targetId: string, request: GenerateRequest): void;
+  cancel(targetId: string, attemptId: string): void;
+  wait(delayMs: number, run: (nowMs: number) => void): void;
+  readonly counters: RunCounters;
+}
+
+/** What a bench node is built from. */
+export interface BenchNodeOptions {
+  readonly node: NodeView;
+  readonly topology: Topology;
+  readonly policies: PolicySet;
+  readonly seed: number;
+  readonly link: BenchLink;
+}
+
+const RENEW_PERIOD_MS = 400;
+const BYTES_PER_TOKEN = 4;
+/** Targets tried at once before a refusal is passed on. */
+const QUICK_TRIES = 2;
+const TOKEN_SAMPLE_EVERY = 16;
+
+/** A node under virtual time. */
+export class BenchNode {
+  readonly #options: BenchNodeOptions;
+  readonly #dispatchers: DispatcherSet;
+  readonly #placement: Placement;
+  readonly #random: RandomSource;
+  readonly #budget: RetryBudget;
+  readonly #attempts = new Map<string, AttemptRun>();
+  #renewedAtMs = 0;
+  #number = 0;
+
+  constructor(options: BenchNodeOptions) {
+    const { node, topology, policies, seed } = options;
+    this.#options = options;
+    const view = createView(topology, node);
+    this.#placement = new Placement({
+      region: node.spec.region,
+      settings: policies.placement,
+      seed,
+      getTargets: () => topology.engines,
+      getRules: () => [],
+      getView: () => view,
+    });
+    this.#dispatchers = new DispatcherSet({
+      settings: policies.dispatch,
+      seed: seed + 1,
+      findKnownLoad: (targetId) => this.#placement.findLoad(targetId),
+    });
+    const targets = topology.engines;
+    this.#dispatchers.handle({ kind: "targets_changed", targets }, 0);
+    this.#random = new RandomSource(seed + 2);
+    this.#budget = new RetryBudget(policies.retry.budget);
+  }
+
+  /** The node's id. */
+  get vmId(): VmId {
+    return this.#options.node.spec.vmId;
+  }
+
+  /** Handles a message of another node or of this one. */
+  receive(from: VmId, message: DispatchMessage, nowMs: number): void {
+    switch (message.kind) {
+      case "slot_granted":
+        if (message.load !== undefined) {
+          const loads = [message.load];
+          this.#placement.handle({ kind: "loads", loads }, nowMs);
+        }
+        return this.#startAttempt(message.attemptId, nowMs);
+      case "slot_refused":
+        if (message.load !== undefined) {
+          const loads = [message.load];
+          this.#placement.handle({ kind: "loads", loads }, nowMs);
+        }
+        return this.#settleRefusal(message, nowMs);
+      case "target_loads":
+        return this.#placement.handle(
+          { kind: "loads", loads: message.loads },
+          nowMs,
+        );
+      default:
+        return this.#dispatch({ kind: "peer", from, message }, nowMs);
+    }
+  }
+
+  /** Does what is due in every period. */
+  handleTick(nowMs: number): void {
+    this.#dispatch({ kind: "tick" }, nowMs);
+    this.#placement.handle({ kind: "tick" }, nowMs);
+    if (nowMs - this.#renewedAtMs < RENEW_PERIOD_MS) return;
+    this.#renewedAtMs = nowMs;
+    for (const attempt of this.#attempts.values()) this.#renew(attempt);
+  }
+
+  /** Asks for a program to begin; sub-agents of one begun aren't refused. */
+  startProgram(
+    run: ProgramRun,
+    options: { readonly isFresh: boolean; readonly nowMs: number },
+  ): void {
+    const { isFresh, nowMs } = options;
+    const { admission } = this.#options.policies;
+    if (isFresh) {
+      const loads = this.#placement.listLoads("engine", BENCH_MODEL);
+      const { programClass } = run.plan;
+      const admitted = checkAdmission({ programClass, loads }, {
+        settings: admission,
+        random: this.#random,
+      });
+      if (admitted.isErr()) {
+        return run.onRefused(admitted.error.retryAfterMs ?? 1_000, nowMs);
+      }
+    }
+    this.#startCall(run, nowMs);
+  }
+
+  /** Takes what an engine sent for an attempt of this node. */
+  receiveOutput(output: EngineOutput, nowMs: number): void {
+    if (output.kind === "tokens") this.#recordTokens(output, nowMs);
+    if (output.kind === "completed") this.#endAttempt(output, nowMs);
+  }
+
+  /** Takes a cache event, which is late. */
+  receiveCacheEvent(
+    targetId: string,
+    output: EngineOutput & { readonly kind: "cache_event" },
+  ): void {
+    const { event, atMs } = output;
+    const { cacheEventDelayMs } = this.#options.topology.engine;
+    const { kind, programId, tokens, number } = event;
+    const happenedAtMs = atMs - cacheEventDelayMs;
+    this.#placement.handle({
+      kind: "cache_event",
+      report: { targetId, kind, programId, tokens, number, atMs: happenedAtMs },
+    }, atMs);
+  }
+
+  #dispatch(
+    input: Parameters<DispatcherSet["handle"]>[0],
+    nowMs: number,
+  ): void {
+    const step = this.#dispatchers.handle(input, nowMs);
+    this.#apply(step.effects);
+    for (const { loads } of step.notices) {
+      for (const { spec } of this.#options.topology.nodes) {
+        this.#options.link.send(spec.vmId, { kind: "target_loads", loads });
+      }
+    }
+  }
+
+  #apply(effects: readonly Effect[]): void {
+    for (const effect of effects) {
+      if (effect.kind !== "send_peer") continue;
+      const message = effect.message;
+      if (
+        message.kind === "slot_granted" || message.kind === "slot_refused"
+      ) this.#options.link.send(effect.to, message);
+    }
+  }
+
+  #startCall(run: ProgramRun, nowMs: number): void {
+    run.callStartedAtMs = nowMs;
+    run.excluded = [];
+    run.attempt = 0;
+    this.#budget.recordFresh();
+    this.#placeCall(run, nowMs);
+  }
+
+  #placeCall(run: ProgramRun, nowMs: number): void {
+    const call = getCall(run);
+    const promptTokens = run.historyTokens + call.newTokens;
+    const request = buildRequest(run, promptTokens);
+    this.#options.link.counters.decisions += 1;
+    const decision = this.#placement.choose(request, nowMs);
+    if (decision.isErr()) throw new Error(decision.error.detail);
+    run.attempt += 1;
+    this.#requestSlot(run, { decision: decision.value, promptTokens, nowMs });
+  }
+
+  #requestSlot(
+    run: ProgramRun,
+    options: {
+      readonly decision: PlacementDecision;
+      readonly promptTokens: number;
+      readonly nowMs: number;
+    },
+  ): void {
+    const { decision, promptTokens, nowMs } = options;
+    this.#number += 1;
+    const attemptId = `${this.vmId}.${this.#number}`;
+    const { targetId, dispatcher, cachedTokens } = decision;
+    this.#attempts.set(attemptId, {
+      attemptId,
+      targetId,
+      dispatcher,
+      program: run,
+      promptTokens,
+      cachedTokens,
+      grantedAtMs: undefined,
+      firstTokenAtMs: undefined,
+      tokens: 0,
+      unreportedTokens: 0,
+    });
+    const { plan, tree } = run;
+    this.#options.link.send(dispatcher, {
+      kind: "slot_request",
+      attemptId,
+      targetId,
+      partner: plan.partner,
+      programClass: plan.programClass,
+      agent: plan.agent,
+      programId: plan.programId,
+      attainedMs: tree.attainedMs,
+      promptTokens,
+      cachedTokens,
+      maxTokens: 1_024,
+      programAgeMs: nowMs - tree.startedAtMs,
+    });
+  }
+
+  #startAttempt(attemptId: string, nowMs: number): void {
+    const attempt = this.#attempts.get(attemptId);
+    if (attempt === undefined || attempt.grantedAtMs !== undefined) return;
+    attempt.grantedAtMs = nowMs;
+    const { program, promptTokens, targetId } = attempt;
+    const { plan } = program;
+    const call = getCall(program);
+    this.#options.link.generate(targetId, {
+      attemptId,
+      programId: plan.programId,
+      model: BENCH_MODEL,
+      promptTokens,
+      parts: [
+        { key: plan.agent, tokens: plan.sharedTokens, shared: true },
+        { key: plan.programId, tokens: promptTokens, shared: false },
+      ],
+      storeKey: plan.programId,
+      completionTokens: call.completionTokens,
+      producedTokens: 0,
+    });
+    this.#countBytes(attempt, call);
+  }
+
+  #countBytes(attempt: AttemptRun, call: PlannedCall): void {
+    const { topology, node, link } = this.#options;
+    const engine = topology.engines.find((each) =>
+      each.targetId === attempt.targetId
+    );
+    if (engine?.region === node.spec.region) return;
+    const tokens = attempt.promptTokens + call.completionTokens;
+    link.counters.paidBytes += tokens * BYTES_PER_TOKEN;
+  }
+
+  #settleRefusal(
+    refusal: Extract<DispatchMessage, { kind: "slot_refused" }>,
+    nowMs: number,
+  ): void {
+    const attempt = this.#attempts.get(refusal.attemptId);
+    if (attempt === undefined || attempt.grantedAtMs !== undefined) return;
+    this.#attempts.delete(refusal.attemptId);
+    const { counters } = this.#options.link;
+    counters.queueRefusals += 1;
+    const run = attempt.program;
+    run.excluded.push(attempt.targetId);
+    if (run.excluded.length <= QUICK_TRIES) return this.#placeCall(run, nowMs);
+    const { retryAfterMs } = refusal;
+    const isFresh = run.turn === 0 && run.tree.attainedMs === 0;
+    if (isFresh) {
+      const waitedMs = nowMs - run.callStartedAtMs;
+      counters.slowestRefusalMs = Math.max(counters.slowestRefusalMs, waitedMs);
+      return run.onRefused(retryAfterMs, nowMs);
+    }
+    this.#retryLater(run, retryAfterMs);
+  }
+
+  /** A call of a program begun waits for room, however often it's refused. */
+  #retryLater(run: ProgramRun, retryAfterMs: number): void {
+    const choice = chooseRetry({ kind: "slot_refused", retryAfterMs }, {
+      idempotent: true,
+      attempts: run.attempt,
+      leftMs: Infinity,
+    }, {
+      settings: this.#options.policies.retry,
+      budget: this.#budget,
+      random: this.#random,
+    });
+    const afterMs = choice.kind === "retry" ? choice.afterMs : retryAfterMs;
+    run.excluded = [];
+    this.#options.link.wait(afterMs, (atMs) => this.#placeCall(run, atMs));
+  }
+
+  #recordTokens(
+    output: EngineOutput & { readonly kind: "tokens" },
+    nowMs: number,
+  ): void {
+    const attempt = this.#attempts.get(output.attemptId);
+    if (attempt === undefined) return;
+    const { counters } = this.#options.link;
+    if (attempt.firstTokenAtMs === undefined) {
+      attempt.firstTokenAtMs = nowMs;
+      counters.firstTokens.push(nowMs - attempt.program.callStartedAtMs);
+    }
+    attempt.tokens += output.tokens;
+    attempt.unreportedTokens += output.tokens;
+  }
+
+  #renew(attempt: AttemptRun): void {
+    if (attempt.grantedAtMs === undefined) return;
+    const { attemptId, targetId, dispatcher, unreportedTokens } = attempt;
+    attempt.unreportedTokens = 0;
+    this.#options.link.send(dispatcher, {
+      kind: "slot_renewed",
+      attemptId,
+      targetId,
+      tokens: unreportedTokens,
+    });
+  }
+
+  #endAttempt(
+    output: EngineOutput & { readonly kind: "completed" },
+    nowMs: number,
+  ): void {
+    const attempt = this.#attempts.get(output.attemptId);
+    if (attempt === undefined) return;
+    this.#attempts.delete(output.attemptId);
+    const { targetId, program } = attempt;
+    const grantedAtMs = attempt.grantedAtMs ?? nowMs;
+    const firstMs = attempt.firstTokenAtMs ?? nowMs;
+    this.#recordCadence(attempt, nowMs - firstMs);
+    this.#options.link.send(attempt.dispatcher, {
+      kind: "slot_released",
+      attemptId: attempt.attemptId,
+      targetId,
+      outcome: "completed",
+      firstTokenMs: firstMs - grantedAtMs,
+      durationMs: nowMs - grantedAtMs,
+      tokens: attempt.tokens,
+    });
+    program.tree.attainedMs += nowMs - grantedAtMs;
+    program.historyTokens = output.promptTokens + output.completionTokens;
+    this.#placement.recordCached(program.plan.programId, {
+      targetId,
+      tokens: program.historyTokens,
+      nowMs,
+    });
+    const { agent } = program.plan;
+    const { completionTokens } = output;
+    this.#placement.handle(
+      { kind: "call_ended", agent, completionTokens },
+      nowMs,
+    );
+    this.#endCall(program, nowMs);
+  }
+
+  #recordCadence(attempt: AttemptRun, streamMs: number): void {
+    if (this.#number % TOKEN_SAMPLE_EVERY !== 0) return;
+    if (attempt.tokens < 2) return;
+    const tokenMs = streamMs / (attempt.tokens - 1);
+    this.#options.link.counters.tokenTimes.push(tokenMs);
+  }
+
+  #endCall(run: ProgramRun, nowMs: number): void {
+    const call = getCall(run);
+    let open = call.children.length;
+    if (open === 0) return this.#startNext(run, call);
+    const onEnd = (): void => {
+      open -= 1;
+      if (open === 0) this.#startNext(run, call);
+    };
+    for (const plan of call.children) {
+      const child = createRun(plan, { tree: run.tree, onEnd });
+      this.startProgram(child, { isFresh: false, nowMs });
+    }
+  }
+
+  #startNext(run: ProgramRun, call: PlannedCall): void {
+    run.turn += 1;
+    if (run.turn >= run.plan.calls.length) {
+      return this.#options.link.wait(0, (atMs) => this.#endProgram(run, atMs));
+    }
+    this.#options.link.wait(
+      call.pauseMs,
+      (atMs) => this.#startCall(run, atMs),
+    );
+  }
+
+  #endProgram(run: ProgramRun, nowMs: number): void {
+    const { programId } = run.plan;
+    this.#placement.handle({ kind: "program_ended", programId }, nowMs);
+    run.onEnd(nowMs);
+  }
+}
+
+/** Creates the state of a program that begins. */
+export function createRun(
+  plan: PlannedProgram,
+  options: Pick<ProgramRun, "tree" | "onEnd"> & Partial<ProgramRun>,
+): ProgramRun {
+  return {
+    plan,
+    turn: 0,
+    historyTokens: plan.sharedTokens,
+    attempt: 0,
+    excluded: [],
+    callStartedAtMs: 0,
+    onRefused: () => {},
+    ...options,
+  };
+}
+
+function getCall(run: ProgramRun): PlannedCall {
+  const call = run.plan.calls[run.turn];
+  if (call === undefined) throw new RangeError("the program has no such call");
+  return call;
+}
+
+function buildRequest(run: ProgramRun, promptTokens: number): PlacementRequest {
+  const { plan } = run;
+  return {
+    programId: plan.programId,
+    partner: plan.partner,
+    programClass: plan.programClass,
+    agent: plan.agent,
+    call: { kind: "model", model: BENCH_MODEL, messages: [], maxTokens: 1_024 },
+    promptTokens,
+    excluded: run.excluded,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/bench/policy/workload.ts
@@ -0,0 +1,86 @@
+/**
+ * The programs of a bench: a chain of calls with pauses and sub-agents, which
+ * the policy doesn't know in advance.
+ */
+import type { Partner, ProgramClass } from "@camphorlock/types";
+import type { EngineSettings } from "../../engine/mod.ts";
+
+/** One call of a program. */
+export interface PlannedCall {
+  /** Prompt tokens beside the history so far. */
+  readonly newTokens: number;
+  readonly completionTokens: number;
+  /** Time between the answer and the next call. */
+  readonly pauseMs: number;
+  /** Sub-agents that run after the answer and before the next call. */
+  readonly children: readonly PlannedProgram[];
+}
+
+/** One program. */
+export interface PlannedProgram {
+  readonly programId: string;
+  readonly agent: string;
+  readonly partner: Partner;
+  readonly programClass: ProgramClass;
+  readonly arrivesAtMs: number;
+  /** The first tokens of the prompt, the same for all programs of an agent. */
+  readonly sharedTokens: number;
+  readonly calls: readonly PlannedCall[];
+  /** Chooses the node that owns the program. */
+  readonly place: number;
+}
+
+/** The programs of one run in order of arrival. */
+export interface Workload {
+  readonly programs: readonly PlannedProgram[];
+  readonly measureFromMs: number;
+  readonly measureToMs: number;
+}
+
+/** The cadence at which capacity is reckoned. */
+export const TARGET_TOKEN_MS = 36;
+
+/**
+ * Computes the engine time that a program takes beyond the base of the steps,
+ * when each prompt token is computed once.
+ */
+export function computeWorkMs(
+  program: PlannedProgram,
+  engine: EngineSettings,
+): number {
+  let history = program.sharedTokens;
+  let workMs = 0;
+  for (const call of program.calls) {
+    const prompt = history + call.newTokens;
+    const context = prompt + call.completionTokens / 2;
+    const tokenMs = engine.stepPerSequenceMs +
+      context * engine.stepPerContextTokenMs;
+    workMs += call.newTokens * engine.prefillPerTokenMs;
+    workMs += call.completionTokens * tokenMs;
+    history = prompt + call.completionTokens;
+    for (const child of call.children) workMs += computeWorkMs(child, engine);
+  }
+  return workMs;
+}
+
+/** Counts the prompt tokens that have to be computed at least once. */
+export function countNewTokens(program: PlannedProgram): number {
+  let tokens = 0;
+  for (const call of program.calls) {
+    tokens += call.newTokens;
+    for (const child of call.children) tokens += countNewTokens(child);
+  }
+  return tokens;
+}
+
+/**
+ * Computes how many programs of a mean work a pool completes in a second at the
+ * target cadence, if no prompt token is computed twice and no engine idles.
+ */
+export function computeCapacity(
+  meanWorkMs: number,
+  pool: { readonly engines: number; readonly engine: EngineSettings },
+): number {
+  const usable = (TARGET_TOKEN_MS - pool.engine.stepBaseMs) / TARGET_TOKEN_MS;
+  return pool.engines * usable * 1_000 / meanWorkMs;
+}
--- a/packages/standins/src/engine/engine_model.ts
+++ b/packages/standins/src/engine/engine_model.ts
@@ -239,13 +239,17 @@
     const settings = this.#settings;
     let prefillLeft = 0;
     let decoding = 0;
+    let context = 0;
     for (const sequence of this.#running.values()) {
       prefillLeft += sequence.prefillLeft;
-      if (sequence.prefillLeft === 0) decoding += 1;
+      if (sequence.prefillLeft > 0) continue;
+      decoding += 1;
+      context += sequence.request.promptTokens + sequence.produced;
     }
     this.#stepPrefill = Math.min(prefillLeft, settings.prefillChunkTokens);
     const stepMs = settings.stepBaseMs +
       decoding * settings.stepPerSequenceMs +
+      context * settings.stepPerContextTokenMs +
       this.#stepPrefill * settings.prefillPerTokenMs;
     this.#stepEndsAtMs = atMs + stepMs / this.#speed;
   }
--- a/packages/standins/src/engine/engine_types.ts
+++ b/packages/standins/src/engine/engine_types.ts
@@ -11,6 +11,8 @@
   readonly stepBaseMs: number;
   /** Time that each sequence in decode adds to a step. */
   readonly stepPerSequenceMs: number;
+  /** Time that each token of context of a sequence in decode adds. */
+  readonly stepPerContextTokenMs: number;
   /** Time that each prompt token computed in a step adds to it. */
   readonly prefillPerTokenMs: number;
   /** Prompt tokens computed in one step at most. */
@@ -35,14 +37,18 @@
   readonly seed: number;
 }
 
-/** An engine whose cadence passes 36 ms at about 30 sequences. */
+/**
+ * An engine whose cadence passes 36 ms at about 40 sequences of 8,000 tokens
+ * without prefill, and at about 17 while it computes prompts.
+ */
 export const DEFAULT_ENGINE_SETTINGS: EngineSettings = {
-  stepBaseMs: 14,
-  stepPerSequenceMs: 0.5,
-  prefillPerTokenMs: 0.02,
+  stepBaseMs: 10,
+  stepPerSequenceMs: 0.4,
+  stepPerContextTokenMs: 0.00003,
+  prefillPerTokenMs: 0.03,
   prefillChunkTokens: 512,
-  maxBatch: 96,
-  memoryTokens: 600_000,
+  maxBatch: 64,
+  memoryTokens: 400_000,
   reportLagMs: 1_000,
   reportEveryMs: 250,
   cacheEventDelayMs: 1_500,
