Weigh the delay that a prompt's computation causes to its batch

A prompt computed on an engine delays every sequence that decodes there. The estimate counted only the call's own delay, doubled, so that a slightly emptier engine outweighed a cached prefix. It now counts the delay once for the call and once for each running call of the target.

--- a/packages/scheduler/src/placement/estimate.ts
+++ b/packages/scheduler/src/placement/estimate.ts
@@ -81,7 +81,8 @@
     ? 0
     : known.load.queuedPromptTokens + (known.load.prefillTokens ?? 0) +
       known.promptTokensSince;
-  const own = uncached * settings.recomputeWeight;
+  const running = known?.load.running ?? 0;
+  const own = uncached * (1 + settings.interference * running);
   return (before + own) * settings.prefillTokenMs;
 }
 
--- a/packages/scheduler/src/placement/settings.ts
+++ b/packages/scheduler/src/placement/settings.ts
@@ -36,10 +36,10 @@
   /** Milliseconds of latency that a paid megabyte between regions is worth. */
   readonly paidMegabyteMs: number;
   /**
-   * Weight of prompt tokens to compute beyond the call's own wait, since they
-   * also hold back the others of the target.
+   * Weight of the delay that a prompt's computation causes to each other call
+   * in the batch, against the call's own delay.
    */
-  readonly recomputeWeight: number;
+  readonly interference: number;
 }
 
 /** All settings of placement. */
@@ -76,7 +76,7 @@
     slots: 24,
     crossRegionMs: 32,
     paidMegabyteMs: 200,
-    recomputeWeight: 2,
+    interference: 1,
   },
   mostHolders: 3,
   sampleNear: 6,
