Count calls that arrive while a prompt is computed

At low load the batch is small, so that a long history moved to an emptier engine for a gain of one second and was computed again. The estimate now also counts the calls expected to arrive during the computation. A record that lost cache events may concern counts 0.95 of its tokens instead of one half, since with 5 % of events lost nearly every record is in doubt.

--- a/packages/scheduler/src/placement/choose_target.ts
+++ b/packages/scheduler/src/placement/choose_target.ts
@@ -34,6 +34,8 @@
 }
 
 const BYTES_PER_TOKEN = 4;
+/** Share of a record that counts when events about it may be lost. */
+const DOUBTED_SHARE = 0.95;
 
 /** Chooses one of the targets by the policy in force. */
 export function chooseTarget(
@@ -161,7 +163,7 @@
   return { targetId, score: estimate.totalMs, cachedTokens, estimate };
 }
 
-/** A record that may be out of date counts half. */
+/** A record that may be out of date counts a little less. */
 function findCachedTokens(target: TargetSpec, context: ChoiceContext): number {
   const { request, prefixes } = context;
   const holder = prefixes.listHolders(request.programId).find((each) =>
@@ -169,7 +171,7 @@
   );
   if (holder === undefined) return 0;
   const tokens = Math.min(holder.tokens, request.promptTokens);
-  return prefixes.isDoubted(holder) ? tokens / 2 : tokens;
+  return prefixes.isDoubted(holder) ? tokens * DOUBTED_SHARE : tokens;
 }
 
 function findLowest(
--- a/packages/scheduler/src/placement/estimate.ts
+++ b/packages/scheduler/src/placement/estimate.ts
@@ -82,7 +82,8 @@
     : known.load.queuedPromptTokens + (known.load.prefillTokens ?? 0) +
       known.promptTokensSince;
   const running = known?.load.running ?? 0;
-  const own = uncached * (1 + settings.interference * running);
+  const delayed = running + settings.arrivingCalls;
+  const own = uncached * (1 + settings.interference * delayed);
   return (before + own) * settings.prefillTokenMs;
 }
 
--- a/packages/scheduler/src/placement/settings.ts
+++ b/packages/scheduler/src/placement/settings.ts
@@ -40,6 +40,8 @@
    * in the batch, against the call's own delay.
    */
   readonly interference: number;
+  /** Calls expected to join the batch while a prompt is computed. */
+  readonly arrivingCalls: number;
 }
 
 /** All settings of placement. */
@@ -77,6 +79,7 @@
     crossRegionMs: 32,
     paidMegabyteMs: 200,
     interference: 1,
+    arrivingCalls: 3,
   },
   mostHolders: 3,
   sampleNear: 6,
