--- a/packages/scheduler/src/placement/estimate.ts
+++ b/packages/scheduler/src/placement/estimate.ts
@@ -81,7 +81,9 @@
     ? 0
     : known.load.queuedPromptTokens + (known.load.prefillTokens ?? 0) +
       known.promptTokensSince;
-  const own = uncached * settings.recomputeWeight;
+  const running = known?.load.running ?? 0;
+  const delayed = running + settings.arrivingCalls;
+  const own = uncached * (1 + settings.interference * delayed);
   return (before + own) * settings.prefillTokenMs;
 }
 
