Prove the configuration role over random fault schedules

A virtual fleet runs the real membership and configuration roles over the platform stand-in with lost and late answers, outages, partitions, restarts and racing operators.

--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -4,3 +4,4 @@
 export * from "./src/agreement/mod.ts";
 export * from "./src/budget/mod.ts";
 export * from "./src/configuration/mod.ts";
+export * from "./src/membership/mod.ts";
--- a/packages/scheduler/src/configuration/configuration.ts
+++ b/packages/scheduler/src/configuration/configuration.ts
@@ -42,7 +42,7 @@
 export const KEPT_REVISIONS = 2_048;
 
 /** A peer heard from within this time counts as reached. */
-export const HEARD_WITHIN_MS = 6_000;
+export const HEARD_WITHIN_MS = 4_000;
 
 /** The tick period that the role needs. */
 export const CONFIGURATION_TICK_MS = 250;
@@ -54,6 +54,9 @@
 const LONELY_POLL_MS = 2_000;
 const WATCH_RETRY_MS = 1_000;
 
+/** In place of a record, where an offer only reports the revision. */
+const NO_RECORD = new Uint8Array(0);
+
 /** The request under which the initial configuration is stored. */
 const INITIAL_REQUEST = "initial";
 
@@ -145,13 +148,17 @@
       case "peer_revision":
         this.#peers.record(input.vmId, { revision: input.revision, nowMs });
         break;
+      case "reach":
+        this.#peers.setCutOff(input.isCutOff);
+        break;
       case "change":
         this.#handleChange(input, nowMs);
         break;
       default:
         checkNever(input);
     }
-    this.#reportProgress(nowMs);
+    if (this.#history.revision > this.#reportedRevision) this.#reportInForce();
+    if (canChangeFreshness(input)) this.#updateFreshness(nowMs);
     return this.#takeStep();
   }
 
@@ -174,19 +181,25 @@
     }
   }
 
+  /** Sends what the peer misses, or the own revision where that's nothing. */
   #answerRequest(from: VmId, afterRevision: Revision): void {
-    for (
-      const { revision, bytes } of this.#history.encodeAfter(afterRevision)
-    ) {
-      this.#sendPeer(from, {
-        kind: "configuration_offer",
-        revision,
-        value: bytes,
-      });
+    const missing = this.#history.encodeAfter(afterRevision);
+    const report = { revision: this.revision, bytes: NO_RECORD };
+    for (const each of missing.length > 0 ? missing : [report]) {
+      this.#sendOffer(from, each);
     }
   }
 
+  #sendOffer(
+    to: VmId,
+    offer: { readonly revision: Revision; readonly bytes: Uint8Array },
+  ): void {
+    const { revision, bytes: value } = offer;
+    this.#sendPeer(to, { kind: "configuration_offer", revision, value });
+  }
+
   #adoptOffer(value: Uint8Array): void {
+    if (value.length === 0) return;
     const record = decodeRecord(value);
     if (record.isOk()) this.#history.apply(record.value);
   }
@@ -262,6 +275,15 @@
     this.#updateWatch(nowMs);
     this.#requestMissing(nowMs);
     this.#notices.push(...this.#reports.takeDue(this.#peers, nowMs));
+    this.#askMissing(nowMs);
+  }
+
+  /** Asks the nodes that haven't reported an accepted change yet. */
+  #askMissing(nowMs: number): void {
+    const afterRevision = this.revision;
+    for (const vmId of this.#reports.listAsked(this.#peers, nowMs)) {
+      this.#sendPeer(vmId, { kind: "configuration_request", afterRevision });
+    }
   }
 
   #poll(nowMs: number): void {
@@ -296,7 +318,9 @@
   }
 
   #handleWatch(answer: PlatformAnswer, nowMs: number): void {
-    if (answer.kind !== "changed") {
+    const isNews = answer.kind === "changed" &&
+      (answer.keys.length > 0 || answer.position > this.#watchPosition);
+    if (!isNews) {
       this.#watch = { kind: "paused", untilMs: nowMs + WATCH_RETRY_MS };
       return;
     }
@@ -307,7 +331,7 @@
   }
 
   #requestMissing(nowMs: number): void {
-    const highest = this.#peers.getHighestRevision();
+    const highest = this.#peers.highestRevision;
     if (highest <= this.revision) {
       this.#request = { sentAtMs: this.#request.sentAtMs, tries: 0 };
       return;
@@ -321,12 +345,10 @@
     this.#sendPeer(from, { kind: "configuration_request", afterRevision });
   }
 
-  /** Tells the node and its peers of what has changed in this step. */
-  #reportProgress(nowMs: number): void {
-    if (this.#history.revision > this.#reportedRevision) this.#reportInForce();
+  #updateFreshness(nowMs: number): void {
     const state = this.#freshness.update({
       revision: this.revision,
-      highestHeard: this.#peers.getHighestRevision(),
+      highestHeard: this.#peers.highestRevision,
       headSeenAtMs: this.#reader.headSeenAtMs,
       platformFailedSinceMs: this.#reader.failedSinceMs,
       hearsMost: this.#hearsMost(nowMs),
@@ -339,6 +361,7 @@
     this.#log(EVENTS.ConfigurationStale.event);
   }
 
+  /** Tells the node and some peers of the revision that came into force. */
   #reportInForce(): void {
     const { revision, value } = this.#history;
     const fresh = this.#history.listAfter(this.#reportedRevision);
@@ -350,11 +373,7 @@
     if (record === undefined || !isSingle) return;
     const bytes = encodeRecord(record);
     for (const vmId of this.#peers.choosePushed(revision)) {
-      this.#sendPeer(vmId, {
-        kind: "configuration_offer",
-        revision,
-        value: bytes,
-      });
+      this.#sendOffer(vmId, { revision, bytes });
     }
   }
 
@@ -402,3 +421,8 @@
     return step;
   }
 }
+
+/** Heartbeats are too many to judge the state of all nodes at each. */
+function canChangeFreshness(input: ConfigurationInput): boolean {
+  return input.kind !== "peer_revision" && input.kind !== "reach";
+}
--- a/packages/scheduler/src/configuration/freshness.ts
+++ b/packages/scheduler/src/configuration/freshness.ts
@@ -11,7 +11,7 @@
 export const PLATFORM_DOWN_MS = 3_000;
 
 /** A node that learns nothing for this long takes no more work. */
-export const CUT_OFF_MS = 8_000;
+export const CUT_OFF_MS = 4_000;
 
 /** Whether the node may serve. */
 export type FreshnessState = "starting" | "ready" | "cut_off";
--- a/packages/scheduler/src/configuration/in_force.ts
+++ b/packages/scheduler/src/configuration/in_force.ts
@@ -2,7 +2,7 @@
  * Evidence that accepted changes are in force on every node: the revisions
  * that the nodes themselves reported.
  */
-import type { RequestId, Revision } from "@camphorlock/types";
+import type { RequestId, Revision, VmId } from "@camphorlock/types";
 import type { ConfigurationNotice } from "./inputs.ts";
 import type { ConfigurationPeers } from "./peers.ts";
 
@@ -12,6 +12,9 @@
 /** A change is no longer followed after this long. */
 const FOLLOW_MS = 120_000;
 
+/** Nodes that haven't reported a change are asked at this interval. */
+const ASK_EVERY_MS = 1_000;
+
 interface FollowedChange {
   readonly requestId: RequestId;
   readonly revision: Revision;
@@ -22,6 +25,7 @@
 /** The accepted changes whose spread this node reports to its operators. */
 export class InForceReports {
   #followed: readonly FollowedChange[] = [];
+  #askAtMs = 0;
 
   /** Follows a change from its acceptance on. */
   add(
@@ -30,6 +34,16 @@
   ): void {
     const followed = { ...change, acceptedAtMs, reported: false };
     this.#followed = [...this.#followed, followed];
+    if (this.#askAtMs > acceptedAtMs) return;
+    this.#askAtMs = acceptedAtMs + ASK_EVERY_MS;
+  }
+
+  /** Lists the nodes to ask now for their revision, each once. */
+  listAsked(peers: ConfigurationPeers, nowMs: number): readonly VmId[] {
+    if (this.#followed.length === 0 || nowMs < this.#askAtMs) return [];
+    this.#askAtMs = nowMs + ASK_EVERY_MS;
+    const highest = Math.max(...this.#followed.map((each) => each.revision));
+    return peers.splitByRevision(highest).missing;
   }
 
   /** Lists the reports that are due. */
--- a/packages/scheduler/src/configuration/inputs.ts
+++ b/packages/scheduler/src/configuration/inputs.ts
@@ -55,6 +55,11 @@
     readonly vmId: VmId;
     readonly revision: Revision;
   }
+  | {
+    /** Whether the membership finds most nodes out of reach. */
+    readonly kind: "reach";
+    readonly isCutOff: boolean;
+  }
   | ChangeInput;
 
 /** What the node has to act on. */
--- a/packages/scheduler/src/configuration/peers.ts
+++ b/packages/scheduler/src/configuration/peers.ts
@@ -20,6 +20,9 @@
 /** Peers of other regions that a new revision is pushed to. */
 const PUSHES_ELSEWHERE = 1;
 
+/** Nodes that stand for the others where most can't be heard in time. */
+const HEARD_SAMPLE = 32;
+
 interface Peer {
   readonly vmId: VmId;
   region: Region;
@@ -33,13 +36,21 @@
   readonly #peers = new Map<VmId, Peer>();
   readonly #self: VmId;
   readonly #region: Region;
+  #highestRevision: Revision = 0;
   #isKnown = false;
+  /** Unknown until the membership has told. */
+  #isCutOff: boolean | undefined;
 
   constructor(self: VmId, region: Region) {
     this.#self = self;
     this.#region = region;
   }
 
+  /** The highest revision that any node has reported. */
+  get highestRevision(): Revision {
+    return this.#highestRevision;
+  }
+
   /** How many other nodes there are, dead ones included. */
   get count(): number {
     return this.#peers.size;
@@ -55,7 +66,7 @@
       const peer = this.#getPeer(spec.vmId);
       peer.region = spec.region;
       peer.state = state;
-      peer.revision = Math.max(peer.revision, revision);
+      this.#setRevision(peer, revision);
     }
     for (const vmId of this.#peers.keys()) {
       if (!present.has(vmId)) this.#peers.delete(vmId);
@@ -69,21 +80,18 @@
   ): void {
     if (vmId === this.#self) return;
     const peer = this.#getPeer(vmId);
-    peer.revision = Math.max(peer.revision, report.revision);
+    this.#setRevision(peer, report.revision);
     peer.heardAtMs = report.nowMs;
   }
 
-  /** The highest revision that any node has reported. */
-  getHighestRevision(): Revision {
-    let highest: Revision = 0;
-    for (const peer of this.#peers.values()) {
-      highest = Math.max(highest, peer.revision);
-    }
-    return highest;
+  /** Takes whether the membership finds most nodes out of reach. */
+  setCutOff(isCutOff: boolean): void {
+    this.#isCutOff = isCutOff;
   }
 
   /**
-   * Whether more than half of all nodes, this one included, were heard.
+   * Whether most nodes were heard: more than half of all, this one included,
+   * or a large sample while the membership doesn't find this node cut off.
    *
    * Never before the membership has told which nodes there are.
    */
@@ -93,7 +101,8 @@
     for (const { heardAtMs } of this.#peers.values()) {
       if (heardAtMs !== undefined && heardAtMs >= sinceMs) heard += 1;
     }
-    return heard * 2 > this.#peers.size + 1;
+    if (heard * 2 > this.#peers.size + 1) return true;
+    return this.#isCutOff === false && heard >= HEARD_SAMPLE;
   }
 
   /** Whether this node is one of those that watch for its region. */
@@ -153,6 +162,11 @@
     return { reached, missing };
   }
 
+  #setRevision(peer: Peer, revision: Revision): void {
+    peer.revision = Math.max(peer.revision, revision);
+    this.#highestRevision = Math.max(this.#highestRevision, revision);
+  }
+
   #listAlive(): readonly Peer[] {
     return [...this.#peers.values()].filter((peer) => {
       return peer.state === "alive" || peer.state === "leaving";
--- a/packages/scheduler/src/configuration/proposal.ts
+++ b/packages/scheduler/src/configuration/proposal.ts
@@ -203,11 +203,12 @@
   }
 
   #handleWritten(attempt: Attempt, answer: PlatformAnswer): ProposalStep {
-    if (answer.kind === "stored") return this.#ask(attempt, "confirming");
+    const stored = { ...attempt, mayBeStored: true };
+    if (answer.kind === "stored") return this.#ask(stored, "confirming");
     if (answer.kind === "conflict") return this.#ask(attempt, "reading");
     const isLost = answer.kind !== "failed" || answer.reason === "lost";
     if (!isLost) return this.#wait(attempt, "writing");
-    return this.#wait({ ...attempt, mayBeStored: true }, "reading");
+    return this.#wait(stored, "reading");
   }
 
   #handleRead(attempt: Attempt, answer: PlatformAnswer): ProposalStep {
--- /dev/null
+++ b/packages/standins/src/fleet/configuration_node.ts
@@ -0,0 +1,152 @@
+/**
+ * One process of a virtual fleet: membership and configuration wired as in a
+ * node, without its other roles.
+ */
+import {
+  Configuration,
+  CONFIGURATION_TICK_MS,
+  type ConfigurationInput,
+  type ConfigurationNotice,
+  type ConfigurationOptions,
+  Membership,
+  type MembershipStep,
+} from "@camphorlock/scheduler";
+import {
+  checkNever,
+  type Effect,
+  type NodeSpec,
+  type PeerMessage,
+  type VmListing,
+} from "@camphorlock/types";
+
+const MEMBERSHIP_TICK_MS = 100;
+
+/** What a process is made of. */
+export interface ConfigurationNodeOptions {
+  readonly spec: NodeSpec;
+  readonly seed: number;
+  readonly vms: readonly VmListing[];
+  readonly initial?: ConfigurationOptions["initial"];
+  readonly keptRevisions?: number;
+  /** Carries an effect out. */
+  readonly applyEffect: (effect: Effect) => void;
+  /** Takes what the configuration role told its node. */
+  readonly addNotice: (notice: ConfigurationNotice) => void;
+}
+
+/** A process with membership and configuration. */
+export class ConfigurationNode {
+  readonly spec: NodeSpec;
+  readonly configuration: Configuration;
+  readonly #membership: Membership;
+  readonly #options: ConfigurationNodeOptions;
+  #nextMembershipMs = 0;
+  #nextConfigurationMs = 0;
+
+  constructor(options: ConfigurationNodeOptions, nowMs: number) {
+    const { spec, seed, initial, keptRevisions } = options;
+    this.#options = options;
+    this.spec = spec;
+    this.#membership = new Membership({ self: spec, seed });
+    this.configuration = new Configuration({
+      self: spec.vmId,
+      incarnation: spec.incarnation,
+      region: spec.region,
+      ...(initial === undefined ? {} : { initial }),
+      ...(keptRevisions === undefined ? {} : { keptRevisions }),
+    });
+    const vms = options.vms;
+    this.#applyMembership(
+      this.#membership.handle({ kind: "vm_list", vms }, nowMs),
+      nowMs,
+    );
+  }
+
+  /** Gives the membership as this process sees it. */
+  get membership(): Membership {
+    return this.#membership;
+  }
+
+  /** Ticks the roles whose time has come. */
+  handleTick(nowMs: number): void {
+    if (nowMs >= this.#nextMembershipMs) {
+      this.#nextMembershipMs = nowMs + MEMBERSHIP_TICK_MS;
+      const step = this.#membership.handle({ kind: "tick" }, nowMs);
+      this.#applyMembership(step, nowMs);
+    }
+    if (nowMs < this.#nextConfigurationMs) return;
+    this.#nextConfigurationMs = nowMs + CONFIGURATION_TICK_MS;
+    const isCutOff = this.#membership.isCutOff(nowMs);
+    this.handle({ kind: "reach", isCutOff }, nowMs);
+    this.handle({ kind: "tick" }, nowMs);
+  }
+
+  /** Takes a message of another process. */
+  handlePeer(from: NodeSpec, message: PeerMessage, nowMs: number): void {
+    switch (message.kind) {
+      case "heartbeat":
+      case "heartbeat_ack": {
+        const { revision } = message;
+        const { vmId } = from;
+        this.handle({ kind: "peer_revision", vmId, revision }, nowMs);
+        const input = { kind: "peer", from: vmId, message } as const;
+        this.#applyMembership(this.#membership.handle(input, nowMs), nowMs);
+        return;
+      }
+      case "probe_request":
+      case "probe_result": {
+        const input = { kind: "peer", from: from.vmId, message } as const;
+        this.#applyMembership(this.#membership.handle(input, nowMs), nowMs);
+        return;
+      }
+      case "configuration_request":
+      case "configuration_offer":
+        this.handle({ kind: "peer", from: from.vmId, message }, nowMs);
+        return;
+      default:
+        return;
+    }
+  }
+
+  /** Gives the configuration role an input. */
+  handle(input: ConfigurationInput, nowMs: number): void {
+    const step = this.configuration.handle(input, nowMs);
+    for (const notice of step.notices) this.#applyNotice(notice, nowMs);
+    for (const effect of step.effects) this.#options.applyEffect(effect);
+  }
+
+  #applyNotice(notice: ConfigurationNotice, nowMs: number): void {
+    this.#options.addNotice(notice);
+    switch (notice.kind) {
+      case "in_force": {
+        const { revision } = notice;
+        const step = this.#membership.handle(
+          { kind: "revision", revision },
+          nowMs,
+        );
+        this.#applyMembership(step, nowMs);
+        return;
+      }
+      case "ready":
+      case "cut_off":
+      case "change_accepted":
+      case "change_refused":
+      case "change_uncertain":
+      case "change_in_force":
+      case "change_spreading":
+        return;
+      default:
+        checkNever(notice);
+    }
+  }
+
+  #applyMembership(step: MembershipStep, nowMs: number): void {
+    for (const effect of step.effects) this.#options.applyEffect(effect);
+    const hasChanged = step.notices.some((notice) => {
+      return notice.kind === "node_changed";
+    });
+    if (!hasChanged) return;
+    const view = this.#membership.view();
+    this.handle({ kind: "members", view }, nowMs);
+  }
+}
