--- a/packages/scheduler/src/configuration/configuration.ts
+++ b/packages/scheduler/src/configuration/configuration.ts
@@ -142,7 +142,7 @@
         this.#handleTick(nowMs);
         break;
       case "members":
-        this.#peers.update(input.view);
+        this.#peers.update(input.view, input.listed);
         this.#isWatcher = this.#peers.isWatcher();
         break;
       case "peer_revision":
--- a/packages/scheduler/src/configuration/freshness.ts
+++ b/packages/scheduler/src/configuration/freshness.ts
@@ -10,6 +10,9 @@
 /** The platform counts as down after failing for this long. */
 export const PLATFORM_DOWN_MS = 3_000;
 
+/** Most nodes have to be heard for this long while the platform is down. */
+export const HEARING_MS = 3_000;
+
 /** A node that learns nothing for this long takes no more work. */
 export const CUT_OFF_MS = 4_000;
 
@@ -32,6 +35,7 @@
 export class Freshness {
   #state: FreshnessState = "starting";
   #learnedAtMs = 0;
+  #hearsMostSinceMs: number | undefined;
 
   /** Whether the node may serve. */
   get state(): FreshnessState {
@@ -52,12 +56,12 @@
   #choose(evidence: FreshnessEvidence, nowMs: number): FreshnessState {
     const seenAtMs = evidence.headSeenAtMs ?? -Infinity;
     this.#learnedAtMs = Math.max(this.#learnedAtMs, seenAtMs);
-    if (evidence.hearsMost) this.#learnedAtMs = nowMs;
+    this.#updateHearing(evidence.hearsMost, nowMs);
     switch (this.#state) {
       case "ready":
         return this.#isCutOff(nowMs) ? "cut_off" : "ready";
       case "starting":
-        return isCurrent(evidence, nowMs) ? "ready" : "starting";
+        return this.#isCurrent(evidence, nowMs) ? "ready" : "starting";
       case "cut_off":
         return this.#isRejoined(evidence, nowMs) ? "ready" : "cut_off";
     }
@@ -68,18 +72,33 @@
   }
 
   #isRejoined(evidence: FreshnessEvidence, nowMs: number): boolean {
-    return !this.#isCutOff(nowMs) && isCurrent(evidence, nowMs);
+    return !this.#isCutOff(nowMs) && this.#isCurrent(evidence, nowMs);
+  }
+
+  #updateHearing(hearsMost: boolean, nowMs: number): void {
+    if (!hearsMost) {
+      this.#hearsMostSinceMs = undefined;
+      return;
+    }
+    this.#hearsMostSinceMs ??= nowMs;
+    this.#learnedAtMs = nowMs;
+  }
+
+  #isCurrent(evidence: FreshnessEvidence, nowMs: number): boolean {
+    const { revision, highestHeard, headSeenAtMs } = evidence;
+    if (revision === 0 || revision < highestHeard) return false;
+    const isHeadSeen = headSeenAtMs !== undefined &&
+      nowMs - headSeenAtMs <= CUT_OFF_MS;
+    return isHeadSeen || this.#isLatestOfMost(evidence, nowMs);
   }
-}
 
-function isCurrent(evidence: FreshnessEvidence, nowMs: number): boolean {
-  const { revision, highestHeard, headSeenAtMs } = evidence;
-  if (revision === 0 || revision < highestHeard) return false;
-  if (headSeenAtMs !== undefined && nowMs - headSeenAtMs <= CUT_OFF_MS) {
-    return true;
+  /** Whether the platform is down and most nodes were heard for a while. */
+  #isLatestOfMost(evidence: FreshnessEvidence, nowMs: number): boolean {
+    const failedSinceMs = evidence.platformFailedSinceMs;
+    const isDown = failedSinceMs !== undefined &&
+      nowMs - failedSinceMs >= PLATFORM_DOWN_MS;
+    const hearsSinceMs = this.#hearsMostSinceMs;
+    return isDown && hearsSinceMs !== undefined &&
+      nowMs - hearsSinceMs >= HEARING_MS;
   }
-  const { platformFailedSinceMs, hearsMost } = evidence;
-  const isDown = platformFailedSinceMs !== undefined &&
-    nowMs - platformFailedSinceMs >= PLATFORM_DOWN_MS;
-  return isDown && hearsMost;
 }
--- a/packages/scheduler/src/configuration/in_force.ts
+++ b/packages/scheduler/src/configuration/in_force.ts
@@ -54,12 +54,20 @@
     const notices: ConfigurationNotice[] = [];
     const open: FollowedChange[] = [];
     for (const change of this.#followed) {
-      const { reached, missing } = peers.splitByRevision(change.revision);
+      const { reached, missing, presumedDead } = peers.splitByRevision(
+        change.revision,
+      );
       const { requestId, revision } = change;
       const elapsedMs = nowMs - change.acceptedAtMs;
       if (missing.length === 0) {
-        const kind = "change_in_force";
-        notices.push({ kind, requestId, revision, elapsedMs, nodes: reached });
+        notices.push({
+          kind: "change_in_force",
+          requestId,
+          revision,
+          elapsedMs,
+          nodes: reached,
+          presumedDead,
+        });
         continue;
       }
       if (elapsedMs >= SPREAD_REPORT_MS && !change.reported) {
--- a/packages/scheduler/src/configuration/inputs.ts
+++ b/packages/scheduler/src/configuration/inputs.ts
@@ -48,7 +48,12 @@
     readonly answer: PlatformAnswer;
   }
   | { readonly kind: "tick" }
-  | { readonly kind: "members"; readonly view: MembershipView }
+  | {
+    readonly kind: "members";
+    readonly view: MembershipView;
+    /** The VMs of the platform's list, heard from or not. */
+    readonly listed: readonly VmId[];
+  }
   | {
     /** A revision that a heartbeat or a fresh rumour carried. */
     readonly kind: "peer_revision";
@@ -99,13 +104,15 @@
     readonly failure: Failure;
   }
   | {
-    /** Every node that isn't dead has reported the revision or a later one. */
+    /** Every node not presumed dead has reported the revision or a later. */
     readonly kind: "change_in_force";
     readonly requestId: RequestId;
     readonly revision: Revision;
     /** From acceptance to the last node's report. */
     readonly elapsedMs: number;
     readonly nodes: readonly VmId[];
+    /** Nodes that didn't report and that the membership finds dead. */
+    readonly presumedDead: readonly VmId[];
   }
   | {
     /** Some nodes haven't reported the revision in the stated time. */
--- a/packages/scheduler/src/configuration/peers.ts
+++ b/packages/scheduler/src/configuration/peers.ts
@@ -31,6 +31,13 @@
   heardAtMs: number | undefined;
 }
 
+/** The nodes by what they have reported of a revision. */
+export interface RevisionSpread {
+  readonly reached: readonly VmId[];
+  readonly missing: readonly VmId[];
+  readonly presumedDead: readonly VmId[];
+}
+
 /** The other nodes, as heartbeats and the membership tell of them. */
 export class ConfigurationPeers {
   readonly #peers = new Map<VmId, Peer>();
@@ -38,6 +45,7 @@
   readonly #region: Region;
   #highestRevision: Revision = 0;
   #isKnown = false;
+  #listed: ReadonlySet<VmId> = new Set();
   /** Unknown until the membership has told. */
   #isCutOff: boolean | undefined;
 
@@ -56,9 +64,10 @@
     return this.#peers.size;
   }
 
-  /** Takes the nodes that the membership knows. */
-  update(view: MembershipView): void {
+  /** Takes the nodes that the membership knows and the VMs of the list. */
+  update(view: MembershipView, listed: readonly VmId[]): void {
     this.#isKnown = true;
+    this.#listed = new Set(listed.filter((vmId) => vmId !== this.#self));
     const present = new Set<VmId>();
     for (const { spec, state, revision } of view.nodes) {
       if (spec.vmId === this.#self) continue;
@@ -101,7 +110,7 @@
     for (const { heardAtMs } of this.#peers.values()) {
       if (heardAtMs !== undefined && heardAtMs >= sinceMs) heard += 1;
     }
-    if (heard * 2 > this.#peers.size + 1) return true;
+    if (heard * 2 > this.#countKnown() + 1) return true;
     return this.#isCutOff === false && heard >= HEARD_SAMPLE;
   }
 
@@ -149,17 +158,25 @@
     })[0];
   }
 
-  /** Splits the nodes that aren't dead by whether they have a revision. */
-  splitByRevision(
-    revision: Revision,
-  ): { readonly reached: readonly VmId[]; readonly missing: readonly VmId[] } {
+  /** Splits the nodes by whether they have reported a revision. */
+  splitByRevision(revision: Revision): RevisionSpread {
     const reached: VmId[] = [this.#self];
     const missing: VmId[] = [];
+    const presumedDead: VmId[] = [];
     for (const peer of this.#peers.values()) {
-      if (peer.state === "dead") continue;
-      (peer.revision >= revision ? reached : missing).push(peer.vmId);
+      if (peer.revision >= revision) reached.push(peer.vmId);
+      else if (peer.state === "dead") presumedDead.push(peer.vmId);
+      else missing.push(peer.vmId);
+    }
+    return { reached, missing, presumedDead };
+  }
+
+  #countKnown(): number {
+    let count = this.#peers.size;
+    for (const vmId of this.#listed) {
+      if (!this.#peers.has(vmId)) count += 1;
     }
-    return { reached, missing };
+    return count;
   }
 
   #setRevision(peer: Peer, revision: Revision): void {
--- a/packages/standins/src/fleet/configuration_node.ts
+++ b/packages/standins/src/fleet/configuration_node.ts
@@ -147,6 +147,7 @@
     });
     if (!hasChanged) return;
     const view = this.#membership.view();
-    this.handle({ kind: "members", view }, nowMs);
+    const listed = this.#options.vms.map(({ vmId }) => vmId);
+    this.handle({ kind: "members", view, listed }, nowMs);
   }
 }
--- a/packages/standins/src/fleet/configuration_property_test.ts
+++ b/packages/standins/src/fleet/configuration_property_test.ts
@@ -57,6 +57,7 @@
 
 interface Noted {
   readonly vmId: VmId;
+  readonly incarnation: number;
   readonly atMs: number;
   readonly notice: ConfigurationNotice;
 }
@@ -182,8 +183,9 @@
         by: { partner: "zincir", operator: "installer" },
         atMs: 0,
       },
-      onNotice: (vmId, notice) => {
-        this.notes.push({ vmId, atMs: this.fleet.nowMs, notice });
+      onNotice: ({ vmId, incarnation }, notice) => {
+        const atMs = this.fleet.nowMs;
+        this.notes.push({ vmId, incarnation, atMs, notice });
       },
     });
   }
@@ -285,16 +287,13 @@
 }
 
 function checkRevisionsRise(run: Run): void {
-  const last = new Map<VmId, number>();
-  for (const { vmId, notice } of run.notes) {
+  const last = new Map<string, number>();
+  for (const { vmId, incarnation, notice } of run.notes) {
     if (notice.kind !== "in_force") continue;
-    // A restarted process begins anew; it isn't ready before it has caught up.
-    if (notice.revision === 1 || notice.revision > (last.get(vmId) ?? 0)) {
-      last.set(vmId, notice.revision);
-    }
-  }
-  for (const [vmId, process] of run.fleet.nodes) {
-    expect(process.configuration.revision).to.be.at.least(last.get(vmId) ?? 0);
+    const process = `${vmId}/${incarnation}`;
+    const { revision } = notice;
+    expect(revision, process).to.be.greaterThan(last.get(process) ?? 0);
+    last.set(process, revision);
   }
 }
 
--- a/packages/standins/src/fleet/virtual_fleet.ts
+++ b/packages/standins/src/fleet/virtual_fleet.ts
@@ -37,7 +37,7 @@
   readonly faults?: readonly PlatformFault[];
   readonly initial?: ConfigurationOptions["initial"];
   readonly keptRevisions?: number;
-  readonly onNotice?: (vmId: VmId, notice: ConfigurationNotice) => void;
+  readonly onNotice?: (from: NodeSpec, notice: ConfigurationNotice) => void;
   readonly onSend?: (from: VmId, message: PeerMessage) => void;
 }
 
@@ -79,7 +79,6 @@
     const incarnation = (this.#incarnations.get(index) ?? 0) + 1;
     this.#incarnations.set(index, incarnation);
     const spec = this.#buildSpec(index, incarnation);
-    const { vmId } = spec;
     const { initial, keptRevisions, seed } = this.#options;
     const queued: Effect[] = [];
     const node = new ConfigurationNode({
@@ -89,9 +88,9 @@
       ...(initial === undefined ? {} : { initial }),
       ...(keptRevisions === undefined ? {} : { keptRevisions }),
       applyEffect: (effect) => queued.push(effect),
-      addNotice: (notice) => this.#options.onNotice?.(vmId, notice),
+      addNotice: (notice) => this.#options.onNotice?.(spec, notice),
     }, this.nowMs);
-    this.nodes.set(vmId, node);
+    this.nodes.set(spec.vmId, node);
     this.#scheduleTick(node, { queued, delayMs: this.#takeRandom(TICK_MS) });
   }
 
