--- a/packages/scheduler/mod.ts
+++ b/packages/scheduler/mod.ts
@@ -12,3 +12,4 @@
 export * from "./src/placement/mod.ts";
 export * from "./src/random/mod.ts";
 export * from "./src/retry/mod.ts";
+export * from "./src/membership/mod.ts";
