Close what a failed test leaves open, and test two rules that were bare

Cause: removing a rule on purpose showed two rules without a test, and a failed test that kept the run from ending.

--- a/packages/services/src/service_client_test.ts
+++ b/packages/services/src/service_client_test.ts
@@ -1,7 +1,9 @@
 import type { AttemptEvent, AttemptOrder } from "@camphorlock/types";
 import {
   buildOperationText,
+  type RunningBalancer,
   type RunningService,
+  serveBalancer,
   serveService,
 } from "@camphorlock/standins";
 import { expect } from "chai";
@@ -30,6 +32,7 @@
 describe("service client", () => {
   let service: RunningService;
   let client: ServiceClient;
+  let balancer: RunningBalancer | undefined;
 
   beforeEach(async () => {
     service = await serveService();
@@ -38,6 +41,8 @@
 
   afterEach(async () => {
     await client.close();
+    await balancer?.stop();
+    balancer = undefined;
     await service.stop();
   });
 
@@ -99,6 +104,25 @@
     });
   });
 
+  it("delivers nothing of an answer to another attempt", async () => {
+    service.control.addNext({ kind: "cross" });
+    expect(await run(buildOrder("a1"))).to.deep.equal({
+      kind: "broken",
+      detail: "the answer is for a1-crossed",
+    });
+  });
+
+  it("trusts no kept connection with a non-idempotent operation", async () => {
+    balancer = await serveBalancer({ backends: [service.address] });
+    await client.close();
+    client = new ServiceClient({ address: balancer.address });
+    const { call, ...order } = buildOrder("a1");
+    await run({ ...order, call: { ...call, idempotent: true } as typeof call });
+    await new Promise((resolve) => setImmediate(resolve));
+    balancer.control.setOpenSilent(service.address);
+    expect((await run(buildOrder("a2", 200))).kind).to.equal("completed");
+  });
+
   it("asks for the outcome of an attempt that broke", async () => {
     service.control.addNext({ kind: "break_after" });
     await run(buildOrder("a1"));
--- a/packages/standins/src/deployment/load_deployment_test.ts
+++ b/packages/standins/src/deployment/load_deployment_test.ts
@@ -94,9 +94,9 @@
   it("starts a stand-in for each target", async () => {
     const deployment = (await loadDeployment("zincir"))._unsafeUnwrap();
     const running = await serveDeployment(deployment);
+    await running.stop();
     expect(running.targets).to.have.length(9);
     const addresses = new Set(running.targets.map(({ address }) => address));
     expect(addresses.size).to.equal(9);
-    await running.stop();
   });
 });
--- a/packages/standins/src/engine_server/answer_stream.ts
+++ b/packages/standins/src/engine_server/answer_stream.ts
@@ -39,6 +39,11 @@
     return this.#usage !== undefined || this.#cancelled;
   }
 
+  /** Whether it was stopped before its end. */
+  get wasCancelled(): boolean {
+    return this.#cancelled;
+  }
+
   /** Characters of the attempt's own text so far. */
   get length(): number {
     return this.#produced - this.#planned.prefixLength;
--- a/packages/standins/src/engine_server/engine_control.ts
+++ b/packages/standins/src/engine_server/engine_control.ts
@@ -69,4 +69,9 @@
     const stream = this.#driver.streams.get(attemptId);
     return stream !== undefined && !stream.ended;
   }
+
+  /** Whether an attempt was stopped before its end. */
+  isCancelled(attemptId: AttemptId): boolean {
+    return this.#driver.streams.get(attemptId)?.wasCancelled === true;
+  }
 }
--- a/packages/standins/src/service/serve_service.ts
+++ b/packages/standins/src/service/serve_service.ts
@@ -106,6 +106,9 @@
     case "fail":
       context.header(KEY_HEADER, key);
       return context.text(behavior.detail, 500);
+    case "cross":
+      context.header(KEY_HEADER, `${key}-crossed`);
+      return context.text(text);
     case "normal":
     case "delay":
       context.header(KEY_HEADER, key);
--- a/packages/standins/src/service/service_control.ts
+++ b/packages/standins/src/service/service_control.ts
@@ -17,6 +17,8 @@
   | { readonly kind: "break_before" }
   /** Runs and breaks the connection. */
   | { readonly kind: "break_after" }
+  /** Runs and answers under another key. */
+  | { readonly kind: "cross" }
   /** Runs and reports an error. */
   | { readonly kind: "fail"; readonly detail: string };
 
