--- a/packages/standins/src/bench/engines_bench.ts
+++ b/packages/standins/src/bench/engines_bench.ts
@@ -78,6 +78,7 @@
   const { href } = new URL("./token_server.ts", import.meta.url);
   return new Worker(LOAD_TYPESCRIPT, {
     eval: true,
+    execArgv: [],
     workerData: { tokensPerStream, stepMs, href },
   });
 }
