Share the clients' registry and headers between engines and services

Cause: the registry of clients and the names of headers stood twice.

Change: TargetClients and the headers move beside the exchange; an engine stand-in lists the models that it serves from the start; following an attempt at a target that isn't configured says broken, since it may have been sent.

Conclusion: one place for each.

--- a/packages/engines/mod.ts
+++ b/packages/engines/mod.ts
@@ -6,4 +6,3 @@
 export * from "./src/engine_memory.ts";
 export * from "./src/engine_reports.ts";
 export * from "./src/engines.ts";
-export * from "./src/headers.ts";
--- a/packages/engines/src/attempt_stream.ts
+++ b/packages/engines/src/attempt_stream.ts
@@ -9,13 +9,14 @@
 import type { AttemptEvent, AttemptOrder, Usage } from "@camphorlock/types";
 import {
   type AnswerReceiver,
+  ATTEMPT_HEADER,
   type ExchangeEnd,
   getHeader,
+  NOT_RUN_HEADER,
   type PeerHeaders,
 } from "@camphorlock/platform";
 import { type AnswerChunk, parseAnswerChunk } from "./answer_chunk.ts";
 import { EventLines } from "./event_lines.ts";
-import { ATTEMPT_HEADER, NOT_RUN_HEADER } from "./headers.ts";
 
 const END_MARK = "[DONE]";
 const MAX_ERROR_BYTES = 4_096;
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -4,6 +4,7 @@
  * An attempt is sent once and followed by its stream; a stream that broke can
  * be followed again by attempt id. `docs/EDGES.md` has the HTTP form.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import type {
   AttemptId,
   AttemptOrder,
@@ -14,9 +15,12 @@
 import { checkNever } from "@camphorlock/types";
 import type { Failure } from "@camphorlock/codes";
 import {
+  ATTEMPT_HEADER,
   type Exchange,
+  FENCE_HEADER,
   PeerConnection,
   type PeerRequest,
+  PROGRAM_HEADER,
   runWhole,
   type WholeAnswer,
 } from "@camphorlock/platform";
@@ -33,7 +37,6 @@
   readCacheEvents,
   readLoad,
 } from "./engine_reports.ts";
-import { ATTEMPT_HEADER, FENCE_HEADER, PROGRAM_HEADER } from "./headers.ts";
 import { decodeOrderAnswer } from "./order_answer.ts";
 
 const ORDER_TIMEOUT_MS = 5_000;
@@ -244,7 +247,8 @@
   readonly wasSentBefore: boolean;
 }
 
-function refuseAttempt(
+/** Reports that an attempt was not sent. */
+export function refuseAttempt(
   detail: string,
   onEvent: AttemptListener,
 ): RunningAttempt {
@@ -252,10 +256,6 @@
   return { cancel: () => {} };
 }
 
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function formatStreamPath(attemptId: AttemptId): string {
   return `/v1/streams/${encodeURIComponent(attemptId)}`;
 }
--- a/packages/engines/src/engines.ts
+++ b/packages/engines/src/engines.ts
@@ -9,45 +9,53 @@
   TargetOrderResult,
   TargetSpec,
 } from "@camphorlock/types";
+import { TargetClients } from "@camphorlock/platform";
 import type { AttemptListener } from "./attempt_stream.ts";
-import { EngineClient, type RunningAttempt } from "./engine_client.ts";
+import {
+  EngineClient,
+  refuseAttempt,
+  type RunningAttempt,
+} from "./engine_client.ts";
 
-interface KnownEngine {
-  readonly address: string;
-  readonly client: EngineClient;
-}
+const UNKNOWN_DETAIL = "the target isn't configured";
+const UNKNOWN_TARGET: TargetOrderResult = {
+  kind: "failed",
+  detail: UNKNOWN_DETAIL,
+};
 
 /** The clients of the engines that the configuration names. */
 export class Engines {
-  readonly #engines = new Map<TargetId, KnownEngine>();
+  readonly #clients = new TargetClients({
+    kind: "engine",
+    create: (address) => new EngineClient({ address }),
+  });
 
   /** Follows the configuration: opens and closes clients as it changed. */
   setTargets(specs: readonly TargetSpec[]): void {
-    const engines = specs.filter((spec) => spec.kind === "engine");
-    const names = new Set(engines.map((spec) => spec.targetId));
-    for (const targetId of [...this.#engines.keys()]) {
-      if (!names.has(targetId)) this.#remove(targetId);
-    }
-    for (const spec of engines) this.#set(spec);
+    this.#clients.setTargets(specs);
   }
 
   /** Finds the client of a target. */
   find(targetId: TargetId): EngineClient | undefined {
-    return this.#engines.get(targetId)?.client;
+    return this.#clients.find(targetId);
   }
 
   /** Sends an attempt to its target. */
   runAttempt(order: AttemptOrder, onEvent: AttemptListener): RunningAttempt {
     const client = this.find(order.targetId);
-    if (client === undefined) return refuseUnknown(onEvent);
+    if (client === undefined) return refuseAttempt(UNKNOWN_DETAIL, onEvent);
     return client.runAttempt(order, onEvent);
   }
 
   /** Follows an attempt that was sent before, from its beginning. */
   resumeAttempt(order: AttemptOrder, onEvent: AttemptListener): RunningAttempt {
     const client = this.find(order.targetId);
-    if (client === undefined) return refuseUnknown(onEvent);
-    return client.resumeAttempt(order, { fromOffset: 0, onEvent });
+    if (client !== undefined) {
+      return client.resumeAttempt(order, { fromOffset: 0, onEvent });
+    }
+    // The attempt itself may have been sent to the target before.
+    queueMicrotask(() => onEvent({ kind: "broken", detail: UNKNOWN_DETAIL }));
+    return { cancel: () => {} };
   }
 
   /** Tells a target to stop an attempt, whoever started it. */
@@ -70,33 +78,6 @@
 
   /** Closes every client. */
   async close(): Promise<void> {
-    const clients = [...this.#engines.values()];
-    this.#engines.clear();
-    await Promise.all(clients.map((known) => known.client.close()));
-  }
-
-  #set(spec: TargetSpec): void {
-    const known = this.#engines.get(spec.targetId);
-    if (known?.address === spec.address) return;
-    if (known !== undefined) this.#remove(spec.targetId);
-    const client = new EngineClient({ address: spec.address });
-    this.#engines.set(spec.targetId, { address: spec.address, client });
+    await this.#clients.close();
   }
-
-  #remove(targetId: TargetId): void {
-    const known = this.#engines.get(targetId);
-    this.#engines.delete(targetId);
-    void known?.client.closeWhenIdle();
-  }
-}
-
-const UNKNOWN_DETAIL = "the target isn't configured";
-const UNKNOWN_TARGET: TargetOrderResult = {
-  kind: "failed",
-  detail: UNKNOWN_DETAIL,
-};
-
-function refuseUnknown(onEvent: AttemptListener): RunningAttempt {
-  queueMicrotask(() => onEvent({ kind: "not_sent", detail: UNKNOWN_DETAIL }));
-  return { cancel: () => {} };
 }
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -4,6 +4,7 @@
  * A call never rejects. A write whose answer didn't arrive is `lost`, because
  * it may have taken effect; `refused` and `rate_limited` had no effect.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import type { PlatformAnswer, PlatformRequest } from "@camphorlock/types";
 import { PeerConnection } from "./http/peer_connection.ts";
 import { runWhole } from "./http/whole_answer.ts";
@@ -89,7 +90,3 @@
   const burst = Math.max(1, perSecond * BURST_SECONDS);
   return new TokenBucket({ perSecond, burst }, performance.now());
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -14,8 +14,11 @@
 import { checkNever } from "@camphorlock/types";
 import {
   getHeader,
+  KEY_HEADER,
+  NOT_RUN_HEADER,
   PeerConnection,
   type PeerRequest,
+  PROGRAM_HEADER,
   startWhole,
   type WholeAnswer,
 } from "@camphorlock/platform";
@@ -23,9 +26,6 @@
 
 const OUTCOME_TIMEOUT_MS = 5_000;
 const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
-const KEY_HEADER = "idempotency-key";
-const PROGRAM_HEADER = "camphorlock-program";
-const NOT_RUN_HEADER = "camphorlock-not-run";
 const NO_USAGE = { promptTokens: 0, cachedTokens: 0, completionTokens: 0 };
 
 /** Settings of a service client. */
--- a/packages/services/src/services.ts
+++ b/packages/services/src/services.ts
@@ -7,6 +7,7 @@
   TargetId,
   TargetSpec,
 } from "@camphorlock/types";
+import { TargetClients } from "@camphorlock/platform";
 import {
   type RunningOperation,
   ServiceClient,
@@ -16,28 +17,21 @@
 
 const UNKNOWN_DETAIL = "the target isn't configured";
 
-interface KnownService {
-  readonly address: string;
-  readonly client: ServiceClient;
-}
-
 /** The clients of the services that the configuration names. */
 export class Services {
-  readonly #services = new Map<TargetId, KnownService>();
+  readonly #clients = new TargetClients({
+    kind: "service",
+    create: (address) => new ServiceClient({ address }),
+  });
 
   /** Follows the configuration: opens and closes clients as it changed. */
   setTargets(specs: readonly TargetSpec[]): void {
-    const services = specs.filter((spec) => spec.kind === "service");
-    const names = new Set(services.map((spec) => spec.targetId));
-    for (const targetId of [...this.#services.keys()]) {
-      if (!names.has(targetId)) this.#remove(targetId);
-    }
-    for (const spec of services) this.#set(spec);
+    this.#clients.setTargets(specs);
   }
 
   /** Finds the client of a target. */
   find(targetId: TargetId): ServiceClient | undefined {
-    return this.#services.get(targetId)?.client;
+    return this.#clients.find(targetId);
   }
 
   /** Sends an operation to its target. */
@@ -62,22 +56,6 @@
 
   /** Closes every client. */
   async close(): Promise<void> {
-    const clients = [...this.#services.values()];
-    this.#services.clear();
-    await Promise.all(clients.map((known) => known.client.close()));
-  }
-
-  #set(spec: TargetSpec): void {
-    const known = this.#services.get(spec.targetId);
-    if (known?.address === spec.address) return;
-    if (known !== undefined) this.#remove(spec.targetId);
-    const client = new ServiceClient({ address: spec.address });
-    this.#services.set(spec.targetId, { address: spec.address, client });
-  }
-
-  #remove(targetId: TargetId): void {
-    const known = this.#services.get(targetId);
-    this.#services.delete(targetId);
-    void known?.client.closeWhenIdle();
+    await this.#clients.close();
   }
 }
--- a/packages/standins/src/deployment/serve_deployment.ts
+++ b/packages/standins/src/deployment/serve_deployment.ts
@@ -19,7 +19,10 @@
 /** Settings of a running deployment. */
 export interface ServeDeploymentOptions {
   readonly platform?: ServePlatformOptions;
-  readonly engine?: Omit<ServeEngineOptions, "port" | "checksFencing">;
+  readonly engine?: Omit<
+    ServeEngineOptions,
+    "port" | "checksFencing" | "models"
+  >;
   readonly serviceDelayMs?: number;
 }
 
@@ -48,7 +51,11 @@
   for (const target of deployment.targets) {
     if (target.kind === "engine") {
       const checksFencing = target.checks_fencing;
-      const engine = await serveEngine({ ...options.engine, checksFencing });
+      const engine = await serveEngine({
+        ...options.engine,
+        checksFencing,
+        models: target.serves,
+      });
       engines.set(target.target, engine);
       targets.push(buildSpec(target, engine.address));
     } else {
--- a/packages/standins/src/engine_server/order_routes.ts
+++ b/packages/standins/src/engine_server/order_routes.ts
@@ -2,7 +2,7 @@
  * Orders to the engine stand-in: release, KV export and import, models.
  */
 import type { TargetOrder } from "@camphorlock/types";
-import { FENCE_HEADER } from "@camphorlock/engines";
+import { FENCE_HEADER } from "@camphorlock/platform";
 import type { Context, Hono } from "hono";
 import { z } from "zod";
 import type { StandinEnv } from "../http_server.ts";
@@ -15,9 +15,9 @@
 /** Adds the paths of orders. */
 export function addOrderRoutes(
   app: Hono<StandinEnv>,
-  driver: EngineDriver,
+  options: { readonly driver: EngineDriver; readonly models: Set<string> },
 ): void {
-  const models = new Set<string>();
+  const { driver, models } = options;
   app.delete("/v1/programs/:programId/memory", (context) => {
     const programId = context.req.param("programId");
     return runOrder(context, {
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -1,12 +1,13 @@
 /**
  * The engine stand-in over HTTP. `docs/EDGES.md` has the form.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import type { AttemptId } from "@camphorlock/types";
 import {
   ATTEMPT_HEADER,
   NOT_RUN_HEADER,
   PROGRAM_HEADER,
-} from "@camphorlock/engines";
+} from "@camphorlock/platform";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 import {
@@ -14,7 +15,6 @@
   type RunningServer,
   type StandinEnv,
   startServer,
-  waitFor,
   waitForever,
 } from "../http_server.ts";
 import { parseChatRequest } from "./chat_form.ts";
@@ -35,6 +35,8 @@
   readonly tokenMs?: number;
   readonly firstTokenMs?: number;
   readonly checksFencing?: boolean;
+  /** Models served from the start. */
+  readonly models?: readonly string[];
 }
 
 /** A running engine stand-in. */
@@ -56,7 +58,7 @@
     await next();
   });
   addStreamRoutes(app, { driver, control });
-  addOrderRoutes(app, driver);
+  addOrderRoutes(app, { driver, models: new Set(options.models) });
   addReportRoutes(app, driver);
   const server = await startServer(app, options);
   return {
--- a/packages/standins/src/http_server.ts
+++ b/packages/standins/src/http_server.ts
@@ -60,11 +60,6 @@
   return new Promise(() => {});
 }
 
-/** Waits for some real time. */
-export function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function stopServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
--- a/packages/standins/src/platform/serve_platform.ts
+++ b/packages/standins/src/platform/serve_platform.ts
@@ -4,6 +4,7 @@
  * `docs/EDGES.md` has the form. The paths under `/control` belong to the
  * stand-in alone.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import {
   checkNever,
   type PlatformAnswer,
@@ -16,7 +17,6 @@
   type RunningServer,
   type StandinEnv,
   startServer,
-  waitFor,
   waitForever,
 } from "../http_server.ts";
 import {
--- a/packages/standins/src/service/serve_service.ts
+++ b/packages/standins/src/service/serve_service.ts
@@ -5,7 +5,13 @@
  * rely on services to drop doubles, and checkers see each run.
  */
 import { createHash } from "node:crypto";
+import { setTimeout as waitFor } from "node:timers/promises";
 import { checkNever } from "@camphorlock/types";
+import {
+  KEY_HEADER,
+  NOT_RUN_HEADER,
+  PROGRAM_HEADER,
+} from "@camphorlock/platform";
 import { type Context, Hono } from "hono";
 import {
   closeConnection,
@@ -13,16 +19,11 @@
   type RunningServer,
   type StandinEnv,
   startServer,
-  waitFor,
   waitForever,
 } from "../http_server.ts";
 import { ServiceControl } from "./service_control.ts";
 import { ServiceRuns } from "./service_runs.ts";
 
-const KEY_HEADER = "idempotency-key";
-const PROGRAM_HEADER = "camphorlock-program";
-const NOT_RUN_HEADER = "camphorlock-not-run";
-
 /** Settings of a service stand-in. */
 export interface ServeServiceOptions extends ListenOptions {
   readonly name?: string;
