Place and dispatch by the measured policies in every node

The nodes granted a slot to whoever asked. They now choose targets by estimated finish, queue before each target under an adaptive limit, and spread loads. Requests for slots are repeated while they wait, and move when the dispatcher does.

--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -38,7 +38,7 @@
 import { Membership, type MembershipStep } from "../membership/mod.ts";
 import type { NodeInput, NodeNotice, NodeStep } from "./node_input.ts";
 import type { NodeOptions } from "./node_settings.ts";
-import { OpenPolicy } from "./open_policy.ts";
+import { NodePolicy } from "./node_policy.ts";
 import {
   findAttemptShard,
   ShardHosts,
@@ -56,7 +56,7 @@
   readonly #membership: Membership;
   readonly #assigner: ShardAssigner;
   readonly #configuration: Configuration;
-  readonly #policy: OpenPolicy;
+  readonly #policy: NodePolicy;
   readonly #keeper: Keeper;
   readonly #hosts: ShardHosts;
   readonly #entry: Entry;
@@ -64,6 +64,8 @@
   #effects: Effect[] = [];
   #notices: NodeNotice[] = [];
   #nowMs = 0;
+  /** The VMs that the platform's list names. */
+  #listed: readonly VmId[] = [];
   #isStopping = false;
 
   constructor(options: NodeOptions) {
@@ -85,7 +87,12 @@
       region: spec.region,
       ...(initial === undefined ? {} : { initial }),
     });
-    this.#policy = new OpenPolicy(self, () => this.#configuration.value);
+    this.#policy = new NodePolicy({
+      spec,
+      seed,
+      getValue: () => this.#configuration.value,
+      getView: () => this.#membership.view(),
+    });
     this.#keeper = new Keeper({
       incarnation: spec.incarnation,
       maxBytes: limits.keeperBytes,
@@ -175,7 +182,7 @@
     const { spec, limits, getWallClockMs } = this.#options;
     return new ShardHosts({
       self: spec.vmId,
-      placer: this.#policy,
+      placer: this.#policy.placement,
       getConfiguration: () => ({
         revision: this.#configuration.revision,
         value: this.#configuration.value,
@@ -201,6 +208,7 @@
       this.#applyMembership(this.#membership.handle(tick, nowMs));
       this.#applyAssignment(this.#assigner.handle(tick, nowMs));
       this.#applyHosts(this.#hosts.handleAll(tick, nowMs));
+      this.#addEffects(this.#policy.handleTick(nowMs));
       this.#addEffects(this.#entry.handle(tick, nowMs));
     });
     this.#timers.subscribe(CONFIGURATION_TICK_MS, (nowMs) => {
@@ -218,7 +226,10 @@
       this.#assigner.handle({ kind: "membership", view, isCutOff }, nowMs),
     );
     this.#applyConfiguration(
-      this.#configuration.handle({ kind: "members", view }, nowMs),
+      this.#configuration.handle(
+        { kind: "members", view, listed: this.#listed },
+        nowMs,
+      ),
     );
     this.#applyMembership(
       this.#membership.handle({ kind: "revision", revision }, nowMs),
@@ -247,6 +258,7 @@
           this.#configuration.handle(input, this.#nowMs),
         );
       case "vm_list":
+        this.#listed = input.vms.map((vm) => vm.vmId);
         return this.#applyMembership(
           this.#membership.handle(input, this.#nowMs),
         );
@@ -369,6 +381,7 @@
     switch (message.kind) {
       case "slot_granted":
       case "slot_refused": {
+        this.#policy.handlePeer(from, message, this.#nowMs);
         const shard = findAttemptShard(message.attemptId);
         const input = { kind: "slot", message } as const;
         return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
@@ -377,7 +390,9 @@
       case "slot_renewed":
       case "slot_released":
       case "target_loads":
-        return this.#addEffects(this.#policy.handle(from, message));
+        return this.#addEffects(
+          this.#policy.handlePeer(from, message, this.#nowMs),
+        );
       default:
         return checkNever(message);
     }
@@ -438,7 +453,12 @@
 
   #applyConfiguration(step: ConfigurationStep): void {
     this.#addEffects(step.effects);
-    this.#notices.push(...step.notices);
+    for (const notice of step.notices) {
+      this.#notices.push(notice);
+      if (notice.kind !== "in_force") continue;
+      const { value } = notice;
+      this.#addEffects(this.#policy.applyConfiguration(value, this.#nowMs));
+    }
   }
 
   #applyHosts(step: ShardHostsStep): void {
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -2,13 +2,16 @@
  * Starts attempts: placement, slot, durable intent, then one send.
  */
 import type { Failure } from "@camphorlock/codes";
-import type { AttemptId, AttemptOrder } from "@camphorlock/types";
+import type { AttemptId, AttemptOrder, ModelCall } from "@camphorlock/types";
 import { ok, type Result } from "neverthrow";
 import type { OwnerContext } from "./owner_context.ts";
 import type { PlacementChoice } from "./ports.ts";
 import { computePromptBound } from "../budget/mod.ts";
 import type { RunningAttempt, RunningCall } from "./running_call.ts";
 
+/** Bytes of text that a token stands for on average. */
+const BYTES_PER_TOKEN = 4;
+
 /** Brings calls from the queue to a sent attempt. */
 export class AttemptStarter {
   readonly #context: OwnerContext;
@@ -26,9 +29,7 @@
   start(running: RunningCall): Result<void, Failure> {
     const { spec, state } = running;
     const { call } = state;
-    const promptTokens = call.kind === "model"
-      ? computePromptBound(call.messages)
-      : 0;
+    const promptTokens = call.kind === "model" ? computePromptTokens(call) : 0;
     const choice = this.#context.options.placer.choose({
       programId: spec.programId,
       partner: spec.partner,
@@ -40,7 +41,7 @@
     }, this.#context.nowMs);
     if (choice.isErr()) return choice.map(() => undefined);
     for (const effect of choice.value.effects) this.#context.addEffect(effect);
-    this.#sendSlotRequest(running, choice.value, promptTokens);
+    this.#openSlotRequest(running, choice.value, promptTokens);
     return ok(undefined);
   }
 
@@ -72,6 +73,8 @@
       targetId: last.targetId,
       dispatcher: this.#context.options.self,
       inherited: true,
+      promptTokens: 0,
+      cachedTokens: 0,
     });
     running.attempt = attempt;
     running.mayHaveRun = true;
@@ -97,41 +100,56 @@
     attempt.unreportedTokens = 0;
   }
 
-  #sendSlotRequest(
+  #openSlotRequest(
     running: RunningCall,
     choice: PlacementChoice,
     promptTokens: number,
   ): void {
-    const { spec, state } = running;
     running.attemptsBegun += 1;
-    const number = running.attemptsBegun;
-    const attemptId =
-      `${state.callId}.${this.#context.options.epoch}.${number}`;
-    running.attempt = this.#createAttempt(attemptId, {
+    const { epoch } = this.#context.options;
+    const { callId } = running.state;
+    const attemptId = `${callId}.${epoch}.${running.attemptsBegun}`;
+    const attempt = this.#createAttempt(attemptId, {
       targetId: choice.targetId,
       dispatcher: choice.dispatcher,
       inherited: false,
+      promptTokens,
+      cachedTokens: choice.cachedTokens,
     });
+    running.attempt = attempt;
     running.phase = "waiting_slot";
     this.#byAttempt.set(attemptId, running);
-    this.#context.send(choice.dispatcher, {
+    this.#sendSlotRequest(running, attempt);
+  }
+
+  #sendSlotRequest(running: RunningCall, attempt: RunningAttempt): void {
+    const { spec, state } = running;
+    this.#context.send(attempt.dispatcher, {
       kind: "slot_request",
-      attemptId,
-      targetId: choice.targetId,
+      attemptId: attempt.attemptId,
+      targetId: attempt.targetId,
       partner: spec.partner,
       programClass: spec.programClass,
       agent: spec.agent,
       programId: spec.programId,
       attainedMs: this.#computeAttained(running),
-      promptTokens,
-      cachedTokens: choice.cachedTokens,
+      promptTokens: attempt.promptTokens,
+      cachedTokens: attempt.cachedTokens,
       maxTokens: state.call.kind === "model" ? state.call.maxTokens : 0,
     });
   }
 
+  /** Asks the dispatcher again; a queued request keeps its place. */
+  renewRequest(running: RunningCall): void {
+    const { attempt } = running;
+    if (attempt === undefined) return;
+    attempt.askedAtMs = this.#context.nowMs;
+    this.#sendSlotRequest(running, attempt);
+  }
+
   #createAttempt(
     attemptId: AttemptId,
-    place: Pick<RunningAttempt, "targetId" | "dispatcher" | "inherited">,
+    place: AttemptPlace,
   ): RunningAttempt {
     const { nowMs } = this.#context;
     return {
@@ -198,3 +216,14 @@
     return program?.attainedMs ?? 0;
   }
 }
+
+/** Where an attempt goes and what it brings. */
+type AttemptPlace = Pick<
+  RunningAttempt,
+  "targetId" | "dispatcher" | "inherited" | "promptTokens" | "cachedTokens"
+>;
+
+/** Computes about how many tokens a prompt has; budgets use the bound. */
+function computePromptTokens(call: ModelCall): number {
+  return Math.ceil(computePromptBound(call.messages) / BYTES_PER_TOKEN);
+}
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -186,7 +186,7 @@
       case "waiting_slot": {
         const askedAtMs = running.attempt?.askedAtMs ?? nowMs;
         if (nowMs - askedAtMs < options.limits.slotTimeoutMs) return;
-        return this.#ender.handleSlotRefused(running, 0);
+        return this.#handleSlotSilence(running);
       }
       case "intending":
       case "running":
@@ -200,6 +200,20 @@
     }
   }
 
+  /** Asks again, or elsewhere when the dispatcher or patience has gone. */
+  #handleSlotSilence(running: RunningCall): void {
+    const { nowMs, options } = this.#context;
+    const { attempt, placingSinceMs } = running;
+    const isLate = nowMs - placingSinceMs >= options.limits.placeTimeoutMs;
+    const dispatcher = attempt === undefined
+      ? undefined
+      : options.placer.findDispatcher(attempt.targetId);
+    if (isLate || dispatcher !== attempt?.dispatcher) {
+      return this.#ender.handleSlotRefused(running, 0);
+    }
+    this.#starter.renewRequest(running);
+  }
+
   #closeCall(running: RunningCall): void {
     const { callId, outcome } = running.state;
     const { programId } = running.spec;
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -87,6 +87,7 @@
         choose: ({ excluded }) => this.#choose(excluded),
         recordCached: () => undefined,
         recordReleased: () => undefined,
+        findDispatcher: () => "vm-1",
         hasTarget: (target) => this.targets.includes(target),
       },
       getConfiguration: () => ({
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -72,6 +72,8 @@
   recordCached(program: ProgramId, use: CachedUse): void;
   recordReleased(program: ProgramId, target: TargetId): void;
   hasTarget(target: TargetId): boolean;
+  /** Finds the node that dispatches for a target at present. */
+  findDispatcher(target: TargetId): VmId | undefined;
 }
 
 /** What a target holds of a program after an attempt. */
@@ -97,7 +99,7 @@
   readonly maxLedgerUsage: number;
   /** How long a call waits for a target before it ends as not run. */
   readonly placeTimeoutMs: number;
-  /** How long a request for a slot may stay unanswered. */
+  /** Silence of a dispatcher after which a slot is asked for again. */
   readonly slotTimeoutMs: number;
   readonly renewPeriodMs: number;
   readonly releaseRetryMs: number;
@@ -112,7 +114,7 @@
   maxAttempts: 4,
   maxLedgerUsage: 0.8,
   placeTimeoutMs: 20_000,
-  slotTimeoutMs: 3_000,
+  slotTimeoutMs: 1_000,
   renewPeriodMs: 500,
   releaseRetryMs: 2_000,
   progressTimeoutMs: 10_000,
--- a/packages/scheduler/src/owner/running_call.ts
+++ b/packages/scheduler/src/owner/running_call.ts
@@ -56,7 +56,11 @@
   readonly dispatcher: VmId;
   /** Whether an earlier owner sent it, so that its use isn't known. */
   readonly inherited: boolean;
-  readonly askedAtMs: number;
+  /** When the dispatcher was asked last. */
+  askedAtMs: number;
+  /** Tokens of the prompt, and those that the target has cached. */
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
   sentAtMs: number;
   firstTokenMs: number;
   /** Tokens received in all, and those not reported to the dispatcher. */
