--- a/packages/scheduler/src/ledger/keeper_group.ts
+++ b/packages/scheduler/src/ledger/keeper_group.ts
@@ -7,6 +7,7 @@
   Epoch,
   FailureDomain,
   KeeperMessage,
+  LedgerEntry,
   ShardId,
   VmId,
 } from "@camphorlock/types";
@@ -16,6 +17,7 @@
   hasReachablePair,
   KeeperLink,
 } from "./keeper_link.ts";
+import { KeeperReleases } from "./keeper_releases.ts";
 import type { LedgerLimits } from "./ledger_types.ts";
 import type { KeeperProcess } from "./segment.ts";
 import type { UnstoredEntries } from "./unstored_entries.ts";
@@ -25,6 +27,10 @@
   readonly shard: ShardId;
   readonly epoch: Epoch;
   readonly keepers: readonly KeeperProcess[];
+  /** Keepers of earlier epochs, which are told to drop their entries. */
+  readonly formerKeepers: readonly KeeperProcess[];
+  /** Entries up to here were stored when the epoch was opened. */
+  readonly storedThrough: number;
   readonly failureDomainOf: (vmId: VmId) => FailureDomain;
   readonly limits: LedgerLimits;
 }
@@ -47,11 +53,18 @@
 export class KeeperGroup {
   readonly #options: KeeperGroupOptions;
   readonly #links: readonly KeeperLink[];
+  readonly #releases: KeeperReleases;
   #token = 0;
 
   constructor(options: KeeperGroupOptions) {
     this.#options = options;
     this.#links = options.keepers.map((keeper) => createLink(keeper, options));
+    const { formerKeepers, limits } = options;
+    this.#releases = new KeeperReleases({
+      ...options,
+      keepers: formerKeepers.filter(({ vmId }) => !this.#findLink(vmId)),
+      resendAfterMs: limits.resendAtMostMs,
+    });
   }
 
   /** Every entry up to here is held by two keepers in two domains. */
@@ -87,9 +100,10 @@
       storedThrough: source.unstored.storedThrough,
       askedToken: source.askedToken,
     };
-    return this.#links
+    const messages = this.#links
       .filter((link) => link.needsMessage(offer, nowMs))
       .map((link) => this.#createSend(link, source, nowMs));
+    return [...messages, ...this.#releases.sendDue(this.takeToken(), nowMs)];
   }
 
   /** Applies an answer of a keeper. */
@@ -97,7 +111,8 @@
     if (message.kind === "keep_refused") {
       return { kind: "superseded", epoch: message.sealedEpoch };
     }
-    const link = this.#links.find((each) => each.vmId === from);
+    this.#releases.remove(from);
+    const link = this.#findLink(from);
     if (link === undefined) return { kind: "progress" };
     if (message.kind !== "entries_kept") return { kind: "progress" };
     const restarted = link.applyKept(message, this.takeToken());
@@ -109,6 +124,10 @@
     for (const link of this.#links) link.applyStored(beganToken);
   }
 
+  #findLink(vmId: VmId): KeeperLink | undefined {
+    return this.#links.find((each) => each.vmId === vmId);
+  }
+
   #createSend(
     link: KeeperLink,
     source: KeeperSource,
@@ -116,35 +135,29 @@
   ): Effect {
     const token = this.takeToken();
     const { storedThrough } = source.unstored;
-    link.recordSent({ token, sentAtMs: nowMs, storedThrough });
-    return {
-      kind: "send_peer",
-      to: link.vmId,
-      message: this.#createMessage(link, source, token),
-    };
-  }
-
-  #createMessage(
-    link: KeeperLink,
-    source: KeeperSource,
-    token: number,
-  ): KeeperMessage {
-    const entries = link.isJoined
-      ? source.unstored.list({
-        afterSequence: link.sendAfter,
-        maxBytes: this.#options.limits.messageBytes,
-      })
-      : [];
-    return {
+    const entries = this.#listEntries(link, source.unstored);
+    const hasEntries = entries.length > 0;
+    link.recordSent({ token, sentAtMs: nowMs, storedThrough, hasEntries });
+    const message: KeeperMessage = {
       kind: "keep_entries",
       shard: this.#options.shard,
       epoch: this.#options.epoch,
-      entries: entries.map((each) => each.entry),
-      storedThrough: source.unstored.storedThrough,
+      entries,
+      storedThrough,
       durableThrough: source.durableThrough,
       keeperIncarnation: link.incarnation,
       token,
     };
+    return { kind: "send_peer", to: link.vmId, message };
+  }
+
+  #listEntries(link: KeeperLink, unstored: UnstoredEntries): LedgerEntry[] {
+    if (!link.isJoined) return [];
+    const range = {
+      afterSequence: link.sendAfter,
+      maxBytes: this.#options.limits.messageBytes,
+    };
+    return unstored.list(range).map((each) => each.entry);
   }
 }
 
--- a/packages/scheduler/src/ledger/keeper_link.ts
+++ b/packages/scheduler/src/ledger/keeper_link.ts
@@ -31,6 +31,8 @@
   readonly token: number;
   readonly sentAtMs: number;
   readonly storedThrough: number;
+  /** Whether entries were sent, so that the keeper should hold more after. */
+  readonly hasEntries: boolean;
 }
 
 /** Messages without an answer after which a keeper isn't waited for. */
@@ -52,6 +54,8 @@
   #answeredToken = 0;
   #pending: PendingMessage | undefined;
   #silences = 0;
+  /** A keeper without space is offered nothing before this time. */
+  #notBeforeMs = 0;
 
   constructor(options: KeeperLinkOptions) {
     this.#options = options;
@@ -100,9 +104,10 @@
     if (this.#pending !== undefined) return this.#checkSilence(nowMs);
     if (this.needsProof) return false;
     if (!this.isJoined) return true;
+    if (this.#answeredToken < offer.askedToken) return true;
+    if (nowMs < this.#notBeforeMs) return false;
     return this.#keptThrough < offer.lastSequence ||
-      this.#announcedStored < offer.storedThrough ||
-      this.#answeredToken < offer.askedToken;
+      this.#announcedStored < offer.storedThrough;
   }
 
   /** Notes that a message was sent. */
@@ -118,12 +123,11 @@
       return true;
     }
     if (this.needsProof) return false;
+    const hasMore = message.keptThrough > this.#keptThrough;
     this.#keptThrough = Math.max(this.#keptThrough, message.keptThrough);
     this.#answeredToken = Math.max(this.#answeredToken, message.token);
     if (this.#pending?.token === message.token) {
-      this.#announcedStored = this.#pending.storedThrough;
-      this.#pending = undefined;
-      this.#silences = 0;
+      this.#applyAnswered(this.#pending, hasMore);
     }
     return false;
   }
@@ -135,6 +139,15 @@
     this.#learnedToken = undefined;
   }
 
+  #applyAnswered(pending: PendingMessage, hasMore: boolean): void {
+    this.#announcedStored = pending.storedThrough;
+    this.#pending = undefined;
+    this.#silences = 0;
+    const isFull = pending.hasEntries && !hasMore;
+    const { resendAtMostMs } = this.#options;
+    this.#notBeforeMs = isFull ? pending.sentAtMs + resendAtMostMs : 0;
+  }
+
   #applyRestart(incarnation: number, freshToken: number): void {
     this.#incarnation = incarnation;
     this.#learnedToken = freshToken;
--- a/packages/scheduler/src/ledger/keeper_seals.ts
+++ b/packages/scheduler/src/ledger/keeper_seals.ts
@@ -94,6 +94,15 @@
     });
   }
 
+  /** The processes of the former keepers, as far as they answered. */
+  get formerProcesses(): readonly KeeperProcess[] {
+    return this.#listFormer().flatMap(({ vmId, answer }) =>
+      answer === undefined
+        ? []
+        : [{ vmId, incarnation: answer.keeperIncarnation }]
+    );
+  }
+
   /** Notes that a VM was taken away, with whatever it held. */
   setGone(vmId: VmId): void {
     const keeper = this.#keepers.find((each) => each.vmId === vmId);
--- a/packages/scheduler/src/ledger/ledger_types.ts
+++ b/packages/scheduler/src/ledger/ledger_types.ts
@@ -37,8 +37,8 @@
 
 /** The limits that a node uses unless its settings say otherwise. */
 export const DEFAULT_LEDGER_LIMITS: LedgerLimits = {
-  ringSize: 512,
-  snapshotAfterSegments: 128,
+  ringSize: 1_024,
+  snapshotAfterSegments: 256,
   segmentBytes: 900_000,
   messageBytes: 256_000,
   unstoredBytes: 8_000_000,
@@ -96,6 +96,8 @@
 /** Where an owner goes on in a shard's log. A recovery gives it. */
 export interface LedgerStart {
   readonly keepers: readonly KeeperProcess[];
+  /** Keepers of earlier epochs, which may drop what they hold. */
+  readonly formerKeepers: readonly KeeperProcess[];
   /** The sequence of the first entry to be appended. */
   readonly firstSequence: number;
   readonly nextSegment: number;
--- a/packages/scheduler/src/ledger/log_committer.ts
+++ b/packages/scheduler/src/ledger/log_committer.ts
@@ -56,6 +56,10 @@
 
 /** Share of the ring that an owner fills; takeovers need the rest. */
 const OWNER_RING_SHARE = 0.75;
+/** Share that it may fill with what a pending snapshot waits for. */
+const PENDING_RING_SHARE = 0.9;
+/** Usage of the ring from which snapshots go before segments. */
+const SNAPSHOT_FIRST_USAGE = 0.5;
 
 /** Writes the segments and snapshots of one owned shard. */
 export class LogCommitter {
@@ -129,10 +133,13 @@
   /** Sends the requests that are due and that the pacer grants. */
   sendDue(demand: CommitDemand, nowMs: number): Effect[] {
     this.#openSnapshot(demand.unstored.storedThrough);
-    const effects = this.#writer.isBusy
+    const isSnapshotFirst = this.usage >= SNAPSHOT_FIRST_USAGE;
+    const early = isSnapshotFirst ? this.#sendSnapshot(nowMs) : [];
+    const segment = this.#writer.isBusy
       ? this.#sendAgain(demand, nowMs)
       : this.#sendFirst(demand, nowMs);
-    return effects.length > 0 ? effects : this.#sendSnapshot(nowMs);
+    const late = isSnapshotFirst ? [] : this.#sendSnapshot(nowMs);
+    return [...early, ...segment, ...late];
   }
 
   /** Applies the platform's answer to one of the requests. */
@@ -150,6 +157,12 @@
       : this.#applySnapshotAnswer(answer);
   }
 
+  get #isRingFull(): boolean {
+    const isPending = this.#snapshot !== undefined;
+    const share = isPending ? PENDING_RING_SHARE : OWNER_RING_SHARE;
+    return this.#index.count >= this.#options.limits.ringSize * share;
+  }
+
   get #hasSnapshot(): boolean {
     return this.#snapshot !== undefined || this.#snapshots.isBusy;
   }
@@ -158,7 +171,7 @@
   #sendFirst(demand: CommitDemand, nowMs: number): Effect[] {
     const { urgency } = demand;
     const { shard, pacer } = this.#options;
-    if (urgency === "none" || this.usage >= 1) return [];
+    if (urgency === "none" || this.#isRingFull) return [];
     const isEarly = nowMs - this.#begunAtMs < pacer.intervalMs;
     if (urgency === "regular" && isEarly) return [];
     if (!pacer.takeWrite(shard, urgency, nowMs)) return [];
--- a/packages/scheduler/src/ledger/shard_ledger.ts
+++ b/packages/scheduler/src/ledger/shard_ledger.ts
@@ -17,6 +17,7 @@
   type VmId,
 } from "@camphorlock/types";
 import { err, type Result } from "neverthrow";
+import { chooseUrgency } from "./choose_urgency.ts";
 import { createEntries } from "./create_entries.ts";
 import { EpochQuestions } from "./epoch_questions.ts";
 import { KeeperGroup } from "./keeper_group.ts";
@@ -39,9 +40,6 @@
 
 type LedgerState = "serving" | "closing" | "closed" | "superseded";
 
-/** Questions wait this long for keepers before the platform is asked. */
-const CONFIRM_BY_KEEPERS_MS = 250;
-
 /** The durable log of one owned shard. */
 export class ShardLedger {
   readonly #options: ShardLedgerOptions;
@@ -50,6 +48,8 @@
   readonly #unstored: UnstoredEntries;
   #state: LedgerState = "serving";
   #durableThrough: number;
+  /** Since when the same entry waits to become durable. */
+  #waitingSinceMs: number | undefined;
   readonly #questions = new EpochQuestions();
   /** Token of the moment when the last stored segment was begun. */
   #storedToken = 0;
@@ -57,13 +57,14 @@
   constructor(options: ShardLedgerOptions) {
     const { epoch, keepers, firstSequence } = options;
     this.#options = options;
-    this.#keepers = new KeeperGroup(options);
+    const storedThrough = firstSequence - 1;
+    this.#keepers = new KeeperGroup({ ...options, storedThrough });
     this.#committer = new LogCommitter({
       ...options,
       open: { epoch, keepers },
     });
-    this.#unstored = new UnstoredEntries(firstSequence - 1);
-    this.#durableThrough = firstSequence - 1;
+    this.#unstored = new UnstoredEntries(storedThrough);
+    this.#durableThrough = storedThrough;
   }
 
   /** Entries up to here are durable. */
@@ -227,6 +228,7 @@
     const through = Math.max(this.#unstored.storedThrough, kept);
     if (through <= this.#durableThrough) return [];
     this.#durableThrough = through;
+    this.#waitingSinceMs = undefined;
     return [{ kind: "durable", through }];
   }
 
@@ -259,19 +261,19 @@
     };
   }
 
-  /** Somebody waits for the platform when the keepers can't answer. */
   #chooseUrgency(nowMs: number): WriteUrgency | "none" {
-    if (this.#state === "closing") return "urgent";
-    const { hasPair } = this.#keepers;
-    const { askedAtMs } = this.#questions;
-    const isAsked = askedAtMs < Infinity;
-    if (nowMs - askedAtMs >= CONFIRM_BY_KEEPERS_MS) return "urgent";
-    const isWaiting = isAsked || this.lastSequence > this.#durableThrough;
-    if (isWaiting && !hasPair) return "urgent";
-    const { segmentBytes } = this.#options.limits;
-    if (this.#unstored.bytes >= segmentBytes) return "urgent";
-    const hasNews = this.#unstored.bytes > 0 || this.#keepers.needsProof;
-    return hasNews ? "regular" : "none";
+    if (this.lastSequence > this.#durableThrough) {
+      this.#waitingSinceMs ??= nowMs;
+    }
+    const sinceMs = this.#waitingSinceMs ?? Number.POSITIVE_INFINITY;
+    return chooseUrgency({
+      isClosing: this.#state === "closing",
+      bytes: this.#unstored.bytes,
+      segmentBytes: this.#options.limits.segmentBytes,
+      waitedMs: nowMs - Math.min(sinceMs, this.#questions.askedAtMs),
+      hasPair: this.#keepers.hasPair,
+      needsProof: this.#keepers.needsProof,
+    });
   }
 
   #createEntries(
--- a/packages/scheduler/src/ledger/shard_recovery.ts
+++ b/packages/scheduler/src/ledger/shard_recovery.ts
@@ -258,6 +258,7 @@
       : { snapshot: { throughSequence: head.throughSequence, parts } };
     const start: LedgerStart = {
       keepers: this.#processes,
+      formerKeepers: this.#seals?.formerProcesses ?? [],
       firstSequence: log.lastSequence + 1,
       nextSegment: this.#writer.nextSegment,
       extents: [...log.extents, ...extents],
--- a/packages/scheduler/src/ledger/write_pacer.ts
+++ b/packages/scheduler/src/ledger/write_pacer.ts
@@ -30,6 +30,8 @@
 /** A writer that asked longer ago than this lost its place in the queue. */
 const PLACE_LIFE_MS = 2_000;
 const SHORTEST_INTERVAL_MS = 50;
+/** Share of the rate that segments use; the rest is for snapshots. */
+const SEGMENT_SHARE = 0.75;
 
 /** Grants platform writes to the shards of one node. */
 export class WritePacer {
@@ -55,7 +57,8 @@
 
   /** Time between two segments of a shard when every shard writes. */
   get intervalMs(): number {
-    const interval = this.#writers.size * 1000 / this.#rate;
+    const segmentRate = this.#rate * SEGMENT_SHARE;
+    const interval = this.#writers.size * 1000 / segmentRate;
     return Math.max(SHORTEST_INTERVAL_MS, interval);
   }
 
