Measure the protocol between nodes; send catch-ups to nodes that know few

Cause: a node that knew one node fewer was sent 40 rumours with each answer.

Change: catch-up digests go to nodes that know less than nine tenths; rumours are sent half as often. runNodesBench measures messages a second.

--- a/packages/nodes/mod.ts
+++ b/packages/nodes/mod.ts
@@ -1,6 +1,7 @@
 /**
  * The protocol between the system's own nodes.
  */
+export * from "./src/bench.ts";
 export * from "./src/peer_network.ts";
 export type { PeerIdentity, StreamEnd } from "./src/peer_stream.ts";
 export type { SendOutcome } from "./src/send_queue.ts";
--- a/packages/scheduler/src/membership/membership.ts
+++ b/packages/scheduler/src/membership/membership.ts
@@ -167,7 +167,8 @@
     };
     this.#applyDigest([statement, ...message.digest], nowMs);
     this.#recordHeard(from, nowMs);
-    const catchUp = message.knownNodes < this.#table.count();
+    const { catchUpShare } = this.#settings;
+    const catchUp = message.knownNodes < this.#table.count() * catchUpShare;
     const digest = catchUp ? this.#buildCatchUp(from) : this.#buildDigest(from);
     this.#send(from, {
       kind: "heartbeat_ack",
--- a/packages/scheduler/src/membership/settings.ts
+++ b/packages/scheduler/src/membership/settings.ts
@@ -26,6 +26,8 @@
   readonly digestLimit: number;
   /** Largest number of rumours in one message to a node that knows few. */
   readonly catchUpLimit: number;
+  /** Share of the nodes known here under which another node knows few. */
+  readonly catchUpShare: number;
   /** Sends of one rumour for each doubling of the fleet. */
   readonly rumourRepeats: number;
   /** Time without most of the other nodes after which this one is cut off. */
@@ -49,7 +51,8 @@
   deadRetentionMs: 600_000,
   digestLimit: 6,
   catchUpLimit: 40,
-  rumourRepeats: 2,
+  catchUpShare: 0.9,
+  rumourRepeats: 1,
   cutOffAfterMs: 5_000,
   pauseGapMs: 1_000,
   tickPeriodMs: 100,
