--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -86,6 +86,42 @@
     "info",
     "Another epoch superseded this node's ownership of a shard.",
   ),
+  LedgerSuperseded: defineEvent(
+    301,
+    "LedgerSuperseded",
+    "warn",
+    "Another owner took the shard; its ledger ended.",
+  ),
+  ShardRecovered: defineEvent(
+    302,
+    "ShardRecovered",
+    "info",
+    "A shard's log was read, sealed and opened again.",
+  ),
+  RecoveryWaiting: defineEvent(
+    303,
+    "RecoveryWaiting",
+    "warn",
+    "A recovery waits for keepers that don't answer.",
+  ),
+  ShardExposed: defineEvent(
+    304,
+    "ShardExposed",
+    "error",
+    "Durable entries may be lost with their keepers.",
+  ),
+  LogDamaged: defineEvent(
+    305,
+    "LogDamaged",
+    "error",
+    "A shard's log can't be read; it isn't served.",
+  ),
+  RecoverySuperseded: defineEvent(
+    306,
+    "RecoverySuperseded",
+    "info",
+    "Another node recovers the shard instead.",
+  ),
   CallAccepted: defineEvent(
     401,
     "CallAccepted",
@@ -134,6 +170,36 @@
     "info",
     "A dispatcher refused a slot.",
   ),
+  ConfigurationInForce: defineEvent(
+    601,
+    "ConfigurationInForce",
+    "info",
+    "A configuration revision came into force on this node.",
+  ),
+  ChangeAccepted: defineEvent(
+    602,
+    "ChangeAccepted",
+    "info",
+    "A change of the configuration was stored.",
+  ),
+  ChangeRefused: defineEvent(
+    603,
+    "ChangeRefused",
+    "info",
+    "A change of the configuration was refused.",
+  ),
+  ConfigurationStale: defineEvent(
+    604,
+    "ConfigurationStale",
+    "warn",
+    "The node can't tell whether its configuration is the latest.",
+  ),
+  StaleRevisionRemoved: defineEvent(
+    605,
+    "StaleRevisionRemoved",
+    "warn",
+    "A revision written below the trimmed ones was removed.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/types/src/ledger_entry.ts
+++ b/packages/types/src/ledger_entry.ts
@@ -17,6 +17,7 @@
   | ProgramCreated
   | CallAccepted
   | AttemptStarted
+  | AttemptLost
   | CallEnded
   | ProgramEnded
   | MemoryReleased;
@@ -35,7 +36,10 @@
   readonly key: string;
   /** SHA-256 of the call, to refuse the same key for another call. */
   readonly requestDigest: string;
+  /** The call without the messages that it shares with an earlier one. */
   readonly call: Call;
+  /** The earlier call whose messages and answer come first, and how many. */
+  readonly shared?: { readonly callId: CallId; readonly count: number };
   readonly reservedMicros: Micros;
 }
 
@@ -52,6 +56,18 @@
   readonly targetId: TargetId;
 }
 
+/** An attempt of an idempotent call broke; its result is lost. */
+export interface AttemptLost {
+  readonly kind: "attempt_lost";
+  readonly programId: ProgramId;
+  readonly callId: CallId;
+  readonly attemptId: AttemptId;
+  /** The most that it can have cost: what the budget counts. */
+  readonly heldMicros: Micros;
+  /** What was seen of it: what the partner is charged. */
+  readonly chargedMicros: Micros;
+}
+
 /** A call ended with an outcome that never changes. */
 export interface CallEnded {
   readonly kind: "call_ended";
@@ -59,6 +75,8 @@
   readonly callId: CallId;
   readonly outcome: CallOutcome;
   readonly endedAtMs: number;
+  /** Time that targets spent on the call, in milliseconds. */
+  readonly serviceMs: number;
 }
 
 /** A program takes no more calls. */
