--- a/packages/standins/src/fleet/virtual_fleet.ts
+++ b/packages/standins/src/configuration_fleet/configuration_fleet.ts
@@ -30,7 +30,7 @@
 const DELAY_SPREAD_MS = 3;
 
 /** The shape and the faults of a virtual fleet. */
-export interface VirtualFleetOptions {
+export interface ConfigurationFleetOptions {
   readonly nodes: number;
   readonly regions: number;
   readonly seed: number;
@@ -42,13 +42,13 @@
 }
 
 /** A virtual fleet. */
-export class VirtualFleet {
+export class ConfigurationFleet {
   readonly queue = new EventQueue();
   readonly store = new ObjectStore();
   readonly plan: FaultPlan;
   readonly platform: VirtualPlatform;
   readonly nodes = new Map<VmId, ConfigurationNode>();
-  readonly #options: VirtualFleetOptions;
+  readonly #options: ConfigurationFleetOptions;
   readonly #random: ReturnType<typeof xoroshiro128plus>;
   readonly #incarnations = new Map<number, number>();
   /** Nodes of one number reach each other; the platform has its own. */
@@ -57,7 +57,7 @@
   /** Effects that a process has asked for in its present step. */
   readonly #queued = new Map<ConfigurationNode, Effect[]>();
 
-  constructor(options: VirtualFleetOptions) {
+  constructor(options: ConfigurationFleetOptions) {
     this.#options = options;
     this.#random = xoroshiro128plus(options.seed);
     const { seed, faults = [] } = options;
--- a/packages/standins/src/fleet/configuration_property_test.ts
+++ b/packages/standins/src/configuration_fleet/configuration_property_test.ts
@@ -20,7 +20,11 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import type { PlatformFault } from "../platform/fault_plan.ts";
-import { choosePartner, formatVmId, VirtualFleet } from "./virtual_fleet.ts";
+import {
+  choosePartner,
+  ConfigurationFleet,
+  formatVmId,
+} from "./configuration_fleet.ts";
 
 const NODES = 5;
 const FAULTS_UNTIL_MS = 40_000;
@@ -167,13 +171,13 @@
 /** Runs one schedule and keeps what the nodes told. */
 class Run {
   readonly notes: Noted[] = [];
-  readonly fleet: VirtualFleet;
+  readonly fleet: ConfigurationFleet;
   readonly changeIds = new Map<string, string>();
   readonly isolatedSince = new Map<number, number>();
   #requests = 0;
 
   constructor(seed: number, faults: readonly PlatformFault[]) {
-    this.fleet = new VirtualFleet({
+    this.fleet = new ConfigurationFleet({
       nodes: NODES,
       regions: 3,
       seed,
--- a/packages/standins/src/fleet/money_property_test.ts
+++ b/packages/standins/src/configuration_fleet/money_property_test.ts
@@ -29,7 +29,7 @@
 import { FaultyStore } from "../platform/faulty_store.ts";
 import { ObjectStore } from "../platform/object_store.ts";
 import { EventQueue } from "./event_queue.ts";
-import { choosePartner } from "./virtual_fleet.ts";
+import { choosePartner } from "./configuration_fleet.ts";
 import { VirtualPlatform } from "./virtual_platform.ts";
 
 const RUNS = Number(process.env.CAMPHORLOCK_RUNS ?? 60);
