--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -38,6 +38,30 @@
     "info",
     "Every connection has ended.",
   ),
+  PeerConnected: defineEvent(
+    111,
+    "PeerConnected",
+    "info",
+    "A stream to another node is open.",
+  ),
+  PeerDisconnected: defineEvent(
+    112,
+    "PeerDisconnected",
+    "info",
+    "A stream to another node ended, with the reason.",
+  ),
+  PeerRefused: defineEvent(
+    113,
+    "PeerRefused",
+    "warn",
+    "A stream, frame or message of another node was refused.",
+  ),
+  PeerMessagesDropped: defineEvent(
+    114,
+    "PeerMessagesDropped",
+    "warn",
+    "Messages to another node were dropped.",
+  ),
   NodeStateChanged: defineEvent(
     201,
     "NodeStateChanged",
@@ -62,6 +86,42 @@
     "info",
     "Another epoch superseded this node's ownership of a shard.",
   ),
+  LedgerSuperseded: defineEvent(
+    301,
+    "LedgerSuperseded",
+    "warn",
+    "Another owner took the shard; its ledger ended.",
+  ),
+  ShardRecovered: defineEvent(
+    302,
+    "ShardRecovered",
+    "info",
+    "A shard's log was read, sealed and opened again.",
+  ),
+  RecoveryWaiting: defineEvent(
+    303,
+    "RecoveryWaiting",
+    "warn",
+    "A recovery waits for keepers that don't answer.",
+  ),
+  ShardExposed: defineEvent(
+    304,
+    "ShardExposed",
+    "error",
+    "Durable entries may be lost with their keepers.",
+  ),
+  LogDamaged: defineEvent(
+    305,
+    "LogDamaged",
+    "error",
+    "A shard's log can't be read; it isn't served.",
+  ),
+  RecoverySuperseded: defineEvent(
+    306,
+    "RecoverySuperseded",
+    "info",
+    "Another node recovers the shard instead.",
+  ),
   CallAccepted: defineEvent(
     401,
     "CallAccepted",
--- a/packages/scheduler/src/configuration/configuration.ts
+++ b/packages/scheduler/src/configuration/configuration.ts
@@ -142,15 +142,12 @@
         this.#handleTick(nowMs);
         break;
       case "members":
-        this.#peers.update(input.view, input.listed);
+        this.#peers.update(input);
         this.#isWatcher = this.#peers.isWatcher();
         break;
       case "peer_revision":
         this.#peers.record(input.vmId, { revision: input.revision, nowMs });
         break;
-      case "reach":
-        this.#peers.setCutOff(input.isCutOff);
-        break;
       case "change":
         this.#handleChange(input, nowMs);
         break;
@@ -424,5 +421,5 @@
 
 /** Heartbeats are too many to judge the state of all nodes at each. */
 function canChangeFreshness(input: ConfigurationInput): boolean {
-  return input.kind !== "peer_revision" && input.kind !== "reach";
+  return input.kind !== "peer_revision";
 }
--- a/packages/scheduler/src/configuration/configuration_test.ts
+++ b/packages/scheduler/src/configuration/configuration_test.ts
@@ -301,7 +301,8 @@
     };
     hear(2, 10_000);
     expect(node.role.isReady, "members unknown").to.equal(false);
-    node.handle({ kind: "members", view: buildView(8), listed: [] });
+    const view = buildView(8);
+    node.handle({ kind: "members", view, isCutOff: false });
     hear(2, 20_000);
     expect(node.role.isReady, "two of eight").to.equal(false);
     hear(6, 22_000);
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -10,9 +10,9 @@
   CallerRequest,
   Effect,
   EntryBody,
-  LedgerEntry,
   ProgramSpec,
 } from "@camphorlock/types";
+import { EMPTY_CONFIGURATION } from "../configuration/mod.ts";
 import { err, ok, type Result } from "neverthrow";
 import type {
   LedgerAppend,
@@ -21,6 +21,7 @@
   PlacementChoice,
 } from "./ports.ts";
 import { DEFAULT_OWNER_LIMITS } from "./ports.ts";
+import { decodeSnapshot } from "./state_snapshot.ts";
 import { type OwnerInput, ShardOwner } from "./shard_owner.ts";
 
 export const PROGRAM = "p0000-1";
@@ -90,11 +91,15 @@
       },
       getConfiguration: () => ({
         revision: 7,
-        prices: {
-          promptTokenMicros: 1,
-          cachedTokenMicros: 0,
-          completionTokenMicros: 10,
-          serviceCallMicros: 500,
+        value: {
+          ...EMPTY_CONFIGURATION,
+          models: [{
+            model: "m",
+            promptMicros: 1_000,
+            cachedMicros: 0,
+            completionMicros: 10_000,
+          }],
+          services: [{ service: "stock", callMicros: 500 }],
         },
       }),
       getWallClockMs: () => this.nowMs,
@@ -191,9 +196,18 @@
   /** Builds a second owner from this one's entries. */
   takeOver(): OwnerFixture {
     const next = new OwnerFixture(2);
-    const entries: LedgerEntry[] = this.ledger.entries
-      .map((body, at) => ({ shard: 0, epoch: 1, sequence: at + 1, body }));
-    next.ledger.entries.push(...this.ledger.entries);
+    const { entries } = this.ledger;
+    next.ledger.entries.push(...entries);
+    next.handle({ kind: "recovered", entries });
+    next.settle();
+    return next;
+  }
+
+  /** Builds a second owner from a snapshot of this one. */
+  takeOverBySnapshot(): OwnerFixture {
+    const next = new OwnerFixture(2);
+    const parts = this.#owner.encodeSnapshot();
+    const entries = decodeSnapshot(parts)._unsafeUnwrap();
     next.handle({ kind: "recovered", entries });
     next.settle();
     return next;
