Retry within budgets, admit by load, and drain before a planned stop

Owners retried a fixed number of times without delay, took every program at any load, and gave shards away while service answers were on their way. They now retry within the node's retry budget with jittered delays, refuse new programs while a backlog waits, and wait for service attempts before the shards are offered.

--- a/packages/scheduler/src/node/shard_host.ts
+++ b/packages/scheduler/src/node/shard_host.ts
@@ -38,6 +38,7 @@
   type OwnerLimits,
   ShardOwner,
 } from "../owner/mod.ts";
+import type { RetryMeans } from "../retry/mod.ts";
 import { decodeSnapshot } from "../owner/state_snapshot.ts";
 
 /** What all shards of a node share. */
@@ -48,6 +49,7 @@
   readonly getWallClockMs: () => number;
   readonly failureDomainOf: (vmId: VmId) => FailureDomain;
   readonly ownerLimits: OwnerLimits;
+  readonly retries: RetryMeans;
   readonly ledgerLimits: LedgerLimits;
   readonly pacer: WritePacer;
   /** Wait for silent keepers after which entries are given up as lost. */
@@ -82,6 +84,8 @@
     readonly number: number;
     readonly result: TargetOrderResult;
   }
+  /** The node stops: nothing new is started. */
+  | { readonly kind: "drain" }
   | { readonly kind: "vms_gone"; readonly vmIds: readonly VmId[] }
   | { readonly kind: "tick" };
 
@@ -158,6 +162,11 @@
     return this.#takeStep();
   }
 
+  /** Counts the attempts whose end only this node can learn. */
+  countServiceAttempts(): number {
+    return this.#owner?.countServiceAttempts() ?? 0;
+  }
+
   /** Lists the programs of the shard. */
   listPrograms(): ProgramView[] {
     return this.#owner?.listPrograms() ?? [];
@@ -174,6 +183,7 @@
       case "slot":
       case "attempt":
       case "order_result":
+      case "drain":
         return this.#runOwner(input);
       case "vms_gone":
         if (this.#ledger !== undefined) return;
@@ -291,6 +301,7 @@
       getConfiguration,
       getWallClockMs,
       limits: this.#parts.ownerLimits,
+      retries: this.#parts.retries,
     });
   }
 
--- a/packages/scheduler/src/node/shard_hosts.ts
+++ b/packages/scheduler/src/node/shard_hosts.ts
@@ -105,6 +105,12 @@
     };
   }
 
+  /** Counts the attempts whose end only this node can learn. */
+  countServiceAttempts(): number {
+    return [...this.#hosts.values()]
+      .reduce((sum, host) => sum + host.countServiceAttempts(), 0);
+  }
+
   /** Lists the programs of every hosted shard. */
   listPrograms(): ProgramView[] {
     return [...this.#hosts.values()].flatMap((host) => host.listPrograms());
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -15,7 +15,8 @@
 import { computeDigest } from "./digest.ts";
 import type { OwnerContext } from "./owner_context.ts";
 import { computeCallCharge } from "./call_charge.ts";
-import { computeRest } from "./program_state.ts";
+import { computeBackoffMs } from "../retry/mod.ts";
+import { CallRetries } from "./call_retries.ts";
 import { isIdempotent, type RunningCall } from "./running_call.ts";
 
 /** An event that ends an attempt. */
@@ -34,6 +35,7 @@
   readonly #context: OwnerContext;
   readonly #closer: AttemptCloser;
   readonly #hooks: EnderHooks;
+  readonly #retries: CallRetries;
 
   constructor(
     context: OwnerContext,
@@ -43,6 +45,7 @@
     this.#context = context;
     this.#closer = closer;
     this.#hooks = hooks;
+    this.#retries = new CallRetries(context);
   }
 
   /** Handles the end of the present attempt. */
@@ -72,7 +75,15 @@
       return this.endNotRun(running, failure);
     }
     this.#closer.releaseSlot(running, "cancelled");
-    this.#setQueued(running, retryAfterMs);
+    const { retries } = this.#context.options;
+    const backoffMs = computeBackoffMs(running.attemptsBegun, retries);
+    this.#setQueued(running, Math.max(backoffMs, retryAfterMs));
+  }
+
+  /** Refuses a call of a program that has run nothing yet. */
+  endOverloaded(running: RunningCall, retryAfterMs: number): void {
+    const detail = "the queue before the target is full";
+    this.endNotRun(running, createFailure("Overloaded", detail, retryAfterMs));
   }
 
   /**
@@ -145,7 +156,8 @@
   /** Tries again what its target says it didn't run and won't. */
   #handleNotRun(running: RunningCall, detail: string): void {
     this.#closer.releaseSlot(running, "failed");
-    if (this.#canTryAgain(running)) return this.#startAgain(running);
+    const delayMs = this.#retries.findDelay(running, { kind: "not_sent" });
+    if (delayMs !== undefined) return this.#startAgain(running, delayMs);
     this.endNotRun(running, createFailure("TargetBroken", detail));
   }
 
@@ -155,10 +167,9 @@
     if (!isIdempotent(running)) return this.#endUnknown(running, detail);
     this.#closer.cancelSent(running);
     const appended = this.#closer.appendLost(running);
-    if (
-      appended.isOk() && this.#canTryAgain(running) && this.#canPay(running)
-    ) {
-      return this.#startAgain(running);
+    const delayMs = this.#retries.findDelay(running, { kind: "broken" });
+    if (appended.isOk() && delayMs !== undefined) {
+      return this.#startAgain(running, delayMs);
     }
     this.#endFailed(running, createFailure("TargetBroken", detail), 0);
   }
@@ -186,6 +197,8 @@
     const used = state.lostChargedMicros +
       Math.min(cost, state.reservedMicros);
     this.#closer.recordCached(running, attempt, usage);
+    const { placer } = this.#context.options;
+    placer.recordAnswer(running.spec.agent, usage.completionTokens);
     this.#closer.releaseSlot(running, "completed");
     this.#end(running, {
       status: "completed",
@@ -243,14 +256,14 @@
       : outcome;
   }
 
-  #startAgain(running: RunningCall): void {
+  #startAgain(running: RunningCall, delayMs: number): void {
     const { attempt, state } = running;
     if (attempt !== undefined) running.excluded.push(attempt.targetId);
     this.#context.log("CallRetried", {
       callId: state.callId,
       attempts: running.attemptsBegun,
     });
-    this.#setQueued(running, 0);
+    this.#setQueued(running, delayMs);
   }
 
   #setQueued(running: RunningCall, delayMs: number): void {
@@ -260,22 +273,6 @@
     this.#hooks.requeue(running);
   }
 
-  #canTryAgain(running: RunningCall): boolean {
-    const { maxAttempts } = this.#context.options.limits;
-    if (running.attemptsSent >= maxAttempts) return false;
-    const { programId } = running.spec;
-    const program = this.#context.state.programs.get(programId);
-    return program !== undefined && program.endReason === undefined;
-  }
-
-  /** Whether the budget covers the lost attempt beside the reservation. */
-  #canPay(running: RunningCall): boolean {
-    const { programId } = running.spec;
-    const program = this.#context.state.programs.get(programId);
-    if (program === undefined) return false;
-    return computeRest(program) >= running.state.reservedMicros;
-  }
-
   #computeService(running: RunningCall): number {
     const { attempt } = running;
     if (attempt === undefined || running.state.attempts.length === 0) return 0;
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -11,12 +11,14 @@
   Partner,
   ProgramClass,
   ProgramId,
+  ProgramSpec,
   Revision,
   ShardId,
   TargetId,
   VmId,
 } from "@camphorlock/types";
 import type { Result } from "neverthrow";
+import type { RetryMeans } from "../retry/mod.ts";
 
 /** The durable ledger of the owned shard. */
 export interface OwnerLedger {
@@ -74,6 +76,12 @@
   hasTarget(target: TargetId): boolean;
   /** Finds the node that dispatches for a target at present. */
   findDispatcher(target: TargetId): VmId | undefined;
+  /** Learns from the length of an answer. */
+  recordAnswer(agent: string, completionTokens: number): void;
+  /** Forgets where an ended program's prefix is. */
+  recordProgramEnded(program: ProgramId): void;
+  /** Checks whether a new program may begin. Fails with `Overloaded`. */
+  checkAdmission(spec: ProgramSpec): Result<void, Failure>;
 }
 
 /** What a target holds of a program after an attempt. */
@@ -93,12 +101,12 @@
 export interface OwnerLimits {
   /** Most calls in one program. */
   readonly maxCallsOfProgram: number;
-  /** Most attempts for one call. */
-  readonly maxAttempts: number;
   /** Share of the ledger's space above which no new call is accepted. */
   readonly maxLedgerUsage: number;
   /** How long a call waits for a target before it ends as not run. */
   readonly placeTimeoutMs: number;
+  /** The same where no target is configured that serves the call. */
+  readonly noTargetTimeoutMs: number;
   /** Silence of a dispatcher after which a slot is asked for again. */
   readonly slotTimeoutMs: number;
   readonly renewPeriodMs: number;
@@ -111,9 +119,9 @@
 /** The bounds and periods used unless the settings say otherwise. */
 export const DEFAULT_OWNER_LIMITS: OwnerLimits = {
   maxCallsOfProgram: 1_000,
-  maxAttempts: 4,
   maxLedgerUsage: 0.8,
   placeTimeoutMs: 20_000,
+  noTargetTimeoutMs: 3_000,
   slotTimeoutMs: 1_000,
   renewPeriodMs: 500,
   releaseRetryMs: 2_000,
@@ -132,4 +140,5 @@
   /** Wall-clock time for stored entries, in milliseconds since the epoch. */
   readonly getWallClockMs: () => number;
   readonly limits: OwnerLimits;
+  readonly retries: RetryMeans;
 }
--- a/packages/scheduler/src/owner/request_handler.ts
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -73,6 +73,7 @@
     const body = { kind: "program_ended", programId, reason } as const;
     if (this.#context.append([body]).isErr()) return;
     this.#parts.runner.stopProgram(programId);
+    this.#context.options.placer.recordProgramEnded(programId);
     this.#parts.releaser.add(program);
   }
 
@@ -85,6 +86,10 @@
     if (refusal !== undefined) {
       return this.#context.refuseConfirmed(origin, refusal, "parent program");
     }
+    if (spec.parentId === undefined) {
+      const admitted = this.#context.options.placer.checkAdmission(spec);
+      if (admitted.isErr()) return this.#context.refuse(origin, admitted.error);
+    }
     const appended = this.#context.append([{ kind: "program_created", spec }]);
     if (appended.isErr()) return this.#context.refuse(origin, appended.error);
     const program = this.#context.state.programs.get(spec.programId);
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -48,6 +48,8 @@
     readonly kind: "recovered";
     readonly entries: readonly EntryBody[];
   }
+  /** The node stops: nothing new is started. */
+  | { readonly kind: "drain" }
   | { readonly kind: "tick" };
 
 /** The state machine of a shard's owner. */
@@ -82,6 +84,11 @@
     return [...this.#context.state.programs.values()].map(buildProgramView);
   }
 
+  /** Counts the attempts whose end only this node can learn. */
+  countServiceAttempts(): number {
+    return this.#runner.countServiceAttempts();
+  }
+
   /** Encodes the state of every entry appended so far. */
   encodeSnapshot(): Uint8Array[] {
     return encodeSnapshot(this.#context.state);
@@ -103,6 +110,8 @@
         return this.#context.settleConfirmed(input.token);
       case "recovered":
         return this.#applyRecovered(input.entries);
+      case "drain":
+        return this.#runner.stopStarting();
       case "tick":
         return this.#handleTick();
       default:
--- a/packages/standins/src/configuration_fleet/configuration_property_test.ts
+++ b/packages/standins/src/configuration_fleet/configuration_property_test.ts
@@ -22,8 +22,8 @@
 import type { PlatformFault } from "../platform/fault_plan.ts";
 import {
   choosePartner,
+  ConfigurationFleet,
   formatVmId,
-  VirtualFleet,
 } from "./configuration_fleet.ts";
 
 const NODES = 5;
@@ -171,13 +171,13 @@
 /** Runs one schedule and keeps what the nodes told. */
 class Run {
   readonly notes: Noted[] = [];
-  readonly fleet: VirtualFleet;
+  readonly fleet: ConfigurationFleet;
   readonly changeIds = new Map<string, string>();
   readonly isolatedSince = new Map<number, number>();
   #requests = 0;
 
   constructor(seed: number, faults: readonly PlatformFault[]) {
-    this.fleet = new VirtualFleet({
+    this.fleet = new ConfigurationFleet({
       nodes: NODES,
       regions: 3,
       seed,
