--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -4,6 +4,7 @@
  * A call never rejects. A write whose answer didn't arrive is `lost`, because
  * it may have taken effect; `refused` and `rate_limited` had no effect.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import type { PlatformAnswer, PlatformRequest } from "@camphorlock/types";
 import { PeerConnection } from "./http/peer_connection.ts";
 import { runWhole } from "./http/whole_answer.ts";
@@ -50,7 +51,7 @@
     const waitMs = this.#takeCall(request);
     if (waitMs === undefined) return { kind: "failed", reason: "rate_limited" };
     if (waitMs > 0) await waitFor(waitMs);
-    return await this.#exchange(request);
+    return await this.#sendRequest(request);
   }
 
   /** Closes the connections. */
@@ -58,7 +59,7 @@
     await this.#connection.close();
   }
 
-  async #exchange(request: PlatformRequest): Promise<PlatformAnswer> {
+  async #sendRequest(request: PlatformRequest): Promise<PlatformAnswer> {
     const watchWaitMs = this.#options.watchWaitMs ?? WATCH_WAIT_MS;
     const timeoutMs = request.kind === "watch"
       ? watchWaitMs + WATCH_GRACE_MS
@@ -89,7 +90,3 @@
   const burst = Math.max(1, perSecond * BURST_SECONDS);
   return new TokenBucket({ perSecond, burst }, performance.now());
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -14,7 +14,7 @@
 import type { AttemptCloser } from "./attempt_closer.ts";
 import { computeDigest } from "./digest.ts";
 import type { OwnerContext } from "./owner_context.ts";
-import { computeCost } from "./pricing.ts";
+import { computeCallCharge } from "./call_charge.ts";
 import { computeRest } from "./program_state.ts";
 import { isIdempotent, type RunningCall } from "./running_call.ts";
 
@@ -54,7 +54,7 @@
       case "rejected":
         return this.#handleRejected(running, event);
       case "not_sent":
-        return this.#handleNotRun(running, event.detail);
+        return this.#handleNotSent(running, event.detail);
       case "broken":
         return this.#handleBroken(running, event.detail);
       default:
@@ -132,13 +132,18 @@
   }
 
   /**
-   * Tries again what didn't reach its target. For an attempt of an earlier
-   * owner only the question about it failed: it counts as broken.
+   * Handles what didn't reach its target. For an attempt of an earlier owner
+   * only the question about it failed: it counts as broken.
    */
-  #handleNotRun(running: RunningCall, detail: string): void {
+  #handleNotSent(running: RunningCall, detail: string): void {
     if (running.attempt?.inherited === true) {
       return this.#handleBroken(running, detail);
     }
+    this.#handleNotRun(running, detail);
+  }
+
+  /** Tries again what its target says it didn't run and won't. */
+  #handleNotRun(running: RunningCall, detail: string): void {
     this.#closer.releaseSlot(running, "failed");
     if (this.#canTryAgain(running)) return this.#startAgain(running);
     this.endNotRun(running, createFailure("TargetBroken", detail));
@@ -177,7 +182,7 @@
       return this.#handleBroken(running, "the answer differs from its stream");
     }
     const configuration = this.#context.options.getConfiguration();
-    const cost = computeCost(state.call, usage, configuration.prices);
+    const cost = computeCallCharge(configuration.value, state.call, usage);
     const used = state.lostChargedMicros +
       Math.min(cost, state.reservedMicros);
     this.#closer.recordCached(running, attempt, usage);
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -2,6 +2,11 @@
  * Stand-ins for the peers of the system: small fakes at its interfaces, for
  * tests and for the development command.
  */
+export {
+  DEFAULT_ENGINE_SETTINGS,
+  EngineModel,
+  type EngineSettings,
+} from "./src/engine/mod.ts";
 export * from "./src/engine_server/answer_text.ts";
 export * from "./src/engine_server/engine_control.ts";
 export * from "./src/engine_server/engine_core.ts";
@@ -17,3 +22,7 @@
 export * from "./src/service/service_control.ts";
 export * from "./src/service/service_runs.ts";
 export * from "./src/balancer/serve_balancer.ts";
+export * from "./src/deployment/load_deployment.ts";
+export * from "./src/deployment/schema.ts";
+export * from "./src/deployment/serve_deployment.ts";
+export * from "./src/bench/engines_bench.ts";
--- a/packages/standins/src/engine_server/engine_control.ts
+++ b/packages/standins/src/engine_server/engine_control.ts
@@ -14,6 +14,8 @@
   crossedAnswers = 0;
   /** Whether new work is refused, with the statement that it wasn't run. */
   refusing = false;
+  /** Time between the arrival of an attempt and its start. */
+  startDelayMs = 0;
   /** Requests that arrived, of any kind. */
   requests = 0;
 
@@ -55,9 +57,21 @@
       .reduce((sum, prefix) => sum + prefix.heldTokens, 0);
   }
 
+  /** Leaves a cache event out of what's published. */
+  removeCacheEvent(number: number): void {
+    const events = this.#driver.cacheEvents;
+    const place = events.findIndex((event) => event.number === number);
+    if (place >= 0) events.splice(place, 1);
+  }
+
   /** Whether an attempt still runs. */
   isRunning(attemptId: AttemptId): boolean {
     const stream = this.#driver.streams.get(attemptId);
     return stream !== undefined && !stream.ended;
   }
+
+  /** Whether an attempt was stopped before its end. */
+  isCancelled(attemptId: AttemptId): boolean {
+    return this.#driver.streams.get(attemptId)?.wasCancelled === true;
+  }
 }
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -1,12 +1,13 @@
 /**
  * The engine stand-in over HTTP. `docs/EDGES.md` has the form.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import type { AttemptId } from "@camphorlock/types";
 import {
   ATTEMPT_HEADER,
   NOT_RUN_HEADER,
   PROGRAM_HEADER,
-} from "@camphorlock/engines";
+} from "@camphorlock/platform";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 import {
@@ -34,6 +35,8 @@
   readonly tokenMs?: number;
   readonly firstTokenMs?: number;
   readonly checksFencing?: boolean;
+  /** Models served from the start. */
+  readonly models?: readonly string[];
 }
 
 /** A running engine stand-in. */
@@ -55,7 +58,7 @@
     await next();
   });
   addStreamRoutes(app, { driver, control });
-  addOrderRoutes(app, driver);
+  addOrderRoutes(app, { driver, models: new Set(options.models) });
   addReportRoutes(app, driver);
   const server = await startServer(app, options);
   return {
@@ -88,6 +91,7 @@
     }
     const planned = parseChatRequest(body, { attemptId, programId });
     if (planned.isErr()) return refuse(context, 400, planned.error);
+    if (control.startDelayMs > 0) await waitFor(control.startDelayMs);
     const reply = driver.startAnswer(planned.value);
     if (reply.kind === "rejected") return refuse(context, 409, reply.detail);
     return openStream(context, { ...options, attemptId, fromOffset: 0 });
