Add policy benches with targets and ratios, and the decision bench

A seventh measures the wall-clock time of a placement decision. Ignoring slow targets now really ignores them; the estimate had still used their speed.

--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -280,10 +280,11 @@
     if (nowMs - this.#speedsAtMs < SPEED_PERIOD_MS) return;
     this.#speedsAtMs = nowMs;
     this.#index.update(this.#options.getTargets());
-    const { estimate } = this.#settings;
+    const { estimate, slowTargets } = this.#settings;
+    this.#loads.removeExcept((each) => this.#index.find(each) !== undefined);
+    if (slowTargets.kind === "ignore") return;
     for (const { all } of this.#index.listServing()) {
       updateSpeeds(all, { loads: this.#loads, estimate });
     }
-    this.#loads.removeExcept((each) => this.#index.find(each) !== undefined);
   }
 }
--- a/packages/standins/src/bench/policy/bench_cluster.ts
+++ b/packages/standins/src/bench/policy/bench_cluster.ts
@@ -58,6 +58,7 @@
   readonly #records: ProgramRecord[] = [];
   readonly #open = new Map<string, PlannedProgram>();
   readonly #refusals = new Map<string, number>();
+  readonly #askedAtMs = new Map<string, number>();
   readonly #counters: RunCounters = {
     computedPromptTokens: 0,
     paidBytes: 0,
@@ -86,11 +87,7 @@
     this.#scheduleSpeeds();
     const lastMs = workload.programs.at(-1)?.arrivesAtMs ?? 0;
     const endMs = this.#runUntilDone(lastMs + drainMs);
-    for (const program of this.#open.values()) {
-      const refusals = this.#refusals.get(program.programId) ?? 0;
-      const record = { program, endedAtMs: undefined, gaveUp: false, refusals };
-      this.#records.push(record);
-    }
+    for (const program of this.#open.values()) this.#record(program, {});
     for (const { model } of this.#engines.values()) {
       this.#counters.computedPromptTokens += model.countComputedPromptTokens();
     }
@@ -239,6 +236,7 @@
     const tries = this.#refusals.get(program.programId) ?? 0;
     const node = nodes[(program.place + tries) % nodes.length];
     if (node === undefined) return;
+    this.#askedAtMs.set(program.programId, nowMs);
     const tree = { startedAtMs: program.arrivesAtMs, attainedMs: 0 };
     const run = createRun(program, {
       tree,
@@ -258,6 +256,11 @@
     nowMs: number,
   ): void {
     const { programId, arrivesAtMs } = program;
+    const askedAtMs = this.#askedAtMs.get(programId) ?? arrivesAtMs;
+    const { toClientMs } = this.#options.topology.delays;
+    const refusedMs = nowMs + toClientMs - askedAtMs;
+    const { slowestRefusalMs } = this.#counters;
+    this.#counters.slowestRefusalMs = Math.max(slowestRefusalMs, refusedMs);
     const refusals = (this.#refusals.get(programId) ?? 0) + 1;
     this.#refusals.set(programId, refusals);
     const backAtMs = nowMs + retryAfterMs;
@@ -266,11 +269,21 @@
       return;
     }
     this.#open.delete(programId);
+    this.#record(program, { gaveUp: true });
+  }
+
+  #record(
+    program: PlannedProgram,
+    part: Partial<Pick<ProgramRecord, "endedAtMs" | "gaveUp">>,
+  ): void {
+    const { programId, arrivesAtMs } = program;
     this.#records.push({
       program,
+      askedAtMs: this.#askedAtMs.get(programId) ?? arrivesAtMs,
       endedAtMs: undefined,
-      gaveUp: true,
-      refusals,
+      gaveUp: false,
+      refusals: this.#refusals.get(programId) ?? 0,
+      ...part,
     });
   }
 
@@ -278,11 +291,6 @@
     const { programId } = program;
     const { toClientMs } = this.#options.topology.delays;
     this.#open.delete(programId);
-    this.#records.push({
-      program,
-      endedAtMs: nowMs + toClientMs,
-      gaveUp: false,
-      refusals: this.#refusals.get(programId) ?? 0,
-    });
+    this.#record(program, { endedAtMs: nowMs + toClientMs });
   }
 }
--- a/packages/standins/src/bench/policy/bench_node.ts
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -287,16 +287,13 @@
     const attempt = this.#attempts.get(refusal.attemptId);
     if (attempt === undefined || attempt.grantedAtMs !== undefined) return;
     this.#attempts.delete(refusal.attemptId);
-    const { counters } = this.#options.link;
-    counters.queueRefusals += 1;
+    this.#options.link.counters.queueRefusals += 1;
     const run = attempt.program;
     run.excluded.push(attempt.targetId);
     if (run.excluded.length <= QUICK_TRIES) return this.#placeCall(run, nowMs);
     const { retryAfterMs } = refusal;
     const isFresh = run.turn === 0 && run.tree.attainedMs === 0;
     if (isFresh) {
-      const waitedMs = nowMs - run.callStartedAtMs;
-      counters.slowestRefusalMs = Math.max(counters.slowestRefusalMs, waitedMs);
       return run.onRefused(retryAfterMs, nowMs);
     }
     this.#retryLater(run, retryAfterMs);
--- /dev/null
+++ b/packages/standins/src/bench/policy/decision_report.ts
@@ -0,0 +1,39 @@
+/**
+ * Renders the curve of decision times as Markdown.
+ */
+import type { DecisionPoint } from "./decision_bench.ts";
+
+const HEAD = [
+  "engines",
+  "nodes",
+  "mean us",
+  "p50 us",
+  "p99 us",
+  "p99.9 us",
+  "tick us",
+  "memory KB",
+  "KB an engine",
+];
+
+/** Renders one line for each size. */
+export function renderDecisionReport(points: readonly DecisionPoint[]): string {
+  const lines = points.map((each) =>
+    formatLine([
+      String(each.engines),
+      String(each.nodes),
+      each.meanUs.toFixed(1),
+      each.p50Us.toFixed(1),
+      each.p99Us.toFixed(1),
+      each.p999Us.toFixed(1),
+      each.tickUs.toFixed(0),
+      String(each.memoryKb),
+      (each.memoryKb / each.engines).toFixed(2),
+    ])
+  );
+  const rule = formatLine(HEAD.map(() => "---"));
+  return [formatLine(HEAD), rule, ...lines].join("\n");
+}
+
+function formatLine(cells: readonly string[]): string {
+  return `| ${cells.join(" | ")} |`;
+}
--- a/packages/standins/src/bench/policy/measurements.ts
+++ b/packages/standins/src/bench/policy/measurements.ts
@@ -10,6 +10,8 @@
 /** The result of one program as its caller saw it. */
 export interface ProgramRecord {
   readonly program: PlannedProgram;
+  /** When the caller last asked, after any refusals. */
+  readonly askedAtMs: number;
   /** Undefined when it hadn't ended when the run was over. */
   readonly endedAtMs: number | undefined;
   /** Whether the caller gave up after refusals; nothing was run then. */
@@ -23,6 +25,7 @@
   paidBytes: number;
   decisions: number;
   queueRefusals: number;
+  /** Longest time from a caller's request to its refusal. */
   slowestRefusalMs: number;
   firstTokens: number[];
   tokenTimes: number[];
--- /dev/null
+++ b/packages/standins/src/bench/policy/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Benches of the policy under load, in virtual time.
+ */
+export * from "./bench_result.ts";
+export * from "./decision_bench.ts";
+export * from "./decision_report.ts";
+export * from "./render_report.ts";
+export * from "./run_policy_bench.ts";
--- a/packages/standins/src/bench/policy/workload.ts
+++ b/packages/standins/src/bench/policy/workload.ts
@@ -84,3 +84,31 @@
   const usable = (TARGET_TOKEN_MS - pool.engine.stepBaseMs) / TARGET_TOKEN_MS;
   return pool.engines * usable * 1_000 / meanWorkMs;
 }
+
+/**
+ * Computes a program's latency with an engine to itself: sub-agents of one turn
+ * run at the same time.
+ */
+export function computeFloorMs(
+  program: PlannedProgram,
+  engine: EngineSettings,
+): number {
+  let history = program.sharedTokens;
+  let floorMs = 0;
+  program.calls.forEach((call, turn) => {
+    const prompt = history + call.newTokens;
+    const steps = Math.ceil(call.newTokens / engine.prefillChunkTokens);
+    const context = prompt + call.completionTokens / 2;
+    const tokenMs = engine.stepBaseMs + engine.stepPerSequenceMs +
+      context * engine.stepPerContextTokenMs;
+    floorMs += steps * engine.stepBaseMs;
+    floorMs += call.newTokens * engine.prefillPerTokenMs;
+    floorMs += (call.completionTokens - 1) * tokenMs;
+    const children = call.children.map((each) => computeFloorMs(each, engine));
+    floorMs += Math.max(0, ...children);
+    const isLast = turn === program.calls.length - 1;
+    if (!isLast) floorMs += call.pauseMs;
+    history = prompt + call.completionTokens;
+  });
+  return floorMs;
+}
