--- a/packages/standins/src/platform/faulty_store.ts
+++ b/packages/standins/src/platform/faulty_store.ts
@@ -69,7 +69,8 @@
 
   /**
    * Waits for a change as `ObjectStore.watch` does. A fault at the beginning
-   * answers it as failed, or never.
+   * answers it as failed, or never; a fault when it would be answered leaves it
+   * without an answer.
    */
   watch(
     request: WatchRequest,
@@ -77,10 +78,18 @@
   ): () => void {
     this.applyLate(options.nowMs);
     const decision = this.plan.choose(request, options.nowMs);
-    if (decision.kind === "pass") return this.store.watch(request, options);
+    if (decision.kind === "pass") {
+      return this.store.watch(request, {
+        nowMs: options.nowMs,
+        answer: (answer, nowMs) => {
+          const isWhole = this.plan.choose(request, nowMs).kind === "pass";
+          if (isWhole) options.answer(answer, nowMs);
+        },
+      });
+    }
     if (decision.kind === "refuse" || decision.kind === "throttle") {
       const reason = decision.kind === "refuse" ? "refused" : "rate_limited";
-      options.answer({ kind: "failed", reason });
+      options.answer({ kind: "failed", reason }, options.nowMs);
     }
     return () => {};
   }
--- a/packages/standins/src/platform/faulty_store_test.ts
+++ b/packages/standins/src/platform/faulty_store_test.ts
@@ -70,6 +70,21 @@
     expect(run()).to.include("cut").and.to.include("answered");
   });
 
+  it("leaves a watch without its answer during a fault", () => {
+    const faulty = createStore({ kind: "lost_answer", share: 1, ...interval });
+    faulty.handle(PUT, 1);
+    const answers: string[] = [];
+    const answer = (each: { kind: string }): void => {
+      answers.push(each.kind);
+    };
+    const request = { kind: "watch", prefix: "", afterPosition: 1 } as const;
+    faulty.watch(request, { nowMs: 100, answer });
+    faulty.store.handle({ ...PUT, key: "b" } as PlatformRequest, 50);
+    expect(answers).to.deep.equal([]);
+    faulty.watch(request, { nowMs: 100, answer });
+    expect(answers).to.deep.equal(["changed"]);
+  });
+
   it("holds a fault to its prefix", () => {
     const faulty = createStore({ kind: "silent", prefix: "b", ...interval });
     expect(faulty.handle(GET, 1).kind).to.equal("answered");
--- a/packages/standins/src/platform/object_store.ts
+++ b/packages/standins/src/platform/object_store.ts
@@ -35,8 +35,8 @@
   conflicts: number;
 }
 
-/** Receives the answer of a watch. */
-export type WatchListener = (answer: PlatformAnswer) => void;
+/** Receives the answer of a watch, and when it was given. */
+export type WatchListener = (answer: PlatformAnswer, nowMs: number) => void;
 
 type WatchRequest = Extract<PlatformRequest, { kind: "watch" }>;
 type WriteRequest = Extract<PlatformRequest, { kind: "put" | "delete" }>;
@@ -95,9 +95,9 @@
       case "get":
         return this.#get(request.key);
       case "put":
-        return this.#write(request);
+        return this.#write(request, nowMs);
       case "delete":
-        return this.#remove(request);
+        return this.#remove(request, nowMs);
       case "list":
         return this.#list(request);
       case "watch":
@@ -119,14 +119,14 @@
     const mustWait = present.kind === "changed" &&
       present.keys.length === 0 && request.afterPosition > 0;
     if (!mustWait) {
-      options.answer(present);
+      options.answer(present, options.nowMs);
       return () => {};
     }
     const waiting = { request, answer: options.answer };
     this.#waiting.add(waiting);
     return () => {
       if (!this.#waiting.delete(waiting)) return;
-      options.answer(this.#findChanges(request));
+      options.answer(this.#findChanges(request), options.nowMs);
     };
   }
 
@@ -136,7 +136,10 @@
     return { kind: "found", object: { key, ...stored } };
   }
 
-  #write(request: Extract<WriteRequest, { kind: "put" }>): PlatformAnswer {
+  #write(
+    request: Extract<WriteRequest, { kind: "put" }>,
+    nowMs: number,
+  ): PlatformAnswer {
     const { key, value } = request;
     if (value.length > MAX_VALUE_BYTES) {
       return { kind: "failed", reason: "refused" };
@@ -146,18 +149,21 @@
     const version = this.#changes.append(key);
     if (!this.#objects.has(key)) this.#keys.add(key);
     this.#objects.set(key, { value: Uint8Array.from(value), version });
-    this.#answerWatches(key);
+    this.#answerWatches(key, nowMs);
     return { kind: "stored", key, version };
   }
 
-  #remove(request: Extract<WriteRequest, { kind: "delete" }>): PlatformAnswer {
+  #remove(
+    request: Extract<WriteRequest, { kind: "delete" }>,
+    nowMs: number,
+  ): PlatformAnswer {
     const { key } = request;
     const conflict = this.#findConflict(key, request.condition);
     if (conflict !== undefined) return conflict;
     if (!this.#objects.delete(key)) return { kind: "absent", key };
     this.#keys.remove(key);
     this.#changes.append(key);
-    this.#answerWatches(key);
+    this.#answerWatches(key, nowMs);
     return { kind: "deleted", key };
   }
 
@@ -196,11 +202,11 @@
     return { key, version: this.#objects.get(key)?.version ?? 0 };
   }
 
-  #answerWatches(key: string): void {
+  #answerWatches(key: string, nowMs: number): void {
     for (const waiting of [...this.#waiting]) {
       if (!key.startsWith(waiting.request.prefix)) continue;
       this.#waiting.delete(waiting);
-      waiting.answer(this.#findChanges(waiting.request));
+      waiting.answer(this.#findChanges(waiting.request), nowMs);
     }
   }
 
--- a/packages/standins/src/service/serve_service.ts
+++ b/packages/standins/src/service/serve_service.ts
@@ -109,7 +109,7 @@
       return context.text(behavior.detail, 500);
     case "cross":
       context.header(KEY_HEADER, `${key}-crossed`);
-      return context.text(text);
+      return context.text(buildOperationText(operation.operation, "crossed"));
     case "normal":
     case "delay":
       context.header(KEY_HEADER, key);
