Slow engines down for moments in the stand-in

Cause: back ends slow down for moments because of unseen neighbours.

Conclusion: a development set-up can show how slow targets are treated.

--- a/packages/standins/src/deployment/serve_deployment.ts
+++ b/packages/standins/src/deployment/serve_deployment.ts
@@ -53,6 +53,7 @@
       const checksFencing = target.checks_fencing;
       const engine = await serveEngine({
         ...options.engine,
+        ...chooseSlowMoments(options, engines.size),
         checksFencing,
         models: target.serves,
       });
@@ -78,6 +79,17 @@
   };
 }
 
+/** Engines are slow at different times. */
+function chooseSlowMoments(
+  options: ServeDeploymentOptions,
+  index: number,
+): Pick<ServeEngineOptions, "slowMoments"> {
+  const slowMoments = options.engine?.slowMoments;
+  if (slowMoments === undefined) return {};
+  const seed = slowMoments.seed + index;
+  return { slowMoments: { ...slowMoments, seed } };
+}
+
 function buildSpec(
   target: Deployment["targets"][number],
   address: string,
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -24,6 +24,7 @@
 import { addOrderRoutes } from "./order_routes.ts";
 import { addReportRoutes } from "./report_routes.ts";
 import { SimpleEngine } from "./simple_engine.ts";
+import { type SlowMomentsOptions, startSlowMoments } from "./slow_moments.ts";
 
 const DEFAULT_TOKEN_MS = 5;
 const DEFAULT_FIRST_TOKEN_MS = 20;
@@ -35,6 +36,8 @@
   readonly tokenMs?: number;
   readonly firstTokenMs?: number;
   readonly checksFencing?: boolean;
+  /** When the engine is slow; never when absent. */
+  readonly slowMoments?: SlowMomentsOptions;
   /** Models served from the start. */
   readonly models?: readonly string[];
 }
@@ -61,10 +64,13 @@
   addOrderRoutes(app, { driver, models: new Set(options.models) });
   addReportRoutes(app, driver);
   const server = await startServer(app, options);
+  const slow = options.slowMoments &&
+    startSlowMoments(options.slowMoments, (speed) => control.setSpeed(speed));
   return {
     address: server.address,
     control,
     stop: () => {
+      slow?.stop();
       driver.stop();
       return server.stop();
     },
