--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -124,6 +124,8 @@
     readonly promptTokens: number;
     readonly cachedTokens: number;
     readonly maxTokens: number;
+    /** Age of the program tree, which orders equals. */
+    readonly programAgeMs?: number;
   }
   | {
     readonly kind: "slot_granted";
@@ -131,6 +133,8 @@
     readonly targetId: TargetId;
     /** Life of the grant unless renewed, from its arrival. */
     readonly expiresInMs: number;
+    /** The target's load at this moment, fresher than the spread ones. */
+    readonly load?: TargetLoad;
   }
   | {
     readonly kind: "slot_refused";
@@ -143,6 +147,7 @@
       | "unknown_target"
       | "expired";
     readonly retryAfterMs: number;
+    readonly load?: TargetLoad;
   }
   | {
     readonly kind: "slot_renewed";
@@ -176,6 +181,12 @@
   readonly queuedPromptTokens: number;
   /** Recent speed relative to the target's peers, one being usual. */
   readonly relativeSpeed: number;
+  /** Observed time between two tokens of a stream; absent when unknown. */
+  readonly tokenMs?: number;
+  /** Usual time for which a slot is held. */
+  readonly slotMs?: number;
+  /** Prompt tokens that running slots have still to compute. */
+  readonly prefillTokens?: number;
 }
 
 /** Between all nodes, about who is alive and who owns what. */
