Serve the batching engine model in the deployments

Cause: the deployments ran a simple engine with a set pace; a repeated attempt id was answered with the statement that nothing was run.

Change: the engine stand-in takes the batching model's own types, deployments use it unless told otherwise, and a known attempt id is answered without a statement about its run.

--- a/packages/standins/src/deployment/serve_deployment.ts
+++ b/packages/standins/src/deployment/serve_deployment.ts
@@ -1,7 +1,15 @@
 /**
  * Starts the stand-ins of a whole deployment on loopback.
  */
-import type { TargetSpec } from "@camphorlock/types";
+import { checkNever, type TargetSpec } from "@camphorlock/types";
+import {
+  DEFAULT_ENGINE_SETTINGS,
+  EngineModel,
+  type EngineSettings,
+} from "../engine/mod.ts";
+import type { EngineCore } from "../engine_server/engine_core.ts";
+import { SimpleEngine } from "../engine_server/simple_engine.ts";
+import type { SlowMomentsOptions } from "../engine_server/slow_moments.ts";
 import {
   type RunningEngine,
   serveEngine,
@@ -16,13 +24,24 @@
 import { ServiceRuns } from "../service/service_runs.ts";
 import type { Deployment } from "./schema.ts";
 
+/** The engines of a deployment. */
+export type DeploymentEngine =
+  /** Batches continuously, with a prefix cache in limited memory. */
+  | { readonly kind: "batching"; readonly settings?: Partial<EngineSettings> }
+  /** Produces tokens at a set pace, whatever else runs. */
+  | {
+    readonly kind: "paced";
+    readonly tokenMs: number;
+    readonly firstTokenMs: number;
+  };
+
 /** Settings of a running deployment. */
 export interface ServeDeploymentOptions {
   readonly platform?: ServePlatformOptions;
-  readonly engine?: Omit<
-    ServeEngineOptions,
-    "port" | "checksFencing" | "models"
-  >;
+  /** The kind of engine; batching with its usual settings when absent. */
+  readonly engine?: DeploymentEngine;
+  /** When engines are slow; never when absent. */
+  readonly slowMoments?: SlowMomentsOptions;
   readonly serviceDelayMs?: number;
 }
 
@@ -50,13 +69,8 @@
   const targets: TargetSpec[] = [];
   for (const target of deployment.targets) {
     if (target.kind === "engine") {
-      const checksFencing = target.checks_fencing;
-      const engine = await serveEngine({
-        ...options.engine,
-        ...chooseSlowMoments(options, engines.size),
-        checksFencing,
-        models: target.serves,
-      });
+      const place = { target, index: engines.size };
+      const engine = await serveEngine(buildEngineOptions(options, place));
       engines.set(target.target, engine);
       targets.push(buildSpec(target, engine.address));
     } else {
@@ -79,15 +93,45 @@
   };
 }
 
-/** Engines are slow at different times. */
-function chooseSlowMoments(
+interface EnginePlace {
+  readonly target: Deployment["targets"][number];
+  readonly index: number;
+}
+
+function buildEngineOptions(
   options: ServeDeploymentOptions,
-  index: number,
-): Pick<ServeEngineOptions, "slowMoments"> {
-  const slowMoments = options.engine?.slowMoments;
-  if (slowMoments === undefined) return {};
-  const seed = slowMoments.seed + index;
-  return { slowMoments: { ...slowMoments, seed } };
+  place: EnginePlace,
+): ServeEngineOptions {
+  const { slowMoments } = options;
+  return {
+    core: createEngine(options.engine ?? { kind: "batching" }, place),
+    models: place.target.serves,
+    ...(slowMoments === undefined ? {} : {
+      // Engines are slow at different times.
+      slowMoments: { ...slowMoments, seed: slowMoments.seed + place.index },
+    }),
+  };
+}
+
+function createEngine(
+  engine: DeploymentEngine,
+  place: EnginePlace,
+): EngineCore {
+  const checksFencing = place.target.checks_fencing;
+  switch (engine.kind) {
+    case "batching":
+      return new EngineModel({
+        ...DEFAULT_ENGINE_SETTINGS,
+        models: place.target.serves,
+        seed: place.index + 1,
+        ...engine.settings,
+        checksFencing,
+      });
+    case "paced":
+      return new SimpleEngine({ ...engine, checksFencing });
+    default:
+      return checkNever(engine);
+  }
 }
 
 function buildSpec(
--- a/packages/standins/src/engine_server/chat_form.ts
+++ b/packages/standins/src/engine_server/chat_form.ts
@@ -11,7 +11,7 @@
   countTokens,
   encodeMessage,
 } from "./answer_text.ts";
-import type { GenerateRequest, PromptPart } from "./engine_core.ts";
+import type { GenerateRequest, PromptPart } from "../engine/engine_types.ts";
 
 const DEFAULT_MAX_TOKENS = 256;
 
--- a/packages/standins/src/engine_server/engine_control.ts
+++ b/packages/standins/src/engine_server/engine_control.ts
@@ -2,7 +2,7 @@
  * Switches the faults of a running engine stand-in and shows what it saw.
  */
 import type { AttemptId, ProgramId } from "@camphorlock/types";
-import type { ReportedLoad } from "./engine_core.ts";
+import type { EngineLoad } from "../engine/engine_types.ts";
 import type { EngineDriver, EngineRun } from "./engine_driver.ts";
 
 /** Controls one engine stand-in. */
@@ -46,7 +46,7 @@
   }
 
   /** Gets the present load. */
-  getLoad(): ReportedLoad {
+  getLoad(): EngineLoad {
     return this.#driver.core.getReportedLoad(this.#driver.readNow());
   }
 
--- a/packages/standins/src/engine_server/engine_driver.ts
+++ b/packages/standins/src/engine_server/engine_driver.ts
@@ -5,12 +5,12 @@
 import type { AttemptId } from "@camphorlock/types";
 import { AnswerStream } from "./answer_stream.ts";
 import type { PlannedAnswer } from "./chat_form.ts";
+import type { EngineCore } from "./engine_core.ts";
 import type {
   CacheEvent,
-  EngineCore,
   EngineInput,
   EngineOutput,
-} from "./engine_core.ts";
+} from "../engine/engine_types.ts";
 
 const MIN_WAIT_MS = 1;
 const MAX_EVENTS = 10_000;
@@ -19,6 +19,8 @@
 /** What became of an input that expects an answer. */
 export type EngineReply =
   | { readonly kind: "done" }
+  /** The attempt was started before. */
+  | { readonly kind: "known" }
   | { readonly kind: "rejected"; readonly detail: string }
   | { readonly kind: "fenced"; readonly highest: number };
 
@@ -35,6 +37,7 @@
   readonly streams = new Map<AttemptId, AnswerStream>();
   readonly cacheEvents: CacheEvent[] = [];
   readonly runs: EngineRun[] = [];
+  readonly #started = new Set<AttemptId>();
   readonly #startedAtMs = performance.now();
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
@@ -48,17 +51,17 @@
     return performance.now() - this.#startedAtMs;
   }
 
-  /** Starts a generation; its stream may already be known. */
+  /** Starts a generation, unless its attempt was started before. */
   startAnswer(planned: PlannedAnswer): EngineReply {
     const { attemptId, programId } = planned.request;
-    if (this.streams.has(attemptId)) {
-      return { kind: "rejected", detail: "the attempt is known" };
-    }
+    if (this.#started.has(attemptId)) return { kind: "known" };
+    this.#started.add(attemptId);
     this.streams.set(attemptId, new AnswerStream(planned));
     this.runs.push({ attemptId, programId, atMs: this.readNow() });
     const reply = this.handle({ kind: "generate", request: planned.request });
     if (reply.kind === "rejected") {
       this.streams.delete(attemptId);
+      this.#started.delete(attemptId);
       this.runs.pop();
     }
     this.#removeEnded();
--- a/packages/standins/src/engine_server/report_routes.ts
+++ b/packages/standins/src/engine_server/report_routes.ts
@@ -7,6 +7,9 @@
 
 const MAX_EVENTS_PER_READ = 1_000;
 
+/** The owner of a prefix that programs share. */
+const SHARED = "";
+
 /** Adds the paths of reports. */
 export function addReportRoutes(
   app: Hono<StandinEnv>,
@@ -34,6 +37,7 @@
 ): { programId: string; tokens: number }[] {
   const held = new Map<string, number>();
   for (const prefix of driver.core.listPrefixes()) {
+    if (prefix.programId === SHARED) continue;
     const before = held.get(prefix.programId) ?? 0;
     held.set(prefix.programId, before + prefix.heldTokens);
   }
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -99,7 +99,9 @@
     if (planned.isErr()) return refuse(context, 400, planned.error);
     if (control.startDelayMs > 0) await waitFor(control.startDelayMs);
     const reply = driver.startAnswer(planned.value);
-    if (reply.kind === "rejected") return refuse(context, 409, reply.detail);
+    // Nothing is said of whether the earlier run took place.
+    if (reply.kind === "known") return context.text("known attempt", 409);
+    if (reply.kind === "rejected") return refuse(context, 400, reply.detail);
     return openStream(context, { ...options, attemptId, fromOffset: 0 });
   });
   app.get("/v1/streams/:attemptId", (context) => {
@@ -154,7 +156,7 @@
 
 function refuse(
   context: Context<StandinEnv>,
-  status: 400 | 409 | 503,
+  status: 400 | 503,
   detail: string,
 ): Response {
   context.header(NOT_RUN_HEADER, "true");
--- a/packages/standins/src/engine_server/simple_engine.ts
+++ b/packages/standins/src/engine_server/simple_engine.ts
@@ -4,13 +4,13 @@
 import type { AttemptId, TargetOrder } from "@camphorlock/types";
 import { checkNever } from "@camphorlock/types";
 import type {
-  EngineCore,
   EngineInput,
+  EngineLoad,
   EngineOutput,
   GenerateRequest,
-  HeldPrefix,
-  ReportedLoad,
-} from "./engine_core.ts";
+} from "../engine/engine_types.ts";
+import type { CachedPrefix } from "../engine/prefix_cache.ts";
+import type { EngineCore } from "./engine_core.ts";
 
 /** Settings of a simple engine. */
 export interface SimpleEngineOptions {
@@ -30,7 +30,7 @@
 export class SimpleEngine implements EngineCore {
   readonly #options: SimpleEngineOptions;
   readonly #running = new Map<AttemptId, Sequence>();
-  readonly #prefixes = new Map<string, HeldPrefix>();
+  readonly #prefixes = new Map<string, CachedPrefix>();
   #speed = 1;
   #fence = 0;
   #eventNumber = 0;
@@ -53,7 +53,7 @@
     return nextAtMs;
   }
 
-  getReportedLoad(): ReportedLoad {
+  getReportedLoad(): EngineLoad {
     const prefixes = this.listPrefixes();
     const held = prefixes.reduce((sum, each) => sum + each.heldTokens, 0);
     return {
@@ -63,7 +63,7 @@
     };
   }
 
-  listPrefixes(): HeldPrefix[] {
+  listPrefixes(): CachedPrefix[] {
     return [...this.#prefixes.values()];
   }
 
@@ -88,6 +88,8 @@
         this.#speed = input.speed;
         return [];
       case "advance":
+      case "resume":
+      case "export_prefix":
         return [];
       default:
         return checkNever(input);
@@ -154,7 +156,7 @@
     );
   }
 
-  #addPrefix(prefix: HeldPrefix, atMs: number): EngineOutput[] {
+  #addPrefix(prefix: CachedPrefix, atMs: number): EngineOutput[] {
     const { key, programId, tokens, heldTokens } = prefix;
     this.#prefixes.set(key, { key, programId, tokens, heldTokens });
     return [this.#buildEvent("stored", { prefix, atMs })];
@@ -179,7 +181,7 @@
 
   #buildEvent(
     kind: "stored" | "evicted",
-    options: { readonly prefix: HeldPrefix; readonly atMs: number },
+    options: { readonly prefix: CachedPrefix; readonly atMs: number },
   ): EngineOutput {
     this.#eventNumber += 1;
     const { key, programId, tokens } = options.prefix;
--- a/packages/standins/src/engine_server/simple_engine_test.ts
+++ b/packages/standins/src/engine_server/simple_engine_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { GenerateRequest } from "./engine_core.ts";
+import type { GenerateRequest } from "../engine/engine_types.ts";
 import { SimpleEngine } from "./simple_engine.ts";
 import { SlowMoments } from "./slow_moments.ts";
 
