Draw on shared budgets and publish charges from the ledger

Calls reserved only from their program's budget, and charges stayed in the ledger. A call now also reserves from its team's and partner's budget, in portions drawn from the platform, and waits a bounded time for a draw.

--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -38,6 +38,7 @@
 import { Membership, type MembershipStep } from "../membership/mod.ts";
 import type { NodeInput, NodeNotice, NodeStep } from "./node_input.ts";
 import type { NodeOptions } from "./node_settings.ts";
+import { SharedBudgets } from "./shared_budgets.ts";
 import { NodePolicy } from "./node_policy.ts";
 import {
   findAttemptShard,
@@ -59,6 +60,7 @@
   readonly #assigner: ShardAssigner;
   readonly #configuration: Configuration;
   readonly #policy: NodePolicy;
+  readonly #budgets: SharedBudgets;
   readonly #keeper: Keeper;
   readonly #hosts: ShardHosts;
   readonly #entry: Entry;
@@ -97,6 +99,7 @@
       getValue: () => this.#configuration.value,
       getView: () => this.#membership.view(),
     });
+    this.#budgets = new SharedBudgets(spec);
     this.#keeper = new Keeper({
       incarnation: spec.incarnation,
       maxBytes: limits.keeperBytes,
@@ -187,6 +190,7 @@
     return new ShardHosts({
       self: spec.vmId,
       placer: this.#policy,
+      budgets: this.#budgets,
       retries: this.#policy.retries,
       getConfiguration: () => ({
         revision: this.#configuration.revision,
@@ -214,6 +218,7 @@
       this.#applyAssignment(this.#assigner.handle(tick, nowMs));
       this.#applyHosts(this.#hosts.handleAll(tick, nowMs));
       this.#addEffects(this.#policy.handleTick(nowMs));
+      this.#addEffects(this.#budgets.handleTick(nowMs));
       this.#checkStop(nowMs);
       this.#addEffects(this.#entry.handle(tick, nowMs));
     });
@@ -228,6 +233,7 @@
     const view = this.#membership.view();
     const isCutOff = this.#membership.isCutOff(nowMs);
     const { revision } = this.#configuration;
+    this.#addEffects(this.#budgets.applyView(view, nowMs));
     this.#applyAssignment(
       this.#assigner.handle({ kind: "membership", view, isCutOff }, nowMs),
     );
@@ -291,6 +297,7 @@
     const isLate = nowMs - this.#stoppedAtMs >= DRAIN_LIMIT_MS;
     if (this.#hosts.countServiceAttempts() > 0 && !isLate) return;
     this.#isOffering = true;
+    this.#addEffects(this.#budgets.stop(nowMs));
     this.#applyAssignment(this.#assigner.handle({ kind: "leave" }, nowMs));
   }
 
@@ -299,6 +306,7 @@
     switch (role) {
       case "ledger":
       case "recovery":
+      case "charge":
         return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
       case "assignment":
         return this.#applyAssignment(
@@ -308,9 +316,12 @@
         return this.#applyConfiguration(
           this.#configuration.handle(input, this.#nowMs),
         );
-      case "budget":
-      case "charge":
-        return;
+      case "budget": {
+        const { token, answer } = input;
+        return this.#addEffects(
+          this.#budgets.handleAnswer(token, answer, this.#nowMs),
+        );
+      }
       default:
         return checkNever(role);
     }
@@ -472,6 +483,7 @@
       if (notice.kind !== "in_force") continue;
       const { value } = notice;
       this.#addEffects(this.#policy.applyConfiguration(value, this.#nowMs));
+      this.#addEffects(this.#budgets.applyConfiguration(value, this.#nowMs));
     }
   }
 
--- a/packages/scheduler/src/node/shard_host.ts
+++ b/packages/scheduler/src/node/shard_host.ts
@@ -32,6 +32,7 @@
   type WritePacer,
 } from "../ledger/mod.ts";
 import {
+  type CallBudgets,
   type CallPlacer,
   type OwnerConfiguration,
   type OwnerInput,
@@ -39,12 +40,15 @@
   ShardOwner,
 } from "../owner/mod.ts";
 import type { RetryMeans } from "../retry/mod.ts";
+import { ok } from "neverthrow";
+import { decodeCharges, ShardCharges } from "./shard_charges.ts";
 import { decodeSnapshot } from "../owner/state_snapshot.ts";
 
 /** What all shards of a node share. */
 export interface ShardHostParts {
   readonly self: VmId;
   readonly placer: CallPlacer;
+  readonly budgets: CallBudgets;
   readonly getConfiguration: () => OwnerConfiguration;
   readonly getWallClockMs: () => number;
   readonly failureDomainOf: (vmId: VmId) => FailureDomain;
@@ -113,6 +117,7 @@
   readonly #recovery: ShardRecovery;
   #ledger: ShardLedger | undefined;
   #owner: ShardOwner | undefined;
+  readonly #charges: ShardCharges;
   #waiting: RequestInput[] = [];
   #effects: Effect[] = [];
   #notices: ShardHostNotice[] = [];
@@ -122,6 +127,10 @@
   constructor(assignment: ShardAssignment, parts: ShardHostParts) {
     this.#assignment = assignment;
     this.#parts = parts;
+    this.#charges = new ShardCharges(
+      assignment.shard,
+      () => parts.getConfiguration().value,
+    );
     this.#recovery = new ShardRecovery({
       shard: assignment.shard,
       epoch: assignment.epoch,
@@ -177,7 +186,7 @@
       case "keeper":
         return this.#handleLedger({ ...input, kind: "peer" });
       case "platform":
-        return this.#handleLedger(input);
+        return this.#handlePlatform(input);
       case "request":
         return this.#handleRequest(input);
       case "slot":
@@ -196,6 +205,15 @@
     }
   }
 
+  #handlePlatform(
+    input: Extract<ShardHostInput, { kind: "platform" }>,
+  ): void {
+    const { token, answer } = input;
+    if (token.role !== "charge") return this.#handleLedger(input);
+    const effects = this.#charges.handleAnswer(token, answer, this.#nowMs);
+    this.#effects.push(...effects);
+  }
+
   #handleLedger(input: LedgerInput): void {
     if (this.#ledger === undefined) {
       return this.#applyRecovery(this.#recovery.handle(input, this.#nowMs));
@@ -212,11 +230,15 @@
 
   #handleTick(): void {
     this.#runOwner({ kind: "tick" });
-    if (this.#ledger?.needsSnapshot !== true) return;
     if (this.#owner === undefined) return;
+    this.#effects.push(...this.#charges.handleTick(this.#nowMs));
+    if (this.#ledger?.needsSnapshot !== true) return;
     const content = {
       throughSequence: this.#ledger.lastSequence,
-      parts: this.#owner.encodeSnapshot(),
+      parts: [
+        this.#charges.encodeSnapshot(),
+        ...this.#owner.encodeSnapshot(),
+      ],
     };
     this.#effects.push(...this.#ledger.startSnapshot(content, this.#nowMs));
   }
@@ -229,6 +251,8 @@
   #applyNotice(notice: LedgerNotice): void {
     switch (notice.kind) {
       case "durable":
+        this.#charges.applyDurable(notice.through, this.#nowMs);
+        return this.#runOwner(notice);
       case "confirmed":
         return this.#runOwner(notice);
       case "superseded":
@@ -263,8 +287,11 @@
   }
 
   #startOwner(recovered: RecoveredShard): void {
-    const snapshot = decodeSnapshot(recovered.snapshot?.parts ?? []);
-    if (snapshot.isErr()) return this.#end();
+    const [charges, ...parts] = recovered.snapshot?.parts ?? [];
+    const pending = charges === undefined ? ok([]) : decodeCharges(charges);
+    const snapshot = decodeSnapshot(parts);
+    if (snapshot.isErr() || pending.isErr()) return this.#end();
+    this.#charges.loadSnapshot(pending.value, this.#nowMs);
     const { shard, epoch } = this.#assignment;
     const { self, failureDomainOf, ledgerLimits, pacer } = this.#parts;
     const ledger = new ShardLedger({
@@ -278,13 +305,14 @@
     });
     this.#ledger = ledger;
     this.#owner = this.#createOwner(ledger);
-    const entries = recovered.entries.map((entry) => entry.body);
     const through = ledger.durableThrough;
     this.#runOwner({ kind: "durable", through });
     this.#runOwner({
       kind: "recovered",
-      entries: [...snapshot.value, ...entries],
+      snapshot: snapshot.value,
+      entries: recovered.entries,
     });
+    this.#charges.applyDurable(through, this.#nowMs);
     for (const input of this.#waiting.splice(0)) this.#runOwner(input);
     this.#notices.push({ kind: "recovered" });
   }
@@ -298,6 +326,8 @@
       epoch,
       ledger,
       placer,
+      budgets: this.#parts.budgets,
+      charges: this.#charges,
       getConfiguration,
       getWallClockMs,
       limits: this.#parts.ownerLimits,
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -240,9 +240,17 @@
     if (appended.isErr()) {
       return this.#setPendingOutcome(running, outcome, appended.error);
     }
+    this.#settleShared(running, outcome);
     this.#context.log("CallEnded", { callId, status: outcome.status });
   }
 
+  #settleShared(running: RunningCall, outcome: CallOutcome): void {
+    const { shared } = running;
+    if (shared === undefined) return;
+    const charged = outcome.status === "not_run" ? 0 : outcome.chargeMicros;
+    this.#context.options.budgets.settle(shared, charged);
+  }
+
   /** Keeps the outcome until there's space; a text too large fails. */
   #setPendingOutcome(
     running: RunningCall,
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -15,6 +15,7 @@
 import { AttemptStarter } from "./attempt_starter.ts";
 import { CallEnder } from "./call_ender.ts";
 import type { OwnerContext } from "./owner_context.ts";
+import type { HeldReservation } from "./ports.ts";
 import type { CallState, ProgramState } from "./program_state.ts";
 import { createRunningCall, type RunningCall } from "./running_call.ts";
 import type { Waiters } from "./waiters.ts";
@@ -49,13 +50,17 @@
   }
 
   /** Adds a call whose acceptance was just appended. */
-  addAccepted(program: ProgramState, state: CallState): RunningCall {
-    return this.#add(program, state, "accepting");
+  addAccepted(
+    program: ProgramState,
+    state: CallState,
+    shared: HeldReservation,
+  ): RunningCall {
+    return this.#add(program, state, { phase: "accepting", shared });
   }
 
   /** Adds a call that an earlier owner left without an outcome. */
   addRecovered(program: ProgramState, state: CallState): void {
-    const running = this.#add(program, state, "queued");
+    const running = this.#add(program, state, { phase: "queued" });
     if (state.attempts.length === 0) return;
     this.#starter.resume(running);
   }
@@ -134,10 +139,16 @@
   #add(
     program: ProgramState,
     state: CallState,
-    phase: "accepting" | "queued",
+    options: {
+      readonly phase: "accepting" | "queued";
+      readonly shared?: HeldReservation;
+    },
   ): RunningCall {
     const { nowMs } = this.#context;
-    const running = createRunningCall(program.spec, state, { phase, nowMs });
+    const running = createRunningCall(program.spec, state, {
+      ...options,
+      nowMs,
+    });
     const { programId } = program.spec;
     this.#calls.set(state.callId, running);
     const siblings = this.#byProgram.get(programId) ?? new Set();
--- a/packages/scheduler/src/owner/owner_context.ts
+++ b/packages/scheduler/src/owner/owner_context.ts
@@ -103,10 +103,28 @@
     const { effects, sequence } = appended.value;
     this.#effects.push(...effects);
     this.#lastSequence = sequence;
+    const first = sequence - bodies.length + 1;
+    bodies.forEach((body, at) => this.recordCharge(first + at, body));
     if (then !== undefined) this.#durableWork.push({ sequence, run: then });
     return ok(undefined);
   }
 
+  /** Passes the end of a call on to be charged. */
+  recordCharge(sequence: number, body: EntryBody): void {
+    if (body.kind !== "call_ended") return;
+    const { outcome, callId, endedAtMs } = body;
+    if (outcome.status === "not_run") return;
+    const program = this.state.programs.get(body.programId);
+    if (program === undefined) return;
+    this.options.charges.recordEnded(sequence, {
+      callId,
+      spec: program.spec,
+      micros: outcome.chargeMicros,
+      endedAtMs,
+      revision: outcome.agreementRevision,
+    });
+  }
+
   /**
    * Runs `then` after a proof of the epoch that began after this moment, and
    * after everything appended before it has become durable.
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -10,6 +10,7 @@
   CallerRequest,
   Effect,
   EntryBody,
+  LedgerEntry,
   ProgramSpec,
 } from "@camphorlock/types";
 import { EMPTY_CONFIGURATION } from "../configuration/mod.ts";
@@ -21,6 +22,7 @@
   LedgerConfirm,
   OwnerLedger,
   PlacementChoice,
+  SharedReservation,
 } from "./ports.ts";
 import { DEFAULT_OWNER_LIMITS } from "./ports.ts";
 import { decodeSnapshot } from "./state_snapshot.ts";
@@ -76,6 +78,10 @@
   readonly effects: Effect[] = [];
   targets = ["e1", "e2", "e3", "e4", "e5"];
   nowMs = 0;
+  reservation: SharedReservation = { kind: "reserved", parts: [] };
+  /** What shared budgets were settled to, and the calls charged. */
+  readonly settled: number[] = [];
+  readonly charged: string[] = [];
   readonly #owner: ShardOwner;
   #requests = 0;
 
@@ -95,6 +101,13 @@
         findDispatcher: () => "vm-1",
         hasTarget: (target) => this.targets.includes(target),
       },
+      budgets: {
+        reserve: () => this.reservation,
+        settle: (_held, charged) => this.settled.push(charged),
+      },
+      charges: {
+        recordEnded: (_sequence, ended) => this.charged.push(ended.callId),
+      },
       getConfiguration: () => ({
         revision: 7,
         value: {
@@ -211,9 +224,10 @@
   /** Builds a second owner from this one's entries. */
   takeOver(): OwnerFixture {
     const next = new OwnerFixture(2);
-    const { entries } = this.ledger;
-    next.ledger.entries.push(...entries);
-    next.handle({ kind: "recovered", entries });
+    const entries: LedgerEntry[] = this.ledger.entries
+      .map((body, at) => ({ shard: 0, epoch: 1, sequence: at + 1, body }));
+    next.ledger.entries.push(...this.ledger.entries);
+    next.handle({ kind: "recovered", snapshot: [], entries });
     next.settle();
     return next;
   }
@@ -222,8 +236,8 @@
   takeOverBySnapshot(): OwnerFixture {
     const next = new OwnerFixture(2);
     const parts = this.#owner.encodeSnapshot();
-    const entries = decodeSnapshot(parts)._unsafeUnwrap();
-    next.handle({ kind: "recovered", entries });
+    const snapshot = decodeSnapshot(parts)._unsafeUnwrap();
+    next.handle({ kind: "recovered", snapshot, entries: [] });
     next.settle();
     return next;
   }
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -8,6 +8,7 @@
   Effect,
   EntryBody,
   Epoch,
+  Micros,
   Partner,
   ProgramClass,
   ProgramId,
@@ -18,6 +19,7 @@
   VmId,
 } from "@camphorlock/types";
 import type { Result } from "neverthrow";
+import type { EndedCall } from "../agreement/mod.ts";
 import type { RetryMeans } from "../retry/mod.ts";
 
 /** The durable ledger of the owned shard. */
@@ -91,6 +93,37 @@
   readonly nowMs: number;
 }
 
+/** The budgets of teams and partners. */
+export interface CallBudgets {
+  reserve(
+    spec: ProgramSpec,
+    micros: Micros,
+    nowMs: number,
+  ): SharedReservation;
+  settle(reservation: HeldReservation, chargeMicros: Micros): void;
+}
+
+/** A reservation of shared budgets, or why there is none. */
+export type SharedReservation =
+  | HeldReservation
+  /** More is being drawn; the call may try again soon. */
+  | { readonly kind: "waiting" }
+  | { readonly kind: "refused"; readonly failure: Failure };
+
+/** What a call holds of shared budgets. */
+export interface HeldReservation {
+  readonly kind: "reserved";
+  readonly parts: readonly {
+    readonly key: string;
+    readonly reservedMicros: Micros;
+  }[];
+}
+
+/** Takes the ends of calls, to charge them once they are durable. */
+export interface CallCharges {
+  recordEnded(sequence: number, ended: EndedCall): void;
+}
+
 /** The part of the configuration that an owner uses. */
 export interface OwnerConfiguration {
   readonly revision: Revision;
@@ -105,6 +138,8 @@
   readonly maxLedgerUsage: number;
   /** How long a call waits for a target before it ends as not run. */
   readonly placeTimeoutMs: number;
+  /** How long a call waits for a draw from a shared budget. */
+  readonly budgetTimeoutMs: number;
   /** The same where no target is configured that serves the call. */
   readonly noTargetTimeoutMs: number;
   /** Silence of a dispatcher after which a slot is asked for again. */
@@ -121,6 +156,7 @@
   maxCallsOfProgram: 1_000,
   maxLedgerUsage: 0.8,
   placeTimeoutMs: 20_000,
+  budgetTimeoutMs: 5_000,
   noTargetTimeoutMs: 3_000,
   slotTimeoutMs: 1_000,
   renewPeriodMs: 500,
@@ -136,6 +172,8 @@
   readonly epoch: Epoch;
   readonly ledger: OwnerLedger;
   readonly placer: CallPlacer;
+  readonly budgets: CallBudgets;
+  readonly charges: CallCharges;
   readonly getConfiguration: () => OwnerConfiguration;
   /** Wall-clock time for stored entries, in milliseconds since the epoch. */
   readonly getWallClockMs: () => number;
--- a/packages/scheduler/src/owner/request_handler.ts
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -11,6 +11,7 @@
   type ProgramSpec,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
+import { BudgetWaiters, type RunCallRequest } from "./budget_waiters.ts";
 import type { CallRunner } from "./call_runner.ts";
 import { buildCallId, computeCallDigest } from "./digest.ts";
 import type { MemoryReleaser } from "./memory_releaser.ts";
@@ -23,9 +24,9 @@
 } from "./program_state.ts";
 import { buildStoredCall } from "./shared_messages.ts";
 import { buildHistory, buildProgramView } from "./shard_state.ts";
+import type { HeldReservation } from "./ports.ts";
 import type { Waiters } from "./waiters.ts";
 
-type RunCallRequest = Extract<CallerRequest, { kind: "run_call" }>;
 type ShowCallRequest = Extract<CallerRequest, { kind: "show_call" }>;
 
 /** The parts that requests act on. */
@@ -39,10 +40,12 @@
 export class RequestHandler {
   readonly #context: OwnerContext;
   readonly #parts: RequestParts;
+  readonly #waiting: BudgetWaiters;
 
   constructor(context: OwnerContext, parts: RequestParts) {
     this.#context = context;
     this.#parts = parts;
+    this.#waiting = new BudgetWaiters(context);
   }
 
   /** Handles one request. */
@@ -65,6 +68,13 @@
     }
   }
 
+  /** Tries the calls again that wait for a draw from a shared budget. */
+  handleTick(): void {
+    for (const { origin, request } of this.#waiting.takeAll()) {
+      this.#runCall(origin, request);
+    }
+  }
+
   /** Ends a program and its sub-programs. */
   endProgram(program: ProgramState, reason: ProgramEnded["reason"]): void {
     for (const child of program.children) this.endProgram(child, reason);
@@ -140,8 +150,18 @@
       const detail = `program ${request.programId}`;
       return this.#context.refuseConfirmed(origin, refusal, detail);
     }
-    const state = this.#appendAccepted(program, { ...asked, reservedMicros });
+    const { budgets } = this.#context.options;
+    const { nowMs } = this.#context;
+    const shared = budgets.reserve(program.spec, reservedMicros, nowMs);
+    if (shared.kind === "waiting") return this.#waiting.add(origin, request);
+    if (shared.kind === "refused") {
+      const { failure } = shared;
+      return this.#context.confirm(() => this.#context.refuse(origin, failure));
+    }
+    const accepted = { ...asked, reservedMicros, shared };
+    const state = this.#appendAccepted(program, accepted);
     if (state.isErr()) {
+      budgets.settle(shared, 0);
       const failure = state.error;
       return this.#context.confirm(() => this.#context.refuse(origin, failure));
     }
@@ -154,6 +174,7 @@
       readonly request: RunCallRequest;
       readonly digest: string;
       readonly reservedMicros: number;
+      readonly shared: HeldReservation;
     },
   ): Result<CallState, Failure> {
     const { programId, key, call } = asked.request;
@@ -174,7 +195,8 @@
     const state = program.callsById.get(callId);
     if (appended.isErr()) return err(appended.error);
     if (state === undefined) return err(createFailure("Internal", callId));
-    const running = this.#parts.runner.addAccepted(program, state);
+    const { shared } = asked;
+    const running = this.#parts.runner.addAccepted(program, state, shared);
     startAccepted = () => this.#parts.runner.startAccepted(running);
     this.#context.log("CallAccepted", { programId, callId, reservedMicros });
     return ok(state);
--- a/packages/scheduler/src/owner/running_call.ts
+++ b/packages/scheduler/src/owner/running_call.ts
@@ -8,6 +8,7 @@
   TargetId,
   VmId,
 } from "@camphorlock/types";
+import type { HeldReservation } from "./ports.ts";
 import type { CallState } from "./program_state.ts";
 
 /**
@@ -35,6 +36,8 @@
   placingSinceMs: number;
   /** Not placed before this moment, by the monotonic clock. */
   notBeforeMs: number;
+  /** What the call holds of shared budgets, if this owner reserved it. */
+  readonly shared?: HeldReservation;
   /** The text of the answer so far. */
   text: string;
   attempt?: RunningAttempt;
@@ -73,12 +76,17 @@
 export function createRunningCall(
   spec: ProgramSpec,
   state: CallState,
-  options: { readonly phase: CallPhase; readonly nowMs: number },
+  options: {
+    readonly phase: CallPhase;
+    readonly nowMs: number;
+    readonly shared?: HeldReservation;
+  },
 ): RunningCall {
   return {
     spec,
     state,
     phase: options.phase,
+    ...(options.shared === undefined ? {} : { shared: options.shared }),
     placingSinceMs: Infinity,
     notBeforeMs: options.nowMs,
     text: "",
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -9,6 +9,7 @@
   type DispatchMessage,
   type Effect,
   type EntryBody,
+  type LedgerEntry,
   type OwnerMessage,
   type ProgramView,
   type TargetOrderResult,
@@ -46,7 +47,8 @@
   | {
     /** Entries of earlier epochs, in order, before any other input. */
     readonly kind: "recovered";
-    readonly entries: readonly EntryBody[];
+    readonly snapshot: readonly EntryBody[];
+    readonly entries: readonly LedgerEntry[];
   }
   /** The node stops: nothing new is started. */
   | { readonly kind: "drain" }
@@ -109,7 +111,7 @@
       case "confirmed":
         return this.#context.settleConfirmed(input.token);
       case "recovered":
-        return this.#applyRecovered(input.entries);
+        return this.#applyRecovered(input);
       case "drain":
         return this.#runner.stopStarting();
       case "tick":
@@ -135,9 +137,15 @@
     }
   }
 
-  #applyRecovered(entries: readonly EntryBody[]): void {
+  #applyRecovered(
+    recovered: Extract<OwnerInput, { kind: "recovered" }>,
+  ): void {
     const { state } = this.#context;
-    for (const entry of entries) state.apply(entry);
+    for (const body of recovered.snapshot) state.apply(body);
+    for (const { body, sequence } of recovered.entries) {
+      state.apply(body);
+      this.#context.recordCharge(sequence, body);
+    }
     for (const program of state.programs.values()) {
       for (const call of program.openCalls) {
         this.#runner.addRecovered(program, call);
@@ -148,6 +156,7 @@
   }
 
   #handleTick(): void {
+    this.#requests.handleTick();
     this.#runner.handleTick();
     this.#releaser.handleTick();
   }
--- a/packages/scheduler/src/owner/shard_owner_test.ts
+++ b/packages/scheduler/src/owner/shard_owner_test.ts
@@ -265,6 +265,48 @@
   });
 });
 
+describe("the owner and shared budgets", () => {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    fixture = new OwnerFixture();
+    fixture.create();
+  });
+
+  it("sends nothing until the shared budget is drawn", () => {
+    fixture.reservation = { kind: "waiting" };
+    fixture.run("k", ORDER_CALL);
+    fixture.settle();
+    expect(fixture.listSent("slot_request")).to.have.length(0);
+    fixture.reservation = { kind: "reserved", parts: [] };
+    fixture.handle({ kind: "tick" });
+    fixture.settle();
+    expect(fixture.listSent("slot_request")).to.have.length(1);
+  });
+
+  it("refuses a call whose draw takes too long", () => {
+    fixture.reservation = { kind: "waiting" };
+    const request = fixture.run("k", ORDER_CALL);
+    fixture.nowMs = 10_000;
+    fixture.handle({ kind: "tick" });
+    fixture.settle();
+    const answer = getLast(fixture.answersTo(request));
+    expect(answer).to.have.nested.property("failure.code", 6001);
+  });
+
+  it("settles and charges a call once", () => {
+    fixture.run("k", ORDER_CALL);
+    fixture.settle();
+    fixture.grantAll();
+    fixture.complete(getSent(fixture).attemptId, "done");
+    fixture.settle();
+    fixture.run("k", ORDER_CALL);
+    fixture.settle();
+    expect(fixture.settled).to.deep.equal([500]);
+    expect(fixture.charged).to.have.length(1);
+  });
+});
+
 describe("a new owner of a shard", () => {
   let fixture: OwnerFixture;
 
