--- a/packages/scheduler/src/assignment/log_records.ts
+++ b/packages/scheduler/src/assignment/log_records.ts
@@ -2,12 +2,8 @@
  * The log events of shard assignment.
  */
 import { EVENTS } from "@camphorlock/codes";
-import type {
-  Epoch,
-  LogRecord,
-  ShardAssignment,
-  ShardId,
-} from "@camphorlock/types";
+import { checkNever, type LogRecord } from "@camphorlock/types";
+import type { AssignmentNotice } from "./messages.ts";
 import type { PlannedChange } from "./plan_group.ts";
 
 /** Builds the log event of a proposal, with the reason of each change. */
@@ -26,13 +22,25 @@
   return { event, fields: { group, changes: listed } };
 }
 
-/** Builds the log event of a shard that this process owns from now on. */
-export function buildGainedRecord(assignment: ShardAssignment): LogRecord {
-  const { shard, epoch, keepers } = assignment;
-  return { event: EVENTS.ShardGained.event, fields: { shard, epoch, keepers } };
-}
-
-/** Builds the log event of a shard that this process owned until now. */
-export function buildLostRecord(shard: ShardId, epoch: Epoch): LogRecord {
-  return { event: EVENTS.ShardLost.event, fields: { shard, epoch } };
+/** Builds the log event of a notice, where it has one. */
+export function buildNoticeRecord(
+  notice: AssignmentNotice,
+): LogRecord | undefined {
+  switch (notice.kind) {
+    case "gained":
+    case "keepers_changed": {
+      const { shard, epoch, keepers } = notice.assignment;
+      const { event } = EVENTS.ShardGained;
+      return { event, fields: { shard, epoch, keepers, how: notice.kind } };
+    }
+    case "lost": {
+      const { shard, epoch } = notice;
+      return { event: EVENTS.ShardLost.event, fields: { shard, epoch } };
+    }
+    case "changed":
+    case "handed_over":
+      return undefined;
+    default:
+      return checkNever(notice);
+  }
 }
--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -13,6 +13,7 @@
   type Epoch,
   type MembershipMessage,
   type MembershipView,
+  type NodeSpec,
   type PlatformAnswer,
   type ShardAssignment,
   type ShardId,
@@ -22,18 +23,11 @@
 import { AssignmentTable } from "./assignment_table.ts";
 import { Fleet } from "./fleet.ts";
 import { GroupBook, type GroupState } from "./group_book.ts";
-import {
-  ASSIGNMENT_PREFIX,
-  decodeGroup,
-  encodeGroup,
-  formatGroupKey,
-  isShardAssignment,
-} from "./group_codec.ts";
-import {
-  buildGainedRecord,
-  buildLostRecord,
-  buildProposedRecord,
-} from "./log_records.ts";
+import { decodeGroup, isShardAssignment } from "./group_codec.ts";
+import { GroupReader } from "./group_reader.ts";
+import { GroupWriter, listConcerned, type WriteCall } from "./group_writer.ts";
+import { Handover } from "./handover.ts";
+import { buildNoticeRecord, buildProposedRecord } from "./log_records.ts";
 import type {
   AssignmentInput,
   AssignmentNotice,
@@ -43,558 +37,318 @@
   StoredShard,
 } from "./messages.ts";
 import { NewsQueue } from "./news.ts";
-import { type Offer, Offers } from "./offers.ts";
 import { PendingNotes } from "./pending_notes.ts";
-import type { PlannedChange } from "./plan_group.ts";
 import { type OpenCall, PlatformCalls } from "./platform_calls.ts";
 import { Proposer } from "./proposer.ts";
-import { computeFraction, computeHash, sortByScore } from "./rendezvous.ts";
+import { computeHash } from "./rendezvous.ts";
 import {
   type AssignmentSettings,
   DEFAULT_ASSIGNMENT_SETTINGS,
 } from "./settings.ts";
 
-const MAX_DOUBLINGS = 8;
-
-type WriteCall = Extract<OpenCall, { kind: "write" }>;
+interface StoredGroup {
+  readonly version: number;
+  readonly shards: readonly StoredShard[];
+}
 
 /** The shard assignment role of one node. */
 export class ShardAssigner {
-  readonly #self: AssignmentOptions["self"];
+  readonly #self: NodeSpec;
   readonly #settings: AssignmentSettings;
   readonly #table: AssignmentTable;
   readonly #groups: GroupBook;
   readonly #calls: PlatformCalls;
+  readonly #reader: GroupReader;
+  readonly #writer: GroupWriter;
   readonly #notes: PendingNotes;
   readonly #proposer: Proposer;
-  readonly #offers: Offers;
+  readonly #handover: Handover;
   readonly #news: NewsQueue;
   #startedAtMs: number | undefined;
   #isCutOff = true;
-  #isLeaving = false;
-  #isHandedOver = false;
-  #isListing = false;
-  #isWatcher = false;
-  #isWatching = false;
-  #watchPosition = 0;
-  #nextWatchMs = 0;
-  #nextPollMs: number | undefined;
   #nextPlanMs = 0;
-  #nextRebalanceMs = 0;
+  #nowMs = 0;
   #effects: Effect[] = [];
   #notices: AssignmentNotice[] = [];
 
   constructor(options: AssignmentOptions) {
     const { self } = options;
     const settings = { ...DEFAULT_ASSIGNMENT_SETTINGS, ...options.settings };
-    const random = new RandomChooser(computeHash(this.#formatName(self)));
+    const name = `${self.vmId}|${self.incarnation}`;
+    const table = new AssignmentTable(self);
+    const groups = new GroupBook(settings);
+    const calls = new PlatformCalls(settings, name);
+    const notes = new PendingNotes(settings, table);
+    const random = new RandomChooser(computeHash(name));
     this.#self = self;
     this.#settings = settings;
-    this.#table = new AssignmentTable(self);
-    this.#groups = new GroupBook(settings);
-    this.#calls = new PlatformCalls(settings, this.#formatName(self));
-    this.#notes = new PendingNotes(settings, this.#table);
-    this.#proposer = new Proposer({
-      self,
-      settings,
-      table: this.#table,
-      notes: this.#notes,
-    });
-    this.#offers = new Offers(settings);
+    this.#table = table;
+    this.#groups = groups;
+    this.#calls = calls;
+    this.#notes = notes;
+    this.#reader = new GroupReader({ self, settings, groups, calls });
+    this.#writer = new GroupWriter({ self, settings, calls });
+    this.#proposer = new Proposer({ self, settings, table, notes });
+    this.#handover = new Handover({ self, settings, table });
     this.#news = new NewsQueue(settings, random);
   }
 
   /** Handles one input. */
   handle(input: AssignmentInput, nowMs: number): AssignmentStep {
+    this.#nowMs = nowMs;
+    this.#handleInput(input);
+    const step = { effects: this.#effects, notices: this.#notices };
+    this.#effects = [];
+    this.#notices = [];
+    return step;
+  }
+
+  /** Gets what is known of the owners. */
+  view(): AssignmentView {
+    return {
+      ownerOf: (shard) => this.#table.find(shard),
+      listOwned: () => this.#table.listOwned().map((each) => each.shard),
+    };
+  }
+
+  #handleInput(input: AssignmentInput): void {
     switch (input.kind) {
       case "membership":
-        this.#setView(input.view);
         this.#isCutOff = input.isCutOff;
-        break;
+        return this.#setView(input.view);
       case "peer":
-        this.#handlePeer(input.from, { message: input.message, nowMs });
-        break;
+        return this.#handlePeer(input.from, input.message);
       case "platform":
-        this.#handleAnswer(input.token.number, { answer: input.answer, nowMs });
-        break;
+        return this.#handleAnswer(input.token.number, input.answer);
       case "tick":
-        this.#handleTick(nowMs);
-        break;
+        return this.#handleTick();
       case "leave":
-        this.#isLeaving = true;
-        break;
+        return this.#handover.startLeaving();
       case "recovered":
-        this.#addRecovered(input.shard, { epoch: input.epoch, nowMs });
-        break;
+        return this.#addRecovered(input.shard, input.epoch);
       case "stale":
-        this.#readIfOlder(input.shard, { epoch: input.knownEpoch, nowMs });
-        break;
+        return this.#readIfOlder(input.shard, input.knownEpoch);
       default:
-        checkNever(input);
+        return checkNever(input);
     }
-    return this.#takeStep();
-  }
-
-  /** Gets what is known of the owners. */
-  view(): AssignmentView {
-    return {
-      ownerOf: (shard) => this.#table.find(shard),
-      listOwned: () => this.#table.listOwned().map((each) => each.shard),
-    };
   }
 
   #setView(view: MembershipView): void {
     if (!this.#proposer.getFleet().isChangedBy(view)) return;
     const fleet = new Fleet(view);
     this.#proposer.setFleet(fleet);
-    this.#updateWatcher(fleet);
+    this.#reader.setFleet(fleet);
     this.#groups.setUnsettled();
   }
 
-  #addRecovered(
-    shard: ShardId,
-    recovery: { epoch: Epoch; nowMs: number },
-  ): void {
-    const { epoch, nowMs } = recovery;
+  #addRecovered(shard: ShardId, epoch: Epoch): void {
     const stored = this.#groups.findOf(shard)?.stored.get(shard);
     if (stored === undefined || stored.predecessors.length === 0) return;
-    this.#notes.addRecovered(shard, { epoch, atMs: nowMs });
+    this.#notes.addRecovered(shard, { epoch, atMs: this.#nowMs });
     this.#groups.setUnsettledOf(shard);
   }
 
-  #handleTick(nowMs: number): void {
-    this.#startedAtMs ??= nowMs;
-    for (const call of this.#calls.takeTimedOut(nowMs)) {
-      this.#handleFailure(call, nowMs);
-    }
-    if (this.#calls.canCall(nowMs)) this.#callPlatform(nowMs);
-    this.#handOver(nowMs);
-    this.#spreadNews();
+  #readIfOlder(shard: ShardId, knownEpoch: Epoch): void {
+    const epoch = this.#table.find(shard)?.epoch ?? 0;
+    if (epoch < knownEpoch) this.#reader.requestRead(shard, this.#nowMs);
   }
 
-  #callPlatform(nowMs: number): void {
-    this.#poll(nowMs);
-    this.#watch(nowMs);
-    this.#readGroups(nowMs);
-    if (nowMs < this.#nextPlanMs) return;
-    this.#nextPlanMs = nowMs + this.#settings.planPeriodMs;
-    if (this.#canPropose(nowMs)) this.#propose(nowMs);
+  #handleTick(): void {
+    this.#startedAtMs ??= this.#nowMs;
+    for (const call of this.#calls.takeTimedOut(this.#nowMs)) {
+      this.#handleFailure(call);
+    }
+    if (this.#calls.canCall(this.#nowMs)) {
+      this.#effects.push(...this.#reader.buildCalls(this.#nowMs));
+      this.#propose();
+    }
+    this.#handOver();
+    this.#spreadNews();
   }
 
-  #canPropose(nowMs: number): boolean {
-    const sinceMs = nowMs - (this.#startedAtMs ?? nowMs);
+  #canPropose(): boolean {
+    const sinceMs = this.#nowMs - (this.#startedAtMs ?? this.#nowMs);
     return !this.#isCutOff && sinceMs >= this.#settings.settleMs;
   }
 
-  #poll(nowMs: number): void {
-    const { startSpreadMs } = this.#settings;
-    const name = this.#formatName(this.#self);
-    const fraction = computeFraction(`${name}|poll`);
-    this.#nextPollMs ??= nowMs + fraction * startSpreadMs;
-    if (this.#isListing || nowMs < this.#nextPollMs) return;
-    this.#isListing = true;
-    const limit = this.#groups.list().length;
-    this.#call({ kind: "list" }, {
-      request: { kind: "list", prefix: ASSIGNMENT_PREFIX, limit },
-      nowMs,
-    });
-  }
-
-  #watch(nowMs: number): void {
-    if (this.#isWatching || nowMs < this.#nextWatchMs) return;
-    if (!this.#isWatcher) return;
-    this.#isWatching = true;
-    const afterPosition = this.#watchPosition;
-    this.#call({ kind: "watch" }, {
-      request: { kind: "watch", prefix: ASSIGNMENT_PREFIX, afterPosition },
-      nowMs,
-    });
-  }
-
-  /** Finds out whether this node is one of the few of its region that watch. */
-  #updateWatcher(fleet: Fleet): void {
-    const { region, vmId } = this.#self;
-    const near = fleet.candidates
-      .filter((node) => node.spec.region === region)
-      .map((node) => node.spec.vmId);
-    const { watchersPerRegion } = this.#settings;
-    const watchers = sortByScore("watch", near).slice(0, watchersPerRegion);
-    this.#isWatcher = watchers.includes(vmId);
-  }
-
-  #readGroups(nowMs: number): void {
+  #propose(): void {
+    if (this.#nowMs < this.#nextPlanMs) return;
+    this.#nextPlanMs = this.#nowMs + this.#settings.planPeriodMs;
+    if (!this.#canPropose()) return;
     for (const state of this.#groups.list()) {
-      if (state.busy || state.readAtMs === undefined) continue;
-      if (nowMs < state.readAtMs) continue;
-      this.#read(state, nowMs);
+      if (state.busy || state.version === undefined) continue;
+      if (state.readAtMs !== undefined) continue;
+      if (this.#nowMs >= state.proposeAtMs) this.#proposeFor(state);
     }
   }
 
-  #read(state: GroupState, nowMs: number): void {
-    state.busy = true;
-    state.readAtMs = undefined;
-    this.#call({ kind: "read", group: state.group }, {
-      request: { kind: "get", key: formatGroupKey(state.group) },
-      nowMs,
-    });
-  }
-
-  #propose(nowMs: number): void {
-    for (const state of this.#groups.list()) {
-      if (state.busy || state.version === undefined) continue;
-      if (state.readAtMs !== undefined || nowMs < state.proposeAtMs) continue;
-      const decision = this.#proposer.decide(state, nowMs);
-      if (decision.kind === "wait") continue;
-      if (decision.kind === "read" || this.#hasFailedSince(state)) {
-        this.#read(state, nowMs);
-        continue;
-      }
-      if (!this.#calls.takeWrite(nowMs)) return;
-      this.#write(state, { changes: decision.changes, nowMs });
+  #proposeFor(state: GroupState): void {
+    const nowMs = this.#nowMs;
+    const decision = this.#proposer.decide(state, nowMs);
+    if (decision.kind === "wait") return;
+    const hasFailed = this.#calls.hasFailedSince(state.learntAtMs);
+    if (decision.kind === "read" || hasFailed) {
+      this.#effects.push(this.#reader.read(state, nowMs));
+      return;
     }
+    if (!this.#calls.takeWrite(nowMs)) return;
+    const { changes } = decision;
+    this.#effects.push(this.#writer.write(state, { changes, nowMs }));
+    const record = buildProposedRecord(state.group, changes);
+    this.#effects.push({ kind: "log", record });
   }
 
-  #hasFailedSince(state: GroupState): boolean {
-    return this.#calls.hasFailedSince(state.learntAtMs);
+  #handOver(): void {
+    const fleet = this.#proposer.getFleet();
+    const offers = this.#handover.buildOffers(fleet, {
+      nowMs: this.#nowMs,
+      canRebalance: this.#canPropose(),
+    });
+    this.#effects.push(...offers);
+    if (this.#handover.takeHandedOver()) {
+      this.#notices.push({ kind: "handed_over" });
+    }
   }
 
-  #write(
-    state: GroupState,
-    plan: { changes: readonly PlannedChange[]; nowMs: number },
-  ): void {
-    const shards = new Map(state.stored);
-    const replaced: ShardAssignment[] = [];
-    for (const { stored } of plan.changes) {
-      const { shard } = stored.assignment;
-      const former = shards.get(shard);
-      if (former !== undefined) replaced.push(former.assignment);
-      shards.set(shard, stored);
-    }
-    const version = state.version ?? 0;
-    const list = [...shards.values()];
-    state.busy = true;
-    this.#call(
-      { kind: "write", group: state.group, shards: list, replaced },
-      {
-        request: {
-          kind: "put",
-          key: formatGroupKey(state.group),
-          value: encodeGroup(list),
-          condition: version === 0
-            ? { kind: "absent" }
-            : { kind: "version", version },
-        },
-        nowMs: plan.nowMs,
-      },
-    );
-    const record = buildProposedRecord(state.group, plan.changes);
-    this.#effects.push({ kind: "log", record });
+  #spreadNews(): void {
+    if (this.#news.isEmpty()) return;
+    const { candidateIds } = this.#proposer.getFleet();
+    const others = candidateIds.filter((vmId) => vmId !== this.#self.vmId);
+    this.#effects.push(...this.#news.takeMessages(others));
   }
 
-  #handleAnswer(
-    number: number,
-    given: { answer: PlatformAnswer; nowMs: number },
-  ): void {
+  #handleAnswer(number: number, answer: PlatformAnswer): void {
     const call = this.#calls.take(number);
     if (call === undefined) return;
-    const { answer, nowMs } = given;
-    if (answer.kind === "failed") {
-      this.#handleFailure(call, nowMs);
-      return;
-    }
+    if (answer.kind === "failed") return this.#handleFailure(call);
     this.#calls.recordSuccess();
     switch (call.kind) {
       case "list":
-        this.#handleListed(answer, nowMs);
-        break;
+        return this.#reader.handleListed(answer, this.#nowMs);
       case "watch":
-        this.#handleChanged(answer, nowMs);
-        break;
+        return this.#reader.handleChanged(answer, this.#nowMs);
       case "read":
-        this.#handleRead(call.group, { answer, nowMs });
-        break;
+        return this.#handleRead(call.group, answer);
       case "write":
-        this.#handleWritten(call, { answer, nowMs });
-        break;
+        return this.#handleWritten(call, answer);
       default:
-        checkNever(call);
+        return checkNever(call);
     }
   }
 
-  #handleFailure(call: OpenCall, nowMs: number): void {
-    this.#calls.recordFailure(nowMs);
+  /** After a lost answer the group is read back, whatever was asked. */
+  #handleFailure(call: OpenCall): void {
+    this.#calls.recordFailure(this.#nowMs);
     switch (call.kind) {
       case "list":
-        this.#isListing = false;
-        break;
       case "watch":
-        this.#isWatching = false;
-        break;
+        return this.#reader.handleFailure(call.kind);
       case "read":
       case "write": {
         const state = this.#groups.find(call.group);
         if (state === undefined) return;
         state.busy = false;
-        state.readAtMs = nowMs;
-        break;
+        state.readAtMs = this.#nowMs;
+        return;
       }
       default:
-        checkNever(call);
+        return checkNever(call);
     }
   }
 
-  #handleListed(answer: PlatformAnswer, nowMs: number): void {
-    this.#isListing = false;
-    const { pollPeriodMs, pollPeriodPerNodeMs } = this.#settings;
-    const nodes = this.#proposer.getFleet().candidates.length;
-    const periodMs = Math.max(pollPeriodMs, nodes * pollPeriodPerNodeMs);
-    const jitter = computeFraction(`${this.#self.vmId}|${nowMs}`);
-    this.#nextPollMs = nowMs + periodMs * (0.75 + jitter / 2);
-    if (answer.kind !== "listed") return;
-    this.#groups.applyKeys(answer.keys, nowMs);
-    this.#groups.applyAbsent(answer.keys, nowMs);
-  }
-
-  #handleChanged(answer: PlatformAnswer, nowMs: number): void {
-    this.#isWatching = false;
-    if (answer.kind !== "changed") return;
-    this.#watchPosition = answer.position;
-    const { watchGatherMs } = this.#settings;
-    this.#nextWatchMs = nowMs + watchGatherMs;
-    this.#groups.applyKeys(answer.keys, nowMs + watchGatherMs);
-  }
-
-  #handleRead(
-    group: number,
-    given: { answer: PlatformAnswer; nowMs: number },
-  ): void {
+  #handleRead(group: number, answer: PlatformAnswer): void {
     const state = this.#groups.find(group);
     if (state === undefined) return;
     state.busy = false;
-    const { answer, nowMs } = given;
-    this.#nextPlanMs = nowMs;
+    this.#nextPlanMs = this.#nowMs;
     if (answer.kind === "absent") {
       state.version ??= 0;
-      state.learntAtMs = nowMs;
+      state.learntAtMs = this.#nowMs;
     }
     if (answer.kind !== "found") return;
     const decoded = decodeGroup(answer.object.value);
     if (decoded.isErr()) return;
-    const isFirst = state.version === undefined;
     const { version } = answer.object;
-    this.#applyGroup(state, { version, shards: decoded.value, nowMs, isFirst });
+    this.#applyGroup(state, { version, shards: decoded.value });
   }
 
-  #handleWritten(
-    call: WriteCall,
-    given: { answer: PlatformAnswer; nowMs: number },
-  ): void {
+  #handleWritten(call: WriteCall, answer: PlatformAnswer): void {
     const state = this.#groups.find(call.group);
     if (state === undefined) return;
     state.busy = false;
-    const { answer, nowMs } = given;
     if (answer.kind !== "stored") {
-      this.#recordConflict(state, nowMs);
+      this.#writer.recordConflict(state, this.#nowMs);
       return;
     }
     state.conflicts = 0;
-    const { version } = answer;
-    const { shards } = call;
-    this.#tellConcerned(call, state);
-    this.#applyGroup(state, { version, shards, nowMs, isFirst: false });
-  }
-
-  #recordConflict(state: GroupState, nowMs: number): void {
-    state.conflicts += 1;
-    state.readAtMs = nowMs;
-    const { conflictBaseMs, conflictLimitMs } = this.#settings;
-    const longestMs = Math.min(
-      conflictBaseMs * 2 ** Math.min(state.conflicts, MAX_DOUBLINGS),
-      conflictLimitMs,
-    );
-    const key = `${this.#self.vmId}|${state.group}|${state.conflicts}`;
-    state.proposeAtMs = nowMs + computeFraction(key) * longestMs;
-  }
-
-  #tellConcerned(call: WriteCall, state: GroupState): void {
-    const former = new Map(call.replaced.map((each) => [each.shard, each]));
-    for (const { assignment } of call.shards) {
-      const known = state.stored.get(assignment.shard)?.assignment;
-      if (known?.epoch === assignment.epoch) continue;
-      const before = former.get(assignment.shard);
-      const concerned = new Set([
-        assignment.owner,
-        ...assignment.keepers,
-        ...(before === undefined ? [] : [before.owner, ...before.keepers]),
-      ]);
-      concerned.delete(this.#self.vmId);
-      for (const vmId of concerned) this.#news.addDirect(vmId, assignment);
+    for (const { assignment, vmIds } of listConcerned(call, state)) {
+      vmIds.delete(this.#self.vmId);
+      for (const vmId of vmIds) this.#news.addDirect(vmId, assignment);
     }
+    this.#applyGroup(state, { version: answer.version, shards: call.shards });
   }
 
-  #forgetRecovered(stored: StoredShard): void {
-    const { assignment, predecessors } = stored;
-    if (predecessors.length > 0 || !this.#table.isOwn(assignment)) return;
-    this.#notes.removeRecovered(assignment.shard);
-  }
-
-  #tellOwner(assignment: ShardAssignment): void {
-    const { owner } = assignment;
-    if (owner !== this.#self.vmId) this.#news.addDirect(owner, assignment);
-  }
-
-  #applyGroup(
-    state: GroupState,
-    read: {
-      version: number;
-      shards: readonly StoredShard[];
-      nowMs: number;
-      isFirst: boolean;
-    },
-  ): void {
-    if (read.version < (state.version ?? 0)) return;
-    state.version = read.version;
+  #applyGroup(state: GroupState, group: StoredGroup): void {
+    if (group.version < (state.version ?? 0)) return;
+    const isFirst = state.version === undefined;
+    state.version = group.version;
     state.isSettled = false;
-    state.learntAtMs = read.nowMs;
+    state.learntAtMs = this.#nowMs;
     state.stored = new Map(
-      read.shards.map((stored) => [stored.assignment.shard, stored]),
+      group.shards.map((stored) => [stored.assignment.shard, stored]),
     );
-    for (const stored of read.shards) {
-      this.#forgetRecovered(stored);
-      const isNews = this.#table.isNews(stored.assignment);
-      this.#addNotices(this.#table.applyStored(stored));
-      if (!isNews || read.isFirst) continue;
-      this.#news.add(stored.assignment);
-      this.#tellOwner(stored.assignment);
+    for (const stored of group.shards) this.#applyStored(stored, isFirst);
+  }
+
+  #applyStored(stored: StoredShard, isFirst: boolean): void {
+    const { assignment, predecessors } = stored;
+    const isOwn = this.#table.isOwn(assignment);
+    if (isOwn && predecessors.length === 0) {
+      this.#notes.removeRecovered(assignment.shard);
     }
+    const isNews = this.#table.isNews(assignment);
+    this.#addNotices(this.#table.applyStored(stored));
+    if (!isNews || isFirst) return;
+    this.#news.add(assignment);
+    if (!isOwn) this.#news.addDirect(assignment.owner, assignment);
   }
 
-  #handlePeer(
-    from: VmId,
-    given: { message: MembershipMessage; nowMs: number },
-  ): void {
-    const { message, nowMs } = given;
+  #handlePeer(from: VmId, message: MembershipMessage): void {
     if (message.kind === "assignment_news") {
-      this.#handleNews(message.assignments, nowMs);
+      for (const assignment of message.assignments) this.#addNews(assignment);
     } else if (message.kind === "handover_offer") {
-      this.#handleOffer(from, { shards: message.shards, nowMs });
+      this.#handleOffer(from, message.shards);
     }
   }
 
-  #handleNews(assignments: readonly ShardAssignment[], nowMs: number): void {
-    for (const assignment of assignments) {
-      if (!isShardAssignment(assignment)) continue;
-      if (!this.#table.isNews(assignment)) continue;
-      this.#addNotices(this.#table.applyNews(assignment));
-      this.#groups.setUnsettledOf(assignment.shard);
-      this.#news.add(assignment);
-      if (this.#table.isOwn(assignment)) {
-        this.#readSoon(assignment.shard, nowMs);
-      }
-    }
+  #addNews(assignment: ShardAssignment): void {
+    if (!isShardAssignment(assignment)) return;
+    if (!this.#table.isNews(assignment)) return;
+    this.#addNotices(this.#table.applyNews(assignment));
+    this.#groups.setUnsettledOf(assignment.shard);
+    this.#news.add(assignment);
+    if (!this.#table.isOwn(assignment)) return;
+    this.#reader.requestRead(assignment.shard, this.#nowMs);
   }
 
-  #handleOffer(
-    from: VmId,
-    offer: { shards: readonly ShardId[]; nowMs: number },
-  ): void {
-    if (this.#isLeaving) return;
-    this.#notes.addOffer(from, offer);
-    for (const shard of offer.shards) {
+  #handleOffer(from: VmId, shards: readonly ShardId[]): void {
+    if (this.#handover.isLeaving) return;
+    const nowMs = this.#nowMs;
+    this.#notes.addOffer(from, { shards, nowMs });
+    for (const shard of shards) {
       this.#groups.setUnsettledOf(shard);
-      const state = this.#groups.findOf(shard);
-      const known = state?.stored.get(shard)?.assignment;
-      if (known?.owner !== from) this.#readSoon(shard, offer.nowMs);
+      const stored = this.#groups.findOf(shard)?.stored.get(shard);
+      if (stored?.assignment.owner === from) continue;
+      this.#reader.requestRead(shard, nowMs);
     }
-    this.#nextPlanMs = offer.nowMs;
-  }
-
-  #readIfOlder(shard: ShardId, known: { epoch: number; nowMs: number }): void {
-    const epoch = this.#table.find(shard)?.epoch ?? 0;
-    if (epoch < known.epoch) this.#readSoon(shard, known.nowMs);
-  }
-
-  #readSoon(shard: ShardId, nowMs: number): void {
-    const state = this.#groups.findOf(shard);
-    if (state === undefined) return;
-    const earliestMs = state.learntAtMs + this.#settings.readGapMs;
-    state.readAtMs ??= Math.max(nowMs, earliestMs);
-  }
-
-  #handOver(nowMs: number): void {
-    if (!this.#isLeaving && nowMs < this.#nextRebalanceMs) return;
-    const owned = this.#table.listOwned();
-    if (this.#isLeaving && owned.length === 0 && !this.#isHandedOver) {
-      this.#isHandedOver = true;
-      this.#notices.push({ kind: "handed_over" });
-    }
-    if (owned.length === 0) return;
-    if (this.#isLeaving) {
-      const context = this.#buildOfferContext(owned, nowMs);
-      for (const offer of this.#offers.buildLeaving(context)) {
-        this.#sendOffer(offer);
-      }
-      return;
-    }
-    if (!this.#canPropose(nowMs)) return;
-    const { rebalancePeriodMs } = this.#settings;
-    const jitter = computeFraction(`${this.#self.vmId}|even|${nowMs}`);
-    this.#nextRebalanceMs = nowMs + rebalancePeriodMs * (0.5 + jitter);
-    const context = this.#buildOfferContext(owned, nowMs);
-    const offer = this.#offers.buildRebalancing(context);
-    if (offer !== undefined) this.#sendOffer(offer);
-  }
-
-  #buildOfferContext(
-    owned: readonly ShardAssignment[],
-    nowMs: number,
-  ): Parameters<Offers["buildLeaving"]>[0] {
-    const fleet = this.#proposer.getFleet();
-    const loads = this.#table.countLoads(fleet);
-    return { owned, fleet, self: this.#self.vmId, loads, nowMs };
-  }
-
-  #sendOffer(offer: Offer): void {
-    const { to, shards } = offer;
-    const message = { kind: "handover_offer", shards } as const;
-    this.#effects.push({ kind: "send_peer", to, message });
-  }
-
-  #spreadNews(): void {
-    if (this.#news.isEmpty()) return;
-    const others = this.#proposer.getFleet().candidateIds
-      .filter((vmId) => vmId !== this.#self.vmId);
-    this.#effects.push(...this.#news.takeMessages(others));
+    this.#nextPlanMs = nowMs;
   }
 
   #addNotices(notices: readonly AssignmentNotice[]): void {
     for (const notice of notices) {
       this.#notices.push(notice);
-      if (notice.kind === "gained") {
-        const record = buildGainedRecord(notice.assignment);
-        this.#effects.push({ kind: "log", record });
-      } else if (notice.kind === "lost") {
-        const record = buildLostRecord(notice.shard, notice.epoch);
-        this.#effects.push({ kind: "log", record });
-      }
+      const record = buildNoticeRecord(notice);
+      if (record !== undefined) this.#effects.push({ kind: "log", record });
     }
   }
-
-  #call(
-    call: OpenCall,
-    sent: Parameters<PlatformCalls["open"]>[1],
-  ): void {
-    this.#effects.push(this.#calls.open(call, sent));
-  }
-
-  #formatName(self: AssignmentOptions["self"]): string {
-    return `${self.vmId}|${self.incarnation}`;
-  }
-
-  #takeStep(): AssignmentStep {
-    const step = { effects: this.#effects, notices: this.#notices };
-    this.#effects = [];
-    this.#notices = [];
-    return step;
-  }
 }
--- a/packages/scheduler/src/assignment/shard_assigner_test.ts
+++ b/packages/scheduler/src/assignment/shard_assigner_test.ts
@@ -251,11 +251,19 @@
   it("reads a group when another node knows a higher epoch", () => {
     const cluster = startCluster();
     cluster.runUntil(STARTED_MS + 5_000);
-    const { get } = cluster.platform.counts;
-    const stale = { kind: "stale", shard: 1, knownEpoch: 50 } as const;
-    cluster.handle("vm-0", stale);
-    cluster.runUntil(STARTED_MS + 6_000);
-    expect(cluster.platform.counts.get - get).to.equal(1);
+    const assigner = cluster.nodes.get("vm-0")?.assigner;
+    const listReads = (knownEpoch: number): string[] => {
+      const input = { kind: "stale", shard: 40, knownEpoch } as const;
+      assigner?.handle(input, cluster.nowMs);
+      const step = assigner?.handle({ kind: "tick" }, cluster.nowMs);
+      return (step?.effects ?? []).flatMap((effect) =>
+        effect.kind === "call_platform" && effect.request.kind === "get"
+          ? [effect.request.key]
+          : []
+      );
+    };
+    expect(listReads(1)).to.deep.equal([]);
+    expect(listReads(50)).to.deep.equal([formatGroupKey(1)]);
   });
 
   it("refuses a malformed group", () => {
--- a/packages/scheduler/src/membership/cut_off.ts
+++ b/packages/scheduler/src/membership/cut_off.ts
@@ -1,17 +1,37 @@
 /**
  * Judges whether this node is cut off from most of the others.
  */
-import type { NodeState } from "@camphorlock/types";
 import type { NodeRecord } from "./node_table.ts";
 
-const LIVING: readonly NodeState[] = ["alive", "leaving"];
+/** For how long most of the other nodes have been out of reach. */
+export class Reach {
+  readonly #cutOffAfterMs: number;
+  #sinceMs: number | undefined;
+
+  constructor(cutOffAfterMs: number) {
+    this.#cutOffAfterMs = cutOffAfterMs;
+  }
+
+  /** Looks at the nodes as they are now. */
+  update(records: Iterable<NodeRecord>, nowMs: number): void {
+    const window = { nowMs, lengthMs: this.#cutOffAfterMs };
+    if (isMostlyUnreachable(records, window)) this.#sinceMs ??= nowMs;
+    else this.#sinceMs = undefined;
+  }
+
+  /** Whether it has lasted for the time that counts as cut off. */
+  isCutOff(nowMs: number): boolean {
+    if (this.#sinceMs === undefined) return false;
+    return nowMs - this.#sinceMs >= this.#cutOffAfterMs;
+  }
+}
 
 /**
  * Checks whether fewer than half of the known nodes, this one included, are in
  * reach: either most of them count as dead, or most of those that this node
  * contacted within the window were not heard since.
  */
-export function isMostlyUnreachable(
+function isMostlyUnreachable(
   records: Iterable<NodeRecord>,
   window: { nowMs: number; lengthMs: number },
 ): boolean {
@@ -21,8 +41,9 @@
   let tried = 1;
   let heard = 1;
   for (const record of records) {
+    const { state } = record.digest;
     known += 1;
-    if (LIVING.includes(record.digest.state)) living += 1;
+    if (state === "alive" || state === "leaving") living += 1;
     if (record.contactedAtMs < Math.max(sinceMs, 0)) continue;
     tried += 1;
     if (record.heardAtMs >= sinceMs) heard += 1;
--- a/packages/scheduler/src/membership/membership.ts
+++ b/packages/scheduler/src/membership/membership.ts
@@ -12,13 +12,11 @@
   type MembershipMessage,
   type MembershipView,
   type NodeDigest,
-  type Revision,
   type VmId,
   type VmListing,
 } from "@camphorlock/types";
-import { ContactOrder } from "./contacts.ts";
 import { ContactBook } from "./contact_book.ts";
-import { isMostlyUnreachable } from "./cut_off.ts";
+import { Reach } from "./cut_off.ts";
 import { buildNodeRecord } from "./log_records.ts";
 import type {
   MembershipInput,
@@ -27,9 +25,11 @@
   MembershipStep,
 } from "./messages.ts";
 import { NodeTable } from "./node_table.ts";
+import { HeartbeatPacer } from "./pacer.ts";
 import { Probes } from "./probes.ts";
 import { RandomChooser } from "./random.ts";
 import { RumourQueue } from "./rumours.ts";
+import { SelfStatement } from "./self_statement.ts";
 import {
   DEFAULT_MEMBERSHIP_SETTINGS,
   type MembershipSettings,
@@ -52,25 +52,27 @@
   readonly #table = new NodeTable();
   readonly #probes: Probes;
   readonly #rumours: RumourQueue;
-  readonly #order: ContactOrder;
   readonly #contacts: ContactBook;
-  #self: NodeDigest;
+  readonly #pacer: HeartbeatPacer;
+  readonly #reach: Reach;
+  readonly #self: SelfStatement;
   #heartbeats = 0;
-  #credit = 1;
   #lastTickMs: number | undefined;
-  #lastDeadContactMs = 0;
-  #unreachableSinceMs: number | undefined;
   #effects: Effect[] = [];
   #notices: MembershipNotice[] = [];
 
   constructor(options: MembershipOptions) {
-    this.#settings = { ...DEFAULT_MEMBERSHIP_SETTINGS, ...options.settings };
-    this.#random = new RandomChooser(options.seed);
-    this.#probes = new Probes(this.#settings);
-    this.#rumours = new RumourQueue(this.#settings.rumourRepeats);
-    this.#order = new ContactOrder(this.#random);
-    this.#contacts = new ContactBook(options.self.vmId);
-    this.#self = { spec: options.self, state: "alive", number: 1, revision: 0 };
+    const settings = { ...DEFAULT_MEMBERSHIP_SETTINGS, ...options.settings };
+    const random = new RandomChooser(options.seed);
+    const contacts = new ContactBook(options.self.vmId);
+    this.#settings = settings;
+    this.#random = random;
+    this.#probes = new Probes(settings);
+    this.#rumours = new RumourQueue(settings.rumourRepeats);
+    this.#contacts = contacts;
+    this.#pacer = new HeartbeatPacer(settings, { contacts, random });
+    this.#reach = new Reach(settings.cutOffAfterMs);
+    this.#self = new SelfStatement(options.self);
   }
 
   /** Handles one input. */
@@ -86,7 +88,7 @@
         this.#handleVmList(input.vms);
         break;
       case "revision":
-        this.#setRevision(input.revision);
+        this.#self.setRevision(input.revision);
         break;
       default:
         checkNever(input);
@@ -96,16 +98,16 @@
 
   /** Tells the others that this node takes no new work. */
   announceLeaving(nowMs: number): MembershipStep {
-    if (this.#self.state !== "leaving") {
-      this.#restateSelf({ state: "leaving" });
-      this.#sendBurst(nowMs);
+    if (this.#self.setLeaving()) {
+      this.#spreadSelf();
+      for (const vmId of this.#pacer.takeBurst()) this.#probe(vmId, nowMs);
     }
     return this.#takeStep();
   }
 
   /** Gets the present view, this node first. */
   view(): MembershipView {
-    return this.#table.getView(this.#self);
+    return this.#table.getView(this.#self.getDigest());
   }
 
   /** Finds the `ip:port` of a node's peer protocol. */
@@ -116,8 +118,7 @@
 
   /** Whether most of the known nodes have been out of reach for long. */
   isCutOff(nowMs: number): boolean {
-    const since = this.#unreachableSinceMs;
-    return since !== undefined && nowMs - since >= this.#settings.cutOffAfterMs;
+    return this.#reach.isCutOff(nowMs);
   }
 
   #handleTick(nowMs: number): void {
@@ -127,9 +128,9 @@
     this.#handleDueProbes(nowMs);
     this.#endSuspicions(nowMs);
     this.#removeForgotten(nowMs);
-    this.#sendHeartbeats(Math.min(sinceMs, this.#settings.pauseGapMs), nowMs);
-    this.#contactDead(nowMs);
-    this.#updateReach(nowMs);
+    for (const vmId of this.#pacer.takeDue(sinceMs)) this.#probe(vmId, nowMs);
+    for (const vmId of this.#pacer.takeLost(nowMs)) this.#contact(vmId, nowMs);
+    this.#reach.update(this.#table.list(), nowMs);
   }
 
   #handlePeer(from: VmId, message: MembershipMessage, nowMs: number): void {
@@ -173,8 +174,8 @@
     this.#send(from, {
       kind: "heartbeat_ack",
       number: message.number,
-      incarnation: this.#self.spec.incarnation,
-      revision: this.#self.revision,
+      incarnation: this.#self.getDigest().spec.incarnation,
+      revision: this.#self.getDigest().revision,
       digest,
     });
   }
@@ -213,37 +214,36 @@
     this.#contacts.setListed(vms);
     const leaving = vms.filter((vm) => vm.state === "leaving");
     this.#table.setListedLeaving(leaving.map((vm) => vm.vmId));
-    if (leaving.some((vm) => vm.vmId === this.#self.spec.vmId)) {
+    if (leaving.some((vm) => vm.vmId === this.#vmId)) {
       this.#notices.push({ kind: "self_listed_leaving" });
     }
   }
 
-  #setRevision(revision: Revision): void {
-    if (revision <= this.#self.revision) return;
-    this.#self = { ...this.#self, revision };
-  }
-
   #applyDigest(digest: readonly NodeDigest[], nowMs: number): void {
     for (const rumour of digest) {
-      if (rumour.spec.vmId === this.#self.spec.vmId) this.#applyOwn(rumour);
+      if (rumour.spec.vmId === this.#vmId) this.#applyOwn(rumour);
       else this.#applyRumour(rumour, nowMs);
     }
   }
 
   #applyOwn(rumour: NodeDigest): void {
-    const { incarnation } = rumour.spec;
-    if (incarnation > this.#self.spec.incarnation) {
-      this.#notices.push({ kind: "self_superseded", incarnation });
-      return;
-    }
-    if (incarnation < this.#self.spec.incarnation) {
-      this.#spread(this.#self.spec.vmId);
-      return;
+    const answer = this.#self.applyRumour(rumour);
+    switch (answer) {
+      case "none":
+        return;
+      case "spread":
+        return this.#spreadSelf();
+      case "refuted":
+        this.#notices.push({ kind: "self_refuted" });
+        return this.#spreadSelf();
+      case "superseded": {
+        const { incarnation } = rumour.spec;
+        this.#notices.push({ kind: "self_superseded", incarnation });
+        return;
+      }
+      default:
+        return checkNever(answer);
     }
-    if (rumour.state !== "suspect" && rumour.state !== "dead") return;
-    if (rumour.number < this.#self.number) return;
-    this.#restateSelf({ number: rumour.number });
-    this.#notices.push({ kind: "self_refuted" });
   }
 
   #applyRumour(rumour: NodeDigest, nowMs: number): void {
@@ -308,65 +308,24 @@
     }
   }
 
-  #sendHeartbeats(elapsedMs: number, nowMs: number): void {
-    const contacts = this.#contacts.getReachable();
-    const isSmall = contacts.size <= this.#settings.fullMeshLimit;
-    const perPeriod = isSmall ? contacts.size : this.#settings.fanout;
-    const earned = elapsedMs * perPeriod / this.#settings.heartbeatPeriodMs;
-    this.#credit = Math.min(this.#credit + earned, perPeriod);
-    const covers = isSmall ? "rounds" : "rounds_and_domains";
-    while (this.#credit >= 1) {
-      this.#credit -= 1;
-      const next = this.#order.takeNext(contacts, covers);
-      if (next !== undefined) this.#probe(next, nowMs);
-    }
-  }
-
-  #sendBurst(nowMs: number): void {
-    const contacts = this.#contacts.getReachable();
-    const { fullMeshLimit, fanout } = this.#settings;
-    const count = contacts.size <= fullMeshLimit ? contacts.size : fanout;
-    for (let sent = 0; sent < count; sent += 1) {
-      const next = this.#order.takeNext(contacts, "rounds");
-      if (next !== undefined) this.#probe(next, nowMs);
-    }
-  }
-
-  #contactDead(nowMs: number): void {
-    const sinceMs = nowMs - this.#lastDeadContactMs;
-    if (sinceMs < this.#settings.deadContactPeriodMs) return;
-    this.#lastDeadContactMs = nowMs;
-    const lost = this.#contacts.listLost();
-    for (const vmId of this.#random.chooseSome(lost, 1)) {
-      this.#sendHeartbeat(vmId);
-      this.#table.recordContact(vmId, nowMs);
-    }
-  }
-
-  #updateReach(nowMs: number): void {
-    const lengthMs = this.#settings.cutOffAfterMs;
-    const records = this.#table.list();
-    if (!isMostlyUnreachable(records, { nowMs, lengthMs })) {
-      this.#unreachableSinceMs = undefined;
-      return;
-    }
-    this.#unreachableSinceMs ??= nowMs;
-  }
-
   #probe(vmId: VmId, nowMs: number): void {
-    const number = this.#sendHeartbeat(vmId);
-    this.#table.recordContact(vmId, nowMs);
+    const number = this.#contact(vmId, nowMs);
     if (this.#table.find(vmId) === undefined) return;
     this.#probes.open(vmId, { number, nowMs });
   }
 
+  #contact(vmId: VmId, nowMs: number): number {
+    this.#table.recordContact(vmId, nowMs);
+    return this.#sendHeartbeat(vmId);
+  }
+
   #sendHeartbeat(vmId: VmId): number {
     this.#heartbeats += 1;
-    const { spec, state, revision, number } = this.#self;
+    const { spec, revision, number } = this.#self.getDigest();
     this.#send(vmId, {
       kind: "heartbeat",
       spec,
-      state: state === "leaving" ? "leaving" : "alive",
+      state: this.#self.getState(),
       revision,
       number: this.#heartbeats,
       stateNumber: number,
@@ -394,11 +353,11 @@
     const others = [...this.#table.list()].map((record) => record.digest);
     const { catchUpLimit } = this.#settings;
     const some = this.#random.chooseSome(others, catchUpLimit);
-    return [this.#self, ...this.#buildDigest(to), ...some];
+    return [this.#self.getDigest(), ...this.#buildDigest(to), ...some];
   }
 
   #findDigest(vmId: VmId): NodeDigest | undefined {
-    if (vmId === this.#self.spec.vmId) return this.#self;
+    if (vmId === this.#vmId) return this.#self.getDigest();
     return this.#table.find(vmId)?.digest;
   }
 
@@ -407,11 +366,12 @@
     this.#probes.close(vmId);
   }
 
-  #restateSelf(change: { state?: "leaving"; number?: number }): void {
-    const number = Math.max(this.#self.number, change.number ?? 0) + 1;
-    const state = change.state ?? this.#self.state;
-    this.#self = { ...this.#self, state, number };
-    this.#spread(this.#self.spec.vmId);
+  get #vmId(): VmId {
+    return this.#self.getDigest().spec.vmId;
+  }
+
+  #spreadSelf(): void {
+    this.#spread(this.#vmId);
   }
 
   #spread(vmId: VmId): void {
--- a/packages/scheduler/src/membership/membership_test.ts
+++ b/packages/scheduler/src/membership/membership_test.ts
@@ -91,6 +91,10 @@
     fleet.runUntil(20_000);
     expect(fleet.isStateEverywhere("vm-1", "alive")).to.equal(true);
     expect(fleet.isStateEverywhere("vm-0", "alive")).to.equal(true);
+    const changes = [...fleet.notices.values()].flat().map((notice) =>
+      notice.kind === "node_changed" ? notice.change.to : "other"
+    );
+    expect(changes).to.not.include("suspect");
   });
 
   it("counts a connection that went silent in one direction as lost", () => {
@@ -132,6 +136,17 @@
     expect(deaths).to.have.length(0);
   });
 
+  it("judges no heartbeat that was open while it was paused itself", () => {
+    const node = new Membership({ self: SPEC_0, seed: 1 });
+    receive(node, buildHeartbeat([]));
+    for (let nowMs = 0; nowMs <= 600; nowMs += 100) {
+      node.handle({ kind: "tick" }, nowMs);
+    }
+    node.handle({ kind: "tick" }, 30_000);
+    node.handle({ kind: "tick" }, 30_100);
+    expect(node.view().nodes[1]?.state).to.equal("alive");
+  });
+
   it("tells a restarted process from the one before it", () => {
     const fleet = startFleet(9);
     fleet.stopNode("vm-1");
@@ -207,6 +222,14 @@
     expect(fleet.isStateEverywhere("vm-4", "leaving")).to.equal(true);
   });
 
+  it("ignores a heartbeat that speaks for another node than its sender", () => {
+    const node = new Membership({ self: SPEC_0, seed: 1 });
+    const spec = { ...SPEC_1, vmId: "vm-7" };
+    const step = receive(node, buildHeartbeat([], spec));
+    expect(step.effects).to.deep.equal([]);
+    expect(node.view().nodes).to.have.length(1);
+  });
+
   it("never lowers a revision", () => {
     const node = new Membership({ self: SPEC_0, seed: 1 });
     receive(node, buildHeartbeat([]));
