Keep one partner's flood from shutting the other out

Two faults, found by tracing the waits of a flooded partner. A long prompt was overtaken by every smaller one that fitted the bound on prompt computation, so that it never found the computation free; small prompts now don't count against the bound and no long prompt is overtaken by another. And admission compared the whole pool's backlog, so that one partner's queue had the other's new programs refused; a load now carries the waiting calls of each partner, and admission compares a partner's own with its share of the slots.

--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -8,6 +8,7 @@
   LedgerEntry,
   NodeDigest,
   NodeSpec,
+  PartnerQueue,
   PeerMessage,
   ShardAssignment,
   TargetLoad,
@@ -67,6 +68,11 @@
   body: isUnion,
 };
 
+const PARTNER_QUEUE: Shape<PartnerQueue> = {
+  partner: isText,
+  queued: isAmount,
+};
+
 const TARGET_LOAD: Shape<TargetLoad> = {
   targetId: isText,
   running: isAmount,
@@ -77,6 +83,7 @@
   tokenMs: isAbsentOr(isAmount),
   slotMs: isAbsentOr(isAmount),
   prefillTokens: isAbsentOr(isAmount),
+  queuedBy: isAbsentOr(isListOf(isShape(PARTNER_QUEUE))),
 };
 
 const MESSAGE_SHAPES: MessageShapes = {
--- a/packages/scheduler/src/admission/admission.ts
+++ b/packages/scheduler/src/admission/admission.ts
@@ -8,15 +8,17 @@
 import { createFailure, type Failure } from "@camphorlock/codes";
 import {
   checkNever,
+  type Partner,
   type ProgramClass,
   type TargetLoad,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 import type { RandomSource } from "../random/mod.ts";
-import type { AdmissionSettings, CrestPolicy } from "./settings.ts";
+import type { AdmissionSettings, CrestPolicy, PartnerWeights } from "./settings.ts";
 
 /** A program that asks to begin. */
 export interface AdmissionRequest {
+  readonly partner: Partner;
   readonly programClass: ProgramClass;
   /** The pool that its first call would run on, as this node knows it. */
   readonly loads: readonly TargetLoad[];
@@ -34,18 +36,31 @@
 
 const USUAL_SLOT_MS = 4_000;
 
-/** Computes how full a pool is from the loads of its targets. */
-export function computePressure(loads: readonly TargetLoad[]): PoolPressure {
+/**
+ * Computes how full a pool is for a partner: its own waiting calls over its
+ * share of the slots, so that another partner's flood doesn't shut it out.
+ */
+export function computePressure(
+  loads: readonly TargetLoad[],
+  share: { readonly partner: Partner; readonly weights: PartnerWeights },
+): PoolPressure {
+  const { partner, weights } = share;
   let slots = 0;
-  let excess = 0;
   let slotMs = 0;
+  const queued = new Map<Partner, number>();
   for (const load of loads) {
     slots += load.limit;
-    excess += load.running + load.queued - load.limit;
     slotMs += (load.slotMs ?? USUAL_SLOT_MS) * load.limit;
+    for (const each of load.queuedBy ?? []) {
+      queued.set(each.partner, (queued.get(each.partner) ?? 0) + each.queued);
+    }
   }
-  if (slots === 0) return { backlog: 0, drainMs: 0 };
-  const backlog = Math.max(0, excess / slots);
+  const own = queued.get(partner) ?? 0;
+  if (slots === 0 || own === 0) return { backlog: 0, drainMs: 0 };
+  let allWeights = 0;
+  for (const each of queued.keys()) allWeights += weights[each];
+  const ownSlots = slots * weights[partner] / allWeights;
+  const backlog = own / ownSlots;
   return { backlog, drainMs: backlog * slotMs / slots };
 }
 
@@ -56,17 +71,18 @@
     readonly settings: AdmissionSettings;
     readonly random: RandomSource;
   },
-): Result<PoolPressure, Failure> {
+): Result<void, Failure> {
   const { crest } = means.settings;
-  const pressure = computePressure(request.loads);
   switch (crest.kind) {
     case "queue":
-      return ok(pressure);
+      return ok(undefined);
     case "refuse_early": {
-      const { leftMs, programClass } = request;
+      const { leftMs, programClass, partner } = request;
+      const { weights } = crest;
+      const pressure = computePressure(request.loads, { partner, weights });
       const isLate = leftMs !== undefined && pressure.drainMs > leftMs;
       const isFull = pressure.backlog > crest.mostBacklog[programClass];
-      if (!isLate && !isFull) return ok(pressure);
+      if (!isLate && !isFull) return ok(undefined);
       const retryMs = computeReturn(pressure, crest, means.random);
       const detail = isFull
         ? `${pressure.backlog.toFixed(2)} calls wait for each slot`
--- a/packages/scheduler/src/admission/admission_test.ts
+++ b/packages/scheduler/src/admission/admission_test.ts
@@ -16,6 +16,7 @@
     queuedPromptTokens: 0,
     relativeSpeed: 1,
     slotMs: 2_000,
+    queuedBy: [{ partner: "zincir", queued }],
   };
 }
 
@@ -26,7 +27,7 @@
 ): number | undefined {
   const loads = [buildLoad(queued)];
   const random = new RandomSource(seed);
-  const request = { programClass, loads };
+  const request = { partner: "zincir", programClass, loads } as const;
   const result = checkAdmission(request, { settings: SETTINGS, random });
   return result.isErr() ? result.error.retryAfterMs : undefined;
 }
@@ -48,10 +49,27 @@
     expect(new Set(times).size).to.be.above(4);
   });
 
+  it("admits a partner whose own calls don't wait during another's flood", () => {
+    const loads = [buildLoad(500)];
+    const random = new RandomSource(1);
+    const request = {
+      partner: "okonkwo",
+      programClass: "background",
+      loads,
+    } as const;
+    expect(checkAdmission(request, { settings: SETTINGS, random }).isOk())
+      .to.equal(true);
+  });
+
   it("refuses what can't meet its deadline", () => {
     const loads = [buildLoad(20)];
     const random = new RandomSource(1);
-    const request = { programClass: "short", loads, leftMs: 1_000 } as const;
+    const request = {
+      partner: "zincir",
+      programClass: "short",
+      loads,
+      leftMs: 1_000,
+    } as const;
     expect(checkAdmission(request, { settings: SETTINGS, random }).isErr())
       .to.equal(true);
   });
--- a/packages/scheduler/src/admission/settings.ts
+++ b/packages/scheduler/src/admission/settings.ts
@@ -1,7 +1,10 @@
 /**
  * The settings of admission and of the limits of single programs.
  */
-import type { Micros, ProgramClass } from "@camphorlock/types";
+import type { Micros, Partner, ProgramClass } from "@camphorlock/types";
+
+/** The agreed shares of the partners, relative to each other. */
+export type PartnerWeights = Readonly<Record<Partner, number>>;
 
 /** What happens to new programs while the pool is full. */
 export type CrestPolicy =
@@ -11,6 +14,7 @@
     readonly kind: "refuse_early";
     /** Work that waits, in multiples of the pool's slots, by class. */
     readonly mostBacklog: Readonly<Record<ProgramClass, number>>;
+    readonly weights: PartnerWeights;
     /** Least and most time after which a refused caller returns. */
     readonly leastRetryMs: number;
     readonly mostRetryMs: number;
@@ -42,6 +46,7 @@
   crest: {
     kind: "refuse_early",
     mostBacklog: { short: 1.5, standard: 0.75, background: 0.4 },
+    weights: { zincir: 1, okonkwo: 1 },
     leastRetryMs: 500,
     mostRetryMs: 15_000,
   },
--- a/packages/scheduler/src/dispatch/running_slots.ts
+++ b/packages/scheduler/src/dispatch/running_slots.ts
@@ -4,6 +4,9 @@
 import type { AttemptId, Partner, VmId } from "@camphorlock/types";
 import { countUncachedTokens, type WaitingCall } from "./waiting_call.ts";
 
+/** Prompts up to this size don't count against the bound on computation. */
+export const SMALL_PROMPT_TOKENS = 2_000;
+
 /** A granted slot. */
 export interface RunningSlot {
   readonly attemptId: AttemptId;
@@ -24,6 +27,7 @@
   readonly #slots = new Map<AttemptId, RunningSlot>();
   #short = 0;
   #prefillTokens = 0;
+  #largePrefillTokens = 0;
 
   /** The number of slots. */
   get size(): number {
@@ -40,6 +44,11 @@
     return this.#prefillTokens;
   }
 
+  /** The same, without small prompts. */
+  get largePrefillTokens(): number {
+    return this.#largePrefillTokens;
+  }
+
   /** Finds the slot of an attempt. */
   find(attemptId: AttemptId): RunningSlot | undefined {
     return this.#slots.get(attemptId);
@@ -49,7 +58,7 @@
   add(slot: RunningSlot): void {
     this.#slots.set(slot.attemptId, slot);
     if (slot.isShort) this.#short += 1;
-    if (!slot.hasTokens) this.#prefillTokens += slot.uncachedTokens;
+    if (!slot.hasTokens) this.#addPrefill(slot.uncachedTokens, 1);
   }
 
   /** Removes the slot of an attempt. */
@@ -58,7 +67,7 @@
     if (slot === undefined) return undefined;
     this.#slots.delete(attemptId);
     if (slot.isShort) this.#short -= 1;
-    if (!slot.hasTokens) this.#prefillTokens -= slot.uncachedTokens;
+    if (!slot.hasTokens) this.#addPrefill(slot.uncachedTokens, -1);
     return slot;
   }
 
@@ -66,7 +75,12 @@
   setFirstToken(slot: RunningSlot): void {
     if (slot.hasTokens) return;
     slot.hasTokens = true;
-    this.#prefillTokens -= slot.uncachedTokens;
+    this.#addPrefill(slot.uncachedTokens, -1);
+  }
+
+  #addPrefill(tokens: number, sign: 1 | -1): void {
+    this.#prefillTokens += sign * tokens;
+    if (tokens > SMALL_PROMPT_TOKENS) this.#largePrefillTokens += sign * tokens;
   }
 
   /** Lists the slots that weren't renewed in time. */
--- a/packages/scheduler/src/dispatch/slot_queue.ts
+++ b/packages/scheduler/src/dispatch/slot_queue.ts
@@ -1,7 +1,7 @@
 /**
  * The waiting calls of one target: which is next, and which is given up.
  */
-import type { AttemptId, Partner } from "@camphorlock/types";
+import type { AttemptId, Partner, PartnerQueue } from "@camphorlock/types";
 import type { FairShare } from "./fair_share.ts";
 import type { OrderPolicy } from "./settings.ts";
 import {
@@ -60,6 +60,15 @@
     return this.list().filter((each) => each.arrivedAtMs < atMs);
   }
 
+  /** Lists the number of waiting calls of each partner that has any. */
+  listByPartner(): PartnerQueue[] {
+    const counts = new Map<Partner, number>();
+    for (const { request } of this.#calls.values()) {
+      counts.set(request.partner, (counts.get(request.partner) ?? 0) + 1);
+    }
+    return [...counts].map(([partner, queued]) => ({ partner, queued }));
+  }
+
   /** Lists every waiting call. */
   list(): WaitingCall[] {
     return [...this.#calls.values()];
--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -16,7 +16,12 @@
 import type { RandomSource } from "../random/mod.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { FairShare } from "./fair_share.ts";
-import { createSlot, type RunningSlot, RunningSlots } from "./running_slots.ts";
+import {
+  createSlot,
+  type RunningSlot,
+  RunningSlots,
+  SMALL_PROMPT_TOKENS,
+} from "./running_slots.ts";
 import type { DispatchSettings } from "./settings.ts";
 import { SlotQueue } from "./slot_queue.ts";
 import {
@@ -39,6 +44,7 @@
 const MOST_RETRY_MS = 15_000;
 const MAX_ENDED = 512;
 
+
 /** What a dispatcher of one target is built from. */
 export interface TargetDispatcherOptions {
   readonly targetId: TargetId;
@@ -171,6 +177,9 @@
       ...(tokenMs === undefined ? {} : { tokenMs }),
       slotMs: Math.round(this.#slotMs),
       prefillTokens: this.#running.prefillTokens,
+      ...(this.#queue.size === 0
+        ? {}
+        : { queuedBy: this.#queue.listByPartner() }),
     };
   }
 
@@ -206,10 +215,7 @@
   #grantSlots(nowMs: number): Effect[] {
     const effects: Effect[] = [];
     while (!this.#isLeaving && this.#queue.size > 0) {
-      const call = this.#queue.findNext(
-        (each) => this.#fits(each),
-        { share: this.#share, nowMs },
-      );
+      const call = this.#chooseNext(nowMs);
       if (call === undefined) break;
       effects.push(...this.#grantSlot(call, nowMs));
     }
@@ -246,16 +252,34 @@
     const isShort = call.request.programClass === "short";
     const { slots } = this.#limit;
     if (this.#running.size >= slots) return false;
-    if (!isShort && this.#running.longCount >= this.#countLongSlots(slots)) {
-      return false;
-    }
+    return isShort || this.#running.longCount < this.#countLongSlots(slots);
+  }
+
+  #fitsPrefill(call: WaitingCall): boolean {
     const { prefill } = this.#settings;
     if (prefill.kind === "none") return true;
     const tokens = countUncachedTokens(call.request);
-    const inFlight = this.#running.prefillTokens;
+    const inFlight = this.#running.largePrefillTokens;
     return inFlight === 0 || inFlight + tokens <= prefill.mostTokens;
   }
 
+  /**
+   * Chooses the call that gets the next slot. One with a long prompt isn't
+   * overtaken by other long ones while it waits for the computation of others,
+   * or it would wait for ever; small prompts go ahead meanwhile.
+   */
+  #chooseNext(nowMs: number): WaitingCall | undefined {
+    const options = { share: this.#share, nowMs };
+    const next = this.#queue.findNext((each) => this.#fits(each), options);
+    if (next === undefined || this.#fitsPrefill(next)) return next;
+    return this.#queue.findNext(
+      (each) =>
+        this.#fits(each) &&
+        countUncachedTokens(each.request) <= SMALL_PROMPT_TOKENS,
+      options,
+    );
+  }
+
   #countLongSlots(slots: number): number {
     const { shortRoom } = this.#settings;
     if (shortRoom.kind === "none") return slots;
--- a/packages/standins/src/bench/policy/bench_node.ts
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -131,8 +131,8 @@
     const { admission } = this.#options.policies;
     if (isFresh) {
       const loads = this.#placement.listLoads("engine", BENCH_MODEL);
-      const { programClass } = run.plan;
-      const admitted = checkAdmission({ programClass, loads }, {
+      const { programClass, partner } = run.plan;
+      const admitted = checkAdmission({ partner, programClass, loads }, {
         settings: admission,
         random: this.#random,
       });
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -187,6 +187,14 @@
   readonly slotMs?: number;
   /** Prompt tokens that running slots have still to compute. */
   readonly prefillTokens?: number;
+  /** The waiting calls of each partner that has any. */
+  readonly queuedBy?: readonly PartnerQueue[];
+}
+
+/** The waiting calls of one partner. */
+export interface PartnerQueue {
+  readonly partner: Partner;
+  readonly queued: number;
 }
 
 /** Between all nodes, about who is alive and who owns what. */
