--- a/packages/camphorlock/src/node/node_limits.ts
+++ b/packages/camphorlock/src/node/node_limits.ts
@@ -16,7 +16,6 @@
     owner: {
       ...defaults.owner,
       maxCallsOfProgram: calls.max_calls_of_program,
-      maxAttempts: calls.max_attempts,
       placeTimeoutMs: calls.place_timeout_ms,
       progressTimeoutMs: calls.progress_timeout_ms,
     },
--- a/packages/camphorlock/src/settings/schema.ts
+++ b/packages/camphorlock/src/settings/schema.ts
@@ -56,7 +56,6 @@
 
 const callsSection = z.strictObject({
   max_calls_of_program: z.number().int().min(1).max(100_000).default(1_000),
-  max_attempts: z.number().int().min(1).max(20).default(4),
   place_timeout_ms: periodMs.default(20_000),
   progress_timeout_ms: periodMs.default(10_000),
   give_up_ms: periodMs.default(30_000),
--- a/packages/scheduler/src/configuration/inputs.ts
+++ b/packages/scheduler/src/configuration/inputs.ts
@@ -51,8 +51,10 @@
   | {
     readonly kind: "members";
     readonly view: MembershipView;
+    /** Whether the membership finds most nodes out of reach. */
+    readonly isCutOff: boolean;
     /** The VMs of the platform's list, heard from or not. */
-    readonly listed: readonly VmId[];
+    readonly listed?: readonly VmId[];
   }
   | {
     /** A revision that a heartbeat or a fresh rumour carried. */
@@ -60,11 +62,6 @@
     readonly vmId: VmId;
     readonly revision: Revision;
   }
-  | {
-    /** Whether the membership finds most nodes out of reach. */
-    readonly kind: "reach";
-    readonly isCutOff: boolean;
-  }
   | ChangeInput;
 
 /** What the node has to act on. */
--- a/packages/scheduler/src/configuration/peers.ts
+++ b/packages/scheduler/src/configuration/peers.ts
@@ -2,13 +2,8 @@
  * What the configuration role knows of the other nodes: which exist, which
  * revision each has reported and when it was heard.
  */
-import type {
-  MembershipView,
-  NodeState,
-  Region,
-  Revision,
-  VmId,
-} from "@camphorlock/types";
+import type { NodeState, Region, Revision, VmId } from "@camphorlock/types";
+import type { ConfigurationInput } from "./inputs.ts";
 import { chooseRanked } from "./rank.ts";
 
 /** Nodes of each region that watch the platform. */
@@ -38,6 +33,8 @@
   readonly presumedDead: readonly VmId[];
 }
 
+type MembersInput = Extract<ConfigurationInput, { readonly kind: "members" }>;
+
 /** The other nodes, as heartbeats and the membership tell of them. */
 export class ConfigurationPeers {
   readonly #peers = new Map<VmId, Peer>();
@@ -46,8 +43,7 @@
   #highestRevision: Revision = 0;
   #isKnown = false;
   #listed: ReadonlySet<VmId> = new Set();
-  /** Unknown until the membership has told. */
-  #isCutOff: boolean | undefined;
+  #isCutOff = false;
 
   constructor(self: VmId, region: Region) {
     this.#self = self;
@@ -65,8 +61,10 @@
   }
 
   /** Takes the nodes that the membership knows and the VMs of the list. */
-  update(view: MembershipView, listed: readonly VmId[]): void {
+  update(members: MembersInput): void {
+    const { view, isCutOff, listed = [] } = members;
     this.#isKnown = true;
+    this.#isCutOff = isCutOff;
     this.#listed = new Set(listed.filter((vmId) => vmId !== this.#self));
     const present = new Set<VmId>();
     for (const { spec, state, revision } of view.nodes) {
@@ -93,11 +91,6 @@
     peer.heardAtMs = report.nowMs;
   }
 
-  /** Takes whether the membership finds most nodes out of reach. */
-  setCutOff(isCutOff: boolean): void {
-    this.#isCutOff = isCutOff;
-  }
-
   /**
    * Whether most nodes were heard: more than half of all, this one included,
    * or a large sample while the membership doesn't find this node cut off.
@@ -111,7 +104,7 @@
       if (heardAtMs !== undefined && heardAtMs >= sinceMs) heard += 1;
     }
     if (heard * 2 > this.#countKnown() + 1) return true;
-    return this.#isCutOff === false && heard >= HEARD_SAMPLE;
+    return !this.#isCutOff && heard >= HEARD_SAMPLE;
   }
 
   /** Whether this node is one of those that watch for its region. */
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -48,6 +48,8 @@
 
 const ROLE_TICK_MS = 50;
 const VIEW_TICK_MS = 250;
+/** Wait for open service attempts before a stopping node gives shards away. */
+const DRAIN_LIMIT_MS = 10_000;
 
 /** The state machine of a node. */
 export class NodeCore {
@@ -67,6 +69,8 @@
   /** The VMs that the platform's list names. */
   #listed: readonly VmId[] = [];
   #isStopping = false;
+  #stoppedAtMs = 0;
+  #isOffering = false;
 
   constructor(options: NodeOptions) {
     const { spec, limits, seed, initial } = options;
@@ -182,7 +186,8 @@
     const { spec, limits, getWallClockMs } = this.#options;
     return new ShardHosts({
       self: spec.vmId,
-      placer: this.#policy.placement,
+      placer: this.#policy,
+      retries: this.#policy.retries,
       getConfiguration: () => ({
         revision: this.#configuration.revision,
         value: this.#configuration.value,
@@ -209,6 +214,7 @@
       this.#applyAssignment(this.#assigner.handle(tick, nowMs));
       this.#applyHosts(this.#hosts.handleAll(tick, nowMs));
       this.#addEffects(this.#policy.handleTick(nowMs));
+      this.#checkStop(nowMs);
       this.#addEffects(this.#entry.handle(tick, nowMs));
     });
     this.#timers.subscribe(CONFIGURATION_TICK_MS, (nowMs) => {
@@ -227,7 +233,7 @@
     );
     this.#applyConfiguration(
       this.#configuration.handle(
-        { kind: "members", view, listed: this.#listed },
+        { kind: "members", view, isCutOff, listed: this.#listed },
         nowMs,
       ),
     );
@@ -274,10 +280,18 @@
   #startStop(): void {
     if (this.#isStopping) return;
     this.#isStopping = true;
+    this.#stoppedAtMs = this.#nowMs;
     this.#applyMembership(this.#membership.announceLeaving(this.#nowMs));
-    this.#applyAssignment(
-      this.#assigner.handle({ kind: "leave" }, this.#nowMs),
-    );
+    this.#applyHosts(this.#hosts.handleAll({ kind: "drain" }, this.#nowMs));
+  }
+
+  /** Offers the shards once no service attempt is open, or the time is up. */
+  #checkStop(nowMs: number): void {
+    if (!this.#isStopping || this.#isOffering) return;
+    const isLate = nowMs - this.#stoppedAtMs >= DRAIN_LIMIT_MS;
+    if (this.#hosts.countServiceAttempts() > 0 && !isLate) return;
+    this.#isOffering = true;
+    this.#applyAssignment(this.#assigner.handle({ kind: "leave" }, nowMs));
   }
 
   #handlePlatform(input: Extract<NodeInput, { kind: "platform" }>): void {
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -2,7 +2,7 @@
  * Drives accepted calls to their outcomes: turn, placement, slot, durable
  * intent, one send, and the durable end.
  */
-import type { Failure } from "@camphorlock/codes";
+import { type Failure, RESULT_CODES } from "@camphorlock/codes";
 import {
   type AttemptEvent,
   type AttemptId,
@@ -19,6 +19,8 @@
 import { createRunningCall, type RunningCall } from "./running_call.ts";
 import type { Waiters } from "./waiters.ts";
 
+type SlotRefused = Extract<DispatchMessage, { kind: "slot_refused" }>;
+
 /** Every call of a shard that has no durable outcome. */
 export class CallRunner {
   readonly #context: OwnerContext;
@@ -28,6 +30,7 @@
   readonly #byProgram = new Map<ProgramId, Set<RunningCall>>();
   readonly #starter: AttemptStarter;
   readonly #ender: CallEnder;
+  #isDraining = false;
 
   constructor(context: OwnerContext, waiters: Waiters) {
     this.#context = context;
@@ -73,6 +76,24 @@
     }
   }
 
+  /** Starts nothing new; what was sent goes on. */
+  stopStarting(): void {
+    this.#isDraining = true;
+  }
+
+  /**
+   * Counts the attempts of which only this node can learn the end: a new owner
+   * can follow an engine's stream, but not a service's answer.
+   */
+  countServiceAttempts(): number {
+    return [...this.#calls.values()].filter((running) => {
+      const { call } = running.state;
+      const isSent = running.phase === "running" ||
+        running.phase === "intending" || running.phase === "ending";
+      return call.kind === "service" && isSent;
+    }).length;
+  }
+
   /** Ends the calls of a program that is being stopped. */
   stopProgram(programId: ProgramId): void {
     for (const running of [...this.#byProgram.get(programId) ?? []]) {
@@ -86,7 +107,7 @@
       case "slot_granted":
         return this.#handleGranted(message.attemptId);
       case "slot_refused":
-        return this.#handleRefused(message.attemptId, message.retryAfterMs);
+        return this.#handleRefused(message);
       case "slot_request":
       case "slot_renewed":
       case "slot_released":
@@ -127,7 +148,7 @@
 
   #start(running: RunningCall): void {
     const { nowMs } = this.#context;
-    if (running.notBeforeMs > nowMs) return;
+    if (this.#isDraining || running.notBeforeMs > nowMs) return;
     if (!Number.isFinite(running.placingSinceMs)) {
       running.placingSinceMs = nowMs;
     }
@@ -138,9 +159,11 @@
   #handlePlaceFailure(running: RunningCall, failure: Failure): void {
     const { limits } = this.#context.options;
     const waitedMs = this.#context.nowMs - running.placingSinceMs;
-    if (waitedMs >= limits.placeTimeoutMs) {
-      return this.#ender.endNotRun(running, failure);
-    }
+    const isUnserved = failure.code === RESULT_CODES.NoTarget.code;
+    const limitMs = isUnserved
+      ? limits.noTargetTimeoutMs
+      : limits.placeTimeoutMs;
+    if (waitedMs >= limitMs) return this.#ender.endNotRun(running, failure);
     running.phase = "queued";
     running.notBeforeMs = this.#context.nowMs + limits.renewPeriodMs;
   }
@@ -153,13 +176,25 @@
     if (intended.isErr()) this.#ender.handleSlotRefused(running, 0);
   }
 
-  #handleRefused(attemptId: AttemptId, retryAfterMs: number): void {
-    const running = this.#byAttempt.get(attemptId);
+  #handleRefused(message: SlotRefused): void {
+    const running = this.#byAttempt.get(message.attemptId);
     if (running === undefined) return;
     if (running.phase !== "waiting_slot") return;
+    const { retryAfterMs, reason } = message;
+    if (reason === "queue_full" && this.#isFresh(running)) {
+      return this.#ender.endOverloaded(running, retryAfterMs);
+    }
     this.#ender.handleSlotRefused(running, retryAfterMs);
   }
 
+  /** Whether nothing of the program has run, so that a refusal costs little. */
+  #isFresh(running: RunningCall): boolean {
+    const { programId } = running.spec;
+    const program = this.#context.state.programs.get(programId);
+    return program !== undefined && program.attainedMs === 0 &&
+      program.parent === undefined;
+  }
+
   #handleText(
     running: RunningCall,
     event: Extract<AttemptEvent, { kind: "text" }>,
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -13,6 +13,8 @@
   ProgramSpec,
 } from "@camphorlock/types";
 import { EMPTY_CONFIGURATION } from "../configuration/mod.ts";
+import { RandomSource } from "../random/mod.ts";
+import { DEFAULT_RETRY_SETTINGS, RetryBudget } from "../retry/mod.ts";
 import { err, ok, type Result } from "neverthrow";
 import type {
   LedgerAppend,
@@ -87,6 +89,9 @@
         choose: ({ excluded }) => this.#choose(excluded),
         recordCached: () => undefined,
         recordReleased: () => undefined,
+        recordAnswer: () => undefined,
+        recordProgramEnded: () => undefined,
+        checkAdmission: () => ok(undefined),
         findDispatcher: () => "vm-1",
         hasTarget: (target) => this.targets.includes(target),
       },
@@ -105,6 +110,15 @@
       }),
       getWallClockMs: () => this.nowMs,
       limits: DEFAULT_OWNER_LIMITS,
+      retries: {
+        settings: {
+          ...DEFAULT_RETRY_SETTINGS,
+          firstBackoffMs: 0,
+          mostBackoffMs: 0,
+        },
+        budget: new RetryBudget({ kind: "unlimited" }),
+        random: new RandomSource(1),
+      },
     });
   }
 
