Hold new work while the configuration may be stale; race operators and stop nodes in the fault schedules

Cause: a node cut off from the platform and its peers went on granting slots, and an intent that became durable late was sent whatever had happened to its target. Change: a cut-off node closes its targets until it's ready again, and a target is looked at once more before the send. The schedules now drain targets, race operators and stop nodes as planned.

--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -44,7 +44,6 @@
 const MOST_RETRY_MS = 15_000;
 const MAX_ENDED = 512;
 
-
 /** What a dispatcher of one target is built from. */
 export interface TargetDispatcherOptions {
   readonly targetId: TargetId;
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -480,6 +480,10 @@
     this.#addEffects(step.effects);
     for (const notice of step.notices) {
       this.#notices.push(notice);
+      if (notice.kind === "ready" || notice.kind === "cut_off") {
+        const isStale = notice.kind === "cut_off";
+        this.#addEffects(this.#policy.setStale(isStale, this.#nowMs));
+      }
       if (notice.kind !== "in_force") continue;
       const { value } = notice;
       this.#addEffects(this.#policy.applyConfiguration(value, this.#nowMs));
--- a/packages/scheduler/src/node/node_policy.ts
+++ b/packages/scheduler/src/node/node_policy.ts
@@ -2,7 +2,7 @@
  * The policy roles of a node: placement, the dispatchers of its targets, and
  * the spread of target loads between nodes.
  */
-import type { Failure } from "@camphorlock/codes";
+import { createFailure, type Failure } from "@camphorlock/codes";
 import {
   checkNever,
   type ConfigurationValue,
@@ -16,7 +16,7 @@
   type TargetLoad,
   type VmId,
 } from "@camphorlock/types";
-import { ok, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { checkAdmission } from "../admission/mod.ts";
 import { DispatcherSet, type DispatchStep } from "../dispatch/mod.ts";
 import type {
@@ -55,6 +55,8 @@
   readonly #placement: Placement;
   readonly #random: RandomSource;
   #settings = buildPolicySettings([]);
+  /** Whether the configuration in force may be out of date. */
+  #isStale = true;
   /** The model that an agent asked for last. */
   readonly #modelOfAgent = new Map<string, string>();
   readonly #dispatchers: DispatcherSet;
@@ -89,6 +91,10 @@
     request: PlacementRequest,
     nowMs: number,
   ): Result<PlacementChoice, Failure> {
+    if (this.#isStale) {
+      const detail = "the configuration may be out of date";
+      return err(createFailure("NodeCutOff", detail));
+    }
     const { call, agent } = request;
     if (call.kind === "model") this.#recordModel(agent, call.model);
     return this.#placement.choose(request, nowMs);
@@ -115,6 +121,14 @@
     this.#placement.handle({ kind: "program_ended", programId }, 0);
   }
 
+  /** Whether new work may be sent to a target at this moment. */
+  isOpen(targetId: TargetId): boolean {
+    if (this.#isStale) return false;
+    const target = this.#options.getValue().targets
+      .find((each) => each.targetId === targetId);
+    return target !== undefined && !target.leaving;
+  }
+
   /** Whether a target is configured. */
   hasTarget(targetId: TargetId): boolean {
     return this.#placement.hasTarget(targetId);
@@ -133,9 +147,9 @@
     const model = this.#modelOfAgent.get(spec.agent);
     if (model === undefined) return ok(undefined);
     const loads = this.#placement.listLoads("engine", model);
-    const { programClass } = spec;
+    const { programClass, partner } = spec;
     const means = { settings: this.#settings.admission, random: this.#random };
-    return checkAdmission({ programClass, loads }, means)
+    return checkAdmission({ programClass, partner, loads }, means)
       .map(() => undefined);
   }
 
@@ -163,16 +177,34 @@
     }
   }
 
+  /**
+   * Stops or goes on granting and placing: a node whose configuration may be
+   * out of date could send work to a target that is leaving.
+   */
+  setStale(isStale: boolean, nowMs: number): Effect[] {
+    this.#isStale = isStale;
+    return this.#updateTargets(nowMs);
+  }
+
   /** Follows a change of the configuration. */
   applyConfiguration(value: ConfigurationValue, nowMs: number): Effect[] {
-    const { targets, policies } = value;
+    const { policies } = value;
     const settings = buildPolicySettings(policies);
     if (JSON.stringify(settings) !== JSON.stringify(this.#settings)) {
       this.#settings = settings;
       this.#placement.setSettings(settings.placement);
       this.#dispatchers.setSettings(settings.dispatch);
     }
-    const input = { kind: "targets_changed", targets } as const;
+    return this.#updateTargets(nowMs);
+  }
+
+  /** While the configuration may be out of date, every target is closed. */
+  #updateTargets(nowMs: number): Effect[] {
+    const { targets } = this.#options.getValue();
+    const shown = this.#isStale
+      ? targets.map((target) => ({ ...target, leaving: true }))
+      : targets;
+    const input = { kind: "targets_changed", targets: shown } as const;
     return this.#applyStep(this.#dispatchers.handle(input, nowMs), nowMs);
   }
 
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -12,17 +12,26 @@
 /** Bytes of text that a token stands for on average. */
 const BYTES_PER_TOKEN = 4;
 
+/** What the starter tells the runner. */
+interface StarterHooks {
+  /** The target closed before anything was sent to it. */
+  handleClosed(running: RunningCall): void;
+}
+
 /** Brings calls from the queue to a sent attempt. */
 export class AttemptStarter {
   readonly #context: OwnerContext;
   readonly #byAttempt: Map<AttemptId, RunningCall>;
+  readonly #hooks: StarterHooks;
 
   constructor(
     context: OwnerContext,
     byAttempt: Map<AttemptId, RunningCall>,
+    hooks: StarterHooks,
   ) {
     this.#context = context;
     this.#byAttempt = byAttempt;
+    this.#hooks = hooks;
   }
 
   /** Chooses a target and asks its dispatcher for a slot. */
@@ -184,7 +193,11 @@
     return running.phase === "intending" && running.attempt === attempt;
   }
 
+  /** A target that began to leave meanwhile gets nothing. */
   #send(running: RunningCall, attempt: RunningAttempt): void {
+    if (!this.#context.options.placer.isOpen(attempt.targetId)) {
+      return this.#hooks.handleClosed(running);
+    }
     running.phase = "running";
     running.attemptsSent += 1;
     if (running.attemptsSent === 1) {
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -36,7 +36,9 @@
   constructor(context: OwnerContext, waiters: Waiters) {
     this.#context = context;
     this.#waiters = waiters;
-    this.#starter = new AttemptStarter(context, this.#byAttempt);
+    this.#starter = new AttemptStarter(context, this.#byAttempt, {
+      handleClosed: (running) => this.#ender.handleSlotRefused(running, 0),
+    });
     const closer = new AttemptCloser(context, this.#byAttempt);
     this.#ender = new CallEnder(context, closer, {
       requeue: (running) => this.startNext(running.spec.programId),
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -98,6 +98,7 @@
         recordAnswer: () => undefined,
         recordProgramEnded: () => undefined,
         checkAdmission: () => ok(undefined),
+        isOpen: (target) => this.targets.includes(target),
         findDispatcher: () => "vm-1",
         hasTarget: (target) => this.targets.includes(target),
       },
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -76,6 +76,8 @@
   recordCached(program: ProgramId, use: CachedUse): void;
   recordReleased(program: ProgramId, target: TargetId): void;
   hasTarget(target: TargetId): boolean;
+  /** Whether new work may be sent to a target at this moment. */
+  isOpen(target: TargetId): boolean;
   /** Finds the node that dispatches for a target at present. */
   findDispatcher(target: TargetId): VmId | undefined;
   /** Learns from the length of an answer. */
--- a/packages/standins/src/fleet/virtual_fleet.ts
+++ b/packages/standins/src/fleet/virtual_fleet.ts
@@ -10,6 +10,7 @@
 import type {
   CallerAnswer,
   CallerRequest,
+  ChangeCommand,
   ConfigurationValue,
   LogRecord,
   NodeSpec,
@@ -51,10 +52,18 @@
 /** Something that a node reported. */
 export interface ReportedNotice {
   readonly vmId: VmId;
+  readonly incarnation: number;
   readonly atMs: number;
   readonly notice: NodeNotice;
 }
 
+/** A change that an operator ordered. */
+export interface OrderedChange {
+  readonly requestId: string;
+  readonly change: ChangeCommand;
+  readonly atMs: number;
+}
+
 /** The nodes, their platform, targets and callers. */
 export class VirtualFleet implements VirtualWorld {
   readonly clock = new VirtualClock();
@@ -68,7 +77,9 @@
   readonly logs: LogRecord[] = [];
   readonly #options: VirtualFleetOptions;
   readonly #byId = new Map<string, VirtualRequest>();
+  readonly changes: OrderedChange[] = [];
   #starts = 0;
+  #changes = 0;
 
   constructor(options: VirtualFleetOptions) {
     this.#options = options;
@@ -103,8 +114,7 @@
       {
         onAnswer: ({ requestId, answer }) =>
           this.#recordAnswer(requestId, answer),
-        onNotice: (notice) =>
-          this.notices.push({ vmId, atMs: this.clock.nowMs, notice }),
+        onNotice: (notice) => this.#recordNotice(spec, notice),
         onLog: (record) => this.logs.push(record),
       },
     );
@@ -135,6 +145,21 @@
     return sent;
   }
 
+  /** Orders a change at a node as an operator. */
+  sendChange(vmId: VmId, change: ChangeCommand): void {
+    this.#changes += 1;
+    const requestId = `change-${this.#changes}`;
+    this.changes.push({ requestId, change, atMs: this.clock.nowMs });
+    this.getNode(vmId).handle({
+      kind: "change",
+      requestId,
+      change,
+      text: change.kind,
+      by: { partner: "zincir", operator: "test" },
+      atMs: this.clock.nowMs,
+    });
+  }
+
   /** Runs until every shard is served by a living node. */
   waitServing(limitMs: number): boolean {
     return this.clock.runUntil(() => this.#isServing(), limitMs);
@@ -160,6 +185,12 @@
     if (answer.kind !== "text") sent.endedAtMs = this.clock.nowMs;
   }
 
+  #recordNotice(spec: NodeSpec, notice: NodeNotice): void {
+    const { vmId, incarnation } = spec;
+    const atMs = this.clock.nowMs;
+    this.notices.push({ vmId, incarnation, atMs, notice });
+  }
+
   /** The platform's list lags: it names every VM that was started. */
   #sendVmLists(): void {
     const vms = [...this.nodes.values()].map(buildListing);
--- a/packages/standins/src/fleet/virtual_node.ts
+++ b/packages/standins/src/fleet/virtual_node.ts
@@ -61,6 +61,7 @@
   #waiting: NodeInput[] = [];
   #isPaused = false;
   #isEnded = false;
+  #isHandedOver = false;
 
   constructor(
     options: VirtualNodeOptions,
@@ -89,6 +90,11 @@
     return this.#core;
   }
 
+  /** Whether a planned stop has nothing left to wait for. */
+  get isDrained(): boolean {
+    return this.#isHandedOver && this.#core.openRequests === 0;
+  }
+
   /** Whether the process has ended. */
   get isEnded(): boolean {
     return this.#isEnded;
@@ -103,7 +109,10 @@
     }
     const step = this.#core.handle(input, this.#world.clock.nowMs);
     for (const effect of step.effects) this.#runEffect(effect);
-    for (const notice of step.notices) this.#hooks.onNotice(notice);
+    for (const notice of step.notices) {
+      if (notice.kind === "handed_over") this.#isHandedOver = true;
+      this.#hooks.onNotice(notice);
+    }
   }
 
   /** Stops the process without its knowledge, as SIGSTOP does. */
--- a/packages/standins/src/proof/check_fleet.ts
+++ b/packages/standins/src/proof/check_fleet.ts
@@ -32,10 +32,11 @@
 /** A leaving target gets no new work after a few seconds. */
 export function checkLeavingTargetIdle(history: RunHistory): Violation[] {
   const violations: Violation[] = [];
-  for (const { targetId, acceptedAtMs } of history.leaving) {
+  for (const { targetId, acceptedAtMs, untilMs } of history.leaving) {
     for (const run of history.runs) {
       if (run.targetId !== targetId) continue;
       if (run.atMs <= acceptedAtMs + LEAVING_GRACE_MS) continue;
+      if (run.atMs >= (untilMs ?? Infinity)) continue;
       const lateMs = Math.round(run.atMs - acceptedAtMs);
       const detail =
         `${targetId} got work ${lateMs} ms after it began to leave`;
--- a/packages/standins/src/proof/fault_schedule.ts
+++ b/packages/standins/src/proof/fault_schedule.ts
@@ -8,10 +8,17 @@
  */
 import type { VirtualFleet } from "../fleet/virtual_fleet.ts";
 import type { TargetMode } from "../fleet/virtual_targets.ts";
-import { checkNever, type TargetId, type VmId } from "@camphorlock/types";
+import {
+  type ChangeCommand,
+  checkNever,
+  type TargetId,
+  type VmId,
+} from "@camphorlock/types";
 import type { RandomSource } from "./random_source.ts";
 
 const KILL_GAP_MS = 12_000;
+const STOP_LIMIT_MS = 30_000;
+const POLL_MS = 100;
 const FIRST_FAULT_MS = 1_000;
 const GAP_MS = { low: 500, high: 5_000 } as const;
 
@@ -55,6 +62,20 @@
     readonly targetId: TargetId;
     readonly mode: TargetMode;
     readonly durationMs: number;
+  }
+  | {
+    /** Two operators race; one of them drains a target for a while. */
+    readonly kind: "race_operators";
+    readonly atMs: number;
+    readonly vmIds: readonly VmId[];
+    readonly targetId: TargetId;
+    readonly durationMs: number;
+  }
+  | {
+    readonly kind: "stop_node";
+    readonly atMs: number;
+    readonly vmId: VmId;
+    readonly restartAfterMs: number;
   };
 
 /** What a schedule may touch, and for how long. */
@@ -74,7 +95,7 @@
   let atMs = FIRST_FAULT_MS;
   while (atMs < options.lengthMs) {
     const event = buildEvent(random, { ...options, atMs });
-    const isKill = event.kind === "kill_node";
+    const isKill = event.kind === "kill_node" || event.kind === "stop_node";
     if (!isKill || atMs - lastKillMs >= KILL_GAP_MS) events.push(event);
     if (isKill && atMs - lastKillMs >= KILL_GAP_MS) lastKillMs = atMs;
     atMs += random.take(GAP_MS.low, GAP_MS.high);
@@ -96,6 +117,8 @@
     "lose_messages",
     "platform_fault",
     "target_fault",
+    "race_operators",
+    "stop_node",
   ] as const;
   const kind = random.choose(kinds);
   switch (kind) {
@@ -121,6 +144,15 @@
       const mode = random.choose(["down", "silent", "breaking"] as const);
       return { kind, atMs, targetId, mode, durationMs };
     }
+    case "race_operators": {
+      const vmIdsOfRace = [vmId, random.choose(vmIds)];
+      const targetId = random.choose(targetIds);
+      return { kind, atMs, vmIds: vmIdsOfRace, targetId, durationMs };
+    }
+    case "stop_node": {
+      const restartAfterMs = random.take(500, 8_000);
+      return { kind, atMs, vmId, restartAfterMs };
+    }
     default:
       return checkNever(kind);
   }
@@ -133,7 +165,7 @@
 function removeKillsInOutages(events: readonly PlannedEvent[]): PlannedEvent[] {
   const outages = events.filter((event) => event.kind === "platform_fault");
   return events.filter((event) => {
-    if (event.kind !== "kill_node") return true;
+    if (event.kind !== "kill_node" && event.kind !== "stop_node") return true;
     return !outages.some((outage) => {
       const endMs = outage.atMs + outage.durationMs + KILL_GAP_MS;
       return event.atMs + KILL_GAP_MS >= outage.atMs && event.atMs <= endMs;
@@ -171,16 +203,77 @@
       return fleet.clock.add(event.durationMs, () => {
         fleet.targets.setMode(event.targetId, "serving");
       });
+    case "race_operators":
+      return startRace(fleet, event);
+    case "stop_node":
+      return startPlannedStop(fleet, event.vmId, event.restartAfterMs);
     default:
       return checkNever(event);
   }
 }
 
+function startRace(
+  fleet: VirtualFleet,
+  event: Extract<PlannedEvent, { kind: "race_operators" }>,
+): void {
+  const { targetId, vmIds, durationMs } = event;
+  const [first, second] = vmIds;
+  if (first === undefined || second === undefined) return;
+  const drain = { kind: "drain_target", targetId } as const;
+  fleet.sendChange(first, { ...drain, draining: true });
+  fleet.sendChange(second, buildSplit(event.atMs));
+  fleet.clock.add(durationMs, () => {
+    fleet.sendChange(second, { ...drain, draining: false });
+  });
+}
+
+/** A split whose shares differ from race to race. */
+function buildSplit(atMs: number): ChangeCommand {
+  const sharePpm = 100_000 + Math.round(atMs) % 800_000;
+  return {
+    kind: "split_costs",
+    costClass: "shared",
+    shares: [
+      { partner: "zincir", sharePpm },
+      { partner: "okonkwo", sharePpm: 1_000_000 - sharePpm },
+    ],
+  };
+}
+
+/** The process ends when its shards are handed over, or after a limit. */
+function startPlannedStop(
+  fleet: VirtualFleet,
+  vmId: VmId,
+  restartAfterMs: number,
+): void {
+  const node = fleet.getNode(vmId);
+  if (node.isEnded) return;
+  node.handle({ kind: "stop" });
+  waitStopped(fleet, vmId, fleet.clock.nowMs + STOP_LIMIT_MS, () => {
+    if (node.isEnded) return;
+    node.end();
+    fleet.clock.add(restartAfterMs, () => fleet.startNode(vmId));
+  });
+}
+
+function waitStopped(
+  fleet: VirtualFleet,
+  vmId: VmId,
+  untilMs: number,
+  then: () => void,
+): void {
+  const node = fleet.getNode(vmId);
+  const isDone = node.isDrained || fleet.clock.nowMs >= untilMs;
+  if (isDone) return then();
+  fleet.clock.add(POLL_MS, () => waitStopped(fleet, vmId, untilMs, then));
+}
+
 function startKill(
   fleet: VirtualFleet,
   vmId: VmId,
   restartAfterMs: number,
 ): void {
+  if (fleet.getNode(vmId).isEnded) return;
   fleet.endNode(vmId);
   fleet.clock.add(restartAfterMs, () => fleet.startNode(vmId));
 }
--- a/packages/standins/src/proof/run_history.ts
+++ b/packages/standins/src/proof/run_history.ts
@@ -39,6 +39,8 @@
 export interface LeavingTarget {
   readonly targetId: TargetId;
   readonly acceptedAtMs: number;
+  /** When the target was taken back, if it was. */
+  readonly untilMs?: number;
 }
 
 /** Everything that the checks read. */
--- a/packages/standins/src/proof/run_schedule.ts
+++ b/packages/standins/src/proof/run_schedule.ts
@@ -2,7 +2,7 @@
  * Runs programs on a virtual fleet under a random schedule of faults, and
  * collects what the checks read.
  */
-import type { CallerRequest } from "@camphorlock/types";
+import type { CallerRequest, VmId } from "@camphorlock/types";
 import { VirtualFleet, type VirtualRequest } from "../fleet/virtual_fleet.ts";
 import {
   buildSchedule,
@@ -10,7 +10,12 @@
   startSchedule,
 } from "./fault_schedule.ts";
 import { RandomSource } from "./random_source.ts";
-import type { ReadProgram, RunHistory } from "./run_history.ts";
+import type {
+  ForcedRevision,
+  LeavingTarget,
+  ReadProgram,
+  RunHistory,
+} from "./run_history.ts";
 import { VirtualCaller } from "./virtual_caller.ts";
 
 const NODE_COUNT = 5;
@@ -107,17 +112,13 @@
         .filter((programId) => ended.has(programId))
         .map((programId) => ({ targetId, programId }))
     ),
-    forced: fleet.notices.flatMap(({ vmId, atMs, notice }) =>
-      notice.kind === "in_force"
-        ? [{ vmId, atMs, revision: notice.revision }]
-        : []
-    ),
+    forced: listForced(fleet),
     accepted: fleet.notices.flatMap(({ atMs, notice }) =>
       notice.kind === "change_accepted"
         ? [{ atMs, revision: notice.revision }]
         : []
     ),
-    leaving: [],
+    leaving: listLeaving(fleet),
     finalRevisions: [...fleet.nodes.values()]
       .filter((node) => !node.isEnded)
       .map((node) => ({
@@ -129,6 +130,47 @@
   };
 }
 
+/**
+ * Lists the revisions that nodes served under. A process that has started
+ * reads up to the latest revision before it's ready; until then it serves
+ * nobody.
+ */
+function listForced(fleet: VirtualFleet): ForcedRevision[] {
+  const ready = new Map<VmId, number>();
+  const forced: ForcedRevision[] = [];
+  for (const { vmId, incarnation, atMs, notice } of fleet.notices) {
+    if (notice.kind === "cut_off") ready.delete(vmId);
+    if (notice.kind === "ready") ready.set(vmId, incarnation);
+    if (notice.kind !== "ready" && notice.kind !== "in_force") continue;
+    if (ready.get(vmId) !== incarnation) continue;
+    forced.push({ vmId, atMs, revision: notice.revision });
+  }
+  return forced;
+}
+
+/**
+ * Lists the spans in which targets were leaving. A span ends when its end was
+ * ordered, because it may be in force before its acceptance is known.
+ */
+function listLeaving(fleet: VirtualFleet): LeavingTarget[] {
+  const spans: LeavingTarget[] = [];
+  for (const { atMs, notice } of fleet.notices) {
+    if (notice.kind !== "change_accepted") continue;
+    const ordered = fleet.changes
+      .find((each) => each.requestId === notice.requestId);
+    if (ordered?.change.kind !== "drain_target") continue;
+    const { targetId, draining } = ordered.change;
+    if (!draining) continue;
+    const end = fleet.changes.find(({ change, atMs: orderedAtMs }) =>
+      change.kind === "drain_target" && change.targetId === targetId &&
+      !change.draining && orderedAtMs > ordered.atMs
+    );
+    const untilMs = end?.atMs ?? Infinity;
+    spans.push({ targetId, acceptedAtMs: atMs, untilMs });
+  }
+  return spans;
+}
+
 function readProgram(
   fleet: VirtualFleet,
   caller: VirtualCaller,
