--- a/packages/standins/src/fleet/virtual_fleet.ts
+++ b/packages/standins/src/fleet/virtual_fleet.ts
@@ -14,6 +14,7 @@
   ConfigurationValue,
   LogRecord,
   NodeSpec,
+  TargetId,
   TargetSpec,
   VmId,
   VmListing,
@@ -78,6 +79,7 @@
   readonly #options: VirtualFleetOptions;
   readonly #byId = new Map<string, VirtualRequest>();
   readonly changes: OrderedChange[] = [];
+  #runAtAnswer: ((vmId: VmId) => void) | undefined;
   #starts = 0;
   #changes = 0;
 
@@ -121,6 +123,13 @@
     this.nodes.set(vmId, node);
   }
 
+  /** Lists the engines. */
+  listEngines(): TargetId[] {
+    return Array.from({ length: this.#options.engineCount }, (_, at) => {
+      return `engine-${at + 1}`;
+    });
+  }
+
   /** Gets a node by name. */
   getNode(vmId: VmId): VirtualNode {
     const node = this.nodes.get(vmId);
@@ -170,6 +179,11 @@
     return this.clock.runUntil(() => sent.endedAtMs !== undefined, limitMs);
   }
 
+  /** Runs work at the moment when a caller is given an outcome. */
+  setAtAnswer(run: ((vmId: VmId) => void) | undefined): void {
+    this.#runAtAnswer = run;
+  }
+
   #isServing(): boolean {
     let serving = 0;
     for (const node of this.nodes.values()) {
@@ -182,7 +196,9 @@
     const sent = this.#byId.get(requestId);
     if (sent === undefined) return;
     sent.answers.push(answer);
-    if (answer.kind !== "text") sent.endedAtMs = this.clock.nowMs;
+    if (answer.kind === "text") return;
+    sent.endedAtMs = this.clock.nowMs;
+    if (answer.kind === "outcome") this.#runAtAnswer?.(sent.vmId);
   }
 
   #recordNotice(spec: NodeSpec, notice: NodeNotice): void {
--- a/packages/standins/src/fleet/virtual_network.ts
+++ b/packages/standins/src/fleet/virtual_network.ts
@@ -20,6 +20,8 @@
   readonly #regions = new Map<VmId, string>();
   readonly #listeners = new Map<VmId, MessageListener>();
   readonly #cuts = new Set<string>();
+  /** Processes of each VM that have ended. */
+  readonly #starts = new Map<VmId, number>();
   /** Messages lost, in a thousand. */
   lossPerMille = 0;
   /** Messages sent and delivered so far. */
@@ -37,8 +39,9 @@
     this.#listeners.set(spec.vmId, listener);
   }
 
-  /** Removes a node: what is under way to it is lost. */
+  /** Removes a node: what is under way to it and from it is lost. */
   remove(vmId: VmId): void {
+    this.#starts.set(vmId, this.#getStarts(vmId) + 1);
     this.#listeners.delete(vmId);
   }
 
@@ -49,8 +52,10 @@
     const dice = uniformInt(this.#random, 0, PER_MILLE - 1);
     if (dice < this.lossPerMille) return;
     const copy = structuredClone(message);
+    const starts = this.#getStarts(from);
     this.#clock.add(this.#getDelay(from, to), () => {
       if (this.isCut(from, to)) return;
+      if (this.#getStarts(from) !== starts) return;
       this.delivered += 1;
       this.#listeners.get(to)?.(from, copy);
     });
@@ -76,6 +81,10 @@
     return this.#cuts.has(`${from}>${to}`);
   }
 
+  #getStarts(vmId: VmId): number {
+    return this.#starts.get(vmId) ?? 0;
+  }
+
   #getDelay(from: VmId, to: VmId): number {
     const isSame = this.#regions.get(from) === this.#regions.get(to);
     return isSame ? SAME_REGION_MS : OTHER_REGION_MS;
--- a/packages/standins/src/fleet/virtual_targets.ts
+++ b/packages/standins/src/fleet/virtual_targets.ts
@@ -21,7 +21,8 @@
 const LINK_MS = 1;
 const TOKEN_MS = 5;
 const FIRST_TOKEN_MS = 20;
-const SERVICE_MS = 10;
+const SHORTEST_SERVICE_MS = 10;
+const SERVICE_SPREAD_MS = 1_200;
 const TOKENS_PER_EVENT = 8;
 
 /** How a target treats what arrives. */
@@ -200,7 +201,7 @@
   #operate(call: Extract<Call, { kind: "service" }>, stream: Stream): void {
     const text = buildOperationText(call.operation, call.body);
     const usage = { promptTokens: 0, cachedTokens: 0, completionTokens: 0 };
-    this.#clock.add(SERVICE_MS, () => {
+    this.#clock.add(computeServiceMs(text), () => {
       this.#end(stream, { kind: "completed", text, usage });
     });
   }
@@ -250,6 +251,13 @@
   }
 }
 
+/** Services take a time that their answer decides. */
+function computeServiceMs(text: string): number {
+  let hash = 0;
+  for (const letter of text) hash = (hash * 31 + letter.charCodeAt(0)) >>> 0;
+  return SHORTEST_SERVICE_MS + hash % SERVICE_SPREAD_MS;
+}
+
 interface GeneratedAnswer {
   readonly text: string;
   readonly ends: readonly number[];
--- a/packages/standins/src/proof/check_calls.ts
+++ b/packages/standins/src/proof/check_calls.ts
@@ -1,7 +1,7 @@
 /**
  * Checks of what callers were told against what targets ran.
  */
-import type { Call, CallOutcome } from "@camphorlock/types";
+import type { Call, CallOutcome, HistoryItem } from "@camphorlock/types";
 import { buildAnswerText } from "../engine_server/answer_text.ts";
 import type { TargetRun } from "../fleet/virtual_targets.ts";
 import { buildOperationText } from "../service/serve_service.ts";
@@ -86,24 +86,36 @@
   return violations;
 }
 
-/** The calls of one program run one after the other, in their order. */
+/**
+ * The calls of one program run one after the other, in the order of its
+ * history.
+ */
 export function checkCallsInOrder(history: RunHistory): Violation[] {
+  return history.programs.flatMap(({ items = [] }) =>
+    checkItemsInOrder(history, items)
+  );
+}
+
+function checkItemsInOrder(
+  history: RunHistory,
+  items: readonly HistoryItem[],
+): Violation[] {
   const violations: Violation[] = [];
-  const lastEnd = new Map<string, number>();
-  for (const { programId, call, key, outcome } of history.calls) {
-    if (outcome?.status !== "completed") continue;
-    const run = listRunsOf(history, call)
+  let lastEndMs = 0;
+  for (const { key, outcome } of items) {
+    if (outcome.status !== "completed") continue;
+    const run = history.runs
       .find((each) => each.attemptId === outcome.attemptId);
     if (run === undefined) {
       const detail = `${key} completed without a run`;
       violations.push({ check: "answers_whole", detail });
       continue;
     }
-    if (run.atMs < (lastEnd.get(programId) ?? 0)) {
+    if (run.atMs < lastEndMs) {
       const detail = `${key} ran before the call ahead of it ended`;
       violations.push({ check: "calls_in_order", detail });
     }
-    lastEnd.set(programId, run.endedAtMs ?? run.atMs);
+    lastEndMs = run.endedAtMs ?? run.atMs;
   }
   return violations;
 }
--- a/packages/standins/src/proof/check_programs.ts
+++ b/packages/standins/src/proof/check_programs.ts
@@ -37,17 +37,7 @@
     if (own.some((call) => call.key === item.key)) continue;
     problems.push(`${item.key} is in the history of ${programId}`);
   }
-  return [...problems, ...checkItemOrder(items.map((item) => item.key), own)];
-}
-
-function checkItemOrder(
-  keys: readonly string[],
-  own: readonly CallerCall[],
-): string[] {
-  const order = own.map((call) => call.key);
-  const places = keys.map((key) => order.indexOf(key));
-  const isSorted = places.every((place, at) => (places[at - 1] ?? -1) <= place);
-  return isSorted ? [] : [`the history's order is ${keys.join(", ")}`];
+  return problems;
 }
 
 /** No program spends beyond its budget, by the nodes' account or the targets'. */
--- a/packages/standins/src/proof/fault_schedule.ts
+++ b/packages/standins/src/proof/fault_schedule.ts
@@ -71,6 +71,19 @@
     readonly targetId: TargetId;
     readonly durationMs: number;
   }
+  | {
+    /** Kills the next entry VM at the moment when it gives an outcome. */
+    readonly kind: "kill_at_answer";
+    readonly atMs: number;
+    readonly restartAfterMs: number;
+  }
+  | {
+    /** Every engine has the same fault. */
+    readonly kind: "pool_fault";
+    readonly atMs: number;
+    readonly mode: TargetMode;
+    readonly durationMs: number;
+  }
   | {
     readonly kind: "stop_node";
     readonly atMs: number;
@@ -95,7 +108,7 @@
   let atMs = FIRST_FAULT_MS;
   while (atMs < options.lengthMs) {
     const event = buildEvent(random, { ...options, atMs });
-    const isKill = event.kind === "kill_node" || event.kind === "stop_node";
+    const isKill = isLoss(event);
     if (!isKill || atMs - lastKillMs >= KILL_GAP_MS) events.push(event);
     if (isKill && atMs - lastKillMs >= KILL_GAP_MS) lastKillMs = atMs;
     atMs += random.take(GAP_MS.low, GAP_MS.high);
@@ -103,6 +116,12 @@
   return removeKillsInOutages(events);
 }
 
+/** Whether a process ends, and what it kept in memory with it. */
+function isLoss(event: PlannedEvent): boolean {
+  return event.kind === "kill_node" || event.kind === "stop_node" ||
+    event.kind === "kill_at_answer";
+}
+
 function buildEvent(
   random: RandomSource,
   options: ScheduleOptions & { readonly atMs: number },
@@ -119,6 +138,8 @@
     "target_fault",
     "race_operators",
     "stop_node",
+    "kill_at_answer",
+    "pool_fault",
   ] as const;
   const kind = random.choose(kinds);
   switch (kind) {
@@ -153,6 +174,12 @@
       const restartAfterMs = random.take(500, 8_000);
       return { kind, atMs, vmId, restartAfterMs };
     }
+    case "kill_at_answer":
+      return { kind, atMs, restartAfterMs: random.take(500, 8_000) };
+    case "pool_fault": {
+      const mode = random.choose(["down", "silent", "breaking"] as const);
+      return { kind, atMs, mode, durationMs };
+    }
     default:
       return checkNever(kind);
   }
@@ -165,7 +192,7 @@
 function removeKillsInOutages(events: readonly PlannedEvent[]): PlannedEvent[] {
   const outages = events.filter((event) => event.kind === "platform_fault");
   return events.filter((event) => {
-    if (event.kind !== "kill_node" && event.kind !== "stop_node") return true;
+    if (!isLoss(event)) return true;
     return !outages.some((outage) => {
       const endMs = outage.atMs + outage.durationMs + KILL_GAP_MS;
       return event.atMs + KILL_GAP_MS >= outage.atMs && event.atMs <= endMs;
@@ -205,6 +232,13 @@
       });
     case "race_operators":
       return startRace(fleet, event);
+    case "kill_at_answer":
+      return fleet.setAtAnswer((vmId) => {
+        fleet.setAtAnswer(undefined);
+        startKill(fleet, vmId, event.restartAfterMs);
+      });
+    case "pool_fault":
+      return startPoolFault(fleet, event);
     case "stop_node":
       return startPlannedStop(fleet, event.vmId, event.restartAfterMs);
     default:
@@ -212,6 +246,18 @@
   }
 }
 
+function startPoolFault(
+  fleet: VirtualFleet,
+  event: Extract<PlannedEvent, { kind: "pool_fault" }>,
+): void {
+  for (const targetId of fleet.listEngines()) {
+    fleet.targets.setMode(targetId, event.mode);
+    fleet.clock.add(event.durationMs, () => {
+      fleet.targets.setMode(targetId, "serving");
+    });
+  }
+}
+
 function startRace(
   fleet: VirtualFleet,
   event: Extract<PlannedEvent, { kind: "race_operators" }>,
--- a/packages/standins/src/proof/main.ts
+++ b/packages/standins/src/proof/main.ts
@@ -10,6 +10,7 @@
   .option("--from <seed>", "the first seed", "1")
   .option("--seeds <count>", "how many seeds", "100")
   .option("--events", "prints the faults of each seed")
+  .option("--until <check>", "stops when this check is broken")
   .action(runSeeds);
 
 function runSeeds(
@@ -17,6 +18,7 @@
     readonly from: string;
     readonly seeds: string;
     readonly events?: boolean;
+    readonly until?: string;
   },
 ): void {
   const from = Number(options.from);
@@ -28,6 +30,10 @@
     if (options.events === true) console.log(JSON.stringify(events));
     const violations = checkHistory(history);
     if (violations.length > 0) broken += 1;
+    if (violations.some(({ check }) => check === options.until)) {
+      console.log(`noticed: ${options.until} at seed ${seed}`);
+      return;
+    }
     for (const { check, detail } of violations) {
       console.log(`seed ${seed}: ${check}: ${detail}`);
     }
--- a/packages/standins/src/proof/run_schedule.ts
+++ b/packages/standins/src/proof/run_schedule.ts
@@ -3,6 +3,7 @@
  * collects what the checks read.
  */
 import type { CallerRequest, VmId } from "@camphorlock/types";
+import { DEFAULT_NODE_LIMITS } from "@camphorlock/scheduler";
 import { VirtualFleet, type VirtualRequest } from "../fleet/virtual_fleet.ts";
 import {
   buildSchedule,
@@ -23,9 +24,12 @@
 const SERVICE_COUNT = 2;
 const SHARD_COUNT = 6;
 const CALLER_COUNT = 5;
-const CALL_COUNT = 12;
+const CALL_COUNT = 4;
+const PROGRAM_COUNT = 3;
+const WRITES_PER_SECOND = 4;
+const PLACE_TIMEOUT_MS = 5_000;
 const ORDER_PERCENT = 40;
-const BUDGET_MICROS = { low: 4_000, high: 60_000 } as const;
+const BUDGET_MICROS = { low: 1_500, high: 8_000 } as const;
 const FAULTS_MS = 40_000;
 const START_LIMIT_MS = 60_000;
 const SETTLE_LIMIT_MS = 180_000;
@@ -47,10 +51,19 @@
     engineCount: ENGINE_COUNT,
     serviceCount: SERVICE_COUNT,
     shardCount: SHARD_COUNT,
+    limits: {
+      writesPerSecond: WRITES_PER_SECOND,
+      owner: {
+        ...DEFAULT_NODE_LIMITS.owner,
+        placeTimeoutMs: PLACE_TIMEOUT_MS,
+      },
+    },
   });
   fleet.waitServing(START_LIMIT_MS);
-  const callers = createCallers(fleet, random);
-  for (const caller of callers) caller.start();
+  const callers: VirtualCaller[] = [];
+  for (let line = 0; line < CALLER_COUNT; line++) {
+    startCallers(fleet, { random, callers, left: PROGRAM_COUNT });
+  }
   const events = buildSchedule(random, {
     vmIds: [...fleet.nodes.keys()],
     targetIds: listTargets(),
@@ -58,25 +71,35 @@
   });
   startSchedule(fleet, events);
   fleet.clock.runFor(FAULTS_MS);
-  const areDone = (): boolean => callers.every((caller) => caller.isEnded);
+  const areDone = (): boolean =>
+    callers.length === CALLER_COUNT * PROGRAM_COUNT &&
+    callers.every((caller) => caller.isEnded);
   fleet.clock.runUntil(areDone, SETTLE_LIMIT_MS);
   fleet.clock.runFor(AFTER_MS);
   return { history: collectHistory(fleet, callers, seed), events };
 }
 
-function createCallers(
-  fleet: VirtualFleet,
-  random: RandomSource,
-): VirtualCaller[] {
-  return Array.from({ length: CALLER_COUNT }, (_, number) => {
-    return new VirtualCaller(fleet, random, {
-      number,
-      shard: random.take(0, SHARD_COUNT - 1),
-      callCount: CALL_COUNT,
-      budgetMicros: random.take(BUDGET_MICROS.low, BUDGET_MICROS.high),
-      orderPercent: ORDER_PERCENT,
-    });
+/** Programs that follow one another. */
+interface CallerLine {
+  readonly random: RandomSource;
+  /** Every caller that was started. */
+  readonly callers: VirtualCaller[];
+  readonly left: number;
+}
+
+/** Starts a program, and the next one when it has ended. */
+function startCallers(fleet: VirtualFleet, line: CallerLine): void {
+  const { random, callers, left } = line;
+  if (left === 0) return;
+  const caller = new VirtualCaller(fleet, random, {
+    number: callers.length,
+    shard: random.take(0, SHARD_COUNT - 1),
+    callCount: CALL_COUNT,
+    budgetMicros: random.take(BUDGET_MICROS.low, BUDGET_MICROS.high),
+    orderPercent: ORDER_PERCENT,
   });
+  callers.push(caller);
+  caller.start(() => startCallers(fleet, { random, callers, left: left - 1 }));
 }
 
 function listTargets(): string[] {
--- a/packages/standins/src/proof/virtual_caller.ts
+++ b/packages/standins/src/proof/virtual_caller.ts
@@ -7,6 +7,7 @@
   type CallerAnswer,
   type CallerRequest,
   type CallOutcome,
+  type ChatMessage,
   formatProgramId,
   type ProgramId,
   type ProgramSpec,
@@ -20,6 +21,8 @@
 const RETRY_AFTER_MS = 400;
 const POLL_MS = 100;
 const MAX_PAUSE_MS = 800;
+const FOLLOWER_MS = 40;
+const FOLLOWER_PERCENT = 25;
 
 /** One call as its caller saw it. */
 export interface CallerCall {
@@ -52,7 +55,12 @@
   readonly #fleet: VirtualFleet;
   readonly #random: RandomSource;
   readonly #plan: CallerPlan;
-  #text = "";
+  /** The turns so far, which each model call repeats. */
+  #messages: readonly ChatMessage[] = [];
+  #open = 0;
+  #then: () => void = () => undefined;
+  #isRefused = false;
+  #isEnding = false;
 
   constructor(fleet: VirtualFleet, random: RandomSource, plan: CallerPlan) {
     this.#fleet = fleet;
@@ -68,36 +76,74 @@
     };
   }
 
-  /** Creates the program and goes on from there. */
-  start(): void {
+  /** Creates the program and goes on from there; `then` runs at its end. */
+  start(then: () => void): void {
+    this.#then = then;
     const request = { kind: "create_program", spec: this.spec } as const;
     this.#settle(request, [], () => this.#startNext());
   }
 
+  /** Starts the next call, sometimes before the one ahead has ended. */
   #startNext(): void {
-    if (this.calls.length >= this.#plan.callCount) return this.#end();
-    const number = this.calls.length + 1;
-    const { programId } = this.spec;
-    const key = `${programId}-k${number}`;
-    const call = this.#buildCall(key);
-    const startedAtMs = this.#fleet.clock.nowMs;
-    const requests: VirtualRequest[] = [];
-    const record: CallerCall = { programId, key, call, startedAtMs, requests };
+    if (this.calls.length >= this.#plan.callCount || this.#isRefused) {
+      if (this.#open === 0) this.#end();
+      return;
+    }
+    const record = this.#createRecord();
     this.calls.push(record);
+    this.#open += 1;
+    const hasFollower = this.#random.isHit(FOLLOWER_PERCENT);
+    const { programId, key, call } = record;
     const request = { kind: "run_call", programId, key, call } as const;
-    this.#settle({ ...request, fromOffset: 0 }, requests, (answer) => {
-      record.endedAtMs = this.#fleet.clock.nowMs;
-      if (answer.kind === "outcome") record.outcome = answer.outcome;
-      if (answer.kind === "refused") return this.#end();
-      const pauseMs = this.#random.take(1, MAX_PAUSE_MS);
-      this.#fleet.clock.add(pauseMs, () => this.#startNext());
+    this.#settle({ ...request, fromOffset: 0 }, record.requests, (answer) => {
+      this.#endCall(record, answer);
+      if (!hasFollower) this.#startLater(MAX_PAUSE_MS);
+      else if (this.#isLast()) this.#end();
     });
+    if (hasFollower) this.#startLater(FOLLOWER_MS);
+  }
+
+  #startLater(mostMs: number): void {
+    const pauseMs = this.#random.take(1, mostMs);
+    this.#fleet.clock.add(pauseMs, () => this.#startNext());
+  }
+
+  #createRecord(): CallerCall {
+    const { programId } = this.spec;
+    const key = `${programId}-k${this.calls.length + 1}`;
+    const call = this.#buildCall(key);
+    const startedAtMs = this.#fleet.clock.nowMs;
+    return { programId, key, call, startedAtMs, requests: [] };
+  }
+
+  #endCall(record: CallerCall, answer: CallerAnswer): void {
+    this.#open -= 1;
+    record.endedAtMs = this.#fleet.clock.nowMs;
+    if (answer.kind === "refused") this.#isRefused = true;
+    if (answer.kind !== "outcome") return;
+    record.outcome = answer.outcome;
+    if (answer.outcome.status !== "completed") return;
+    if (record.call.kind !== "model") return;
+    const { text } = answer.outcome;
+    this.#messages = [
+      ...record.call.messages,
+      { role: "assistant", content: text },
+    ];
+  }
+
+  #isLast(): boolean {
+    const isDone = this.calls.length >= this.#plan.callCount ||
+      this.#isRefused;
+    return isDone && this.#open === 0;
   }
 
   #end(): void {
+    if (this.#isEnding) return;
+    this.#isEnding = true;
     const { programId } = this.spec;
     this.#settle({ kind: "end_program", programId }, [], () => {
       this.isEnded = true;
+      this.#then();
     });
   }
 
@@ -109,8 +155,8 @@
       const service = "stock";
       return { kind: "service", service, operation, body, idempotent: false };
     }
-    this.#text += `turn ${key} `;
-    const messages = [{ role: "user", content: this.#text } as const];
+    const turn = { role: "user", content: `turn ${key}` } as const;
+    const messages = [...this.#messages, turn];
     return { kind: "model", model: "loom", messages, maxTokens: 80 };
   }
 
