--- a/packages/standins/src/proof/mutations.ts
+++ b/packages/standins/src/proof/mutations.ts
@@ -36,11 +36,10 @@
     find: 'earlier === undefined || earlier.outcome?.status === "not_run"',
     replaceBy: "earlier === undefined || earlier !== undefined",
   }),
-  defineMutation("answers come before they are durable", "history_kept", {
-    file: "owner/owner_context.ts",
-    find:
-      "if (then !== undefined) this.#durableWork.push({ sequence, run: then });",
-    replaceBy: "this.#durableWork.push({ sequence: 0, run: () => then?.() });",
+  defineMutation("outcomes are told before they're durable", "history_kept", {
+    file: "owner/call_ender.ts",
+    find: "}], () => this.#hooks.finish(running));",
+    replaceBy: "}]);\n    this.#hooks.finish(running);",
   }),
   defineMutation("what may have run is called not run", "not_run_honest", {
     file: "owner/call_ender.ts",
