--- a/packages/scheduler/src/ledger/ledger_scenarios_test.ts
+++ b/packages/scheduler/src/ledger/ledger_scenarios_test.ts
@@ -220,6 +220,22 @@
     expect(cluster.history.exposed).to.equal(0);
   });
 
+  it("takes a snapshot again when only empty segments were added", () => {
+    const cluster = createCluster();
+    const owner = getNode(cluster, 0);
+    const id = cluster.append(owner);
+    cut(cluster, [[0, 1], [0, 2], [0, 3]]);
+    for (let each = 0; each < 200; each += 1) {
+      cluster.confirm(owner);
+      cluster.run(500);
+    }
+    expect(countNotices(cluster, "snapshot_stored")).to.be.above(5);
+    cluster.cutPairs.clear();
+    cluster.startTakeover(2);
+    cluster.run(5_000);
+    expect(getNode(cluster, 2).ids).to.deep.equal([id]);
+  });
+
   it("reads a snapshot, trims older ones and frees former keepers", () => {
     const cluster = createCluster();
     cluster.isLoaded = true;
--- a/packages/scheduler/src/ledger/platform_reads.ts
+++ b/packages/scheduler/src/ledger/platform_reads.ts
@@ -10,6 +10,7 @@
   PlatformToken,
   ShardId,
 } from "@camphorlock/types";
+import { Backoff } from "./backoff.ts";
 import { computeTokenNumber } from "./request_number.ts";
 
 /** The options of a recovery's reads. */
@@ -40,11 +41,15 @@
   readonly #options: PlatformReadsOptions;
   #reads: Read<Purpose>[] = [];
   #counter = 0;
-  #pauseMs = 0;
-  #pausedUntilMs = 0;
+  readonly #backoff: Backoff;
 
   constructor(options: PlatformReadsOptions) {
     this.#options = options;
+    this.#backoff = new Backoff({
+      firstPauseMs: FIRST_PAUSE_MS,
+      longestPauseMs: LONGEST_PAUSE_MS,
+      seed: options.shard,
+    });
   }
 
   /** Reads that aren't answered. */
@@ -65,7 +70,7 @@
   /** Sends what may be sent now. */
   sendDue(nowMs: number): Effect[] {
     this.#checkTimeouts(nowMs);
-    if (nowMs < this.#pausedUntilMs) return [];
+    if (this.#backoff.isPaused(nowMs)) return [];
     const underWay = this.#reads.filter((read) => read.pending !== undefined);
     const room = Math.max(0, this.#options.mostAtOnce - underWay.length);
     return this.#reads
@@ -85,10 +90,10 @@
     if (read === undefined) return undefined;
     read.pending = undefined;
     if (input.answer.kind === "failed") {
-      this.#setPause(nowMs);
+      this.#backoff.recordFailure(nowMs);
       return undefined;
     }
-    this.#pauseMs = 0;
+    this.#backoff.recordSuccess();
     this.#reads = this.#reads.filter((each) => each !== read);
     return { purpose: read.purpose, answer: input.answer };
   }
@@ -105,18 +110,12 @@
     return { kind: "call_platform", token, request: read.request };
   }
 
-  #setPause(nowMs: number): void {
-    const doubled = Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2);
-    this.#pauseMs = Math.min(LONGEST_PAUSE_MS, doubled);
-    this.#pausedUntilMs = nowMs + this.#pauseMs;
-  }
-
   #checkTimeouts(nowMs: number): void {
     for (const read of this.#reads) {
       const sentAtMs = read.pending?.sentAtMs ?? nowMs;
       if (nowMs - sentAtMs < this.#options.platformTimeoutMs) continue;
       read.pending = undefined;
-      this.#setPause(nowMs);
+      this.#backoff.recordFailure(nowMs);
     }
   }
 }
--- a/packages/scheduler/src/ledger/recovery_reader.ts
+++ b/packages/scheduler/src/ledger/recovery_reader.ts
@@ -201,7 +201,8 @@
   /** Reads the names that follow, a bounded number ahead. */
   #readAhead(): void {
     const { shard, ringSize, mostReadsAtOnce } = this.#options;
-    const end = this.#log.nextSegment + mostReadsAtOnce;
+    const ahead = Math.min(mostReadsAtOnce, this.#log.extents.length + 1);
+    const end = this.#log.nextSegment + ahead;
     const first = Math.max(this.#log.nextSegment, this.#requestedBefore);
     for (let number = first; number < end; number += 1) {
       const key = formatSegmentKey(shard, number, ringSize);
--- a/packages/scheduler/src/ledger/recovery_types.ts
+++ b/packages/scheduler/src/ledger/recovery_types.ts
@@ -23,7 +23,13 @@
   readonly exposeAfterMs: number;
 }
 
-/** A recovery's input; VMs that the platform has taken away end waiting. */
+/**
+ * A recovery's input.
+ *
+ * `vms_gone` names VMs whose processes have ended for good: the platform's list
+ * had them and has them no more. A VM that is only silent must not be named,
+ * because the former owner may still be in touch with it.
+ */
 export type RecoveryInput =
   | LedgerInput
   | { readonly kind: "vms_gone"; readonly vmIds: readonly VmId[] };
--- a/packages/scheduler/src/ledger/recovery_writer.ts
+++ b/packages/scheduler/src/ledger/recovery_writer.ts
@@ -10,6 +10,7 @@
   PlatformToken,
   ShardId,
 } from "@camphorlock/types";
+import { Backoff } from "./backoff.ts";
 import type { LedgerLimits } from "./ledger_types.ts";
 import {
   type EncodedSegment,
@@ -59,12 +60,16 @@
   #extents: LogExtent[] = [];
   /** The last entry that the segments written so far hold. */
   #throughSequence = 0;
-  #pauseMs = 0;
-  #pausedUntilMs = 0;
+  readonly #backoff: Backoff;
 
   constructor(options: RecoveryWriterOptions) {
     const { shard, epoch, limits } = options;
     this.#options = options;
+    this.#backoff = new Backoff({
+      firstPauseMs: FIRST_PAUSE_MS,
+      longestPauseMs: LONGEST_PAUSE_MS,
+      seed: shard,
+    });
     this.#writer = new SegmentWriter({
       shard,
       epoch,
@@ -113,19 +118,19 @@
 
   /** Treats a request without an answer as lost. */
   checkTimeout(nowMs: number): void {
-    if (this.#writer.checkTimeout(nowMs)) this.#setPause(nowMs);
+    if (this.#writer.checkTimeout(nowMs)) this.#backoff.recordFailure(nowMs);
   }
 
   /** Sends the request that is needed, unless a pause is on. */
   sendDue(nowMs: number): Effect[] {
-    if (nowMs < this.#pausedUntilMs) return [];
+    if (this.#backoff.isPaused(nowMs)) return [];
     return this.#writer.sendNeeded(nowMs);
   }
 
   /** Applies the answer to the request under way. */
   handle(answer: PlatformAnswer, nowMs: number): WriterNews {
-    if (answer.kind === "failed") this.#setPause(nowMs);
-    else this.#pauseMs = 0;
+    if (answer.kind === "failed") this.#backoff.recordFailure(nowMs);
+    else this.#backoff.recordSuccess();
     const outcome = this.#writer.handle(answer);
     if (outcome === undefined) return { kind: "pending" };
     if (outcome.kind === "taken") {
@@ -165,12 +170,6 @@
     const next = this.#planned[0];
     if (next !== undefined) this.#writer.start(next);
   }
-
-  #setPause(nowMs: number): void {
-    const doubled = Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2);
-    this.#pauseMs = Math.min(LONGEST_PAUSE_MS, doubled);
-    this.#pausedUntilMs = nowMs + this.#pauseMs;
-  }
 }
 
 /** Groups encoded entries by size; the last group may be empty. */
--- a/packages/scheduler/src/ledger/snapshot.ts
+++ b/packages/scheduler/src/ledger/snapshot.ts
@@ -2,8 +2,9 @@
  * Snapshots of a shard's state on the platform, and their names.
  *
  * A snapshot holds the owner's encoded state after an entry that is on the
- * platform, in parts, and a head that is written last. Names carry the epoch,
- * so that two writers never mix their parts.
+ * platform, in parts, and a head that is written last. Names carry the next
+ * segment and the epoch, so that no two snapshots mix their parts, and they
+ * sort by age.
  */
 import { createFailure, type Failure } from "@camphorlock/codes";
 import type { Epoch, ShardId } from "@camphorlock/types";
@@ -26,11 +27,12 @@
 /** Where a snapshot stands among those of its shard. */
 export interface SnapshotName {
   readonly throughSequence: number;
+  readonly nextSegment: number;
   readonly epoch: Epoch;
 }
 
 const packr = new Packr({ useRecords: false });
-const SEQUENCE_DIGITS = 16;
+const NUMBER_DIGITS = 16;
 const PART_DIGITS = 4;
 
 /** Formats the prefix of all snapshot heads of a shard. */
@@ -57,10 +59,10 @@
   return `${formatPartPrefix(shard)}${formatName(name)}/${part}`;
 }
 
-/** Reads the sequence out of the name of a head or part. */
-export function parseThroughSequence(key: string): number {
-  const match = /\/(\d+)-\d+(\/\d+)?$/.exec(key);
-  return Number.parseInt(match?.[1] ?? "0", 10);
+/** Whether the name of a head or part belongs to an older snapshot. */
+export function isOlder(key: string, than: SnapshotName): boolean {
+  const position = /\/(\d+-\d+)-\d+(\/\d+)?$/.exec(key)?.[1];
+  return position !== undefined && position < formatPosition(than);
 }
 
 /** Encodes a snapshot's head as a platform value. */
@@ -79,6 +81,11 @@
 }
 
 function formatName(name: SnapshotName): string {
-  const sequence = String(name.throughSequence).padStart(SEQUENCE_DIGITS, "0");
-  return `${sequence}-${name.epoch}`;
+  return `${formatPosition(name)}-${name.epoch}`;
+}
+
+function formatPosition(name: SnapshotName): string {
+  const sequence = String(name.throughSequence).padStart(NUMBER_DIGITS, "0");
+  const segment = String(name.nextSegment).padStart(NUMBER_DIGITS, "0");
+  return `${sequence}-${segment}`;
 }
--- a/packages/scheduler/src/ledger/snapshot_writer.ts
+++ b/packages/scheduler/src/ledger/snapshot_writer.ts
@@ -20,7 +20,7 @@
   formatHeadPrefix,
   formatPartKey,
   formatPartPrefix,
-  parseThroughSequence,
+  isOlder,
   type SnapshotHead,
 } from "./snapshot.ts";
 
@@ -147,8 +147,9 @@
   #applyListed(task: SnapshotTask, keys: readonly string[]): void {
     if (task.kind !== "list") return;
     this.#tasks.shift();
-    const through = this.#head?.throughSequence ?? 0;
-    const older = keys.filter((key) => parseThroughSequence(key) < through);
+    const head = this.#head;
+    if (head === undefined) return;
+    const older = keys.filter((key) => isOlder(key, head));
     const deletions = older.map((key): SnapshotTask => ({
       kind: "delete",
       key,
--- a/packages/scheduler/src/ledger/write_pacer.ts
+++ b/packages/scheduler/src/ledger/write_pacer.ts
@@ -7,6 +7,7 @@
  * double up to a bound.
  */
 import type { PlatformAnswer, ShardId } from "@camphorlock/types";
+import { Backoff } from "./backoff.ts";
 
 /** How soon a writer needs its turn. */
 export type WriteUrgency = "urgent" | "regular";
@@ -15,6 +16,8 @@
 export interface WritePacerOptions {
   /** Writes a second that this node may use. */
   readonly writesPerSecond: number;
+  /** Tells nodes apart, so that they don't all probe at once. */
+  readonly seed?: number;
 }
 
 interface WaitingWriter {
@@ -35,12 +38,11 @@
 
 /** Grants platform writes to the shards of one node. */
 export class WritePacer {
-  readonly #fullRate: number;
+  #fullRate: number;
   #rate: number;
   #tokens: number;
   #filledAtMs: number | undefined;
-  #pauseMs = 0;
-  #pausedUntilMs = 0;
+  readonly #backoff: Backoff;
   readonly #waiting = new Map<ShardId, WaitingWriter>();
   readonly #writers = new Set<ShardId>();
 
@@ -48,6 +50,11 @@
     this.#fullRate = options.writesPerSecond;
     this.#rate = options.writesPerSecond;
     this.#tokens = 1;
+    this.#backoff = new Backoff({
+      firstPauseMs: FIRST_PAUSE_MS,
+      longestPauseMs: LONGEST_PAUSE_MS,
+      seed: options.seed ?? 0,
+    });
   }
 
   /** Writes a second granted at present. */
@@ -64,7 +71,13 @@
 
   /** Whether the platform failed and the next probe isn't due. */
   isPaused(nowMs: number): boolean {
-    return nowMs < this.#pausedUntilMs;
+    return this.#backoff.isPaused(nowMs);
+  }
+
+  /** Changes the node's part of the rate, as the fleet grows or shrinks. */
+  setFullRate(writesPerSecond: number): void {
+    this.#rate *= writesPerSecond / this.#fullRate;
+    this.#fullRate = writesPerSecond;
   }
 
   /** Counts a shard in the interval. */
@@ -86,7 +99,7 @@
     if (this.#countBefore(shard, nowMs) + 1 > this.#tokens) return false;
     this.#tokens -= 1;
     this.#waiting.delete(shard);
-    if (this.#pauseMs > 0) this.#pausedUntilMs = nowMs + this.#pauseMs;
+    if (this.#backoff.isFailing) this.#backoff.startPause(nowMs);
     return true;
   }
 
@@ -101,16 +114,13 @@
       this.#tokens = Math.min(this.#tokens, 0);
       return;
     }
-    const doubled = Math.max(FIRST_PAUSE_MS, this.#pauseMs * 2);
-    this.#pauseMs = Math.min(LONGEST_PAUSE_MS, doubled);
-    this.#pausedUntilMs = nowMs + this.#pauseMs;
+    this.#backoff.recordFailure(nowMs);
   }
 
   #recordSuccess(): void {
     const step = this.#fullRate * RATE_STEP_SHARE;
     this.#rate = Math.min(this.#fullRate, this.#rate + step);
-    this.#pauseMs = 0;
-    this.#pausedUntilMs = 0;
+    this.#backoff.recordSuccess();
   }
 
   #updateTokens(nowMs: number): void {
