--- /dev/null
+++ b/packages/scheduler/src/ledger/shard_ledger_test.ts
@@ -0,0 +1,180 @@
+import { expect } from "chai";
+import type {
+  Effect,
+  KeeperMessage,
+  PlatformAnswer,
+  PlatformToken,
+  VmId,
+} from "@camphorlock/types";
+import {
+  DEFAULT_LEDGER_LIMITS,
+  type LedgerNotice,
+  type LedgerStep,
+  ShardLedger,
+  WritePacer,
+} from "./mod.ts";
+
+type KeepMessage = Extract<KeeperMessage, { kind: "keep_entries" }>;
+
+const KEEPERS: readonly VmId[] = ["vm-a", "vm-b", "vm-c"];
+const BODY = {
+  kind: "program_ended",
+  programId: "p0001-1",
+  reason: "caller",
+} as const;
+
+function createLedger(keepers = KEEPERS): ShardLedger {
+  return new ShardLedger({
+    self: "vm-0",
+    shard: 1,
+    epoch: 3,
+    keepers: keepers.map((vmId) => ({ vmId, incarnation: 1 })),
+    formerKeepers: [],
+    firstSequence: 1,
+    nextSegment: 0,
+    extents: [],
+    failureDomainOf: (vmId) => `domain of ${vmId}`,
+    limits: DEFAULT_LEDGER_LIMITS,
+    pacer: new WritePacer({ writesPerSecond: 100 }),
+  });
+}
+
+function listKeeps(effects: readonly Effect[]): [VmId, KeepMessage][] {
+  return effects.flatMap((effect): [VmId, KeepMessage][] =>
+    effect.kind === "send_peer" && effect.message.kind === "keep_entries"
+      ? [[effect.to, effect.message]]
+      : []
+  );
+}
+
+function listPuts(effects: readonly Effect[]): [PlatformToken, string][] {
+  return effects.flatMap((effect): [PlatformToken, string][] =>
+    effect.kind === "call_platform" && effect.request.kind === "put"
+      ? [[effect.token, effect.request.key]]
+      : []
+  );
+}
+
+function answerKeep(
+  ledger: ShardLedger,
+  keep: [VmId, KeepMessage],
+  keptThrough: number,
+): LedgerStep {
+  const [from, { shard, epoch, token }] = keep;
+  const message: KeeperMessage = {
+    kind: "entries_kept",
+    shard,
+    epoch,
+    keptThrough,
+    keeperIncarnation: 1,
+    token,
+  };
+  return ledger.handle({ kind: "peer", from, message }, 10);
+}
+
+function answerPut(
+  ledger: ShardLedger,
+  put: [PlatformToken, string] | undefined,
+): LedgerStep {
+  if (put === undefined) throw new Error("no put");
+  const [token, key] = put;
+  const answer: PlatformAnswer = { kind: "stored", key, version: 1 };
+  return ledger.handle({ kind: "platform", token, answer }, 20);
+}
+
+function append(ledger: ShardLedger, nowMs = 0): readonly Effect[] {
+  return ledger.append([BODY], nowMs)._unsafeUnwrap().effects;
+}
+
+/** Lets every keeper hold all that a list of effects offers. */
+function keepAll(
+  ledger: ShardLedger,
+  effects: readonly Effect[],
+  keptThrough: number,
+): LedgerNotice[] {
+  return listKeeps(effects).flatMap((keep) => [
+    ...answerKeep(ledger, keep, keptThrough).notices,
+  ]);
+}
+
+describe("an owner's ledger", () => {
+  it("tells keepers what it reported durable", () => {
+    const ledger = createLedger();
+    keepAll(ledger, append(ledger), 1);
+    expect(ledger.durableThrough).to.equal(1);
+    const keeps = listKeeps(append(ledger));
+    expect(keeps.map(([, keep]) => keep.durableThrough))
+      .to.deep.equal([1, 1, 1]);
+  });
+
+  it("isn't confirmed by a segment begun before the question", () => {
+    const ledger = createLedger([]);
+    const put = listPuts(append(ledger))[0];
+    const { token } = ledger.confirm(5);
+    const first = answerPut(ledger, put);
+    expect(first.notices.map((each) => each.kind)).to.deep.equal(["durable"]);
+    const later = ledger.handle({ kind: "tick" }, 200);
+    const puts = listPuts([...first.effects, ...later.effects]);
+    const second = answerPut(ledger, puts[0]);
+    expect(second.notices).to.deep.equal([{ kind: "confirmed", token }]);
+  });
+
+  it("isn't confirmed by an answer to an earlier message", () => {
+    const ledger = createLedger();
+    const effects = append(ledger);
+    ledger.confirm(1);
+    const notices = keepAll(ledger, effects, 1);
+    expect(notices.map((each) => each.kind)).to.deep.equal(["durable"]);
+  });
+
+  it("takes keepers for nothing once the log may be closed", () => {
+    const ledger = createLedger();
+    const effects = append(ledger);
+    ledger.handle({ kind: "tick" }, 2);
+    const put = listPuts(effects)[0];
+    expect(answerPut(ledger, put).notices).to.have.length(1);
+    const more = append(ledger, 30);
+    const closing = ledger.close(500);
+    expect(listPuts(closing)).to.have.length(1);
+    ledger.confirm(501);
+    expect(keepAll(ledger, [...effects, ...more], 2)).to.deep.equal([]);
+    const closed = answerPut(ledger, listPuts(closing)[0]);
+    expect(closed.notices.map((each) => each.kind))
+      .to.deep.equal(["durable", "closed"]);
+    expect(ledger.append([BODY], 600).isErr()).to.equal(true);
+  });
+
+  it("writes a snapshot only after its last entry is stored", () => {
+    const ledger = createLedger([]);
+    const first = append(ledger);
+    const content = { throughSequence: 1, parts: [new Uint8Array(3)] };
+    const early = ledger.startSnapshot(content, 1);
+    const keys = listPuts([...first, ...early]).map(([, key]) => key);
+    expect(keys).to.deep.equal(["ledger/1/000000"]);
+    const step = answerPut(ledger, listPuts(first)[0]);
+    const next = listPuts(step.effects).map(([, key]) => key);
+    expect(next[0]).to.match(/^snapshot\/1\/part\//);
+  });
+
+  it("leaves a keeper without space alone for a while", () => {
+    const ledger = createLedger();
+    const keep = listKeeps(append(ledger))[0];
+    if (keep === undefined) throw new Error("no message");
+    const step = answerKeep(ledger, keep, 0);
+    expect(listKeeps(step.effects)).to.deep.equal([]);
+    const isOffered = (effects: readonly Effect[]): boolean =>
+      listKeeps(effects).some(([to]) => to === keep[0]);
+    const soon = ledger.handle({ kind: "tick" }, 1_000);
+    expect(isOffered(soon.effects)).to.equal(false);
+    const later = ledger.handle({ kind: "tick" }, 2_100);
+    expect(isOffered(later.effects)).to.equal(true);
+  });
+
+  it("refuses an entry that no segment can hold", () => {
+    const ledger = createLedger();
+    const programId = "p".repeat(1_000_000);
+    const refused = ledger.append([{ ...BODY, programId }], 0);
+    expect(refused._unsafeUnwrapErr().name).to.equal("EntryTooLarge");
+    expect(ledger.lastSequence).to.equal(0);
+  });
+});
--- a/packages/scheduler/src/ledger/shard_recovery.ts
+++ b/packages/scheduler/src/ledger/shard_recovery.ts
@@ -180,7 +180,7 @@
     const { log } = this.#reader;
     this.#phase = "sealing_keepers";
     this.#sealsBeganAtMs = nowMs;
-    this.#hasParts = this.#reader.head === undefined;
+    this.#hasParts = (this.#reader.head?.partCount ?? 0) === 0;
     this.#reader.readParts();
     this.#seals = new KeeperSeals({
       shard,
