Give up a shard's place in the write queue when it needs no write

A shard whose entry became durable by keepers kept its place for two seconds, during which the others of its node waited for a write that nobody wanted.

--- a/packages/scheduler/src/ledger/log_committer.ts
+++ b/packages/scheduler/src/ledger/log_committer.ts
@@ -71,6 +71,8 @@
   #beganToken = 0;
   #begunAtMs = Number.NEGATIVE_INFINITY;
   #hasBegunClose = false;
+  /** Whether the pacer was asked for a write in the present step. */
+  #hasAsked = false;
 
   constructor(options: LogCommitterOptions) {
     const { shard, epoch, nextSegment, limits } = options;
@@ -133,12 +135,14 @@
   /** Sends the requests that are due and that the pacer grants. */
   sendDue(demand: CommitDemand, nowMs: number): Effect[] {
     this.#openSnapshot(demand.unstored.storedThrough);
+    this.#hasAsked = false;
     const isSnapshotFirst = this.usage >= SNAPSHOT_FIRST_USAGE;
     const early = isSnapshotFirst ? this.#sendSnapshot(nowMs) : [];
     const segment = this.#writer.isBusy
       ? this.#sendAgain(demand, nowMs)
       : this.#sendFirst(demand, nowMs);
     const late = isSnapshotFirst ? [] : this.#sendSnapshot(nowMs);
+    if (!this.#hasAsked) this.#options.pacer.cancelWrite(this.#options.shard);
     return [...early, ...segment, ...late];
   }
 
@@ -167,14 +171,20 @@
     return this.#snapshot !== undefined || this.#snapshots.isBusy;
   }
 
+  #takeWrite(urgency: WriteUrgency, nowMs: number): boolean {
+    const { pacer, shard } = this.#options;
+    this.#hasAsked = true;
+    return pacer.takeWrite(shard, urgency, nowMs);
+  }
+
   /** Begins a segment with what is at hand when its turn has come. */
   #sendFirst(demand: CommitDemand, nowMs: number): Effect[] {
     const { urgency } = demand;
-    const { shard, pacer } = this.#options;
+    const { pacer } = this.#options;
     if (urgency === "none" || this.#isRingFull) return [];
     const isEarly = nowMs - this.#begunAtMs < pacer.intervalMs;
     if (urgency === "regular" && isEarly) return [];
-    if (!pacer.takeWrite(shard, urgency, nowMs)) return [];
+    if (!this.#takeWrite(urgency, nowMs)) return [];
     this.#beganToken = demand.takeToken();
     this.#begunAtMs = nowMs;
     const segment = this.#createSegment(demand);
@@ -185,12 +195,12 @@
 
   /** Goes on with a segment that isn't settled. */
   #sendAgain(demand: CommitDemand, nowMs: number): Effect[] {
-    const { shard, pacer } = this.#options;
+    const { pacer } = this.#options;
     const needed = this.#writer.neededRequest;
     if (needed === undefined || pacer.isPaused(nowMs)) return [];
     const urgency = demand.urgency === "urgent" ? "urgent" : "regular";
     const isGranted = needed === "get" ||
-      pacer.takeWrite(shard, urgency, nowMs);
+      this.#takeWrite(urgency, nowMs);
     return isGranted ? this.#writer.sendNeeded(nowMs) : [];
   }
 
@@ -226,11 +236,11 @@
   }
 
   #sendSnapshot(nowMs: number): Effect[] {
-    const { shard, pacer } = this.#options;
+    const { pacer } = this.#options;
     const needed = this.#snapshots.neededRequest;
     if (needed === undefined || pacer.isPaused(nowMs)) return [];
     const isGranted = needed === "read" ||
-      pacer.takeWrite(shard, "regular", nowMs);
+      this.#takeWrite("regular", nowMs);
     return isGranted ? this.#snapshots.sendNeeded(nowMs) : [];
   }
 
--- a/packages/scheduler/src/ledger/write_pacer.ts
+++ b/packages/scheduler/src/ledger/write_pacer.ts
@@ -103,6 +103,11 @@
     return true;
   }
 
+  /** Gives up the shard's place, because it needs no write any more. */
+  cancelWrite(shard: ShardId): void {
+    this.#waiting.delete(shard);
+  }
+
   /** Adapts to the platform's answer to a write. */
   recordAnswer(answer: PlatformAnswer, nowMs: number): void {
     if (answer.kind !== "failed") {
--- a/packages/scheduler/src/ledger/write_pacer_test.ts
+++ b/packages/scheduler/src/ledger/write_pacer_test.ts
@@ -38,6 +38,15 @@
     expect(pacer.takeWrite(2, "urgent", 1_100)).to.equal(true);
   });
 
+  it("doesn't wait for a writer that gave up its place", () => {
+    const pacer = new WritePacer({ writesPerSecond: 1 });
+    pacer.takeWrite(0, "regular", 0);
+    pacer.takeWrite(1, "regular", 0);
+    pacer.takeWrite(2, "regular", 0);
+    pacer.cancelWrite(1);
+    expect(pacer.takeWrite(2, "regular", 1_000)).to.equal(true);
+  });
+
   it("slows down when the platform limits it, and recovers", () => {
     const pacer = new WritePacer({ writesPerSecond: 64 });
     pacer.recordAnswer(LIMITED, 0);
