--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -38,6 +38,7 @@
 import { Membership, type MembershipStep } from "../membership/mod.ts";
 import type { NodeInput, NodeNotice, NodeStep } from "./node_input.ts";
 import type { NodeOptions } from "./node_settings.ts";
+import { SharedBudgets } from "./shared_budgets.ts";
 import { NodePolicy } from "./node_policy.ts";
 import {
   findAttemptShard,
@@ -48,6 +49,8 @@
 
 const ROLE_TICK_MS = 50;
 const VIEW_TICK_MS = 250;
+/** Wait for open service attempts before a stopping node gives shards away. */
+const DRAIN_LIMIT_MS = 10_000;
 
 /** The state machine of a node. */
 export class NodeCore {
@@ -57,6 +60,7 @@
   readonly #assigner: ShardAssigner;
   readonly #configuration: Configuration;
   readonly #policy: NodePolicy;
+  readonly #budgets: SharedBudgets;
   readonly #keeper: Keeper;
   readonly #hosts: ShardHosts;
   readonly #entry: Entry;
@@ -67,6 +71,8 @@
   /** The VMs that the platform's list names. */
   #listed: readonly VmId[] = [];
   #isStopping = false;
+  #stoppedAtMs = 0;
+  #isOffering = false;
 
   constructor(options: NodeOptions) {
     const { spec, limits, seed, initial } = options;
@@ -93,6 +99,7 @@
       getValue: () => this.#configuration.value,
       getView: () => this.#membership.view(),
     });
+    this.#budgets = new SharedBudgets(spec);
     this.#keeper = new Keeper({
       incarnation: spec.incarnation,
       maxBytes: limits.keeperBytes,
@@ -182,7 +189,9 @@
     const { spec, limits, getWallClockMs } = this.#options;
     return new ShardHosts({
       self: spec.vmId,
-      placer: this.#policy.placement,
+      placer: this.#policy,
+      budgets: this.#budgets,
+      retries: this.#policy.retries,
       getConfiguration: () => ({
         revision: this.#configuration.revision,
         value: this.#configuration.value,
@@ -209,6 +218,8 @@
       this.#applyAssignment(this.#assigner.handle(tick, nowMs));
       this.#applyHosts(this.#hosts.handleAll(tick, nowMs));
       this.#addEffects(this.#policy.handleTick(nowMs));
+      this.#addEffects(this.#budgets.handleTick(nowMs));
+      this.#checkStop(nowMs);
       this.#addEffects(this.#entry.handle(tick, nowMs));
     });
     this.#timers.subscribe(CONFIGURATION_TICK_MS, (nowMs) => {
@@ -222,12 +233,13 @@
     const view = this.#membership.view();
     const isCutOff = this.#membership.isCutOff(nowMs);
     const { revision } = this.#configuration;
+    this.#addEffects(this.#budgets.applyView(view, nowMs));
     this.#applyAssignment(
       this.#assigner.handle({ kind: "membership", view, isCutOff }, nowMs),
     );
     this.#applyConfiguration(
       this.#configuration.handle(
-        { kind: "members", view, listed: this.#listed },
+        { kind: "members", view, isCutOff, listed: this.#listed },
         nowMs,
       ),
     );
@@ -274,10 +286,19 @@
   #startStop(): void {
     if (this.#isStopping) return;
     this.#isStopping = true;
+    this.#stoppedAtMs = this.#nowMs;
     this.#applyMembership(this.#membership.announceLeaving(this.#nowMs));
-    this.#applyAssignment(
-      this.#assigner.handle({ kind: "leave" }, this.#nowMs),
-    );
+    this.#applyHosts(this.#hosts.handleAll({ kind: "drain" }, this.#nowMs));
+  }
+
+  /** Offers the shards once no service attempt is open, or the time is up. */
+  #checkStop(nowMs: number): void {
+    if (!this.#isStopping || this.#isOffering) return;
+    const isLate = nowMs - this.#stoppedAtMs >= DRAIN_LIMIT_MS;
+    if (this.#hosts.countServiceAttempts() > 0 && !isLate) return;
+    this.#isOffering = true;
+    this.#addEffects(this.#budgets.stop(nowMs));
+    this.#applyAssignment(this.#assigner.handle({ kind: "leave" }, nowMs));
   }
 
   #handlePlatform(input: Extract<NodeInput, { kind: "platform" }>): void {
@@ -285,6 +306,7 @@
     switch (role) {
       case "ledger":
       case "recovery":
+      case "charge":
         return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
       case "assignment":
         return this.#applyAssignment(
@@ -294,9 +316,12 @@
         return this.#applyConfiguration(
           this.#configuration.handle(input, this.#nowMs),
         );
-      case "budget":
-      case "charge":
-        return;
+      case "budget": {
+        const { token, answer } = input;
+        return this.#addEffects(
+          this.#budgets.handleAnswer(token, answer, this.#nowMs),
+        );
+      }
       default:
         return checkNever(role);
     }
@@ -458,6 +483,7 @@
       if (notice.kind !== "in_force") continue;
       const { value } = notice;
       this.#addEffects(this.#policy.applyConfiguration(value, this.#nowMs));
+      this.#addEffects(this.#budgets.applyConfiguration(value, this.#nowMs));
     }
   }
 
--- a/packages/scheduler/src/node/node_policy.ts
+++ b/packages/scheduler/src/node/node_policy.ts
@@ -2,6 +2,7 @@
  * The policy roles of a node: placement, the dispatchers of its targets, and
  * the spread of target loads between nodes.
  */
+import type { Failure } from "@camphorlock/codes";
 import {
   checkNever,
   type ConfigurationValue,
@@ -9,18 +10,34 @@
   type Effect,
   type MembershipView,
   type NodeSpec,
+  type ProgramId,
+  type ProgramSpec,
+  type TargetId,
   type TargetLoad,
   type VmId,
 } from "@camphorlock/types";
+import { ok, type Result } from "neverthrow";
+import { checkAdmission } from "../admission/mod.ts";
+import { DispatcherSet, type DispatchStep } from "../dispatch/mod.ts";
+import type {
+  CachedUse,
+  CallPlacer,
+  PlacementChoice,
+  PlacementRequest,
+} from "../owner/mod.ts";
+import { Placement } from "../placement/mod.ts";
+import { RandomSource } from "../random/mod.ts";
 import {
-  DEFAULT_DISPATCH_SETTINGS,
-  DispatcherSet,
-  type DispatchStep,
-} from "../dispatch/mod.ts";
-import { DEFAULT_PLACEMENT_SETTINGS, Placement } from "../placement/mod.ts";
+  DEFAULT_RETRY_SETTINGS,
+  RetryBudget,
+  type RetryMeans,
+} from "../retry/mod.ts";
+import { buildPolicySettings } from "./policy_settings.ts";
 
 /** Nodes up to which every load report goes to every node. */
 const SMALL_FLEET = 16;
+/** Agents whose model is remembered. */
+const MAX_AGENTS = 4_096;
 /** Nodes that one load report goes to in a larger fleet. */
 const SPREAD_NODES = 3;
 
@@ -32,9 +49,14 @@
   readonly getView: () => MembershipView;
 }
 
-/** Places calls and dispatches for targets. */
-export class NodePolicy {
-  readonly placement: Placement;
+/** Places calls, dispatches for targets, and admits programs. */
+export class NodePolicy implements CallPlacer {
+  readonly retries: RetryMeans;
+  readonly #placement: Placement;
+  readonly #random: RandomSource;
+  #settings = buildPolicySettings([]);
+  /** The model that an agent asked for last. */
+  readonly #modelOfAgent = new Map<string, string>();
   readonly #dispatchers: DispatcherSet;
   readonly #options: NodePolicyOptions;
   #spreadAt = 0;
@@ -42,20 +64,81 @@
   constructor(options: NodePolicyOptions) {
     const { spec, seed, getValue, getView } = options;
     this.#options = options;
-    this.placement = new Placement({
+    this.#random = new RandomSource(seed + 2);
+    this.retries = {
+      settings: DEFAULT_RETRY_SETTINGS,
+      budget: new RetryBudget(DEFAULT_RETRY_SETTINGS.budget),
+      random: this.#random,
+    };
+    this.#placement = new Placement({
       region: spec.region,
-      settings: DEFAULT_PLACEMENT_SETTINGS,
+      settings: this.#settings.placement,
       seed,
       getTargets: () => getValue().targets,
       getRules: () => getValue().placementRules,
       getView,
     });
     this.#dispatchers = new DispatcherSet({
-      settings: DEFAULT_DISPATCH_SETTINGS,
+      settings: this.#settings.dispatch,
       seed: seed + 1,
     });
   }
 
+  /** Chooses the target of a call. Fails with `NoTarget`. */
+  choose(
+    request: PlacementRequest,
+    nowMs: number,
+  ): Result<PlacementChoice, Failure> {
+    const { call, agent } = request;
+    if (call.kind === "model") this.#recordModel(agent, call.model);
+    return this.#placement.choose(request, nowMs);
+  }
+
+  /** Records what an attempt left in the cache of its target. */
+  recordCached(programId: ProgramId, use: CachedUse): void {
+    this.#placement.recordCached(programId, use);
+  }
+
+  /** Records that a target released what it held of a program. */
+  recordReleased(programId: ProgramId, targetId: TargetId): void {
+    this.#placement.recordReleased(programId, targetId);
+  }
+
+  /** Learns from the length of an answer. */
+  recordAnswer(agent: string, completionTokens: number): void {
+    const ended = { kind: "call_ended", agent, completionTokens } as const;
+    this.#placement.handle(ended, 0);
+  }
+
+  /** Forgets where an ended program's prefix is. */
+  recordProgramEnded(programId: ProgramId): void {
+    this.#placement.handle({ kind: "program_ended", programId }, 0);
+  }
+
+  /** Whether a target is configured. */
+  hasTarget(targetId: TargetId): boolean {
+    return this.#placement.hasTarget(targetId);
+  }
+
+  /** Finds the node that dispatches for a target at present. */
+  findDispatcher(targetId: TargetId): VmId | undefined {
+    return this.#placement.findDispatcher(targetId);
+  }
+
+  /**
+   * Checks whether a new program may begin, by the load of the model that its
+   * agent asked for last. Fails with `Overloaded`.
+   */
+  checkAdmission(spec: ProgramSpec): Result<void, Failure> {
+    const model = this.#modelOfAgent.get(spec.agent);
+    if (model === undefined) return ok(undefined);
+    const loads = this.#placement.listLoads("engine", model);
+    const { programClass } = spec;
+    const means = { settings: this.#settings.admission, random: this.#random };
+    return checkAdmission({ programClass, loads }, means)
+      .map(() => undefined);
+  }
+
   /** Handles a message between owners and dispatchers. */
   handlePeer(from: VmId, message: DispatchMessage, nowMs: number): Effect[] {
     switch (message.kind) {
@@ -82,7 +165,13 @@
 
   /** Follows a change of the configuration. */
   applyConfiguration(value: ConfigurationValue, nowMs: number): Effect[] {
-    const { targets } = value;
+    const { targets, policies } = value;
+    const settings = buildPolicySettings(policies);
+    if (JSON.stringify(settings) !== JSON.stringify(this.#settings)) {
+      this.#settings = settings;
+      this.#placement.setSettings(settings.placement);
+      this.#dispatchers.setSettings(settings.dispatch);
+    }
     const input = { kind: "targets_changed", targets } as const;
     return this.#applyStep(this.#dispatchers.handle(input, nowMs), nowMs);
   }
@@ -90,10 +179,15 @@
   /** Frees expired slots, adapts limits and spreads loads. */
   handleTick(nowMs: number): Effect[] {
     const tick = { kind: "tick" } as const;
-    this.placement.handle(tick, nowMs);
+    this.#placement.handle(tick, nowMs);
     return this.#applyStep(this.#dispatchers.handle(tick, nowMs), nowMs);
   }
 
+  #recordModel(agent: string, model: string): void {
+    if (this.#modelOfAgent.size >= MAX_AGENTS) this.#modelOfAgent.clear();
+    this.#modelOfAgent.set(agent, model);
+  }
+
   #applyStep(step: DispatchStep, nowMs: number): Effect[] {
     const effects = [...step.effects];
     for (const { loads } of step.notices) {
@@ -104,7 +198,7 @@
   }
 
   #recordLoads(loads: readonly TargetLoad[], nowMs: number): void {
-    this.placement.handle({ kind: "loads", loads }, nowMs);
+    this.#placement.handle({ kind: "loads", loads }, nowMs);
   }
 
   /** A small fleet hears every report; a large one in turns, near nodes first. */
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -187,6 +187,9 @@
   #send(running: RunningCall, attempt: RunningAttempt): void {
     running.phase = "running";
     running.attemptsSent += 1;
+    if (running.attemptsSent === 1) {
+      this.#context.options.retries.budget.recordFresh();
+    }
     running.placingSinceMs = Infinity;
     attempt.sentAtMs = this.#context.nowMs;
     const order = this.#buildOrder(running, attempt);
--- a/packages/scheduler/src/owner/owner_fixture_test.ts
+++ b/packages/scheduler/src/owner/owner_fixture_test.ts
@@ -10,15 +10,19 @@
   CallerRequest,
   Effect,
   EntryBody,
+  LedgerEntry,
   ProgramSpec,
 } from "@camphorlock/types";
 import { EMPTY_CONFIGURATION } from "../configuration/mod.ts";
+import { RandomSource } from "../random/mod.ts";
+import { DEFAULT_RETRY_SETTINGS, RetryBudget } from "../retry/mod.ts";
 import { err, ok, type Result } from "neverthrow";
 import type {
   LedgerAppend,
   LedgerConfirm,
   OwnerLedger,
   PlacementChoice,
+  SharedReservation,
 } from "./ports.ts";
 import { DEFAULT_OWNER_LIMITS } from "./ports.ts";
 import { decodeSnapshot } from "./state_snapshot.ts";
@@ -74,6 +78,10 @@
   readonly effects: Effect[] = [];
   targets = ["e1", "e2", "e3", "e4", "e5"];
   nowMs = 0;
+  reservation: SharedReservation = { kind: "reserved", parts: [] };
+  /** What shared budgets were settled to, and the calls charged. */
+  readonly settled: number[] = [];
+  readonly charged: string[] = [];
   readonly #owner: ShardOwner;
   #requests = 0;
 
@@ -87,9 +95,19 @@
         choose: ({ excluded }) => this.#choose(excluded),
         recordCached: () => undefined,
         recordReleased: () => undefined,
+        recordAnswer: () => undefined,
+        recordProgramEnded: () => undefined,
+        checkAdmission: () => ok(undefined),
         findDispatcher: () => "vm-1",
         hasTarget: (target) => this.targets.includes(target),
       },
+      budgets: {
+        reserve: () => this.reservation,
+        settle: (_held, charged) => this.settled.push(charged),
+      },
+      charges: {
+        recordEnded: (_sequence, ended) => this.charged.push(ended.callId),
+      },
       getConfiguration: () => ({
         revision: 7,
         value: {
@@ -105,6 +123,15 @@
       }),
       getWallClockMs: () => this.nowMs,
       limits: DEFAULT_OWNER_LIMITS,
+      retries: {
+        settings: {
+          ...DEFAULT_RETRY_SETTINGS,
+          firstBackoffMs: 0,
+          mostBackoffMs: 0,
+        },
+        budget: new RetryBudget({ kind: "unlimited" }),
+        random: new RandomSource(1),
+      },
     });
   }
 
@@ -197,9 +224,10 @@
   /** Builds a second owner from this one's entries. */
   takeOver(): OwnerFixture {
     const next = new OwnerFixture(2);
-    const { entries } = this.ledger;
-    next.ledger.entries.push(...entries);
-    next.handle({ kind: "recovered", entries });
+    const entries: LedgerEntry[] = this.ledger.entries
+      .map((body, at) => ({ shard: 0, epoch: 1, sequence: at + 1, body }));
+    next.ledger.entries.push(...this.ledger.entries);
+    next.handle({ kind: "recovered", snapshot: [], entries });
     next.settle();
     return next;
   }
@@ -208,8 +236,8 @@
   takeOverBySnapshot(): OwnerFixture {
     const next = new OwnerFixture(2);
     const parts = this.#owner.encodeSnapshot();
-    const entries = decodeSnapshot(parts)._unsafeUnwrap();
-    next.handle({ kind: "recovered", entries });
+    const snapshot = decodeSnapshot(parts)._unsafeUnwrap();
+    next.handle({ kind: "recovered", snapshot, entries: [] });
     next.settle();
     return next;
   }
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -8,15 +8,19 @@
   Effect,
   EntryBody,
   Epoch,
+  Micros,
   Partner,
   ProgramClass,
   ProgramId,
+  ProgramSpec,
   Revision,
   ShardId,
   TargetId,
   VmId,
 } from "@camphorlock/types";
 import type { Result } from "neverthrow";
+import type { EndedCall } from "../agreement/mod.ts";
+import type { RetryMeans } from "../retry/mod.ts";
 
 /** The durable ledger of the owned shard. */
 export interface OwnerLedger {
@@ -74,6 +78,12 @@
   hasTarget(target: TargetId): boolean;
   /** Finds the node that dispatches for a target at present. */
   findDispatcher(target: TargetId): VmId | undefined;
+  /** Learns from the length of an answer. */
+  recordAnswer(agent: string, completionTokens: number): void;
+  /** Forgets where an ended program's prefix is. */
+  recordProgramEnded(program: ProgramId): void;
+  /** Checks whether a new program may begin. Fails with `Overloaded`. */
+  checkAdmission(spec: ProgramSpec): Result<void, Failure>;
 }
 
 /** What a target holds of a program after an attempt. */
@@ -83,6 +93,37 @@
   readonly nowMs: number;
 }
 
+/** The budgets of teams and partners. */
+export interface CallBudgets {
+  reserve(
+    spec: ProgramSpec,
+    micros: Micros,
+    nowMs: number,
+  ): SharedReservation;
+  settle(reservation: HeldReservation, chargeMicros: Micros): void;
+}
+
+/** A reservation of shared budgets, or why there is none. */
+export type SharedReservation =
+  | HeldReservation
+  /** More is being drawn; the call may try again soon. */
+  | { readonly kind: "waiting" }
+  | { readonly kind: "refused"; readonly failure: Failure };
+
+/** What a call holds of shared budgets. */
+export interface HeldReservation {
+  readonly kind: "reserved";
+  readonly parts: readonly {
+    readonly key: string;
+    readonly reservedMicros: Micros;
+  }[];
+}
+
+/** Takes the ends of calls, to charge them once they are durable. */
+export interface CallCharges {
+  recordEnded(sequence: number, ended: EndedCall): void;
+}
+
 /** The part of the configuration that an owner uses. */
 export interface OwnerConfiguration {
   readonly revision: Revision;
@@ -93,12 +134,14 @@
 export interface OwnerLimits {
   /** Most calls in one program. */
   readonly maxCallsOfProgram: number;
-  /** Most attempts for one call. */
-  readonly maxAttempts: number;
   /** Share of the ledger's space above which no new call is accepted. */
   readonly maxLedgerUsage: number;
   /** How long a call waits for a target before it ends as not run. */
   readonly placeTimeoutMs: number;
+  /** How long a call waits for a draw from a shared budget. */
+  readonly budgetTimeoutMs: number;
+  /** The same where no target is configured that serves the call. */
+  readonly noTargetTimeoutMs: number;
   /** Silence of a dispatcher after which a slot is asked for again. */
   readonly slotTimeoutMs: number;
   readonly renewPeriodMs: number;
@@ -111,9 +154,10 @@
 /** The bounds and periods used unless the settings say otherwise. */
 export const DEFAULT_OWNER_LIMITS: OwnerLimits = {
   maxCallsOfProgram: 1_000,
-  maxAttempts: 4,
   maxLedgerUsage: 0.8,
   placeTimeoutMs: 20_000,
+  budgetTimeoutMs: 5_000,
+  noTargetTimeoutMs: 3_000,
   slotTimeoutMs: 1_000,
   renewPeriodMs: 500,
   releaseRetryMs: 2_000,
@@ -128,8 +172,11 @@
   readonly epoch: Epoch;
   readonly ledger: OwnerLedger;
   readonly placer: CallPlacer;
+  readonly budgets: CallBudgets;
+  readonly charges: CallCharges;
   readonly getConfiguration: () => OwnerConfiguration;
   /** Wall-clock time for stored entries, in milliseconds since the epoch. */
   readonly getWallClockMs: () => number;
   readonly limits: OwnerLimits;
+  readonly retries: RetryMeans;
 }
--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -19,11 +19,7 @@
   type VmId,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
-import type {
-  CachedUse,
-  CallPlacer,
-  PlacementRequest,
-} from "../owner/ports.ts";
+import type { CachedUse, PlacementRequest } from "../owner/ports.ts";
 import { RandomSource } from "../random/mod.ts";
 import { AgentStatistics } from "./agent_statistics.ts";
 import { DispatcherChooser } from "./choose_dispatcher.ts";
@@ -61,7 +57,7 @@
 const SPEED_PERIOD_MS = 400;
 
 /** The placement of one node. */
-export class Placement implements CallPlacer {
+export class Placement {
   readonly #options: PlacementOptions;
   readonly #random: RandomSource;
   readonly #index: TargetIndex;
@@ -280,10 +276,11 @@
     if (nowMs - this.#speedsAtMs < SPEED_PERIOD_MS) return;
     this.#speedsAtMs = nowMs;
     this.#index.update(this.#options.getTargets());
-    const { estimate } = this.#settings;
+    const { estimate, slowTargets } = this.#settings;
+    this.#loads.removeExcept((each) => this.#index.find(each) !== undefined);
+    if (slowTargets.kind === "ignore") return;
     for (const { all } of this.#index.listServing()) {
       updateSpeeds(all, { loads: this.#loads, estimate });
     }
-    this.#loads.removeExcept((each) => this.#index.find(each) !== undefined);
   }
 }
--- a/packages/standins/src/configuration_fleet/configuration_node.ts
+++ b/packages/standins/src/configuration_fleet/configuration_node.ts
@@ -20,6 +20,7 @@
 } from "@camphorlock/types";
 
 const MEMBERSHIP_TICK_MS = 100;
+const VIEW_TICK_MS = 1_000;
 
 /** What a process is made of. */
 export interface ConfigurationNodeOptions {
@@ -42,6 +43,7 @@
   readonly #options: ConfigurationNodeOptions;
   #nextMembershipMs = 0;
   #nextConfigurationMs = 0;
+  #nextViewMs = 0;
 
   constructor(options: ConfigurationNodeOptions, nowMs: number) {
     const { spec, seed, initial, keptRevisions } = options;
@@ -56,10 +58,8 @@
       ...(keptRevisions === undefined ? {} : { keptRevisions }),
     });
     const vms = options.vms;
-    this.#applyMembership(
-      this.#membership.handle({ kind: "vm_list", vms }, nowMs),
-      nowMs,
-    );
+    const input = { kind: "vm_list", vms } as const;
+    this.#applyMembership(this.#membership.handle(input, nowMs));
   }
 
   /** Gives the membership as this process sees it. */
@@ -72,12 +72,14 @@
     if (nowMs >= this.#nextMembershipMs) {
       this.#nextMembershipMs = nowMs + MEMBERSHIP_TICK_MS;
       const step = this.#membership.handle({ kind: "tick" }, nowMs);
-      this.#applyMembership(step, nowMs);
+      this.#applyMembership(step);
+    }
+    if (nowMs >= this.#nextViewMs) {
+      this.#nextViewMs = nowMs + VIEW_TICK_MS;
+      this.#spreadView(nowMs);
     }
     if (nowMs < this.#nextConfigurationMs) return;
     this.#nextConfigurationMs = nowMs + CONFIGURATION_TICK_MS;
-    const isCutOff = this.#membership.isCutOff(nowMs);
-    this.handle({ kind: "reach", isCutOff }, nowMs);
     this.handle({ kind: "tick" }, nowMs);
   }
 
@@ -90,13 +92,13 @@
         const { vmId } = from;
         this.handle({ kind: "peer_revision", vmId, revision }, nowMs);
         const input = { kind: "peer", from: vmId, message } as const;
-        this.#applyMembership(this.#membership.handle(input, nowMs), nowMs);
+        this.#applyMembership(this.#membership.handle(input, nowMs));
         return;
       }
       case "probe_request":
       case "probe_result": {
         const input = { kind: "peer", from: from.vmId, message } as const;
-        this.#applyMembership(this.#membership.handle(input, nowMs), nowMs);
+        this.#applyMembership(this.#membership.handle(input, nowMs));
         return;
       }
       case "configuration_request":
@@ -120,11 +122,8 @@
     switch (notice.kind) {
       case "in_force": {
         const { revision } = notice;
-        const step = this.#membership.handle(
-          { kind: "revision", revision },
-          nowMs,
-        );
-        this.#applyMembership(step, nowMs);
+        const input = { kind: "revision", revision } as const;
+        this.#applyMembership(this.#membership.handle(input, nowMs));
         return;
       }
       case "ready":
@@ -140,14 +139,14 @@
     }
   }
 
-  #applyMembership(step: MembershipStep, nowMs: number): void {
+  #applyMembership(step: MembershipStep): void {
     for (const effect of step.effects) this.#options.applyEffect(effect);
-    const hasChanged = step.notices.some((notice) => {
-      return notice.kind === "node_changed";
-    });
-    if (!hasChanged) return;
+  }
+
+  #spreadView(nowMs: number): void {
     const view = this.#membership.view();
+    const isCutOff = this.#membership.isCutOff(nowMs);
     const listed = this.#options.vms.map(({ vmId }) => vmId);
-    this.handle({ kind: "members", view, listed }, nowMs);
+    this.handle({ kind: "members", view, isCutOff, listed }, nowMs);
   }
 }
