--- a/packages/scheduler/src/assignment/fake_cluster.ts
+++ b/packages/scheduler/src/assignment/fake_cluster.ts
@@ -71,6 +71,8 @@
   readonly #events = new Map<number, FakeEvent[]>();
   readonly #states = new Map<VmId, NodeView>();
   readonly #owners = new Map<ShardId, { owner: VmId; incarnation: number }>();
+  /** Nodes that are cut off from most others. */
+  readonly cutOff = new Set<VmId>();
   isPlatformDown = false;
   nowMs = 0;
   messages = 0;
@@ -194,7 +196,8 @@
     if (!this.nodes.has(vmId)) return;
     const nodes = [...this.#states.values()];
     const view: MembershipView = { self: vmId, nodes };
-    this.handle(vmId, { kind: "membership", view, isCutOff: false });
+    const isCutOff = this.cutOff.has(vmId);
+    this.handle(vmId, { kind: "membership", view, isCutOff });
   }
 
   #recordNotice(node: FakeNode, notice: AssignmentNotice): void {
--- a/packages/scheduler/src/assignment/platform_calls.ts
+++ b/packages/scheduler/src/assignment/platform_calls.ts
@@ -40,7 +40,6 @@
   #lastNumber = 0;
   #failures = 0;
   #waitUntilMs = 0;
-  #lastFailureMs: number | undefined;
   #writeCredit: number;
   #creditAtMs = 0;
 
@@ -112,7 +111,6 @@
 
   /** Notes that the platform didn't answer or refused, and waits. */
   recordFailure(nowMs: number): void {
-    this.#lastFailureMs = nowMs;
     if (!this.canCall(nowMs)) return;
     const { backoffBaseMs, backoffLimitMs } = this.#settings;
     const doublings = Math.min(this.#failures, MAX_DOUBLINGS);
@@ -121,9 +119,4 @@
     const jitter = computeFraction(`${this.#name}|${this.#failures}|${nowMs}`);
     this.#waitUntilMs = nowMs + longestMs * (0.5 + jitter / 2);
   }
-
-  /** Whether the platform has failed since a time. */
-  hasFailedSince(sinceMs: number): boolean {
-    return this.#lastFailureMs !== undefined && this.#lastFailureMs >= sinceMs;
-  }
 }
--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -186,8 +186,7 @@
     const nowMs = this.#nowMs;
     const decision = this.#proposer.decide(state, nowMs);
     if (decision.kind === "wait") return;
-    const hasFailed = this.#calls.hasFailedSince(state.learntAtMs);
-    if (decision.kind === "read" || hasFailed) {
+    if (decision.kind === "read") {
       this.#effects.push(this.#reader.read(state, nowMs));
       return;
     }
