Report revisions in force by samples in heartbeats

Cause: a node of a large fleet meets each other one only once in 54 s, so that it learnt too late where a configuration is in force.

Change: while a node doesn't know the newest revision of all, its heartbeats carry a sample of processes known to have it, as hashes, or once few are lacking a question about these; acknowledgements answer. Catch-ups are sized by what the other node lacks, counting living nodes only.

--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -9,6 +9,7 @@
   NodeDigest,
   NodeSpec,
   PeerMessage,
+  RevisionReport,
   ShardAssignment,
   TargetLoad,
 } from "@camphorlock/types";
@@ -52,6 +53,12 @@
   revision: isWhole,
 };
 
+const REVISION_REPORT: Shape<RevisionReport> = {
+  revision: isWhole,
+  processes: isBytes,
+  lacking: isOptional(isBytes),
+};
+
 const SHARD_ASSIGNMENT: Shape<ShardAssignment> = {
   shard: isWhole,
   epoch: isWhole,
@@ -162,12 +169,14 @@
     stateNumber: isWhole,
     knownNodes: isWhole,
     digest: isListOf(isShape(NODE_DIGEST)),
+    report: isOptional(isShape(REVISION_REPORT)),
   },
   "heartbeat_ack": {
     number: isWhole,
     incarnation: isWhole,
     revision: isWhole,
     digest: isListOf(isShape(NODE_DIGEST)),
+    report: isOptional(isShape(REVISION_REPORT)),
   },
   "probe_request": { vmId: isText, number: isWhole },
   "probe_result": { vmId: isText, number: isWhole, reached: isFlag },
@@ -211,6 +220,10 @@
   return (value) => isObject(value) && findMisfit(fields, value) === undefined;
 }
 
+function isOptional(isPresent: FieldCheck): FieldCheck {
+  return (value) => value === undefined || isPresent(value);
+}
+
 function isListOf(isMember: FieldCheck): FieldCheck {
   return (value) =>
     Array.isArray(value) && value.length <= LARGEST_LIST &&
--- a/packages/scheduler/src/assignment/choose_nodes.ts
+++ b/packages/scheduler/src/assignment/choose_nodes.ts
@@ -2,8 +2,9 @@
  * Chooses owners by balance, and keepers by failure domain.
  */
 import type { NodeView, ShardId, VmId } from "@camphorlock/types";
+import { computeHash } from "../hash.ts";
 import type { Fleet } from "./fleet.ts";
-import { computeHash, sortByScore } from "./rendezvous.ts";
+import { sortByScore } from "./rendezvous.ts";
 
 /** Keepers that a shard has where there are enough nodes. */
 export const KEEPER_COUNT = 3;
--- a/packages/scheduler/src/assignment/group_reader.ts
+++ b/packages/scheduler/src/assignment/group_reader.ts
@@ -10,11 +10,12 @@
   PlatformAnswer,
   ShardId,
 } from "@camphorlock/types";
+import { computeFraction } from "../hash.ts";
 import type { Fleet } from "./fleet.ts";
 import type { GroupBook, GroupState } from "./group_book.ts";
 import { ASSIGNMENT_PREFIX, formatGroupKey } from "./group_codec.ts";
 import type { PlatformCalls } from "./platform_calls.ts";
-import { computeFraction, sortByScore } from "./rendezvous.ts";
+import { sortByScore } from "./rendezvous.ts";
 import type { AssignmentSettings } from "./settings.ts";
 
 /** What a reader is made of. */
--- a/packages/scheduler/src/assignment/group_writer.ts
+++ b/packages/scheduler/src/assignment/group_writer.ts
@@ -2,11 +2,11 @@
  * Conditional updates of groups, and the waits after conflicts.
  */
 import type { Effect, NodeSpec, ShardAssignment } from "@camphorlock/types";
+import { computeFraction } from "../hash.ts";
 import type { GroupState } from "./group_book.ts";
 import { encodeGroup, formatGroupKey } from "./group_codec.ts";
 import type { PlannedChange } from "./plan_group.ts";
 import type { OpenCall, PlatformCalls } from "./platform_calls.ts";
-import { computeFraction } from "./rendezvous.ts";
 import type { AssignmentSettings } from "./settings.ts";
 
 /** A write that waits for its answer. */
--- a/packages/scheduler/src/assignment/handover.ts
+++ b/packages/scheduler/src/assignment/handover.ts
@@ -2,10 +2,10 @@
  * Decides when this node offers its shards to others.
  */
 import type { Effect, NodeSpec } from "@camphorlock/types";
+import { computeFraction } from "../hash.ts";
 import type { AssignmentTable } from "./assignment_table.ts";
 import type { Fleet } from "./fleet.ts";
 import { type Offer, type OfferContext, Offers } from "./offers.ts";
-import { computeFraction } from "./rendezvous.ts";
 import type { AssignmentSettings } from "./settings.ts";
 
 /** What a handover is made of. */
--- a/packages/scheduler/src/assignment/platform_calls.ts
+++ b/packages/scheduler/src/assignment/platform_calls.ts
@@ -7,8 +7,8 @@
   PlatformRequest,
   ShardAssignment,
 } from "@camphorlock/types";
+import { computeFraction } from "../hash.ts";
 import type { StoredShard } from "./messages.ts";
-import { computeFraction } from "./rendezvous.ts";
 import type { AssignmentSettings } from "./settings.ts";
 
 /** A platform call that waits for its answer. */
--- a/packages/scheduler/src/assignment/proposer.ts
+++ b/packages/scheduler/src/assignment/proposer.ts
@@ -6,12 +6,13 @@
  * is made on a fresh read, so that few of them fail.
  */
 import type { NodeSpec, ShardAssignment } from "@camphorlock/types";
+import { computeFraction } from "../hash.ts";
 import type { AssignmentTable } from "./assignment_table.ts";
 import { Fleet } from "./fleet.ts";
 import type { GroupState } from "./group_book.ts";
 import type { PendingNotes } from "./pending_notes.ts";
 import { buildPlan, type PlannedChange } from "./plan_group.ts";
-import { computeFraction, computeRank } from "./rendezvous.ts";
+import { computeRank } from "./rendezvous.ts";
 import type { AssignmentSettings } from "./settings.ts";
 import { StandingTracker } from "./standing.ts";
 
--- a/packages/scheduler/src/assignment/rendezvous.ts
+++ b/packages/scheduler/src/assignment/rendezvous.ts
@@ -2,28 +2,7 @@
  * Rendezvous hashing: every node orders the others alike for a given key.
  */
 import type { VmId } from "@camphorlock/types";
-
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** Computes a 32-bit hash of a text. */
-export function computeHash(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash ^= text.charCodeAt(index);
-    hash = Math.imul(hash, FNV_PRIME);
-  }
-  hash ^= hash >>> 16;
-  hash = Math.imul(hash, 0x85ebca6b);
-  hash ^= hash >>> 13;
-  hash = Math.imul(hash, 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
-
-/** Computes a number from zero to below one from a text. */
-export function computeFraction(text: string): number {
-  return computeHash(text) / 2 ** 32;
-}
+import { computeHash } from "../hash.ts";
 
 /** Sorts VMs by their score for a key, best first. */
 export function sortByScore(key: string, vmIds: readonly VmId[]): VmId[] {
--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -19,6 +19,7 @@
   type ShardId,
   type VmId,
 } from "@camphorlock/types";
+import { computeHash } from "../hash.ts";
 import { RandomChooser } from "../membership/random.ts";
 import { AssignmentTable } from "./assignment_table.ts";
 import { Fleet } from "./fleet.ts";
@@ -40,7 +41,6 @@
 import { PendingNotes } from "./pending_notes.ts";
 import { type OpenCall, PlatformCalls } from "./platform_calls.ts";
 import { Proposer } from "./proposer.ts";
-import { computeHash } from "./rendezvous.ts";
 import {
   type AssignmentSettings,
   DEFAULT_ASSIGNMENT_SETTINGS,
--- /dev/null
+++ b/packages/scheduler/src/hash.ts
@@ -0,0 +1,27 @@
+/**
+ * A fast hash of texts that every node computes alike. It isn't cryptographic.
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MIX_FIRST = 0x85ebca6b;
+const MIX_SECOND = 0xc2b2ae35;
+
+/** Computes a 32-bit hash of a text. */
+export function computeHash(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash ^= text.charCodeAt(index);
+    hash = Math.imul(hash, FNV_PRIME);
+  }
+  hash ^= hash >>> 16;
+  hash = Math.imul(hash, MIX_FIRST);
+  hash ^= hash >>> 13;
+  hash = Math.imul(hash, MIX_SECOND);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** Computes a number from zero to below one from a text. */
+export function computeFraction(text: string): number {
+  return computeHash(text) / 2 ** 32;
+}
--- a/packages/scheduler/src/membership/membership.ts
+++ b/packages/scheduler/src/membership/membership.ts
@@ -12,6 +12,7 @@
   type MembershipMessage,
   type MembershipView,
   type NodeDigest,
+  type RevisionReport,
   type VmId,
   type VmListing,
 } from "@camphorlock/types";
@@ -28,6 +29,12 @@
 import { HeartbeatPacer } from "./pacer.ts";
 import { Probes } from "./probes.ts";
 import { RandomChooser } from "./random.ts";
+import {
+  buildAnswer,
+  buildReport,
+  decodeProcesses,
+  type RevisionCensus,
+} from "./revision_report.ts";
 import { RumourQueue } from "./rumours.ts";
 import { SelfStatement } from "./self_statement.ts";
 import {
@@ -168,21 +175,25 @@
     };
     this.#applyDigest([statement, ...message.digest], nowMs);
     this.#recordHeard(from, nowMs);
-    const { catchUpShare } = this.#settings;
-    const catchUp = message.knownNodes < this.#table.count() * catchUpShare;
-    const digest = catchUp ? this.#buildCatchUp(from) : this.#buildDigest(from);
+    this.#applyReport(message.report);
+    const lacking = this.#table.countLiving() - message.knownNodes;
+    const digest = lacking > 0
+      ? this.#buildCatchUp(from, lacking)
+      : this.#buildDigest(from);
     this.#send(from, {
       kind: "heartbeat_ack",
       number: message.number,
       incarnation: this.#self.getDigest().spec.incarnation,
       revision: this.#self.getDigest().revision,
       digest,
+      ...this.#answerReport(message.report),
     });
   }
 
   #handleAck(sender: Sender<"heartbeat_ack">, nowMs: number): void {
     const { from, message } = sender;
     this.#applyDigest(message.digest, nowMs);
+    this.#applyReport(message.report);
     const record = this.#table.find(from);
     if (record === undefined) return;
     if (record.digest.spec.incarnation !== message.incarnation) return;
@@ -329,12 +340,42 @@
       revision,
       number: this.#heartbeats,
       stateNumber: number,
-      knownNodes: this.#table.count(),
+      knownNodes: this.#table.countLiving(),
       digest: this.#buildDigest(vmId),
+      ...this.#startReport(),
     });
     return this.#heartbeats;
   }
 
+  /** Reports what is known while the newest revision isn't known of all. */
+  #startReport(): { report?: RevisionReport } {
+    const census = this.#countRevisions();
+    if (census.lacking.length === 0) return {};
+    const { reportLimit: limit } = this.#settings;
+    const sample = { random: this.#random, limit };
+    return { report: buildReport(census, sample) };
+  }
+
+  #answerReport(
+    asked: RevisionReport | undefined,
+  ): { report?: RevisionReport } {
+    if (asked === undefined) return {};
+    const census = this.#countRevisions();
+    const { reportLimit: limit } = this.#settings;
+    const sample = { ...asked, random: this.#random, limit };
+    return { report: buildAnswer(census, sample) };
+  }
+
+  #countRevisions(): RevisionCensus {
+    return this.#table.countRevisions(this.#self.getDigest());
+  }
+
+  #applyReport(report: RevisionReport | undefined): void {
+    if (report === undefined) return;
+    const { revision, processes } = report;
+    this.#table.applyReport(revision, decodeProcesses(processes));
+  }
+
   /** Builds the rumours for one node: first what it has to refute itself. */
   #buildDigest(to: VmId): NodeDigest[] {
     const digest: NodeDigest[] = [];
@@ -349,10 +390,12 @@
     return digest;
   }
 
-  #buildCatchUp(to: VmId): NodeDigest[] {
+  #buildCatchUp(to: VmId, lacking: number): NodeDigest[] {
     const others = [...this.#table.list()].map((record) => record.digest);
-    const { catchUpLimit } = this.#settings;
-    const some = this.#random.chooseSome(others, catchUpLimit);
+    const { catchUpLeast, catchUpLimit, catchUpPerNode } = this.#settings;
+    const wanted = Math.max(catchUpLeast, lacking * catchUpPerNode);
+    const count = Math.min(wanted, catchUpLimit);
+    const some = this.#random.chooseSome(others, count);
     return [this.#self.getDigest(), ...this.#buildDigest(to), ...some];
   }
 
--- a/packages/scheduler/src/membership/membership_test.ts
+++ b/packages/scheduler/src/membership/membership_test.ts
@@ -3,6 +3,8 @@
 import { buildFakeSpec, FakeFleet } from "./fake_fleet.ts";
 import { Membership } from "./membership.ts";
 import type { MembershipStep } from "./messages.ts";
+import { RandomChooser } from "./random.ts";
+import { buildAnswer, countRevisions } from "./revision_report.ts";
 import { DEFAULT_MEMBERSHIP_SETTINGS } from "./settings.ts";
 
 const JOINED_MS = 3_000;
@@ -237,6 +239,39 @@
     expect(node.view().nodes[1]?.revision).to.equal(4);
   });
 
+  for (const nodes of [9, 60]) {
+    it(`learns of a revision in force on all ${nodes} nodes in time`, () => {
+      const fleet = startFleet(nodes);
+      for (const [vmId, node] of fleet.nodes) {
+        if (vmId === "vm-5") continue;
+        const input = { kind: "revision", revision: 7 } as const;
+        fleet.applyStep(vmId, node.handle(input, fleet.nowMs));
+      }
+      fleet.runUntil(JOINED_MS + 5_000);
+      for (const node of fleet.nodes.values()) {
+        const behind = node.view().nodes.filter((each) => each.revision < 7);
+        expect(behind.map((each) => each.spec.vmId)).to.deep.equal(["vm-5"]);
+      }
+    });
+  }
+
+  it("takes no revision of a former process for the present one's", () => {
+    const former = buildDigest({ revision: 9 });
+    const census = countRevisions([former]);
+    const sample = { random: new RandomChooser(1), limit: 4 };
+    const { revision, processes } = buildAnswer(census, {
+      revision: 9,
+      processes: new Uint8Array(),
+      ...sample,
+    });
+    const node = new Membership({ self: SPEC_0, seed: 1 });
+    receive(node, buildHeartbeat([], { ...SPEC_1, incarnation: 2 }));
+    const report = { revision, processes };
+    const heartbeat = buildHeartbeat([], { ...SPEC_1, incarnation: 2 });
+    receive(node, { ...heartbeat, report } as MembershipMessage);
+    expect(node.view().nodes[1]?.revision).to.equal(4);
+  });
+
   it("bounds the rumours in a message", () => {
     let longest = 0;
     const fleet = new FakeFleet({
--- a/packages/scheduler/src/membership/node_table.ts
+++ b/packages/scheduler/src/membership/node_table.ts
@@ -9,8 +9,14 @@
   NodeDigest,
   NodeState,
   NodeView,
+  Revision,
   VmId,
 } from "@camphorlock/types";
+import {
+  computeProcessHash,
+  countRevisions,
+  type RevisionCensus,
+} from "./revision_report.ts";
 
 /** What is known of another node. */
 export interface NodeRecord {
@@ -53,8 +59,10 @@
 /** The other nodes, by VM. */
 export class NodeTable {
   readonly #records = new Map<VmId, NodeRecord>();
+  readonly #byHash = new Map<number, VmId>();
   readonly #listedLeaving = new Set<VmId>();
   #view: MembershipView | undefined;
+  #census: { self: NodeDigest; census: RevisionCensus } | undefined;
 
   /** Takes a rumour in; returns the change if it was news. */
   apply(rumour: NodeDigest, nowMs: number): NodeChange | undefined {
@@ -69,9 +77,10 @@
     const revision = sameProcess
       ? Math.max(known.revision, rumour.revision)
       : rumour.revision;
+    if (!sameProcess) this.#setHash(known, rumour);
     record.digest = { ...rumour, revision };
     record.changedAtMs = nowMs;
-    this.#view = undefined;
+    this.#removeCached();
     const from = sameProcess ? known.state : undefined;
     if (from === rumour.state) return undefined;
     return this.#buildChange(rumour, from);
@@ -93,13 +102,17 @@
   setListedLeaving(vmIds: Iterable<VmId>): void {
     this.#listedLeaving.clear();
     for (const vmId of vmIds) this.#listedLeaving.add(vmId);
-    this.#view = undefined;
+    this.#removeCached();
   }
 
   /** Drops a node that is dead for long. */
   remove(vmId: VmId): void {
+    const record = this.#records.get(vmId);
+    if (record !== undefined) {
+      this.#byHash.delete(computeProcessHash(record.digest));
+    }
     this.#records.delete(vmId);
-    this.#view = undefined;
+    this.#removeCached();
   }
 
   /** Finds what is known of a node. */
@@ -117,6 +130,35 @@
     return this.#records.size;
   }
 
+  /** Counts the other nodes that aren't dead. */
+  countLiving(): number {
+    let living = 0;
+    for (const { digest } of this.#records.values()) {
+      if (digest.state !== "dead") living += 1;
+    }
+    return living;
+  }
+
+  /** Counts what the processes have in force, this node's included. */
+  countRevisions(self: NodeDigest): RevisionCensus {
+    if (this.#census?.self === self) return this.#census.census;
+    const others = [...this.#records.values()].map((record) => record.digest);
+    const census = countRevisions([self, ...others]);
+    this.#census = { self, census };
+    return census;
+  }
+
+  /** Raises the revision of the processes that a report names. */
+  applyReport(revision: Revision, hashes: readonly number[]): void {
+    for (const hash of hashes) {
+      const vmId = this.#byHash.get(hash);
+      const record = vmId === undefined ? undefined : this.find(vmId);
+      if (record === undefined) continue;
+      if (computeProcessHash(record.digest) !== hash) continue;
+      this.#raiseRevision(record, { ...record.digest, revision });
+    }
+  }
+
   /** Gets the view, with this node first. */
   getView(self: NodeDigest): MembershipView {
     const cached = this.#view;
@@ -131,23 +173,34 @@
     return this.#view;
   }
 
+  #removeCached(): void {
+    this.#view = undefined;
+    this.#census = undefined;
+  }
+
   #addNode(rumour: NodeDigest, nowMs: number): NodeChange | undefined {
     if (rumour.state === "dead") return undefined;
+    this.#setHash(undefined, rumour);
     this.#records.set(rumour.spec.vmId, {
       digest: rumour,
       heardAtMs: NEVER_MS,
       contactedAtMs: NEVER_MS,
       changedAtMs: nowMs,
     });
-    this.#view = undefined;
+    this.#removeCached();
     return this.#buildChange(rumour, undefined);
   }
 
+  #setHash(former: NodeDigest | undefined, next: NodeDigest): void {
+    if (former !== undefined) this.#byHash.delete(computeProcessHash(former));
+    this.#byHash.set(computeProcessHash(next), next.spec.vmId);
+  }
+
   #raiseRevision(record: NodeRecord, rumour: NodeDigest): void {
     if (record.digest.spec.incarnation !== rumour.spec.incarnation) return;
     if (rumour.revision <= record.digest.revision) return;
     record.digest = { ...record.digest, revision: rumour.revision };
-    this.#view = undefined;
+    this.#removeCached();
   }
 
   #buildChange(rumour: NodeDigest, from: NodeState | undefined): NodeChange {
--- a/packages/scheduler/src/membership/settings.ts
+++ b/packages/scheduler/src/membership/settings.ts
@@ -26,8 +26,12 @@
   readonly digestLimit: number;
   /** Largest number of rumours in one message to a node that knows few. */
   readonly catchUpLimit: number;
-  /** Share of the nodes known here under which another node knows few. */
-  readonly catchUpShare: number;
+  /** Smallest number of rumours in such a message. */
+  readonly catchUpLeast: number;
+  /** Rumours for each node that another one lacks. */
+  readonly catchUpPerNode: number;
+  /** Largest number of processes in a report of revisions. */
+  readonly reportLimit: number;
   /** Sends of one rumour for each doubling of the fleet. */
   readonly rumourRepeats: number;
   /** Time without most of the other nodes after which this one is cut off. */
@@ -51,7 +55,9 @@
   deadRetentionMs: 600_000,
   digestLimit: 6,
   catchUpLimit: 40,
-  catchUpShare: 0.9,
+  catchUpLeast: 16,
+  catchUpPerNode: 4,
+  reportLimit: 32,
   rumourRepeats: 1,
   cutOffAfterMs: 5_000,
   pauseGapMs: 1_000,
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -192,6 +192,8 @@
     /** Nodes that the sender knows; one that knows few is sent more. */
     readonly knownNodes: number;
     readonly digest: readonly NodeDigest[];
+    /** Sent while the sender doesn't know the newest revision of all. */
+    readonly report?: RevisionReport;
   }
   | {
     readonly kind: "heartbeat_ack";
@@ -200,6 +202,8 @@
     readonly incarnation: number;
     readonly revision: Revision;
     readonly digest: readonly NodeDigest[];
+    /** Answers the report of a heartbeat. */
+    readonly report?: RevisionReport;
   }
   | {
     /** Asks a third node to probe one that doesn't answer the sender. */
@@ -232,6 +236,15 @@
   readonly revision: Revision;
 }
 
+/** A sample of the processes known to have a revision in force. */
+export interface RevisionReport {
+  readonly revision: Revision;
+  /** Eight bytes for each process: a hash of its VM and incarnation. */
+  readonly processes: Uint8Array;
+  /** Asks which of these processes have it. */
+  readonly lacking?: Uint8Array;
+}
+
 /** Between all nodes, about the configuration. */
 export type ConfigurationMessage =
   | {
