--- a/packages/scheduler/src/configuration/peers.ts
+++ b/packages/scheduler/src/configuration/peers.ts
@@ -2,13 +2,8 @@
  * What the configuration role knows of the other nodes: which exist, which
  * revision each has reported and when it was heard.
  */
-import type {
-  MembershipView,
-  NodeState,
-  Region,
-  Revision,
-  VmId,
-} from "@camphorlock/types";
+import type { NodeState, Region, Revision, VmId } from "@camphorlock/types";
+import type { ConfigurationInput } from "./inputs.ts";
 import { chooseRanked } from "./rank.ts";
 
 /** Nodes of each region that watch the platform. */
@@ -20,6 +15,9 @@
 /** Peers of other regions that a new revision is pushed to. */
 const PUSHES_ELSEWHERE = 1;
 
+/** Nodes that stand for the others where most can't be heard in time. */
+const HEARD_SAMPLE = 32;
+
 interface Peer {
   readonly vmId: VmId;
   region: Region;
@@ -28,26 +26,46 @@
   heardAtMs: number | undefined;
 }
 
+/** The nodes by what they have reported of a revision. */
+export interface RevisionSpread {
+  readonly reached: readonly VmId[];
+  readonly missing: readonly VmId[];
+  readonly presumedDead: readonly VmId[];
+}
+
+type MembersInput = Extract<ConfigurationInput, { readonly kind: "members" }>;
+
 /** The other nodes, as heartbeats and the membership tell of them. */
 export class ConfigurationPeers {
   readonly #peers = new Map<VmId, Peer>();
   readonly #self: VmId;
   readonly #region: Region;
+  #highestRevision: Revision = 0;
   #isKnown = false;
+  #listed: ReadonlySet<VmId> = new Set();
+  #isCutOff = false;
 
   constructor(self: VmId, region: Region) {
     this.#self = self;
     this.#region = region;
   }
 
+  /** The highest revision that any node has reported. */
+  get highestRevision(): Revision {
+    return this.#highestRevision;
+  }
+
   /** How many other nodes there are, dead ones included. */
   get count(): number {
     return this.#peers.size;
   }
 
-  /** Takes the nodes that the membership knows. */
-  update(view: MembershipView): void {
+  /** Takes the nodes that the membership knows and the VMs of the list. */
+  update(members: MembersInput): void {
+    const { view, isCutOff, listed = [] } = members;
     this.#isKnown = true;
+    this.#isCutOff = isCutOff;
+    this.#listed = new Set(listed.filter((vmId) => vmId !== this.#self));
     const present = new Set<VmId>();
     for (const { spec, state, revision } of view.nodes) {
       if (spec.vmId === this.#self) continue;
@@ -55,7 +73,7 @@
       const peer = this.#getPeer(spec.vmId);
       peer.region = spec.region;
       peer.state = state;
-      peer.revision = Math.max(peer.revision, revision);
+      this.#setRevision(peer, revision);
     }
     for (const vmId of this.#peers.keys()) {
       if (!present.has(vmId)) this.#peers.delete(vmId);
@@ -69,21 +87,13 @@
   ): void {
     if (vmId === this.#self) return;
     const peer = this.#getPeer(vmId);
-    peer.revision = Math.max(peer.revision, report.revision);
+    this.#setRevision(peer, report.revision);
     peer.heardAtMs = report.nowMs;
   }
 
-  /** The highest revision that any node has reported. */
-  getHighestRevision(): Revision {
-    let highest: Revision = 0;
-    for (const peer of this.#peers.values()) {
-      highest = Math.max(highest, peer.revision);
-    }
-    return highest;
-  }
-
   /**
-   * Whether more than half of all nodes, this one included, were heard.
+   * Whether most nodes were heard: more than half of all, this one included,
+   * or a large sample while the membership doesn't find this node cut off.
    *
    * Never before the membership has told which nodes there are.
    */
@@ -93,7 +103,8 @@
     for (const { heardAtMs } of this.#peers.values()) {
       if (heardAtMs !== undefined && heardAtMs >= sinceMs) heard += 1;
     }
-    return heard * 2 > this.#peers.size + 1;
+    if (heard * 2 > this.#countKnown() + 1) return true;
+    return !this.#isCutOff && heard >= HEARD_SAMPLE;
   }
 
   /** Whether this node is one of those that watch for its region. */
@@ -140,17 +151,30 @@
     })[0];
   }
 
-  /** Splits the nodes that aren't dead by whether they have a revision. */
-  splitByRevision(
-    revision: Revision,
-  ): { readonly reached: readonly VmId[]; readonly missing: readonly VmId[] } {
+  /** Splits the nodes by whether they have reported a revision. */
+  splitByRevision(revision: Revision): RevisionSpread {
     const reached: VmId[] = [this.#self];
     const missing: VmId[] = [];
+    const presumedDead: VmId[] = [];
     for (const peer of this.#peers.values()) {
-      if (peer.state === "dead") continue;
-      (peer.revision >= revision ? reached : missing).push(peer.vmId);
+      if (peer.revision >= revision) reached.push(peer.vmId);
+      else if (peer.state === "dead") presumedDead.push(peer.vmId);
+      else missing.push(peer.vmId);
+    }
+    return { reached, missing, presumedDead };
+  }
+
+  #countKnown(): number {
+    let count = this.#peers.size;
+    for (const vmId of this.#listed) {
+      if (!this.#peers.has(vmId)) count += 1;
     }
-    return { reached, missing };
+    return count;
+  }
+
+  #setRevision(peer: Peer, revision: Revision): void {
+    peer.revision = Math.max(peer.revision, revision);
+    this.#highestRevision = Math.max(this.#highestRevision, revision);
   }
 
   #listAlive(): readonly Peer[] {
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -38,7 +38,8 @@
 import { Membership, type MembershipStep } from "../membership/mod.ts";
 import type { NodeInput, NodeNotice, NodeStep } from "./node_input.ts";
 import type { NodeOptions } from "./node_settings.ts";
-import { OpenPolicy } from "./open_policy.ts";
+import { SharedBudgets } from "./shared_budgets.ts";
+import { NodePolicy } from "./node_policy.ts";
 import {
   findAttemptShard,
   ShardHosts,
@@ -48,6 +49,8 @@
 
 const ROLE_TICK_MS = 50;
 const VIEW_TICK_MS = 250;
+/** Wait for open service attempts before a stopping node gives shards away. */
+const DRAIN_LIMIT_MS = 10_000;
 
 /** The state machine of a node. */
 export class NodeCore {
@@ -56,7 +59,8 @@
   readonly #membership: Membership;
   readonly #assigner: ShardAssigner;
   readonly #configuration: Configuration;
-  readonly #policy: OpenPolicy;
+  readonly #policy: NodePolicy;
+  readonly #budgets: SharedBudgets;
   readonly #keeper: Keeper;
   readonly #hosts: ShardHosts;
   readonly #entry: Entry;
@@ -64,7 +68,11 @@
   #effects: Effect[] = [];
   #notices: NodeNotice[] = [];
   #nowMs = 0;
+  /** The VMs that the platform's list names. */
+  #listed: readonly VmId[] = [];
   #isStopping = false;
+  #stoppedAtMs = 0;
+  #isOffering = false;
 
   constructor(options: NodeOptions) {
     const { spec, limits, seed, initial } = options;
@@ -85,7 +93,13 @@
       region: spec.region,
       ...(initial === undefined ? {} : { initial }),
     });
-    this.#policy = new OpenPolicy(self, () => this.#configuration.value);
+    this.#policy = new NodePolicy({
+      spec,
+      seed,
+      getValue: () => this.#configuration.value,
+      getView: () => this.#membership.view(),
+    });
+    this.#budgets = new SharedBudgets(spec);
     this.#keeper = new Keeper({
       incarnation: spec.incarnation,
       maxBytes: limits.keeperBytes,
@@ -176,6 +190,8 @@
     return new ShardHosts({
       self: spec.vmId,
       placer: this.#policy,
+      budgets: this.#budgets,
+      retries: this.#policy.retries,
       getConfiguration: () => ({
         revision: this.#configuration.revision,
         value: this.#configuration.value,
@@ -201,6 +217,9 @@
       this.#applyMembership(this.#membership.handle(tick, nowMs));
       this.#applyAssignment(this.#assigner.handle(tick, nowMs));
       this.#applyHosts(this.#hosts.handleAll(tick, nowMs));
+      this.#addEffects(this.#policy.handleTick(nowMs));
+      this.#addEffects(this.#budgets.handleTick(nowMs));
+      this.#checkStop(nowMs);
       this.#addEffects(this.#entry.handle(tick, nowMs));
     });
     this.#timers.subscribe(CONFIGURATION_TICK_MS, (nowMs) => {
@@ -214,11 +233,15 @@
     const view = this.#membership.view();
     const isCutOff = this.#membership.isCutOff(nowMs);
     const { revision } = this.#configuration;
+    this.#addEffects(this.#budgets.applyView(view, nowMs));
     this.#applyAssignment(
       this.#assigner.handle({ kind: "membership", view, isCutOff }, nowMs),
     );
     this.#applyConfiguration(
-      this.#configuration.handle({ kind: "members", view }, nowMs),
+      this.#configuration.handle(
+        { kind: "members", view, isCutOff, listed: this.#listed },
+        nowMs,
+      ),
     );
     this.#applyMembership(
       this.#membership.handle({ kind: "revision", revision }, nowMs),
@@ -247,6 +270,7 @@
           this.#configuration.handle(input, this.#nowMs),
         );
       case "vm_list":
+        this.#listed = input.vms.map((vm) => vm.vmId);
         return this.#applyMembership(
           this.#membership.handle(input, this.#nowMs),
         );
@@ -262,10 +286,19 @@
   #startStop(): void {
     if (this.#isStopping) return;
     this.#isStopping = true;
+    this.#stoppedAtMs = this.#nowMs;
     this.#applyMembership(this.#membership.announceLeaving(this.#nowMs));
-    this.#applyAssignment(
-      this.#assigner.handle({ kind: "leave" }, this.#nowMs),
-    );
+    this.#applyHosts(this.#hosts.handleAll({ kind: "drain" }, this.#nowMs));
+  }
+
+  /** Offers the shards once no service attempt is open, or the time is up. */
+  #checkStop(nowMs: number): void {
+    if (!this.#isStopping || this.#isOffering) return;
+    const isLate = nowMs - this.#stoppedAtMs >= DRAIN_LIMIT_MS;
+    if (this.#hosts.countServiceAttempts() > 0 && !isLate) return;
+    this.#isOffering = true;
+    this.#addEffects(this.#budgets.stop(nowMs));
+    this.#applyAssignment(this.#assigner.handle({ kind: "leave" }, nowMs));
   }
 
   #handlePlatform(input: Extract<NodeInput, { kind: "platform" }>): void {
@@ -273,6 +306,7 @@
     switch (role) {
       case "ledger":
       case "recovery":
+      case "charge":
         return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
       case "assignment":
         return this.#applyAssignment(
@@ -282,9 +316,12 @@
         return this.#applyConfiguration(
           this.#configuration.handle(input, this.#nowMs),
         );
-      case "budget":
-      case "charge":
-        return;
+      case "budget": {
+        const { token, answer } = input;
+        return this.#addEffects(
+          this.#budgets.handleAnswer(token, answer, this.#nowMs),
+        );
+      }
       default:
         return checkNever(role);
     }
@@ -369,6 +406,7 @@
     switch (message.kind) {
       case "slot_granted":
       case "slot_refused": {
+        this.#policy.handlePeer(from, message, this.#nowMs);
         const shard = findAttemptShard(message.attemptId);
         const input = { kind: "slot", message } as const;
         return this.#applyHosts(this.#hosts.handle(shard, input, this.#nowMs));
@@ -377,7 +415,9 @@
       case "slot_renewed":
       case "slot_released":
       case "target_loads":
-        return this.#addEffects(this.#policy.handle(from, message));
+        return this.#addEffects(
+          this.#policy.handlePeer(from, message, this.#nowMs),
+        );
       default:
         return checkNever(message);
     }
@@ -438,7 +478,13 @@
 
   #applyConfiguration(step: ConfigurationStep): void {
     this.#addEffects(step.effects);
-    this.#notices.push(...step.notices);
+    for (const notice of step.notices) {
+      this.#notices.push(notice);
+      if (notice.kind !== "in_force") continue;
+      const { value } = notice;
+      this.#addEffects(this.#policy.applyConfiguration(value, this.#nowMs));
+      this.#addEffects(this.#budgets.applyConfiguration(value, this.#nowMs));
+    }
   }
 
   #applyHosts(step: ShardHostsStep): void {
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -9,6 +9,7 @@
   type DispatchMessage,
   type Effect,
   type EntryBody,
+  type LedgerEntry,
   type OwnerMessage,
   type ProgramView,
   type TargetOrderResult,
@@ -46,8 +47,11 @@
   | {
     /** Entries of earlier epochs, in order, before any other input. */
     readonly kind: "recovered";
-    readonly entries: readonly EntryBody[];
+    readonly snapshot: readonly EntryBody[];
+    readonly entries: readonly LedgerEntry[];
   }
+  /** The node stops: nothing new is started. */
+  | { readonly kind: "drain" }
   | { readonly kind: "tick" };
 
 /** The state machine of a shard's owner. */
@@ -82,6 +86,11 @@
     return [...this.#context.state.programs.values()].map(buildProgramView);
   }
 
+  /** Counts the attempts whose end only this node can learn. */
+  countServiceAttempts(): number {
+    return this.#runner.countServiceAttempts();
+  }
+
   /** Encodes the state of every entry appended so far. */
   encodeSnapshot(): Uint8Array[] {
     return encodeSnapshot(this.#context.state);
@@ -102,7 +111,9 @@
       case "confirmed":
         return this.#context.settleConfirmed(input.token);
       case "recovered":
-        return this.#applyRecovered(input.entries);
+        return this.#applyRecovered(input);
+      case "drain":
+        return this.#runner.stopStarting();
       case "tick":
         return this.#handleTick();
       default:
@@ -126,9 +137,15 @@
     }
   }
 
-  #applyRecovered(entries: readonly EntryBody[]): void {
+  #applyRecovered(
+    recovered: Extract<OwnerInput, { kind: "recovered" }>,
+  ): void {
     const { state } = this.#context;
-    for (const entry of entries) state.apply(entry);
+    for (const body of recovered.snapshot) state.apply(body);
+    for (const { body, sequence } of recovered.entries) {
+      state.apply(body);
+      this.#context.recordCharge(sequence, body);
+    }
     for (const program of state.programs.values()) {
       for (const call of program.openCalls) {
         this.#runner.addRecovered(program, call);
@@ -139,6 +156,7 @@
   }
 
   #handleTick(): void {
+    this.#requests.handleTick();
     this.#runner.handleTick();
     this.#releaser.handleTick();
   }
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -1,12 +1,13 @@
 /**
  * The engine stand-in over HTTP. `docs/EDGES.md` has the form.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
 import type { AttemptId } from "@camphorlock/types";
 import {
   ATTEMPT_HEADER,
   NOT_RUN_HEADER,
   PROGRAM_HEADER,
-} from "@camphorlock/engines";
+} from "@camphorlock/platform";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 import {
@@ -14,7 +15,6 @@
   type RunningServer,
   type StandinEnv,
   startServer,
-  waitFor,
   waitForever,
 } from "../http_server.ts";
 import { parseChatRequest } from "./chat_form.ts";
@@ -24,6 +24,7 @@
 import { addOrderRoutes } from "./order_routes.ts";
 import { addReportRoutes } from "./report_routes.ts";
 import { SimpleEngine } from "./simple_engine.ts";
+import { type SlowMomentsOptions, startSlowMoments } from "./slow_moments.ts";
 
 const DEFAULT_TOKEN_MS = 5;
 const DEFAULT_FIRST_TOKEN_MS = 20;
@@ -35,6 +36,10 @@
   readonly tokenMs?: number;
   readonly firstTokenMs?: number;
   readonly checksFencing?: boolean;
+  /** When the engine is slow; never when absent. */
+  readonly slowMoments?: SlowMomentsOptions;
+  /** Models served from the start. */
+  readonly models?: readonly string[];
 }
 
 /** A running engine stand-in. */
@@ -56,13 +61,16 @@
     await next();
   });
   addStreamRoutes(app, { driver, control });
-  addOrderRoutes(app, driver);
+  addOrderRoutes(app, { driver, models: new Set(options.models) });
   addReportRoutes(app, driver);
   const server = await startServer(app, options);
+  const slow = options.slowMoments &&
+    startSlowMoments(options.slowMoments, (speed) => control.setSpeed(speed));
   return {
     address: server.address,
     control,
     stop: () => {
+      slow?.stop();
       driver.stop();
       return server.stop();
     },
@@ -91,7 +99,9 @@
     if (planned.isErr()) return refuse(context, 400, planned.error);
     if (control.startDelayMs > 0) await waitFor(control.startDelayMs);
     const reply = driver.startAnswer(planned.value);
-    if (reply.kind === "rejected") return refuse(context, 409, reply.detail);
+    // Nothing is said of whether the earlier run took place.
+    if (reply.kind === "known") return context.text("known attempt", 409);
+    if (reply.kind === "rejected") return refuse(context, 400, reply.detail);
     return openStream(context, { ...options, attemptId, fromOffset: 0 });
   });
   app.get("/v1/streams/:attemptId", (context) => {
@@ -146,7 +156,7 @@
 
 function refuse(
   context: Context<StandinEnv>,
-  status: 400 | 409 | 503,
+  status: 400 | 503,
   detail: string,
 ): Response {
   context.header(NOT_RUN_HEADER, "true");
