Check nested values of messages; drop a malformed one alone

Cause: only the outer fields of a message were checked, so that a malformed call or ledger entry could have reached a role, and one malformed message ended the stream with all others on it.

Change: shapes cover programs, calls, outcomes and ledger entries. A malformed message is dropped, counted and logged; so is one with a variant that only a later release knows. Faults of frames still end the stream.

--- a/packages/nodes/src/message_codec.ts
+++ b/packages/nodes/src/message_codec.ts
@@ -5,7 +5,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { createFailure, type Failure } from "@camphorlock/codes";
 import type { PeerMessage } from "@camphorlock/types";
-import { findBadField, isKnownKind, isObject } from "./message_shapes.ts";
+import { isObject } from "./field_checks.ts";
+import { findBadField, isKnownKind } from "./message_shapes.ts";
 
 /** A received message, or the kind that this release doesn't know. */
 export type DecodedMessage =
@@ -19,7 +20,10 @@
   return packr.pack(message);
 }
 
-/** Decodes a message; fails on anything that isn't one. */
+/**
+ * Decodes a message; fails on anything that isn't one. A variant within it
+ * that only a later release knows makes the whole message unknown.
+ */
 export function decodeMessage(
   bytes: Uint8Array,
 ): Result<DecodedMessage, Failure> {
@@ -28,8 +32,11 @@
   const kind = value["kind"];
   if (typeof kind !== "string") return refuse("the message has no kind");
   if (!isKnownKind(kind)) return ok({ kind: "unknown", messageKind: kind });
-  const field = findBadField(kind, value);
-  if (field !== undefined) return refuse(`${kind}.${field} is malformed`);
+  const misfit = findBadField(kind, value);
+  if (misfit?.fit === "unknown_kind") {
+    return ok({ kind: "unknown", messageKind: `${kind}.${misfit.field}` });
+  }
+  if (misfit !== undefined) return refuse(`${kind}.${misfit.field}`);
   return ok({ kind: "known", message: value as unknown as PeerMessage });
 }
 
--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -3,9 +3,10 @@
  *
  * A field that a shape doesn't name is ignored. The table covers every field
  * of every kind, so that a new one fails to compile until it's listed here.
+ * A required field that an earlier release doesn't send makes its messages
+ * malformed, so that fields are added as optional ones.
  */
 import type {
-  LedgerEntry,
   NodeDigest,
   NodeSpec,
   PeerMessage,
@@ -13,183 +14,186 @@
   ShardAssignment,
   TargetLoad,
 } from "@camphorlock/types";
-
-/** Whether a received value fits a field. */
-type FieldCheck = (value: unknown) => boolean;
-
-/** A check for each field of a message or part. */
-type Shape<T> = { readonly [F in Exclude<keyof T, "kind">]-?: FieldCheck };
-
-type MessageShapes = {
-  readonly [K in PeerMessage["kind"]]: Shape<Extract<PeerMessage, { kind: K }>>;
-};
-
-const LARGEST_LIST = 100_000;
-
-const isText: FieldCheck = (value) => typeof value === "string";
-const isFlag: FieldCheck = (value) => typeof value === "boolean";
-const isAmount: FieldCheck = (value) =>
-  typeof value === "number" && Number.isFinite(value);
-const isWhole: FieldCheck = (value) =>
-  typeof value === "number" && Number.isSafeInteger(value) && value >= 0;
-const isBytes: FieldCheck = (value) => value instanceof Uint8Array;
-const isUnion: FieldCheck = (value) =>
-  isObject(value) && typeof value["kind"] === "string";
+import {
+  checkCallerAnswer,
+  checkCallerRequest,
+  checkLedgerEntry,
+} from "./call_shapes.ts";
+import {
+  buildListOf,
+  buildOneOf,
+  buildOptional,
+  buildShape,
+  checkAmount,
+  checkBytes,
+  checkFlag,
+  checkText,
+  checkWhole,
+  findMisfit,
+  type Fit,
+  type Shape,
+  type UnionShape,
+} from "./field_checks.ts";
 
 const NODE_SPEC: Shape<NodeSpec> = {
-  vmId: isText,
-  incarnation: isWhole,
-  region: isText,
-  failureDomain: isText,
-  peerAddress: isText,
-  callerAddress: isText,
-  hasDisk: isFlag,
+  vmId: checkText,
+  incarnation: checkWhole,
+  region: checkText,
+  failureDomain: checkText,
+  peerAddress: checkText,
+  callerAddress: checkText,
+  hasDisk: checkFlag,
 };
 
 const NODE_DIGEST: Shape<NodeDigest> = {
-  spec: isShape(NODE_SPEC),
-  state: isOneOf(["alive", "suspect", "leaving", "dead"]),
-  number: isWhole,
-  revision: isWhole,
+  spec: buildShape(NODE_SPEC),
+  state: buildOneOf(["alive", "suspect", "leaving", "dead"]),
+  number: checkWhole,
+  revision: checkWhole,
 };
 
 const REVISION_REPORT: Shape<RevisionReport> = {
-  revision: isWhole,
-  processes: isBytes,
-  lacking: isOptional(isBytes),
+  revision: checkWhole,
+  processes: checkBytes,
+  lacking: buildOptional(checkBytes),
 };
 
 const SHARD_ASSIGNMENT: Shape<ShardAssignment> = {
-  shard: isWhole,
-  epoch: isWhole,
-  owner: isText,
-  ownerIncarnation: isWhole,
-  keepers: isListOf(isText),
-};
-
-const LEDGER_ENTRY: Shape<LedgerEntry> = {
-  shard: isWhole,
-  epoch: isWhole,
-  sequence: isWhole,
-  body: isUnion,
+  shard: checkWhole,
+  epoch: checkWhole,
+  owner: checkText,
+  ownerIncarnation: checkWhole,
+  keepers: buildListOf(checkText),
 };
 
 const TARGET_LOAD: Shape<TargetLoad> = {
-  targetId: isText,
-  running: isAmount,
-  queued: isAmount,
-  limit: isAmount,
-  queuedPromptTokens: isAmount,
-  relativeSpeed: isAmount,
-  tokenMs: isAbsentOr(isAmount),
-  slotMs: isAbsentOr(isAmount),
-  prefillTokens: isAbsentOr(isAmount),
+  targetId: checkText,
+  running: checkAmount,
+  queued: checkAmount,
+  limit: checkAmount,
+  queuedPromptTokens: checkAmount,
+  relativeSpeed: checkAmount,
+  tokenMs: buildOptional(checkAmount),
+  slotMs: buildOptional(checkAmount),
+  prefillTokens: buildOptional(checkAmount),
 };
 
-const MESSAGE_SHAPES: MessageShapes = {
-  "owner_request": { requestId: isText, shard: isWhole, request: isUnion },
-  "owner_answer": { requestId: isText, answer: isUnion },
-  "not_owner": { requestId: isText, shard: isWhole, knownEpoch: isWhole },
-  "caller_gone": { requestId: isText },
+const MESSAGE_SHAPES: UnionShape<PeerMessage> = {
+  "owner_request": {
+    requestId: checkText,
+    shard: checkWhole,
+    request: checkCallerRequest,
+  },
+  "owner_answer": { requestId: checkText, answer: checkCallerAnswer },
+  "not_owner": {
+    requestId: checkText,
+    shard: checkWhole,
+    knownEpoch: checkWhole,
+  },
+  "caller_gone": { requestId: checkText },
   "keep_entries": {
-    shard: isWhole,
-    epoch: isWhole,
-    entries: isListOf(isShape(LEDGER_ENTRY)),
-    storedThrough: isWhole,
-    durableThrough: isWhole,
-    keeperIncarnation: isWhole,
-    token: isWhole,
+    shard: checkWhole,
+    epoch: checkWhole,
+    entries: buildListOf(checkLedgerEntry),
+    storedThrough: checkWhole,
+    durableThrough: checkWhole,
+    keeperIncarnation: checkWhole,
+    token: checkWhole,
   },
   "entries_kept": {
-    shard: isWhole,
-    epoch: isWhole,
-    keptThrough: isWhole,
-    keeperIncarnation: isWhole,
-    token: isWhole,
+    shard: checkWhole,
+    epoch: checkWhole,
+    keptThrough: checkWhole,
+    keeperIncarnation: checkWhole,
+    token: checkWhole,
   },
   "keep_refused": {
-    shard: isWhole,
-    epoch: isWhole,
-    sealedEpoch: isWhole,
-    token: isWhole,
+    shard: checkWhole,
+    epoch: checkWhole,
+    sealedEpoch: checkWhole,
+    token: checkWhole,
   },
   "seal_keeper": {
-    shard: isWhole,
-    epoch: isWhole,
-    afterSequence: isWhole,
-    token: isWhole,
+    shard: checkWhole,
+    epoch: checkWhole,
+    afterSequence: checkWhole,
+    token: checkWhole,
   },
   "keeper_sealed": {
-    shard: isWhole,
-    epoch: isWhole,
-    heldEpoch: isWhole,
-    entries: isListOf(isShape(LEDGER_ENTRY)),
-    more: isFlag,
-    storedThrough: isWhole,
-    keptThrough: isWhole,
-    complete: isFlag,
-    keeperIncarnation: isWhole,
-    token: isWhole,
+    shard: checkWhole,
+    epoch: checkWhole,
+    heldEpoch: checkWhole,
+    entries: buildListOf(checkLedgerEntry),
+    more: checkFlag,
+    storedThrough: checkWhole,
+    keptThrough: checkWhole,
+    complete: checkFlag,
+    keeperIncarnation: checkWhole,
+    token: checkWhole,
   },
   "slot_request": {
-    attemptId: isText,
-    targetId: isText,
-    partner: isText,
-    programClass: isText,
-    agent: isText,
-    programId: isText,
-    attainedMs: isAmount,
-    promptTokens: isAmount,
-    cachedTokens: isAmount,
-    maxTokens: isAmount,
-    programAgeMs: isAbsentOr(isAmount),
+    attemptId: checkText,
+    targetId: checkText,
+    partner: checkText,
+    programClass: checkText,
+    agent: checkText,
+    programId: checkText,
+    attainedMs: checkAmount,
+    promptTokens: checkAmount,
+    cachedTokens: checkAmount,
+    maxTokens: checkAmount,
+    programAgeMs: buildOptional(checkAmount),
   },
   "slot_granted": {
-    attemptId: isText,
-    targetId: isText,
-    expiresInMs: isAmount,
-    load: isAbsentOr(isShape(TARGET_LOAD)),
+    attemptId: checkText,
+    targetId: checkText,
+    expiresInMs: checkAmount,
+    load: buildOptional(buildShape(TARGET_LOAD)),
   },
   "slot_refused": {
-    attemptId: isText,
-    targetId: isText,
-    reason: isText,
-    retryAfterMs: isAmount,
-    load: isAbsentOr(isShape(TARGET_LOAD)),
+    attemptId: checkText,
+    targetId: checkText,
+    reason: checkText,
+    retryAfterMs: checkAmount,
+    load: buildOptional(buildShape(TARGET_LOAD)),
+  },
+  "slot_renewed": {
+    attemptId: checkText,
+    targetId: checkText,
+    tokens: checkAmount,
   },
-  "slot_renewed": { attemptId: isText, targetId: isText, tokens: isAmount },
   "slot_released": {
-    attemptId: isText,
-    targetId: isText,
-    outcome: isText,
-    firstTokenMs: isAmount,
-    durationMs: isAmount,
-    tokens: isAmount,
+    attemptId: checkText,
+    targetId: checkText,
+    outcome: checkText,
+    firstTokenMs: checkAmount,
+    durationMs: checkAmount,
+    tokens: checkAmount,
   },
-  "target_loads": { loads: isListOf(isShape(TARGET_LOAD)) },
+  "target_loads": { loads: buildListOf(buildShape(TARGET_LOAD)) },
   heartbeat: {
-    spec: isShape(NODE_SPEC),
-    state: isOneOf(["alive", "leaving"]),
-    revision: isWhole,
-    number: isWhole,
-    stateNumber: isWhole,
-    knownNodes: isWhole,
-    digest: isListOf(isShape(NODE_DIGEST)),
-    report: isOptional(isShape(REVISION_REPORT)),
+    spec: buildShape(NODE_SPEC),
+    state: buildOneOf(["alive", "leaving"]),
+    revision: checkWhole,
+    number: checkWhole,
+    stateNumber: checkWhole,
+    knownNodes: checkWhole,
+    digest: buildListOf(buildShape(NODE_DIGEST)),
+    report: buildOptional(buildShape(REVISION_REPORT)),
   },
   "heartbeat_ack": {
-    number: isWhole,
-    incarnation: isWhole,
-    revision: isWhole,
-    digest: isListOf(isShape(NODE_DIGEST)),
-    report: isOptional(isShape(REVISION_REPORT)),
+    number: checkWhole,
+    incarnation: checkWhole,
+    revision: checkWhole,
+    digest: buildListOf(buildShape(NODE_DIGEST)),
+    report: buildOptional(buildShape(REVISION_REPORT)),
   },
-  "probe_request": { vmId: isText, number: isWhole },
-  "probe_result": { vmId: isText, number: isWhole, reached: isFlag },
-  "assignment_news": { assignments: isListOf(isShape(SHARD_ASSIGNMENT)) },
-  "handover_offer": { shards: isListOf(isWhole) },
-  "configuration_request": { afterRevision: isWhole },
-  "configuration_offer": { revision: isWhole, value: isBytes },
+  "probe_request": { vmId: checkText, number: checkWhole },
+  "probe_result": { vmId: checkText, number: checkWhole, reached: checkFlag },
+  "assignment_news": { assignments: buildListOf(buildShape(SHARD_ASSIGNMENT)) },
+  "handover_offer": { shards: buildListOf(checkWhole) },
+  "configuration_request": { afterRevision: checkWhole },
+  "configuration_offer": { revision: checkWhole, value: checkBytes },
 };
 
 /** Whether a kind of message is known to this release. */
@@ -201,45 +205,7 @@
 export function findBadField(
   kind: PeerMessage["kind"],
   message: Record<string, unknown>,
-): string | undefined {
-  return findMisfit(MESSAGE_SHAPES[kind], message);
-}
-
-/** Whether a value is an object with named fields. */
-export function isObject(value: unknown): value is Record<string, unknown> {
-  return typeof value === "object" && value !== null && !Array.isArray(value);
-}
-
-function findMisfit(
-  shape: Readonly<Record<string, FieldCheck>>,
-  value: Record<string, unknown>,
-): string | undefined {
-  for (const field in shape) {
-    if (!Object.hasOwn(shape, field)) continue;
-    if (shape[field]?.(value[field]) !== true) return field;
-  }
-  return undefined;
-}
-
-function isShape<T>(shape: Shape<T>): FieldCheck {
-  const fields = shape as Readonly<Record<string, FieldCheck>>;
-  return (value) => isObject(value) && findMisfit(fields, value) === undefined;
-}
-
-function isOptional(isPresent: FieldCheck): FieldCheck {
-  return (value) => value === undefined || isPresent(value);
-}
-
-function isListOf(isMember: FieldCheck): FieldCheck {
-  return (value) =>
-    Array.isArray(value) && value.length <= LARGEST_LIST &&
-    value.every(isMember);
-}
-
-function isOneOf(members: readonly string[]): FieldCheck {
-  return (value) => typeof value === "string" && members.includes(value);
-}
-
-function isAbsentOr(check: FieldCheck): FieldCheck {
-  return (value) => value === undefined || check(value);
+): { readonly field: string; readonly fit: Fit } | undefined {
+  const shape: Shape<unknown> = MESSAGE_SHAPES[kind];
+  return findMisfit(shape, message);
 }
--- a/packages/nodes/src/peer_network.ts
+++ b/packages/nodes/src/peer_network.ts
@@ -50,6 +50,7 @@
   receivedMessages: number;
   droppedMessages: number;
   unknownMessages: number;
+  malformedMessages: number;
   refusedStreams: number;
   silentStreams: number;
   openedStreams: number;
@@ -65,6 +66,7 @@
     receivedMessages: 0,
     droppedMessages: 0,
     unknownMessages: 0,
+    malformedMessages: 0,
     refusedStreams: 0,
     silentStreams: 0,
     openedStreams: 0,
@@ -213,6 +215,10 @@
         this.counts.unknownMessages += 1;
         this.#log("PeerRefused", { vmId: peerId, unknownKind: kind });
       },
+      onMalformed: (failure) => {
+        this.counts.malformedMessages += 1;
+        this.#log("PeerRefused", { vmId: peerId, detail: failure.detail });
+      },
       onWritable: () => this.#scheduleFlush(this.#getPeer(peerId ?? "")),
       onEnd: (end) => {
         use.onEnd?.();
--- a/packages/nodes/src/peer_stream.ts
+++ b/packages/nodes/src/peer_stream.ts
@@ -39,7 +39,10 @@
 export interface PeerStreamHandlers {
   readonly onOpen: (peer: PeerIdentity) => void;
   readonly onMessage: (message: PeerMessage) => void;
+  /** A message was dropped that only a later release knows. */
   readonly onUnknownKind: (kind: string) => void;
+  /** A message was dropped that doesn't have the shape of its kind. */
+  readonly onMalformed: (failure: Failure) => void;
   readonly onWritable: () => void;
   readonly onEnd: (end: StreamEnd) => void;
 }
@@ -188,9 +191,7 @@
     }
     if (frame.opening !== undefined) this.#answerOpening();
     if (frame.messages.length > 0) this.#lastUsedMs = nowMs;
-    for (const bytes of frame.messages) {
-      if (!this.#receiveMessage(bytes)) return;
-    }
+    for (const bytes of frame.messages) this.#receiveMessage(bytes);
   }
 
   /** Takes the other side's opening; returns whether the stream goes on. */
@@ -233,18 +234,13 @@
       frame.incarnation === this.#peer.incarnation;
   }
 
-  #receiveMessage(bytes: Buffer): boolean {
+  #receiveMessage(bytes: Buffer): void {
+    const { handlers } = this.#options;
     const decoded = decodeMessage(bytes);
-    if (decoded.isErr()) {
-      this.#refuse(decoded.error);
-      return false;
-    }
-    if (decoded.value.kind === "unknown") {
-      this.#options.handlers.onUnknownKind(decoded.value.messageKind);
-    } else {
-      this.#options.handlers.onMessage(decoded.value.message);
-    }
-    return true;
+    if (decoded.isErr()) handlers.onMalformed(decoded.error);
+    else if (decoded.value.kind === "unknown") {
+      handlers.onUnknownKind(decoded.value.messageKind);
+    } else handlers.onMessage(decoded.value.message);
   }
 
   #refuse(failure: Failure): void {
--- a/packages/scheduler/src/assignment/bench.ts
+++ b/packages/scheduler/src/assignment/bench.ts
@@ -67,6 +67,7 @@
   const idle = measureRates(cluster, IDLE_MS);
   const cpuMs = readCpuMs() - cpuBeforeMs;
   const messages = cluster.messages - messagesBefore;
+  const waitingWatches = cluster.platform.countWatches();
   const movesBefore = cluster.moves;
   stopDomain(cluster, failureDomains);
   const movesNeeded = cluster.listOrphans().length;
@@ -87,7 +88,7 @@
   });
   return {
     nodes,
-    waitingWatches: cluster.platform.countWatches(),
+    waitingWatches,
     startMs,
     idle,
     idleCoreSharePerNode: cpuMs / (nodes * IDLE_MS),
--- a/packages/scheduler/src/assignment/rendezvous.ts
+++ b/packages/scheduler/src/assignment/rendezvous.ts
@@ -4,6 +4,8 @@
 import type { VmId } from "@camphorlock/types";
 import { computeHash } from "../hash.ts";
 
+export { computeHash };
+
 /** Sorts VMs by their score for a key, best first. */
 export function sortByScore(key: string, vmIds: readonly VmId[]): VmId[] {
   const scored = vmIds.map((vmId) => ({
