--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -19,6 +19,7 @@
   type ShardId,
   type VmId,
 } from "@camphorlock/types";
+import { computeHash } from "../hash.ts";
 import { RandomChooser } from "../membership/random.ts";
 import { AssignmentTable } from "./assignment_table.ts";
 import { Fleet } from "./fleet.ts";
@@ -40,7 +41,6 @@
 import { PendingNotes } from "./pending_notes.ts";
 import { type OpenCall, PlatformCalls } from "./platform_calls.ts";
 import { Proposer } from "./proposer.ts";
-import { computeHash } from "./rendezvous.ts";
 import {
   type AssignmentSettings,
   DEFAULT_ASSIGNMENT_SETTINGS,
@@ -186,8 +186,7 @@
     const nowMs = this.#nowMs;
     const decision = this.#proposer.decide(state, nowMs);
     if (decision.kind === "wait") return;
-    const hasFailed = this.#calls.hasFailedSince(state.learntAtMs);
-    if (decision.kind === "read" || hasFailed) {
+    if (decision.kind === "read") {
       this.#effects.push(this.#reader.read(state, nowMs));
       return;
     }
