Give small prompts room of their own and raise the limit in proportion

Tracing the waits showed an engine with 9 of 40 slots in use and 22 calls queued: prompts of two to four thousand tokens waited behind one of 25,000 that didn't fit the bound. Prompts up to 4,096 tokens now have a bound of their own, and short calls none. The estimate counts 0.06 ms for a prompt token, as under a running batch, instead of 0.03 (the weight of interference is halved to match). The limit rose by 6 % a second, too slow for a crest of ten seconds; it now rises in proportion to the room below the target cadence, by at most 30 %.

--- a/packages/scheduler/src/admission/admission.ts
+++ b/packages/scheduler/src/admission/admission.ts
@@ -14,7 +14,11 @@
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 import type { RandomSource } from "../random/mod.ts";
-import type { AdmissionSettings, CrestPolicy, PartnerWeights } from "./settings.ts";
+import type {
+  AdmissionSettings,
+  CrestPolicy,
+  PartnerWeights,
+} from "./settings.ts";
 
 /** A program that asks to begin. */
 export interface AdmissionRequest {
--- a/packages/scheduler/src/dispatch/concurrency_limit.ts
+++ b/packages/scheduler/src/dispatch/concurrency_limit.ts
@@ -15,6 +15,7 @@
 const RISE_BELOW_SHARE = 0.92;
 const FALL_ABOVE_SHARE = 1.05;
 const MOST_FALL_SHARE = 0.7;
+const MOST_RISE_SHARE = 1.3;
 const MIN_TOKENS = 20;
 const FORGET_AFTER_MS = 3_000;
 /** Share of a new observation in the reported time between tokens. */
@@ -107,7 +108,8 @@
           const share = Math.max(MOST_FALL_SHARE, 1 / ratio);
           this.setSlots(Math.floor(Math.min(this.#slots, running) * share));
         } else if (ratio < RISE_BELOW_SHARE && wasBinding) {
-          this.setSlots(this.#slots + Math.max(1, Math.round(running * 0.06)));
+          const share = Math.min(MOST_RISE_SHARE, 1 / ratio);
+          this.setSlots(Math.max(this.#slots + 1, Math.floor(running * share)));
         }
         return;
       }
--- a/packages/scheduler/src/dispatch/running_slots.ts
+++ b/packages/scheduler/src/dispatch/running_slots.ts
@@ -5,7 +5,7 @@
 import { countUncachedTokens, type WaitingCall } from "./waiting_call.ts";
 
 /** Prompts up to this size don't count against the bound on computation. */
-export const SMALL_PROMPT_TOKENS = 2_000;
+export const SMALL_PROMPT_TOKENS = 4_096;
 
 /** A granted slot. */
 export interface RunningSlot {
--- a/packages/scheduler/src/dispatch/settings.ts
+++ b/packages/scheduler/src/dispatch/settings.ts
@@ -53,7 +53,13 @@
 /** How much prompt computation runs at a time on one target. */
 export type PrefillPolicy =
   | { readonly kind: "none" }
-  | { readonly kind: "bounded"; readonly mostTokens: number };
+  | {
+    readonly kind: "bounded";
+    /** Tokens of long prompts, unless a single one has more. */
+    readonly mostTokens: number;
+    /** Tokens of small prompts beside them. */
+    readonly smallTokens: number;
+  };
 
 /** How long the queue may grow. */
 export type QueuePolicy =
@@ -94,7 +100,7 @@
   },
   share: { kind: "weighted", weights: { zincir: 1, okonkwo: 1 } },
   shortRoom: { kind: "reserved", slotShare: 0.15 },
-  prefill: { kind: "bounded", mostTokens: 16_000 },
+  prefill: { kind: "bounded", mostTokens: 16_000, smallTokens: 8_000 },
   queue: {
     kind: "bounded",
     mostWaiting: 256,
--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -44,7 +44,6 @@
 const MOST_RETRY_MS = 15_000;
 const MAX_ENDED = 512;
 
-
 /** What a dispatcher of one target is built from. */
 export interface TargetDispatcherOptions {
   readonly targetId: TargetId;
@@ -255,12 +254,22 @@
     return isShort || this.#running.longCount < this.#countLongSlots(slots);
   }
 
+  /**
+   * Whether a call's prompt may be computed beside those under way. Small
+   * prompts have room of their own, and those of short calls always fit.
+   */
   #fitsPrefill(call: WaitingCall): boolean {
     const { prefill } = this.#settings;
     if (prefill.kind === "none") return true;
+    const { largePrefillTokens, prefillTokens } = this.#running;
     const tokens = countUncachedTokens(call.request);
-    const inFlight = this.#running.largePrefillTokens;
-    return inFlight === 0 || inFlight + tokens <= prefill.mostTokens;
+    if (tokens > SMALL_PROMPT_TOKENS) {
+      const sum = largePrefillTokens + tokens;
+      return largePrefillTokens === 0 || sum <= prefill.mostTokens;
+    }
+    if (call.request.programClass === "short") return true;
+    const smallTokens = prefillTokens - largePrefillTokens;
+    return smallTokens + tokens <= prefill.smallTokens;
   }
 
   /**
@@ -274,7 +283,7 @@
     if (next === undefined || this.#fitsPrefill(next)) return next;
     return this.#queue.findNext(
       (each) =>
-        this.#fits(each) &&
+        this.#fits(each) && this.#fitsPrefill(each) &&
         countUncachedTokens(each.request) <= SMALL_PROMPT_TOKENS,
       options,
     );
--- a/packages/scheduler/src/placement/settings.ts
+++ b/packages/scheduler/src/placement/settings.ts
@@ -70,7 +70,7 @@
     mostAvoidedShare: 0.5,
   },
   estimate: {
-    prefillTokenMs: 0.03,
+    prefillTokenMs: 0.06,
     tokenMs: 20,
     tokenPerSequenceMs: 0.5,
     completionTokens: 150,
@@ -78,7 +78,7 @@
     slots: 24,
     crossRegionMs: 32,
     paidMegabyteMs: 200,
-    interference: 1,
+    interference: 0.5,
     arrivingCalls: 3,
   },
   mostHolders: 3,
