Make the share of a partner hold when its service is uneven

The bound on an idle partner's claim also forgave the debt of the other after each long call, since one call's service is larger than the bound; it now holds only for a partner with nothing waiting. Service counts the prompt tokens that a call has computed, which delay the whole batch.

--- a/packages/scheduler/src/dispatch/fair_share.ts
+++ b/packages/scheduler/src/dispatch/fair_share.ts
@@ -5,7 +5,7 @@
 import type { SharePolicy } from "./settings.ts";
 
 /** Service by which a partner may run ahead of another that was idle. */
-const MAX_LEAD_MS = 5_000;
+const MAX_LEAD_MS = 20_000;
 
 /** The service that each partner had of one target. */
 export class FairShare {
@@ -25,14 +25,20 @@
     this.#served.set(partner, before + serviceMs / this.#getWeight(partner));
   }
 
-  /** Lists the partners, least served first; or none where all are equal. */
-  sortPartners(waiting: ReadonlySet<Partner>): Partner[] {
+  /**
+   * Lists the partners that have a call that fits, least served first; or none
+   * where all are equal.
+   */
+  sortPartners(
+    fitting: ReadonlySet<Partner>,
+    waiting: ReadonlySet<Partner>,
+  ): Partner[] {
     switch (this.#policy.kind) {
       case "none":
         return [];
       case "weighted":
-        this.#limitLead();
-        return PARTNERS.filter((each) => waiting.has(each))
+        this.#limitLead(waiting);
+        return PARTNERS.filter((each) => fitting.has(each))
           .sort((left, right) =>
             this.#getServed(left) - this.#getServed(right)
           );
@@ -50,12 +56,18 @@
     return sum / this.#getWeight(partner);
   }
 
-  /** A partner that was idle doesn't collect a claim without bound. */
-  #limitLead(): void {
-    const most = Math.max(...PARTNERS.map((each) => this.#getServed(each)));
+  /**
+   * A partner without waiting calls doesn't collect a claim without bound.
+   * Between partners that both wait, every difference is made good.
+   */
+  #limitLead(waiting: ReadonlySet<Partner>): void {
+    const served = [...waiting].map((each) => this.#getServed(each));
+    const least = Math.min(...served) - MAX_LEAD_MS;
+    if (!Number.isFinite(least)) return;
     for (const partner of PARTNERS) {
-      const served = Math.max(this.#getServed(partner), most - MAX_LEAD_MS);
-      this.#served.set(partner, served);
+      if (waiting.has(partner)) continue;
+      const own = Math.max(this.#getServed(partner), least);
+      this.#served.set(partner, own);
     }
   }
 
--- a/packages/scheduler/src/dispatch/slot_queue.ts
+++ b/packages/scheduler/src/dispatch/slot_queue.ts
@@ -79,11 +79,12 @@
     fits: FitCheck,
     options: { readonly share: FairShare; readonly nowMs: number },
   ): WaitingCall | undefined {
-    const fitting = this.list().filter(fits);
-    const partners = new Set<Partner>(
-      fitting.map((each) => each.request.partner),
+    const calls = this.list();
+    const fitting = calls.filter(fits);
+    const [partner] = options.share.sortPartners(
+      listPartners(fitting),
+      listPartners(calls),
     );
-    const [partner] = options.share.sortPartners(partners);
     const candidates = partner === undefined
       ? fitting
       : fitting.filter((each) => each.request.partner === partner);
@@ -156,3 +157,7 @@
   const sorted = [...counts].sort(([, left], [, right]) => right - left);
   return sorted[0]?.[0];
 }
+
+function listPartners(calls: readonly WaitingCall[]): Set<Partner> {
+  return new Set(calls.map((each) => each.request.partner));
+}
--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -43,6 +43,8 @@
 const LEAST_RETRY_MS = 250;
 const MOST_RETRY_MS = 15_000;
 const MAX_ENDED = 512;
+/** Service that the computation of a prompt token takes from the batch. */
+const PREFILL_SERVICE_MS = 0.4;
 
 /** What a dispatcher of one target is built from. */
 export interface TargetDispatcherOptions {
@@ -136,7 +138,8 @@
     const slot = this.#running.remove(released.attemptId);
     if (slot === undefined) return [];
     const heldMs = nowMs - slot.grantedAtMs;
-    this.#share.recordService(slot.partner, heldMs - slot.countedMs);
+    const servedMs = heldMs + slot.uncachedTokens * PREFILL_SERVICE_MS;
+    this.#share.recordService(slot.partner, servedMs - slot.countedMs);
     if (released.outcome === "completed") {
       this.#slotMs += SLOT_SMOOTHING * (heldMs - this.#slotMs);
     }
@@ -226,7 +229,8 @@
     const { attemptId, partner } = call.request;
     this.#queue.remove(attemptId);
     const lifeMs = this.#settings.grantLifeMs;
-    const countedMs = this.#slotMs;
+    const countedMs = this.#slotMs +
+      countUncachedTokens(call.request) * PREFILL_SERVICE_MS;
     const slot = createSlot(call, { nowMs, lifeMs, countedMs });
     this.#running.add(slot);
     this.#share.recordService(partner, countedMs);
--- a/packages/scheduler/src/placement/choose_target.ts
+++ b/packages/scheduler/src/placement/choose_target.ts
@@ -149,6 +149,7 @@
   const known = context.loads.find(targetId);
   const cachedTokens = findCachedTokens(target, context);
   const estimate = computeFinish({
+    partner: request.partner,
     programClass: request.programClass,
     promptTokens: request.promptTokens,
     completionTokens: context.completionTokens,
