Keep a quarter of the targets free of background work

Inside an engine a short prompt waits behind the computation of a long one, and no order of grants before the engine can change that. Background work now stays off a quarter of a model's targets, the same ones on every node and spread over the regions; other work may use all of them.

--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -10,6 +10,7 @@
 import {
   checkNever,
   type MembershipView,
+  type Partner,
   type PlacementRule,
   type ProgramId,
   type Region,
@@ -29,9 +30,10 @@
 import { DispatcherChooser } from "./choose_dispatcher.ts";
 import { type Choice, chooseTarget } from "./choose_target.ts";
 import { buildDecisionLog, type PlacementDecision } from "./decision.ts";
+import { chooseFreeTargets } from "./free_targets.ts";
 import { LoadTable } from "./load_table.ts";
 import { type CacheReport, PrefixIndex } from "./prefix_index.ts";
-import type { PlacementSettings } from "./settings.ts";
+import type { BackgroundPolicy, PlacementSettings } from "./settings.ts";
 import { updateSpeeds } from "./slow_targets.ts";
 import { type ServingTargets, TargetIndex } from "./target_index.ts";
 
@@ -72,6 +74,7 @@
   #settings: PlacementSettings;
   #number = 0;
   #speedsAtMs = -Infinity;
+  #rules: readonly PlacementRule[] = [];
 
   constructor(options: PlacementOptions) {
     this.#options = options;
@@ -104,6 +107,7 @@
   /** Changes the policy. */
   setSettings(settings: PlacementSettings): void {
     this.#settings = settings;
+    this.#index.clearFiltered();
   }
 
   /** Chooses a target. Fails with `NoTarget` where none serves the call. */
@@ -234,22 +238,24 @@
     return fresh.length > 0 ? fresh : candidates;
   }
 
+  /** Leaves out regions that a rule forbids, and targets kept free. */
   #filterAllowed(
     request: PlacementRequest,
     serving: ServingTargets,
   ): ServingTargets {
-    const rule = this.#options.getRules().find((each) =>
-      each.partner === request.partner
-    );
-    if (rule === undefined || rule.regions.length === 0) return serving;
-    const { regions } = rule;
-    const isAllowed = (target: TargetSpec): boolean =>
-      regions.includes(target.region);
-    return {
-      all: serving.all.filter(isAllowed),
-      near: serving.near.filter(isAllowed),
-      far: serving.far.filter(isAllowed),
-    };
+    const { partner, programClass, call } = request;
+    const rules = this.#options.getRules();
+    if (rules !== this.#rules) this.#index.clearFiltered();
+    this.#rules = rules;
+    const name = call.kind === "model" ? call.model : call.service;
+    const isBackground = programClass === "background" && call.kind === "model";
+    const key = `${call.kind}/${name}/${partner}/${isBackground}`;
+    return this.#index.getFiltered(serving, key, (targets) => {
+      const allowed = filterRegions(targets, rules, partner);
+      return isBackground
+        ? filterFree(allowed, this.#settings.background)
+        : allowed;
+    });
   }
 
   #sample(serving: ServingTargets): TargetSpec[] {
@@ -288,3 +294,31 @@
     }
   }
 }
+
+function filterRegions(
+  targets: readonly TargetSpec[],
+  rules: readonly PlacementRule[],
+  partner: Partner,
+): TargetSpec[] {
+  const rule = rules.find((each) => each.partner === partner);
+  if (rule === undefined || rule.regions.length === 0) return [...targets];
+  return targets.filter((each) => rule.regions.includes(each.region));
+}
+
+function filterFree(
+  targets: readonly TargetSpec[],
+  policy: BackgroundPolicy,
+): TargetSpec[] {
+  switch (policy.kind) {
+    case "anywhere":
+      return [...targets];
+    case "confined": {
+      if (targets.length < policy.leastTargets) return [...targets];
+      const count = Math.floor(targets.length * policy.freeShare);
+      const free = chooseFreeTargets(targets, count);
+      return targets.filter((each) => !free.has(each.targetId));
+    }
+    default:
+      return checkNever(policy);
+  }
+}
--- a/packages/scheduler/src/placement/placement_test.ts
+++ b/packages/scheduler/src/placement/placement_test.ts
@@ -185,6 +185,19 @@
     }
   });
 
+  it("keeps some targets free of background work", () => {
+    const fixture = new Fixture({ policy: { kind: "random" } });
+    const list = (programClass: PlacementRequest["programClass"]): number => {
+      const chosen = Array.from(
+        { length: 200 },
+        () => fixture.choose({ programClass }),
+      );
+      return new Set(chosen).size;
+    };
+    expect(list("background")).to.equal(5);
+    expect(list("short")).to.equal(6);
+  });
+
   it("uses no leaving target and fails without any", () => {
     const fixture = new Fixture();
     fixture.targets = fixture.targets.map((each) => ({
--- a/packages/scheduler/src/placement/settings.ts
+++ b/packages/scheduler/src/placement/settings.ts
@@ -22,6 +22,20 @@
     readonly mostAvoidedShare: number;
   };
 
+/** Where background work may run. */
+export type BackgroundPolicy =
+  | { readonly kind: "anywhere" }
+  | {
+    /**
+     * Keeps a share of each model's targets free of background work, whose
+     * long prompts hold up short calls inside an engine.
+     */
+    readonly kind: "confined";
+    readonly freeShare: number;
+    /** Fewest targets of a model from which on some are kept free. */
+    readonly leastTargets: number;
+  };
+
 /** Sizes and speeds that the estimate assumes until it's told better. */
 export interface EstimateSettings {
   readonly prefillTokenMs: number;
@@ -48,6 +62,7 @@
 export interface PlacementSettings {
   readonly policy: PlacementPolicy;
   readonly slowTargets: SlowTargetPolicy;
+  readonly background: BackgroundPolicy;
   readonly estimate: EstimateSettings;
   /** Targets with a cached prefix that are considered. */
   readonly mostHolders: number;
@@ -69,6 +84,7 @@
     slowBelow: 0.6,
     mostAvoidedShare: 0.5,
   },
+  background: { kind: "confined", freeShare: 0.25, leastTargets: 4 },
   estimate: {
     prefillTokenMs: 0.06,
     tokenMs: 20,
--- a/packages/scheduler/src/placement/target_index.ts
+++ b/packages/scheduler/src/placement/target_index.ts
@@ -11,6 +11,9 @@
   readonly far: readonly TargetSpec[];
 }
 
+/** A way to leave targets out, computed once for each list. */
+export type TargetFilter = (targets: readonly TargetSpec[]) => TargetSpec[];
+
 const NONE: ServingTargets = { all: [], near: [], far: [] };
 
 /** An index of the configured targets. */
@@ -19,6 +22,7 @@
   #targets: readonly TargetSpec[] = [];
   #byId = new Map<TargetId, TargetSpec>();
   #serving = new Map<string, ServingTargets>();
+  #filtered = new Map<string, ServingTargets>();
 
   constructor(region: Region) {
     this.#region = region;
@@ -30,6 +34,7 @@
     this.#targets = targets;
     this.#byId = new Map(targets.map((each) => [each.targetId, each]));
     this.#serving = new Map();
+    this.#filtered = new Map();
   }
 
   /** Finds a target. */
@@ -43,6 +48,24 @@
     return this.#serving.get(formatKey(kind, name)) ?? NONE;
   }
 
+  /** Gets the serving targets that a filter leaves, cached by the filter's key. */
+  getFiltered(
+    serving: ServingTargets,
+    key: string,
+    filter: TargetFilter,
+  ): ServingTargets {
+    const known = this.#filtered.get(key);
+    if (known !== undefined) return known;
+    const left = this.#split(filter(serving.all));
+    this.#filtered.set(key, left);
+    return left;
+  }
+
+  /** Forgets filtered lists, as when the rules have changed. */
+  clearFiltered(): void {
+    this.#filtered = new Map();
+  }
+
   /** Lists the targets of every model and service. */
   listServing(): ServingTargets[] {
     if (this.#serving.size === 0) this.#buildServing();
@@ -56,11 +79,15 @@
       for (const name of target.serves) addTo(lists, target, name);
     }
     for (const [key, all] of lists) {
-      const near = all.filter((each) => each.region === this.#region);
-      const far = all.filter((each) => each.region !== this.#region);
-      this.#serving.set(key, { all, near, far });
+      this.#serving.set(key, this.#split(all));
     }
   }
+
+  #split(all: readonly TargetSpec[]): ServingTargets {
+    const near = all.filter((each) => each.region === this.#region);
+    const far = all.filter((each) => each.region !== this.#region);
+    return { all, near, far };
+  }
 }
 
 function addTo(
--- a/packages/standins/src/bench/policy/policies.ts
+++ b/packages/standins/src/bench/policy/policies.ts
@@ -72,6 +72,7 @@
       ...DEFAULT_PLACEMENT_SETTINGS,
       policy,
       slowTargets: { kind: "ignore" },
+      background: { kind: "anywhere" },
     },
     retry: { ...DEFAULT_RETRY_SETTINGS, hedge: { kind: "none" } },
     admission: { ...DEFAULT_ADMISSION_SETTINGS, crest: { kind: "queue" } },
