Widen the first level of attained service

The first level ended at four seconds of service, within a quote's second call, so that new quotes overtook those begun. It now ends at twelve; within a level the older program goes first, which finishes what was begun.

--- a/packages/scheduler/src/dispatch/settings.ts
+++ b/packages/scheduler/src/dispatch/settings.ts
@@ -89,7 +89,7 @@
 
 /** The settings used unless an operator says otherwise. */
 export const DEFAULT_DISPATCH_SETTINGS: DispatchSettings = {
-  order: { kind: "attained_service", firstLevelMs: 4_000, ageingMs: 4_000 },
+  order: { kind: "attained_service", firstLevelMs: 12_000, ageingMs: 6_000 },
   limit: {
     kind: "adaptive",
     initialSlots: 24,
