Spread the return of refused callers by the rate of admissions

Returns were drawn from the time that the backlog needs, at most 15 s, and came back as a second crest. Each node now promises return times one after another, at 0.15 of the rate at which it admits programs, up to 45 s. New programs are refused at a backlog of half a call for each slot instead of one and a half, and only short calls count as ahead of a short one.

--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -71,6 +71,7 @@
 const PARTNER_QUEUE: Shape<PartnerQueue> = {
   partner: isText,
   queued: isAmount,
+  short: isAmount,
 };
 
 const TARGET_LOAD: Shape<TargetLoad> = {
--- a/packages/scheduler/src/admission/admission.ts
+++ b/packages/scheduler/src/admission/admission.ts
@@ -13,7 +13,8 @@
   type TargetLoad,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
-import type { RandomSource } from "../random/mod.ts";
+import { RandomSource } from "../random/mod.ts";
+import { ReturnSchedule } from "./return_schedule.ts";
 import type {
   AdmissionSettings,
   CrestPolicy,
@@ -42,13 +43,18 @@
 
 /**
  * Computes how full a pool is for a partner: its own waiting calls over its
- * share of the slots, so that another partner's flood doesn't shut it out.
+ * share of the slots, so that another partner's flood doesn't shut it out. Only
+ * short calls go before a short one.
  */
 export function computePressure(
   loads: readonly TargetLoad[],
-  share: { readonly partner: Partner; readonly weights: PartnerWeights },
+  share: {
+    readonly partner: Partner;
+    readonly programClass: ProgramClass;
+    readonly weights: PartnerWeights;
+  },
 ): PoolPressure {
-  const { partner, weights } = share;
+  const { partner, programClass, weights } = share;
   let slots = 0;
   let slotMs = 0;
   const queued = new Map<Partner, number>();
@@ -56,7 +62,9 @@
     slots += load.limit;
     slotMs += (load.slotMs ?? USUAL_SLOT_MS) * load.limit;
     for (const each of load.queuedBy ?? []) {
-      queued.set(each.partner, (queued.get(each.partner) ?? 0) + each.queued);
+      const before = queued.get(each.partner) ?? 0;
+      const added = programClass === "short" ? each.short : each.queued;
+      queued.set(each.partner, before + added);
     }
   }
   const own = queued.get(partner) ?? 0;
@@ -68,43 +76,56 @@
   return { backlog, drainMs: backlog * slotMs / slots };
 }
 
-/** Checks whether a new program may begin. Fails with `Overloaded`. */
-export function checkAdmission(
-  request: AdmissionRequest,
-  means: {
-    readonly settings: AdmissionSettings;
-    readonly random: RandomSource;
-  },
-): Result<void, Failure> {
-  const { crest } = means.settings;
-  switch (crest.kind) {
-    case "queue":
-      return ok(undefined);
-    case "refuse_early": {
-      const { leftMs, programClass, partner } = request;
-      const { weights } = crest;
-      const pressure = computePressure(request.loads, { partner, weights });
-      const isLate = leftMs !== undefined && pressure.drainMs > leftMs;
-      const isFull = pressure.backlog > crest.mostBacklog[programClass];
-      if (!isLate && !isFull) return ok(undefined);
-      const retryMs = computeReturn(pressure, crest, means.random);
-      const detail = isFull
-        ? `${pressure.backlog.toFixed(2)} calls wait for each slot`
-        : "the deadline would pass before a slot comes free";
-      return err(createFailure("Overloaded", detail, retryMs));
+/** The admission of one node. */
+export class Admission {
+  readonly #returns: ReturnSchedule;
+  #settings: AdmissionSettings;
+
+  constructor(settings: AdmissionSettings, seed: number) {
+    this.#settings = settings;
+    this.#returns = new ReturnSchedule(new RandomSource(seed));
+  }
+
+  /** Changes the policy. */
+  setSettings(settings: AdmissionSettings): void {
+    this.#settings = settings;
+  }
+
+  /** Checks whether a new program may begin. Fails with `Overloaded`. */
+  check(request: AdmissionRequest, nowMs: number): Result<void, Failure> {
+    const { crest } = this.#settings;
+    switch (crest.kind) {
+      case "queue":
+        return ok(undefined);
+      case "refuse_early":
+        return this.#checkPressure(request, crest, nowMs);
+      default:
+        return checkNever(crest);
     }
-    default:
-      return checkNever(crest);
   }
-}
 
-/** Spreads the return of refused callers over twice the time of the backlog. */
-function computeReturn(
-  pressure: PoolPressure,
-  crest: Extract<CrestPolicy, { kind: "refuse_early" }>,
-  random: RandomSource,
-): number {
-  const spread = random.takeBetween(1, 3);
-  const retryMs = Math.max(crest.leastRetryMs, pressure.drainMs) * spread;
-  return Math.round(Math.min(crest.mostRetryMs, retryMs));
+  #checkPressure(
+    request: AdmissionRequest,
+    crest: Extract<CrestPolicy, { kind: "refuse_early" }>,
+    nowMs: number,
+  ): Result<void, Failure> {
+    const { leftMs, programClass, partner, loads } = request;
+    const { weights } = crest;
+    const pressure = computePressure(loads, {
+      partner,
+      programClass,
+      weights,
+    });
+    const isLate = leftMs !== undefined && pressure.drainMs > leftMs;
+    const isFull = pressure.backlog > crest.mostBacklog[programClass];
+    if (!isLate && !isFull) {
+      this.#returns.recordAdmitted(nowMs);
+      return ok(undefined);
+    }
+    const retryMs = this.#returns.takeReturn(crest, nowMs);
+    const detail = isFull
+      ? `${pressure.backlog.toFixed(2)} calls wait for each slot`
+      : "the deadline would pass before a slot comes free";
+    return err(createFailure("Overloaded", detail, retryMs));
+  }
 }
--- a/packages/scheduler/src/admission/settings.ts
+++ b/packages/scheduler/src/admission/settings.ts
@@ -15,6 +15,8 @@
     /** Work that waits, in multiples of the pool's slots, by class. */
     readonly mostBacklog: Readonly<Record<ProgramClass, number>>;
     readonly weights: PartnerWeights;
+    /** Returns of refused callers for each admitted program. */
+    readonly returnShare: number;
     /** Least and most time after which a refused caller returns. */
     readonly leastRetryMs: number;
     readonly mostRetryMs: number;
@@ -45,10 +47,11 @@
 export const DEFAULT_ADMISSION_SETTINGS: AdmissionSettings = {
   crest: {
     kind: "refuse_early",
-    mostBacklog: { short: 1.5, standard: 0.75, background: 0.4 },
+    mostBacklog: { short: 0.5, standard: 0.4, background: 0.3 },
     weights: { zincir: 1, okonkwo: 1 },
-    leastRetryMs: 500,
-    mostRetryMs: 15_000,
+    returnShare: 0.15,
+    leastRetryMs: 1_000,
+    mostRetryMs: 45_000,
   },
   limits: {
     mostTurns: 1_000,
--- a/packages/scheduler/src/dispatch/slot_queue.ts
+++ b/packages/scheduler/src/dispatch/slot_queue.ts
@@ -62,11 +62,15 @@
 
   /** Lists the number of waiting calls of each partner that has any. */
   listByPartner(): PartnerQueue[] {
-    const counts = new Map<Partner, number>();
+    const counts = new Map<Partner, { queued: number; short: number }>();
     for (const { request } of this.#calls.values()) {
-      counts.set(request.partner, (counts.get(request.partner) ?? 0) + 1);
+      const { partner, programClass } = request;
+      const count = counts.get(partner) ?? { queued: 0, short: 0 };
+      count.queued += 1;
+      if (programClass === "short") count.short += 1;
+      counts.set(partner, count);
     }
-    return [...counts].map(([partner, queued]) => ({ partner, queued }));
+    return [...counts].map(([partner, count]) => ({ partner, ...count }));
   }
 
   /** Lists every waiting call. */
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -195,6 +195,8 @@
 export interface PartnerQueue {
   readonly partner: Partner;
   readonly queued: number;
+  /** How many of them are short. */
+  readonly short: number;
 }
 
 /** Between all nodes, about who is alive and who owns what. */
