--- a/packages/camphorlock/src/settings/schema.ts
+++ b/packages/camphorlock/src/settings/schema.ts
@@ -34,9 +34,14 @@
 const peersSection = z.strictObject({
   /** Addresses of other nodes, asked until the VM list is known. */
   seeds: z.array(address).default([]),
-  certificate_file: z.string().optional(),
-  key_file: z.string().optional(),
-  authority_file: z.string().optional(),
+  /** Mutual TLS between nodes; without it connections are in plain text. */
+  tls: z.strictObject({
+    authority_file: z.string(),
+    certificate_file: z.string(),
+    key_file: z.string(),
+    /** The DNS name in every node's certificate. */
+    server_name: z.string(),
+  }).optional(),
 });
 
 const installationSection = z.strictObject({
@@ -51,7 +56,6 @@
 
 const callsSection = z.strictObject({
   max_calls_of_program: z.number().int().min(1).max(100_000).default(1_000),
-  max_attempts: z.number().int().min(1).max(20).default(4),
   place_timeout_ms: periodMs.default(20_000),
   progress_timeout_ms: periodMs.default(10_000),
   give_up_ms: periodMs.default(30_000),
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -2,7 +2,7 @@
  * Drives accepted calls to their outcomes: turn, placement, slot, durable
  * intent, one send, and the durable end.
  */
-import type { Failure } from "@camphorlock/codes";
+import { type Failure, RESULT_CODES } from "@camphorlock/codes";
 import {
   type AttemptEvent,
   type AttemptId,
@@ -15,10 +15,13 @@
 import { AttemptStarter } from "./attempt_starter.ts";
 import { CallEnder } from "./call_ender.ts";
 import type { OwnerContext } from "./owner_context.ts";
+import type { HeldReservation } from "./ports.ts";
 import type { CallState, ProgramState } from "./program_state.ts";
 import { createRunningCall, type RunningCall } from "./running_call.ts";
 import type { Waiters } from "./waiters.ts";
 
+type SlotRefused = Extract<DispatchMessage, { kind: "slot_refused" }>;
+
 /** Every call of a shard that has no durable outcome. */
 export class CallRunner {
   readonly #context: OwnerContext;
@@ -28,6 +31,7 @@
   readonly #byProgram = new Map<ProgramId, Set<RunningCall>>();
   readonly #starter: AttemptStarter;
   readonly #ender: CallEnder;
+  #isDraining = false;
 
   constructor(context: OwnerContext, waiters: Waiters) {
     this.#context = context;
@@ -46,13 +50,17 @@
   }
 
   /** Adds a call whose acceptance was just appended. */
-  addAccepted(program: ProgramState, state: CallState): RunningCall {
-    return this.#add(program, state, "accepting");
+  addAccepted(
+    program: ProgramState,
+    state: CallState,
+    shared: HeldReservation,
+  ): RunningCall {
+    return this.#add(program, state, { phase: "accepting", shared });
   }
 
   /** Adds a call that an earlier owner left without an outcome. */
   addRecovered(program: ProgramState, state: CallState): void {
-    const running = this.#add(program, state, "queued");
+    const running = this.#add(program, state, { phase: "queued" });
     if (state.attempts.length === 0) return;
     this.#starter.resume(running);
   }
@@ -73,6 +81,24 @@
     }
   }
 
+  /** Starts nothing new; what was sent goes on. */
+  stopStarting(): void {
+    this.#isDraining = true;
+  }
+
+  /**
+   * Counts the attempts of which only this node can learn the end: a new owner
+   * can follow an engine's stream, but not a service's answer.
+   */
+  countServiceAttempts(): number {
+    return [...this.#calls.values()].filter((running) => {
+      const { call } = running.state;
+      const isSent = running.phase === "running" ||
+        running.phase === "intending" || running.phase === "ending";
+      return call.kind === "service" && isSent;
+    }).length;
+  }
+
   /** Ends the calls of a program that is being stopped. */
   stopProgram(programId: ProgramId): void {
     for (const running of [...this.#byProgram.get(programId) ?? []]) {
@@ -86,7 +112,7 @@
       case "slot_granted":
         return this.#handleGranted(message.attemptId);
       case "slot_refused":
-        return this.#handleRefused(message.attemptId, message.retryAfterMs);
+        return this.#handleRefused(message);
       case "slot_request":
       case "slot_renewed":
       case "slot_released":
@@ -113,10 +139,16 @@
   #add(
     program: ProgramState,
     state: CallState,
-    phase: "accepting" | "queued",
+    options: {
+      readonly phase: "accepting" | "queued";
+      readonly shared?: HeldReservation;
+    },
   ): RunningCall {
     const { nowMs } = this.#context;
-    const running = createRunningCall(program.spec, state, { phase, nowMs });
+    const running = createRunningCall(program.spec, state, {
+      ...options,
+      nowMs,
+    });
     const { programId } = program.spec;
     this.#calls.set(state.callId, running);
     const siblings = this.#byProgram.get(programId) ?? new Set();
@@ -127,7 +159,7 @@
 
   #start(running: RunningCall): void {
     const { nowMs } = this.#context;
-    if (running.notBeforeMs > nowMs) return;
+    if (this.#isDraining || running.notBeforeMs > nowMs) return;
     if (!Number.isFinite(running.placingSinceMs)) {
       running.placingSinceMs = nowMs;
     }
@@ -138,9 +170,11 @@
   #handlePlaceFailure(running: RunningCall, failure: Failure): void {
     const { limits } = this.#context.options;
     const waitedMs = this.#context.nowMs - running.placingSinceMs;
-    if (waitedMs >= limits.placeTimeoutMs) {
-      return this.#ender.endNotRun(running, failure);
-    }
+    const isUnserved = failure.code === RESULT_CODES.NoTarget.code;
+    const limitMs = isUnserved
+      ? limits.noTargetTimeoutMs
+      : limits.placeTimeoutMs;
+    if (waitedMs >= limitMs) return this.#ender.endNotRun(running, failure);
     running.phase = "queued";
     running.notBeforeMs = this.#context.nowMs + limits.renewPeriodMs;
   }
@@ -153,13 +187,25 @@
     if (intended.isErr()) this.#ender.handleSlotRefused(running, 0);
   }
 
-  #handleRefused(attemptId: AttemptId, retryAfterMs: number): void {
-    const running = this.#byAttempt.get(attemptId);
+  #handleRefused(message: SlotRefused): void {
+    const running = this.#byAttempt.get(message.attemptId);
     if (running === undefined) return;
     if (running.phase !== "waiting_slot") return;
+    const { retryAfterMs, reason } = message;
+    if (reason === "queue_full" && this.#isFresh(running)) {
+      return this.#ender.endOverloaded(running, retryAfterMs);
+    }
     this.#ender.handleSlotRefused(running, retryAfterMs);
   }
 
+  /** Whether nothing of the program has run, so that a refusal costs little. */
+  #isFresh(running: RunningCall): boolean {
+    const { programId } = running.spec;
+    const program = this.#context.state.programs.get(programId);
+    return program !== undefined && program.attainedMs === 0 &&
+      program.parent === undefined;
+  }
+
   #handleText(
     running: RunningCall,
     event: Extract<AttemptEvent, { kind: "text" }>,
@@ -186,7 +232,7 @@
       case "waiting_slot": {
         const askedAtMs = running.attempt?.askedAtMs ?? nowMs;
         if (nowMs - askedAtMs < options.limits.slotTimeoutMs) return;
-        return this.#ender.handleSlotRefused(running, 0);
+        return this.#handleSlotSilence(running);
       }
       case "intending":
       case "running":
@@ -200,6 +246,20 @@
     }
   }
 
+  /** Asks again, or elsewhere when the dispatcher or patience has gone. */
+  #handleSlotSilence(running: RunningCall): void {
+    const { nowMs, options } = this.#context;
+    const { attempt, placingSinceMs } = running;
+    const isLate = nowMs - placingSinceMs >= options.limits.placeTimeoutMs;
+    const dispatcher = attempt === undefined
+      ? undefined
+      : options.placer.findDispatcher(attempt.targetId);
+    if (isLate || dispatcher !== attempt?.dispatcher) {
+      return this.#ender.handleSlotRefused(running, 0);
+    }
+    this.#starter.renewRequest(running);
+  }
+
   #closeCall(running: RunningCall): void {
     const { callId, outcome } = running.state;
     const { programId } = running.spec;
--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -20,11 +20,7 @@
   type VmId,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
-import type {
-  CachedUse,
-  CallPlacer,
-  PlacementRequest,
-} from "../owner/ports.ts";
+import type { CachedUse, PlacementRequest } from "../owner/ports.ts";
 import { RandomSource } from "../random/mod.ts";
 import { AgentStatistics } from "./agent_statistics.ts";
 import { DispatcherChooser } from "./choose_dispatcher.ts";
@@ -63,7 +59,7 @@
 const SPEED_PERIOD_MS = 400;
 
 /** The placement of one node. */
-export class Placement implements CallPlacer {
+export class Placement {
   readonly #options: PlacementOptions;
   readonly #random: RandomSource;
   readonly #index: TargetIndex;
