Spread loads within a budget of bytes and split large modules

Every load went to three nodes four times a second: 28 targets make about 30 KB a second at the design size. A node now watches about 16 targets of each model in its region, chosen by a hash that dispatchers work out as well, and a dispatcher sends 6 KB a second at most, in turn. Placement samples the watched targets; one whose load isn't known counts with half a second of wait. A waiting request lives as long as its node repeats it. The nodes use the new admission.

Candidates, room checks, answers and recent attempts have modules of their own.

--- a/packages/scheduler/src/dispatch/slot_queue.ts
+++ b/packages/scheduler/src/dispatch/slot_queue.ts
@@ -35,9 +35,9 @@
     return this.#promptTokens;
   }
 
-  /** Whether the attempt waits here. */
-  has(attemptId: AttemptId): boolean {
-    return this.#calls.has(attemptId);
+  /** Finds the call of an attempt. */
+  find(attemptId: AttemptId): WaitingCall | undefined {
+    return this.#calls.get(attemptId);
   }
 
   /** Adds a call. */
@@ -55,9 +55,9 @@
     return call;
   }
 
-  /** Lists the calls that arrived before a time. */
-  listBefore(atMs: number): WaitingCall[] {
-    return this.list().filter((each) => each.arrivedAtMs < atMs);
+  /** Lists the calls that weren't heard of since a time. */
+  listSilent(sinceMs: number): WaitingCall[] {
+    return this.list().filter((each) => each.heardAtMs < sinceMs);
   }
 
   /** Lists the number of waiting calls of each partner that has any. */
--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -12,18 +12,21 @@
   TargetLoad,
   VmId,
 } from "@camphorlock/types";
-import { EVENTS } from "@camphorlock/codes";
 import type { RandomSource } from "../random/mod.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { FairShare } from "./fair_share.ts";
-import {
-  createSlot,
-  type RunningSlot,
-  RunningSlots,
-  SMALL_PROMPT_TOKENS,
-} from "./running_slots.ts";
+import { createSlot, type RunningSlot, RunningSlots } from "./running_slots.ts";
+import { RecentAttempts } from "./recent_attempts.ts";
 import type { DispatchSettings } from "./settings.ts";
+import {
+  buildGrant,
+  buildGrantLog,
+  buildRefusal,
+  buildRefusalLog,
+  type RefusalReason,
+} from "./slot_answers.ts";
 import { SlotQueue } from "./slot_queue.ts";
+import { hasPrefillRoom, hasSlot, isSmallPrompt } from "./slot_room.ts";
 import {
   countUncachedTokens,
   isFresh,
@@ -31,18 +34,11 @@
   type WaitingCall,
 } from "./waiting_call.ts";
 
-/** Why a slot is refused. */
-export type RefusalReason = Extract<
-  DispatchMessage,
-  { kind: "slot_refused" }
->["reason"];
-
 /** The usual time for which a slot is held, until it's observed. */
 const INITIAL_SLOT_MS = 4_000;
 const SLOT_SMOOTHING = 0.05;
 const LEAST_RETRY_MS = 250;
 const MOST_RETRY_MS = 15_000;
-const MAX_ENDED = 512;
 /** Service that the computation of a prompt token takes from the batch. */
 const PREFILL_SERVICE_MS = 0.4;
 
@@ -65,7 +61,7 @@
   readonly #running = new RunningSlots();
   readonly #share: FairShare;
   readonly #limit: ConcurrencyLimit;
-  readonly #ended = new Set<AttemptId>();
+  readonly #ended = new RecentAttempts();
   #slotMs = INITIAL_SLOT_MS;
   #number = 0;
   #isLeaving = false;
@@ -105,10 +101,15 @@
     }
     const running = this.#running.find(attemptId);
     if (running !== undefined) return [this.#answerAgain(running)];
-    if (this.#queue.has(attemptId)) return [];
+    const waiting = this.#queue.find(attemptId);
+    if (waiting !== undefined) {
+      waiting.heardAtMs = nowMs;
+      return [];
+    }
     this.#number += 1;
     const number = this.#number;
-    const call = { from, request, arrivedAtMs: nowMs, number };
+    const times = { arrivedAtMs: nowMs, heardAtMs: nowMs };
+    const call = { from, request, ...times, number };
     return [...this.#admit(call, nowMs), ...this.#grantSlots(nowMs)];
   }
 
@@ -134,7 +135,7 @@
     nowMs: number,
   ): Effect[] {
     this.#queue.remove(released.attemptId);
-    this.#recordEnded(released.attemptId);
+    this.#ended.add(released.attemptId);
     const slot = this.#running.remove(released.attemptId);
     if (slot === undefined) return [];
     const heldMs = nowMs - slot.grantedAtMs;
@@ -151,11 +152,11 @@
     const effects: Effect[] = [];
     for (const slot of this.#running.listExpired(nowMs)) {
       this.#running.remove(slot.attemptId);
-      this.#recordEnded(slot.attemptId);
+      this.#ended.add(slot.attemptId);
       effects.push(this.#refuse(slot.holder, slot.attemptId, "expired"));
     }
     const oldestMs = nowMs - this.#settings.waitLifeMs;
-    for (const call of this.#queue.listBefore(oldestMs)) {
+    for (const call of this.#queue.listSilent(oldestMs)) {
       effects.push(...this.#dropCall(call, "expired"));
     }
     this.#limit.update({
@@ -234,46 +235,21 @@
     const slot = createSlot(call, { nowMs, lifeMs, countedMs });
     this.#running.add(slot);
     this.#share.recordService(partner, countedMs);
-    const granted = EVENTS.SlotGranted;
-    return [this.#answerAgain(slot), {
-      kind: "log",
-      record: {
-        event: granted.event,
-        fields: {
-          attemptId,
-          targetId: this.#targetId,
-          waitedMs: nowMs - call.arrivedAtMs,
-          running: this.#running.size,
-          limit: this.#limit.slots,
-          queued: this.#queue.size,
-        },
-      },
-    }];
+    const waitedMs = nowMs - call.arrivedAtMs;
+    return [
+      this.#answerAgain(slot),
+      buildGrantLog(attemptId, this.getLoad(), waitedMs),
+    ];
   }
 
   #fits(call: WaitingCall): boolean {
-    const isShort = call.request.programClass === "short";
     const { slots } = this.#limit;
-    if (this.#running.size >= slots) return false;
-    return isShort || this.#running.longCount < this.#countLongSlots(slots);
+    const { shortRoom } = this.#settings;
+    return hasSlot(call, this.#running, { slots, shortRoom });
   }
 
-  /**
-   * Whether a call's prompt may be computed beside those under way. Small
-   * prompts have room of their own, and those of short calls always fit.
-   */
   #fitsPrefill(call: WaitingCall): boolean {
-    const { prefill } = this.#settings;
-    if (prefill.kind === "none") return true;
-    const { largePrefillTokens, prefillTokens } = this.#running;
-    const tokens = countUncachedTokens(call.request);
-    if (tokens > SMALL_PROMPT_TOKENS) {
-      const sum = largePrefillTokens + tokens;
-      return largePrefillTokens === 0 || sum <= prefill.mostTokens;
-    }
-    if (call.request.programClass === "short") return true;
-    const smallTokens = prefillTokens - largePrefillTokens;
-    return smallTokens + tokens <= prefill.smallTokens;
+    return hasPrefillRoom(call, this.#running, this.#settings.prefill);
   }
 
   /**
@@ -287,18 +263,11 @@
     if (next === undefined || this.#fitsPrefill(next)) return next;
     return this.#queue.findNext(
       (each) =>
-        this.#fits(each) && this.#fitsPrefill(each) &&
-        countUncachedTokens(each.request) <= SMALL_PROMPT_TOKENS,
+        this.#fits(each) && isSmallPrompt(each) && this.#fitsPrefill(each),
       options,
     );
   }
 
-  #countLongSlots(slots: number): number {
-    const { shortRoom } = this.#settings;
-    if (shortRoom.kind === "none") return slots;
-    return Math.max(1, slots - Math.ceil(slots * shortRoom.slotShare));
-  }
-
   #recordTokens(slot: RunningSlot, tokens: number, nowMs: number): void {
     if (slot.hasTokens) {
       this.#limit.recordTokens(tokens, nowMs - slot.renewedAtMs);
@@ -325,60 +294,29 @@
     return slot;
   }
 
-  #recordEnded(attemptId: AttemptId): void {
-    this.#ended.add(attemptId);
-    if (this.#ended.size <= MAX_ENDED) return;
-    const oldest = this.#ended.values().next().value;
-    if (oldest !== undefined) this.#ended.delete(oldest);
-  }
-
   #answerAgain(slot: RunningSlot): Effect {
-    return {
-      kind: "send_peer",
-      to: slot.holder,
-      message: {
-        kind: "slot_granted",
-        attemptId: slot.attemptId,
-        targetId: this.#targetId,
-        expiresInMs: this.#settings.grantLifeMs,
-        load: this.getLoad(),
-      },
-    };
+    return buildGrant(slot.holder, slot.attemptId, {
+      load: this.getLoad(),
+      expiresInMs: this.#settings.grantLifeMs,
+    });
   }
 
   #dropCall(call: WaitingCall, reason: RefusalReason): Effect[] {
     const { attemptId } = call.request;
     this.#queue.remove(attemptId);
-    this.#recordEnded(attemptId);
-    return [this.#refuse(call.from, attemptId, reason), {
-      kind: "log",
-      record: {
-        event: EVENTS.SlotRefused.event,
-        fields: {
-          attemptId,
-          targetId: this.#targetId,
-          reason,
-          running: this.#running.size,
-          limit: this.#limit.slots,
-          queued: this.#queue.size,
-        },
-      },
-    }];
+    this.#ended.add(attemptId);
+    return [
+      this.#refuse(call.from, attemptId, reason),
+      buildRefusalLog(attemptId, this.getLoad(), reason),
+    ];
   }
 
   #refuse(to: VmId, attemptId: AttemptId, reason: RefusalReason): Effect {
-    return {
-      kind: "send_peer",
-      to,
-      message: {
-        kind: "slot_refused",
-        attemptId,
-        targetId: this.#targetId,
-        reason,
-        retryAfterMs: this.#computeRetryAfter(),
-        load: this.getLoad(),
-      },
-    };
+    return buildRefusal(to, attemptId, {
+      load: this.getLoad(),
+      reason,
+      retryAfterMs: this.#computeRetryAfter(),
+    });
   }
 
   /** Spreads the return of refused calls over the time the queue needs. */
--- a/packages/scheduler/src/dispatch/waiting_call.ts
+++ b/packages/scheduler/src/dispatch/waiting_call.ts
@@ -17,6 +17,8 @@
   readonly from: VmId;
   readonly request: SlotRequest;
   readonly arrivedAtMs: number;
+  /** When the node last asked; it repeats a request that waits. */
+  heardAtMs: number;
   /** Order of arrival, for equals. */
   readonly number: number;
 }
--- a/packages/scheduler/src/node/node_policy.ts
+++ b/packages/scheduler/src/node/node_policy.ts
@@ -17,7 +17,7 @@
   type VmId,
 } from "@camphorlock/types";
 import { ok, type Result } from "neverthrow";
-import { checkAdmission } from "../admission/mod.ts";
+import { Admission } from "../admission/mod.ts";
 import { DispatcherSet, type DispatchStep } from "../dispatch/mod.ts";
 import type {
   CachedUse,
@@ -25,7 +25,7 @@
   PlacementChoice,
   PlacementRequest,
 } from "../owner/mod.ts";
-import { Placement } from "../placement/mod.ts";
+import { LoadSpread, Placement } from "../placement/mod.ts";
 import { RandomSource } from "../random/mod.ts";
 import {
   DEFAULT_RETRY_SETTINGS,
@@ -34,12 +34,8 @@
 } from "../retry/mod.ts";
 import { buildPolicySettings } from "./policy_settings.ts";
 
-/** Nodes up to which every load report goes to every node. */
-const SMALL_FLEET = 16;
 /** Agents whose model is remembered. */
 const MAX_AGENTS = 4_096;
-/** Nodes that one load report goes to in a larger fleet. */
-const SPREAD_NODES = 3;
 
 /** What the policy roles are built from. */
 export interface NodePolicyOptions {
@@ -59,7 +55,9 @@
   readonly #modelOfAgent = new Map<string, string>();
   readonly #dispatchers: DispatcherSet;
   readonly #options: NodePolicyOptions;
-  #spreadAt = 0;
+  readonly #spread: LoadSpread;
+  readonly #admission: Admission;
+  #nowMs = 0;
 
   constructor(options: NodePolicyOptions) {
     const { spec, seed, getValue, getView } = options;
@@ -81,7 +79,10 @@
     this.#dispatchers = new DispatcherSet({
       settings: this.#settings.dispatch,
       seed: seed + 1,
+      findKnownLoad: (targetId) => this.#placement.findLoad(targetId),
     });
+    this.#spread = new LoadSpread({ self: spec.vmId, region: spec.region });
+    this.#admission = new Admission(this.#settings.admission, seed + 3);
   }
 
   /** Chooses the target of a call. Fails with `NoTarget`. */
@@ -133,10 +134,9 @@
     const model = this.#modelOfAgent.get(spec.agent);
     if (model === undefined) return ok(undefined);
     const loads = this.#placement.listLoads("engine", model);
-    const { programClass } = spec;
-    const means = { settings: this.#settings.admission, random: this.#random };
-    return checkAdmission({ programClass, loads }, means)
-      .map(() => undefined);
+    const { programClass, partner } = spec;
+    const request = { partner, programClass, loads };
+    return this.#admission.check(request, this.#nowMs);
   }
 
   /** Handles a message between owners and dispatchers. */
@@ -170,6 +170,7 @@
     if (JSON.stringify(settings) !== JSON.stringify(this.#settings)) {
       this.#settings = settings;
       this.#placement.setSettings(settings.placement);
+      this.#admission.setSettings(settings.admission);
       this.#dispatchers.setSettings(settings.dispatch);
     }
     const input = { kind: "targets_changed", targets } as const;
@@ -179,6 +180,7 @@
   /** Frees expired slots, adapts limits and spreads loads. */
   handleTick(nowMs: number): Effect[] {
     const tick = { kind: "tick" } as const;
+    this.#nowMs = nowMs;
     this.#placement.handle(tick, nowMs);
     return this.#applyStep(this.#dispatchers.handle(tick, nowMs), nowMs);
   }
@@ -192,7 +194,7 @@
     const effects = [...step.effects];
     for (const { loads } of step.notices) {
       this.#recordLoads(loads, nowMs);
-      effects.push(...this.#sendLoads(loads));
+      effects.push(...this.#sendLoads(loads, nowMs));
     }
     return effects;
   }
@@ -201,27 +203,13 @@
     this.#placement.handle({ kind: "loads", loads }, nowMs);
   }
 
-  /** A small fleet hears every report; a large one in turns, near nodes first. */
-  #sendLoads(loads: readonly TargetLoad[]): Effect[] {
-    const message = { kind: "target_loads", loads } as const;
-    return this.#listReceivers()
-      .map((to) => ({ kind: "send_peer", to, message }));
-  }
-
-  #listReceivers(): VmId[] {
-    const { spec, getView } = this.#options;
-    const others = getView().nodes.filter((node) =>
-      node.state === "alive" && node.spec.vmId !== spec.vmId
-    );
-    if (others.length <= SMALL_FLEET) {
-      return others.map((node) => node.spec.vmId);
-    }
-    const near = others.filter((node) => node.spec.region === spec.region);
-    const pool = near.length > 0 ? near : others;
-    this.#spreadAt += SPREAD_NODES;
-    const chosen = Array.from({ length: SPREAD_NODES }, (_, at) => {
-      return pool[(this.#spreadAt + at) % pool.length]?.spec.vmId ?? "";
-    });
-    return [...new Set(chosen)];
+  #sendLoads(loads: readonly TargetLoad[], nowMs: number): Effect[] {
+    const { getView, getValue } = this.#options;
+    this.#spread.update(getView(), getValue().targets);
+    return this.#spread.takeMessages(loads, nowMs).map((each) => ({
+      kind: "send_peer",
+      to: each.to,
+      message: { kind: "target_loads", loads: each.loads },
+    }));
   }
 }
--- /dev/null
+++ b/packages/scheduler/src/placement/candidates.ts
@@ -0,0 +1,168 @@
+/**
+ * The bounded set of targets that one placement decision looks at: the holders
+ * of the program's prefix and a random sample, most of it near.
+ */
+import {
+  checkNever,
+  type MembershipView,
+  type Partner,
+  type PlacementRule,
+  type Region,
+  type TargetSpec,
+} from "@camphorlock/types";
+import type { PlacementRequest } from "../owner/ports.ts";
+import type { RandomSource } from "../random/mod.ts";
+import { chooseFreeTargets } from "./free_targets.ts";
+import { isWatched } from "./load_spread.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
+import type { BackgroundPolicy, PlacementSettings } from "./settings.ts";
+import type { ServingTargets, TargetIndex } from "./target_index.ts";
+
+/** What candidates are chosen from. */
+export interface CandidateOptions {
+  readonly region: Region;
+  readonly index: TargetIndex;
+  readonly prefixes: PrefixIndex;
+  readonly random: RandomSource;
+  readonly getSettings: () => PlacementSettings;
+  readonly getRules: () => readonly PlacementRule[];
+  readonly getView: () => MembershipView;
+}
+
+/** Chooses the candidates of decisions. */
+export class CandidateChooser {
+  readonly #options: CandidateOptions;
+  #rules: readonly PlacementRule[] = [];
+
+  constructor(options: CandidateOptions) {
+    this.#options = options;
+  }
+
+  /** Lists the candidates of one decision; fewer only where fewer are allowed. */
+  list(
+    request: PlacementRequest,
+    serving: ServingTargets,
+  ): readonly TargetSpec[] {
+    const allowed = this.#filterAllowed(request, serving);
+    const { sampleNear, sampleFar, mostHolders } = this.#options.getSettings();
+    const most = sampleNear + sampleFar;
+    const candidates = allowed.all.length <= most
+      ? [...allowed.all]
+      : this.#sample(allowed);
+    for (
+      const holder of this.#options.prefixes.listHolders(request.programId)
+        .slice(0, mostHolders)
+    ) {
+      if (candidates.some((each) => each.targetId === holder.targetId)) {
+        continue;
+      }
+      const target = this.#options.index.find(holder.targetId);
+      if (target !== undefined && this.#isAllowed(target, request)) {
+        candidates.push(target);
+      }
+    }
+    const fresh = candidates.filter((each) =>
+      !request.excluded.includes(each.targetId)
+    );
+    return fresh.length > 0 ? fresh : candidates;
+  }
+
+  #isAllowed(target: TargetSpec, request: PlacementRequest): boolean {
+    const { call, partner } = request;
+    const name = call.kind === "model" ? call.model : call.service;
+    const isServing = !target.leaving && target.serves.includes(name);
+    const rules = this.#options.getRules();
+    return isServing && filterRegions([target], rules, partner).length > 0;
+  }
+
+  /** Leaves out regions that a rule forbids, and targets kept free. */
+  #filterAllowed(
+    request: PlacementRequest,
+    serving: ServingTargets,
+  ): ServingTargets {
+    const { partner, programClass, call } = request;
+    const rules = this.#options.getRules();
+    if (rules !== this.#rules) this.#options.index.clearFiltered();
+    this.#rules = rules;
+    const name = call.kind === "model" ? call.model : call.service;
+    const isBackground = programClass === "background" && call.kind === "model";
+    const key = `${call.kind}/${name}/${partner}/${isBackground}`;
+    return this.#options.index.getFiltered(serving, key, (targets) => {
+      const allowed = filterRegions(targets, rules, partner);
+      const usable = isBackground
+        ? filterFree(allowed, this.#options.getSettings().background)
+        : allowed;
+      return this.#filterWatched(usable, serving.near.length);
+    });
+  }
+
+  /** Keeps the near targets whose loads this node hears, if they're enough. */
+  #filterWatched(
+    targets: readonly TargetSpec[],
+    nearCount: number,
+  ): TargetSpec[] {
+    const { region, getView } = this.#options;
+    const near = targets.filter((each) => each.region === region);
+    const { self } = getView();
+    const watched = near.filter((each) =>
+      isWatched(self, each.targetId, nearCount)
+    );
+    if (watched.length < this.#options.getSettings().sampleNear) {
+      return [...targets];
+    }
+    const far = targets.filter((each) => each.region !== region);
+    return [...watched, ...far];
+  }
+
+  #sample(serving: ServingTargets): TargetSpec[] {
+    const { sampleNear, sampleFar } = this.#options.getSettings();
+    const chosen = new Set<TargetSpec>();
+    this.#addSample(chosen, serving.near, sampleNear);
+    const missing = sampleNear + sampleFar - chosen.size;
+    this.#addSample(chosen, serving.far, Math.max(sampleFar, missing));
+    return [...chosen];
+  }
+
+  #addSample(
+    chosen: Set<TargetSpec>,
+    targets: readonly TargetSpec[],
+    count: number,
+  ): void {
+    if (targets.length <= count) {
+      targets.forEach((each) => chosen.add(each));
+      return;
+    }
+    for (let taken = 0; taken < count; taken += 1) {
+      const target = targets[this.#options.random.takeIndex(targets.length)];
+      if (target !== undefined) chosen.add(target);
+    }
+  }
+}
+
+function filterRegions(
+  targets: readonly TargetSpec[],
+  rules: readonly PlacementRule[],
+  partner: Partner,
+): TargetSpec[] {
+  const rule = rules.find((each) => each.partner === partner);
+  if (rule === undefined || rule.regions.length === 0) return [...targets];
+  return targets.filter((each) => rule.regions.includes(each.region));
+}
+
+function filterFree(
+  targets: readonly TargetSpec[],
+  policy: BackgroundPolicy,
+): TargetSpec[] {
+  switch (policy.kind) {
+    case "anywhere":
+      return [...targets];
+    case "confined": {
+      if (targets.length < policy.leastTargets) return [...targets];
+      const count = Math.floor(targets.length * policy.freeShare);
+      const free = chooseFreeTargets(targets, count);
+      return targets.filter((each) => !free.has(each.targetId));
+    }
+    default:
+      return checkNever(policy);
+  }
+}
--- a/packages/scheduler/src/placement/estimate.ts
+++ b/packages/scheduler/src/placement/estimate.ts
@@ -66,7 +66,7 @@
   known: KnownLoad | undefined,
   settings: EstimateSettings,
 ): number {
-  if (known === undefined) return 0;
+  if (known === undefined) return settings.unknownMs;
   const { load, placedSince } = known;
   const limit = Math.max(1, load.limit);
   const free = Math.max(0, limit - load.running);
--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -10,7 +10,6 @@
 import {
   checkNever,
   type MembershipView,
-  type Partner,
   type PlacementRule,
   type ProgramId,
   type Region,
@@ -24,14 +23,14 @@
 import { RandomSource } from "../random/mod.ts";
 import { AgentStatistics } from "./agent_statistics.ts";
 import { DispatcherChooser } from "./choose_dispatcher.ts";
+import { CandidateChooser } from "./candidates.ts";
 import { type Choice, chooseTarget } from "./choose_target.ts";
 import { buildDecisionLog, type PlacementDecision } from "./decision.ts";
-import { chooseFreeTargets } from "./free_targets.ts";
 import { LoadTable } from "./load_table.ts";
 import { type CacheReport, PrefixIndex } from "./prefix_index.ts";
-import type { BackgroundPolicy, PlacementSettings } from "./settings.ts";
+import type { PlacementSettings } from "./settings.ts";
 import { updateSpeeds } from "./slow_targets.ts";
-import { type ServingTargets, TargetIndex } from "./target_index.ts";
+import { TargetIndex } from "./target_index.ts";
 
 /** What placement is told of. */
 export type PlacementInput =
@@ -66,11 +65,11 @@
   readonly #loads = new LoadTable();
   readonly #dispatchers = new DispatcherChooser();
   readonly #agents = new AgentStatistics();
-  #prefixes: PrefixIndex;
+  readonly #prefixes: PrefixIndex;
+  readonly #candidates: CandidateChooser;
   #settings: PlacementSettings;
   #number = 0;
   #speedsAtMs = -Infinity;
-  #rules: readonly PlacementRule[] = [];
 
   constructor(options: PlacementOptions) {
     this.#options = options;
@@ -79,6 +78,16 @@
     this.#index = new TargetIndex(options.region);
     this.#prefixes = new PrefixIndex(options.settings.mostPrograms);
     this.#number = this.#random.takeIndex(1_000);
+    const { region, getRules, getView } = options;
+    this.#candidates = new CandidateChooser({
+      region,
+      index: this.#index,
+      prefixes: this.#prefixes,
+      random: this.#random,
+      getSettings: () => this.#settings,
+      getRules,
+      getView,
+    });
   }
 
   /** Takes in what was heard or has ended. */
@@ -117,7 +126,7 @@
       ? ["engine" as const, call.model]
       : ["service" as const, call.service];
     const serving = this.#index.getServing(kind, name);
-    const targets = this.#listCandidates(request, serving);
+    const targets = this.#candidates.list(request, serving);
     this.#number += 1;
     const choice = chooseTarget(targets, this.#buildContext(request, nowMs));
     if (choice === undefined) return err(createFailure("NoTarget", name));
@@ -206,78 +215,6 @@
     };
   }
 
-  #listCandidates(
-    request: PlacementRequest,
-    serving: ServingTargets,
-  ): readonly TargetSpec[] {
-    const allowed = this.#filterAllowed(request, serving);
-    const { sampleNear, sampleFar, mostHolders } = this.#settings;
-    const most = sampleNear + sampleFar;
-    const candidates = allowed.all.length <= most
-      ? [...allowed.all]
-      : this.#sample(allowed);
-    for (
-      const holder of this.#prefixes.listHolders(request.programId)
-        .slice(0, mostHolders)
-    ) {
-      if (candidates.some((each) => each.targetId === holder.targetId)) {
-        continue;
-      }
-      const target = this.#index.find(holder.targetId);
-      if (target !== undefined && allowed.all.includes(target)) {
-        candidates.push(target);
-      }
-    }
-    const fresh = candidates.filter((each) =>
-      !request.excluded.includes(each.targetId)
-    );
-    return fresh.length > 0 ? fresh : candidates;
-  }
-
-  /** Leaves out regions that a rule forbids, and targets kept free. */
-  #filterAllowed(
-    request: PlacementRequest,
-    serving: ServingTargets,
-  ): ServingTargets {
-    const { partner, programClass, call } = request;
-    const rules = this.#options.getRules();
-    if (rules !== this.#rules) this.#index.clearFiltered();
-    this.#rules = rules;
-    const name = call.kind === "model" ? call.model : call.service;
-    const isBackground = programClass === "background" && call.kind === "model";
-    const key = `${call.kind}/${name}/${partner}/${isBackground}`;
-    return this.#index.getFiltered(serving, key, (targets) => {
-      const allowed = filterRegions(targets, rules, partner);
-      return isBackground
-        ? filterFree(allowed, this.#settings.background)
-        : allowed;
-    });
-  }
-
-  #sample(serving: ServingTargets): TargetSpec[] {
-    const { sampleNear, sampleFar } = this.#settings;
-    const chosen = new Set<TargetSpec>();
-    this.#addSample(chosen, serving.near, sampleNear);
-    const missing = sampleNear + sampleFar - chosen.size;
-    this.#addSample(chosen, serving.far, Math.max(sampleFar, missing));
-    return [...chosen];
-  }
-
-  #addSample(
-    chosen: Set<TargetSpec>,
-    targets: readonly TargetSpec[],
-    count: number,
-  ): void {
-    if (targets.length <= count) {
-      targets.forEach((each) => chosen.add(each));
-      return;
-    }
-    for (let taken = 0; taken < count; taken += 1) {
-      const target = targets[this.#random.takeIndex(targets.length)];
-      if (target !== undefined) chosen.add(target);
-    }
-  }
-
   #updateSpeeds(nowMs: number): void {
     if (nowMs - this.#speedsAtMs < SPEED_PERIOD_MS) return;
     this.#speedsAtMs = nowMs;
@@ -290,31 +227,3 @@
     }
   }
 }
-
-function filterRegions(
-  targets: readonly TargetSpec[],
-  rules: readonly PlacementRule[],
-  partner: Partner,
-): TargetSpec[] {
-  const rule = rules.find((each) => each.partner === partner);
-  if (rule === undefined || rule.regions.length === 0) return [...targets];
-  return targets.filter((each) => rule.regions.includes(each.region));
-}
-
-function filterFree(
-  targets: readonly TargetSpec[],
-  policy: BackgroundPolicy,
-): TargetSpec[] {
-  switch (policy.kind) {
-    case "anywhere":
-      return [...targets];
-    case "confined": {
-      if (targets.length < policy.leastTargets) return [...targets];
-      const count = Math.floor(targets.length * policy.freeShare);
-      const free = chooseFreeTargets(targets, count);
-      return targets.filter((each) => !free.has(each.targetId));
-    }
-    default:
-      return checkNever(policy);
-  }
-}
--- a/packages/scheduler/src/placement/settings.ts
+++ b/packages/scheduler/src/placement/settings.ts
@@ -44,6 +44,8 @@
   readonly tokenPerSequenceMs: number;
   readonly completionTokens: number;
   readonly slotMs: number;
+  /** Wait assumed at a target whose load isn't known. */
+  readonly unknownMs: number;
   readonly slots: number;
   /** Added for each crossing between regions, both ways together. */
   readonly crossRegionMs: number;
@@ -91,6 +93,7 @@
     tokenPerSequenceMs: 0.5,
     completionTokens: 150,
     slotMs: 4_000,
+    unknownMs: 500,
     slots: 24,
     crossRegionMs: 32,
     paidMegabyteMs: 200,
--- a/packages/standins/src/bench/policy/bench_node.ts
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -16,6 +16,7 @@
   DispatchMessage,
   Effect,
   NodeView,
+  PlacementRule,
   VmId,
 } from "@camphorlock/types";
 import type { EngineOutput, GenerateRequest } from "../../engine/mod.ts";
@@ -43,6 +44,7 @@
   readonly link: BenchLink;
 }
 
+const NO_RULES: readonly PlacementRule[] = [];
 const RENEW_PERIOD_MS = 400;
 const BYTES_PER_TOKEN = 4;
 /** Targets tried at once before a refusal is passed on. */
@@ -70,7 +72,7 @@
       settings: policies.placement,
       seed,
       getTargets: () => topology.engines,
-      getRules: () => [],
+      getRules: () => NO_RULES,
       getView: () => view,
     });
     this.#dispatchers = new DispatcherSet({
--- a/packages/standins/src/bench/policy/decision_bench.ts
+++ b/packages/standins/src/bench/policy/decision_bench.ts
@@ -12,6 +12,7 @@
 import type {
   MembershipView,
   NodeView,
+  PlacementRule,
   TargetLoad,
   TargetSpec,
 } from "@camphorlock/types";
@@ -50,6 +51,7 @@
   readonly memoryKb: number;
 }
 
+const NO_RULES: readonly PlacementRule[] = [];
 const WARM_UP = 20_000;
 const DECISIONS = 100_000;
 const TICKS = 20;
@@ -115,7 +117,7 @@
     settings: DEFAULT_PLACEMENT_SETTINGS,
     seed: 1,
     getTargets: () => targets,
-    getRules: () => [],
+    getRules: () => NO_RULES,
     getView: () => view,
   });
 }
