--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -70,6 +70,7 @@
 const PARTNER_QUEUE: Shape<PartnerQueue> = {
   partner: checkText,
   queued: checkAmount,
+  short: checkAmount,
 };
 
 const TARGET_LOAD: Shape<TargetLoad> = {
--- a/packages/scheduler/src/placement/settings.ts
+++ b/packages/scheduler/src/placement/settings.ts
@@ -22,6 +22,20 @@
     readonly mostAvoidedShare: number;
   };
 
+/** Where background work may run. */
+export type BackgroundPolicy =
+  | { readonly kind: "anywhere" }
+  | {
+    /**
+     * Keeps a share of each model's targets free of background work, whose
+     * long prompts hold up short calls inside an engine.
+     */
+    readonly kind: "confined";
+    readonly freeShare: number;
+    /** Fewest targets of a model from which on some are kept free. */
+    readonly leastTargets: number;
+  };
+
 /** Sizes and speeds that the estimate assumes until it's told better. */
 export interface EstimateSettings {
   readonly prefillTokenMs: number;
@@ -30,6 +44,8 @@
   readonly tokenPerSequenceMs: number;
   readonly completionTokens: number;
   readonly slotMs: number;
+  /** Wait assumed at a target whose load isn't known. */
+  readonly unknownMs: number;
   readonly slots: number;
   /** Added for each crossing between regions, both ways together. */
   readonly crossRegionMs: number;
@@ -48,6 +64,7 @@
 export interface PlacementSettings {
   readonly policy: PlacementPolicy;
   readonly slowTargets: SlowTargetPolicy;
+  readonly background: BackgroundPolicy;
   readonly estimate: EstimateSettings;
   /** Targets with a cached prefix that are considered. */
   readonly mostHolders: number;
@@ -69,16 +86,18 @@
     slowBelow: 0.6,
     mostAvoidedShare: 0.5,
   },
+  background: { kind: "confined", freeShare: 0.25, leastTargets: 4 },
   estimate: {
-    prefillTokenMs: 0.03,
+    prefillTokenMs: 0.06,
     tokenMs: 20,
     tokenPerSequenceMs: 0.5,
     completionTokens: 150,
     slotMs: 4_000,
+    unknownMs: 500,
     slots: 24,
     crossRegionMs: 32,
     paidMegabyteMs: 200,
-    interference: 1,
+    interference: 0.5,
     arrivingCalls: 3,
   },
   mostHolders: 3,
