--- a/packages/scheduler/src/configuration/history.ts
+++ b/packages/scheduler/src/configuration/history.ts
@@ -10,7 +10,7 @@
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 import { CHECKPOINT_EVERY, encodeRecord, isCheckpoint } from "./record.ts";
-import { applyPatch, EMPTY_CONFIGURATION } from "./value.ts";
+import { applyRecord, EMPTY_CONFIGURATION } from "./value.ts";
 
 /** Largest gap that is closed by patches instead of a whole configuration. */
 export const LARGEST_PATCH_GAP = CHECKPOINT_EVERY;
@@ -53,7 +53,7 @@
     const follows = record.revision === this.#revision + 1;
     if (!follows && record.full === undefined) return "gap";
     this.#value = follows
-      ? applyPatch(this.#value, record.patch)
+      ? applyRecord(this.#value, record)
       : record.full ?? this.#value;
     if (!follows) this.#held.clear();
     this.#revision = record.revision;
@@ -118,7 +118,7 @@
     let value = start;
     for (let next = range.base + 1; next <= range.revision; next += 1) {
       const held = this.#held.get(next);
-      if (held !== undefined) value = applyPatch(value, held.record.patch);
+      if (held !== undefined) value = applyRecord(value, held.record);
     }
     return value;
   }
@@ -132,10 +132,10 @@
   }
 
   #add(record: RevisionRecord, keepsValue: boolean): void {
-    const { full: _full, ...slim } = record;
+    const kept = buildSlimRecord(record);
     const held = keepsValue
-      ? { record: slim, value: this.#value }
-      : { record: slim };
+      ? { record: kept, value: this.#value }
+      : { record: kept };
     this.#held.set(record.revision, held);
     this.#changes.set(record.changeId, record.revision);
     for (const revision of this.#held.keys()) {
@@ -160,3 +160,10 @@
     return this.#encodedFull;
   }
 }
+
+/** Drops the whole configuration where a patch says the same. */
+function buildSlimRecord(record: RevisionRecord): RevisionRecord {
+  if (record.patch === undefined) return record;
+  const { full: _full, ...slim } = record;
+  return slim;
+}
--- a/packages/scheduler/src/configuration/next_record.ts
+++ b/packages/scheduler/src/configuration/next_record.ts
@@ -4,6 +4,7 @@
  */
 import { createFailure, type Failure } from "@camphorlock/codes";
 import type {
+  ChangeCommand,
   ConfigurationValue,
   OperatorName,
   Revision,
@@ -84,10 +85,11 @@
       `to ${history.revision} meanwhile; order the change again`;
     return err(createFailure("RevisionMismatch", detail));
   }
+  const { by, change } = pending.input;
   const touched = new Set(listTouchedItems(buildPatch(history.value, value)));
-  const { by } = pending.input;
   const winner = since.find((record) => {
     if (isSameOperator(record.by, by)) return false;
+    if (record.patch === undefined || isImport(change)) return true;
     return listTouchedItems(record.patch).some((item) => touched.has(item));
   });
   return winner === undefined ? ok(value) : err(buildMismatch(winner));
@@ -106,13 +108,14 @@
 ): RevisionRecord {
   const { pending, value } = options;
   const revision = history.revision + 1;
-  const record = {
-    revision,
-    changeId: pending.changeId,
-    by: pending.input.by,
-    command: pending.input.text,
-    atMs: pending.input.atMs,
-    patch: buildPatch(history.value, value),
-  };
-  return isCheckpoint(revision) ? { ...record, full: value } : record;
+  const { by, text: command, atMs, change } = pending.input;
+  const record = { revision, changeId: pending.changeId, by, command, atMs };
+  // A patch that replaces everything would say it twice.
+  if (isImport(change)) return { ...record, full: value };
+  const patched = { ...record, patch: buildPatch(history.value, value) };
+  return isCheckpoint(revision) ? { ...patched, full: value } : patched;
+}
+
+function isImport(change: ChangeCommand): boolean {
+  return change.kind === "import_configuration";
 }
--- a/packages/scheduler/src/configuration/peers.ts
+++ b/packages/scheduler/src/configuration/peers.ts
@@ -42,7 +42,8 @@
   readonly #region: Region;
   #highestRevision: Revision = 0;
   #isKnown = false;
-  #listed: ReadonlySet<VmId> = new Set();
+  /** Listed VMs that the membership doesn't know. */
+  #unheard = 0;
   #isCutOff = false;
 
   constructor(self: VmId, region: Region) {
@@ -65,7 +66,6 @@
     const { view, isCutOff, listed = [] } = members;
     this.#isKnown = true;
     this.#isCutOff = isCutOff;
-    this.#listed = new Set(listed.filter((vmId) => vmId !== this.#self));
     const present = new Set<VmId>();
     for (const { spec, state, revision } of view.nodes) {
       if (spec.vmId === this.#self) continue;
@@ -78,6 +78,9 @@
     for (const vmId of this.#peers.keys()) {
       if (!present.has(vmId)) this.#peers.delete(vmId);
     }
+    this.#unheard = listed.filter((vmId) => {
+      return vmId !== this.#self && !present.has(vmId);
+    }).length;
   }
 
   /** Notes that a node was heard from, at a revision. */
@@ -103,7 +106,7 @@
     for (const { heardAtMs } of this.#peers.values()) {
       if (heardAtMs !== undefined && heardAtMs >= sinceMs) heard += 1;
     }
-    if (heard * 2 > this.#countKnown() + 1) return true;
+    if (heard * 2 > this.#peers.size + this.#unheard + 1) return true;
     return !this.#isCutOff && heard >= HEARD_SAMPLE;
   }
 
@@ -164,14 +167,6 @@
     return { reached, missing, presumedDead };
   }
 
-  #countKnown(): number {
-    let count = this.#peers.size;
-    for (const vmId of this.#listed) {
-      if (!this.#peers.has(vmId)) count += 1;
-    }
-    return count;
-  }
-
   #setRevision(peer: Peer, revision: Revision): void {
     peer.revision = Math.max(peer.revision, revision);
     this.#highestRevision = Math.max(this.#highestRevision, revision);
--- a/packages/scheduler/src/configuration/proposal.ts
+++ b/packages/scheduler/src/configuration/proposal.ts
@@ -39,6 +39,9 @@
 /** An operator is told that a change is uncertain after this long. */
 export const CHANGE_TIMEOUT_MS = 15_000;
 
+/** The platform holds values of up to a megabyte. */
+const LARGEST_RECORD_BYTES = 1_000_000;
+
 const RETRY_MS = 300;
 
 /** A change on its way, with what is known of it. */
@@ -180,6 +183,9 @@
     const record = buildNextRecord(this.#history, proposal);
     if (record.isErr()) return this.#refuse(proposal, record.error);
     const bytes = encodeRecord(record.value);
+    if (bytes.length > LARGEST_RECORD_BYTES) {
+      return this.#refuse(proposal, buildTooLarge(bytes.length));
+    }
     const attempt = {
       proposal,
       record: record.value,
@@ -344,6 +350,12 @@
   };
 }
 
+function buildTooLarge(bytes: number): Failure {
+  const detail = `the configuration would take ${bytes} bytes, ` +
+    `more than ${LARGEST_RECORD_BYTES}`;
+  return createFailure("ChangeInvalid", detail);
+}
+
 function buildUnavailable(): Failure {
   const detail = "the platform didn't take the change; nothing was changed";
   return createFailure("PlatformUnavailable", detail);
--- a/packages/scheduler/src/configuration/record.ts
+++ b/packages/scheduler/src/configuration/record.ts
@@ -89,7 +89,11 @@
   return record.format === FORMAT &&
     Number.isSafeInteger(record.revision) &&
     typeof record.changeId === "string" &&
-    typeof record.patch === "object" && record.patch !== null;
+    (isObject(record.patch) || isObject(record.full));
+}
+
+function isObject(value: unknown): boolean {
+  return typeof value === "object" && value !== null;
 }
 
 function buildRecord(packed: PackedRecord): RevisionRecord {
--- a/packages/scheduler/src/configuration/value.ts
+++ b/packages/scheduler/src/configuration/value.ts
@@ -8,6 +8,7 @@
   ConfigurationPatch,
   ConfigurationSection,
   ConfigurationValue,
+  RevisionRecord,
   SectionPatch,
 } from "@camphorlock/types";
 import {
@@ -185,6 +186,15 @@
   };
 }
 
+/** Applies a record to the configuration of the revision before it. */
+export function applyRecord(
+  before: ConfigurationValue,
+  record: RevisionRecord,
+): ConfigurationValue {
+  if (record.patch !== undefined) return applyPatch(before, record.patch);
+  return record.full ?? before;
+}
+
 /** Lists the items that a patch touches, as `section/key`. */
 export function listTouchedItems(patch: ConfigurationPatch): readonly string[] {
   const keys = SECTION_KEYS;
--- a/packages/standins/src/configuration_fleet/configuration_property_test.ts
+++ b/packages/standins/src/configuration_fleet/configuration_property_test.ts
@@ -5,7 +5,7 @@
  * `CAMPHORLOCK_RUNS` sets the number of schedules, `CAMPHORLOCK_SEED` the seed.
  */
 import {
-  applyPatch,
+  applyRecord,
   type ConfigurationNotice,
   decodeRecord,
   EMPTY_CONFIGURATION,
@@ -345,10 +345,7 @@
 }
 
 function checkConvergence(run: Run, chain: readonly RevisionRecord[]): void {
-  const value = chain.reduce(
-    (before, { patch }) => applyPatch(before, patch),
-    EMPTY_CONFIGURATION,
-  );
+  const value = chain.reduce(applyRecord, EMPTY_CONFIGURATION);
   for (const [vmId, { configuration }] of run.fleet.nodes) {
     expect(configuration.revision, vmId).to.equal(chain.length);
     expect(configuration.isReady, vmId).to.equal(true);
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -140,8 +140,8 @@
   readonly command: string;
   /** Wall clock, milliseconds since the Unix epoch. For display only. */
   readonly atMs: number;
-  /** What differs from the revision before. */
-  readonly patch: ConfigurationPatch;
-  /** The whole configuration, in every checkpoint revision. */
+  /** What differs from the revision before; absent where `full` replaces it. */
+  readonly patch?: ConfigurationPatch;
+  /** The whole configuration, in checkpoints and imports. */
   readonly full?: ConfigurationValue;
 }
