--- /dev/null
+++ b/packages/scheduler/src/node/node_policy.ts
@@ -0,0 +1,227 @@
+/**
+ * The policy roles of a node: placement, the dispatchers of its targets, and
+ * the spread of target loads between nodes.
+ */
+import type { Failure } from "@camphorlock/codes";
+import {
+  checkNever,
+  type ConfigurationValue,
+  type DispatchMessage,
+  type Effect,
+  type MembershipView,
+  type NodeSpec,
+  type ProgramId,
+  type ProgramSpec,
+  type TargetId,
+  type TargetLoad,
+  type VmId,
+} from "@camphorlock/types";
+import { ok, type Result } from "neverthrow";
+import { checkAdmission } from "../admission/mod.ts";
+import { DispatcherSet, type DispatchStep } from "../dispatch/mod.ts";
+import type {
+  CachedUse,
+  CallPlacer,
+  PlacementChoice,
+  PlacementRequest,
+} from "../owner/mod.ts";
+import { Placement } from "../placement/mod.ts";
+import { RandomSource } from "../random/mod.ts";
+import {
+  DEFAULT_RETRY_SETTINGS,
+  RetryBudget,
+  type RetryMeans,
+} from "../retry/mod.ts";
+import { buildPolicySettings } from "./policy_settings.ts";
+
+/** Nodes up to which every load report goes to every node. */
+const SMALL_FLEET = 16;
+/** Agents whose model is remembered. */
+const MAX_AGENTS = 4_096;
+/** Nodes that one load report goes to in a larger fleet. */
+const SPREAD_NODES = 3;
+
+/** What the policy roles are built from. */
+export interface NodePolicyOptions {
+  readonly spec: NodeSpec;
+  readonly seed: number;
+  readonly getValue: () => ConfigurationValue;
+  readonly getView: () => MembershipView;
+}
+
+/** Places calls, dispatches for targets, and admits programs. */
+export class NodePolicy implements CallPlacer {
+  readonly retries: RetryMeans;
+  readonly #placement: Placement;
+  readonly #random: RandomSource;
+  #settings = buildPolicySettings([]);
+  /** The model that an agent asked for last. */
+  readonly #modelOfAgent = new Map<string, string>();
+  readonly #dispatchers: DispatcherSet;
+  readonly #options: NodePolicyOptions;
+  #spreadAt = 0;
+
+  constructor(options: NodePolicyOptions) {
+    const { spec, seed, getValue, getView } = options;
+    this.#options = options;
+    this.#random = new RandomSource(seed + 2);
+    this.retries = {
+      settings: DEFAULT_RETRY_SETTINGS,
+      budget: new RetryBudget(DEFAULT_RETRY_SETTINGS.budget),
+      random: this.#random,
+    };
+    this.#placement = new Placement({
+      region: spec.region,
+      settings: this.#settings.placement,
+      seed,
+      getTargets: () => getValue().targets,
+      getRules: () => getValue().placementRules,
+      getView,
+    });
+    this.#dispatchers = new DispatcherSet({
+      settings: this.#settings.dispatch,
+      seed: seed + 1,
+    });
+  }
+
+  /** Chooses the target of a call. Fails with `NoTarget`. */
+  choose(
+    request: PlacementRequest,
+    nowMs: number,
+  ): Result<PlacementChoice, Failure> {
+    const { call, agent } = request;
+    if (call.kind === "model") this.#recordModel(agent, call.model);
+    return this.#placement.choose(request, nowMs);
+  }
+
+  /** Records what an attempt left in the cache of its target. */
+  recordCached(programId: ProgramId, use: CachedUse): void {
+    this.#placement.recordCached(programId, use);
+  }
+
+  /** Records that a target released what it held of a program. */
+  recordReleased(programId: ProgramId, targetId: TargetId): void {
+    this.#placement.recordReleased(programId, targetId);
+  }
+
+  /** Learns from the length of an answer. */
+  recordAnswer(agent: string, completionTokens: number): void {
+    const ended = { kind: "call_ended", agent, completionTokens } as const;
+    this.#placement.handle(ended, 0);
+  }
+
+  /** Forgets where an ended program's prefix is. */
+  recordProgramEnded(programId: ProgramId): void {
+    this.#placement.handle({ kind: "program_ended", programId }, 0);
+  }
+
+  /** Whether a target is configured. */
+  hasTarget(targetId: TargetId): boolean {
+    return this.#placement.hasTarget(targetId);
+  }
+
+  /** Finds the node that dispatches for a target at present. */
+  findDispatcher(targetId: TargetId): VmId | undefined {
+    return this.#placement.findDispatcher(targetId);
+  }
+
+  /**
+   * Checks whether a new program may begin, by the load of the model that its
+   * agent asked for last. Fails with `Overloaded`.
+   */
+  checkAdmission(spec: ProgramSpec): Result<void, Failure> {
+    const model = this.#modelOfAgent.get(spec.agent);
+    if (model === undefined) return ok(undefined);
+    const loads = this.#placement.listLoads("engine", model);
+    const { programClass } = spec;
+    const means = { settings: this.#settings.admission, random: this.#random };
+    return checkAdmission({ programClass, loads }, means)
+      .map(() => undefined);
+  }
+
+  /** Handles a message between owners and dispatchers. */
+  handlePeer(from: VmId, message: DispatchMessage, nowMs: number): Effect[] {
+    switch (message.kind) {
+      case "slot_request":
+      case "slot_renewed":
+      case "slot_released":
+        return this.#applyStep(
+          this.#dispatchers.handle({ kind: "peer", from, message }, nowMs),
+          nowMs,
+        );
+      case "slot_granted":
+      case "slot_refused":
+        if (message.load !== undefined) {
+          this.#recordLoads([message.load], nowMs);
+        }
+        return [];
+      case "target_loads":
+        this.#recordLoads(message.loads, nowMs);
+        return [];
+      default:
+        return checkNever(message);
+    }
+  }
+
+  /** Follows a change of the configuration. */
+  applyConfiguration(value: ConfigurationValue, nowMs: number): Effect[] {
+    const { targets, policies } = value;
+    const settings = buildPolicySettings(policies);
+    if (JSON.stringify(settings) !== JSON.stringify(this.#settings)) {
+      this.#settings = settings;
+      this.#placement.setSettings(settings.placement);
+      this.#dispatchers.setSettings(settings.dispatch);
+    }
+    const input = { kind: "targets_changed", targets } as const;
+    return this.#applyStep(this.#dispatchers.handle(input, nowMs), nowMs);
+  }
+
+  /** Frees expired slots, adapts limits and spreads loads. */
+  handleTick(nowMs: number): Effect[] {
+    const tick = { kind: "tick" } as const;
+    this.#placement.handle(tick, nowMs);
+    return this.#applyStep(this.#dispatchers.handle(tick, nowMs), nowMs);
+  }
+
+  #recordModel(agent: string, model: string): void {
+    if (this.#modelOfAgent.size >= MAX_AGENTS) this.#modelOfAgent.clear();
+    this.#modelOfAgent.set(agent, model);
+  }
+
+  #applyStep(step: DispatchStep, nowMs: number): Effect[] {
+    const effects = [...step.effects];
+    for (const { loads } of step.notices) {
+      this.#recordLoads(loads, nowMs);
+      effects.push(...this.#sendLoads(loads));
+    }
+    return effects;
+  }
+
+  #recordLoads(loads: readonly TargetLoad[], nowMs: number): void {
+    this.#placement.handle({ kind: "loads", loads }, nowMs);
+  }
+
+  /** A small fleet hears every report; a large one in turns, near nodes first. */
+  #sendLoads(loads: readonly TargetLoad[]): Effect[] {
+    const message = { kind: "target_loads", loads } as const;
+    return this.#listReceivers()
+      .map((to) => ({ kind: "send_peer", to, message }));
+  }
+
+  #listReceivers(): VmId[] {
+    const { spec, getView } = this.#options;
+    const others = getView().nodes.filter((node) =>
+      node.state === "alive" && node.spec.vmId !== spec.vmId
+    );
+    if (others.length <= SMALL_FLEET) {
+      return others.map((node) => node.spec.vmId);
+    }
+    const near = others.filter((node) => node.spec.region === spec.region);
+    const pool = near.length > 0 ? near : others;
+    this.#spreadAt += SPREAD_NODES;
+    const chosen = Array.from({ length: SPREAD_NODES }, (_, at) => {
+      return pool[(this.#spreadAt + at) % pool.length]?.spec.vmId ?? "";
+    });
+    return [...new Set(chosen)];
+  }
+}
