Split the configuration, budget and language modules by job

The reader, watch, polls, spread and proposals are modules of their own now, as are changes of targets, the size of portions and the grammar's rules for words and changes. No behaviour changed: the same tests pass.

--- a/packages/scheduler/src/agreement/charge_outbox.ts
+++ b/packages/scheduler/src/agreement/charge_outbox.ts
@@ -26,6 +26,12 @@
   formatBatchPrefix,
   parseBatchNumber,
 } from "./charge_lines.ts";
+import type {
+  OutboxInput,
+  OutboxOptions,
+  OutboxStep,
+  PendingCharge,
+} from "./outbox_input.ts";
 
 /** The usual time from one batch of a shard to the next. */
 export const PUBLISH_EVERY_MS = 60_000;
@@ -35,40 +41,6 @@
 const LIST_LIMIT = 1_000;
 const DAY_DIGITS = 10;
 
-/** What the outbox is told. */
-export type OutboxInput =
-  | {
-    /** A durable end of a call, in the order of the ledger. */
-    readonly kind: "call_ended";
-    readonly sequence: number;
-    readonly charge: Charge;
-  }
-  | {
-    readonly kind: "platform";
-    readonly token: PlatformToken;
-    readonly answer: PlatformAnswer;
-  }
-  | { readonly kind: "tick" };
-
-/** What the outbox asks for. */
-export interface OutboxStep {
-  readonly effects: readonly Effect[];
-}
-
-/** The shard and the rate of its outbox. */
-export interface OutboxOptions {
-  readonly shard: ShardId;
-  readonly publishEveryMs?: number;
-  /** A batch known to exist, for instance from a snapshot of the ledger. */
-  readonly knownNumber?: number;
-}
-
-/** A charge and the ledger entry that it comes from. */
-export interface PendingCharge {
-  readonly sequence: number;
-  readonly charge: Charge;
-}
-
 type OutboxState =
   | { readonly kind: "listing"; readonly after: number }
   | { readonly kind: "reading"; readonly number: number }
--- a/packages/scheduler/src/agreement/mod.ts
+++ b/packages/scheduler/src/agreement/mod.ts
@@ -3,5 +3,6 @@
  */
 export * from "./charge_lines.ts";
 export * from "./charge_outbox.ts";
+export * from "./outbox_input.ts";
 export * from "./split_charge.ts";
 export * from "./statement.ts";
--- a/packages/scheduler/src/budget/budget_portions.ts
+++ b/packages/scheduler/src/budget/budget_portions.ts
@@ -16,7 +16,8 @@
   type PlatformToken,
   type VmId,
 } from "@camphorlock/types";
-import { type DrawContext, Portion } from "./portion.ts";
+import { Portion } from "./portion.ts";
+import type { DrawContext } from "./portion_size.ts";
 
 /** Writes a second that all nodes together may spend on shared budgets. */
 export const FLEET_BUDGET_WRITES_PER_S = 50;
--- a/packages/scheduler/src/budget/mod.ts
+++ b/packages/scheduler/src/budget/mod.ts
@@ -4,4 +4,5 @@
 export * from "./budget_object.ts";
 export * from "./budget_portions.ts";
 export * from "./portion.ts";
+export * from "./portion_size.ts";
 export * from "./program_budget.ts";
--- a/packages/scheduler/src/budget/portion.ts
+++ b/packages/scheduler/src/budget/portion.ts
@@ -11,14 +11,11 @@
   type Micros,
   type PlatformAnswer,
   type PlatformRequest,
-  type VmId,
 } from "@camphorlock/types";
 import {
   applyBudgetChange,
   type BudgetChange,
   type BudgetObject,
-  decodeBudget,
-  EMPTY_BUDGET,
   encodeBudget,
   findHolder,
   formatBudgetObjectKey,
@@ -26,48 +23,20 @@
   mergeGoneHolders,
   sumBudget,
 } from "./budget_object.ts";
+import type { DrawState, OpenChange } from "./draw_state.ts";
+import {
+  computePortion,
+  type DrawContext,
+  readStored,
+} from "./portion_size.ts";
 
 /** Share of the last portion that is left when the next one is drawn. */
 const DRAW_AHEAD_PART = 0.25;
 
-/** Times the wanted amount that a first portion has. */
-const FIRST_PORTION_TIMES = 4;
-
-/** Times the last portion that the next one has at most. */
-const LARGEST_GROWTH = 8;
-
 /** An exhausted budget isn't asked again for this long. */
 export const EXHAUSTED_MS = 5_000;
 
 const RETRY_MS = 500;
-const SHORTEST_USE_MS = 1_000;
-
-/** What a portion needs to know about the fleet when it draws. */
-export interface DrawContext {
-  readonly owner: { readonly vmId: VmId; readonly incarnation: number };
-  readonly limitMicros: Micros;
-  /** How long a portion should last. */
-  readonly horizonMs: number;
-  /** The VMs that are members at present. */
-  readonly present: ReadonlySet<VmId>;
-}
-
-type DrawState =
-  | { readonly kind: "idle" }
-  | { readonly kind: "reading" }
-  | { readonly kind: "writing"; readonly change: OpenChange }
-  | { readonly kind: "settling"; readonly change: OpenChange }
-  | {
-    readonly kind: "waiting";
-    readonly untilMs: number;
-    readonly change?: OpenChange;
-  };
-
-interface OpenChange extends BudgetChange {
-  /** The version the write was conditional on, zero for absent. */
-  readonly version: number;
-  readonly object: BudgetObject;
-}
 
 /** A node's portion of one shared budget. */
 export class Portion {
@@ -218,7 +187,7 @@
     const budget = mergeGoneHolders(stored.budget, context.present);
     const micros = this.#wantsReturn
       ? -this.restMicros
-      : this.#computePortion(budget, { context, nowMs });
+      : this.#computeDraw(budget, { context, nowMs });
     if (micros === 0) return this.#endChange();
     const change = {
       ...context.owner,
@@ -234,27 +203,25 @@
   }
 
   /** How much to draw; zero when the object has less than is wanted. */
-  #computePortion(
+  #computeDraw(
     budget: BudgetObject,
     options: { readonly context: DrawContext; readonly nowMs: number },
   ): Micros {
     const { context, nowMs } = options;
-    if (this.#wantedMicros === 0) return 0;
     const leftMicros = context.limitMicros - sumBudget(budget);
     if (leftMicros < this.#wantedMicros) {
       this.#exhaustedUntilMs = nowMs + EXHAUSTED_MS;
       return 0;
     }
-    const usedMs = Math.max(SHORTEST_USE_MS, nowMs - this.#drawnAtMs);
-    const rate = Math.max(0, this.#spentSinceDrawMicros) / usedMs;
-    const grown = this.#lastPortionMicros * LARGEST_GROWTH;
-    const byRate = Math.min(rate * context.horizonMs, grown);
-    const usual = Math.max(
-      this.#wantedMicros * FIRST_PORTION_TIMES,
-      Math.ceil(byRate),
-    );
-    const fairMicros = Math.floor(leftMicros / (2 * context.present.size + 1));
-    return Math.max(this.#wantedMicros, Math.min(usual, fairMicros));
+    return computePortion({
+      wantedMicros: this.#wantedMicros,
+      leftMicros,
+      usedMicros: this.#spentSinceDrawMicros,
+      usedMs: nowMs - this.#drawnAtMs,
+      lastPortionMicros: this.#lastPortionMicros,
+      horizonMs: context.horizonMs,
+      nodes: context.present.size,
+    });
   }
 
   #write(change: OpenChange): PlatformRequest {
@@ -329,17 +296,3 @@
     return undefined;
   }
 }
-
-interface StoredBudget {
-  readonly budget: BudgetObject;
-  readonly version: number;
-}
-
-function readStored(answer: PlatformAnswer): StoredBudget | undefined {
-  if (answer.kind === "absent") return { budget: EMPTY_BUDGET, version: 0 };
-  if (answer.kind !== "found") return undefined;
-  const { object } = answer;
-  const budget = decodeBudget(object.value);
-  if (budget.isErr()) return undefined;
-  return { budget: budget.value, version: object.version };
-}
--- a/packages/scheduler/src/budget/portion_test.ts
+++ b/packages/scheduler/src/budget/portion_test.ts
@@ -10,7 +10,8 @@
   encodeBudget,
   findHolder,
 } from "./budget_object.ts";
-import { type DrawContext, Portion } from "./portion.ts";
+import { Portion } from "./portion.ts";
+import type { DrawContext } from "./portion_size.ts";
 import {
   computeAffordableTokens,
   computeWorstCase,
--- a/packages/scheduler/src/configuration/apply_change.ts
+++ b/packages/scheduler/src/configuration/apply_change.ts
@@ -3,7 +3,6 @@
  * the configuration sound. Pure: the same change on the same value gives the
  * same result on every node.
  */
-import { createFailure, type Failure } from "@camphorlock/codes";
 import {
   type ChangeCommand,
   checkNever,
@@ -13,25 +12,29 @@
   type Revision,
   type TeamSpec,
 } from "@camphorlock/types";
-import { err, ok, type Result } from "neverthrow";
+import { ok } from "neverthrow";
 import { checkShares, isAmount } from "./amounts.ts";
+import {
+  applyPlacement,
+  applyTarget,
+  applyTargetDrain,
+  applyTargetRemoval,
+  applyVmDrain,
+} from "./apply_target_change.ts";
+import {
+  type Change,
+  type ChangeResult,
+  refuseChangeOf,
+} from "./change_result.ts";
 import { formatUnknown } from "./nearest_name.ts";
 import { checkPolicy } from "./policy_settings.ts";
-import { removeItem, setItem, sortSection } from "./section.ts";
+import { setItem, sortSection } from "./section.ts";
 import { checkConfiguration } from "./check_configuration.ts";
 import { SECTION_KEYS, sortConfiguration } from "./value.ts";
 
 /** Replaced cost splits that the configuration keeps. */
 const PAST_SPLITS_KEPT = 1_024;
 
-/** The outcome of applying a change. */
-export type ChangeResult = Result<ConfigurationValue, Failure>;
-
-type Change<Kind extends ChangeCommand["kind"]> = Extract<
-  ChangeCommand,
-  { readonly kind: Kind }
->;
-
 /**
  * Applies a change to a configuration.
  *
@@ -79,11 +82,11 @@
 ): ChangeResult {
   const { budget: kind, name, limitMicros } = change;
   if (!isAmount(limitMicros)) {
-    return refuse(`a budget can't be ${limitMicros} micros`);
+    return refuseChangeOf(`a budget can't be ${limitMicros} micros`);
   }
   const known = listBudgetNames(value, kind);
   if (!known.includes(name)) {
-    return refuse(formatUnknown(kind, { name, known }));
+    return refuseChangeOf(formatUnknown(kind, { name, known }));
   }
   const budgets = setItem(value.budgets, {
     item: { kind, name, limitMicros },
@@ -113,12 +116,16 @@
   change: Change<"set_model_price">,
 ): ChangeResult {
   const { model, part, micros } = change;
-  if (!isAmount(micros)) return refuse(`a price can't be ${micros} micros`);
+  if (!isAmount(micros)) {
+    return refuseChangeOf(`a price can't be ${micros} micros`);
+  }
   const known = value.models.find((item) => item.model === model) ??
     buildModelPrice(value, model);
   if (known === undefined) {
     const names = listServed(value);
-    return refuse(formatUnknown("model", { name: model, known: names }));
+    return refuseChangeOf(
+      formatUnknown("model", { name: model, known: names }),
+    );
   }
   const models = setItem(value.models, {
     item: { ...known, [`${part}Micros`]: micros },
@@ -145,11 +152,13 @@
   change: Change<"set_service_price">,
 ): ChangeResult {
   const { service, micros } = change;
-  if (!isAmount(micros)) return refuse(`a price can't be ${micros} micros`);
+  if (!isAmount(micros)) {
+    return refuseChangeOf(`a price can't be ${micros} micros`);
+  }
   const priced = value.services.map((item) => item.service);
   const known = [...new Set([...priced, ...listServed(value)])];
   if (!known.includes(service)) {
-    return refuse(formatUnknown("service", { name: service, known }));
+    return refuseChangeOf(formatUnknown("service", { name: service, known }));
   }
   const services = setItem(value.services, {
     item: { service, callMicros: micros },
@@ -174,7 +183,7 @@
 ): ChangeResult {
   const { team, partner, sharedWork } = change;
   const wrong = checkTeam(value, { team, partner, sharedWork });
-  if (wrong !== undefined) return refuse(wrong);
+  if (wrong !== undefined) return refuseChangeOf(wrong);
   const teams = setItem(value.teams, {
     item: { team, partner, sharedWork },
     keyOf: SECTION_KEYS.teams,
@@ -196,46 +205,6 @@
   return `whether the work of team ${team.team} is shared can't change`;
 }
 
-function applyTarget(
-  value: ConfigurationValue,
-  change: Change<"set_target">,
-): ChangeResult {
-  if (change.target.serves.length === 0) {
-    return refuse(`target ${change.target.targetId} serves nothing`);
-  }
-  const targets = setItem(value.targets, {
-    item: change.target,
-    keyOf: SECTION_KEYS.targets,
-  });
-  return ok({ ...value, targets });
-}
-
-function applyTargetRemoval(
-  value: ConfigurationValue,
-  change: Change<"remove_target">,
-): ChangeResult {
-  const found = findTarget(value, change.targetId);
-  if (found.isErr()) return err(found.error);
-  if (!found.value.leaving) {
-    return refuse(`target ${change.targetId} isn't drained`);
-  }
-  const targets = removeItem(value.targets, {
-    key: change.targetId,
-    keyOf: SECTION_KEYS.targets,
-  });
-  return ok({ ...value, targets });
-}
-
-function findTarget(
-  value: ConfigurationValue,
-  name: string,
-): Result<ConfigurationValue["targets"][number], Failure> {
-  const target = value.targets.find((item) => item.targetId === name);
-  if (target !== undefined) return ok(target);
-  const known = value.targets.map((item) => item.targetId);
-  return refuse(formatUnknown("target", { name, known }));
-}
-
 function applySplit(
   value: ConfigurationValue,
   change: Change<"split_costs">,
@@ -243,7 +212,7 @@
 ): ChangeResult {
   const { costClass, shares } = change;
   const wrong = checkShares(shares);
-  if (wrong !== undefined) return refuse(wrong);
+  if (wrong !== undefined) return refuseChangeOf(wrong);
   const present = value.costSplits.find((item) => item.costClass === costClass);
   const remainderTo = change.remainderTo ?? present?.remainderTo ?? PARTNERS[0];
   const costSplits = setItem(value.costSplits, {
@@ -275,7 +244,7 @@
     return checkTeam(value, team) !== undefined;
   });
   const wrong = moved === undefined ? undefined : checkTeam(value, moved);
-  if (wrong !== undefined) return refuse(wrong);
+  if (wrong !== undefined) return refuseChangeOf(wrong);
   const since = options.revision;
   const imported = {
     ...change.value,
@@ -284,48 +253,3 @@
   };
   return checkConfiguration(sortConfiguration(imported));
 }
-
-function applyTargetDrain(
-  value: ConfigurationValue,
-  change: Change<"drain_target">,
-): ChangeResult {
-  return findTarget(value, change.targetId).map((target) => ({
-    ...value,
-    targets: setItem(value.targets, {
-      item: { ...target, leaving: change.draining },
-      keyOf: SECTION_KEYS.targets,
-    }),
-  }));
-}
-
-function applyVmDrain(
-  value: ConfigurationValue,
-  change: Change<"drain_vm">,
-): ChangeResult {
-  const { vmId, draining } = change;
-  const keyOf = SECTION_KEYS.vmDrains;
-  const vmDrains = draining
-    ? setItem(value.vmDrains, { item: { vmId }, keyOf })
-    : removeItem(value.vmDrains, { key: vmId, keyOf });
-  return ok({ ...value, vmDrains });
-}
-
-function applyPlacement(
-  value: ConfigurationValue,
-  change: Change<"place_partner">,
-): ChangeResult {
-  const known = [...new Set(value.targets.map((item) => item.region))];
-  const name = change.regions.find((region) => !known.includes(region));
-  if (name !== undefined) {
-    return refuse(formatUnknown("region", { name, known }));
-  }
-  const placementRules = setItem(value.placementRules, {
-    item: { partner: change.partner, regions: change.regions },
-    keyOf: SECTION_KEYS.placementRules,
-  });
-  return ok({ ...value, placementRules });
-}
-
-function refuse<T>(detail: string): Result<T, Failure> {
-  return err(createFailure("ChangeInvalid", detail));
-}
--- /dev/null
+++ b/packages/scheduler/src/configuration/apply_target_change.ts
@@ -0,0 +1,100 @@
+/**
+ * Changes of targets, drains and the regions where work may run.
+ */
+import type { Failure } from "@camphorlock/codes";
+import type { ConfigurationValue } from "@camphorlock/types";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Change,
+  type ChangeResult,
+  refuseChangeOf,
+} from "./change_result.ts";
+import { formatUnknown } from "./nearest_name.ts";
+import { removeItem, setItem } from "./section.ts";
+import { SECTION_KEYS } from "./value.ts";
+
+/** Sets a target, new or known. */
+export function applyTarget(
+  value: ConfigurationValue,
+  change: Change<"set_target">,
+): ChangeResult {
+  if (change.target.serves.length === 0) {
+    return refuseChangeOf(`target ${change.target.targetId} serves nothing`);
+  }
+  const targets = setItem(value.targets, {
+    item: change.target,
+    keyOf: SECTION_KEYS.targets,
+  });
+  return ok({ ...value, targets });
+}
+
+/** Removes a target that was drained before. */
+export function applyTargetRemoval(
+  value: ConfigurationValue,
+  change: Change<"remove_target">,
+): ChangeResult {
+  const found = findTarget(value, change.targetId);
+  if (found.isErr()) return err(found.error);
+  if (!found.value.leaving) {
+    return refuseChangeOf(`target ${change.targetId} isn't drained`);
+  }
+  const targets = removeItem(value.targets, {
+    key: change.targetId,
+    keyOf: SECTION_KEYS.targets,
+  });
+  return ok({ ...value, targets });
+}
+
+function findTarget(
+  value: ConfigurationValue,
+  name: string,
+): Result<ConfigurationValue["targets"][number], Failure> {
+  const target = value.targets.find((item) => item.targetId === name);
+  if (target !== undefined) return ok(target);
+  const known = value.targets.map((item) => item.targetId);
+  return refuseChangeOf(formatUnknown("target", { name, known }));
+}
+
+/** Takes a target out of service, or back into it. */
+export function applyTargetDrain(
+  value: ConfigurationValue,
+  change: Change<"drain_target">,
+): ChangeResult {
+  return findTarget(value, change.targetId).map((target) => ({
+    ...value,
+    targets: setItem(value.targets, {
+      item: { ...target, leaving: change.draining },
+      keyOf: SECTION_KEYS.targets,
+    }),
+  }));
+}
+
+/** Takes a VM out of service, or back into it. */
+export function applyVmDrain(
+  value: ConfigurationValue,
+  change: Change<"drain_vm">,
+): ChangeResult {
+  const { vmId, draining } = change;
+  const keyOf = SECTION_KEYS.vmDrains;
+  const vmDrains = draining
+    ? setItem(value.vmDrains, { item: { vmId }, keyOf })
+    : removeItem(value.vmDrains, { key: vmId, keyOf });
+  return ok({ ...value, vmDrains });
+}
+
+/** Sets the regions where a partner's work may run. */
+export function applyPlacement(
+  value: ConfigurationValue,
+  change: Change<"place_partner">,
+): ChangeResult {
+  const known = [...new Set(value.targets.map((item) => item.region))];
+  const name = change.regions.find((region) => !known.includes(region));
+  if (name !== undefined) {
+    return refuseChangeOf(formatUnknown("region", { name, known }));
+  }
+  const placementRules = setItem(value.placementRules, {
+    item: { partner: change.partner, regions: change.regions },
+    keyOf: SECTION_KEYS.placementRules,
+  });
+  return ok({ ...value, placementRules });
+}
--- /dev/null
+++ b/packages/scheduler/src/configuration/change_result.ts
@@ -0,0 +1,20 @@
+/**
+ * The outcome of applying a change, and how rules refuse one.
+ */
+import { createFailure, type Failure } from "@camphorlock/codes";
+import type { ChangeCommand, ConfigurationValue } from "@camphorlock/types";
+import { err, type Result } from "neverthrow";
+
+/** The next configuration, or the rule that the change breaks. */
+export type ChangeResult = Result<ConfigurationValue, Failure>;
+
+/** A change of one kind. */
+export type Change<Kind extends ChangeCommand["kind"]> = Extract<
+  ChangeCommand,
+  { readonly kind: Kind }
+>;
+
+/** Refuses a change with the rule that it breaks. */
+export function refuseChangeOf<T>(detail: string): Result<T, Failure> {
+  return err(createFailure("ChangeInvalid", detail));
+}
--- a/packages/scheduler/src/configuration/configuration.ts
+++ b/packages/scheduler/src/configuration/configuration.ts
@@ -11,19 +11,18 @@
 import { createFailure, EVENTS, type Failure } from "@camphorlock/codes";
 import {
   checkNever,
-  type ConfigurationMessage,
   type ConfigurationValue,
   type Effect,
   type LogFields,
   type PlatformAnswer,
   type Revision,
   type RevisionRecord,
-  type VmId,
 } from "@camphorlock/types";
 import type { Result } from "neverthrow";
 import { Freshness } from "./freshness.ts";
 import { RevisionHistory } from "./history.ts";
 import { InForceReports } from "./in_force.ts";
+import { buildInitialChange, INITIAL_REQUEST } from "./initial_change.ts";
 import type {
   ChangeInput,
   ConfigurationInput,
@@ -33,10 +32,12 @@
 } from "./inputs.ts";
 import { ConfigurationPeers } from "./peers.ts";
 import { type CallPurpose, PlatformCalls } from "./platform_calls.ts";
-import { Proposals, type ProposalStep } from "./proposal.ts";
+import { PollSchedule } from "./poll_schedule.ts";
+import { Proposals } from "./proposal.ts";
+import type { ProposalStep } from "./proposal_step.ts";
 import { RevisionReader } from "./reader.ts";
-import { computeRank } from "./rank.ts";
-import { decodeRecord, encodeRecord, REVISION_PREFIX } from "./record.ts";
+import { RevisionWatch } from "./revision_watch.ts";
+import { RevisionSpreader } from "./spread.ts";
 
 /** Revisions kept on the platform and by each node unless set otherwise. */
 export const KEPT_REVISIONS = 2_048;
@@ -47,40 +48,19 @@
 /** The tick period that the role needs. */
 export const CONFIGURATION_TICK_MS = 250;
 
-const REQUEST_RETRY_MS = 1_000;
-const POLL_MS_PER_NODE = 100;
-const SHORTEST_POLL_MS = 5_000;
-const LONGEST_POLL_MS = 60_000;
-const LONELY_POLL_MS = 2_000;
-const WATCH_RETRY_MS = 1_000;
-
-/** In place of a record, where an offer only reports the revision. */
-const NO_RECORD = new Uint8Array(0);
-
-/** The request under which the initial configuration is stored. */
-const INITIAL_REQUEST = "initial";
-
-type WatchState =
-  | { readonly kind: "none" }
-  | { readonly kind: "waiting" }
-  | { readonly kind: "paused"; readonly untilMs: number };
-
 /** The configuration role. */
 export class Configuration {
   readonly #options: ConfigurationOptions;
   readonly #history: RevisionHistory;
   readonly #calls = new PlatformCalls();
   readonly #peers: ConfigurationPeers;
+  readonly #spreader: RevisionSpreader;
   readonly #reader: RevisionReader;
   readonly #proposals: Proposals;
   readonly #freshness = new Freshness();
   readonly #reports = new InForceReports();
-  readonly #jitter: number;
-  #watch: WatchState = { kind: "none" };
-  #watchPosition = 0;
-  #isWatcher = true;
-  #nextPollMs = 0;
-  #request = { sentAtMs: -REQUEST_RETRY_MS, tries: 0 };
+  readonly #watch = new RevisionWatch(this.#calls);
+  readonly #polls: PollSchedule;
   #initialProposed = false;
   #reportedRevision: Revision = 0;
   #effects: Effect[] = [];
@@ -92,13 +72,14 @@
     this.#options = options;
     this.#history = new RevisionHistory(keptRevisions);
     this.#peers = new ConfigurationPeers(self, region);
+    this.#spreader = new RevisionSpreader(this.#history, this.#peers);
     this.#reader = new RevisionReader(this.#history, this.#calls);
     this.#proposals = new Proposals(this.#history, {
       calls: this.#calls,
       idPrefix: `${self}/${incarnation}`,
       keptRevisions,
     });
-    this.#jitter = computeRank(`${self}/${incarnation}`) / 2 ** 32;
+    this.#polls = new PollSchedule(`${self}/${incarnation}`);
   }
 
   /** The highest revision that this node has seen; it never goes down. */
@@ -130,7 +111,9 @@
   handle(input: ConfigurationInput, nowMs: number): ConfigurationStep {
     switch (input.kind) {
       case "peer":
-        this.#handlePeer(input.from, input.message, nowMs);
+        this.#effects.push(
+          ...this.#spreader.handlePeer(input.from, input.message, { nowMs }),
+        );
         break;
       case "platform":
         this.#handleAnswer(this.#calls.take(input.token), {
@@ -143,7 +126,7 @@
         break;
       case "members":
         this.#peers.update(input);
-        this.#isWatcher = this.#peers.isWatcher();
+        this.#watch.setWanted(this.#peers.isWatcher());
         break;
       case "peer_revision":
         this.#peers.record(input.vmId, { revision: input.revision, nowMs });
@@ -159,48 +142,6 @@
     return this.#takeStep();
   }
 
-  #handlePeer(
-    from: VmId,
-    message: ConfigurationMessage,
-    nowMs: number,
-  ): void {
-    switch (message.kind) {
-      case "configuration_request":
-        this.#peers.record(from, { revision: message.afterRevision, nowMs });
-        this.#answerRequest(from, message.afterRevision);
-        return;
-      case "configuration_offer":
-        this.#peers.record(from, { revision: message.revision, nowMs });
-        this.#adoptOffer(message.value);
-        return;
-      default:
-        checkNever(message);
-    }
-  }
-
-  /** Sends what the peer misses, or the own revision where that's nothing. */
-  #answerRequest(from: VmId, afterRevision: Revision): void {
-    const missing = this.#history.encodeAfter(afterRevision);
-    const report = { revision: this.revision, bytes: NO_RECORD };
-    for (const each of missing.length > 0 ? missing : [report]) {
-      this.#sendOffer(from, each);
-    }
-  }
-
-  #sendOffer(
-    to: VmId,
-    offer: { readonly revision: Revision; readonly bytes: Uint8Array },
-  ): void {
-    const { revision, bytes: value } = offer;
-    this.#sendPeer(to, { kind: "configuration_offer", revision, value });
-  }
-
-  #adoptOffer(value: Uint8Array): void {
-    if (value.length === 0) return;
-    const record = decodeRecord(value);
-    if (record.isOk()) this.#history.apply(record.value);
-  }
-
   #handleAnswer(
     purpose: CallPurpose | undefined,
     event: { readonly answer: PlatformAnswer; readonly nowMs: number },
@@ -233,20 +174,11 @@
 
   /** Stores the deployment's first configuration where there's none. */
   #proposeInitial(nowMs: number): void {
-    const { initial, self } = this.#options;
+    const { initial } = this.#options;
     if (initial === undefined || this.#initialProposed) return;
     if (this.#history.revision > 0) return;
     this.#initialProposed = true;
-    const change: ChangeInput = {
-      kind: "change",
-      requestId: INITIAL_REQUEST,
-      changeId: `initial/${self}/${this.#options.incarnation}`,
-      change: { kind: "import_configuration", value: initial.value },
-      text: "import initial configuration",
-      by: initial.by,
-      ifRevision: 0,
-      atMs: initial.atMs,
-    };
+    const change = buildInitialChange(this.#options, initial);
     this.#addStep(this.#proposals.add(change, nowMs), nowMs);
   }
 
@@ -269,77 +201,27 @@
     this.#effects.push(...this.#reader.handleTick(nowMs));
     this.#addStep(this.#proposals.handleTick(nowMs), nowMs);
     this.#poll(nowMs);
-    this.#updateWatch(nowMs);
-    this.#requestMissing(nowMs);
+    this.#effects.push(...this.#watch.start(nowMs));
+    this.#effects.push(...this.#spreader.sendRequest(nowMs));
     this.#notices.push(...this.#reports.takeDue(this.#peers, nowMs));
-    this.#askMissing(nowMs);
-  }
-
-  /** Asks the nodes that haven't reported an accepted change yet. */
-  #askMissing(nowMs: number): void {
-    const afterRevision = this.revision;
-    for (const vmId of this.#reports.listAsked(this.#peers, nowMs)) {
-      this.#sendPeer(vmId, { kind: "configuration_request", afterRevision });
-    }
+    const asked = this.#reports.listAsked(this.#peers, nowMs);
+    this.#effects.push(...this.#spreader.sendRequests(asked));
   }
 
   #poll(nowMs: number): void {
-    const hearsMost = this.#hearsMost(nowMs);
-    const seenAtMs = this.#reader.headSeenAtMs ?? -Infinity;
-    const isLonely = !hearsMost && nowMs - seenAtMs >= LONELY_POLL_MS;
-    if (nowMs < this.#nextPollMs && !isLonely) return;
-    this.#nextPollMs = nowMs + this.#computePollMs();
-    this.#effects.push(...this.#reader.start(nowMs));
-  }
-
-  #computePollMs(): number {
-    const wantedMs = (this.#peers.count + 1) * POLL_MS_PER_NODE;
-    const periodMs = Math.max(
-      SHORTEST_POLL_MS,
-      Math.min(wantedMs, LONGEST_POLL_MS),
-    );
-    return Math.round(periodMs * (0.75 + this.#jitter / 2));
-  }
-
-  #updateWatch(nowMs: number): void {
-    if (!this.#isWatcher || this.#watch.kind === "waiting") return;
-    if (this.#watch.kind === "paused" && this.#watch.untilMs > nowMs) return;
-    this.#watch = { kind: "waiting" };
-    const request = {
-      kind: "watch",
-      prefix: REVISION_PREFIX,
-      afterPosition: this.#watchPosition,
-    } as const;
-    const options = { purpose: "watch", nowMs } as const;
-    this.#effects.push(this.#calls.send(request, options));
+    const isDue = this.#polls.takeDue({
+      nowMs,
+      nodes: this.#peers.count + 1,
+      hearsMost: this.#hearsMost(nowMs),
+      headSeenAtMs: this.#reader.headSeenAtMs,
+    });
+    if (isDue) this.#effects.push(...this.#reader.start(nowMs));
   }
 
   #handleWatch(answer: PlatformAnswer, nowMs: number): void {
-    const isNews = answer.kind === "changed" &&
-      (answer.keys.length > 0 || answer.position > this.#watchPosition);
-    if (!isNews) {
-      this.#watch = { kind: "paused", untilMs: nowMs + WATCH_RETRY_MS };
-      return;
-    }
-    this.#watchPosition = answer.position;
-    this.#watch = { kind: "none" };
-    this.#effects.push(...this.#reader.start(nowMs));
-    this.#updateWatch(nowMs);
-  }
-
-  #requestMissing(nowMs: number): void {
-    const highest = this.#peers.highestRevision;
-    if (highest <= this.revision) {
-      this.#request = { sentAtMs: this.#request.sentAtMs, tries: 0 };
-      return;
-    }
-    if (nowMs - this.#request.sentAtMs < REQUEST_RETRY_MS) return;
-    const { tries } = this.#request;
-    const from = this.#peers.findAhead(this.revision, tries);
-    if (from === undefined) return;
-    this.#request = { sentAtMs: nowMs, tries: tries + 1 };
-    const afterRevision = this.revision;
-    this.#sendPeer(from, { kind: "configuration_request", afterRevision });
+    const hasChanged = this.#watch.handleAnswer(answer, nowMs);
+    if (hasChanged) this.#effects.push(...this.#reader.start(nowMs));
+    this.#effects.push(...this.#watch.start(nowMs));
   }
 
   #updateFreshness(nowMs: number): void {
@@ -368,10 +250,7 @@
     this.#log(EVENTS.ConfigurationInForce.event);
     const record = fresh.at(-1);
     if (record === undefined || !isSingle) return;
-    const bytes = encodeRecord(record);
-    for (const vmId of this.#peers.choosePushed(revision)) {
-      this.#sendOffer(vmId, { revision, bytes });
-    }
+    this.#effects.push(...this.#spreader.sendAdopted(record));
   }
 
   #addStep(step: ProposalStep, nowMs: number): void {
@@ -399,10 +278,6 @@
     return this.#peers.hasMost(nowMs - withinMs);
   }
 
-  #sendPeer(to: VmId, message: ConfigurationMessage): void {
-    this.#effects.push({ kind: "send_peer", to, message });
-  }
-
   #log(event: number, details: LogFields = {}): void {
     const fields = { revision: this.revision, ...details };
     this.#effects.push({ kind: "log", record: { event, fields } });
--- a/packages/scheduler/src/configuration/mod.ts
+++ b/packages/scheduler/src/configuration/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./amounts.ts";
 export * from "./apply_change.ts";
+export type { ChangeResult } from "./change_result.ts";
 export * from "./check_configuration.ts";
 export * from "./configuration.ts";
 export * from "./inputs.ts";
--- a/packages/scheduler/src/configuration/proposal.ts
+++ b/packages/scheduler/src/configuration/proposal.ts
@@ -19,19 +19,24 @@
   type RevisionRecord,
 } from "@camphorlock/types";
 import type { RevisionHistory } from "./history.ts";
-import type { ChangeInput, ConfigurationNotice } from "./inputs.ts";
+import type { ChangeInput } from "./inputs.ts";
+import { buildMismatch, buildNextRecord } from "./next_record.ts";
 import type { PlatformCalls } from "./platform_calls.ts";
 import {
-  decodeRecord,
-  encodeRecord,
-  formatRevisionKey,
-  REVISION_PREFIX,
-} from "./record.ts";
-import {
-  buildMismatch,
-  buildNextRecord,
-  type PendingChange,
-} from "./next_record.ts";
+  type Attempt,
+  buildRequest,
+  buildTooLarge,
+  buildUnavailable,
+  buildUncertain,
+  LARGEST_RECORD_BYTES,
+  mergeSteps,
+  NOTHING,
+  type Phase,
+  type Proposal,
+  type ProposalStep,
+  refuseChange,
+} from "./proposal_step.ts";
+import { decodeRecord, encodeRecord, formatRevisionKey } from "./record.ts";
 
 /** Changes of one node that may wait for their turn. */
 export const CHANGE_QUEUE_LIMIT = 64;
@@ -39,29 +44,8 @@
 /** An operator is told that a change is uncertain after this long. */
 export const CHANGE_TIMEOUT_MS = 15_000;
 
-/** The platform holds values of up to a megabyte. */
-const LARGEST_RECORD_BYTES = 1_000_000;
-
 const RETRY_MS = 300;
 
-/** A change on its way, with what is known of it. */
-interface Proposal extends PendingChange {
-  readonly deadlineMs: number;
-  /** The operator has been told that the change is uncertain. */
-  readonly uncertain: boolean;
-}
-
-/** One write of a proposal under one revision's name. */
-interface Attempt {
-  readonly proposal: Proposal;
-  readonly record: RevisionRecord;
-  readonly bytes: Uint8Array;
-  /** A write may have taken effect, or may yet. */
-  readonly mayBeStored: boolean;
-}
-
-type Phase = "writing" | "reading" | "confirming";
-
 type ProposalState =
   | { readonly kind: "idle" }
   /** Waits until the reader has reached the platform's latest revision. */
@@ -78,16 +62,6 @@
     readonly untilMs: number;
   };
 
-/** What one step of the proposals leads to. */
-export interface ProposalStep {
-  readonly effects: readonly Effect[];
-  readonly notices: readonly ConfigurationNotice[];
-  /** Whether the reader has to read up to the platform's latest revision. */
-  readonly needsRead: boolean;
-}
-
-const NOTHING: ProposalStep = { effects: [], notices: [], needsRead: false };
-
 /** The changes that this node's operators ordered. */
 export class Proposals {
   #state: ProposalState = { kind: "idle" };
@@ -321,59 +295,3 @@
     return proposal.deadlineMs <= this.#nowMs;
   }
 }
-
-function buildRequest(attempt: Attempt, phase: Phase): PlatformRequest {
-  const key = formatRevisionKey(attempt.record.revision);
-  switch (phase) {
-    case "writing":
-      return {
-        kind: "put",
-        key,
-        value: attempt.bytes,
-        condition: { kind: "absent" },
-      };
-    case "reading":
-      return { kind: "get", key };
-    case "confirming":
-      return { kind: "list", prefix: REVISION_PREFIX, after: key, limit: 1 };
-    default:
-      return checkNever(phase);
-  }
-}
-
-/** Refuses a change of which nothing was written, or whose name was taken. */
-function refuseChange(input: ChangeInput, failure: Failure): ProposalStep {
-  const { requestId } = input;
-  return {
-    ...NOTHING,
-    notices: [{ kind: "change_refused", requestId, failure }],
-  };
-}
-
-function buildTooLarge(bytes: number): Failure {
-  const detail = `the configuration would take ${bytes} bytes, ` +
-    `more than ${LARGEST_RECORD_BYTES}`;
-  return createFailure("ChangeInvalid", detail);
-}
-
-function buildUnavailable(): Failure {
-  const detail = "the platform didn't take the change; nothing was changed";
-  return createFailure("PlatformUnavailable", detail);
-}
-
-function buildUncertain(proposal: Proposal): ConfigurationNotice {
-  const { changeId, input } = proposal;
-  const detail = `change ${changeId} may be stored or not; ` +
-    "order it again under the same change id to be told";
-  const failure = createFailure("ChangeUncertain", detail);
-  const { requestId } = input;
-  return { kind: "change_uncertain", requestId, changeId, failure };
-}
-
-function mergeSteps(first: ProposalStep, second: ProposalStep): ProposalStep {
-  return {
-    effects: [...first.effects, ...second.effects],
-    notices: [...first.notices, ...second.notices],
-    needsRead: first.needsRead || second.needsRead,
-  };
-}
