Send a cancellation again whoever started the attempt

Cause: only the node that started an attempt repeated a cancellation that overtook it; an owner's cancellation after a broken stream went out once.

Change: every cancellation is repeated until the engine knows the attempt.

Measured: 29 tests of the engine client pass.

Conclusion: an engine doesn't go on for nobody after a crossed cancellation.

--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -118,9 +118,18 @@
     });
   }
 
-  /** Tells the engine to stop an attempt, whoever started it. */
+  /**
+   * Tells the engine to stop an attempt, whoever started it. The request may
+   * overtake the attempt itself, so that it's sent again until the engine
+   * knows the attempt or a second has passed.
+   */
   async cancelAttempt(attemptId: AttemptId): Promise<TargetOrderResult> {
-    const answer = await this.#run("DELETE", formatStreamPath(attemptId));
+    let answer: WholeAnswer = { kind: "not_sent", detail: "" };
+    for (const delayMs of CANCEL_DELAYS_MS) {
+      if (delayMs > 0) await waitFor(delayMs);
+      answer = await this.#run("DELETE", formatStreamPath(attemptId));
+      if (answer.kind === "answered" && answer.status < 300) break;
+    }
     return decodeOrderAnswer(answer);
   }
 
@@ -177,18 +186,6 @@
     await this.#connection.close();
   }
 
-  /**
-   * The request to cancel may overtake the attempt itself, so that it's sent
-   * again until the engine knows the attempt or a second has passed.
-   */
-  async #settleCancel(attemptId: AttemptId): Promise<void> {
-    for (const delayMs of CANCEL_DELAYS_MS) {
-      if (delayMs > 0) await waitFor(delayMs);
-      const answer = await this.#run("DELETE", formatStreamPath(attemptId));
-      if (answer.kind === "answered" && answer.status < 300) return;
-    }
-  }
-
   #sendOrder(order: TargetOrder): Promise<WholeAnswer> {
     switch (order.kind) {
       case "release":
@@ -234,7 +231,7 @@
         stream.close();
         exchange.cancel();
         const mayRun = options.wasSentBefore || exchange.wasSent;
-        if (mayRun) void this.#settleCancel(order.attemptId);
+        if (mayRun) void this.cancelAttempt(order.attemptId);
       },
     };
   }
--- a/packages/engines/src/engine_client_test.ts
+++ b/packages/engines/src/engine_client_test.ts
@@ -232,6 +232,16 @@
     expect(engine.control.isCancelled("a1")).to.equal(true);
   });
 
+  it("stops an attempt that another node started", async () => {
+    engine.control.startDelayMs = 60;
+    client.runAttempt(buildOrder("a1", { tokens: MAX_TOKENS }), () => {});
+    await waitUntil(() => engine.control.requests === 1);
+    const other = new EngineClient({ address: engine.address });
+    expect(await other.cancelAttempt("a1")).to.deep.equal({ kind: "done" });
+    expect(engine.control.isCancelled("a1")).to.equal(true);
+    await other.close();
+  });
+
   it("releases what the engine holds for a program", async () => {
     const recorder = new Recorder();
     client.runAttempt(buildOrder("a1"), recorder.receive);
