--- /dev/null
+++ b/packages/camphorlock/src/cli/serve/processes_fixture_test.ts
@@ -0,0 +1,253 @@
+/**
+ * Nodes as real processes on loopback, before stand-ins in the test's own
+ * process.
+ */
+import {
+  type RunningEngine,
+  type RunningPlatform,
+  type RunningService,
+  serveEngine,
+  servePlatform,
+  serveService,
+  ServiceRuns,
+} from "@camphorlock/standins";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { findFreePorts } from "../dev/free_ports.ts";
+
+const MAIN = fileURLToPath(new URL("../main.ts", import.meta.url));
+const REGIONS = ["marmara", "ege", "ic-anadolu"] as const;
+const READY_LIMIT_MS = 60_000;
+const POLL_MS = 100;
+const FIRST_PORT = 23_400;
+
+export interface Json {
+  readonly [key: string]: unknown;
+}
+
+/** A node's process and where it serves callers. */
+export interface NodeChild {
+  readonly vmId: string;
+  readonly address: string;
+  process: ChildProcess;
+  readonly file: string;
+}
+
+/** The stand-ins and the processes before them. */
+export class ProcessFleet {
+  readonly folder = mkdtempSync(join(tmpdir(), "camphorlock-"));
+  readonly nodes: NodeChild[] = [];
+  readonly runs = new ServiceRuns();
+  engines: RunningEngine[] = [];
+  services: RunningService[] = [];
+  #platform: RunningPlatform | undefined;
+
+  get platform(): RunningPlatform {
+    if (this.#platform === undefined) throw new Error("not started");
+    return this.#platform;
+  }
+
+  async start(count: number): Promise<void> {
+    this.#platform = await servePlatform();
+    for (let at = 0; at < 3; at++) {
+      this.engines.push(await serveEngine({ tokenMs: 20 }));
+      this.services.push(await serveService({ runs: this.runs, delayMs: 30 }));
+    }
+    this.#writeConfiguration();
+    const ports = await findFreePorts(FIRST_PORT, 2 * count);
+    for (let at = 0; at < count; at++) {
+      this.#startNode(`vm-${at + 1}`, ports.slice(2 * at, 2 * at + 2));
+    }
+    await this.waitReady();
+  }
+
+  /** Starts the process of a node again. */
+  restart(node: NodeChild): void {
+    node.process = spawnNode(node.file);
+  }
+
+  /** Waits until every living node takes a program and serves it. */
+  async waitReady(): Promise<void> {
+    const untilMs = performance.now() + READY_LIMIT_MS;
+    for (let number = 0; number < 12; number++) {
+      while (!await this.#isServed(`ready-${number}`)) {
+        if (performance.now() > untilMs) throw new Error("not ready in time");
+        await waitFor(POLL_MS);
+      }
+    }
+  }
+
+  /** Sends a request; undefined when the connection failed. */
+  async send(
+    node: NodeChild | undefined,
+    path: string,
+    options: { readonly body: Json; readonly key?: string },
+  ): Promise<Json | undefined> {
+    const { body, key } = options;
+    const json = { "content-type": "application/json" };
+    const headers = key === undefined
+      ? json
+      : { ...json, "idempotency-key": key };
+    try {
+      const answer = await request(`http://${node?.address}${path}`, {
+        method: "POST",
+        headers,
+        body: JSON.stringify(body),
+        headersTimeout: 60_000,
+      });
+      return await answer.body.json() as Json;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Sends a call under one key, at one node after the other, until it ends. */
+  async runCall(
+    programId: unknown,
+    options: { readonly body: Json; readonly key: string; readonly at: number },
+  ): Promise<Json> {
+    const path = `/v1/programs/${programId}/calls`;
+    for (let attempt = 0; attempt < 120; attempt++) {
+      const node = this.nodes[(options.at + attempt) % this.nodes.length];
+      const answer = await this.send(node, path, options);
+      const status = answer?.status;
+      const isFinal = status === "completed" || status === "unknown" ||
+        status === "failed";
+      if (answer !== undefined && isFinal) return answer;
+      await waitFor(POLL_MS * 2);
+    }
+    throw new Error("the call didn't end");
+  }
+
+  /** Creates a program. */
+  async createProgram(at: number, key: string): Promise<unknown> {
+    const body = {
+      partner: "zincir",
+      agent: "quote",
+      "budget_micros": 100_000_000,
+    };
+    for (let attempt = 0; attempt < 100; attempt++) {
+      const node = this.nodes[(at + attempt) % this.nodes.length];
+      const answer = await this.send(node, "/v1/programs", { body, key });
+      if (answer?.program !== undefined) return answer.program;
+      await waitFor(POLL_MS * 2);
+    }
+    throw new Error("no program was created");
+  }
+
+  /** Finds the node that owns a program at present. */
+  async findOwner(programId: unknown): Promise<NodeChild | undefined> {
+    for (const node of this.nodes) {
+      if (node.process.exitCode !== null) continue;
+      const statement = "show programs limit 1000";
+      const body = { statement, by: "zincir/test" };
+      const answer = await this.send(node, "/v1/operate", { body });
+      if (String(answer?.text).includes(String(programId))) return node;
+    }
+    return undefined;
+  }
+
+  async stop(): Promise<void> {
+    for (const { process } of this.nodes) process.kill("SIGKILL");
+    const servers = [...this.engines, ...this.services, this.platform];
+    await Promise.all(servers.map((server) => server.stop()));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  async #isServed(key: string): Promise<boolean> {
+    const body = { partner: "zincir", agent: "ready", "budget_micros": 1_000 };
+    for (const node of this.nodes) {
+      if (node.process.exitCode !== null) continue;
+      const answer = await this.send(node, "/v1/programs", { body, key });
+      if (answer?.program === undefined) return false;
+    }
+    return true;
+  }
+
+  #startNode(vmId: string, ports: readonly number[]): void {
+    const [callerPort = 0, peerPort = 0] = ports;
+    const region = REGIONS[this.nodes.length % REGIONS.length] ?? "ege";
+    const file = join(this.folder, `${vmId}.toml`);
+    writeFileSync(
+      file,
+      `
+[node]
+vm = "${vmId}"
+region = "${region}"
+failure_domain = "${region}-1"
+[listen]
+caller_port = ${callerPort}
+peer_port = ${peerPort}
+[platform]
+base_url = "http://${this.platform.address}"
+calls_per_second = 400
+[installation]
+shard_count = 12
+first_configuration = "${join(this.folder, "first.toml")}"
+[log]
+level = "error"
+[calls]
+progress_timeout_ms = 4000
+`,
+    );
+    const address = `127.0.0.1:${callerPort}`;
+    this.nodes.push({ vmId, address, process: spawnNode(file), file });
+    this.platform.vms.set({
+      vmId,
+      address: `127.0.0.1:${peerPort}`,
+      region,
+      failureDomain: `${region}-1`,
+      state: "live",
+    }, 0);
+  }
+
+  #writeConfiguration(): void {
+    const targets = [
+      ...this.engines.map(({ address }, at) =>
+        formatTarget("engine", at, address)
+      ),
+      ...this.services.map(({ address }, at) =>
+        formatTarget("service", at, address)
+      ),
+    ];
+    const prices = `
+[[models]]
+model = "engine"
+prompt_micros = 1000
+cached_micros = 100
+completion_micros = 4000
+[[services]]
+service = "service"
+call_micros = 500
+`;
+    writeFileSync(join(this.folder, "first.toml"), targets.join("") + prices);
+  }
+}
+
+function formatTarget(kind: string, at: number, address: string): string {
+  const region = REGIONS[at % REGIONS.length];
+  return `
+[[targets]]
+target = "${kind}-${at + 1}"
+kind = "${kind}"
+serves = ["${kind}"]
+region = "${region}"
+failure_domain = "${region}-1"
+address = "${address}"
+`;
+}
+
+function spawnNode(file: string): ChildProcess {
+  const options = ["--import", "tsx", MAIN, "serve", "--settings", file];
+  return spawn(process.execPath, options, {
+    stdio: ["ignore", "ignore", "inherit"],
+  });
+}
+
+export function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/camphorlock/src/settings/load_settings.ts
+++ b/packages/camphorlock/src/settings/load_settings.ts
@@ -25,6 +25,15 @@
   return readText(file).andThen((text) => parseSettings(text, file));
 }
 
+/** Loads a TOML file without checking its content. */
+export function loadToml(file: string): Result<unknown, Failure> {
+  return readText(file).andThen((text) =>
+    parseToml(text).mapErr(({ detail }) =>
+      createFailure("SettingsInvalid", `${file}: ${detail}`)
+    )
+  );
+}
+
 /** Parses and checks settings; `source` names them in errors. */
 export function parseSettings(
   text: string,
--- a/packages/camphorlock/src/settings/schema.ts
+++ b/packages/camphorlock/src/settings/schema.ts
@@ -47,6 +47,8 @@
 const installationSection = z.strictObject({
   /** Fixed for the life of the installation. */
   shard_count: z.number().int().min(1).max(MAX_SHARDS).default(64),
+  /** Becomes revision 1 where the platform holds no configuration. */
+  first_configuration: z.string().optional(),
 });
 
 const logSection = z.strictObject({
--- a/packages/nodes/mod.ts
+++ b/packages/nodes/mod.ts
@@ -8,3 +8,4 @@
 export * from "./src/settings.ts";
 export * from "./src/timers.ts";
 export type { PeerSecurity, PemSource } from "./src/tls.ts";
+export { runNodesBench } from "./src/bench.ts";
