--- a/packages/scheduler/src/ledger/keeper_seals.ts
+++ b/packages/scheduler/src/ledger/keeper_seals.ts
@@ -88,7 +88,7 @@
 
   /** The processes of the new owner's keepers, as far as they answered. */
   get newProcesses(): readonly KeeperProcess[] {
-    return this.#options.newKeepers.map((vmId) => {
+    return [...new Set(this.#options.newKeepers)].map((vmId) => {
       const keeper = this.#keepers.find((each) => each.vmId === vmId);
       return { vmId, incarnation: keeper?.answer?.keeperIncarnation ?? 0 };
     });
--- a/packages/scheduler/src/ledger/ledger_types.ts
+++ b/packages/scheduler/src/ledger/ledger_types.ts
@@ -21,6 +21,8 @@
   readonly ringSize: number;
   /** Segments after which a snapshot is due. */
   readonly snapshotAfterSegments: number;
+  /** Encoded entries in segments after which a snapshot is due, in bytes. */
+  readonly snapshotAfterBytes: number;
   /** Encoded entries of one segment, in bytes. */
   readonly segmentBytes: number;
   /** Encoded entries of one message to a keeper, in bytes. */
@@ -39,6 +41,7 @@
 export const DEFAULT_LEDGER_LIMITS: LedgerLimits = {
   ringSize: 1_024,
   snapshotAfterSegments: 256,
+  snapshotAfterBytes: 32_000_000,
   segmentBytes: 900_000,
   messageBytes: 1_000_000,
   unstoredBytes: 8_000_000,
--- a/packages/scheduler/src/ledger/log_committer.ts
+++ b/packages/scheduler/src/ledger/log_committer.ts
@@ -104,8 +104,10 @@
 
   /** Whether a new snapshot is due. */
   get needsSnapshot(): boolean {
-    return !this.#hasSnapshot &&
-      this.#index.count >= this.#options.limits.snapshotAfterSegments;
+    const { limits } = this.#options;
+    const isLong = this.#index.count >= limits.snapshotAfterSegments ||
+      this.#index.bytes >= limits.snapshotAfterBytes;
+    return isLong && !this.#hasSnapshot;
   }
 
   /** Takes a snapshot; its last entry may still be on its way. */
--- a/packages/scheduler/src/ledger/recovery_writer.ts
+++ b/packages/scheduler/src/ledger/recovery_writer.ts
@@ -18,6 +18,7 @@
   type KeeperProcess,
   type OpenRecord,
   type Segment,
+  sumLengths,
 } from "./segment.ts";
 import type { LogExtent } from "./segment_index.ts";
 import { SegmentWriter } from "./segment_writer.ts";
@@ -138,15 +139,18 @@
     }
     const { segment } = outcome;
     if (segment.role === "seal") {
-      return { kind: "sealed", segment: { ...segment, entries: [] } };
+      const sealed: Segment = { ...segment, entries: [], bytes: 0 };
+      return { kind: "sealed", segment: sealed };
     }
     return this.#applyStored(segment.number);
   }
 
   #applyStored(number: number): WriterNews {
     const stored = this.#planned.shift();
-    this.#throughSequence += stored?.entries.length ?? 0;
-    this.#extents.push({ number, throughSequence: this.#throughSequence });
+    const entries = stored?.entries ?? [];
+    this.#throughSequence += entries.length;
+    const throughSequence = this.#throughSequence;
+    this.#extents.push({ number, throughSequence, bytes: sumLengths(entries) });
     if (this.#planned.length === 0) {
       return { kind: "opened", extents: this.#extents };
     }
--- a/packages/scheduler/src/ledger/segment.ts
+++ b/packages/scheduler/src/ledger/segment.ts
@@ -41,6 +41,8 @@
   /** Set when `role` is `open`. */
   readonly open?: OpenRecord;
   readonly entries: readonly LedgerEntry[];
+  /** Encoded bytes of the entries. */
+  readonly bytes: number;
 }
 
 /** A segment whose entries are already encoded. */
@@ -80,13 +82,18 @@
   try {
     const stored = packr.unpack(value) as EncodedSegment;
     const entries = stored.entries.map(decodeEntry);
-    return ok({ ...stored, entries });
+    return ok({ ...stored, entries, bytes: sumLengths(stored.entries) });
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
     return err(createFailure("SegmentUnreadable", detail));
   }
 }
 
+/** Sums the bytes of encoded entries. */
+export function sumLengths(values: readonly Uint8Array[]): number {
+  return values.reduce((sum, value) => sum + value.length, 0);
+}
+
 function decodeEntry(value: Uint8Array): LedgerEntry {
   return packr.unpack(value) as LedgerEntry;
 }
--- a/packages/scheduler/src/ledger/segment_index.ts
+++ b/packages/scheduler/src/ledger/segment_index.ts
@@ -6,14 +6,18 @@
 export interface LogExtent {
   readonly number: number;
   readonly throughSequence: number;
+  /** Encoded bytes of its entries. */
+  readonly bytes: number;
 }
 
 /** The segments that no snapshot covers. */
 export class SegmentIndex {
   #extents: LogExtent[];
+  #bytes: number;
 
   constructor(extents: readonly LogExtent[]) {
     this.#extents = [...extents];
+    this.#bytes = sumBytes(extents);
   }
 
   /** Live segments. */
@@ -21,9 +25,15 @@
     return this.#extents.length;
   }
 
+  /** Encoded bytes that a recovery would read. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   /** Appends the newest segment. */
   append(extent: LogExtent): void {
     this.#extents.push(extent);
+    this.#bytes += extent.bytes;
   }
 
   /** Finds the first segment that may hold entries after a sequence. */
@@ -39,5 +49,10 @@
   /** Drops the segments that a snapshot covers. */
   removeBefore(number: number): void {
     this.#extents = this.#extents.filter((extent) => extent.number >= number);
+    this.#bytes = sumBytes(this.#extents);
   }
 }
+
+function sumBytes(extents: readonly LogExtent[]): number {
+  return extents.reduce((sum, extent) => sum + extent.bytes, 0);
+}
--- a/packages/scheduler/src/ledger/shard_ledger.ts
+++ b/packages/scheduler/src/ledger/shard_ledger.ts
@@ -35,6 +35,7 @@
   type CommitNews,
   LogCommitter,
 } from "./log_committer.ts";
+import { sumLengths } from "./segment.ts";
 import { type EncodedEntry, UnstoredEntries } from "./unstored_entries.ts";
 import type { WriteUrgency } from "./write_pacer.ts";
 
@@ -199,7 +200,8 @@
     const { number, role, entries } = news.segment;
     const throughSequence = this.#unstored.storedThrough + entries.length;
     this.#unstored.removeThrough(throughSequence);
-    this.#committer.recordStored({ number, throughSequence });
+    const bytes = sumLengths(entries);
+    this.#committer.recordStored({ number, throughSequence, bytes });
     this.#keepers.applyStored(news.beganToken);
     this.#storedToken = news.beganToken;
     if (role !== "close") return [];
--- a/packages/scheduler/src/ledger/shard_ledger_test.ts
+++ b/packages/scheduler/src/ledger/shard_ledger_test.ts
@@ -156,6 +156,21 @@
     expect(next[0]).to.match(/^snapshot\/1\/part\//);
   });
 
+  it("asks for a snapshot when a recovery would read much", () => {
+    const ledger = createLedger([]);
+    expect(ledger.needsSnapshot).to.equal(false);
+    const programId = "p".repeat(800_000);
+    let effects = ledger.append([{ ...BODY, programId }], 0)._unsafeUnwrap()
+      .effects;
+    for (let each = 1; each <= 40; each += 1) {
+      answerPut(ledger, listPuts(effects)[0]);
+      const nowMs = each * 1_000;
+      effects = ledger.append([{ ...BODY, programId }], nowMs)._unsafeUnwrap()
+        .effects;
+    }
+    expect(ledger.needsSnapshot).to.equal(true);
+  });
+
   it("leaves a keeper without space alone for a while", () => {
     const ledger = createLedger();
     const keep = listKeeps(append(ledger))[0];
--- a/packages/scheduler/src/ledger/stored_log.ts
+++ b/packages/scheduler/src/ledger/stored_log.ts
@@ -74,6 +74,7 @@
     this.#extents.push({
       number: segment.number,
       throughSequence: this.#lastSequence,
+      bytes: segment.bytes,
     });
     this.#nextSegment = segment.number + 1;
     return ok(undefined);
