--- a/packages/nodes/src/peer_network_test.ts
+++ b/packages/nodes/src/peer_network_test.ts
@@ -5,6 +5,7 @@
   setLogVerbosity,
 } from "@grpc/grpc-js";
 import { expect } from "chai";
+import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import { pack } from "msgpackr";
 import type { PeerMessage, VmId } from "@camphorlock/types";
@@ -399,6 +400,24 @@
     expect(b.received).to.have.length(1);
   });
 
+  it("serves nodes of two authorities while one replaces the other", async () => {
+    const text = ["fleet-ca.pem", "stranger-ca.pem"].map((file) =>
+      readFileSync(join(import.meta.dirname, "testdata", file), "utf8")
+    ).join("\n");
+    const authority = { kind: "pem", text } as const;
+    const build = (name: "fleet" | "stranger"): PeerSecurity => {
+      const security = buildSecurity(name);
+      return security.kind === "tls" ? { ...security, authority } : security;
+    };
+    const a = await startNode("vm-a", { security: build("fleet") });
+    const b = await startNode("vm-b", { security: build("stranger") });
+    a.network.send("vm-b", b.address, MESSAGE);
+    await waitUntil(() => b.received.length === 1);
+    const c = await startNode("vm-c", { security: build("stranger") });
+    c.network.send("vm-a", a.address, MESSAGE);
+    await waitUntil(() => a.received.length === 1);
+  });
+
   it("says when certificates or the address can't be used", async () => {
     const pem = { kind: "pem", text: "" } as const;
     const missing = { kind: "path", path: "/nonexistent.pem" } as const;
