Hold a slot at least as long as its holder believes in it

A property test over random messages found four grants held at a limit of three: a repeated request was answered with a full life while the dispatcher kept the first expiry. The answer now prolongs the slot. A holder whose grant lapsed unused may be granted the same attempt while the dispatcher still keeps its slot; never after the dispatcher ended it.

--- a/packages/scheduler/src/dispatch/running_slots.ts
+++ b/packages/scheduler/src/dispatch/running_slots.ts
@@ -96,12 +96,12 @@
   call: WaitingCall,
   options: {
     readonly nowMs: number;
-    readonly lifeMs: number;
+    readonly expiresAtMs: number;
     readonly countedMs: number;
   },
 ): RunningSlot {
   const { request, from } = call;
-  const { nowMs, lifeMs, countedMs } = options;
+  const { nowMs, expiresAtMs, countedMs } = options;
   return {
     attemptId: request.attemptId,
     holder: from,
@@ -110,7 +110,7 @@
     uncachedTokens: countUncachedTokens(request),
     countedMs,
     grantedAtMs: nowMs,
-    expiresAtMs: nowMs + lifeMs,
+    expiresAtMs,
     renewedAtMs: nowMs,
     hasTokens: false,
   };
--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -39,6 +39,8 @@
 const SLOT_SMOOTHING = 0.05;
 const LEAST_RETRY_MS = 250;
 const MOST_RETRY_MS = 15_000;
+/** Longest time that a grant is expected to take to its holder. */
+const ARRIVAL_MARGIN_MS = 250;
 /** Service that the computation of a prompt token takes from the batch. */
 const PREFILL_SERVICE_MS = 0.4;
 
@@ -100,7 +102,10 @@
       return [this.#refuse(from, attemptId, "expired")];
     }
     const running = this.#running.find(attemptId);
-    if (running !== undefined) return [this.#answerAgain(running)];
+    if (running !== undefined) {
+      running.expiresAtMs = this.#computeExpiry(nowMs);
+      return [this.#answerAgain(running)];
+    }
     const waiting = this.#queue.find(attemptId);
     if (waiting !== undefined) {
       waiting.heardAtMs = nowMs;
@@ -124,7 +129,7 @@
     const slot = this.#running.find(attemptId) ??
       this.#adoptSlot(from, attemptId, nowMs);
     if (tokens > 0) this.#recordTokens(slot, tokens, nowMs);
-    slot.expiresAtMs = nowMs + this.#settings.grantLifeMs;
+    slot.expiresAtMs = this.#computeExpiry(nowMs);
     slot.renewedAtMs = nowMs;
     return [];
   }
@@ -229,10 +234,10 @@
   #grantSlot(call: WaitingCall, nowMs: number): Effect[] {
     const { attemptId, partner } = call.request;
     this.#queue.remove(attemptId);
-    const lifeMs = this.#settings.grantLifeMs;
+    const expiresAtMs = this.#computeExpiry(nowMs);
     const countedMs = this.#slotMs +
       countUncachedTokens(call.request) * PREFILL_SERVICE_MS;
-    const slot = createSlot(call, { nowMs, lifeMs, countedMs });
+    const slot = createSlot(call, { nowMs, expiresAtMs, countedMs });
     this.#running.add(slot);
     this.#share.recordService(partner, countedMs);
     const waitedMs = nowMs - call.arrivedAtMs;
@@ -242,6 +247,11 @@
     ];
   }
 
+  /** The holder counts a grant's life from its arrival, so that it ends later. */
+  #computeExpiry(nowMs: number): number {
+    return nowMs + this.#settings.grantLifeMs + ARRIVAL_MARGIN_MS;
+  }
+
   #fits(call: WaitingCall): boolean {
     const { slots } = this.#limit;
     const { shortRoom } = this.#settings;
--- a/packages/scheduler/src/dispatch/target_dispatcher_test.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher_test.ts
@@ -190,6 +190,16 @@
     expect(fixture.tick(1_900)).to.deep.equal(["-a expired", "+c"]);
   });
 
+  it("prolongs the grant that a repeated request is answered with", () => {
+    const fixture = new Fixture();
+    fixture.request("a");
+    fixture.request("b");
+    fixture.request("c");
+    fixture.request("a", {}, 1_000);
+    fixture.renew("b", 1, 1_000);
+    expect(fixture.tick(2_000)).to.deep.equal([]);
+  });
+
   it("never grants an attempt again after it expired", () => {
     const fixture = new Fixture();
     fixture.request("a");
--- a/packages/scheduler/src/retry/choose_retry_test.ts
+++ b/packages/scheduler/src/retry/choose_retry_test.ts
@@ -52,6 +52,12 @@
       .to.include({ kind: "give_up", outcome: "failed" });
   });
 
+  it("calls what a target rejected without saying so failed, not unrun", () => {
+    const result = { kind: "rejected", notRun: false } as const;
+    expect(chooseRetry(result, AGAIN, buildMeans()))
+      .to.include({ kind: "give_up", outcome: "failed" });
+  });
+
   it("keeps retries to a fraction of the fresh attempts", () => {
     const means = buildMeans();
     let retries = 0;
