Compare speeds over the targets whose loads are known

The comparison went over every configured target. It now goes over the loads that the node has heard, which are a few hundred at the design size.

--- a/packages/scheduler/src/placement/load_table.ts
+++ b/packages/scheduler/src/placement/load_table.ts
@@ -51,11 +51,14 @@
     known.promptTokensSince += promptTokens;
   }
 
-  /** Removes targets that aren't configured any more. */
-  removeExcept(isKept: (targetId: TargetId) => boolean): void {
-    for (const targetId of this.#loads.keys()) {
-      if (!isKept(targetId)) this.#loads.delete(targetId);
-    }
+  /** Lists every load. */
+  list(): KnownLoad[] {
+    return [...this.#loads.values()];
+  }
+
+  /** Removes a target that isn't configured any more. */
+  remove(targetId: TargetId): void {
+    this.#loads.delete(targetId);
   }
 }
 
--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -26,7 +26,7 @@
 import { CandidateChooser } from "./candidates.ts";
 import { type Choice, chooseTarget } from "./choose_target.ts";
 import { buildDecisionLog, type PlacementDecision } from "./decision.ts";
-import { LoadTable } from "./load_table.ts";
+import { type KnownLoad, LoadTable } from "./load_table.ts";
 import { type CacheReport, PrefixIndex } from "./prefix_index.ts";
 import type { PlacementSettings } from "./settings.ts";
 import { updateSpeeds } from "./slow_targets.ts";
@@ -220,10 +220,26 @@
     this.#speedsAtMs = nowMs;
     this.#index.update(this.#options.getTargets());
     const { estimate, slowTargets } = this.#settings;
-    this.#loads.removeExcept((each) => this.#index.find(each) !== undefined);
+    const groups = this.#groupPeers();
     if (slowTargets.kind === "ignore") return;
-    for (const { all } of this.#index.listServing()) {
-      updateSpeeds(all, { loads: this.#loads, estimate });
+    for (const peers of groups.values()) updateSpeeds(peers, estimate);
+  }
+
+  /** Groups the known loads by what their targets serve. */
+  #groupPeers(): Map<string, KnownLoad[]> {
+    const groups = new Map<string, KnownLoad[]>();
+    for (const known of this.#loads.list()) {
+      const { targetId } = known.load;
+      const target = this.#index.find(targetId);
+      if (target === undefined) {
+        this.#loads.remove(targetId);
+        continue;
+      }
+      const name = target.serves[0] ?? "";
+      const peers = groups.get(name);
+      if (peers === undefined) groups.set(name, [known]);
+      else peers.push(known);
     }
+    return groups;
   }
 }
--- a/packages/scheduler/src/placement/slow_targets.ts
+++ b/packages/scheduler/src/placement/slow_targets.ts
@@ -4,25 +4,20 @@
  * The time between tokens is compared after allowing for the batch, since a
  * fuller target is slower without being disturbed.
  */
-import { checkNever, type TargetSpec } from "@camphorlock/types";
-import type { KnownLoad, LoadTable } from "./load_table.ts";
+import { checkNever } from "@camphorlock/types";
+import type { KnownLoad } from "./load_table.ts";
 import type { EstimateSettings, SlowTargetPolicy } from "./settings.ts";
 
 const MOST_COMPARED = 64;
 
 /** Sets each target's speed relative to the median of its peers. */
 export function updateSpeeds(
-  targets: readonly TargetSpec[],
-  options: {
-    readonly loads: LoadTable;
-    readonly estimate: EstimateSettings;
-  },
+  peers: readonly KnownLoad[],
+  estimate: EstimateSettings,
 ): void {
   const measured: { known: KnownLoad; excess: number }[] = [];
-  for (const target of targets) {
-    const known = options.loads.find(target.targetId);
-    if (known === undefined) continue;
-    const excess = computeExcess(known, options.estimate);
+  for (const known of peers) {
+    const excess = computeExcess(known, estimate);
     if (excess === undefined) known.speed = 1;
     else measured.push({ known, excess });
   }
--- a/packages/scheduler/src/placement/target_index.ts
+++ b/packages/scheduler/src/placement/target_index.ts
@@ -66,12 +66,6 @@
     this.#filtered = new Map();
   }
 
-  /** Lists the targets of every model and service. */
-  listServing(): ServingTargets[] {
-    if (this.#serving.size === 0) this.#buildServing();
-    return [...this.#serving.values()];
-  }
-
   #buildServing(): void {
     const lists = new Map<string, TargetSpec[]>();
     for (const target of this.#targets) {
