--- a/packages/standins/src/configuration_fleet/configuration_bench.ts
+++ b/packages/standins/src/configuration_fleet/configuration_bench.ts
@@ -6,8 +6,10 @@
 import type {
   ConfigurationValue,
   PeerMessage,
+  Revision,
   TargetSpec,
 } from "@camphorlock/types";
+import type { PlatformFault } from "../platform/fault_plan.ts";
 import { choosePartner, ConfigurationFleet } from "./configuration_fleet.ts";
 
 const MS_PER_DAY = 86_400_000;
@@ -28,6 +30,7 @@
   readonly changes: number;
   readonly changesPerDay: number;
   readonly seed: number;
+  readonly faults?: readonly PlatformFault[];
 }
 
 /** What was measured. Times are virtual milliseconds. */
@@ -35,12 +38,18 @@
   readonly nodes: number;
   readonly targets: number;
   readonly changes: number;
+  /** Changes refused because the platform didn't answer in time. */
+  readonly refused: number;
   /** From the order to `accepted`. */
   readonly acceptedP50Ms: number;
-  readonly acceptedMaxMs: number;
+  readonly acceptedP99Ms: number;
   /** From the order until the last node has the change in force. */
   readonly inForceP50Ms: number;
+  readonly inForceP99Ms: number;
   readonly inForceMaxMs: number;
+  /** From acceptance until the last node has the change in force. */
+  readonly spreadP50Ms: number;
+  readonly spreadP99Ms: number;
   /** From acceptance until every node's own report has arrived. */
   readonly evidenceP50Ms: number;
   readonly evidenceMaxMs: number;
@@ -63,11 +72,22 @@
   return new BenchRun(options).run();
 }
 
+interface AcceptedChange {
+  readonly revision: Revision;
+  readonly atMs: number;
+}
+
+interface ChangeTimes {
+  readonly acceptedMs: number;
+  readonly inForceMs: number;
+}
+
 class BenchRun {
   readonly #options: ConfigurationBenchOptions;
   readonly #value: ConfigurationValue;
   readonly #fleet: ConfigurationFleet;
-  readonly #accepted = new Map<string, number>();
+  readonly #accepted = new Map<string, AcceptedChange>();
+  readonly #refused = new Set<string>();
   readonly #evidence: number[] = [];
   #messages = 0;
   #bytes = 0;
@@ -79,6 +99,7 @@
       nodes: options.nodes,
       regions: options.regions,
       seed: options.seed,
+      faults: options.faults ?? [],
       initial: {
         value: this.#value,
         by: { partner: "zincir", operator: "installer" },
@@ -87,7 +108,12 @@
       onSend: (_from, message) => this.#recordMessage(message),
       onNotice: (_from, notice) => {
         if (notice.kind === "change_accepted") {
-          this.#accepted.set(notice.requestId, this.#fleet.nowMs);
+          const { requestId, revision } = notice;
+          const atMs = this.#fleet.nowMs;
+          this.#accepted.set(requestId, { revision, atMs });
+        }
+        if (notice.kind === "change_refused") {
+          this.#refused.add(notice.requestId);
         }
         if (notice.kind === "change_in_force") {
           this.#evidence.push(notice.elapsedMs);
@@ -110,10 +136,14 @@
     for (let index = 0; index < changes; index += 1) {
       calls += this.#countDuring(intervalMs, () => {
         const times = this.#runChange(index);
+        if (times === undefined) return;
         acceptedMs.push(times.acceptedMs);
         inForceMs.push(times.inForceMs);
       });
     }
+    const spreadMs = inForceMs.map((each, index) => {
+      return each - (acceptedMs[index] ?? 0);
+    });
     const idleDuring = idleRate * changes * intervalMs / MS_PER_SECOND;
     const perNode = changes * nodes;
     const bytesPerChange = this.#bytes / perNode;
@@ -121,11 +151,15 @@
       nodes,
       targets,
       changes,
-      acceptedP50Ms: findMedian(acceptedMs),
-      acceptedMaxMs: Math.max(...acceptedMs),
-      inForceP50Ms: findMedian(inForceMs),
+      refused: this.#refused.size,
+      acceptedP50Ms: computeQuantile(acceptedMs, 0.5),
+      acceptedP99Ms: computeQuantile(acceptedMs, 0.99),
+      inForceP50Ms: computeQuantile(inForceMs, 0.5),
+      inForceP99Ms: computeQuantile(inForceMs, 0.99),
       inForceMaxMs: Math.max(...inForceMs),
-      evidenceP50Ms: findMedian(this.#evidence),
+      spreadP50Ms: computeQuantile(spreadMs, 0.5),
+      spreadP99Ms: computeQuantile(spreadMs, 0.99),
+      evidenceP50Ms: computeQuantile(this.#evidence, 0.5),
       evidenceMaxMs: Math.max(...this.#evidence),
       messagesPerChangePerNode: this.#messages / perNode,
       bytesPerChangePerNode: bytesPerChange,
@@ -137,12 +171,9 @@
   }
 
   /** Orders one change and waits until the last node has it. */
-  #runChange(
-    index: number,
-  ): { readonly acceptedMs: number; readonly inForceMs: number } {
+  #runChange(index: number): ChangeTimes | undefined {
     const startedAtMs = this.#fleet.nowMs;
     const requestId = `change-${index}`;
-    const revision = index + 2;
     this.#fleet.sendChange((index * 7) % this.#options.nodes, {
       requestId,
       change: {
@@ -155,21 +186,32 @@
       by: { partner: choosePartner(index), operator: "operator" },
       atMs: startedAtMs,
     });
-    const isInForce = (): boolean => {
-      return [...this.#fleet.nodes.values()].every((node) => {
-        return node.configuration.revision >= revision;
-      });
+    const isAnswered = (): boolean => {
+      return this.#accepted.has(requestId) || this.#refused.has(requestId);
     };
-    while (!isInForce() && this.#fleet.nowMs - startedAtMs < LONGEST_MS) {
-      this.#fleet.runUntil(this.#fleet.nowMs + STEP_MS);
-    }
-    const acceptedAtMs = this.#accepted.get(requestId) ?? this.#fleet.nowMs;
+    this.#runWhile(() => !isAnswered());
+    const accepted = this.#accepted.get(requestId);
+    if (accepted === undefined) return undefined;
+    this.#runWhile(() => !this.#isInForce(accepted.revision));
     return {
-      acceptedMs: acceptedAtMs - startedAtMs,
+      acceptedMs: accepted.atMs - startedAtMs,
       inForceMs: this.#fleet.nowMs - startedAtMs,
     };
   }
 
+  #runWhile(isTrue: () => boolean): void {
+    const untilMs = this.#fleet.nowMs + LONGEST_MS;
+    while (isTrue() && this.#fleet.nowMs < untilMs) {
+      this.#fleet.runUntil(this.#fleet.nowMs + STEP_MS);
+    }
+  }
+
+  #isInForce(revision: Revision): boolean {
+    return [...this.#fleet.nodes.values()].every((node) => {
+      return node.configuration.revision >= revision;
+    });
+  }
+
   /** Counts platform calls while some time passes, work included. */
   #countDuring(lengthMs: number, work: () => void): number {
     const { counts } = this.#fleet.store;
@@ -238,7 +280,8 @@
   };
 }
 
-function findMedian(values: readonly number[]): number {
+function computeQuantile(values: readonly number[], part: number): number {
   const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+  const index = Math.min(sorted.length - 1, Math.floor(sorted.length * part));
+  return sorted[index] ?? 0;
 }
--- a/packages/standins/src/configuration_fleet/print_bench.ts
+++ b/packages/standins/src/configuration_fleet/print_bench.ts
@@ -1,14 +1,17 @@
 /**
  * Prints the configuration bench. Arguments: nodes, targets, changes, regions,
- * seed.
+ * seed, and the percentage of platform answers that are lost after the start.
  */
 import { runConfigurationBench } from "./configuration_bench.ts";
 
 const CHANGES_PER_DAY = 11_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
-const [nodes = 9, targets = 12, changes = 20, regions = 3, seed = 1] = process
-  .argv.slice(2).map(Number);
+const START_MS = 15_000;
+
+const numbers = process.argv.slice(2).map(Number);
+const [nodes = 9, targets = 12, changes = 20, regions = 3] = numbers;
+const [seed = 1, lostPercent = 0] = numbers.slice(4);
 const startedAt = process.cpuUsage();
 const result = runConfigurationBench({
   nodes,
@@ -17,6 +20,12 @@
   regions,
   changesPerDay: CHANGES_PER_DAY,
   seed,
+  faults: [{
+    kind: "lost_answer",
+    fromMs: START_MS,
+    untilMs: Infinity,
+    share: lostPercent / 100,
+  }],
 });
 const cpuSeconds = process.cpuUsage(startedAt).user / MICROSECONDS_PER_SECOND;
 console.log(JSON.stringify({ ...result, cpuSeconds }, null, 2));
