--- a/packages/camphorlock/src/cli/main.ts
+++ b/packages/camphorlock/src/cli/main.ts
@@ -3,10 +3,14 @@
  * The `camphorlock` command line: one folder for each command.
  */
 import { Command } from "commander";
+import { defineBench } from "./bench/command.ts";
 import { defineCheckSettings } from "./check_settings/command.ts";
 import { defineDev } from "./dev/command.ts";
+import { defineDrain } from "./drain/command.ts";
 import { defineOperate } from "./operate/command.ts";
+import { defineScenario } from "./scenario/command.ts";
 import { defineServe } from "./serve/command.ts";
+import { defineShow } from "./show/command.ts";
 import { VERSION } from "./version/version.ts";
 
 const program = new Command("camphorlock")
@@ -17,6 +21,10 @@
 defineDev(program);
 defineCheckSettings(program);
 defineOperate(program);
+defineShow(program);
+defineDrain(program);
+defineScenario(program);
+defineBench(program);
 program.command("version")
   .description("prints the version")
   .action(() => console.log(VERSION));
--- a/packages/camphorlock/src/cli/operate/command.ts
+++ b/packages/camphorlock/src/cli/operate/command.ts
@@ -7,7 +7,8 @@
 import { request } from "undici";
 import { printFailure } from "../exit_codes.ts";
 
-interface OperateOptions {
+/** Which node is asked, by whom, and how the answer is printed. */
+export interface OperateOptions {
   readonly node: string;
   readonly by: string;
   readonly json?: boolean;
@@ -24,21 +25,35 @@
 
 /** Defines the command. */
 export function defineOperate(program: Command): void {
-  program.command("operate")
-    .description("runs a statement of the operator language")
-    .argument("<statement...>", "for instance: show nodes")
+  addOperateOptions(
+    program.command("operate")
+      .description("runs a statement of the operator language")
+      .argument("<statement...>", "for instance: show nodes"),
+  ).action(async (words: string[], options: OperateOptions) => {
+    await runStatement(words.join(" "), options);
+  });
+}
+
+/** Adds the options of all commands that run a statement. */
+export function addOperateOptions(command: Command): Command {
+  return command
     .option("--node <host:port>", "the node to ask", "127.0.0.1:7400")
     .option("--by <partner/operator>", "who asks", "zincir/operator")
-    .option("--json", "prints the answer's data")
-    .action(async (words: string[], options: OperateOptions) => {
-      const answer = await sendStatement(words.join(" "), options);
-      if (answer.isErr()) {
-        const isRefused = answer.error.name !== "PlatformUnavailable";
-        return printFailure(answer.error, isRefused ? "failed" : "unreachable");
-      }
-      const { text, data } = answer.value;
-      console.log(options.json === true ? JSON.stringify(data) : text);
-    });
+    .option("--json", "prints the answer's data");
+}
+
+/** Runs a statement and prints its answer. */
+export async function runStatement(
+  statement: string,
+  options: OperateOptions,
+): Promise<void> {
+  const answer = await sendStatement(statement, options);
+  if (answer.isErr()) {
+    const isRefused = answer.error.name !== "PlatformUnavailable";
+    return printFailure(answer.error, isRefused ? "failed" : "unreachable");
+  }
+  const { text, data } = answer.value;
+  console.log(options.json === true ? JSON.stringify(data) : text);
 }
 
 function sendStatement(
--- /dev/null
+++ b/packages/standins/src/scenario/run_scenario.ts
@@ -0,0 +1,59 @@
+/**
+ * Runs a scenario and compares it with what it expects.
+ */
+import type { CallOutcome } from "@camphorlock/types";
+import { checkHistory } from "../proof/check_history.ts";
+import { runPlan } from "../proof/run_plan.ts";
+import { buildPlan } from "./load_scenario.ts";
+import type { Scenario } from "./schema.ts";
+
+const PERCENT = 100;
+
+/** How a scenario went. */
+export interface ScenarioResult {
+  readonly name: string;
+  readonly calls: number;
+  readonly completed: number;
+  readonly unknown: number;
+  /** What was broken; nothing when the scenario passed. */
+  readonly problems: readonly string[];
+}
+
+/** Runs a scenario in virtual time. The same file always runs alike. */
+export function runScenario(scenario: Scenario): ScenarioResult {
+  const history = runPlan(buildPlan(scenario));
+  const count = (status: CallOutcome["status"]): number =>
+    history.calls.filter(({ outcome }) => outcome?.status === status).length;
+  const calls = history.calls.length;
+  const completed = count("completed");
+  const unknown = count("unknown");
+  const broken = checkHistory(history)
+    .map(({ check, detail }) => `${check}: ${detail}`);
+  const counts = { calls, completed, unknown };
+  const problems = [...broken, ...checkExpected(scenario, counts)];
+  return { name: scenario.name, ...counts, problems };
+}
+
+function checkExpected(
+  scenario: Scenario,
+  counts: {
+    readonly calls: number;
+    readonly completed: number;
+    readonly unknown: number;
+  },
+): string[] {
+  const { completed_percent, most_unknown, graceful } = scenario.expect;
+  const { calls, completed, unknown } = counts;
+  const problems: string[] = [];
+  const percent = completed * PERCENT / Math.max(1, calls);
+  if (percent < completed_percent) {
+    problems.push(`completed ${percent.toFixed(1)}% of ${calls} calls`);
+  }
+  if (most_unknown !== undefined && unknown > most_unknown) {
+    problems.push(`${unknown} outcomes are unknown`);
+  }
+  if (graceful && completed < calls) {
+    problems.push(`${calls - completed} of ${calls} calls were cut off`);
+  }
+  return problems;
+}
