Take a keeper's copy for whole only without gaps

A recovery that had to read the log again asked the keepers anew. Pages are now added only where they follow, and a copy is whole when it reaches what the keeper says it keeps.

--- a/packages/scheduler/src/ledger/keeper_seals.ts
+++ b/packages/scheduler/src/ledger/keeper_seals.ts
@@ -163,16 +163,25 @@
     if (message.keeperIncarnation < keeper.incarnation) return;
     if (message.keeperIncarnation > keeper.incarnation) keeper.entries = [];
     keeper.incarnation = message.keeperIncarnation;
-    if (message.heldEpoch === this.#options.open?.epoch) {
-      const after = this.#computeAfter(keeper);
-      const fresh = message.entries.filter((each) => each.sequence > after);
-      keeper.entries.push(...fresh);
-    }
-    if (!message.more) keeper.answer = message;
+    if (this.#hasAll(keeper, message)) keeper.answer = message;
     keeper.sentAtMs = Number.NEGATIVE_INFINITY;
     keeper.sends = 0;
   }
 
+  /**
+   * Adds the entries of a page and tells whether the keeper's copy is whole.
+   *
+   * A page may answer an earlier round, so that entries before it are missing.
+   */
+  #hasAll(keeper: SealedKeeper, message: SealedMessage): boolean {
+    if (message.heldEpoch !== this.#options.open?.epoch) return true;
+    for (const entry of message.entries) {
+      const isNext = entry.sequence === this.#computeAfter(keeper) + 1;
+      if (isNext) keeper.entries.push(entry);
+    }
+    return this.#computeAfter(keeper) >= message.keptThrough;
+  }
+
   #computeAfter(keeper: SealedKeeper): number {
     const { storedThrough } = this.#options;
     return keeper.entries.at(-1)?.sequence ?? storedThrough;
--- a/packages/scheduler/src/ledger/ledger_scenarios_test.ts
+++ b/packages/scheduler/src/ledger/ledger_scenarios_test.ts
@@ -107,6 +107,23 @@
     expect(countNotices(cluster, "confirmed")).to.equal(0);
   });
 
+  it("ends a recovery that was paused while another one served", () => {
+    const cluster = createCluster();
+    cluster.startTakeover(1);
+    cluster.pause(1);
+    cluster.startTakeover(2);
+    cluster.run(1_000);
+    const owner = getNode(cluster, 2);
+    cluster.close(owner);
+    cluster.run(1_000);
+    const keys = cluster.platform.objects.size;
+    cluster.resume(1);
+    cluster.run(3_000);
+    expect(getNode(cluster, 1).recovery).to.equal(undefined);
+    expect(countNotices(cluster, "superseded")).to.equal(1);
+    expect(cluster.platform.objects.size).to.equal(keys);
+  });
+
   it("refuses a paused owner at the occupied name, laps later too", () => {
     const cluster = createCluster();
     cluster.pause(0);
@@ -242,6 +259,12 @@
     expect(owner.ledger?.usage).to.be.at.least(1);
     const stored = owner.ids.slice(0, owner.ledger?.storedThrough);
     expect(stored.length).to.be.above(20);
+    cut(cluster, [[0, 1], [0, 2], [0, 3]]);
+    for (let each = 0; each < 30; each += 1) {
+      cluster.confirm(owner);
+      cluster.run(500);
+    }
+    cluster.cutPairs.clear();
     cluster.startTakeover(2);
     cluster.run(5_000);
     const recovered = getNode(cluster, 2).ids.slice(0, stored.length);
--- a/packages/scheduler/src/ledger/shard_ledger_test.ts
+++ b/packages/scheduler/src/ledger/shard_ledger_test.ts
@@ -136,8 +136,9 @@
     const more = append(ledger, 30);
     const closing = ledger.close(500);
     expect(listPuts(closing)).to.have.length(1);
-    ledger.confirm(501);
     expect(keepAll(ledger, [...effects, ...more], 2)).to.deep.equal([]);
+    const asked = ledger.confirm(501).effects;
+    expect(keepAll(ledger, asked, 2)).to.deep.equal([]);
     const closed = answerPut(ledger, listPuts(closing)[0]);
     expect(closed.notices.map((each) => each.kind))
       .to.deep.equal(["durable", "closed"]);
@@ -148,7 +149,7 @@
     const ledger = createLedger([]);
     const first = append(ledger);
     const content = { throughSequence: 1, parts: [new Uint8Array(3)] };
-    const early = ledger.startSnapshot(content, 1);
+    const early = ledger.startSnapshot(content, 1_000);
     const keys = listPuts([...first, ...early]).map(([, key]) => key);
     expect(keys).to.deep.equal(["ledger/1/000000"]);
     const step = answerPut(ledger, listPuts(first)[0]);
