--- a/packages/scheduler/src/admission/settings.ts
+++ b/packages/scheduler/src/admission/settings.ts
@@ -1,7 +1,10 @@
 /**
  * The settings of admission and of the limits of single programs.
  */
-import type { Micros, ProgramClass } from "@camphorlock/types";
+import type { Micros, Partner, ProgramClass } from "@camphorlock/types";
+
+/** The agreed shares of the partners, relative to each other. */
+export type PartnerWeights = Readonly<Record<Partner, number>>;
 
 /** What happens to new programs while the pool is full. */
 export type CrestPolicy =
@@ -11,6 +14,9 @@
     readonly kind: "refuse_early";
     /** Work that waits, in multiples of the pool's slots, by class. */
     readonly mostBacklog: Readonly<Record<ProgramClass, number>>;
+    readonly weights: PartnerWeights;
+    /** Returns of refused callers for each admitted program. */
+    readonly returnShare: number;
     /** Least and most time after which a refused caller returns. */
     readonly leastRetryMs: number;
     readonly mostRetryMs: number;
@@ -41,9 +47,11 @@
 export const DEFAULT_ADMISSION_SETTINGS: AdmissionSettings = {
   crest: {
     kind: "refuse_early",
-    mostBacklog: { short: 1.5, standard: 0.75, background: 0.4 },
-    leastRetryMs: 500,
-    mostRetryMs: 15_000,
+    mostBacklog: { short: 0.5, standard: 0.4, background: 0.3 },
+    weights: { zincir: 1, okonkwo: 1 },
+    returnShare: 0.15,
+    leastRetryMs: 1_000,
+    mostRetryMs: 45_000,
   },
   limits: {
     mostTurns: 1_000,
