--- a/packages/scheduler/src/assignment/shard_assigner_test.ts
+++ b/packages/scheduler/src/assignment/shard_assigner_test.ts
@@ -150,17 +150,32 @@
     checkSingleOwners(cluster);
   });
 
+  it("proposes nothing while it is cut off from most nodes", () => {
+    const cluster = startCluster();
+    for (const vmId of cluster.nodes.keys()) cluster.cutOff.add(vmId);
+    cluster.stopNode("vm-1");
+    const { put } = cluster.platform.counts;
+    cluster.runUntil(STARTED_MS + 4_500);
+    const before = cluster.platform.counts.put;
+    cluster.runUntil(STARTED_MS + 20_000);
+    expect(cluster.platform.counts.put).to.equal(before);
+    expect(before - put).to.be.below(10);
+    expect(cluster.listOrphans()).to.not.have.length(0);
+  });
+
   it("reads again after an outage before it proposes", () => {
     const cluster = startCluster();
+    cluster.runUntil(60_000);
     cluster.setPlatformDown(true);
     cluster.stopNode("vm-1");
-    cluster.runUntil(STARTED_MS + 10_000);
-    const conflicts = cluster.platform.conflicts;
+    const { put } = cluster.platform.counts;
+    cluster.runUntil(90_000);
+    expect(cluster.platform.counts.put).to.equal(put);
     cluster.setPlatformDown(false);
-    const { get } = cluster.platform.counts;
-    cluster.runUntil(STARTED_MS + 25_000);
-    expect(cluster.platform.counts.get).to.be.above(get);
-    expect(cluster.platform.conflicts - conflicts).to.be.below(40);
+    const { conflicts } = cluster.platform;
+    cluster.runUntil(94_000);
+    expect(cluster.listOrphans()).to.have.length(0);
+    expect(cluster.platform.conflicts).to.equal(conflicts);
   });
 
   it("hands over every shard of a leaving node while it runs", () => {
@@ -251,11 +266,19 @@
   it("reads a group when another node knows a higher epoch", () => {
     const cluster = startCluster();
     cluster.runUntil(STARTED_MS + 5_000);
-    const { get } = cluster.platform.counts;
-    const stale = { kind: "stale", shard: 1, knownEpoch: 50 } as const;
-    cluster.handle("vm-0", stale);
-    cluster.runUntil(STARTED_MS + 6_000);
-    expect(cluster.platform.counts.get - get).to.equal(1);
+    const assigner = cluster.nodes.get("vm-0")?.assigner;
+    const listReads = (knownEpoch: number): string[] => {
+      const input = { kind: "stale", shard: 40, knownEpoch } as const;
+      assigner?.handle(input, cluster.nowMs);
+      const step = assigner?.handle({ kind: "tick" }, cluster.nowMs);
+      return (step?.effects ?? []).flatMap((effect) =>
+        effect.kind === "call_platform" && effect.request.kind === "get"
+          ? [effect.request.key]
+          : []
+      );
+    };
+    expect(listReads(1)).to.deep.equal([]);
+    expect(listReads(50)).to.deep.equal([formatGroupKey(1)]);
   });
 
   it("refuses a malformed group", () => {
--- a/packages/scheduler/src/node/node_policy.ts
+++ b/packages/scheduler/src/node/node_policy.ts
@@ -2,7 +2,7 @@
  * The policy roles of a node: placement, the dispatchers of its targets, and
  * the spread of target loads between nodes.
  */
-import type { Failure } from "@camphorlock/codes";
+import { createFailure, type Failure } from "@camphorlock/codes";
 import {
   checkNever,
   type ConfigurationValue,
@@ -16,8 +16,8 @@
   type TargetLoad,
   type VmId,
 } from "@camphorlock/types";
-import { ok, type Result } from "neverthrow";
-import { checkAdmission } from "../admission/mod.ts";
+import { err, ok, type Result } from "neverthrow";
+import { Admission } from "../admission/mod.ts";
 import { DispatcherSet, type DispatchStep } from "../dispatch/mod.ts";
 import type {
   CachedUse,
@@ -25,7 +25,7 @@
   PlacementChoice,
   PlacementRequest,
 } from "../owner/mod.ts";
-import { Placement } from "../placement/mod.ts";
+import { LoadSpread, Placement } from "../placement/mod.ts";
 import { RandomSource } from "../random/mod.ts";
 import {
   DEFAULT_RETRY_SETTINGS,
@@ -34,12 +34,8 @@
 } from "../retry/mod.ts";
 import { buildPolicySettings } from "./policy_settings.ts";
 
-/** Nodes up to which every load report goes to every node. */
-const SMALL_FLEET = 16;
 /** Agents whose model is remembered. */
 const MAX_AGENTS = 4_096;
-/** Nodes that one load report goes to in a larger fleet. */
-const SPREAD_NODES = 3;
 
 /** What the policy roles are built from. */
 export interface NodePolicyOptions {
@@ -55,11 +51,15 @@
   readonly #placement: Placement;
   readonly #random: RandomSource;
   #settings = buildPolicySettings([]);
+  /** Whether the configuration in force may be out of date. */
+  #isStale = true;
   /** The model that an agent asked for last. */
   readonly #modelOfAgent = new Map<string, string>();
   readonly #dispatchers: DispatcherSet;
   readonly #options: NodePolicyOptions;
-  #spreadAt = 0;
+  readonly #spread: LoadSpread;
+  readonly #admission: Admission;
+  #nowMs = 0;
 
   constructor(options: NodePolicyOptions) {
     const { spec, seed, getValue, getView } = options;
@@ -81,7 +81,10 @@
     this.#dispatchers = new DispatcherSet({
       settings: this.#settings.dispatch,
       seed: seed + 1,
+      findKnownLoad: (targetId) => this.#placement.findLoad(targetId),
     });
+    this.#spread = new LoadSpread({ self: spec.vmId, region: spec.region });
+    this.#admission = new Admission(this.#settings.admission, seed + 3);
   }
 
   /** Chooses the target of a call. Fails with `NoTarget`. */
@@ -89,6 +92,10 @@
     request: PlacementRequest,
     nowMs: number,
   ): Result<PlacementChoice, Failure> {
+    if (this.#isStale) {
+      const detail = "the configuration may be out of date";
+      return err(createFailure("NodeCutOff", detail));
+    }
     const { call, agent } = request;
     if (call.kind === "model") this.#recordModel(agent, call.model);
     return this.#placement.choose(request, nowMs);
@@ -115,6 +122,14 @@
     this.#placement.handle({ kind: "program_ended", programId }, 0);
   }
 
+  /** Whether new work may be sent to a target at this moment. */
+  isOpen(targetId: TargetId): boolean {
+    if (this.#isStale) return false;
+    const target = this.#options.getValue().targets
+      .find((each) => each.targetId === targetId);
+    return target !== undefined && !target.leaving;
+  }
+
   /** Whether a target is configured. */
   hasTarget(targetId: TargetId): boolean {
     return this.#placement.hasTarget(targetId);
@@ -133,10 +148,9 @@
     const model = this.#modelOfAgent.get(spec.agent);
     if (model === undefined) return ok(undefined);
     const loads = this.#placement.listLoads("engine", model);
-    const { programClass } = spec;
-    const means = { settings: this.#settings.admission, random: this.#random };
-    return checkAdmission({ programClass, loads }, means)
-      .map(() => undefined);
+    const { programClass, partner } = spec;
+    const request = { partner, programClass, loads };
+    return this.#admission.check(request, this.#nowMs);
   }
 
   /** Handles a message between owners and dispatchers. */
@@ -163,22 +177,42 @@
     }
   }
 
+  /**
+   * Stops or goes on granting and placing: a node whose configuration may be
+   * out of date could send work to a target that is leaving.
+   */
+  setStale(isStale: boolean, nowMs: number): Effect[] {
+    this.#isStale = isStale;
+    return this.#updateTargets(nowMs);
+  }
+
   /** Follows a change of the configuration. */
   applyConfiguration(value: ConfigurationValue, nowMs: number): Effect[] {
-    const { targets, policies } = value;
+    const { policies } = value;
     const settings = buildPolicySettings(policies);
     if (JSON.stringify(settings) !== JSON.stringify(this.#settings)) {
       this.#settings = settings;
       this.#placement.setSettings(settings.placement);
+      this.#admission.setSettings(settings.admission);
       this.#dispatchers.setSettings(settings.dispatch);
     }
-    const input = { kind: "targets_changed", targets } as const;
+    return this.#updateTargets(nowMs);
+  }
+
+  /** While the configuration may be out of date, every target is closed. */
+  #updateTargets(nowMs: number): Effect[] {
+    const { targets } = this.#options.getValue();
+    const shown = this.#isStale
+      ? targets.map((target) => ({ ...target, leaving: true }))
+      : targets;
+    const input = { kind: "targets_changed", targets: shown } as const;
     return this.#applyStep(this.#dispatchers.handle(input, nowMs), nowMs);
   }
 
   /** Frees expired slots, adapts limits and spreads loads. */
   handleTick(nowMs: number): Effect[] {
     const tick = { kind: "tick" } as const;
+    this.#nowMs = nowMs;
     this.#placement.handle(tick, nowMs);
     return this.#applyStep(this.#dispatchers.handle(tick, nowMs), nowMs);
   }
@@ -192,7 +226,7 @@
     const effects = [...step.effects];
     for (const { loads } of step.notices) {
       this.#recordLoads(loads, nowMs);
-      effects.push(...this.#sendLoads(loads));
+      effects.push(...this.#sendLoads(loads, nowMs));
     }
     return effects;
   }
@@ -201,27 +235,13 @@
     this.#placement.handle({ kind: "loads", loads }, nowMs);
   }
 
-  /** A small fleet hears every report; a large one in turns, near nodes first. */
-  #sendLoads(loads: readonly TargetLoad[]): Effect[] {
-    const message = { kind: "target_loads", loads } as const;
-    return this.#listReceivers()
-      .map((to) => ({ kind: "send_peer", to, message }));
-  }
-
-  #listReceivers(): VmId[] {
-    const { spec, getView } = this.#options;
-    const others = getView().nodes.filter((node) =>
-      node.state === "alive" && node.spec.vmId !== spec.vmId
-    );
-    if (others.length <= SMALL_FLEET) {
-      return others.map((node) => node.spec.vmId);
-    }
-    const near = others.filter((node) => node.spec.region === spec.region);
-    const pool = near.length > 0 ? near : others;
-    this.#spreadAt += SPREAD_NODES;
-    const chosen = Array.from({ length: SPREAD_NODES }, (_, at) => {
-      return pool[(this.#spreadAt + at) % pool.length]?.spec.vmId ?? "";
-    });
-    return [...new Set(chosen)];
+  #sendLoads(loads: readonly TargetLoad[], nowMs: number): Effect[] {
+    const { getView, getValue } = this.#options;
+    this.#spread.update(getView(), getValue().targets);
+    return this.#spread.takeMessages(loads, nowMs).map((each) => ({
+      kind: "send_peer",
+      to: each.to,
+      message: { kind: "target_loads", loads: each.loads },
+    }));
   }
 }
