Ask every node for rows, and explain calls, charges and programs

An operator saw the programs of the node asked only, and explanations and statements weren't served. Each node keeps the decisions made for recent calls.

--- a/packages/camphorlock/src/cli/dev/development_test.ts
+++ b/packages/camphorlock/src/cli/dev/development_test.ts
@@ -71,4 +71,32 @@
     });
     expect(shown.text).to.include("55%");
   });
+
+  it("shows programs of every node and explains a call", async () => {
+    const programs: string[] = [];
+    for (const node of [0, 1, 2]) {
+      const created = await send(node, "/v1/programs", {
+        partner: "okonkwo",
+        agent: "trace",
+        "budget_micros": 100_000,
+      });
+      programs.push(String(created.program));
+    }
+    const by = "zincir/test";
+    const statement = "show programs where partner = okonkwo";
+    const shown = await send(0, "/v1/operate", { statement, by });
+    for (const program of programs) expect(shown.text).to.include(program);
+    const path = `/v1/programs/${programs[0]}/calls`;
+    const messages = [{ role: "user", content: "explain" }];
+    const call = { kind: "model", model: running.model, messages };
+    const answer = await send(1, path, call);
+    for (const what of ["call", "charge"]) {
+      const explained = await send(2, "/v1/operate", {
+        statement: `explain ${what} ${answer.call}`,
+        by,
+      });
+      const expected = what === "call" ? "TargetChosen" : "agreement";
+      expect(explained.text, what).to.include(expected);
+    }
+  });
 });
--- a/packages/camphorlock/src/node/change_waiters.ts
+++ b/packages/camphorlock/src/node/change_waiters.ts
@@ -2,7 +2,7 @@
  * Changes of the configuration that operators ordered here and wait for.
  */
 import type { Failure } from "@camphorlock/codes";
-import type { NodeNotice } from "@camphorlock/scheduler";
+import type { CollectedRows, NodeNotice } from "@camphorlock/scheduler";
 import type { RequestId, Revision, VmId } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 
@@ -25,6 +25,10 @@
 /** Matches the notices of the configuration role to waiting operators. */
 export class ChangeWaiters {
   readonly #open = new Map<RequestId, OpenChange>();
+  readonly #queries = new Map<
+    RequestId,
+    (rows: CollectedRows) => void
+  >();
 
   /** Waits until a change is in force, refused, or uncertain. */
   wait(requestId: RequestId): Promise<Result<ChangeReport, Failure>> {
@@ -33,6 +37,11 @@
     });
   }
 
+  /** Waits for the rows of all nodes. */
+  waitRows(requestId: RequestId): Promise<CollectedRows> {
+    return new Promise((resolve) => this.#queries.set(requestId, resolve));
+  }
+
   /** Handles a notice; those about other matters have no effect. */
   handle(notice: NodeNotice): void {
     switch (notice.kind) {
@@ -45,6 +54,10 @@
         const { requestId, revision, missing } = notice;
         return this.#settle(requestId, ok({ revision, missing }));
       }
+      case "query_answered":
+        this.#queries.get(notice.requestId)?.(notice);
+        this.#queries.delete(notice.requestId);
+        return;
       case "change_refused":
       case "change_uncertain":
         return this.#settle(notice.requestId, err(notice.failure));
--- a/packages/camphorlock/src/node/node_process.ts
+++ b/packages/camphorlock/src/node/node_process.ts
@@ -7,7 +7,7 @@
   type RunningServer,
   serveApp,
 } from "@camphorlock/callers";
-import { EVENTS, type Failure } from "@camphorlock/codes";
+import { createFailure, EVENTS, type Failure } from "@camphorlock/codes";
 import { Engines } from "@camphorlock/engines";
 import { PeerNetwork, type PeerSecurity } from "@camphorlock/nodes";
 import { PlatformClient, VmListClient } from "@camphorlock/platform";
@@ -19,7 +19,7 @@
   type NodeOptions,
 } from "@camphorlock/scheduler";
 import { Services } from "@camphorlock/services";
-import type { NodeSpec } from "@camphorlock/types";
+import type { CallerAnswer, CallerRequest, NodeSpec } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import { LogWriter } from "../logs/log_writer.ts";
@@ -29,6 +29,7 @@
 import { CallerGateway } from "./caller_gateway.ts";
 import { EffectRunner } from "./effect_runner.ts";
 import { buildLimits } from "./node_limits.ts";
+import { findCharge, readStatement } from "./published_charges.ts";
 import { Operations } from "./operations.ts";
 
 const TICK_MS = 50;
@@ -208,6 +209,13 @@
       processName: this.#formatProcess(),
       handle: (input) => this.#handle(input),
       stopProgram: (programId) => this.#stopProgram(programId),
+      findCharge: (callId) =>
+        findCharge(
+          callId,
+          this.core.configuration,
+          (request) => this.#send(request),
+        ),
+      buildStatement: (command) => readStatement(this.#platform, command),
     });
   }
 
@@ -226,20 +234,27 @@
     });
   }
 
-  #stopProgram(
+  async #stopProgram(
     programId: string,
   ): ReturnType<Operations["run"]> {
+    const answer = await this.#send({ kind: "end_program", programId });
+    if (answer.kind === "program") {
+      const text = `program ${programId} ended`;
+      return ok({ text, data: answer.program });
+    }
+    const detail = answer.kind === "refused"
+      ? answer.failure.detail
+      : answer.kind;
+    return err(createFailure("ProgramUnknown", detail));
+  }
+
+  /** Sends a request as a caller and waits for its last answer. */
+  #send(request: CallerRequest): Promise<CallerAnswer> {
     return new Promise((resolve) => {
-      this.#gateway.runRequest({ kind: "end_program", programId }, {
+      this.#gateway.runRequest(request, {
         mayBeRepeat: true,
         onAnswer(answer): void {
-          if (answer.kind === "refused") {
-            const name = "ProgramUnknown";
-            resolve(err({ name, ...answer.failure }));
-          } else if (answer.kind === "program") {
-            const text = `program ${programId} ended`;
-            resolve(ok({ text, data: answer.program }));
-          }
+          if (answer.kind !== "text") resolve(answer);
         },
       });
     });
--- a/packages/camphorlock/src/node/operations.ts
+++ b/packages/camphorlock/src/node/operations.ts
@@ -4,24 +4,33 @@
 import type { OperateAnswer, OperateRequest } from "@camphorlock/callers";
 import { createFailure, type Failure } from "@camphorlock/codes";
 import {
+  buildChargeExplanation,
   isConfigurationSubject,
   listConfigurationRows,
   parseStatement,
+  renderExplanation,
   renderTable,
   type Row,
   runQuery,
 } from "@camphorlock/operators";
 import type { NodeCore, NodeInput } from "@camphorlock/scheduler";
-import type {
-  ChangeCommand,
-  ConfigurationValue,
-  OperatorName,
-  Partner,
-  ProgramView,
-  Revision,
-  ShowCommand,
+import {
+  type CallId,
+  type ChangeCommand,
+  type Charge,
+  checkNever,
+  type ConfigurationValue,
+  type LogFields,
+  type NodeQuery,
+  type OperatorName,
+  type Partner,
+  PARTNERS,
+  type ProgramId,
+  type QueryRow,
+  type Revision,
+  type ShowCommand,
+  type StatementCommand,
 } from "@camphorlock/types";
-import { PARTNERS } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 import { type ChangeReport, ChangeWaiters } from "./change_waiters.ts";
 
@@ -30,6 +39,12 @@
   readonly core: NodeCore;
   readonly processName: string;
   readonly handle: (input: NodeInput) => void;
+  /** Finds the charge of an ended call in its program's history. */
+  readonly findCharge: (callId: CallId) => Promise<Result<Charge, Failure>>;
+  /** Reads the published charges of some days. */
+  readonly buildStatement: (
+    command: StatementCommand,
+  ) => Promise<Result<OperateAnswer, Failure>>;
   /** Ends a program as its caller would. */
   readonly stopProgram: (
     programId: string,
@@ -41,6 +56,7 @@
   readonly waiters = new ChangeWaiters();
   readonly #options: OperationsOptions;
   #changes = 0;
+  #numbers = 0;
 
   constructor(options: OperationsOptions) {
     this.#options = options;
@@ -55,7 +71,7 @@
     const { value } = command;
     switch (value.kind) {
       case "show":
-        return this.#show(value);
+        return await this.#show(value);
       case "stop_program":
         return await this.#options.stopProgram(value.programId);
       case "change":
@@ -66,46 +82,109 @@
             ? {}
             : { ifRevision: value.ifRevision }),
         });
-      default: {
-        const detail = `${value.kind} isn't served by this node yet`;
-        return err(createFailure("StatementInvalid", detail));
-      }
+      case "explain_call":
+        return await this.#explainCall(value.callId);
+      case "explain_charge":
+        return await this.#explainCharge(value.callId);
+      case "explain_program":
+        return await this.#explainProgram(value.programId);
+      case "statement":
+        return await this.#options.buildStatement(value);
+      default:
+        return checkNever(value);
     }
   }
 
-  #show(command: ShowCommand): Result<OperateAnswer, Failure> {
-    return this.#listRows(command)
-      .andThen((rows) => runQuery(command, rows))
-      .map((table) => ({ text: renderTable(table), data: table }));
+  async #show(command: ShowCommand): Promise<Result<OperateAnswer, Failure>> {
+    const rows = await this.#listRows(command);
+    return rows.andThen(({ rows: listed, note }) =>
+      runQuery(command, listed).map((table) => ({
+        text: `${renderTable(table)}${note}`,
+        data: table,
+      }))
+    );
   }
 
-  #listRows(command: ShowCommand): Result<readonly Row[], Failure> {
-    const { core } = this.#options;
-    const value = this.#getValue(command.asOf);
+  async #listRows(
+    command: ShowCommand,
+  ): Promise<Result<ListedRows, Failure>> {
+    const { subject, asOf } = command;
+    const value = this.#getValue(asOf);
     if (value.isErr()) return err(value.error);
-    if (isConfigurationSubject(command.subject)) {
-      return ok(listConfigurationRows(value.value, command.subject));
+    if (isConfigurationSubject(subject)) {
+      const rows = listConfigurationRows(value.value, subject);
+      return ok({ rows, note: "" });
     }
-    switch (command.subject) {
+    switch (subject) {
       case "programs":
-        return ok(core.listPrograms().map(buildProgramRow));
       case "nodes":
-        return ok(
-          core.getView().nodes.map((node) => ({
-            node: node.spec.vmId,
-            region: node.spec.region,
-            domain: node.spec.failureDomain,
-            state: node.state,
-            revision: node.revision,
-          })),
-        );
-      default: {
-        const detail = `${command.subject} aren't served by this node yet`;
+      case "shards":
+        return ok(await this.#queryNodes({ kind: subject }));
+      case "calls":
+      case "changes": {
+        const detail = `show ${subject}: name one with explain instead`;
         return err(createFailure("StatementInvalid", detail));
       }
+      default:
+        return checkNever(subject);
     }
   }
 
+  /** Asks every node; those that don't answer in time are named. */
+  async #queryNodes(query: NodeQuery): Promise<ListedRows> {
+    this.#numbers += 1;
+    const requestId = `${this.#options.processName}-query-${this.#numbers}`;
+    const waiting = this.waiters.waitRows(requestId);
+    this.#options.handle({ kind: "query", requestId, query });
+    const { rows, missing } = await waiting;
+    const note = missing.length === 0
+      ? ""
+      : `\nno answer from: ${missing.join(", ")}`;
+    return { rows, note };
+  }
+
+  /** Explains a call by the decisions that nodes made for it. */
+  async #explainCall(callId: CallId): Promise<Result<OperateAnswer, Failure>> {
+    const { rows, note } = await this.#queryNodes({
+      kind: "decisions",
+      callId,
+    });
+    if (rows.length === 0) {
+      const detail = `no node holds decisions for ${callId}${note}`;
+      return err(createFailure("CallUnknown", detail));
+    }
+    const lines = rows.map(buildDecisionLine)
+      .sort((left, right) => left.atMs - right.atMs);
+    const explanation = { subject: `call ${callId}`, lines };
+    const text = `${renderExplanation(explanation)}${note}`;
+    return ok({ text, data: explanation });
+  }
+
+  async #explainCharge(
+    callId: CallId,
+  ): Promise<Result<OperateAnswer, Failure>> {
+    const found = await this.#options.findCharge(callId);
+    return found.map((charge) => {
+      const { core } = this.#options;
+      const explanation = buildChargeExplanation(charge, core.configuration);
+      return { text: renderExplanation(explanation), data: explanation };
+    });
+  }
+
+  async #explainProgram(
+    programId: ProgramId,
+  ): Promise<Result<OperateAnswer, Failure>> {
+    const { rows, note } = await this.#queryNodes({ kind: "programs" });
+    const row = rows.find((each) => each.program === programId);
+    if (row === undefined) {
+      const detail = `program ${programId}${note}`;
+      return err(createFailure("ProgramUnknown", detail));
+    }
+    const lines = [{ what: "program", fields: row }];
+    const explanation = { subject: `program ${programId}`, lines };
+    return ok({ text: renderExplanation(explanation), data: explanation });
+  }
+
   #getValue(asOf?: Revision): Result<ConfigurationValue, Failure> {
     const { core } = this.#options;
     return asOf === undefined
@@ -158,20 +237,24 @@
   return PARTNERS.some((partner) => partner === name);
 }
 
-/** Builds the row of a program. */
-function buildProgramRow(program: ProgramView): Row {
-  const { spec } = program;
+interface ListedRows {
+  readonly rows: readonly Row[];
+  /** Says which nodes are left out, if any. */
+  readonly note: string;
+}
+
+/** A decision as it's explained. */
+interface DecisionLine {
+  readonly atMs: number;
+  readonly what: string;
+  readonly fields: LogFields;
+}
+
+function buildDecisionLine(row: QueryRow): DecisionLine {
+  const fields = JSON.parse(String(row.fields)) as LogFields;
   return {
-    program: spec.programId,
-    partner: spec.partner,
-    team: spec.team,
-    agent: spec.agent,
-    class: spec.programClass,
-    state: program.state,
-    calls: program.calls,
-    running: program.running,
-    budget: spec.budgetMicros,
-    spent: program.spentMicros,
-    reserved: program.reservedMicros,
+    atMs: Number(row.atMs),
+    what: String(row.what),
+    fields: { node: String(row.node), ...fields },
   };
 }
--- a/packages/nodes/src/call_shapes.ts
+++ b/packages/nodes/src/call_shapes.ts
@@ -121,6 +121,7 @@
   key: checkText,
   call: checkCall,
   outcome: checkOutcome,
+  endedAtMs: checkAmount,
 });
 
 const checkProgramView = buildShape<ProgramView>({
--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -8,6 +8,7 @@
  */
 import type {
   NodeDigest,
+  NodeQuery,
   NodeSpec,
   PartnerQueue,
   PeerMessage,
@@ -25,6 +26,7 @@
   buildOneOf,
   buildOptional,
   buildShape,
+  buildUnion,
   checkAmount,
   checkBytes,
   checkFlag,
@@ -32,6 +34,7 @@
   checkWhole,
   findMisfit,
   type Fit,
+  isObject,
   type Shape,
   type UnionShape,
 } from "./field_checks.ts";
@@ -86,6 +89,18 @@
   queuedBy: buildOptional(buildListOf(buildShape(PARTNER_QUEUE))),
 };
 
+/** A row has names and plain values; whoever prints it checks the rest. */
+function checkRow(value: unknown): Fit {
+  return isObject(value) ? "fits" : "malformed";
+}
+
+const QUERY_SHAPES: UnionShape<NodeQuery> = {
+  programs: {},
+  nodes: {},
+  shards: {},
+  decisions: { callId: checkText },
+};
+
 const MESSAGE_SHAPES: UnionShape<PeerMessage> = {
   "owner_request": {
     requestId: checkText,
@@ -198,6 +213,8 @@
   },
   "probe_request": { vmId: checkText, number: checkWhole },
   "probe_result": { vmId: checkText, number: checkWhole, reached: checkFlag },
+  "rows_request": { requestId: checkText, query: buildUnion(QUERY_SHAPES) },
+  "rows_answer": { requestId: checkText, rows: buildListOf(checkRow) },
   "assignment_news": { assignments: buildListOf(buildShape(SHARD_ASSIGNMENT)) },
   "handover_offer": { shards: buildListOf(checkWhole) },
   "configuration_request": { afterRevision: checkWhole },
--- a/packages/scheduler/src/node/mod.ts
+++ b/packages/scheduler/src/node/mod.ts
@@ -4,3 +4,4 @@
 export * from "./node_core.ts";
 export * from "./node_input.ts";
 export * from "./node_settings.ts";
+export type { CollectedRows } from "./row_collector.ts";
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -13,12 +13,16 @@
   type Effect,
   type FailureDomain,
   type KeeperMessage,
+  type LogRecord,
   type MembershipMessage,
   type MembershipView,
+  type NodeQuery,
+  type OperatorMessage,
   type OwnerMessage,
   parseShardOf,
   type PeerMessage,
   type ProgramView,
+  type RequestId,
   type Revision,
   type VmId,
 } from "@camphorlock/types";
@@ -38,6 +42,9 @@
 import { Membership, type MembershipStep } from "../membership/mod.ts";
 import type { NodeInput, NodeNotice, NodeStep } from "./node_input.ts";
 import type { NodeOptions } from "./node_settings.ts";
+import { DecisionBook } from "./decision_book.ts";
+import { listNodeRows, type NodeRowSource } from "./node_rows.ts";
+import { type CollectedRows, RowCollector } from "./row_collector.ts";
 import { SharedBudgets } from "./shared_budgets.ts";
 import { NodePolicy } from "./node_policy.ts";
 import {
@@ -65,6 +72,8 @@
   readonly #hosts: ShardHosts;
   readonly #entry: Entry;
   #queue: NodeInput[] = [];
+  readonly #decisions: DecisionBook;
+  readonly #collector = new RowCollector();
   #effects: Effect[] = [];
   #notices: NodeNotice[] = [];
   #nowMs = 0;
@@ -100,6 +109,7 @@
       getView: () => this.#membership.view(),
     });
     this.#budgets = new SharedBudgets(spec);
+    this.#decisions = new DecisionBook(self);
     this.#keeper = new Keeper({
       incarnation: spec.incarnation,
       maxBytes: limits.keeperBytes,
@@ -220,6 +230,7 @@
       this.#addEffects(this.#policy.handleTick(nowMs));
       this.#addEffects(this.#budgets.handleTick(nowMs));
       this.#checkStop(nowMs);
+      this.#addCollected(this.#collector.handleTick(nowMs));
       this.#addEffects(this.#entry.handle(tick, nowMs));
     });
     this.#timers.subscribe(CONFIGURATION_TICK_MS, (nowMs) => {
@@ -269,6 +280,8 @@
         return this.#applyConfiguration(
           this.#configuration.handle(input, this.#nowMs),
         );
+      case "query":
+        return this.#startQuery(input.requestId, input.query);
       case "vm_list":
         this.#listed = input.vms.map((vm) => vm.vmId);
         return this.#applyMembership(
@@ -357,6 +370,9 @@
       case "configuration_request":
       case "configuration_offer":
         return this.#handleConfigurationMessage(from, message);
+      case "rows_request":
+      case "rows_answer":
+        return this.#handleOperatorMessage(from, message);
       default:
         return checkNever(message);
     }
@@ -443,6 +459,47 @@
     this.#applyConfiguration(this.#configuration.handle(input, this.#nowMs));
   }
 
+  #startQuery(requestId: RequestId, query: NodeQuery): void {
+    const vmIds = this.#membership.view().nodes
+      .filter((node) => node.state !== "dead")
+      .map((node) => node.spec.vmId);
+    const ask = { vmIds, nowMs: this.#nowMs };
+    this.#addEffects(this.#collector.start(requestId, query, ask));
+  }
+
+  #handleOperatorMessage(from: VmId, message: OperatorMessage): void {
+    if (message.kind === "rows_answer") {
+      return this.#addCollected(this.#collector.add(from, message));
+    }
+    const { requestId, query } = message;
+    const rows = listNodeRows(this.#buildRowSource(), query);
+    const answer = { kind: "rows_answer", requestId, rows } as const;
+    this.#addEffects([{ kind: "send_peer", to: from, message: answer }]);
+  }
+
+  #buildRowSource(): NodeRowSource {
+    const { spec } = this.#options;
+    const view = this.#assigner.view();
+    return {
+      self: spec.vmId,
+      region: spec.region,
+      failureDomain: spec.failureDomain,
+      revision: this.#configuration.revision,
+      isReady: this.#configuration.isReady,
+      isStopping: this.#isStopping,
+      programs: this.#hosts.listPrograms(),
+      assignments: view.listOwned()
+        .flatMap((shard) => view.ownerOf(shard) ?? []),
+      decisions: this.#decisions,
+    };
+  }
+
+  #addCollected(answered: readonly CollectedRows[]): void {
+    for (const rows of answered) {
+      this.#notices.push({ kind: "query_answered", ...rows });
+    }
+  }
+
   #applyMembership(step: MembershipStep): void {
     this.#addEffects(step.effects);
     for (const notice of step.notices) {
@@ -499,6 +556,10 @@
     }
   }
 
+  #recordDecision(record: LogRecord): void {
+    this.#decisions.record(record, this.#options.getWallClockMs());
+  }
+
   /** Queues what the node sends to itself, and keeps the rest for the edges. */
   #addEffects(effects: readonly Effect[]): void {
     const self = this.#options.spec.vmId;
@@ -507,6 +568,7 @@
         const { message } = effect;
         this.#queue.push({ kind: "peer", from: self, message });
       } else {
+        if (effect.kind === "log") this.#recordDecision(effect.record);
         this.#effects.push(effect);
       }
     }
--- a/packages/scheduler/src/node/node_input.ts
+++ b/packages/scheduler/src/node/node_input.ts
@@ -7,6 +7,7 @@
   AttemptId,
   CallerRequest,
   Effect,
+  NodeQuery,
   PeerMessage,
   PlatformAnswer,
   PlatformToken,
@@ -17,6 +18,7 @@
   VmListing,
 } from "@camphorlock/types";
 import type { ChangeInput } from "../configuration/mod.ts";
+import type { CollectedRows } from "./row_collector.ts";
 import type { ConfigurationNotice } from "../configuration/mod.ts";
 
 /** Anything that happens to a node. */
@@ -50,6 +52,11 @@
     readonly result: TargetOrderResult;
   }
   | ChangeInput
+  | {
+    readonly kind: "query";
+    readonly requestId: RequestId;
+    readonly query: NodeQuery;
+  }
   | { readonly kind: "vm_list"; readonly vms: readonly VmListing[] }
   | { readonly kind: "tick" }
   /** A planned stop: takes nothing new and hands the shards over. */
@@ -58,6 +65,8 @@
 /** What the process around the node has to act on. */
 export type NodeNotice =
   | ConfigurationNotice
+  /** The rows of every node that answered in time. */
+  | ({ readonly kind: "query_answered" } & CollectedRows)
   /** Every shard has another owner; the process may end. */
   | { readonly kind: "handed_over" }
   /** A later process runs on this VM; this one has to end. */
--- a/packages/scheduler/src/owner/attempt_starter.ts
+++ b/packages/scheduler/src/owner/attempt_starter.ts
@@ -40,6 +40,7 @@
     const { call } = state;
     const promptTokens = call.kind === "model" ? computePromptTokens(call) : 0;
     const choice = this.#context.options.placer.choose({
+      callId: state.callId,
       programId: spec.programId,
       partner: spec.partner,
       programClass: spec.programClass,
--- a/packages/scheduler/src/owner/ports.ts
+++ b/packages/scheduler/src/owner/ports.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "@camphorlock/codes";
 import type {
   Call,
+  CallId,
   ConfigurationValue,
   Effect,
   EntryBody,
@@ -49,6 +50,7 @@
 
 /** What a placement decision needs to know of a call. */
 export interface PlacementRequest {
+  readonly callId: CallId;
   readonly programId: ProgramId;
   readonly partner: Partner;
   readonly programClass: ProgramClass;
--- a/packages/scheduler/src/owner/shard_state.ts
+++ b/packages/scheduler/src/owner/shard_state.ts
@@ -158,8 +158,8 @@
   const items: HistoryItem[] = [];
   for (const call of program.callsById.values()) {
     if (call.outcome === undefined) continue;
-    const { callId, key, outcome } = call;
-    items.push({ callId, key, call: call.call, outcome });
+    const { callId, key, outcome, endedAtMs } = call;
+    items.push({ callId, key, call: call.call, outcome, endedAtMs });
   }
   return items;
 }
--- a/packages/scheduler/src/placement/decision.ts
+++ b/packages/scheduler/src/placement/decision.ts
@@ -48,6 +48,7 @@
     record: {
       event: EVENTS.TargetChosen.event,
       fields: {
+        callId: request.callId,
         programId: request.programId,
         agent: request.agent,
         programClass: request.programClass,
--- a/packages/scheduler/src/placement/placement_test.ts
+++ b/packages/scheduler/src/placement/placement_test.ts
@@ -61,6 +61,7 @@
 }
 
 const REQUEST: PlacementRequest = {
+  callId: "p.c",
   programId: "p",
   partner: "zincir",
   programClass: "standard",
--- a/packages/standins/src/bench/policy/bench_node.ts
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -444,6 +444,7 @@
 function buildRequest(run: ProgramRun, promptTokens: number): PlacementRequest {
   const { plan } = run;
   return {
+    callId: `${plan.programId}.call`,
     programId: plan.programId,
     partner: plan.partner,
     programClass: plan.programClass,
--- a/packages/standins/src/bench/policy/decision_bench.ts
+++ b/packages/standins/src/bench/policy/decision_bench.ts
@@ -177,6 +177,7 @@
 
 function buildRequest(number: number, size: FleetSize): PlacementRequest {
   return {
+    callId: `c${number}`,
     programId: `p${number % size.programs}`,
     partner: number % 2 === 0 ? "zincir" : "okonkwo",
     programClass: "standard",
--- a/packages/types/mod.ts
+++ b/packages/types/mod.ts
@@ -14,5 +14,6 @@
 export * from "./src/peer_message.ts";
 export * from "./src/platform.ts";
 export * from "./src/program.ts";
+export * from "./src/query.ts";
 export * from "./src/shard.ts";
 export * from "./src/target.ts";
--- a/packages/types/src/peer_message.ts
+++ b/packages/types/src/peer_message.ts
@@ -19,6 +19,7 @@
 import type { LedgerEntry } from "./ledger_entry.ts";
 import type { NodeSpec, NodeState, ShardAssignment } from "./membership.ts";
 import type { ProgramClass } from "./program.ts";
+import type { NodeQuery, QueryRow } from "./query.ts";
 
 /** Any message between two nodes. */
 export type PeerMessage =
@@ -26,7 +27,21 @@
   | KeeperMessage
   | DispatchMessage
   | MembershipMessage
-  | ConfigurationMessage;
+  | ConfigurationMessage
+  | OperatorMessage;
+
+/** Between the node that an operator asks and all others. */
+export type OperatorMessage =
+  | {
+    readonly kind: "rows_request";
+    readonly requestId: RequestId;
+    readonly query: NodeQuery;
+  }
+  | {
+    readonly kind: "rows_answer";
+    readonly requestId: RequestId;
+    readonly rows: readonly QueryRow[];
+  };
 
 /** Between the entry of a caller and the owner of a program. */
 export type OwnerMessage =
--- a/packages/types/src/program.ts
+++ b/packages/types/src/program.ts
@@ -122,6 +122,8 @@
   readonly key: string;
   readonly call: Call;
   readonly outcome: CallOutcome;
+  /** Wall clock, milliseconds since the Unix epoch. */
+  readonly endedAtMs: number;
 }
 
 /** A program as shown to callers and operators. */
