--- a/packages/nodes/src/peer_network.ts
+++ b/packages/nodes/src/peer_network.ts
@@ -1,11 +1,12 @@
 /**
  * The connections of this node to the others, over gRPC.
  */
-import { type Client, Server, type ServerDuplexStream } from "@grpc/grpc-js";
+import type { Server, ServerDuplexStream } from "@grpc/grpc-js";
 import { errAsync, ResultAsync } from "neverthrow";
-import { createFailure, EVENTS, type Failure } from "@camphorlock/codes";
+import { EVENTS, type Failure } from "@camphorlock/codes";
 import type { LogRecord, PeerMessage, VmId } from "@camphorlock/types";
-import { type Frame, PeersClient, PeersService } from "./generated/peers.ts";
+import type { Frame } from "./generated/peers.ts";
+import { createClient, createServer, serveOn } from "./grpc_ends.ts";
 import { encodeMessage } from "./message_codec.ts";
 import { Peer } from "./peer.ts";
 import {
@@ -56,9 +57,6 @@
   openedStreams: number;
 }
 
-const KEEPALIVE_PERIOD_MS = 60_000;
-const KEEPALIVE_TIMEOUT_MS = 20_000;
-
 /** The other nodes, as this one is connected to them. */
 export class PeerNetwork {
   readonly counts: PeerCounts = {
@@ -93,15 +91,22 @@
     const loaded = loadCredentials(this.#options.security);
     if (loaded.isErr()) return errAsync(loaded.error);
     this.#credentials = loaded.value;
-    return this.#listen(loaded.value).map((port) => {
+    const server = createServer(
+      this.#settings,
+      (call) => this.#acceptStream(call),
+    );
+    this.#server = server;
+    const { listenAddress } = this.#options;
+    const { server: credentials } = loaded.value;
+    const at = { address: listenAddress, credentials };
+    return serveOn(server, at).map((port) => {
       const { tickPeriodMs } = this.#settings;
       this.#lastTickMs = this.#timers.readNowMs();
       this.#cancelTicks = this.#timers.subscribe(
         tickPeriodMs,
         () => this.#handleTick(),
       );
-      const [host] = splitAddress(this.#options.listenAddress);
-      return `${host}:${port}`;
+      return `${getHost(listenAddress)}:${port}`;
     });
   }
 
@@ -133,31 +138,6 @@
     return ResultAsync.fromSafePromise(noWait());
   }
 
-  #listen(credentials: PeerCredentials): ResultAsync<number, Failure> {
-    const { messageBytes } = this.#settings;
-    const server = new Server({
-      "grpc.max_receive_message_length": 2 * messageBytes,
-      "grpc.keepalive_time_ms": KEEPALIVE_PERIOD_MS,
-      "grpc.keepalive_timeout_ms": KEEPALIVE_TIMEOUT_MS,
-    });
-    server.addService(PeersService, {
-      exchange: (call: ServerDuplexStream<Frame, Frame>) =>
-        this.#acceptStream(call),
-    });
-    this.#server = server;
-    const { listenAddress } = this.#options;
-    const bound = new Promise<number>((resolve, reject) => {
-      server.bindAsync(listenAddress, credentials.server, (error, port) => {
-        if (error === null) resolve(port);
-        else reject(error);
-      });
-    });
-    return ResultAsync.fromPromise(
-      bound,
-      (error) => createFailure("PeerListenFailed", String(error)),
-    );
-  }
-
   #acceptStream(call: ServerDuplexStream<Frame, Frame>): void {
     const stream: PeerStream = this.#createStream(createServerCall(call), {
       onOpen: (peer) => this.#getPeer(peer.vmId).setAccepted(stream),
@@ -166,7 +146,10 @@
   }
 
   #dial(vmId: VmId, address: string): PeerStream {
-    const client = this.#createClient(address);
+    const credentials = this.#credentials;
+    if (credentials === undefined) throw new Error("the network isn't started");
+    const settings = this.#settings;
+    const client = createClient(address, { credentials, settings });
     const call = createClientCall(client.exchange());
     const stream: PeerStream = this.#createStream(call, {
       dialed: vmId,
@@ -176,17 +159,6 @@
     return stream;
   }
 
-  #createClient(address: string): PeersClient & Client {
-    const credentials = this.#credentials;
-    if (credentials === undefined) throw new Error("the network isn't started");
-    return new PeersClient(address, credentials.client, {
-      ...credentials.channelOptions,
-      "grpc.use_local_subchannel_pool": 1,
-      "grpc.enable_retries": 0,
-      "grpc.max_receive_message_length": 2 * this.#settings.messageBytes,
-    });
-  }
-
   #createStream(
     call: StreamCall,
     use: {
@@ -321,9 +293,8 @@
   }
 }
 
-function splitAddress(address: string): [host: string, port: string] {
-  const at = address.lastIndexOf(":");
-  return [address.slice(0, at), address.slice(at + 1)];
+function getHost(address: string): string {
+  return address.slice(0, address.lastIndexOf(":"));
 }
 
 function noWait(): Promise<void> {
--- a/packages/scheduler/src/membership/membership.ts
+++ b/packages/scheduler/src/membership/membership.ts
@@ -18,6 +18,7 @@
 } from "@camphorlock/types";
 import { ContactBook } from "./contact_book.ts";
 import { Reach } from "./cut_off.ts";
+import { HeartbeatBuilder } from "./heartbeats.ts";
 import { buildNodeRecord } from "./log_records.ts";
 import type {
   MembershipInput,
@@ -29,12 +30,7 @@
 import { HeartbeatPacer } from "./pacer.ts";
 import { Probes } from "./probes.ts";
 import { RandomChooser } from "./random.ts";
-import {
-  buildAnswer,
-  buildReport,
-  decodeProcesses,
-  type RevisionCensus,
-} from "./revision_report.ts";
+import { decodeProcesses } from "./revision_report.ts";
 import { RumourQueue } from "./rumours.ts";
 import { SelfStatement } from "./self_statement.ts";
 import {
@@ -63,7 +59,7 @@
   readonly #pacer: HeartbeatPacer;
   readonly #reach: Reach;
   readonly #self: SelfStatement;
-  #heartbeats = 0;
+  readonly #builder: HeartbeatBuilder;
   #lastTickMs: number | undefined;
   #effects: Effect[] = [];
   #notices: MembershipNotice[] = [];
@@ -80,6 +76,13 @@
     this.#pacer = new HeartbeatPacer(settings, { contacts, random });
     this.#reach = new Reach(settings.cutOffAfterMs);
     this.#self = new SelfStatement(options.self);
+    this.#builder = new HeartbeatBuilder({
+      settings,
+      random,
+      table: this.#table,
+      rumours: this.#rumours,
+      self: this.#self,
+    });
   }
 
   /** Handles one input. */
@@ -176,18 +179,7 @@
     this.#applyDigest([statement, ...message.digest], nowMs);
     this.#recordHeard(from, nowMs);
     this.#applyReport(message.report);
-    const lacking = this.#table.countLiving() - message.knownNodes;
-    const digest = lacking > 0
-      ? this.#buildCatchUp(from, lacking)
-      : this.#buildDigest(from);
-    this.#send(from, {
-      kind: "heartbeat_ack",
-      number: message.number,
-      incarnation: this.#self.getDigest().spec.incarnation,
-      revision: this.#self.getDigest().revision,
-      digest,
-      ...this.#answerReport(message.report),
-    });
+    this.#send(from, this.#builder.buildAck(from, message));
   }
 
   #handleAck(sender: Sender<"heartbeat_ack">, nowMs: number): void {
@@ -331,43 +323,9 @@
   }
 
   #sendHeartbeat(vmId: VmId): number {
-    this.#heartbeats += 1;
-    const { spec, revision, number } = this.#self.getDigest();
-    this.#send(vmId, {
-      kind: "heartbeat",
-      spec,
-      state: this.#self.getState(),
-      revision,
-      number: this.#heartbeats,
-      stateNumber: number,
-      knownNodes: this.#table.countLiving(),
-      digest: this.#buildDigest(vmId),
-      ...this.#startReport(),
-    });
-    return this.#heartbeats;
-  }
-
-  /** Reports what is known while the newest revision isn't known of all. */
-  #startReport(): { report?: RevisionReport } {
-    const census = this.#countRevisions();
-    if (census.lacking.length === 0) return {};
-    const { reportLimit: limit } = this.#settings;
-    const sample = { random: this.#random, limit };
-    return { report: buildReport(census, sample) };
-  }
-
-  #answerReport(
-    asked: RevisionReport | undefined,
-  ): { report?: RevisionReport } {
-    if (asked === undefined) return {};
-    const census = this.#countRevisions();
-    const { reportLimit: limit } = this.#settings;
-    const sample = { ...asked, random: this.#random, limit };
-    return { report: buildAnswer(census, sample) };
-  }
-
-  #countRevisions(): RevisionCensus {
-    return this.#table.countRevisions(this.#self.getDigest());
+    const heartbeat = this.#builder.buildHeartbeat(vmId);
+    this.#send(vmId, heartbeat);
+    return heartbeat.number;
   }
 
   #applyReport(report: RevisionReport | undefined): void {
@@ -376,34 +334,6 @@
     this.#table.applyReport(revision, decodeProcesses(processes));
   }
 
-  /** Builds the rumours for one node: first what it has to refute itself. */
-  #buildDigest(to: VmId): NodeDigest[] {
-    const digest: NodeDigest[] = [];
-    const receiver = this.#table.find(to)?.digest;
-    if (receiver?.state === "suspect" || receiver?.state === "dead") {
-      digest.push(receiver);
-    }
-    for (const vmId of this.#rumours.take(this.#settings.digestLimit)) {
-      const rumour = this.#findDigest(vmId);
-      if (rumour !== undefined && vmId !== to) digest.push(rumour);
-    }
-    return digest;
-  }
-
-  #buildCatchUp(to: VmId, lacking: number): NodeDigest[] {
-    const others = [...this.#table.list()].map((record) => record.digest);
-    const { catchUpLeast, catchUpLimit, catchUpPerNode } = this.#settings;
-    const wanted = Math.max(catchUpLeast, lacking * catchUpPerNode);
-    const count = Math.min(wanted, catchUpLimit);
-    const some = this.#random.chooseSome(others, count);
-    return [this.#self.getDigest(), ...this.#buildDigest(to), ...some];
-  }
-
-  #findDigest(vmId: VmId): NodeDigest | undefined {
-    if (vmId === this.#vmId) return this.#self.getDigest();
-    return this.#table.find(vmId)?.digest;
-  }
-
   #recordHeard(vmId: VmId, nowMs: number): void {
     this.#table.recordHeard(vmId, nowMs);
     this.#probes.close(vmId);
