--- a/packages/nodes/src/message_shapes.ts
+++ b/packages/nodes/src/message_shapes.ts
@@ -9,6 +9,7 @@
 import type {
   NodeDigest,
   NodeSpec,
+  PartnerQueue,
   PeerMessage,
   RevisionReport,
   ShardAssignment,
@@ -66,6 +67,12 @@
   keepers: buildListOf(checkText),
 };
 
+const PARTNER_QUEUE: Shape<PartnerQueue> = {
+  partner: checkText,
+  queued: checkAmount,
+  short: checkAmount,
+};
+
 const TARGET_LOAD: Shape<TargetLoad> = {
   targetId: checkText,
   running: checkAmount,
@@ -76,6 +83,7 @@
   tokenMs: buildOptional(checkAmount),
   slotMs: buildOptional(checkAmount),
   prefillTokens: buildOptional(checkAmount),
+  queuedBy: buildOptional(buildListOf(buildShape(PARTNER_QUEUE))),
 };
 
 const MESSAGE_SHAPES: UnionShape<PeerMessage> = {
--- a/packages/scheduler/src/admission/admission.ts
+++ b/packages/scheduler/src/admission/admission.ts
@@ -8,15 +8,22 @@
 import { createFailure, type Failure } from "@camphorlock/codes";
 import {
   checkNever,
+  type Partner,
   type ProgramClass,
   type TargetLoad,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
-import type { RandomSource } from "../random/mod.ts";
-import type { AdmissionSettings, CrestPolicy } from "./settings.ts";
+import { RandomSource } from "../random/mod.ts";
+import { ReturnSchedule } from "./return_schedule.ts";
+import type {
+  AdmissionSettings,
+  CrestPolicy,
+  PartnerWeights,
+} from "./settings.ts";
 
 /** A program that asks to begin. */
 export interface AdmissionRequest {
+  readonly partner: Partner;
   readonly programClass: ProgramClass;
   /** The pool that its first call would run on, as this node knows it. */
   readonly loads: readonly TargetLoad[];
@@ -34,57 +41,91 @@
 
 const USUAL_SLOT_MS = 4_000;
 
-/** Computes how full a pool is from the loads of its targets. */
-export function computePressure(loads: readonly TargetLoad[]): PoolPressure {
+/**
+ * Computes how full a pool is for a partner: its own waiting calls over its
+ * share of the slots, so that another partner's flood doesn't shut it out. Only
+ * short calls go before a short one.
+ */
+export function computePressure(
+  loads: readonly TargetLoad[],
+  share: {
+    readonly partner: Partner;
+    readonly programClass: ProgramClass;
+    readonly weights: PartnerWeights;
+  },
+): PoolPressure {
+  const { partner, programClass, weights } = share;
   let slots = 0;
-  let excess = 0;
   let slotMs = 0;
+  const queued = new Map<Partner, number>();
   for (const load of loads) {
     slots += load.limit;
-    excess += load.running + load.queued - load.limit;
     slotMs += (load.slotMs ?? USUAL_SLOT_MS) * load.limit;
+    for (const each of load.queuedBy ?? []) {
+      const before = queued.get(each.partner) ?? 0;
+      const added = programClass === "short" ? each.short : each.queued;
+      queued.set(each.partner, before + added);
+    }
   }
-  if (slots === 0) return { backlog: 0, drainMs: 0 };
-  const backlog = Math.max(0, excess / slots);
+  const own = queued.get(partner) ?? 0;
+  if (slots === 0 || own === 0) return { backlog: 0, drainMs: 0 };
+  let allWeights = 0;
+  for (const each of queued.keys()) allWeights += weights[each];
+  const ownSlots = slots * weights[partner] / allWeights;
+  const backlog = own / ownSlots;
   return { backlog, drainMs: backlog * slotMs / slots };
 }
 
-/** Checks whether a new program may begin. Fails with `Overloaded`. */
-export function checkAdmission(
-  request: AdmissionRequest,
-  means: {
-    readonly settings: AdmissionSettings;
-    readonly random: RandomSource;
-  },
-): Result<PoolPressure, Failure> {
-  const { crest } = means.settings;
-  const pressure = computePressure(request.loads);
-  switch (crest.kind) {
-    case "queue":
-      return ok(pressure);
-    case "refuse_early": {
-      const { leftMs, programClass } = request;
-      const isLate = leftMs !== undefined && pressure.drainMs > leftMs;
-      const isFull = pressure.backlog > crest.mostBacklog[programClass];
-      if (!isLate && !isFull) return ok(pressure);
-      const retryMs = computeReturn(pressure, crest, means.random);
-      const detail = isFull
-        ? `${pressure.backlog.toFixed(2)} calls wait for each slot`
-        : "the deadline would pass before a slot comes free";
-      return err(createFailure("Overloaded", detail, retryMs));
+/** The admission of one node. */
+export class Admission {
+  readonly #returns: ReturnSchedule;
+  #settings: AdmissionSettings;
+
+  constructor(settings: AdmissionSettings, seed: number) {
+    this.#settings = settings;
+    this.#returns = new ReturnSchedule(new RandomSource(seed));
+  }
+
+  /** Changes the policy. */
+  setSettings(settings: AdmissionSettings): void {
+    this.#settings = settings;
+  }
+
+  /** Checks whether a new program may begin. Fails with `Overloaded`. */
+  check(request: AdmissionRequest, nowMs: number): Result<void, Failure> {
+    const { crest } = this.#settings;
+    switch (crest.kind) {
+      case "queue":
+        return ok(undefined);
+      case "refuse_early":
+        return this.#checkPressure(request, crest, nowMs);
+      default:
+        return checkNever(crest);
     }
-    default:
-      return checkNever(crest);
   }
-}
 
-/** Spreads the return of refused callers over twice the time of the backlog. */
-function computeReturn(
-  pressure: PoolPressure,
-  crest: Extract<CrestPolicy, { kind: "refuse_early" }>,
-  random: RandomSource,
-): number {
-  const spread = random.takeBetween(1, 3);
-  const retryMs = Math.max(crest.leastRetryMs, pressure.drainMs) * spread;
-  return Math.round(Math.min(crest.mostRetryMs, retryMs));
+  #checkPressure(
+    request: AdmissionRequest,
+    crest: Extract<CrestPolicy, { kind: "refuse_early" }>,
+    nowMs: number,
+  ): Result<void, Failure> {
+    const { leftMs, programClass, partner, loads } = request;
+    const { weights } = crest;
+    const pressure = computePressure(loads, {
+      partner,
+      programClass,
+      weights,
+    });
+    const isLate = leftMs !== undefined && pressure.drainMs > leftMs;
+    const isFull = pressure.backlog > crest.mostBacklog[programClass];
+    if (!isLate && !isFull) {
+      this.#returns.recordAdmitted(nowMs);
+      return ok(undefined);
+    }
+    const retryMs = this.#returns.takeReturn(crest, nowMs);
+    const detail = isFull
+      ? `${pressure.backlog.toFixed(2)} calls wait for each slot`
+      : "the deadline would pass before a slot comes free";
+    return err(createFailure("Overloaded", detail, retryMs));
+  }
 }
--- a/packages/scheduler/src/dispatch/slot_queue.ts
+++ b/packages/scheduler/src/dispatch/slot_queue.ts
@@ -1,7 +1,7 @@
 /**
  * The waiting calls of one target: which is next, and which is given up.
  */
-import type { AttemptId, Partner } from "@camphorlock/types";
+import type { AttemptId, Partner, PartnerQueue } from "@camphorlock/types";
 import type { FairShare } from "./fair_share.ts";
 import type { OrderPolicy } from "./settings.ts";
 import {
@@ -35,9 +35,9 @@
     return this.#promptTokens;
   }
 
-  /** Whether the attempt waits here. */
-  has(attemptId: AttemptId): boolean {
-    return this.#calls.has(attemptId);
+  /** Finds the call of an attempt. */
+  find(attemptId: AttemptId): WaitingCall | undefined {
+    return this.#calls.get(attemptId);
   }
 
   /** Adds a call. */
@@ -55,9 +55,22 @@
     return call;
   }
 
-  /** Lists the calls that arrived before a time. */
-  listBefore(atMs: number): WaitingCall[] {
-    return this.list().filter((each) => each.arrivedAtMs < atMs);
+  /** Lists the calls that weren't heard of since a time. */
+  listSilent(sinceMs: number): WaitingCall[] {
+    return this.list().filter((each) => each.heardAtMs < sinceMs);
+  }
+
+  /** Lists the number of waiting calls of each partner that has any. */
+  listByPartner(): PartnerQueue[] {
+    const counts = new Map<Partner, { queued: number; short: number }>();
+    for (const { request } of this.#calls.values()) {
+      const { partner, programClass } = request;
+      const count = counts.get(partner) ?? { queued: 0, short: 0 };
+      count.queued += 1;
+      if (programClass === "short") count.short += 1;
+      counts.set(partner, count);
+    }
+    return [...counts].map(([partner, count]) => ({ partner, ...count }));
   }
 
   /** Lists every waiting call. */
@@ -70,11 +83,12 @@
     fits: FitCheck,
     options: { readonly share: FairShare; readonly nowMs: number },
   ): WaitingCall | undefined {
-    const fitting = this.list().filter(fits);
-    const partners = new Set<Partner>(
-      fitting.map((each) => each.request.partner),
+    const calls = this.list();
+    const fitting = calls.filter(fits);
+    const [partner] = options.share.sortPartners(
+      listPartners(fitting),
+      listPartners(calls),
     );
-    const [partner] = options.share.sortPartners(partners);
     const candidates = partner === undefined
       ? fitting
       : fitting.filter((each) => each.request.partner === partner);
@@ -147,3 +161,7 @@
   const sorted = [...counts].sort(([, left], [, right]) => right - left);
   return sorted[0]?.[0];
 }
+
+function listPartners(calls: readonly WaitingCall[]): Set<Partner> {
+  return new Set(calls.map((each) => each.request.partner));
+}
--- a/packages/standins/src/bench/policy/bench_node.ts
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -3,7 +3,7 @@
  * view, and a fake owner that runs programs through them.
  */
 import {
-  checkAdmission,
+  Admission,
   chooseRetry,
   DispatcherSet,
   Placement,
@@ -16,6 +16,7 @@
   DispatchMessage,
   Effect,
   NodeView,
+  PlacementRule,
   VmId,
 } from "@camphorlock/types";
 import type { EngineOutput, GenerateRequest } from "../../engine/mod.ts";
@@ -43,6 +44,7 @@
   readonly link: BenchLink;
 }
 
+const NO_RULES: readonly PlacementRule[] = [];
 const RENEW_PERIOD_MS = 400;
 const BYTES_PER_TOKEN = 4;
 /** Targets tried at once before a refusal is passed on. */
@@ -54,6 +56,7 @@
   readonly #options: BenchNodeOptions;
   readonly #dispatchers: DispatcherSet;
   readonly #placement: Placement;
+  readonly #admission: Admission;
   readonly #random: RandomSource;
   readonly #budget: RetryBudget;
   readonly #attempts = new Map<string, AttemptRun>();
@@ -69,7 +72,7 @@
       settings: policies.placement,
       seed,
       getTargets: () => topology.engines,
-      getRules: () => [],
+      getRules: () => NO_RULES,
       getView: () => view,
     });
     this.#dispatchers = new DispatcherSet({
@@ -79,6 +82,7 @@
     });
     const targets = topology.engines;
     this.#dispatchers.handle({ kind: "targets_changed", targets }, 0);
+    this.#admission = new Admission(policies.admission, seed + 3);
     this.#random = new RandomSource(seed + 2);
     this.#budget = new RetryBudget(policies.retry.budget);
   }
@@ -128,14 +132,11 @@
     options: { readonly isFresh: boolean; readonly nowMs: number },
   ): void {
     const { isFresh, nowMs } = options;
-    const { admission } = this.#options.policies;
     if (isFresh) {
       const loads = this.#placement.listLoads("engine", BENCH_MODEL);
-      const { programClass } = run.plan;
-      const admitted = checkAdmission({ programClass, loads }, {
-        settings: admission,
-        random: this.#random,
-      });
+      const { programClass, partner } = run.plan;
+      const request = { partner, programClass, loads };
+      const admitted = this.#admission.check(request, nowMs);
       if (admitted.isErr()) {
         return run.onRefused(admitted.error.retryAfterMs ?? 1_000, nowMs);
       }
--- a/packages/standins/src/fleet/virtual_fleet.ts
+++ b/packages/standins/src/fleet/virtual_fleet.ts
@@ -10,9 +10,11 @@
 import type {
   CallerAnswer,
   CallerRequest,
+  ChangeCommand,
   ConfigurationValue,
   LogRecord,
   NodeSpec,
+  TargetId,
   TargetSpec,
   VmId,
   VmListing,
@@ -51,10 +53,18 @@
 /** Something that a node reported. */
 export interface ReportedNotice {
   readonly vmId: VmId;
+  readonly incarnation: number;
   readonly atMs: number;
   readonly notice: NodeNotice;
 }
 
+/** A change that an operator ordered. */
+export interface OrderedChange {
+  readonly requestId: string;
+  readonly change: ChangeCommand;
+  readonly atMs: number;
+}
+
 /** The nodes, their platform, targets and callers. */
 export class VirtualFleet implements VirtualWorld {
   readonly clock = new VirtualClock();
@@ -68,7 +78,10 @@
   readonly logs: LogRecord[] = [];
   readonly #options: VirtualFleetOptions;
   readonly #byId = new Map<string, VirtualRequest>();
+  readonly changes: OrderedChange[] = [];
+  #runAtAnswer: ((vmId: VmId) => void) | undefined;
   #starts = 0;
+  #changes = 0;
 
   constructor(options: VirtualFleetOptions) {
     this.#options = options;
@@ -103,14 +116,20 @@
       {
         onAnswer: ({ requestId, answer }) =>
           this.#recordAnswer(requestId, answer),
-        onNotice: (notice) =>
-          this.notices.push({ vmId, atMs: this.clock.nowMs, notice }),
+        onNotice: (notice) => this.#recordNotice(spec, notice),
         onLog: (record) => this.logs.push(record),
       },
     );
     this.nodes.set(vmId, node);
   }
 
+  /** Lists the engines. */
+  listEngines(): TargetId[] {
+    return Array.from({ length: this.#options.engineCount }, (_, at) => {
+      return `engine-${at + 1}`;
+    });
+  }
+
   /** Gets a node by name. */
   getNode(vmId: VmId): VirtualNode {
     const node = this.nodes.get(vmId);
@@ -135,6 +154,21 @@
     return sent;
   }
 
+  /** Orders a change at a node as an operator. */
+  sendChange(vmId: VmId, change: ChangeCommand): void {
+    this.#changes += 1;
+    const requestId = `change-${this.#changes}`;
+    this.changes.push({ requestId, change, atMs: this.clock.nowMs });
+    this.getNode(vmId).handle({
+      kind: "change",
+      requestId,
+      change,
+      text: change.kind,
+      by: { partner: "zincir", operator: "test" },
+      atMs: this.clock.nowMs,
+    });
+  }
+
   /** Runs until every shard is served by a living node. */
   waitServing(limitMs: number): boolean {
     return this.clock.runUntil(() => this.#isServing(), limitMs);
@@ -145,6 +179,11 @@
     return this.clock.runUntil(() => sent.endedAtMs !== undefined, limitMs);
   }
 
+  /** Runs work at the moment when a caller is given an outcome. */
+  setAtAnswer(run: ((vmId: VmId) => void) | undefined): void {
+    this.#runAtAnswer = run;
+  }
+
   #isServing(): boolean {
     let serving = 0;
     for (const node of this.nodes.values()) {
@@ -157,7 +196,15 @@
     const sent = this.#byId.get(requestId);
     if (sent === undefined) return;
     sent.answers.push(answer);
-    if (answer.kind !== "text") sent.endedAtMs = this.clock.nowMs;
+    if (answer.kind === "text") return;
+    sent.endedAtMs = this.clock.nowMs;
+    if (answer.kind === "outcome") this.#runAtAnswer?.(sent.vmId);
+  }
+
+  #recordNotice(spec: NodeSpec, notice: NodeNotice): void {
+    const { vmId, incarnation } = spec;
+    const atMs = this.clock.nowMs;
+    this.notices.push({ vmId, incarnation, atMs, notice });
   }
 
   /** The platform's list lags: it names every VM that was started. */
