Return to a target that was slow only after its peers

An idle target's observation is forgotten after three seconds, and it counted as fast again: every node sent work to it at once, which queued behind its two slots. It now counts at 0.6 of the usual speed until it's observed anew.

--- a/packages/scheduler/src/placement/placement_test.ts
+++ b/packages/scheduler/src/placement/placement_test.ts
@@ -45,18 +45,24 @@
   };
 }
 
-function buildLoad(targetId: string, part: Partial<TargetLoad>): TargetLoad {
+/** What differs from a usual load; a time between tokens may be unknown. */
+type LoadPart = Partial<Omit<TargetLoad, "tokenMs">> & {
+  readonly tokenMs?: number | undefined;
+};
+
+function buildLoad(targetId: string, part: LoadPart): TargetLoad {
+  const { tokenMs, ...rest } = { tokenMs: 25, ...part };
   return {
+    ...(tokenMs === undefined ? {} : { tokenMs }),
     targetId,
     running: 10,
     queued: 0,
     limit: 24,
     queuedPromptTokens: 0,
     relativeSpeed: 1,
-    tokenMs: 25,
     slotMs: 4_000,
     prefillTokens: 0,
-    ...part,
+    ...rest,
   };
 }
 
@@ -74,6 +80,8 @@
   targets = [0, 1, 2, 3, 4, 5].map(buildTarget);
   view: MembershipView = { self: "n0", nodes: [0, 1, 2, 3].map(buildNode) };
   readonly placement: Placement;
+  #nowMs = 0;
+
   constructor(settings: Partial<PlacementSettings> = {}) {
     this.placement = new Placement({
       region: "marmara",
@@ -85,16 +93,18 @@
     });
   }
 
-  hear(parts: Readonly<Record<string, Partial<TargetLoad>>> = {}): void {
+  hear(parts: Readonly<Record<string, LoadPart>> = {}): void {
+    this.#nowMs += 1_000;
+    const nowMs = this.#nowMs;
     const loads = this.targets.map(({ targetId }) =>
       buildLoad(targetId, parts[targetId] ?? {})
     );
-    this.placement.handle({ kind: "loads", loads }, 0);
-    this.placement.handle({ kind: "tick" }, 0);
+    this.placement.handle({ kind: "loads", loads }, nowMs);
+    this.placement.handle({ kind: "tick" }, nowMs);
   }
 
   choose(part: Partial<PlacementRequest> = {}): string {
-    return this.placement.choose({ ...REQUEST, ...part }, 0)
+    return this.placement.choose({ ...REQUEST, ...part }, this.#nowMs)
       .match((each) => each.targetId, (failure) => failure.name);
   }
 }
@@ -169,6 +179,20 @@
     expect(fixture.choose()).to.equal("t0");
   });
 
+  it("returns to a target that was slow only after its peers", () => {
+    const fixture = new Fixture();
+    fixture.hear({ t0: { tokenMs: 125, running: 0 } });
+    const idle = { t0: { running: 0, tokenMs: undefined } };
+    const free = { running: 0 };
+    fixture.hear({ ...idle, t2: free, t4: free });
+    const chosen = Array.from({ length: 4 }, () => fixture.choose());
+    expect(chosen).not.to.include("t0");
+    const full = { running: 24, queued: 60 };
+    const others = { t1: full, t2: full, t3: full, t4: full, t5: full };
+    fixture.hear({ ...idle, ...others });
+    expect(fixture.choose()).to.equal("t0");
+  });
+
   it("counts its own placements until it hears of them", () => {
     const fixture = new Fixture({ policy: { kind: "least_loaded" } });
     fixture.hear();
--- a/packages/scheduler/src/placement/slow_targets.ts
+++ b/packages/scheduler/src/placement/slow_targets.ts
@@ -9,6 +9,7 @@
 import type { EstimateSettings, SlowTargetPolicy } from "./settings.ts";
 
 const MOST_COMPARED = 64;
+const RETURN_SPEED = 0.6;
 
 /** Sets each target's speed relative to the median of its peers. */
 export function updateSpeeds(
@@ -18,7 +19,7 @@
   const measured: { known: KnownLoad; excess: number }[] = [];
   for (const known of peers) {
     const excess = computeExcess(known, estimate);
-    if (excess === undefined) known.speed = 1;
+    if (excess === undefined) known.speed = computeReturnSpeed(known.speed);
     else measured.push({ known, excess });
   }
   const sample = measured.slice(0, MOST_COMPARED).map((each) => each.excess);
@@ -43,6 +44,14 @@
   }
 }
 
+/**
+ * A target that was slow and isn't observed any more is used again, but after
+ * its peers, until it's observed to be as fast as they are.
+ */
+function computeReturnSpeed(speed: number): number {
+  return speed < 1 ? Math.max(speed, RETURN_SPEED) : 1;
+}
+
 /** The observed time of a token over the usual one at the same batch. */
 function computeExcess(
   known: KnownLoad,
