Go on with cached histories before computing others

Above capacity, programs took turns by attained service, so that each evicted the other's history and computed its own anew. A call whose history is mostly cached now rises by three levels.

--- a/packages/scheduler/src/dispatch/target_dispatcher_test.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher_test.ts
@@ -127,6 +127,16 @@
     expect(fixture.release("a", 30_000)).to.deep.equal(["+old"]);
   });
 
+  it("goes on with a cached history before one to be computed", () => {
+    const fixture = new Fixture();
+    fixture.request("a");
+    fixture.request("b");
+    const history = { attainedMs: 20_000, promptTokens: 4_000 };
+    fixture.request("uncached", history);
+    fixture.request("cached", { ...history, cachedTokens: 3_900 });
+    expect(fixture.release("a")).to.deep.equal(["+cached"]);
+  });
+
   it("follows arrival under first come", () => {
     const fixture = new Fixture({ order: { kind: "first_come" } });
     fixture.request("a");
--- a/packages/scheduler/src/dispatch/waiting_call.ts
+++ b/packages/scheduler/src/dispatch/waiting_call.ts
@@ -29,6 +29,12 @@
   background: 8,
 };
 
+/**
+ * Levels by which a call rises whose history is cached. Work on cached programs
+ * goes on, instead of evicting them in turn and computing each anew.
+ */
+const CACHED_LEVELS = 3;
+
 /** Counts the prompt tokens that the engine has to compute. */
 export function countUncachedTokens(request: SlotRequest): number {
   return Math.max(0, request.promptTokens - request.cachedTokens);
@@ -69,9 +75,11 @@
   order: Extract<OrderPolicy, { kind: "attained_service" }>,
   nowMs: number,
 ): number {
-  const { attainedMs, programClass } = call.request;
+  const { attainedMs, programClass, promptTokens } = call.request;
   const waitedMs = nowMs - call.arrivedAtMs;
   const service = Math.log2(Math.max(1, attainedMs / order.firstLevelMs));
-  const level = CLASS_LEVELS[programClass] + Math.ceil(service);
+  const isCached = call.request.cachedTokens > promptTokens / 2;
+  const level = CLASS_LEVELS[programClass] + Math.ceil(service) -
+    (isCached ? CACHED_LEVELS : 0);
   return level - Math.floor(waitedMs / order.ageingMs);
 }
