Ask for a slot while the acceptance becomes durable

Cause: a call waited for three durable appends in a row, 16 ms each between regions. Change: the slot is asked for when the call is accepted; nothing is sent before the intent is durable, which comes after the acceptance in the ledger. New programs without a key go to a shard of the node that creates them.

--- a/packages/camphorlock/src/node/caller_gateway.ts
+++ b/packages/camphorlock/src/node/caller_gateway.ts
@@ -108,7 +108,10 @@
       ? randomBytes(SUFFIX_BYTES).toString("hex")
       : computeHex(`${partner}/${parentId ?? ""}/${key}`);
     if (parentId === undefined) {
-      return ok(formatProgramId(this.#chooseShard(suffix), suffix));
+      const shard = key === undefined
+        ? this.#chooseOwnShard(suffix)
+        : this.#chooseShard(suffix);
+      return ok(formatProgramId(shard, suffix));
     }
     const shard = parseShardOf(parentId);
     if (shard === undefined) {
@@ -132,6 +135,13 @@
     return this.#options.metrics.render();
   }
 
+  /** A program's first calls often come to the node that created it. */
+  #chooseOwnShard(suffix: string): ShardId {
+    const own = this.#options.core.listServing();
+    const number = Number.parseInt(suffix.slice(0, SHARD_DIGITS), HEX);
+    return own[number % own.length] ?? this.#chooseShard(suffix);
+  }
+
   #chooseShard(suffix: string): ShardId {
     const number = Number.parseInt(suffix.slice(0, SHARD_DIGITS), HEX);
     return number % this.#options.shardCount;
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -24,6 +24,7 @@
   type ProgramView,
   type RequestId,
   type Revision,
+  type ShardId,
   type VmId,
 } from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
@@ -166,6 +167,11 @@
     return this.#hosts.countShards();
   }
 
+  /** Lists the shards that this node serves. */
+  listServing(): ShardId[] {
+    return this.#hosts.listServing();
+  }
+
   /** Whether the node takes new requests, or why not. */
   checkReady(nowMs: number): Result<void, Failure> {
     if (this.#isStopping) {
--- a/packages/scheduler/src/node/shard_hosts.ts
+++ b/packages/scheduler/src/node/shard_hosts.ts
@@ -48,6 +48,13 @@
     return { hosted: hosts.length, serving };
   }
 
+  /** Lists the shards that serve requests. */
+  listServing(): ShardId[] {
+    return [...this.#hosts]
+      .filter(([, host]) => host.isServing)
+      .map(([shard]) => shard);
+  }
+
   /** Starts to host a shard under a new epoch. */
   add(assignment: ShardAssignment, nowMs: number): ShardHostsStep {
     const host = new ShardHost(assignment, this.#parts);
--- a/packages/scheduler/src/owner/call_ender.ts
+++ b/packages/scheduler/src/owner/call_ender.ts
@@ -108,7 +108,6 @@
   stop(running: RunningCall): void {
     const failure = createFailure("ProgramEnded", "the program was ended");
     switch (running.phase) {
-      case "accepting":
       case "queued":
       case "waiting_slot":
       case "intending":
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -51,13 +51,18 @@
     return this.#calls.get(callId);
   }
 
-  /** Adds a call whose acceptance was just appended. */
+  /**
+   * Adds a call whose acceptance was just appended.
+   *
+   * It may ask for a slot at once: nothing is sent before the intent is
+   * durable, and the acceptance comes before it in the ledger.
+   */
   addAccepted(
     program: ProgramState,
     state: CallState,
     shared: HeldReservation,
   ): RunningCall {
-    return this.#add(program, state, { phase: "accepting", shared });
+    return this.#add(program, state, { phase: "queued", shared });
   }
 
   /** Adds a call that an earlier owner left without an outcome. */
@@ -67,12 +72,6 @@
     this.#starter.resume(running);
   }
 
-  /** Takes a call whose acceptance has become durable into the queue. */
-  startAccepted(running: RunningCall): void {
-    if (running.phase === "accepting") running.phase = "queued";
-    this.startNext(running.spec.programId);
-  }
-
   /** Starts every queued call of the program whose turn it is. */
   startNext(programId: ProgramId): void {
     const calls = this.#byProgram.get(programId);
@@ -142,7 +141,7 @@
     program: ProgramState,
     state: CallState,
     options: {
-      readonly phase: "accepting" | "queued";
+      readonly phase: "queued";
       readonly shared?: HeldReservation;
     },
   ): RunningCall {
@@ -241,8 +240,6 @@
         return this.#starter.renew(running);
       case "ending":
         return this.#ender.endPending(running);
-      case "accepting":
-        return;
       default:
         return checkNever(running.phase);
     }
--- a/packages/scheduler/src/owner/request_handler.ts
+++ b/packages/scheduler/src/owner/request_handler.ts
@@ -182,7 +182,6 @@
     const run = program.callsById.size + 1;
     const callId = buildCallId(programId, key, run);
     const stored = buildStoredCall(program, call);
-    let startAccepted = (): void => undefined;
     const appended = this.#context.append([{
       kind: "call_accepted",
       programId,
@@ -191,14 +190,14 @@
       requestDigest: digest,
       reservedMicros,
       ...stored,
-    }], () => startAccepted());
+    }]);
     const state = program.callsById.get(callId);
     if (appended.isErr()) return err(appended.error);
     if (state === undefined) return err(createFailure("Internal", callId));
     const { shared } = asked;
     const running = this.#parts.runner.addAccepted(program, state, shared);
-    startAccepted = () => this.#parts.runner.startAccepted(running);
     this.#context.log("CallAccepted", { programId, callId, reservedMicros });
+    this.#parts.runner.startNext(running.spec.programId);
     return ok(state);
   }
 
--- a/packages/scheduler/src/owner/running_call.ts
+++ b/packages/scheduler/src/owner/running_call.ts
@@ -14,13 +14,11 @@
 /**
  * Where a call stands.
  *
- * `accepting`: its acceptance isn't durable. `queued`: it waits for its turn
- * in the program or for a new try. `waiting_slot`: a dispatcher was asked.
+ * `queued`: it waits for its turn in the program or for a new try. `waiting_slot`: a dispatcher was asked.
  * `intending`: the intent of the attempt isn't durable. `running`: the attempt
  * was sent. `ending`: the outcome isn't durable.
  */
 export type CallPhase =
-  | "accepting"
   | "queued"
   | "waiting_slot"
   | "intending"
