Replace a dead keeper after 20 s instead of 5

Cause: a process that crashes and starts again within seconds cost an epoch of every shard that it kept, and its owners a recovery each, though two of three keepers still held what they must.

Change: keeperGraceMs is 20 s.

--- a/packages/scheduler/src/assignment/settings.ts
+++ b/packages/scheduler/src/assignment/settings.ts
@@ -82,7 +82,7 @@
   backupDelayMs: 1_500,
   proposalsPerSecond: 4,
   unknownGraceMs: 10_000,
-  keeperGraceMs: 5_000,
+  keeperGraceMs: 20_000,
   keeperSpreadMs: 5_000,
   rebalancePeriodMs: 10_000,
   rebalanceMoves: 2,
