--- a/packages/scheduler/src/budget/portion_size.ts
+++ b/packages/scheduler/src/budget/portion_size.ts
@@ -9,7 +9,7 @@
 } from "./budget_object.ts";
 
 /** Times the wanted amount that a first portion has. */
-const FIRST_PORTION_TIMES = 4;
+const FIRST_PORTION_TIMES = 32;
 
 /** Times the last portion that the next one has at most. */
 const LARGEST_GROWTH = 8;
