--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -215,6 +215,8 @@
     if (attempt === undefined) return;
     if (attempt.tokens === 0) {
       attempt.firstTokenMs = this.#context.nowMs - attempt.sentAtMs;
+      // The dispatcher frees the prompt's room at once, not a period later.
+      attempt.renewedAtMs = -Infinity;
     }
     attempt.tokens += event.tokens;
     attempt.unreportedTokens += event.tokens;
