--- a/packages/camphorlock/src/node/operations.ts
+++ b/packages/camphorlock/src/node/operations.ts
@@ -71,11 +71,11 @@
     const { value } = command;
     switch (value.kind) {
       case "show":
-        return await this.#show(value);
+        return await this.#answerShow(value);
       case "stop_program":
         return await this.#options.stopProgram(value.programId);
       case "change":
-        return await this.#change(value.change, {
+        return await this.#runChange(value.change, {
           text: request.statement,
           by: by.value,
           ...(value.ifRevision === undefined
@@ -83,11 +83,11 @@
             : { ifRevision: value.ifRevision }),
         });
       case "explain_call":
-        return await this.#explainCall(value.callId);
+        return await this.#answerCall(value.callId);
       case "explain_charge":
-        return await this.#explainCharge(value.callId);
+        return await this.#answerCharge(value.callId);
       case "explain_program":
-        return await this.#explainProgram(value.programId);
+        return await this.#answerProgram(value.programId);
       case "statement":
         return await this.#options.buildStatement(value);
       default:
@@ -95,7 +95,9 @@
     }
   }
 
-  async #show(command: ShowCommand): Promise<Result<OperateAnswer, Failure>> {
+  async #answerShow(
+    command: ShowCommand,
+  ): Promise<Result<OperateAnswer, Failure>> {
     const rows = await this.#listRows(command);
     return rows.andThen(({ rows: listed, note }) =>
       runQuery(command, listed).map((table) => ({
@@ -119,7 +121,7 @@
       case "programs":
       case "nodes":
       case "shards":
-        return ok(await this.#queryNodes({ kind: subject }));
+        return ok(await this.#listFromNodes({ kind: subject }));
       case "calls":
       case "changes": {
         const detail = `show ${subject}: name one with explain instead`;
@@ -131,7 +133,7 @@
   }
 
   /** Asks every node; those that don't answer in time are named. */
-  async #queryNodes(query: NodeQuery): Promise<ListedRows> {
+  async #listFromNodes(query: NodeQuery): Promise<ListedRows> {
     this.#numbers += 1;
     const requestId = `${this.#options.processName}-query-${this.#numbers}`;
     const waiting = this.waiters.waitRows(requestId);
@@ -144,8 +146,8 @@
   }
 
   /** Explains a call by the decisions that nodes made for it. */
-  async #explainCall(callId: CallId): Promise<Result<OperateAnswer, Failure>> {
-    const { rows, note } = await this.#queryNodes({
+  async #answerCall(callId: CallId): Promise<Result<OperateAnswer, Failure>> {
+    const { rows, note } = await this.#listFromNodes({
       kind: "decisions",
       callId,
     });
@@ -160,7 +162,7 @@
     return ok({ text, data: explanation });
   }
 
-  async #explainCharge(
+  async #answerCharge(
     callId: CallId,
   ): Promise<Result<OperateAnswer, Failure>> {
     const found = await this.#options.findCharge(callId);
@@ -171,10 +173,10 @@
     });
   }
 
-  async #explainProgram(
+  async #answerProgram(
     programId: ProgramId,
   ): Promise<Result<OperateAnswer, Failure>> {
-    const { rows, note } = await this.#queryNodes({ kind: "programs" });
+    const { rows, note } = await this.#listFromNodes({ kind: "programs" });
     const row = rows.find((each) => each.program === programId);
     if (row === undefined) {
       const detail = `program ${programId}${note}`;
@@ -192,7 +194,7 @@
       : core.getConfigurationAsOf(asOf);
   }
 
-  async #change(
+  async #runChange(
     change: ChangeCommand,
     order: {
       readonly text: string;
--- a/packages/nodes/src/fakes.ts
+++ b/packages/nodes/src/fakes.ts
@@ -74,8 +74,8 @@
     this.#server = createServer((inbound) => {
       this.connections += 1;
       const outbound = connect(targetPort, "127.0.0.1");
-      this.#join(inbound, outbound);
-      this.#join(outbound, inbound);
+      this.#connectPair(inbound, outbound);
+      this.#connectPair(outbound, inbound);
     });
   }
 
@@ -89,7 +89,7 @@
   }
 
   /** Forgets the open connections without closing them. */
-  silence(): void {
+  stopForwarding(): void {
     this.#silenced = new Set(this.#sockets);
   }
 
@@ -99,7 +99,7 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
-  #join(from: Socket, to: Socket): void {
+  #connectPair(from: Socket, to: Socket): void {
     this.#sockets.add(from);
     from.on("data", (bytes) => {
       if (!this.#silenced.has(from)) to.write(bytes);
--- a/packages/nodes/src/frame_counter.ts
+++ b/packages/nodes/src/frame_counter.ts
@@ -79,7 +79,7 @@
   }
 
   /** Leaves out a time in which this process itself was paused. */
-  skipPause(pauseMs: number): void {
+  handlePause(pauseMs: number): void {
     for (const frame of this.#unacknowledged) frame.sentAtMs += pauseMs;
   }
 
--- a/packages/nodes/src/peer.ts
+++ b/packages/nodes/src/peer.ts
@@ -83,10 +83,10 @@
   }
 
   /** Sends what waits, or dials when there's no stream. */
-  flush(nowMs: number): void {
+  sendQueued(nowMs: number): void {
     const stream = this.#chooseStream();
     if (stream === undefined) {
-      this.#dialIfDue(nowMs);
+      this.#connectIfDue(nowMs);
       return;
     }
     while (stream.canSend() && !this.queue.isEmpty()) {
@@ -98,13 +98,13 @@
   handleTick(nowMs: number): void {
     this.#dialed?.handleTick(nowMs);
     this.#accepted?.handleTick(nowMs);
-    if (!this.queue.isEmpty() || this.#isInUse(nowMs)) this.flush(nowMs);
+    if (!this.queue.isEmpty() || this.#isInUse(nowMs)) this.sendQueued(nowMs);
   }
 
   /** Leaves out a time in which this process itself was paused. */
-  skipPause(pauseMs: number): void {
-    this.#dialed?.skipPause(pauseMs);
-    this.#accepted?.skipPause(pauseMs);
+  handlePause(pauseMs: number): void {
+    this.#dialed?.handlePause(pauseMs);
+    this.#accepted?.handlePause(pauseMs);
   }
 
   /** Whether nothing is held for the node any more. */
@@ -130,7 +130,7 @@
     return undefined;
   }
 
-  #dialIfDue(nowMs: number): void {
+  #connectIfDue(nowMs: number): void {
     if (this.#dialed !== undefined || nowMs < this.#dialAtMs) return;
     if (this.#address === "") return;
     const { vmId, dial } = this.#options;
--- a/packages/nodes/src/peer_network.ts
+++ b/packages/nodes/src/peer_network.ts
@@ -93,7 +93,7 @@
     this.#credentials = loaded.value;
     const server = createServer(
       this.#settings,
-      (call) => this.#acceptStream(call),
+      (call) => this.#openServerStream(call),
     );
     this.#server = server;
     const { listenAddress } = this.#options;
@@ -120,7 +120,7 @@
     const outcome = peer.queue.add(message.kind, { bytes, nowMs });
     if (outcome === "dropped") this.counts.droppedMessages += 1;
     else this.counts.sentMessages += 1;
-    this.#scheduleFlush(peer);
+    this.#startFlush(peer);
     return outcome;
   }
 
@@ -132,20 +132,20 @@
     for (const peer of this.#peers.values()) peer.close("the node stops");
     this.#peers.clear();
     const server = this.#server;
-    if (server === undefined) return ResultAsync.fromSafePromise(noWait());
+    if (server === undefined) return ResultAsync.fromSafePromise(waitNothing());
     this.#server = undefined;
     server.forceShutdown();
-    return ResultAsync.fromSafePromise(noWait());
+    return ResultAsync.fromSafePromise(waitNothing());
   }
 
-  #acceptStream(call: ServerDuplexStream<Frame, Frame>): void {
+  #openServerStream(call: ServerDuplexStream<Frame, Frame>): void {
     const stream: PeerStream = this.#createStream(createServerCall(call), {
       onOpen: (peer) => this.#getPeer(peer.vmId).setAccepted(stream),
     });
     this.#opening.add(stream);
   }
 
-  #dial(vmId: VmId, address: string): PeerStream {
+  #connectStream(vmId: VmId, address: string): PeerStream {
     const credentials = this.#credentials;
     if (credentials === undefined) throw new Error("the network isn't started");
     const settings = this.#settings;
@@ -177,7 +177,7 @@
         const { vmId, incarnation } = peer;
         const side = use.dialed === undefined ? "accepted" : "dialed";
         this.#log("PeerConnected", { vmId, incarnation, side });
-        this.#scheduleFlush(this.#getPeer(vmId));
+        this.#startFlush(this.#getPeer(vmId));
       },
       onMessage: (message) => {
         this.counts.receivedMessages += 1;
@@ -191,7 +191,7 @@
         this.counts.malformedMessages += 1;
         this.#log("PeerRefused", { vmId: peerId, detail: failure.detail });
       },
-      onWritable: () => this.#scheduleFlush(this.#getPeer(peerId ?? "")),
+      onWritable: () => this.#startFlush(this.#getPeer(peerId ?? "")),
       onEnd: (end) => {
         use.onEnd?.();
         this.#opening.delete(stream);
@@ -232,28 +232,28 @@
     const peer = new Peer({
       vmId,
       settings: this.#settings,
-      dial: (to, address) => this.#dial(to, address),
+      dial: (to, address) => this.#connectStream(to, address),
       readFraction: Math.random,
     });
     this.#peers.set(vmId, peer);
     return peer;
   }
 
-  #scheduleFlush(peer: Peer): void {
-    if (this.#toFlush.size === 0) setImmediate(() => this.#flush());
+  #startFlush(peer: Peer): void {
+    if (this.#toFlush.size === 0) setImmediate(() => this.#sendQueued());
     this.#toFlush.add(peer);
   }
 
-  #flush(): void {
+  #sendQueued(): void {
     const peers = [...this.#toFlush];
     this.#toFlush.clear();
     if (this.#credentials === undefined) return;
     const nowMs = this.#timers.readNowMs();
-    for (const peer of peers) peer.flush(nowMs);
-    this.#tellDrained();
+    for (const peer of peers) peer.sendQueued(nowMs);
+    this.#handleDrained();
   }
 
-  #tellDrained(): void {
+  #handleDrained(): void {
     for (const [vmId, peer] of this.#peers) {
       if (peer.queue.takeDrained()) this.#options.onDrained?.(vmId);
     }
@@ -266,15 +266,15 @@
     const isPaused = sinceMs > this.#settings.pauseGapMs;
     for (const stream of this.#opening) stream.handleTick(nowMs);
     for (const [vmId, peer] of this.#peers) {
-      if (isPaused) peer.skipPause(sinceMs);
+      if (isPaused) peer.handlePause(sinceMs);
       peer.handleTick(nowMs);
-      this.#dropExpired(vmId, { peer, nowMs });
+      this.#removeExpired(vmId, { peer, nowMs });
       if (peer.isForgettable(nowMs)) this.#peers.delete(vmId);
     }
-    this.#tellDrained();
+    this.#handleDrained();
   }
 
-  #dropExpired(vmId: VmId, at: { peer: Peer; nowMs: number }): void {
+  #removeExpired(vmId: VmId, at: { peer: Peer; nowMs: number }): void {
     const count = at.peer.queue.removeExpired(at.nowMs);
     if (count === 0) return;
     this.counts.droppedMessages += count;
@@ -297,6 +297,6 @@
   return address.slice(0, address.lastIndexOf(":"));
 }
 
-function noWait(): Promise<void> {
+function waitNothing(): Promise<void> {
   return Promise.resolve();
 }
--- a/packages/nodes/src/peer_network_test.ts
+++ b/packages/nodes/src/peer_network_test.ts
@@ -175,7 +175,7 @@
     closers.push(() => proxy.stop());
     a.network.send("vm-b", address, MESSAGE);
     await waitUntil(() => b.received.length === 1);
-    proxy.silence();
+    proxy.stopForwarding();
     a.network.send("vm-b", address, { ...MESSAGE, number: 2 });
     await waitUntil(() => a.network.counts.sentMessages === 2);
     timers.runFor(3_000);
@@ -194,7 +194,7 @@
     closers.push(() => proxy.stop());
     a.network.send("vm-b", address, MESSAGE);
     await waitUntil(() => b.received.length === 1);
-    proxy.silence();
+    proxy.stopForwarding();
     b.network.send("vm-a", a.address, MESSAGE);
     await waitUntil(() => b.network.counts.sentMessages === 1);
     timers.runFor(3_000);
--- a/packages/nodes/src/peer_stream.ts
+++ b/packages/nodes/src/peer_stream.ts
@@ -117,12 +117,12 @@
       this.#end("silent", "a frame was left unacknowledged");
       return;
     }
-    this.#keepAlive(nowMs);
+    this.#checkAlive(nowMs);
   }
 
   /** Leaves out a time in which this process itself was paused. */
-  skipPause(pauseMs: number): void {
-    this.#counter.skipPause(pauseMs);
+  handlePause(pauseMs: number): void {
+    this.#counter.handlePause(pauseMs);
   }
 
   /** Closes the stream. */
@@ -130,7 +130,7 @@
     this.#end("closed", detail);
   }
 
-  #keepAlive(nowMs: number): void {
+  #checkAlive(nowMs: number): void {
     const { settings } = this.#options;
     const idleMs = nowMs - this.#lastUsedMs;
     const isDialed = this.#options.dialed !== undefined;
--- a/packages/operators/src/parse_statement.ts
+++ b/packages/operators/src/parse_statement.ts
@@ -53,7 +53,9 @@
   parser.problems = [];
   const command = parser.statement();
   const error = parser.errors[0];
-  if (error !== undefined) return err(explainToken(text, tokens, error.token));
+  if (error !== undefined) {
+    return err(buildTokenFailure(text, tokens, error.token));
+  }
   const problem = parser.problems[0];
   if (problem === undefined) return ok(command);
   return err(buildFailure({
@@ -64,7 +66,7 @@
   }));
 }
 
-function explainToken(
+function buildTokenFailure(
   text: string,
   tokens: readonly IToken[],
   token: IToken,
--- a/packages/operators/src/render_table.ts
+++ b/packages/operators/src/render_table.ts
@@ -20,7 +20,7 @@
   const lines = [head, ...texts].map((row) => {
     const cells = row.map((text, index) => {
       const type = columns[index]?.type ?? "text";
-      return alignCell(text, { type, width: widths[index] ?? 0 });
+      return formatCell(text, { type, width: widths[index] ?? 0 });
     });
     return cells.join(COLUMN_GAP).trimEnd();
   });
@@ -96,7 +96,7 @@
   }
 }
 
-function alignCell(
+function formatCell(
   text: string,
   options: { readonly type: ColumnType; readonly width: number },
 ): string {
--- a/packages/scheduler/src/agreement/charge_outbox.ts
+++ b/packages/scheduler/src/agreement/charge_outbox.ts
@@ -126,7 +126,7 @@
       case "writing":
         return this.#write(this.#state.batch, nowMs);
       case "resting":
-        return this.#publish(nowMs);
+        return this.#sendBatch(nowMs);
       default:
         return checkNever(this.#state);
     }
@@ -171,7 +171,7 @@
   #endList(nowMs: number): readonly Effect[] {
     const after = this.#state.kind === "listing" ? this.#state.after : 0;
     if (after > this.#last.number) return this.#read(after, nowMs);
-    return this.#rest(nowMs);
+    return this.#startRest(nowMs);
   }
 
   #read(number: number, nowMs: number): readonly Effect[] {
@@ -186,10 +186,10 @@
     const batch = decodeBatch(answer.object.value);
     if (batch.isErr()) return this.#wait(nowMs);
     this.#setLast(batch.value);
-    return this.#rest(nowMs);
+    return this.#startRest(nowMs);
   }
 
-  #publish(nowMs: number): readonly Effect[] {
+  #sendBatch(nowMs: number): readonly Effect[] {
     const first = this.#pending[0];
     if (first === undefined) return [];
     return this.#write(this.#buildBatch(first), nowMs);
@@ -237,13 +237,13 @@
     if (answer.kind !== "stored") return this.#wait(nowMs);
     const replaced = this.#last;
     this.#setLast(batch);
-    const effects = this.#trim(replaced, batch);
-    this.#rest(nowMs);
+    const effects = this.#removeReplaced(replaced, batch);
+    this.#startRest(nowMs);
     return effects;
   }
 
   /** Drops the batch that a later one of the same day replaces. */
-  #trim(replaced: ChargeBatch, by: ChargeBatch): readonly Effect[] {
+  #removeReplaced(replaced: ChargeBatch, by: ChargeBatch): readonly Effect[] {
     if (replaced.number === 0 || replaced.day !== by.day) return [];
     const key = formatBatchKey(this.#shard, replaced.number);
     const condition = { kind: "any" } as const;
@@ -264,7 +264,7 @@
     }
   }
 
-  #rest(nowMs: number): readonly Effect[] {
+  #startRest(nowMs: number): readonly Effect[] {
     this.#state = { kind: "resting" };
     this.#dueAtMs = nowMs + this.#publishEveryMs;
     return [];
--- a/packages/scheduler/src/assignment/fake_cluster.ts
+++ b/packages/scheduler/src/assignment/fake_cluster.ts
@@ -103,7 +103,7 @@
     });
     this.nodes.set(spec.vmId, { spec, assigner, paused: false });
     this.setState(spec, "alive");
-    this.#tellView(spec.vmId);
+    this.#sendView(spec.vmId);
   }
 
   /** Ends a process without a word; the others find out later. */
@@ -113,7 +113,7 @@
     this.nodes.delete(vmId);
     const delayMs = DETECTION_MS +
       this.#random.chooseIndex(DETECTION_SPREAD_MS);
-    this.#schedule(delayMs, () => {
+    this.#addWork(delayMs, () => {
       const current = this.#states.get(vmId);
       if (current?.spec.incarnation !== node.spec.incarnation) return;
       this.setState(node.spec, "dead");
@@ -131,7 +131,7 @@
     this.#states.set(spec.vmId, { spec, state, revision: 0 });
     for (const vmId of this.nodes.keys()) {
       const delayMs = this.#random.chooseIndex(DETECTION_SPREAD_MS);
-      this.#schedule(delayMs, () => this.#tellView(vmId));
+      this.#addWork(delayMs, () => this.#sendView(vmId));
     }
   }
 
@@ -146,7 +146,7 @@
     const node = this.nodes.get(vmId);
     if (node === undefined) return;
     if (node.paused) {
-      this.#schedule(TICK_MS, () => this.handle(vmId, input));
+      this.#addWork(TICK_MS, () => this.handle(vmId, input));
       return;
     }
     const { effects, notices } = node.assigner.handle(input, this.nowMs);
@@ -197,7 +197,7 @@
     }
   }
 
-  #tellView(vmId: VmId): void {
+  #sendView(vmId: VmId): void {
     if (!this.nodes.has(vmId)) return;
     const nodes = [...this.#states.values()];
     const view: MembershipView = { self: vmId, nodes };
@@ -214,7 +214,7 @@
     const { assignment } = notice;
     this.claims.push({ assignment, vmId, incarnation });
     const { shard, epoch } = assignment;
-    this.#schedule(RECOVERY_MS, () => {
+    this.#addWork(RECOVERY_MS, () => {
       if (this.nodes.get(vmId) !== node) return;
       this.handle(vmId, { kind: "recovered", shard, epoch });
     });
@@ -230,7 +230,7 @@
     this.messages += 1;
     if (this.#isUnlucky(this.#options.lostMessages)) return;
     const { to, message } = sent;
-    this.#schedule(this.#chooseDelay(PEER_DELAY_MS), () => {
+    this.#addWork(this.#chooseDelay(PEER_DELAY_MS), () => {
       this.handle(to, { kind: "peer", from, message });
     });
   }
@@ -244,16 +244,16 @@
   ): void {
     const { vmId } = node.spec;
     this.onRequest(vmId, effect.request);
-    this.#schedule(this.#chooseDelay(PLATFORM_DELAY_MS), () => {
+    this.#addWork(this.#chooseDelay(PLATFORM_DELAY_MS), () => {
       const fault = this.#chooseFault();
       const receive = (answer: PlatformAnswer): void =>
-        this.#schedule(this.#chooseDelay(PLATFORM_DELAY_MS), () => {
+        this.#addWork(this.#chooseDelay(PLATFORM_DELAY_MS), () => {
           if (this.nodes.get(vmId) !== node) return;
           this.handle(vmId, { kind: "platform", token: effect.token, answer });
         });
       this.platform.receive(effect.request, fault, receive);
       if (effect.request.kind !== "watch") return;
-      this.#schedule(WATCH_MS, () => this.platform.endWatch(receive));
+      this.#addWork(WATCH_MS, () => this.platform.endWatch(receive));
     });
   }
 
@@ -271,7 +271,7 @@
     return leastMs + this.#random.chooseIndex(DELAY_SPREAD_MS);
   }
 
-  #schedule(delayMs: number, run: () => void): void {
+  #addWork(delayMs: number, run: () => void): void {
     const atMs = this.nowMs + Math.max(delayMs, 1);
     const events = this.#events.get(atMs) ?? [];
     events.push({ run });
--- a/packages/scheduler/src/assignment/fake_platform.ts
+++ b/packages/scheduler/src/assignment/fake_platform.ts
@@ -102,7 +102,7 @@
         return { kind: "found", object };
       }
       case "put":
-        return this.#put(request);
+        return this.#writeObject(request);
       case "list":
         return { kind: "listed", keys: this.#listKeys(request.prefix, 0) };
       case "delete":
@@ -110,7 +110,9 @@
     }
   }
 
-  #put(request: Extract<PlatformRequest, { kind: "put" }>): PlatformAnswer {
+  #writeObject(
+    request: Extract<PlatformRequest, { kind: "put" }>,
+  ): PlatformAnswer {
     const { key, value, condition } = request;
     const version = this.#objects.get(key)?.version ?? 0;
     const expected = condition.kind === "version"
--- a/packages/scheduler/src/assignment/fleet.ts
+++ b/packages/scheduler/src/assignment/fleet.ts
@@ -50,17 +50,17 @@
     const { incarnation } = node.spec;
     if (incarnation > assignment.ownerIncarnation) return "gone";
     if (incarnation < assignment.ownerIncarnation) return "unknown";
-    return rateState(node);
+    return computeStateRank(node);
   }
 
   /** Rates a keeper, whichever process runs on its VM. */
   getKeeperStanding(vmId: VmId): Standing {
     const node = this.#nodes.get(vmId);
-    return node === undefined ? "unknown" : rateState(node);
+    return node === undefined ? "unknown" : computeStateRank(node);
   }
 }
 
-function rateState(node: NodeView): Standing {
+function computeStateRank(node: NodeView): Standing {
   if (node.state === "dead") return "gone";
   return node.state === "leaving" ? "leaving" : "present";
 }
--- a/packages/scheduler/src/assignment/group_reader.ts
+++ b/packages/scheduler/src/assignment/group_reader.ts
@@ -56,7 +56,7 @@
   /** Builds the calls that are due. */
   buildCalls(nowMs: number): Effect[] {
     const effects: Effect[] = [];
-    if (this.#isPollDue(nowMs)) effects.push(this.#poll(nowMs));
+    if (this.#isPollDue(nowMs)) effects.push(this.#readIfDue(nowMs));
     if (this.#isWatchDue(nowMs)) effects.push(this.#watch(nowMs));
     for (const state of this.#parts.groups.list()) {
       if (state.busy || state.readAtMs === undefined) continue;
@@ -75,7 +75,7 @@
   }
 
   /** Asks for a read of a shard's group, not too soon after the last. */
-  requestRead(shard: ShardId, nowMs: number): void {
+  startRead(shard: ShardId, nowMs: number): void {
     const { groups, settings } = this.#parts;
     const state = groups.findOf(shard);
     if (state === undefined) return;
@@ -119,7 +119,7 @@
     return this.#isWatcher && !this.#isWatching && nowMs >= this.#nextWatchMs;
   }
 
-  #poll(nowMs: number): Effect {
+  #readIfDue(nowMs: number): Effect {
     this.#isListing = true;
     const limit = this.#parts.groups.list().length;
     return this.#parts.calls.open({ kind: "list" }, {
--- a/packages/scheduler/src/assignment/proposer.ts
+++ b/packages/scheduler/src/assignment/proposer.ts
@@ -60,12 +60,12 @@
   }
 
   /** Decides what to do about a group at this time. */
-  decide(state: GroupState, nowMs: number): GroupDecision {
+  chooseProposal(state: GroupState, nowMs: number): GroupDecision {
     if (state.isSettled) return WAIT;
     const { shardIds } = state;
     const { notes } = this.#parts;
     const takesOver = this.#isTurn(state, nowMs);
-    const owns = this.#ownsSome(state);
+    const owns = this.#hasOwned(state);
     const hasNotes = notes.hasSome(shardIds);
     const replacesKeepers = owns && this.#isKeeperTurn(state, nowMs);
     if (!takesOver && !hasNotes && !replacesKeepers) {
@@ -74,14 +74,14 @@
       return WAIT;
     }
     const changes = this.#plan(state, { takesOver, replacesKeepers, nowMs });
-    if (changes.length > 0) return this.#decideOn(state, { changes, nowMs });
+    if (changes.length > 0) return this.#chooseFor(state, { changes, nowMs });
     state.isSettled = replacesKeepers && !hasNotes &&
       state.needSinceMs === undefined && !this.#hasUnknown(state) &&
       this.#hasKeepers(state);
     return WAIT;
   }
 
-  #decideOn(
+  #chooseFor(
     state: GroupState,
     plan: { changes: readonly PlannedChange[]; nowMs: number },
   ): GroupDecision {
@@ -162,7 +162,7 @@
     return (nowMs + offsetMs) % keeperSpreadMs < 2 * planPeriodMs;
   }
 
-  #ownsSome(state: GroupState): boolean {
+  #hasOwned(state: GroupState): boolean {
     const { table } = this.#parts;
     return state.shardIds.some((shard) => table.findOwned(shard) !== undefined);
   }
--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -150,7 +150,7 @@
 
   #readIfOlder(shard: ShardId, knownEpoch: Epoch): void {
     const epoch = this.#table.find(shard)?.epoch ?? 0;
-    if (epoch < knownEpoch) this.#reader.requestRead(shard, this.#nowMs);
+    if (epoch < knownEpoch) this.#reader.startRead(shard, this.#nowMs);
   }
 
   #handleTick(): void {
@@ -160,10 +160,10 @@
     }
     if (this.#calls.canCall(this.#nowMs)) {
       this.#effects.push(...this.#reader.buildCalls(this.#nowMs));
-      this.#propose();
+      this.#sendProposals();
     }
-    this.#handOver();
-    this.#spreadNews();
+    this.#sendOffers();
+    this.#sendNews();
   }
 
   #canPropose(): boolean {
@@ -171,20 +171,20 @@
     return !this.#isCutOff && sinceMs >= this.#settings.settleMs;
   }
 
-  #propose(): void {
+  #sendProposals(): void {
     if (this.#nowMs < this.#nextPlanMs) return;
     this.#nextPlanMs = this.#nowMs + this.#settings.planPeriodMs;
     if (!this.#canPropose()) return;
     for (const state of this.#groups.list()) {
       if (state.busy || state.version === undefined) continue;
       if (state.readAtMs !== undefined) continue;
-      if (this.#nowMs >= state.proposeAtMs) this.#proposeFor(state);
+      if (this.#nowMs >= state.proposeAtMs) this.#sendProposal(state);
     }
   }
 
-  #proposeFor(state: GroupState): void {
+  #sendProposal(state: GroupState): void {
     const nowMs = this.#nowMs;
-    const decision = this.#proposer.decide(state, nowMs);
+    const decision = this.#proposer.chooseProposal(state, nowMs);
     if (decision.kind === "wait") return;
     if (decision.kind === "read") {
       this.#effects.push(this.#reader.read(state, nowMs));
@@ -197,7 +197,7 @@
     this.#effects.push({ kind: "log", record });
   }
 
-  #handOver(): void {
+  #sendOffers(): void {
     const fleet = this.#proposer.getFleet();
     const offers = this.#handover.buildOffers(fleet, {
       nowMs: this.#nowMs,
@@ -209,7 +209,7 @@
     }
   }
 
-  #spreadNews(): void {
+  #sendNews(): void {
     if (this.#news.isEmpty()) return;
     const { candidateIds } = this.#proposer.getFleet();
     const others = candidateIds.filter((vmId) => vmId !== this.#self.vmId);
@@ -327,7 +327,7 @@
     this.#groups.setUnsettledOf(assignment.shard);
     this.#news.add(assignment);
     if (!this.#table.isOwn(assignment)) return;
-    this.#reader.requestRead(assignment.shard, this.#nowMs);
+    this.#reader.startRead(assignment.shard, this.#nowMs);
   }
 
   #handleOffer(from: VmId, shards: readonly ShardId[]): void {
@@ -338,7 +338,7 @@
       this.#groups.setUnsettledOf(shard);
       const stored = this.#groups.findOf(shard)?.stored.get(shard);
       if (stored?.assignment.owner === from) continue;
-      this.#reader.requestRead(shard, nowMs);
+      this.#reader.startRead(shard, nowMs);
     }
     this.#nextPlanMs = nowMs;
   }
--- a/packages/scheduler/src/budget/budget_portions.ts
+++ b/packages/scheduler/src/budget/budget_portions.ts
@@ -168,7 +168,7 @@
       if (open.deadlineMs > nowMs) continue;
       this.#open.delete(number);
       const answer = { kind: "failed", reason: "lost" } as const;
-      effects.push(...this.#advance(open.portion, { answer, nowMs }));
+      effects.push(...this.#applyAnswer(open.portion, { answer, nowMs }));
     }
     const idleMs = this.#computeHorizonMs() * IDLE_HORIZONS;
     const due: Portion[] = [];
@@ -205,13 +205,13 @@
     this.#pace.record(event.answer);
     const { portion } = open;
     const beforeMicros = portion.heldMicros;
-    const effects = this.#advance(portion, event);
+    const effects = this.#applyAnswer(portion, event);
     const hasChanged = portion.heldMicros > beforeMicros ||
       portion.isExhausted(event.nowMs);
     return { effects, grown: hasChanged ? [portion.key] : [] };
   }
 
-  #advance(
+  #applyAnswer(
     portion: Portion,
     event: { readonly answer: PlatformAnswer; readonly nowMs: number },
   ): readonly Effect[] {
--- a/packages/scheduler/src/budget/portion.ts
+++ b/packages/scheduler/src/budget/portion.ts
@@ -107,10 +107,10 @@
     if (this.#account.reserve(micros)) {
       this.#spentSinceDrawMicros += micros;
       const least = this.#lastPortionMicros * DRAW_AHEAD_PART;
-      if (this.restMicros < least) this.#want(micros);
+      if (this.restMicros < least) this.#computeWanted(micros);
       return true;
     }
-    this.#want(micros);
+    this.#computeWanted(micros);
     return false;
   }
 
@@ -167,7 +167,7 @@
     }
   }
 
-  #want(micros: Micros): void {
+  #computeWanted(micros: Micros): void {
     this.#wantedMicros = Math.max(this.#wantedMicros, micros);
   }
 
@@ -244,7 +244,7 @@
     answer: PlatformAnswer,
     nowMs: number,
   ): PlatformRequest | undefined {
-    if (answer.kind === "stored") return this.#credit(change, nowMs);
+    if (answer.kind === "stored") return this.#addDrawn(change, nowMs);
     if (answer.kind === "conflict") this.#conflicts += 1;
     return this.#wait(nowMs, change);
   }
@@ -256,16 +256,16 @@
   ): PlatformRequest | undefined {
     const stored = readStored(answer);
     if (stored === undefined) return this.#wait(nowMs, change);
-    if (hasChange(stored.budget, change)) return this.#credit(change, nowMs);
+    if (hasChange(stored.budget, change)) return this.#addDrawn(change, nowMs);
     if (stored.version === change.version) return this.#write(change);
     // Without an entry a return can't be told from one that was merged away.
     const isForgotten = findHolder(stored.budget, change) === undefined;
-    if (change.micros < 0 && isForgotten) return this.#credit(change, nowMs);
+    if (change.micros < 0 && isForgotten) return this.#addDrawn(change, nowMs);
     this.#account.returningMicros = 0;
     return this.#read();
   }
 
-  #credit(change: OpenChange, nowMs: number): undefined {
+  #addDrawn(change: OpenChange, nowMs: number): undefined {
     this.#conflicts = 0;
     this.#account.heldMicros += change.micros;
     this.#account.returningMicros = 0;
--- a/packages/scheduler/src/configuration/configuration.ts
+++ b/packages/scheduler/src/configuration/configuration.ts
@@ -137,7 +137,9 @@
       default:
         checkNever(input);
     }
-    if (this.#history.revision > this.#reportedRevision) this.#reportInForce();
+    if (this.#history.revision > this.#reportedRevision) {
+      this.#addInForceNotice();
+    }
     if (canChangeFreshness(input)) this.#updateFreshness(nowMs);
     return this.#takeStep();
   }
@@ -169,11 +171,11 @@
   #handleHead(nowMs: number): void {
     if (!this.#reader.isIdle) return;
     this.#addStep(this.#proposals.handleHead(nowMs), nowMs);
-    this.#proposeInitial(nowMs);
+    this.#sendInitial(nowMs);
   }
 
   /** Stores the deployment's first configuration where there's none. */
-  #proposeInitial(nowMs: number): void {
+  #sendInitial(nowMs: number): void {
     const { initial } = this.#options;
     if (initial === undefined || this.#initialProposed) return;
     if (this.#history.revision > 0) return;
@@ -200,7 +202,7 @@
     }
     this.#effects.push(...this.#reader.handleTick(nowMs));
     this.#addStep(this.#proposals.handleTick(nowMs), nowMs);
-    this.#poll(nowMs);
+    this.#readIfDue(nowMs);
     this.#effects.push(...this.#watch.start(nowMs));
     this.#effects.push(...this.#spreader.sendRequest(nowMs));
     this.#notices.push(...this.#reports.takeDue(this.#peers, nowMs));
@@ -208,11 +210,11 @@
     this.#effects.push(...this.#spreader.sendRequests(asked));
   }
 
-  #poll(nowMs: number): void {
+  #readIfDue(nowMs: number): void {
     const isDue = this.#polls.takeDue({
       nowMs,
       nodes: this.#peers.count + 1,
-      hearsMost: this.#hearsMost(nowMs),
+      hearsMost: this.#hasHeardMost(nowMs),
       headSeenAtMs: this.#reader.headSeenAtMs,
     });
     if (isDue) this.#effects.push(...this.#reader.start(nowMs));
@@ -230,7 +232,7 @@
       highestHeard: this.#peers.highestRevision,
       headSeenAtMs: this.#reader.headSeenAtMs,
       platformFailedSinceMs: this.#reader.failedSinceMs,
-      hearsMost: this.#hearsMost(nowMs),
+      hearsMost: this.#hasHeardMost(nowMs),
     }, nowMs);
     if (state === "ready") {
       this.#notices.push({ kind: "ready", revision: this.revision });
@@ -241,7 +243,7 @@
   }
 
   /** Tells the node and some peers of the revision that came into force. */
-  #reportInForce(): void {
+  #addInForceNotice(): void {
     const { revision, value } = this.#history;
     const fresh = this.#history.listAfter(this.#reportedRevision);
     const isSingle = revision === this.#reportedRevision + 1;
@@ -273,7 +275,7 @@
     this.#notices.push(notice);
   }
 
-  #hearsMost(nowMs: number): boolean {
+  #hasHeardMost(nowMs: number): boolean {
     const withinMs = this.#options.heardWithinMs ?? HEARD_WITHIN_MS;
     return this.#peers.hasMost(nowMs - withinMs);
   }
--- a/packages/scheduler/src/configuration/history.ts
+++ b/packages/scheduler/src/configuration/history.ts
@@ -98,7 +98,7 @@
     const base = this.#findBase(revision);
     const start = this.#held.get(base)?.value;
     if (start === undefined) return err(this.#buildUnavailable(revision));
-    return ok(this.#foldFrom(start, { base, revision }));
+    return ok(this.#applyFrom(start, { base, revision }));
   }
 
   /** The nearest held revision at or before this one that has its value. */
@@ -111,7 +111,7 @@
     return base;
   }
 
-  #foldFrom(
+  #applyFrom(
     start: ConfigurationValue,
     range: { readonly base: Revision; readonly revision: Revision },
   ): ConfigurationValue {
--- a/packages/scheduler/src/configuration/proposal.ts
+++ b/packages/scheduler/src/configuration/proposal.ts
@@ -112,7 +112,7 @@
     if (this.#state.kind !== "waiting" || this.#state.untilMs > nowMs) {
       return mergeSteps(queued, active);
     }
-    const retry = this.#ask(this.#state.attempt, this.#state.phase);
+    const retry = this.#sendQuestion(this.#state.attempt, this.#state.phase);
     return mergeSteps(mergeSteps(queued, active), retry);
   }
 
@@ -120,7 +120,7 @@
   handleHead(nowMs: number): ProposalStep {
     this.#nowMs = nowMs;
     if (this.#state.kind !== "behind") return NOTHING;
-    return this.#propose(this.#state.proposal);
+    return this.#sendProposal(this.#state.proposal);
   }
 
   /** Takes the answer to the one open request of the proposals. */
@@ -151,9 +151,9 @@
     return { ...NOTHING, needsRead: true };
   }
 
-  #propose(proposal: Proposal): ProposalStep {
+  #sendProposal(proposal: Proposal): ProposalStep {
     const stored = this.#history.findChange(proposal.changeId);
-    if (stored !== undefined) return this.#accept(proposal, stored);
+    if (stored !== undefined) return this.#settleAccepted(proposal, stored);
     const record = buildNextRecord(this.#history, proposal);
     if (record.isErr()) return this.#refuse(proposal, record.error);
     const bytes = encodeRecord(record.value);
@@ -166,10 +166,10 @@
       bytes,
       mayBeStored: false,
     };
-    return this.#ask(attempt, "writing");
+    return this.#sendQuestion(attempt, "writing");
   }
 
-  #ask(attempt: Attempt, phase: Phase): ProposalStep {
+  #sendQuestion(attempt: Attempt, phase: Phase): ProposalStep {
     this.#state = { kind: "asked", phase, attempt };
     const request = buildRequest(attempt, phase);
     const options = { purpose: "proposal", nowMs: this.#nowMs } as const;
@@ -184,8 +184,12 @@
 
   #handleWritten(attempt: Attempt, answer: PlatformAnswer): ProposalStep {
     const stored = { ...attempt, mayBeStored: true };
-    if (answer.kind === "stored") return this.#ask(stored, "confirming");
-    if (answer.kind === "conflict") return this.#ask(attempt, "reading");
+    if (answer.kind === "stored") {
+      return this.#sendQuestion(stored, "confirming");
+    }
+    if (answer.kind === "conflict") {
+      return this.#sendQuestion(attempt, "reading");
+    }
     const isLost = answer.kind !== "failed" || answer.reason === "lost";
     if (!isLost) return this.#wait(attempt, "writing");
     return this.#wait(stored, "reading");
@@ -194,7 +198,7 @@
   #handleRead(attempt: Attempt, answer: PlatformAnswer): ProposalStep {
     if (answer.kind === "found") return this.#settle(attempt, answer.object);
     // A lost write may still be on its way: only a stored name settles it.
-    if (answer.kind === "absent") return this.#ask(attempt, "writing");
+    if (answer.kind === "absent") return this.#sendQuestion(attempt, "writing");
     return this.#wait(attempt, "reading");
   }
 
@@ -203,7 +207,10 @@
     if (decoded.isErr()) return this.#wait(attempt, "reading");
     const record = decoded.value;
     if (record.changeId === attempt.proposal.changeId) {
-      return this.#ask({ ...attempt, mayBeStored: true }, "confirming");
+      return this.#sendQuestion(
+        { ...attempt, mayBeStored: true },
+        "confirming",
+      );
     }
     this.#history.apply(record);
     return this.#handleLostRace(attempt.proposal, record);
@@ -225,8 +232,11 @@
       next === formatRevisionKey(revision + 1);
     if (!isChained) return this.#endUncertain(attempt.proposal);
     this.#history.apply(attempt.record);
-    const step = this.#accept(attempt.proposal, revision);
-    return mergeSteps({ ...NOTHING, effects: this.#trim(revision) }, step);
+    const step = this.#settleAccepted(attempt.proposal, revision);
+    return mergeSteps(
+      { ...NOTHING, effects: this.#removeOldest(revision) },
+      step,
+    );
   }
 
   /** Later revisions exist but the next one is trimmed: too late to tell. */
@@ -235,7 +245,7 @@
     return mergeSteps(step, this.#startNext());
   }
 
-  #trim(revision: Revision): readonly Effect[] {
+  #removeOldest(revision: Revision): readonly Effect[] {
     const oldest = revision - this.#keptRevisions;
     if (oldest < 1) return [];
     const request: PlatformRequest = {
@@ -247,7 +257,7 @@
     return [this.#calls.send(request, options)];
   }
 
-  #accept(proposal: Proposal, revision: Revision): ProposalStep {
+  #settleAccepted(proposal: Proposal, revision: Revision): ProposalStep {
     const { requestId } = proposal.input;
     const { changeId } = proposal;
     const step: ProposalStep = {
--- a/packages/scheduler/src/dispatch/concurrency_limit.ts
+++ b/packages/scheduler/src/dispatch/concurrency_limit.ts
@@ -75,28 +75,28 @@
       : 1_000;
     if (nowMs - this.#windowStartMs < windowMs) return;
     this.#windowStartMs = nowMs;
-    if (this.#tokens < MIN_TOKENS) return this.#clearIdle(window, nowMs);
+    if (this.#tokens < MIN_TOKENS) return this.#removeIdle(window, nowMs);
     this.#observedAtMs = nowMs;
     const observedMs = this.#streamMs / this.#tokens;
     const before = this.#tokenMs ?? observedMs;
     this.#tokenMs = before + SMOOTHING * (observedMs - before);
     this.#streamMs = 0;
     this.#tokens = 0;
-    this.#adapt(observedMs, window);
+    this.#updateSlots(observedMs, window);
   }
 
   /**
    * Forgets what was observed of an idle target. A slow target is thereby given
    * a few calls again, as many as the limit has left.
    */
-  #clearIdle(window: LimitWindow, nowMs: number): void {
+  #removeIdle(window: LimitWindow, nowMs: number): void {
     if (window.running > 0) return;
     if (nowMs - this.#observedAtMs > FORGET_AFTER_MS) this.#tokenMs = undefined;
     this.#streamMs = 0;
     this.#tokens = 0;
   }
 
-  #adapt(observedMs: number, window: LimitWindow): void {
+  #updateSlots(observedMs: number, window: LimitWindow): void {
     switch (this.#policy.kind) {
       case "none":
       case "fixed":
--- a/packages/scheduler/src/dispatch/fair_share.ts
+++ b/packages/scheduler/src/dispatch/fair_share.ts
@@ -37,7 +37,7 @@
       case "none":
         return [];
       case "weighted":
-        this.#limitLead(waiting);
+        this.#setMostLead(waiting);
         return PARTNERS.filter((each) => fitting.has(each))
           .sort((left, right) =>
             this.#getServed(left) - this.#getServed(right)
@@ -60,7 +60,7 @@
    * A partner without waiting calls doesn't collect a claim without bound.
    * Between partners that both wait, every difference is made good.
    */
-  #limitLead(waiting: ReadonlySet<Partner>): void {
+  #setMostLead(waiting: ReadonlySet<Partner>): void {
     const served = [...waiting].map((each) => this.#getServed(each));
     const least = Math.min(...served) - MAX_LEAD_MS;
     if (!Number.isFinite(least)) return;
--- a/packages/scheduler/src/dispatch/target_dispatcher.ts
+++ b/packages/scheduler/src/dispatch/target_dispatcher.ts
@@ -90,7 +90,7 @@
     this.#isLeaving = isLeaving;
     if (!isLeaving) return [];
     return this.#queue.list().flatMap((call) =>
-      this.#dropCall(call, "leaving")
+      this.#refuseCall(call, "leaving")
     );
   }
 
@@ -115,7 +115,7 @@
     const number = this.#number;
     const times = { arrivedAtMs: nowMs, heardAtMs: nowMs };
     const call = { from, request, ...times, number };
-    return [...this.#admit(call, nowMs), ...this.#grantSlots(nowMs)];
+    return [...this.#addOrRefuse(call, nowMs), ...this.#grantSlots(nowMs)];
   }
 
   /** Prolongs a slot and records the tokens that its stream gave. */
@@ -127,7 +127,7 @@
     const { attemptId, tokens } = renewal;
     if (this.#ended.has(attemptId)) return [];
     const slot = this.#running.find(attemptId) ??
-      this.#adoptSlot(from, attemptId, nowMs);
+      this.#takeOverSlot(from, attemptId, nowMs);
     if (tokens > 0) this.#recordTokens(slot, tokens, nowMs);
     slot.expiresAtMs = this.#computeExpiry(nowMs);
     slot.renewedAtMs = nowMs;
@@ -162,7 +162,7 @@
     }
     const oldestMs = nowMs - this.#settings.waitLifeMs;
     for (const call of this.#queue.listSilent(oldestMs)) {
-      effects.push(...this.#dropCall(call, "expired"));
+      effects.push(...this.#refuseCall(call, "expired"));
     }
     this.#limit.update({
       wasBinding: this.#wasBinding,
@@ -191,22 +191,22 @@
     };
   }
 
-  #admit(call: WaitingCall, nowMs: number): Effect[] {
+  #addOrRefuse(call: WaitingCall, nowMs: number): Effect[] {
     const { queue } = this.#settings;
     if (queue.kind === "unbounded") {
       this.#queue.add(call);
       return [];
     }
-    if (isFresh(call.request) && this.#waitsTooLong(call, nowMs)) {
-      return this.#dropCall(call, "queue_full");
+    if (isFresh(call.request) && this.#isWaitTooLong(call, nowMs)) {
+      return this.#refuseCall(call, "queue_full");
     }
     this.#queue.add(call);
     if (this.#queue.size <= queue.mostWaiting) return [];
     const victim = this.#queue.findLeastUrgent(nowMs) ?? call;
-    return this.#dropCall(victim, "queue_full");
+    return this.#refuseCall(victim, "queue_full");
   }
 
-  #waitsTooLong(call: WaitingCall, nowMs: number): boolean {
+  #isWaitTooLong(call: WaitingCall, nowMs: number): boolean {
     const { queue } = this.#settings;
     if (queue.kind === "unbounded") return false;
     if (this.#running.size < this.#limit.slots) return false;
@@ -252,13 +252,13 @@
     return nowMs + this.#settings.grantLifeMs + ARRIVAL_MARGIN_MS;
   }
 
-  #fits(call: WaitingCall): boolean {
+  #canGrant(call: WaitingCall): boolean {
     const { slots } = this.#limit;
     const { shortRoom } = this.#settings;
     return hasSlot(call, this.#running, { slots, shortRoom });
   }
 
-  #fitsPrefill(call: WaitingCall): boolean {
+  #hasPrefillRoom(call: WaitingCall): boolean {
     return hasPrefillRoom(call, this.#running, this.#settings.prefill);
   }
 
@@ -269,11 +269,12 @@
    */
   #chooseNext(nowMs: number): WaitingCall | undefined {
     const options = { share: this.#share, nowMs };
-    const next = this.#queue.findNext((each) => this.#fits(each), options);
-    if (next === undefined || this.#fitsPrefill(next)) return next;
+    const next = this.#queue.findNext((each) => this.#canGrant(each), options);
+    if (next === undefined || this.#hasPrefillRoom(next)) return next;
     return this.#queue.findNext(
       (each) =>
-        this.#fits(each) && isSmallPrompt(each) && this.#fitsPrefill(each),
+        this.#canGrant(each) && isSmallPrompt(each) &&
+        this.#hasPrefillRoom(each),
       options,
     );
   }
@@ -286,7 +287,7 @@
   }
 
   /** Takes over a slot that an earlier dispatcher granted. */
-  #adoptSlot(from: VmId, attemptId: AttemptId, nowMs: number): RunningSlot {
+  #takeOverSlot(from: VmId, attemptId: AttemptId, nowMs: number): RunningSlot {
     const slot: RunningSlot = {
       attemptId,
       holder: from,
@@ -311,7 +312,7 @@
     });
   }
 
-  #dropCall(call: WaitingCall, reason: RefusalReason): Effect[] {
+  #refuseCall(call: WaitingCall, reason: RefusalReason): Effect[] {
     const { attemptId } = call.request;
     this.#queue.remove(attemptId);
     this.#ended.add(attemptId);
--- a/packages/scheduler/src/membership/fake_fleet.ts
+++ b/packages/scheduler/src/membership/fake_fleet.ts
@@ -136,7 +136,7 @@
     this.nowMs += 1;
     const arrived = this.#due.get(this.nowMs) ?? [];
     this.#due.delete(this.nowMs);
-    for (const envelope of arrived) this.#deliver(envelope);
+    for (const envelope of arrived) this.#sendNow(envelope);
     let offset = 0;
     for (const [vmId, node] of this.nodes) {
       offset += 1;
@@ -146,10 +146,10 @@
     }
   }
 
-  #deliver(envelope: Envelope): void {
+  #sendNow(envelope: Envelope): void {
     const { from, to, message } = envelope;
     if (this.#paused.has(to)) {
-      this.#schedule(envelope, MIN_DELAY_MS);
+      this.#addWork(envelope, MIN_DELAY_MS);
       return;
     }
     const node = this.nodes.get(to);
@@ -162,10 +162,10 @@
     this.#options.onSend?.(envelope.from, envelope.message);
     if (this.#options.isCut?.(envelope.from, envelope.to) === true) return;
     const delayMs = MIN_DELAY_MS + this.#random.chooseIndex(DELAY_SPREAD_MS);
-    this.#schedule(envelope, delayMs);
+    this.#addWork(envelope, delayMs);
   }
 
-  #schedule(envelope: Envelope, delayMs: number): void {
+  #addWork(envelope: Envelope, delayMs: number): void {
     const atMs = this.nowMs + delayMs;
     const due = this.#due.get(atMs) ?? [];
     due.push(envelope);
--- a/packages/scheduler/src/membership/membership.ts
+++ b/packages/scheduler/src/membership/membership.ts
@@ -107,10 +107,10 @@
   }
 
   /** Tells the others that this node takes no new work. */
-  announceLeaving(nowMs: number): MembershipStep {
+  startLeaving(nowMs: number): MembershipStep {
     if (this.#self.setLeaving()) {
-      this.#spreadSelf();
-      for (const vmId of this.#pacer.takeBurst()) this.#probe(vmId, nowMs);
+      this.#addOwnRumour();
+      for (const vmId of this.#pacer.takeBurst()) this.#sendProbe(vmId, nowMs);
     }
     return this.#takeStep();
   }
@@ -138,8 +138,12 @@
     this.#handleDueProbes(nowMs);
     this.#endSuspicions(nowMs);
     this.#removeForgotten(nowMs);
-    for (const vmId of this.#pacer.takeDue(sinceMs)) this.#probe(vmId, nowMs);
-    for (const vmId of this.#pacer.takeLost(nowMs)) this.#contact(vmId, nowMs);
+    for (const vmId of this.#pacer.takeDue(sinceMs)) {
+      this.#sendProbe(vmId, nowMs);
+    }
+    for (const vmId of this.#pacer.takeLost(nowMs)) {
+      this.#sendContact(vmId, nowMs);
+    }
     this.#reach.update(this.#table.list(), nowMs);
   }
 
@@ -235,10 +239,10 @@
       case "none":
         return;
       case "spread":
-        return this.#spreadSelf();
+        return this.#addOwnRumour();
       case "refuted":
         this.#notices.push({ kind: "self_refuted" });
-        return this.#spreadSelf();
+        return this.#addOwnRumour();
       case "superseded": {
         const { incarnation } = rumour.spec;
         this.#notices.push({ kind: "self_superseded", incarnation });
@@ -258,7 +262,7 @@
       before.spec.incarnation !== after.spec.incarnation;
     if (change === undefined && !restated) return;
     this.#contacts.update(after);
-    this.#spread(rumour.spec.vmId);
+    this.#addRumour(rumour.spec.vmId);
     if (change === undefined) return;
     if (change.to === "dead") this.#probes.close(change.vmId);
     this.#notices.push({ kind: "node_changed", change });
@@ -268,12 +272,12 @@
 
   #handleDueProbes(nowMs: number): void {
     for (const due of this.#probes.takeDue(nowMs)) {
-      if (due.kind === "ask") this.#askThirdNodes(due.vmId, due.number);
+      if (due.kind === "ask") this.#sendProbeRequests(due.vmId, due.number);
       else this.#setState(due.vmId, { state: "suspect", nowMs });
     }
   }
 
-  #askThirdNodes(vmId: VmId, number: number): void {
+  #sendProbeRequests(vmId: VmId, number: number): void {
     const others = this.#contacts.listLiving().filter((each) => each !== vmId);
     const { probeNodes } = this.#settings;
     for (const other of this.#random.chooseSome(others, probeNodes)) {
@@ -311,13 +315,13 @@
     }
   }
 
-  #probe(vmId: VmId, nowMs: number): void {
-    const number = this.#contact(vmId, nowMs);
+  #sendProbe(vmId: VmId, nowMs: number): void {
+    const number = this.#sendContact(vmId, nowMs);
     if (this.#table.find(vmId) === undefined) return;
     this.#probes.open(vmId, { number, nowMs });
   }
 
-  #contact(vmId: VmId, nowMs: number): number {
+  #sendContact(vmId: VmId, nowMs: number): number {
     this.#table.recordContact(vmId, nowMs);
     return this.#sendHeartbeat(vmId);
   }
@@ -343,11 +347,11 @@
     return this.#self.getDigest().spec.vmId;
   }
 
-  #spreadSelf(): void {
-    this.#spread(this.#vmId);
+  #addOwnRumour(): void {
+    this.#addRumour(this.#vmId);
   }
 
-  #spread(vmId: VmId): void {
+  #addRumour(vmId: VmId): void {
     this.#rumours.add(vmId, this.#table.count() + 1);
   }
 
--- a/packages/scheduler/src/membership/membership_test.ts
+++ b/packages/scheduler/src/membership/membership_test.ts
@@ -218,7 +218,7 @@
 
   it("shows a leaving node as leaving everywhere", () => {
     const fleet = startFleet(9);
-    const step = fleet.nodes.get("vm-4")?.announceLeaving(fleet.nowMs);
+    const step = fleet.nodes.get("vm-4")?.startLeaving(fleet.nowMs);
     if (step !== undefined) fleet.applyStep("vm-4", step);
     fleet.runUntil(JOINED_MS + 1_000);
     expect(fleet.isStateEverywhere("vm-4", "leaving")).to.equal(true);
--- a/packages/scheduler/src/membership/node_table.ts
+++ b/packages/scheduler/src/membership/node_table.ts
@@ -69,7 +69,7 @@
     const record = this.#records.get(rumour.spec.vmId);
     if (record === undefined) return this.#addNode(rumour, nowMs);
     if (!isNewer(rumour, record.digest)) {
-      this.#raiseRevision(record, rumour);
+      this.#updateRevision(record, rumour);
       return undefined;
     }
     const known = record.digest;
@@ -155,7 +155,7 @@
       const record = vmId === undefined ? undefined : this.find(vmId);
       if (record === undefined) continue;
       if (computeProcessHash(record.digest) !== hash) continue;
-      this.#raiseRevision(record, { ...record.digest, revision });
+      this.#updateRevision(record, { ...record.digest, revision });
     }
   }
 
@@ -196,7 +196,7 @@
     this.#byHash.set(computeProcessHash(next), next.spec.vmId);
   }
 
-  #raiseRevision(record: NodeRecord, rumour: NodeDigest): void {
+  #updateRevision(record: NodeRecord, rumour: NodeDigest): void {
     if (record.digest.spec.incarnation !== rumour.spec.incarnation) return;
     if (rumour.revision <= record.digest.revision) return;
     record.digest = { ...record.digest, revision: rumour.revision };
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -146,11 +146,11 @@
         this.#roles.configuration.handle(tick, nowMs),
       );
     });
-    this.#timers.subscribe(VIEW_TICK_MS, (nowMs) => this.#spreadView(nowMs));
+    this.#timers.subscribe(VIEW_TICK_MS, (nowMs) => this.#sendView(nowMs));
   }
 
   /** Tells the roles how this node sees the others. */
-  #spreadView(nowMs: number): void {
+  #sendView(nowMs: number): void {
     const view = this.#roles.membership.view();
     const isCutOff = this.#roles.membership.isCutOff(nowMs);
     const { revision } = this.#roles.configuration;
@@ -233,7 +233,7 @@
     this.#isStopping = true;
     this.#stoppedAtMs = this.#steps.nowMs;
     this.#steps.applyMembership(
-      this.#roles.membership.announceLeaving(this.#steps.nowMs),
+      this.#roles.membership.startLeaving(this.#steps.nowMs),
     );
     this.#steps.applyHosts(
       this.#roles.hosts.handleAll({ kind: "drain" }, this.#steps.nowMs),
--- a/packages/scheduler/src/placement/candidates.ts
+++ b/packages/scheduler/src/placement/candidates.ts
@@ -48,7 +48,7 @@
     const most = sampleNear + sampleFar;
     const candidates = allowed.all.length <= most
       ? [...allowed.all]
-      : this.#sample(allowed);
+      : this.#chooseSample(allowed);
     for (
       const holder of this.#options.prefixes.listHolders(request.programId)
         .slice(0, mostHolders)
@@ -82,7 +82,7 @@
   ): ServingTargets {
     const { partner, programClass, call } = request;
     const rules = this.#options.getRules();
-    if (rules !== this.#rules) this.#options.index.clearFiltered();
+    if (rules !== this.#rules) this.#options.index.removeFiltered();
     this.#rules = rules;
     const name = call.kind === "model" ? call.model : call.service;
     const isBackground = programClass === "background" && call.kind === "model";
@@ -114,7 +114,7 @@
     return [...watched, ...far];
   }
 
-  #sample(serving: ServingTargets): TargetSpec[] {
+  #chooseSample(serving: ServingTargets): TargetSpec[] {
     const { sampleNear, sampleFar } = this.#options.getSettings();
     const chosen = new Set<TargetSpec>();
     this.#addSample(chosen, serving.near, sampleNear);
--- a/packages/scheduler/src/placement/choose_target.ts
+++ b/packages/scheduler/src/placement/choose_target.ts
@@ -108,7 +108,7 @@
   context: ChoiceContext,
 ): Choice | undefined {
   const usable = removeAvoided(targets, context);
-  const candidates = usable.map((each) => scoreTarget(each, context));
+  const candidates = usable.map((each) => computeScore(each, context));
   const best = findLowest(candidates);
   if (best === undefined) return undefined;
   const target = usable[best];
@@ -140,7 +140,7 @@
   return isTooMany ? targets : usable;
 }
 
-function scoreTarget(
+function computeScore(
   target: TargetSpec,
   context: ChoiceContext,
 ): PlacementCandidate {
--- a/packages/scheduler/src/placement/free_targets.ts
+++ b/packages/scheduler/src/placement/free_targets.ts
@@ -17,14 +17,14 @@
   targets: readonly TargetSpec[],
   count: number,
 ): Set<TargetId> {
-  const ranked = rankTargets(targets);
+  const ranked = sortTargets(targets);
   ranked.sort((left, right) =>
     left.rankInRegion - right.rankInRegion || right.score - left.score
   );
   return new Set(ranked.slice(0, count).map((each) => each.targetId));
 }
 
-function rankTargets(targets: readonly TargetSpec[]): RankedTarget[] {
+function sortTargets(targets: readonly TargetSpec[]): RankedTarget[] {
   const scored = targets.map(({ targetId, region }) => ({
     targetId,
     region,
--- a/packages/scheduler/src/placement/load_spread.ts
+++ b/packages/scheduler/src/placement/load_spread.ts
@@ -76,7 +76,7 @@
 
   /** Takes the messages of this period, in turn as the budget allows. */
   takeMessages(loads: readonly TargetLoad[], nowMs: number): LoadMessage[] {
-    const byNode = this.#groupByNode(loads);
+    const byNode = this.#splitByNode(loads);
     const nodes = [...byNode.keys()];
     if (this.#isSmall()) return nodes.map((to) => ({ to, loads }));
     this.#addBudget(nowMs);
@@ -103,7 +103,7 @@
     this.#savedBytes = Math.min(MOST_SAVED_BYTES, this.#savedBytes + earned);
   }
 
-  #groupByNode(loads: readonly TargetLoad[]): Map<VmId, TargetLoad[]> {
+  #splitByNode(loads: readonly TargetLoad[]): Map<VmId, TargetLoad[]> {
     const byNode = new Map<VmId, TargetLoad[]>();
     for (const load of loads) {
       for (const vmId of this.#listWatchers(load.targetId)) {
--- a/packages/scheduler/src/placement/placement.ts
+++ b/packages/scheduler/src/placement/placement.ts
@@ -112,7 +112,7 @@
   /** Changes the policy. */
   setSettings(settings: PlacementSettings): void {
     this.#settings = settings;
-    this.#index.clearFiltered();
+    this.#index.removeFiltered();
   }
 
   /** Chooses a target. Fails with `NoTarget` where none serves the call. */
@@ -130,7 +130,7 @@
     this.#number += 1;
     const choice = chooseTarget(targets, this.#buildContext(request, nowMs));
     if (choice === undefined) return err(createFailure("NoTarget", name));
-    return ok(this.#decide(request, choice));
+    return ok(this.#buildDecision(request, choice));
   }
 
   /** Records what an attempt left in the cache of its target. */
@@ -171,7 +171,7 @@
     );
   }
 
-  #decide(
+  #buildDecision(
     request: PlacementRequest,
     choice: Choice,
   ): PlacementDecision {
@@ -220,13 +220,13 @@
     this.#speedsAtMs = nowMs;
     this.#index.update(this.#options.getTargets());
     const { estimate, slowTargets } = this.#settings;
-    const groups = this.#groupPeers();
+    const groups = this.#splitPeers();
     if (slowTargets.kind === "ignore") return;
     for (const peers of groups.values()) updateSpeeds(peers, estimate);
   }
 
   /** Groups the known loads by what their targets serve. */
-  #groupPeers(): Map<string, KnownLoad[]> {
+  #splitPeers(): Map<string, KnownLoad[]> {
     const groups = new Map<string, KnownLoad[]>();
     for (const known of this.#loads.list()) {
       const { targetId } = known.load;
--- a/packages/scheduler/src/placement/target_index.ts
+++ b/packages/scheduler/src/placement/target_index.ts
@@ -62,7 +62,7 @@
   }
 
   /** Forgets filtered lists, as when the rules have changed. */
-  clearFiltered(): void {
+  removeFiltered(): void {
     this.#filtered = new Map();
   }
 
--- a/packages/standins/src/bench/policy/bench_cluster.ts
+++ b/packages/standins/src/bench/policy/bench_cluster.ts
@@ -80,11 +80,11 @@
     for (const program of workload.programs) {
       this.#events.add(
         program.arrivesAtMs,
-        (atMs) => this.#submit(program, atMs),
+        (atMs) => this.#startProgram(program, atMs),
       );
       this.#open.set(program.programId, program);
     }
-    this.#scheduleSpeeds();
+    this.#addSpeeds();
     const lastMs = workload.programs.at(-1)?.arrivesAtMs ?? 0;
     const endMs = this.#runUntilDone(lastMs + drainMs);
     for (const program of this.#open.values()) this.#record(program, {});
@@ -127,14 +127,14 @@
       const options = { node, topology, policies, seed: nodeSeed, link };
       const benchNode = new BenchNode(options);
       this.#nodes.set(vmId, benchNode);
-      this.#scheduleTick(benchNode, index * TICK_MS / topology.nodes.length);
+      this.#addTick(benchNode, index * TICK_MS / topology.nodes.length);
     });
   }
 
-  #scheduleTick(node: BenchNode, atMs: number): void {
+  #addTick(node: BenchNode, atMs: number): void {
     this.#events.add(atMs, (nowMs) => {
       node.handleTick(nowMs);
-      this.#scheduleTick(node, nowMs + TICK_MS);
+      this.#addTick(node, nowMs + TICK_MS);
     });
   }
 
@@ -182,7 +182,7 @@
 
   #handleEngine(host: EngineHost, input: EngineInput, nowMs: number): void {
     const outputs = host.model.handle(input, nowMs);
-    for (const output of outputs) this.#deliver(host, output);
+    for (const output of outputs) this.#sendNow(host, output);
     const nextAtMs = host.model.getNextAtMs();
     if (nextAtMs === Infinity || nextAtMs === host.wakesAtMs) return;
     host.wakesAtMs = nextAtMs;
@@ -193,7 +193,7 @@
     });
   }
 
-  #deliver(host: EngineHost, output: EngineOutput): void {
+  #sendNow(host: EngineHost, output: EngineOutput): void {
     if (output.kind === "cache_event") {
       for (const node of this.#nodes.values()) {
         node.receiveCacheEvent(host.targetId, output);
@@ -217,7 +217,7 @@
     }
   }
 
-  #scheduleSpeeds(): void {
+  #addSpeeds(): void {
     const targets = this.#options.topology.engines;
     for (const { atMs, engine, speed } of this.#options.speedChanges) {
       const host = this.#engines.get(targets[engine]?.targetId ?? "");
@@ -231,7 +231,7 @@
   }
 
   /** A caller asks a node, and comes back as told when it's refused. */
-  #submit(program: PlannedProgram, nowMs: number): void {
+  #startProgram(program: PlannedProgram, nowMs: number): void {
     const nodes = [...this.#nodes.values()];
     const tries = this.#refusals.get(program.programId) ?? 0;
     const node = nodes[(program.place + tries) % nodes.length];
@@ -265,7 +265,7 @@
     this.#refusals.set(programId, refusals);
     const backAtMs = nowMs + retryAfterMs;
     if (backAtMs - arrivesAtMs <= this.#options.patienceMs) {
-      this.#events.add(backAtMs, (atMs) => this.#submit(program, atMs));
+      this.#events.add(backAtMs, (atMs) => this.#startProgram(program, atMs));
       return;
     }
     this.#open.delete(programId);
--- a/packages/standins/src/bench/policy/bench_node.ts
+++ b/packages/standins/src/bench/policy/bench_node.ts
@@ -113,13 +113,13 @@
           nowMs,
         );
       default:
-        return this.#dispatch({ kind: "peer", from, message }, nowMs);
+        return this.#handleEffect({ kind: "peer", from, message }, nowMs);
     }
   }
 
   /** Does what is due in every period. */
   handleTick(nowMs: number): void {
-    this.#dispatch({ kind: "tick" }, nowMs);
+    this.#handleEffect({ kind: "tick" }, nowMs);
     this.#placement.handle({ kind: "tick" }, nowMs);
     if (nowMs - this.#renewedAtMs < RENEW_PERIOD_MS) return;
     this.#renewedAtMs = nowMs;
@@ -165,7 +165,7 @@
     }, atMs);
   }
 
-  #dispatch(
+  #handleEffect(
     input: Parameters<DispatcherSet["handle"]>[0],
     nowMs: number,
   ): void {
@@ -204,10 +204,14 @@
     const decision = this.#placement.choose(request, nowMs);
     if (decision.isErr()) throw new Error(decision.error.detail);
     run.attempt += 1;
-    this.#requestSlot(run, { decision: decision.value, promptTokens, nowMs });
+    this.#sendSlotRequest(run, {
+      decision: decision.value,
+      promptTokens,
+      nowMs,
+    });
   }
 
-  #requestSlot(
+  #sendSlotRequest(
     run: ProgramRun,
     options: {
       readonly decision: PlacementDecision;
@@ -297,11 +301,11 @@
     if (isFresh) {
       return run.onRefused(retryAfterMs, nowMs);
     }
-    this.#retryLater(run, retryAfterMs);
+    this.#startLater(run, retryAfterMs);
   }
 
   /** A call of a program begun waits for room, however often it's refused. */
-  #retryLater(run: ProgramRun, retryAfterMs: number): void {
+  #startLater(run: ProgramRun, retryAfterMs: number): void {
     const choice = chooseRetry({ kind: "slot_refused", retryAfterMs }, {
       idempotent: true,
       attempts: run.attempt,
--- a/packages/standins/src/bench/policy/demand.ts
+++ b/packages/standins/src/bench/policy/demand.ts
@@ -104,7 +104,10 @@
     }
     const rate = capacity * stream.getLoad(atMs) * swing;
     const gapMs = -Math.log(1 - random.takeFloat()) * 1_000 / rate;
-    const nextMs = Math.min(atMs + gapMs, nextChange(stream, swingEndsAtMs));
+    const nextMs = Math.min(
+      atMs + gapMs,
+      computeNextChange(stream, swingEndsAtMs),
+    );
     if (nextMs < atMs + gapMs) {
       atMs = nextMs;
       continue;
@@ -119,7 +122,10 @@
   return programs;
 }
 
-function nextChange(stream: DemandStream, swingEndsAtMs: number): number {
+function computeNextChange(
+  stream: DemandStream,
+  swingEndsAtMs: number,
+): number {
   return stream.swings ? swingEndsAtMs : Infinity;
 }
 
--- a/packages/standins/src/bench/policy/event_queue.ts
+++ b/packages/standins/src/bench/policy/event_queue.ts
@@ -24,7 +24,7 @@
     this.#number += 1;
     const event = { atMs: Math.max(atMs, this.#nowMs), number: this.#number };
     this.#heap.push({ ...event, run });
-    this.#moveUp(this.#heap.length - 1);
+    this.#sortUp(this.#heap.length - 1);
   }
 
   /** Runs events until none is left before a time. */
@@ -43,20 +43,20 @@
     const last = this.#heap.pop();
     if (last === undefined || this.#heap.length === 0) return;
     this.#heap[0] = last;
-    this.#moveDown(0);
+    this.#sortDown(0);
   }
 
-  #moveUp(start: number): void {
+  #sortUp(start: number): void {
     let index = start;
     while (index > 0) {
       const parent = (index - 1) >> 1;
       if (!this.#isBefore(index, parent)) return;
-      this.#swap(index, parent);
+      this.#updatePair(index, parent);
       index = parent;
     }
   }
 
-  #moveDown(start: number): void {
+  #sortDown(start: number): void {
     let index = start;
     for (;;) {
       const left = 2 * index + 1;
@@ -65,7 +65,7 @@
       const hasRight = right < this.#heap.length;
       const child = hasRight && this.#isBefore(right, left) ? right : left;
       if (!this.#isBefore(child, index)) return;
-      this.#swap(child, index);
+      this.#updatePair(child, index);
       index = child;
     }
   }
@@ -77,7 +77,7 @@
     return a.atMs < b.atMs || (a.atMs === b.atMs && a.number < b.number);
   }
 
-  #swap(left: number, right: number): void {
+  #updatePair(left: number, right: number): void {
     const a = this.#heap[left];
     const b = this.#heap[right];
     if (a === undefined || b === undefined) return;
--- a/packages/standins/src/configuration_fleet/configuration_fleet.ts
+++ b/packages/standins/src/configuration_fleet/configuration_fleet.ts
@@ -91,7 +91,7 @@
       addNotice: (notice) => this.#options.onNotice?.(spec, notice),
     }, this.nowMs);
     this.nodes.set(spec.vmId, node);
-    this.#scheduleTick(node, { queued, delayMs: this.#takeRandom(TICK_MS) });
+    this.#addTick(node, { queued, delayMs: this.#takeRandom(TICK_MS) });
   }
 
   /** Ends the process on the numbered VM without a word. */
@@ -126,7 +126,7 @@
     this.queue.runUntil(untilMs);
   }
 
-  #scheduleTick(
+  #addTick(
     node: ConfigurationNode,
     options: { readonly queued: Effect[]; readonly delayMs: number },
   ): void {
@@ -134,7 +134,7 @@
     this.queue.add(options.delayMs, () => {
       if (!this.#isRunning(node)) return;
       this.#run(node, () => node.handleTick(this.nowMs));
-      this.#scheduleTick(node, { queued: options.queued, delayMs: TICK_MS });
+      this.#addTick(node, { queued: options.queued, delayMs: TICK_MS });
     });
   }
 
--- a/packages/standins/src/configuration_fleet/configuration_node.ts
+++ b/packages/standins/src/configuration_fleet/configuration_node.ts
@@ -76,7 +76,7 @@
     }
     if (nowMs >= this.#nextViewMs) {
       this.#nextViewMs = nowMs + VIEW_TICK_MS;
-      this.#spreadView(nowMs);
+      this.#sendView(nowMs);
     }
     if (nowMs < this.#nextConfigurationMs) return;
     this.#nextConfigurationMs = nowMs + CONFIGURATION_TICK_MS;
@@ -143,7 +143,7 @@
     for (const effect of step.effects) this.#options.applyEffect(effect);
   }
 
-  #spreadView(nowMs: number): void {
+  #sendView(nowMs: number): void {
     const view = this.#membership.view();
     const isCutOff = this.#membership.isCutOff(nowMs);
     const listed = this.#options.vms.map(({ vmId }) => vmId);
--- a/packages/standins/src/configuration_fleet/event_queue.ts
+++ b/packages/standins/src/configuration_fleet/event_queue.ts
@@ -25,7 +25,7 @@
     this.#order += 1;
     const atMs = this.#nowMs + Math.max(0, delayMs);
     this.#heap.push({ atMs, order: this.#order, run });
-    this.#moveUp(this.#heap.length - 1);
+    this.#sortUp(this.#heap.length - 1);
   }
 
   /** Runs every event up to a time, and sets the clock to it. */
@@ -44,20 +44,20 @@
     const last = this.#heap.pop();
     if (last === undefined || this.#heap.length === 0) return;
     this.#heap[0] = last;
-    this.#moveDown(0);
+    this.#sortDown(0);
   }
 
-  #moveUp(start: number): void {
+  #sortUp(start: number): void {
     let index = start;
     while (index > 0) {
       const parent = (index - 1) >> 1;
       if (!this.#isBefore(index, parent)) return;
-      this.#swap(index, parent);
+      this.#updatePair(index, parent);
       index = parent;
     }
   }
 
-  #moveDown(start: number): void {
+  #sortDown(start: number): void {
     let index = start;
     for (;;) {
       const left = 2 * index + 1;
@@ -66,7 +66,7 @@
       if (this.#isBefore(left, least)) least = left;
       if (this.#isBefore(right, least)) least = right;
       if (least === index) return;
-      this.#swap(index, least);
+      this.#updatePair(index, least);
       index = least;
     }
   }
@@ -79,7 +79,7 @@
       (left.atMs === right.atMs && left.order < right.order);
   }
 
-  #swap(index: number, other: number): void {
+  #updatePair(index: number, other: number): void {
     const left = this.#heap[index];
     const right = this.#heap[other];
     if (left === undefined || right === undefined) return;
--- a/packages/standins/src/engine/engine_model.ts
+++ b/packages/standins/src/engine/engine_model.ts
@@ -122,7 +122,7 @@
         }];
       }
       case "import_prefix":
-        this.#storePrefix({ ...input, heldTokens: input.tokens }, nowMs);
+        this.#addPrefix({ ...input, heldTokens: input.tokens }, nowMs);
         return [];
       case "set_speed":
         this.#setSpeed(input.speed, nowMs);
@@ -162,7 +162,7 @@
     if (sequence !== undefined) {
       this.#running.delete(attemptId);
       this.#reservedTokens -= sequence.memoryTokens;
-      if (sequence.prefillLeft === 0) this.#storeSequence(sequence, nowMs);
+      if (sequence.prefillLeft === 0) this.#addSequence(sequence, nowMs);
     }
     if (place < 0 && sequence === undefined) return [];
     return [{ kind: "cancelled", atMs: nowMs, attemptId }];
@@ -205,7 +205,7 @@
 
   #releaseProgram(programId: ProgramId, nowMs: number): void {
     for (const prefix of this.#cache.removeProgram(programId)) {
-      this.#publishEvent("evicted", prefix, nowMs);
+      this.#sendCacheEvent("evicted", prefix, nowMs);
     }
   }
 
@@ -234,7 +234,7 @@
 
   #startStep(atMs: number): void {
     if (this.#stepEndsAtMs !== Infinity) return;
-    this.#admitWaiting(atMs);
+    this.#startWaiting(atMs);
     if (this.#running.size === 0) return;
     const settings = this.#settings;
     let prefillLeft = 0;
@@ -265,11 +265,11 @@
       budget -= computed;
       if (sequence.prefillLeft > 0) continue;
       if (!isDecoding && computed === 0) continue;
-      this.#produceToken(sequence, { atMs, outputs });
+      this.#addToken(sequence, { atMs, outputs });
     }
   }
 
-  #produceToken(
+  #addToken(
     sequence: Sequence,
     step: { readonly atMs: number; readonly outputs: EngineOutput[] },
   ): void {
@@ -288,7 +288,7 @@
     this.#running.delete(attemptId);
     this.#reservedTokens -= sequence.memoryTokens;
     this.#recordFinished(attemptId, sequence.produced);
-    this.#storeSequence(sequence, atMs);
+    this.#addSequence(sequence, atMs);
     outputs.push({
       kind: "completed",
       atMs,
@@ -299,7 +299,7 @@
     });
   }
 
-  #admitWaiting(atMs: number): void {
+  #startWaiting(atMs: number): void {
     for (;;) {
       const request = this.#waiting[0];
       if (request === undefined) return;
@@ -328,10 +328,10 @@
       prefillLeft: prompt - cachedTokens,
       produced: request.producedTokens,
     });
-    this.#evictBeyondMemory(atMs);
+    this.#removeBeyondMemory(atMs);
   }
 
-  #storeSequence(sequence: Sequence, atMs: number): void {
+  #addSequence(sequence: Sequence, atMs: number): void {
     const { request } = sequence;
     let shorter = 0;
     for (const part of request.parts) {
@@ -339,11 +339,11 @@
       const heldTokens = part.tokens - shorter;
       const programId = part.shared ? "" : request.programId;
       const tokens = part.tokens;
-      this.#storePrefix({ key: part.key, programId, tokens, heldTokens }, atMs);
+      this.#addPrefix({ key: part.key, programId, tokens, heldTokens }, atMs);
       shorter = part.tokens;
     }
     const tokens = request.promptTokens + sequence.produced;
-    this.#storePrefix({
+    this.#addPrefix({
       key: request.storeKey,
       programId: request.programId,
       tokens,
@@ -351,21 +351,21 @@
     }, atMs);
   }
 
-  #storePrefix(prefix: CachedPrefix, atMs: number): void {
+  #addPrefix(prefix: CachedPrefix, atMs: number): void {
     if (this.#cache.addPrefix(prefix)) {
-      this.#publishEvent("stored", prefix, atMs);
+      this.#sendCacheEvent("stored", prefix, atMs);
     }
-    this.#evictBeyondMemory(atMs);
+    this.#removeBeyondMemory(atMs);
   }
 
-  #evictBeyondMemory(atMs: number): void {
+  #removeBeyondMemory(atMs: number): void {
     const limit = this.#settings.memoryTokens - this.#reservedTokens;
     for (const prefix of this.#cache.removeUntil(limit)) {
-      this.#publishEvent("evicted", prefix, atMs);
+      this.#sendCacheEvent("evicted", prefix, atMs);
     }
   }
 
-  #publishEvent(
+  #sendCacheEvent(
     kind: CacheEvent["kind"],
     prefix: CachedPrefix,
     atMs: number,
--- a/packages/standins/src/fleet/virtual_targets.ts
+++ b/packages/standins/src/fleet/virtual_targets.ts
@@ -93,7 +93,7 @@
       const stream = this.#streams.get(order.attemptId);
       const mode = this.#getMode(order.targetId);
       if (mode === "silent" || stream?.isStuck === true) {
-        return this.#breakLater(order.progressTimeoutMs, listener);
+        return this.#endLater(order.progressTimeoutMs, listener);
       }
       if (stream === undefined || mode !== "serving") {
         return listener({ kind: "broken", detail: "the attempt isn't known" });
@@ -152,17 +152,17 @@
     this.#streams.set(order.attemptId, stream);
     if (order.call.kind === "model") this.#addHeld(order);
     if (mode === "silent") {
-      return this.#breakLater(order.progressTimeoutMs, listener);
+      return this.#endLater(order.progressTimeoutMs, listener);
     }
     if (mode === "breaking") stream.listeners = [];
     if (mode === "breaking") {
-      this.#breakLater(order.progressTimeoutMs, listener);
+      this.#endLater(order.progressTimeoutMs, listener);
     }
-    if (order.call.kind === "model") this.#generate(order, stream);
-    else this.#operate(order.call, stream);
+    if (order.call.kind === "model") this.#runModel(order, stream);
+    else this.#runService(order.call, stream);
   }
 
-  #generate(order: AttemptOrder, stream: Stream): void {
+  #runModel(order: AttemptOrder, stream: Stream): void {
     const { call } = order;
     if (call.kind !== "model") return;
     const { text, ends } = buildAnswerText(call.messages, call.maxTokens);
@@ -190,7 +190,7 @@
         tokens: TOKENS_PER_EVENT,
       };
       from = end;
-      this.#clock.add(delayMs, () => this.#report(stream, event));
+      this.#clock.add(delayMs, () => this.#sendEvent(stream, event));
       delayMs += TOKENS_PER_EVENT * TOKEN_MS;
     }
     this.#clock.add(delayMs, () => {
@@ -198,7 +198,7 @@
     });
   }
 
-  #operate(call: Extract<Call, { kind: "service" }>, stream: Stream): void {
+  #runService(call: Extract<Call, { kind: "service" }>, stream: Stream): void {
     const text = buildOperationText(call.operation, call.body);
     const usage = { promptTokens: 0, cachedTokens: 0, completionTokens: 0 };
     this.#clock.add(computeServiceMs(text), () => {
@@ -213,10 +213,10 @@
     if (stream.isCancelled) return;
     stream.run.endedAtMs = this.#clock.nowMs;
     stream.run.text = event.text;
-    this.#report(stream, event);
+    this.#sendEvent(stream, event);
   }
 
-  #report(stream: Stream, event: AttemptEvent): void {
+  #sendEvent(stream: Stream, event: AttemptEvent): void {
     if (stream.isCancelled) return;
     stream.events.push(event);
     if (this.#getMode(stream.run.targetId) === "silent") {
@@ -229,12 +229,12 @@
   #closeSilently(stream: Stream): void {
     const listeners = stream.listeners.splice(0);
     for (const listener of listeners) {
-      this.#breakLater(stream.progressTimeoutMs, listener);
+      this.#endLater(stream.progressTimeoutMs, listener);
     }
   }
 
   /** The client's progress timeout ends the attempt. */
-  #breakLater(timeoutMs: number, listener: EventListener): void {
+  #endLater(timeoutMs: number, listener: EventListener): void {
     this.#clock.add(timeoutMs, () => {
       listener({ kind: "broken", detail: "no progress" });
     });
--- a/packages/standins/src/proof/run_plan.ts
+++ b/packages/standins/src/proof/run_plan.ts
@@ -71,7 +71,7 @@
     callers.every((caller) => caller.isEnded);
   fleet.clock.runUntil(areDone, SETTLE_LIMIT_MS);
   fleet.clock.runFor(AFTER_MS);
-  return collectHistory(fleet, callers, plan);
+  return buildHistory(fleet, callers, plan);
 }
 
 function createFleet(plan: RunPlan): VirtualFleet {
@@ -129,7 +129,7 @@
 }
 
 /** Collects the records of callers, targets and nodes after a run. */
-function collectHistory(
+function buildHistory(
   fleet: VirtualFleet,
   callers: readonly VirtualCaller[],
   plan: RunPlan,
