Vary segment sizes in random schedules and test closing ledgers

Schedules now split tails and commits into several segments. A test of closing ledgers ignored resent messages, so that it stayed green without the rule; it's red now without it.

--- a/packages/scheduler/src/ledger/ledger_property_test.ts
+++ b/packages/scheduler/src/ledger/ledger_property_test.ts
@@ -52,6 +52,7 @@
   duplicated: fc.constantFrom(0, 20),
   lostAnswers: fc.constantFrom(0, 10, 40),
   refused: fc.constantFrom(0, 10),
+  segmentBytes: fc.constantFrom(300, 900_000),
   steps: fc.array(
     fc.record({ waitMs: fc.constantFrom(20, 150, 600, 2_500), action }),
     { minLength: 4, maxLength: 30 },
@@ -112,7 +113,12 @@
         seed: plan.seed,
         domains: DOMAINS,
         faults: plan,
-        limits: { ringSize: 96, snapshotAfterSegments: 6, messageBytes: 400 },
+        limits: {
+          ringSize: 256,
+          snapshotAfterSegments: 6,
+          segmentBytes: plan.segmentBytes,
+          messageBytes: 400,
+        },
       });
       cluster.startTakeover(0);
       for (const step of plan.steps as Step[]) {
--- a/packages/scheduler/src/ledger/shard_ledger_test.ts
+++ b/packages/scheduler/src/ledger/shard_ledger_test.ts
@@ -86,15 +86,20 @@
   return ledger.append([BODY], nowMs)._unsafeUnwrap().effects;
 }
 
-/** Lets every keeper hold all that a list of effects offers. */
+/** Lets keepers hold all that is offered, until nothing more is. */
 function keepAll(
   ledger: ShardLedger,
   effects: readonly Effect[],
   keptThrough: number,
 ): LedgerNotice[] {
-  return listKeeps(effects).flatMap((keep) => [
-    ...answerKeep(ledger, keep, keptThrough).notices,
-  ]);
+  const notices: LedgerNotice[] = [];
+  const keeps = listKeeps(effects);
+  for (const keep of keeps) {
+    const step = answerKeep(ledger, keep, keptThrough);
+    notices.push(...step.notices);
+    keeps.push(...listKeeps(step.effects));
+  }
+  return notices;
 }
 
 describe("an owner's ledger", () => {
@@ -122,9 +127,13 @@
   it("isn't confirmed by an answer to an earlier message", () => {
     const ledger = createLedger();
     const effects = append(ledger);
-    ledger.confirm(1);
-    const notices = keepAll(ledger, effects, 1);
+    const { token } = ledger.confirm(1);
+    const steps = listKeeps(effects).map((keep) => answerKeep(ledger, keep, 1));
+    const notices = steps.flatMap((step) => step.notices);
     expect(notices.map((each) => each.kind)).to.deep.equal(["durable"]);
+    const later = steps.flatMap((step) => step.effects);
+    expect(keepAll(ledger, later, 1))
+      .to.deep.equal([{ kind: "confirmed", token }]);
   });
 
   it("takes keepers for nothing once the log may be closed", () => {
@@ -136,7 +145,8 @@
     const more = append(ledger, 30);
     const closing = ledger.close(500);
     expect(listPuts(closing)).to.have.length(1);
-    expect(keepAll(ledger, [...effects, ...more], 2)).to.deep.equal([]);
+    const offered = [...effects, ...more, ...closing];
+    expect(keepAll(ledger, offered, 2)).to.deep.equal([]);
     const asked = ledger.confirm(501).effects;
     expect(keepAll(ledger, asked, 2)).to.deep.equal([]);
     const closed = answerPut(ledger, listPuts(closing)[0]);
