--- a/packages/scheduler/src/ledger/bench_world.ts
+++ b/packages/scheduler/src/ledger/bench_world.ts
@@ -115,7 +115,7 @@
     this.requests += 1;
     switch (request.kind) {
       case "put":
-        return this.#put(request.key, request.value);
+        return this.#writeObject(request.key, request.value);
       case "get": {
         const object = this.objects.get(request.key);
         const { key } = request;
@@ -136,7 +136,7 @@
     }
   }
 
-  #put(key: string, value: Uint8Array): PlatformAnswer {
+  #writeObject(key: string, value: Uint8Array): PlatformAnswer {
     this.writes += 1;
     const version = (this.objects.get(key)?.version ?? 0) + 1;
     this.objects.set(key, { key, value, version });
