Check planned stops by the requests that they could cut off

The check read a list that was always empty and couldn't fail. Runs whose only faults are planned stops now give it every call, one service of the virtual fleet can't tell what became of a request, and taking out the wait for open orders turns the check red.

It found calls whose outcome was called unknown while their owner went on in the same process: a change of keepers restarts the shard, events of attempts that arrived meanwhile were dropped, and an intent that wasn't sent yet counted as one that may have run. Events are kept now until the shard serves again, and intents that this process never sent are started anew.

--- a/packages/scheduler/src/node/shard_host.ts
+++ b/packages/scheduler/src/node/shard_host.ts
@@ -105,9 +105,10 @@
   readonly notices: readonly ShardHostNotice[];
 }
 
-/** The most requests that wait for a recovery. */
+/** The most requests, and events of attempts, that wait for a recovery. */
 const MAX_WAITING = 1_000;
 
+type AttemptInput = Extract<ShardHostInput, { kind: "attempt" }>;
 type RequestInput = Extract<ShardHostInput, { kind: "request" }>;
 
 /** The recovery, ledger and owner of one shard. */
@@ -118,13 +119,24 @@
   #ledger: ShardLedger | undefined;
   #owner: ShardOwner | undefined;
   readonly #charges: ShardCharges;
+  readonly #unsent: ReadonlySet<AttemptId>;
   #waiting: RequestInput[] = [];
+  readonly #attempts: AttemptInput[] = [];
   #effects: Effect[] = [];
   #notices: ShardHostNotice[] = [];
   #nowMs = 0;
   #isEnded = false;
 
-  constructor(assignment: ShardAssignment, parts: ShardHostParts) {
+  /**
+   * `unsent` holds intents that this process didn't come to send under an
+   * earlier epoch of the shard.
+   */
+  constructor(
+    assignment: ShardAssignment,
+    parts: ShardHostParts,
+    unsent: ReadonlySet<AttemptId>,
+  ) {
+    this.#unsent = unsent;
     this.#assignment = assignment;
     this.#parts = parts;
     this.#charges = new ShardCharges(
@@ -171,6 +183,11 @@
     return this.#takeStep();
   }
 
+  /** Lists the intents that aren't sent yet. */
+  listUnsent(): AttemptId[] {
+    return this.#owner?.listUnsent() ?? [...this.#unsent];
+  }
+
   /** Counts the attempts whose end only this node can learn. */
   countServiceAttempts(): number {
     return this.#owner?.countServiceAttempts() ?? 0;
@@ -189,8 +206,9 @@
         return this.#handlePlatform(input);
       case "request":
         return this.#handleRequest(input);
-      case "slot":
       case "attempt":
+        return this.#handleAttempt(input);
+      case "slot":
       case "order_result":
       case "drain":
         return this.#runOwner(input);
@@ -228,6 +246,15 @@
     if (this.#waiting.length < MAX_WAITING) this.#waiting.push(input);
   }
 
+  /**
+   * Keeps what is heard of attempts while this process takes its shard again,
+   * as after a change of keepers: nobody else may be able to tell it.
+   */
+  #handleAttempt(input: AttemptInput): void {
+    if (this.#owner !== undefined) return this.#runOwner(input);
+    if (this.#attempts.length < MAX_WAITING) this.#attempts.push(input);
+  }
+
   #handleTick(): void {
     this.#runOwner({ kind: "tick" });
     if (this.#owner === undefined) return;
@@ -311,8 +338,10 @@
       kind: "recovered",
       snapshot: snapshot.value,
       entries: recovered.entries,
+      unsent: this.#unsent,
     });
     this.#charges.applyDurable(through, this.#nowMs);
+    for (const input of this.#attempts.splice(0)) this.#runOwner(input);
     for (const input of this.#waiting.splice(0)) this.#runOwner(input);
     this.#notices.push({ kind: "recovered" });
   }
--- a/packages/scheduler/src/node/shard_hosts.ts
+++ b/packages/scheduler/src/node/shard_hosts.ts
@@ -57,7 +57,9 @@
 
   /** Starts to host a shard under a new epoch. */
   add(assignment: ShardAssignment, nowMs: number): ShardHostsStep {
-    const host = new ShardHost(assignment, this.#parts);
+    const earlier = this.#hosts.get(assignment.shard);
+    const unsent = new Set(earlier?.listUnsent());
+    const host = new ShardHost(assignment, this.#parts, unsent);
     this.#hosts.set(assignment.shard, host);
     return this.#applyStep(assignment.shard, host.start(nowMs));
   }
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -65,10 +65,21 @@
     return this.#add(program, state, { phase: "queued", shared });
   }
 
-  /** Adds a call that an earlier owner left without an outcome. */
-  addRecovered(program: ProgramState, state: CallState): void {
+  /**
+   * Adds a call that an earlier owner left without an outcome.
+   *
+   * `unsent` holds intents that an earlier owner in this same process never
+   * came to send, and now never will.
+   */
+  addRecovered(
+    program: ProgramState,
+    state: CallState,
+    unsent: ReadonlySet<AttemptId>,
+  ): void {
     const running = this.#add(program, state, { phase: "queued" });
-    if (state.attempts.length === 0) return;
+    const sent = state.attempts
+      .filter(({ attemptId }) => !unsent.has(attemptId));
+    if (sent.length === 0) return;
     this.#starter.resume(running);
   }
 
@@ -107,6 +118,13 @@
     }
   }
 
+  /** Lists the intents that aren't sent yet. */
+  listUnsent(): AttemptId[] {
+    return [...this.#calls.values()].flatMap(({ phase, attempt }) =>
+      phase === "intending" && attempt !== undefined ? [attempt.attemptId] : []
+    );
+  }
+
   /** Handles the answer of a dispatcher. */
   handleSlot(message: DispatchMessage): void {
     switch (message.kind) {
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -49,6 +49,8 @@
     readonly kind: "recovered";
     readonly snapshot: readonly EntryBody[];
     readonly entries: readonly LedgerEntry[];
+    /** Intents that an owner in this same process didn't come to send. */
+    readonly unsent?: ReadonlySet<AttemptId>;
   }
   /** The node stops: nothing new is started. */
   | { readonly kind: "drain" }
@@ -86,6 +88,11 @@
     return [...this.#context.state.programs.values()].map(buildProgramView);
   }
 
+  /** Lists the intents that aren't sent yet. */
+  listUnsent(): AttemptId[] {
+    return this.#runner.listUnsent();
+  }
+
   /** Counts the attempts whose end only this node can learn. */
   countServiceAttempts(): number {
     return this.#runner.countServiceAttempts();
@@ -141,6 +148,7 @@
     recovered: Extract<OwnerInput, { kind: "recovered" }>,
   ): void {
     const { state } = this.#context;
+    const unsent = recovered.unsent ?? new Set<AttemptId>();
     for (const body of recovered.snapshot) state.apply(body);
     for (const { body, sequence } of recovered.entries) {
       state.apply(body);
@@ -148,7 +156,7 @@
     }
     for (const program of state.programs.values()) {
       for (const call of program.openCalls) {
-        this.#runner.addRecovered(program, call);
+        this.#runner.addRecovered(program, call, unsent);
       }
       if (program.endReason !== undefined) this.#releaser.add(program);
       this.#runner.startNext(program.spec.programId);
--- a/packages/standins/src/fleet/virtual_node.ts
+++ b/packages/standins/src/fleet/virtual_node.ts
@@ -11,6 +11,7 @@
 } from "@camphorlock/scheduler";
 import {
   type AttemptEvent,
+  type AttemptId,
   checkNever,
   type Effect,
   type LogRecord,
@@ -59,6 +60,8 @@
   readonly #hooks: VirtualNodeHooks;
   readonly #core: NodeCore;
   #waiting: NodeInput[] = [];
+  /** The attempts that this process follows, with their text so far. */
+  readonly #followed = new Map<AttemptId, string>();
   #isPaused = false;
   #isEnded = false;
   #isHandedOver = false;
@@ -153,6 +156,7 @@
       case "resume_attempt":
         return this.#runAttempt(effect);
       case "cancel_attempt":
+        this.#followed.delete(effect.attemptId);
         return targets.cancel(effect.attemptId);
       case "order_target":
         return this.#runOrder(effect);
@@ -163,17 +167,42 @@
     }
   }
 
+  /** An attempt that this process follows already is only replayed. */
   #runAttempt(
     effect: Extract<Effect, { kind: "start_attempt" | "resume_attempt" }>,
   ): void {
     const { order, kind } = effect;
     const { attemptId } = order;
+    const followed = this.#followed.get(attemptId);
+    if (kind === "resume_attempt" && followed !== undefined) {
+      return this.#sendFollowed(attemptId, followed);
+    }
+    this.#followed.set(attemptId, order.prefixText);
     const report = (event: AttemptEvent): void =>
-      this.handle({ kind: "attempt", attemptId, event });
+      this.#handleAttempt(attemptId, event);
     if (kind === "start_attempt") this.#world.targets.start(order, report);
     else this.#world.targets.resume(order, report);
   }
 
+  #sendFollowed(attemptId: AttemptId, text: string): void {
+    if (text === "") return;
+    const event = { kind: "text", offset: 0, text, tokens: 0 } as const;
+    this.#world.clock.add(0, () => {
+      this.handle({ kind: "attempt", attemptId, event });
+    });
+  }
+
+  #handleAttempt(attemptId: AttemptId, event: AttemptEvent): void {
+    const text = this.#followed.get(attemptId);
+    if (text === undefined) return;
+    if (event.kind === "text") {
+      this.#followed.set(attemptId, text.slice(0, event.offset) + event.text);
+    } else {
+      this.#followed.delete(attemptId);
+    }
+    this.handle({ kind: "attempt", attemptId, event });
+  }
+
   #runOrder(effect: Extract<Effect, { kind: "order_target" }>): void {
     const { targetId, number, order } = effect;
     if (order.kind !== "release") return;
--- a/packages/standins/src/fleet/virtual_targets.ts
+++ b/packages/standins/src/fleet/virtual_targets.ts
@@ -24,6 +24,8 @@
 const SHORTEST_SERVICE_MS = 10;
 const SERVICE_SPREAD_MS = 1_200;
 const TOKENS_PER_EVENT = 8;
+/** A service that can't tell the outcome of an earlier request. */
+const MUTE_SERVICE = "service-2";
 
 /** How a target treats what arrives. */
 export type TargetMode =
@@ -95,7 +97,7 @@
       if (mode === "silent" || stream?.isStuck === true) {
         return this.#endLater(order.progressTimeoutMs, listener);
       }
-      if (stream === undefined || mode !== "serving") {
+      if (stream === undefined || mode !== "serving" || isMute(order)) {
         return listener({ kind: "broken", detail: "the attempt isn't known" });
       }
       for (const event of stream.events) listener(event);
@@ -251,6 +253,11 @@
   }
 }
 
+/** Whether the target can't tell what became of an attempt. */
+function isMute(order: AttemptOrder): boolean {
+  return order.call.kind === "service" && order.targetId === MUTE_SERVICE;
+}
+
 /** Services take a time that their answer decides. */
 function computeServiceMs(text: string): number {
   let hash = 0;
--- a/packages/standins/src/proof/fault_schedule.ts
+++ b/packages/standins/src/proof/fault_schedule.ts
@@ -91,11 +91,27 @@
     readonly restartAfterMs: number;
   };
 
+/** Every kind of fault. */
+const EVENT_KINDS: readonly PlannedEvent["kind"][] = [
+  "kill_node",
+  "pause_node",
+  "cut_link",
+  "lose_messages",
+  "platform_fault",
+  "target_fault",
+  "race_operators",
+  "stop_node",
+  "kill_at_answer",
+  "pool_fault",
+];
+
 /** What a schedule may touch, and for how long. */
 export interface ScheduleOptions {
   readonly vmIds: readonly VmId[];
   readonly targetIds: readonly TargetId[];
   readonly lengthMs: number;
+  /** The kinds of fault to choose from, all of them unless named. */
+  readonly kinds?: readonly PlannedEvent["kind"][];
 }
 
 /** Builds a random schedule. */
@@ -129,19 +145,7 @@
   const { atMs, vmIds, targetIds } = options;
   const vmId = random.choose(vmIds);
   const durationMs = random.take(300, 8_000);
-  const kinds = [
-    "kill_node",
-    "pause_node",
-    "cut_link",
-    "lose_messages",
-    "platform_fault",
-    "target_fault",
-    "race_operators",
-    "stop_node",
-    "kill_at_answer",
-    "pool_fault",
-  ] as const;
-  const kind = random.choose(kinds);
+  const kind = random.choose(options.kinds ?? EVENT_KINDS);
   switch (kind) {
     case "kill_node": {
       const restartAfterMs = random.take(500, 8_000);
--- a/packages/standins/src/proof/main.ts
+++ b/packages/standins/src/proof/main.ts
@@ -4,12 +4,14 @@
  */
 import { Command } from "commander";
 import { checkHistory } from "./check_history.ts";
+import type { PlannedEvent } from "./fault_schedule.ts";
 import { runSchedule } from "./run_schedule.ts";
 
 const program = new Command("schedules")
   .option("--from <seed>", "the first seed", "1")
   .option("--seeds <count>", "how many seeds", "100")
   .option("--events", "prints the faults of each seed")
+  .option("--only <fault>", "chooses from one kind of fault")
   .option("--until <check>", "stops when this check is broken")
   .action(runSeeds);
 
@@ -19,13 +21,15 @@
     readonly seeds: string;
     readonly events?: boolean;
     readonly until?: string;
+    readonly only?: PlannedEvent["kind"];
   },
 ): void {
   const from = Number(options.from);
   let broken = 0;
   let calls = 0;
   for (let seed = from; seed < from + Number(options.seeds); seed++) {
-    const { history, events } = runSchedule(seed);
+    const kinds = options.only === undefined ? undefined : [options.only];
+    const { history, events } = runSchedule(seed, kinds);
     calls += history.calls.length;
     if (options.events === true) console.log(JSON.stringify(events));
     const violations = checkHistory(history);
--- a/packages/standins/src/proof/mutations.ts
+++ b/packages/standins/src/proof/mutations.ts
@@ -17,6 +17,8 @@
   readonly name: string;
   readonly check: CheckName;
   readonly edits: readonly Edit[];
+  /** Kinds of fault under which the check notices, all unless named. */
+  readonly faults?: string;
 }
 
 /** Every planted fault. */
@@ -68,6 +70,17 @@
     find: 'if (answer.offset > open.offset) return { kind: "gap" };',
     replaceBy: "if (answer.offset > open.offset) open.offset = answer.offset;",
   }),
+  {
+    name: "a planned stop doesn't wait for orders",
+    check: "planned_stop_graceful",
+    faults: "stop_node",
+    edits: [{
+      file: "node/node_core.ts",
+      find:
+        "if (this.#roles.hosts.countServiceAttempts() > 0 && !isLate) return;",
+      replaceBy: "",
+    }],
+  },
   defineMutation("a node serves at once", "configuration_forward", {
     file: "configuration/freshness.ts",
     find: 'return this.#isCurrent(evidence, nowMs) ? "ready" : "starting";',
--- a/packages/standins/src/proof/run_mutation.ts
+++ b/packages/standins/src/proof/run_mutation.ts
@@ -60,7 +60,10 @@
 
 function runSchedules(folder: string, mutation: Mutation): Promise<string> {
   const main = join(folder, "packages/standins/src/proof/main.ts");
-  const options = ["--seeds", SEEDS, "--until", mutation.check];
+  const faults = mutation.faults === undefined
+    ? []
+    : ["--only", mutation.faults];
+  const options = ["--seeds", SEEDS, "--until", mutation.check, ...faults];
   const child = spawn(
     process.execPath,
     ["--import", "tsx", main, ...options],
--- a/packages/standins/src/proof/run_plan.ts
+++ b/packages/standins/src/proof/run_plan.ts
@@ -165,10 +165,18 @@
         atMs: fleet.clock.nowMs,
         revision: node.core.revision,
       })),
-    gracefulRequests: [],
+    gracefulRequests: isStopsOnly(plan)
+      ? fleet.requests.filter(({ request }) => request.kind === "run_call")
+      : [],
   };
 }
 
+/** Whether every fault of a plan is a planned stop, which cuts off nothing. */
+function isStopsOnly(plan: RunPlan): boolean {
+  return plan.load.hasAmpleBudget === true &&
+    plan.events.every((event) => event.kind === "stop_node");
+}
+
 /**
  * Lists the revisions that nodes served under. A process that has started
  * reads up to the latest revision before it's ready; until then it serves
--- a/packages/standins/src/proof/run_schedule.ts
+++ b/packages/standins/src/proof/run_schedule.ts
@@ -31,8 +31,16 @@
   readonly events: readonly PlannedEvent[];
 }
 
-/** Runs one seed. The same seed always gives the same run. */
-export function runSchedule(seed: number): ScheduleRun {
+/**
+ * Runs one seed. The same seed always gives the same run.
+ *
+ * With only some kinds of fault the budgets are ample, so that a call that
+ * doesn't complete was cut off.
+ */
+export function runSchedule(
+  seed: number,
+  kinds?: readonly PlannedEvent["kind"][],
+): ScheduleRun {
   const vmIds = Array.from({ length: SHAPE.nodeCount }, (_, at) => {
     return `vm-${at + 1}`;
   });
@@ -40,7 +48,9 @@
     vmIds,
     targetIds: listTargets(SHAPE),
     lengthMs: FAULTS_MS,
+    ...(kinds === undefined ? {} : { kinds }),
   });
-  const history = runPlan({ seed, shape: SHAPE, load: LOAD, events });
+  const load = { ...LOAD, hasAmpleBudget: kinds !== undefined };
+  const history = runPlan({ seed, shape: SHAPE, load, events });
   return { history, events };
 }
--- a/packages/standins/src/proof/run_schedule_test.ts
+++ b/packages/standins/src/proof/run_schedule_test.ts
@@ -4,6 +4,7 @@
 
 const FIRST_SEED = 1;
 const SEED_COUNT = 100;
+const STOP_SEEDS = 20;
 const REPEAT = "node --import tsx packages/standins/src/proof/main.ts";
 
 describe("random fault schedules", () => {
@@ -19,6 +20,18 @@
     expect(broken).to.deep.equal([]);
   });
 
+  it("cut off nothing when nodes stop as planned", () => {
+    const broken: string[] = [];
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + STOP_SEEDS; seed++) {
+      const { history } = runSchedule(seed, ["stop_node"]);
+      expect(history.gracefulRequests).not.to.have.length(0);
+      for (const { check, detail } of checkHistory(history)) {
+        broken.push(`seed ${seed}: ${check}: ${detail}`);
+      }
+    }
+    expect(broken).to.deep.equal([]);
+  });
+
   it("give the same run for the same seed", () => {
     const texts = [1, 2].map(() => JSON.stringify(runSchedule(7).history));
     expect(texts[0]).to.equal(texts[1]);
