Hold a shard's work while it's offered to another node

Change: shards with open service attempts stay, and an offered shard starts nothing until it's taken or the offer is over.

--- a/packages/scheduler/src/assignment/handover.ts
+++ b/packages/scheduler/src/assignment/handover.ts
@@ -1,7 +1,7 @@
 /**
  * Decides when this node offers its shards to others.
  */
-import type { Effect, NodeSpec } from "@camphorlock/types";
+import type { Effect, NodeSpec, ShardId } from "@camphorlock/types";
 import { computeFraction } from "../hash.ts";
 import type { AssignmentTable } from "./assignment_table.ts";
 import type { Fleet } from "./fleet.ts";
@@ -19,6 +19,8 @@
 export class Handover {
   readonly #parts: HandoverParts;
   readonly #offers: Offers;
+  /** Shards whose work would be harmed by a move now. */
+  #busy: ReadonlySet<ShardId> = new Set();
   #isLeaving = false;
   #isHandedOver = false;
   #nextRebalanceMs = 0;
@@ -33,6 +35,11 @@
     return this.#isLeaving;
   }
 
+  /** Sets the shards that stay where they are unless the node leaves. */
+  setBusy(shards: readonly ShardId[]): void {
+    this.#busy = new Set(shards);
+  }
+
   /** Begins to give everything away. */
   startLeaving(): void {
     this.#isLeaving = true;
@@ -73,7 +80,8 @@
   #buildContext(fleet: Fleet, nowMs: number): OfferContext {
     const { self, table } = this.#parts;
     return {
-      owned: table.listOwned(),
+      owned: table.listOwned()
+        .filter(({ shard }) => this.#isLeaving || !this.#busy.has(shard)),
       fleet,
       self: self.vmId,
       loads: table.countLoads(fleet),
--- a/packages/scheduler/src/assignment/messages.ts
+++ b/packages/scheduler/src/assignment/messages.ts
@@ -33,6 +33,11 @@
     readonly token: PlatformToken;
     readonly answer: PlatformAnswer;
   }
+  | {
+    /** Shards that aren't to be given away only to even out the load. */
+    readonly kind: "busy";
+    readonly shards: readonly ShardId[];
+  }
   | { readonly kind: "tick" }
   /** The node stops: its shards are offered to others. */
   | { readonly kind: "leave" }
--- a/packages/scheduler/src/assignment/shard_assigner.ts
+++ b/packages/scheduler/src/assignment/shard_assigner.ts
@@ -122,6 +122,9 @@
         return this.#handleAnswer(input.token.number, input.answer);
       case "tick":
         return this.#handleTick();
+      case "busy":
+        this.#handover.setBusy(input.shards);
+        break;
       case "leave":
         return this.#handover.startLeaving();
       case "recovered":
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -133,6 +133,8 @@
     const tick = { kind: "tick" } as const;
     this.#timers.subscribe(ROLE_TICK_MS, (nowMs) => {
       this.#steps.applyMembership(this.#roles.membership.handle(tick, nowMs));
+      const busy = this.#roles.hosts.listBusy();
+      this.#roles.assigner.handle({ kind: "busy", shards: busy }, nowMs);
       this.#steps.applyAssignment(this.#roles.assigner.handle(tick, nowMs));
       this.#steps.applyHosts(this.#roles.hosts.handleAll(tick, nowMs));
       this.#steps.addEffects(this.#roles.policy.handleTick(nowMs));
@@ -236,7 +238,10 @@
       this.#roles.membership.startLeaving(this.#steps.nowMs),
     );
     this.#steps.applyHosts(
-      this.#roles.hosts.handleAll({ kind: "drain" }, this.#steps.nowMs),
+      this.#roles.hosts.handleAll(
+        { kind: "drain", untilMs: Infinity },
+        this.#steps.nowMs,
+      ),
     );
   }
 
--- a/packages/scheduler/src/node/node_steps.ts
+++ b/packages/scheduler/src/node/node_steps.ts
@@ -12,6 +12,9 @@
 import type { CollectedRows } from "./row_collector.ts";
 import type { ShardHostsStep } from "./shard_hosts.ts";
 
+/** An offered shard is taken within this time, or it stays. */
+const OFFER_HOLD_MS = 2_000;
+
 /** The steps of a node's roles while one input is handled. */
 export class NodeSteps {
   nowMs = 0;
@@ -51,10 +54,23 @@
 
   /** Applies a step of shard assignment. */
   applyAssignment(step: AssignmentStep): void {
+    for (const effect of step.effects) this.#stopOffered(effect);
     this.addEffects(step.effects);
     for (const notice of step.notices) this.#applyAssignmentNotice(notice);
   }
 
+  /** Starts nothing on a shard that is offered until the offer is over. */
+  #stopOffered(effect: Effect): void {
+    if (effect.kind !== "send_peer") return;
+    const { message } = effect;
+    if (message.kind !== "handover_offer") return;
+    const untilMs = this.nowMs + OFFER_HOLD_MS;
+    for (const shard of message.shards) {
+      const drain = { kind: "drain", untilMs } as const;
+      this.applyHosts(this.#roles.hosts.handle(shard, drain, this.nowMs));
+    }
+  }
+
   #applyAssignmentNotice(notice: AssignmentNotice): void {
     switch (notice.kind) {
       case "gained":
--- a/packages/scheduler/src/node/shard_host.ts
+++ b/packages/scheduler/src/node/shard_host.ts
@@ -88,8 +88,8 @@
     readonly number: number;
     readonly result: TargetOrderResult;
   }
-  /** The node stops: nothing new is started. */
-  | { readonly kind: "drain" }
+  /** The shard is about to move: nothing new is started until then. */
+  | { readonly kind: "drain"; readonly untilMs: number }
   | { readonly kind: "vms_gone"; readonly vmIds: readonly VmId[] }
   | { readonly kind: "tick" };
 
--- a/packages/scheduler/src/node/shard_hosts.ts
+++ b/packages/scheduler/src/node/shard_hosts.ts
@@ -114,6 +114,13 @@
     };
   }
 
+  /** Lists the shards with attempts whose end only this node can learn. */
+  listBusy(): ShardId[] {
+    return [...this.#hosts]
+      .filter(([, host]) => host.countServiceAttempts() > 0)
+      .map(([shard]) => shard);
+  }
+
   /** Counts the attempts whose end only this node can learn. */
   countServiceAttempts(): number {
     return [...this.#hosts.values()]
--- a/packages/scheduler/src/owner/call_runner.ts
+++ b/packages/scheduler/src/owner/call_runner.ts
@@ -31,7 +31,7 @@
   readonly #byProgram = new Map<ProgramId, Set<RunningCall>>();
   readonly #starter: AttemptStarter;
   readonly #ender: CallEnder;
-  #isDraining = false;
+  #heldUntilMs = -Infinity;
 
   constructor(context: OwnerContext, waiters: Waiters) {
     this.#context = context;
@@ -93,9 +93,9 @@
     }
   }
 
-  /** Starts nothing new; what was sent goes on. */
-  stopStarting(): void {
-    this.#isDraining = true;
+  /** Starts nothing new until a moment; what was sent goes on. */
+  stopStarting(untilMs: number): void {
+    this.#heldUntilMs = Math.max(this.#heldUntilMs, untilMs);
   }
 
   /**
@@ -155,6 +155,10 @@
     for (const running of [...this.#calls.values()]) this.#check(running);
   }
 
+  get #isHeld(): boolean {
+    return this.#context.nowMs < this.#heldUntilMs;
+  }
+
   #add(
     program: ProgramState,
     state: CallState,
@@ -178,7 +182,7 @@
 
   #start(running: RunningCall): void {
     const { nowMs } = this.#context;
-    if (this.#isDraining || running.notBeforeMs > nowMs) return;
+    if (this.#isHeld || running.notBeforeMs > nowMs) return;
     if (!Number.isFinite(running.placingSinceMs)) {
       running.placingSinceMs = nowMs;
     }
@@ -202,6 +206,7 @@
     const running = this.#byAttempt.get(attemptId);
     if (running === undefined) return;
     if (running.phase !== "waiting_slot") return;
+    if (this.#isHeld) return this.#ender.handleSlotRefused(running, 0);
     const intended = this.#starter.recordIntent(running);
     if (intended.isErr()) this.#ender.handleSlotRefused(running, 0);
   }
--- a/packages/scheduler/src/owner/shard_owner.ts
+++ b/packages/scheduler/src/owner/shard_owner.ts
@@ -52,8 +52,8 @@
     /** Intents that an owner in this same process didn't come to send. */
     readonly unsent?: ReadonlySet<AttemptId>;
   }
-  /** The node stops: nothing new is started. */
-  | { readonly kind: "drain" }
+  /** The shard is about to move: nothing new is started until then. */
+  | { readonly kind: "drain"; readonly untilMs: number }
   | { readonly kind: "tick" };
 
 /** The state machine of a shard's owner. */
@@ -120,7 +120,7 @@
       case "recovered":
         return this.#applyRecovered(input);
       case "drain":
-        return this.#runner.stopStarting();
+        return this.#runner.stopStarting(input.untilMs);
       case "tick":
         return this.#handleTick();
       default:
--- a/packages/standins/src/proof/mutations.ts
+++ b/packages/standins/src/proof/mutations.ts
@@ -30,19 +30,24 @@
   }),
   defineMutation("a new owner forgets intents", "at_most_once", {
     file: "owner/call_runner.ts",
-    find: "if (state.attempts.length === 0) return;",
-    replaceBy: "if (state.attempts.length >= 0) return;",
+    find: "if (sent.length === 0) return;",
+    replaceBy: "if (sent.length >= 0) return;",
   }),
   defineMutation("a repeated key runs again", "at_most_once", {
     file: "owner/request_handler.ts",
     find: 'earlier === undefined || earlier.outcome?.status === "not_run"',
     replaceBy: "earlier === undefined || earlier !== undefined",
   }),
-  defineMutation("outcomes are told before they're durable", "history_kept", {
-    file: "owner/call_ender.ts",
-    find: "}], () => this.#hooks.finish(running));",
-    replaceBy: "}]);\n    this.#hooks.finish(running);",
-  }),
+  {
+    name: "outcomes are told before they're durable",
+    check: "history_kept",
+    faults: "kill_at_answer",
+    edits: [{
+      file: "owner/call_ender.ts",
+      find: "}], () => this.#hooks.finish(running));",
+      replaceBy: "}]);\n    this.#hooks.finish(running);",
+    }],
+  },
   defineMutation("what may have run is called not run", "not_run_honest", {
     file: "owner/call_ender.ts",
     find:
