--- a/packages/camphorlock/src/node/node_process.ts
+++ b/packages/camphorlock/src/node/node_process.ts
@@ -19,7 +19,12 @@
   type NodeOptions,
 } from "@camphorlock/scheduler";
 import { Services } from "@camphorlock/services";
-import type { CallerAnswer, CallerRequest, NodeSpec } from "@camphorlock/types";
+import type {
+  AttemptEvent,
+  CallerAnswer,
+  CallerRequest,
+  NodeSpec,
+} from "@camphorlock/types";
 import { err, ok, type Result } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import type { LogWriter } from "../logs/log_writer.ts";
@@ -86,8 +91,10 @@
     this.#attempts = new AttemptBook({
       engines: this.#engines,
       services: this.#services,
-      report: (attemptId, event) =>
-        this.#handle({ kind: "attempt", attemptId, event }),
+      report: (attemptId, event) => {
+        this.#countAttemptEvent(event);
+        this.#handle({ kind: "attempt", attemptId, event });
+      },
     });
     this.#operations = this.#createOperations();
     this.#gateway = this.#createGateway();
@@ -153,6 +160,11 @@
     this.metrics.record("node_step", performance.now() - startedAtMs);
   }
 
+  #countAttemptEvent(event: AttemptEvent): void {
+    if (event.kind === "broken") this.metrics.add("attempts_broken");
+    if (event.kind === "text") this.metrics.add("text_tokens", event.tokens);
+  }
+
   #handleNotice(notice: NodeNotice): void {
     this.#operations.waiters.handle(notice);
     if (notice.kind === "handed_over") this.#isHandedOver = true;
--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -3,7 +3,7 @@
  *
  * Hundreds tell the area: 1 node, 2 membership and assignment, 3 ledger,
  * 4 calls, 5 dispatch and placement, 6 configuration and operators,
- * 7 platform, 8 targets. docs/EVENTS.md repeats this table; the linter checks
+ * 7 platform, 8 targets. docs/EVENTS.md repeats this table; a test checks
  * that both agree.
  */
 
@@ -194,12 +194,6 @@
     "warn",
     "The node can't tell whether its configuration is the latest.",
   ),
-  StaleRevisionRemoved: defineEvent(
-    605,
-    "StaleRevisionRemoved",
-    "warn",
-    "A revision written below the trimmed ones was removed.",
-  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -3,7 +3,7 @@
  *
  * Thousands tell the area: 1 request, 2 program, 3 budget, 4 target, 5 owner,
  * 6 platform, 7 operator language, 8 settings, 9 node. docs/RESULT_CODES.md
- * repeats this table; the linter checks that both agree.
+ * repeats this table; a test checks that both agree.
  */
 
 /** What a result code means to whoever receives it. */
