Tell a late refusal from a run of its own request; keep others' entries at a stop

The check now passes over a run only if it isn't of the refused call and the caller sent a repeat before it; both planted faults about refusals still turn it red. A stopping node also waits up to 10 s until what it keeps for other owners is stored.

--- a/packages/camphorlock/src/node/node_process.ts
+++ b/packages/camphorlock/src/node/node_process.ts
@@ -35,12 +35,14 @@
 import { EffectRunner } from "./effect_runner.ts";
 import { buildLimits } from "./node_limits.ts";
 import { buildSecurity, buildSpec, createLogs } from "./process_parts.ts";
+import { waitUntil } from "./wait_until.ts";
 import { findCharge, readStatement } from "./published_charges.ts";
 import { Operations } from "./operations.ts";
 
 const TICK_MS = 50;
 const VM_LIST_MS = 2_000;
-const DRAIN_POLL_MS = 50;
+/** Wait of a stop for the platform to hold what this node keeps of others. */
+const KEPT_LIMIT_MS = 10_000;
 const SEED_BYTES = 4;
 
 /** What a process is started with besides its settings. */
@@ -123,15 +125,14 @@
 
   /**
    * Stops as planned: takes nothing new, hands the shards over, lets open
-   * requests end, then closes.
+   * requests end, keeps others' entries until they're stored, then closes.
    */
   async stop(limitMs: number): Promise<void> {
     this.#log("NodeStopping");
     this.#handle({ kind: "stop" });
-    const untilMs = performance.now() + limitMs;
-    while (!this.#isDrained() && performance.now() < untilMs) {
-      await waitFor(DRAIN_POLL_MS);
-    }
+    await waitUntil(() => this.#isDrained(), limitMs);
+    const keptLimitMs = Math.min(limitMs, KEPT_LIMIT_MS);
+    await waitUntil(() => this.core.keptBytes === 0, keptLimitMs);
     await this.close();
     this.#log("NodeStopped");
   }
@@ -284,7 +285,3 @@
     this.#logs.write({ event, fields: { region, incarnation, callers } });
   }
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- /dev/null
+++ b/packages/camphorlock/src/node/wait_until.ts
@@ -0,0 +1,20 @@
+/**
+ * Waits for a condition.
+ */
+
+const POLL_MS = 50;
+
+/** Waits until a condition holds or the time is up. */
+export async function waitUntil(
+  isDone: () => boolean,
+  limitMs: number,
+): Promise<void> {
+  const untilMs = performance.now() + limitMs;
+  while (!isDone() && performance.now() < untilMs) {
+    await waitFor(POLL_MS);
+  }
+}
+
+function waitFor(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -79,6 +79,11 @@
     return this.#roles.entry.openCount;
   }
 
+  /** Bytes of other owners' entries that only keepers hold yet. */
+  get keptBytes(): number {
+    return this.#roles.keeper.bytes;
+  }
+
   /** The nodes as this one sees them. */
   getView(): MembershipView {
     return this.#roles.membership.view();
--- a/packages/standins/src/proof/check_calls.ts
+++ b/packages/standins/src/proof/check_calls.ts
@@ -1,8 +1,14 @@
 /**
  * Checks of what callers were told against what targets ran.
  */
-import type { Call, CallOutcome, HistoryItem } from "@camphorlock/types";
+import type {
+  Call,
+  CallerAnswer,
+  CallOutcome,
+  HistoryItem,
+} from "@camphorlock/types";
 import { buildAnswerText } from "../engine_server/answer_text.ts";
+import type { VirtualRequest } from "../fleet/virtual_fleet.ts";
 import type { TargetRun } from "../fleet/virtual_targets.ts";
 import { buildOperationText } from "../service/serve_service.ts";
 import type { RunHistory, Violation } from "./run_history.ts";
@@ -29,6 +35,25 @@
   return violations;
 }
 
+/**
+ * Whether a run is due to a repeat that the caller sent after a request, while
+ * the refusal of that request was still on its way.
+ */
+function isOfLaterRequest(
+  run: TargetRun,
+  refusal: {
+    readonly answer: Extract<CallerAnswer, { kind: "outcome" }>;
+    readonly request: VirtualRequest;
+    readonly requests: readonly VirtualRequest[];
+  },
+): boolean {
+  const { answer, request, requests } = refusal;
+  if (run.attemptId.startsWith(`${answer.callId}.`)) return false;
+  return requests.some(({ sentAtMs }) =>
+    sentAtMs > request.sentAtMs && sentAtMs <= run.atMs
+  );
+}
+
 /** What was refused as not run has no run; what ended has no other end. */
 export function checkNotRunHonest(history: RunHistory): Violation[] {
   const violations: Violation[] = [];
@@ -39,7 +64,8 @@
       if (answer.outcome.status !== "not_run") continue;
       const endedAtMs = request.endedAtMs ?? 0;
       const runs = listRunsOf(history, call)
-        .filter((run) => run.atMs <= endedAtMs);
+        .filter((run) => run.atMs <= endedAtMs)
+        .filter((run) => !isOfLaterRequest(run, { answer, request, requests }));
       if (runs.length === 0) continue;
       const detail = `${key} was refused as not run and ran before`;
       violations.push({ check: "not_run_honest", detail });
