--- a/packages/standins/src/bench/policy/bench_cluster.ts
+++ b/packages/standins/src/bench/policy/bench_cluster.ts
@@ -8,7 +8,7 @@
   type EngineOutput,
 } from "../../engine/mod.ts";
 import { type BenchLink, BenchNode, createRun } from "./bench_node.ts";
-import { EventQueue } from "./event_queue.ts";
+import { VirtualClock } from "../../fleet/virtual_clock.ts";
 import type { ProgramRecord, RunCounters, RunRecords } from "./measurements.ts";
 import type { PolicySet } from "./policies.ts";
 import { getDelay, type Topology } from "./topology.ts";
@@ -50,7 +50,7 @@
 
 class BenchCluster {
   readonly #options: RunOptions;
-  readonly #events = new EventQueue();
+  readonly #events = new VirtualClock();
   readonly #nodes = new Map<VmId, BenchNode>();
   readonly #regions = new Map<VmId, Region>();
   readonly #engines = new Map<string, EngineHost>();
@@ -78,7 +78,7 @@
   run(): RunRecords {
     const { workload, drainMs } = this.#options;
     for (const program of workload.programs) {
-      this.#events.add(
+      this.#events.addAt(
         program.arrivesAtMs,
         (atMs) => this.#startProgram(program, atMs),
       );
@@ -99,7 +99,7 @@
     let atMs = 0;
     while (atMs < endMs && this.#open.size > 0) {
       atMs = Math.min(endMs, atMs + 1_000);
-      this.#events.runUntil(atMs);
+      this.#events.runTo(atMs);
     }
     return atMs;
   }
@@ -132,7 +132,7 @@
   }
 
   #addTick(node: BenchNode, atMs: number): void {
-    this.#events.add(atMs, (nowMs) => {
+    this.#events.addAt(atMs, (nowMs) => {
       node.handleTick(nowMs);
       this.#addTick(node, nowMs + TICK_MS);
     });
@@ -143,7 +143,7 @@
       counters: this.#counters,
       send: (to, message) => this.#send({ vmId, region }, to, message),
       wait: (delayMs, run) =>
-        this.#events.add(this.#events.nowMs + delayMs, run),
+        this.#events.addAt(this.#events.nowMs + delayMs, run),
       generate: (targetId, request) => {
         this.#attemptNodes.set(request.attemptId, vmId);
         this.#sendToEngine(targetId, region, { kind: "generate", request });
@@ -165,7 +165,7 @@
       from.region,
       this.#regions.get(to) ?? "",
     );
-    this.#events.add(this.#events.nowMs + delayMs, (atMs) => {
+    this.#events.addAt(this.#events.nowMs + delayMs, (atMs) => {
       node.receive(from.vmId, message, atMs);
     });
   }
@@ -175,7 +175,7 @@
     if (host === undefined) return;
     const delays = this.#options.topology.delays;
     const delayMs = getDelay(delays, from, host.region);
-    this.#events.add(this.#events.nowMs + delayMs, (atMs) => {
+    this.#events.addAt(this.#events.nowMs + delayMs, (atMs) => {
       this.#handleEngine(host, input, atMs);
     });
   }
@@ -186,7 +186,7 @@
     const nextAtMs = host.model.getNextAtMs();
     if (nextAtMs === Infinity || nextAtMs === host.wakesAtMs) return;
     host.wakesAtMs = nextAtMs;
-    this.#events.add(nextAtMs, (atMs) => {
+    this.#events.addAt(nextAtMs, (atMs) => {
       if (host.wakesAtMs !== atMs) return;
       host.wakesAtMs = Infinity;
       this.#handleEngine(host, { kind: "advance" }, atMs);
@@ -211,7 +211,7 @@
       node.receiveOutput(output, arrivesAtMs);
       return;
     }
-    this.#events.add(arrivesAtMs, (atMs) => node.receiveOutput(output, atMs));
+    this.#events.addAt(arrivesAtMs, (atMs) => node.receiveOutput(output, atMs));
     if (output.kind === "completed") {
       this.#attemptNodes.delete(output.attemptId);
     }
@@ -222,7 +222,7 @@
     for (const { atMs, engine, speed } of this.#options.speedChanges) {
       const host = this.#engines.get(targets[engine]?.targetId ?? "");
       if (host === undefined) continue;
-      this.#events.add(
+      this.#events.addAt(
         atMs,
         (nowMs) =>
           this.#handleEngine(host, { kind: "set_speed", speed }, nowMs),
@@ -245,7 +245,7 @@
         this.#settleRefusal(program, retryAfterMs, atMs),
     });
     const { toClientMs } = this.#options.topology.delays;
-    this.#events.add(nowMs + toClientMs, (atMs) => {
+    this.#events.addAt(nowMs + toClientMs, (atMs) => {
       node.startProgram(run, { isFresh: true, nowMs: atMs });
     });
   }
@@ -265,7 +265,7 @@
     this.#refusals.set(programId, refusals);
     const backAtMs = nowMs + retryAfterMs;
     if (backAtMs - arrivesAtMs <= this.#options.patienceMs) {
-      this.#events.add(backAtMs, (atMs) => this.#startProgram(program, atMs));
+      this.#events.addAt(backAtMs, (atMs) => this.#startProgram(program, atMs));
       return;
     }
     this.#open.delete(programId);
--- a/packages/standins/src/bench/policy/policy_bench_test.ts
+++ b/packages/standins/src/bench/policy/policy_bench_test.ts
@@ -2,7 +2,7 @@
 import { runCluster } from "./bench_cluster.ts";
 import { buildRows, checkTarget, type Observation } from "./bench_result.ts";
 import { createWorkload } from "./demand.ts";
-import { EventQueue } from "./event_queue.ts";
+import { VirtualClock } from "../../fleet/virtual_clock.ts";
 import type { RunRecords } from "./measurements.ts";
 import { CAMPHORLOCK } from "./policies.ts";
 import { runPolicyBench } from "./run_policy_bench.ts";
@@ -88,16 +88,16 @@
 
 describe("event queue", () => {
   it("runs events in order of time, and of entry for equals", () => {
-    const queue = new EventQueue();
+    const queue = new VirtualClock();
     const seen: string[] = [];
     for (
       const [atMs, name] of [[3, "d"], [1, "a"], [2, "b"], [2, "c"]] as const
     ) {
-      queue.add(atMs, () => seen.push(name));
+      queue.addAt(atMs, () => seen.push(name));
     }
-    queue.runUntil(2);
+    queue.runTo(2);
     expect(seen.join("")).to.equal("abc");
-    queue.runUntil(9);
+    queue.runTo(9);
     expect(seen.join("")).to.equal("abcd");
   });
 });
--- a/packages/standins/src/configuration_fleet/configuration_fleet.ts
+++ b/packages/standins/src/configuration_fleet/configuration_fleet.ts
@@ -21,7 +21,7 @@
 import { FaultyStore } from "../platform/faulty_store.ts";
 import { ObjectStore } from "../platform/object_store.ts";
 import { ConfigurationNode } from "./configuration_node.ts";
-import { EventQueue } from "./event_queue.ts";
+import { VirtualClock } from "../fleet/virtual_clock.ts";
 import { VirtualPlatform } from "./virtual_platform.ts";
 
 const TICK_MS = 50;
@@ -43,7 +43,7 @@
 
 /** A virtual fleet. */
 export class ConfigurationFleet {
-  readonly queue = new EventQueue();
+  readonly queue = new VirtualClock();
   readonly store = new ObjectStore();
   readonly plan: FaultPlan;
   readonly platform: VirtualPlatform;
@@ -123,7 +123,7 @@
 
   /** Runs until a time. */
   runUntil(untilMs: number): void {
-    this.queue.runUntil(untilMs);
+    this.queue.runTo(untilMs);
   }
 
   #addTick(
--- a/packages/standins/src/configuration_fleet/money_property_test.ts
+++ b/packages/standins/src/configuration_fleet/money_property_test.ts
@@ -28,7 +28,7 @@
 import { FaultPlan, type PlatformFault } from "../platform/fault_plan.ts";
 import { FaultyStore } from "../platform/faulty_store.ts";
 import { ObjectStore } from "../platform/object_store.ts";
-import { EventQueue } from "./event_queue.ts";
+import { VirtualClock } from "../fleet/virtual_clock.ts";
 import { choosePartner } from "./configuration_fleet.ts";
 import { VirtualPlatform } from "./virtual_platform.ts";
 
@@ -41,7 +41,7 @@
 
 /** The platform under virtual time, and the roles that call it. */
 class World {
-  readonly queue = new EventQueue();
+  readonly queue = new VirtualClock();
   readonly store = new ObjectStore();
   readonly platform: VirtualPlatform;
   readonly plan: FaultPlan;
@@ -182,7 +182,7 @@
         };
         const running = [0, 1, 2].map(start);
         for (const each of [...steps].sort((a, b) => a.atMs - b.atMs)) {
-          world.queue.runUntil(each.atMs);
+          world.queue.runTo(each.atMs);
           const spender = running[each.vm];
           if (spender === undefined) continue;
           if (each.action === "spend") {
@@ -197,9 +197,9 @@
           expect(spent).to.be.at.most(LIMIT_MICROS);
         }
         world.plan.removeAll();
-        world.queue.runUntil(FAULTS_UNTIL_MS + 20_000);
+        world.queue.runTo(FAULTS_UNTIL_MS + 20_000);
         for (const each of running) each.leave();
-        world.queue.runUntil(FAULTS_UNTIL_MS + 40_000);
+        world.queue.runTo(FAULTS_UNTIL_MS + 40_000);
         const spent = all.reduce((sum, one) => sum + one.spentMicros, 0);
         const [value] = world.readAll(formatBudgetObjectKey(KEY));
         const stored = value === undefined
@@ -245,9 +245,9 @@
           const untilMs = nextMs + (stopsLate ? 10_000 : 0);
           runOutbox(world, { charges, fromMs, untilMs, ownsUntilMs: nextMs });
         });
-        world.queue.runUntil(FAULTS_UNTIL_MS);
+        world.queue.runTo(FAULTS_UNTIL_MS);
         world.plan.removeAll();
-        world.queue.runUntil(FAULTS_UNTIL_MS + 60_000);
+        world.queue.runTo(FAULTS_UNTIL_MS + 60_000);
         checkStatements(world, charges.map(({ charge }) => charge));
       },
     );
--- a/packages/standins/src/configuration_fleet/virtual_platform.ts
+++ b/packages/standins/src/configuration_fleet/virtual_platform.ts
@@ -4,7 +4,7 @@
  */
 import type { PlatformAnswer, PlatformRequest } from "@camphorlock/types";
 import type { FaultyStore } from "../platform/faulty_store.ts";
-import type { EventQueue } from "./event_queue.ts";
+import type { VirtualClock } from "../fleet/virtual_clock.ts";
 
 /** One-way delay from a node to the platform. */
 const PLATFORM_DELAY_MS = 2;
@@ -30,11 +30,11 @@
 /** A platform that virtual nodes call. */
 export class VirtualPlatform {
   readonly #store: FaultyStore;
-  readonly #queue: EventQueue;
+  readonly #queue: VirtualClock;
   /** Bytes of stored values, written and read. */
   bytes = 0;
 
-  constructor(store: FaultyStore, queue: EventQueue) {
+  constructor(store: FaultyStore, queue: VirtualClock) {
     this.#store = store;
     this.#queue = queue;
   }
--- a/packages/standins/src/fleet/virtual_clock.ts
+++ b/packages/standins/src/fleet/virtual_clock.ts
@@ -6,7 +6,7 @@
 interface DueWork {
   readonly atMs: number;
   readonly number: number;
-  readonly run: () => void;
+  readonly run: (nowMs: number) => void;
 }
 
 /** A clock that stands still but for the work that it runs. */
@@ -22,24 +22,33 @@
   }
 
   /** Adds work that is due after a delay. */
-  add(delayMs: number, run: () => void): void {
+  add(delayMs: number, run: (nowMs: number) => void): void {
+    this.addAt(this.#nowMs + delayMs, run);
+  }
+
+  /** Adds work that is due at a time, or at once if that has passed. */
+  addAt(dueAtMs: number, run: (nowMs: number) => void): void {
     this.#number += 1;
-    const atMs = this.#nowMs + Math.max(0, delayMs);
+    const atMs = Math.max(this.#nowMs, dueAtMs);
     this.#heap.push({ atMs, number: this.#number, run });
     this.#sortUp(this.#heap.length - 1);
   }
 
   /** Runs all work that is due within a time. */
   runFor(durationMs: number): void {
-    const untilMs = this.#nowMs + durationMs;
+    this.runTo(this.#nowMs + durationMs);
+  }
+
+  /** Runs all work that is due up to a time. */
+  runTo(untilMs: number): void {
     for (;;) {
       const next = this.#heap[0];
       if (next === undefined || next.atMs > untilMs) break;
       this.#removeFirst();
       this.#nowMs = next.atMs;
-      next.run();
+      next.run(next.atMs);
     }
-    this.#nowMs = untilMs;
+    this.#nowMs = Math.max(this.#nowMs, untilMs);
   }
 
   /** Runs work until a condition holds; false when the time runs out. */
@@ -50,7 +59,7 @@
       if (next === undefined || next.atMs > untilMs) return false;
       this.#removeFirst();
       this.#nowMs = next.atMs;
-      next.run();
+      next.run(next.atMs);
     }
     return true;
   }
