--- a/packages/standins/src/proof/mutations.ts
+++ b/packages/standins/src/proof/mutations.ts
@@ -60,7 +60,7 @@
     replaceBy: "",
   }),
   defineMutation("the budget isn't looked at", "budget_kept", {
-    file: "owner/request_handler.ts",
+    file: "owner/check_acceptable.ts",
     find:
       'if (computeRest(program) < reservedMicros) return "BudgetExhausted";',
     replaceBy: "",
