Close the logs of a stopping node before its shards are offered

One run of the process tests under a parallel load had five of twelve calls end as uncertain after a planned stop: their shards weren't served for 30 s. The successor had to seal keepers, although the owner could close the log. It does now, so that a successor needs no keeper. Whether this was the cause isn't shown: the failure came once and hasn't come again.

--- a/packages/scheduler/src/node/node_core.ts
+++ b/packages/scheduler/src/node/node_core.ts
@@ -1,6 +1,5 @@
 /**
- * One node: passes each input to the role that it's for, ticks the roles, and
- * stops as planned. Like its roles, a node is deterministic.
+ * One node: passes inputs to its roles, ticks them, and stops as planned.
  */
 import { createFailure, type Failure } from "@camphorlock/codes";
 import {
@@ -257,6 +256,7 @@
     if (this.#roles.hosts.countServiceAttempts() > 0 && !isLate) return;
     this.#isOffering = true;
     this.#steps.addEffects(this.#roles.budgets.stop(nowMs));
+    this.#steps.applyHosts(this.#roles.hosts.closeAll(nowMs));
     this.#steps.applyAssignment(
       this.#roles.assigner.handle({ kind: "leave" }, nowMs),
     );
--- a/packages/scheduler/src/node/shard_hosts.ts
+++ b/packages/scheduler/src/node/shard_hosts.ts
@@ -111,6 +111,16 @@
     };
   }
 
+  /** Closes every log, so that a successor needs no keeper. */
+  closeAll(nowMs: number): ShardHostsStep {
+    const effects: Effect[] = [];
+    for (const [shard, host] of [...this.#hosts]) {
+      const step = this.#applyStep(shard, host.close(nowMs));
+      effects.push(...step.effects);
+    }
+    return { effects, recovered: [] };
+  }
+
   /** Lists the shards with attempts whose end only this node can learn. */
   listBusy(): ShardId[] {
     return [...this.#hosts]
