Call the nearest-name search and the wait that already stood; drop a stale test report

Settings had their own edit distance beside the operator language's, and two modules their own wait. The test runner removes an earlier report first, so that a run that ends before its own can't be judged by it. No check or expectation is changed.

--- a/packages/camphorlock/src/node/attempt_book.ts
+++ b/packages/camphorlock/src/node/attempt_book.ts
@@ -13,6 +13,7 @@
   checkNever,
   type TargetId,
 } from "@camphorlock/types";
+import { waitFor } from "./wait_until.ts";
 
 const OUTCOME_POLL_MS = 500;
 
@@ -148,7 +149,3 @@
       return checkNever(outcome);
   }
 }
-
-function waitFor(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/camphorlock/src/node/wait_until.ts
+++ b/packages/camphorlock/src/node/wait_until.ts
@@ -1,5 +1,5 @@
 /**
- * Waits for a condition.
+ * Waits for a condition or a time.
  */
 
 const POLL_MS = 50;
@@ -15,6 +15,7 @@
   }
 }
 
-function waitFor(ms: number): Promise<void> {
+/** Waits for a time. */
+export function waitFor(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/camphorlock/src/settings/load_settings.ts
+++ b/packages/camphorlock/src/settings/load_settings.ts
@@ -3,11 +3,11 @@
  * file, the key, what was found and what is allowed.
  */
 import { createFailure, type Failure } from "@camphorlock/codes";
+import { findNearestName } from "@camphorlock/scheduler";
 import { err, ok, Result } from "neverthrow";
 import { readFileSync } from "node:fs";
 import { parse } from "smol-toml";
 import type { z } from "zod";
-import { findNearestName } from "./nearest_name.ts";
 import { type NodeSettings, settingsSchema } from "./schema.ts";
 
 const readText = Result.fromThrowable(
--- a/tools/run_tests.mjs
+++ b/tools/run_tests.mjs
@@ -1,7 +1,7 @@
 // Runs every test. A failure that KNOWN-RED.txt lists is printed and passed
 // over; any other fails the run.
 import { spawnSync } from "node:child_process";
-import { existsSync, mkdirSync, readFileSync } from "node:fs";
+import { existsSync, mkdirSync, readFileSync, rmSync } from "node:fs";
 
 const REPORT = "out/tests.json";
 const KNOWN_RED = "KNOWN-RED.txt";
@@ -15,6 +15,8 @@
 }
 
 mkdirSync("out", { recursive: true });
+// A report of an earlier run must not stand for this one.
+rmSync(REPORT, { force: true });
 const options = ["--reporter", "json", "--reporter-option", `output=${REPORT}`];
 const ran = spawnSync("npx", ["mocha", ...options], {
   stdio: ["ignore", "ignore", "inherit"],
