Give the exchanges their own package, and the development platform's clients theirs

packages/platform held two things: the HTTP exchange that the clients of all peers share, and the clients of the object API of the development platform. Types checked; no behaviour changes.

--- a/packages/camphorlock/src/node/effect_runner.ts
+++ b/packages/camphorlock/src/node/effect_runner.ts
@@ -3,7 +3,7 @@
  */
 import type { Engines } from "@camphorlock/engines";
 import type { PeerNetwork } from "@camphorlock/nodes";
-import type { PlatformClient } from "@camphorlock/platform";
+import type { PlatformClient } from "@camphorlock/objects";
 import type { NodeInput } from "@camphorlock/scheduler";
 import {
   type CallerAnswer,
--- a/packages/camphorlock/src/node/node_process.ts
+++ b/packages/camphorlock/src/node/node_process.ts
@@ -10,7 +10,7 @@
 import { createFailure, EVENTS, type Failure } from "@camphorlock/codes";
 import { Engines } from "@camphorlock/engines";
 import { PeerNetwork } from "@camphorlock/nodes";
-import { PlatformClient, VmListClient } from "@camphorlock/platform";
+import { PlatformClient, VmListClient } from "@camphorlock/objects";
 import {
   DEFAULT_NODE_LIMITS,
   NodeCore,
--- a/packages/camphorlock/src/node/published_charges.ts
+++ b/packages/camphorlock/src/node/published_charges.ts
@@ -4,7 +4,7 @@
 import type { OperateAnswer } from "@camphorlock/callers";
 import { createFailure, type Failure } from "@camphorlock/codes";
 import { renderStatement } from "@camphorlock/operators";
-import type { PlatformClient } from "@camphorlock/platform";
+import type { PlatformClient } from "@camphorlock/objects";
 import {
   buildCharge,
   buildStatement,
--- a/packages/engines/src/attempt_stream.ts
+++ b/packages/engines/src/attempt_stream.ts
@@ -14,7 +14,7 @@
   getHeader,
   NOT_RUN_HEADER,
   type PeerHeaders,
-} from "@camphorlock/platform";
+} from "@camphorlock/http";
 import { type AnswerChunk, parseAnswerChunk } from "./answer_chunk.ts";
 import { EventLines } from "./event_lines.ts";
 
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -23,7 +23,7 @@
   PROGRAM_HEADER,
   runWhole,
   type WholeAnswer,
-} from "@camphorlock/platform";
+} from "@camphorlock/http";
 import type { Result } from "neverthrow";
 import { type AttemptListener, AttemptStream } from "./attempt_stream.ts";
 import { encodeChatRequest } from "./chat_request.ts";
--- a/packages/engines/src/engine_memory.ts
+++ b/packages/engines/src/engine_memory.ts
@@ -7,7 +7,7 @@
   type PeerConnection,
   runWhole,
   type WholeAnswer,
-} from "@camphorlock/platform";
+} from "@camphorlock/http";
 import { err, ok, type Result } from "neverthrow";
 
 const MOVE_TIMEOUT_MS = 60_000;
--- a/packages/engines/src/engine_reports.ts
+++ b/packages/engines/src/engine_reports.ts
@@ -4,7 +4,7 @@
  */
 import type { Failure } from "@camphorlock/codes";
 import type { ProgramId } from "@camphorlock/types";
-import { type PeerConnection, readJson } from "@camphorlock/platform";
+import { type PeerConnection, readJson } from "@camphorlock/http";
 import type { Result } from "neverthrow";
 import { z } from "zod";
 
--- a/packages/engines/src/engines.ts
+++ b/packages/engines/src/engines.ts
@@ -9,7 +9,7 @@
   TargetOrderResult,
   TargetSpec,
 } from "@camphorlock/types";
-import { TargetClients } from "@camphorlock/platform";
+import { TargetClients } from "@camphorlock/http";
 import type { AttemptListener } from "./attempt_stream.ts";
 import {
   EngineClient,
--- a/packages/engines/src/order_answer.ts
+++ b/packages/engines/src/order_answer.ts
@@ -3,7 +3,7 @@
  */
 import type { TargetOrderResult } from "@camphorlock/types";
 import { checkNever } from "@camphorlock/types";
-import { parseJson, type WholeAnswer } from "@camphorlock/platform";
+import { parseJson, type WholeAnswer } from "@camphorlock/http";
 import { z } from "zod";
 
 const FENCED = z.object({ highest: z.int().nonnegative() });
--- a/packages/platform/src/decode_answer.ts
+++ b/packages/objects/src/decode_answer.ts
@@ -9,8 +9,8 @@
   type PlatformRequest,
 } from "@camphorlock/types";
 import { z } from "zod";
-import { parseJson } from "./http/read_json.ts";
-import { getHeader, type WholeAnswer } from "./http/whole_answer.ts";
+import { parseJson } from "@camphorlock/http";
+import { getHeader, type WholeAnswer } from "@camphorlock/http";
 
 const KEYS = z.array(
   z.object({ key: z.string(), version: z.int().nonnegative() }),
--- a/packages/platform/src/encode_request.ts
+++ b/packages/objects/src/encode_request.ts
@@ -6,7 +6,7 @@
   type PlatformRequest,
   type WriteCondition,
 } from "@camphorlock/types";
-import type { PeerRequest } from "./http/peer_connection.ts";
+import type { PeerRequest } from "@camphorlock/http";
 
 /** The parts of a request that the object API defines. */
 export type EncodedRequest = Pick<
--- a/packages/platform/src/platform_client.ts
+++ b/packages/objects/src/platform_client.ts
@@ -6,8 +6,8 @@
  */
 import { setTimeout as waitFor } from "node:timers/promises";
 import type { PlatformAnswer, PlatformRequest } from "@camphorlock/types";
-import { PeerConnection } from "./http/peer_connection.ts";
-import { runWhole } from "./http/whole_answer.ts";
+import { PeerConnection } from "@camphorlock/http";
+import { runWhole } from "@camphorlock/http";
 import { decodeAnswer } from "./decode_answer.ts";
 import { encodeRequest } from "./encode_request.ts";
 import { TokenBucket } from "./token_bucket.ts";
--- a/packages/platform/src/vm_list_client.ts
+++ b/packages/objects/src/vm_list_client.ts
@@ -4,8 +4,8 @@
 import type { Failure } from "@camphorlock/codes";
 import type { Result } from "neverthrow";
 import { z } from "zod";
-import { PeerConnection } from "./http/peer_connection.ts";
-import { readJson } from "./http/read_json.ts";
+import { PeerConnection } from "@camphorlock/http";
+import { readJson } from "@camphorlock/http";
 
 const LISTED_VM = z.object({
   vmId: z.string(),
--- a/packages/platform/src/weight_store_client.ts
+++ b/packages/objects/src/weight_store_client.ts
@@ -3,8 +3,8 @@
  */
 import { createFailure, type Failure } from "@camphorlock/codes";
 import { err, ok, type Result } from "neverthrow";
-import { PeerConnection } from "./http/peer_connection.ts";
-import { getHeader, runWhole, type WholeAnswer } from "./http/whole_answer.ts";
+import { PeerConnection } from "@camphorlock/http";
+import { getHeader, runWhole, type WholeAnswer } from "@camphorlock/http";
 
 const PART_TIMEOUT_MS = 30_000;
 const SILENCE_TIMEOUT_MS = 5_000;
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -21,7 +21,7 @@
   PROGRAM_HEADER,
   startWhole,
   type WholeAnswer,
-} from "@camphorlock/platform";
+} from "@camphorlock/http";
 import { decodeOutcome, type ServiceOutcome } from "./service_outcome.ts";
 
 const OUTCOME_TIMEOUT_MS = 5_000;
--- a/packages/services/src/service_outcome.ts
+++ b/packages/services/src/service_outcome.ts
@@ -2,7 +2,7 @@
  * What a service tells about the outcome of an attempt.
  */
 import { checkNever } from "@camphorlock/types";
-import { parseJson, type WholeAnswer } from "@camphorlock/platform";
+import { parseJson, type WholeAnswer } from "@camphorlock/http";
 import { z } from "zod";
 
 const OUTCOME = z.discriminatedUnion("state", [
--- a/packages/services/src/services.ts
+++ b/packages/services/src/services.ts
@@ -7,7 +7,7 @@
   TargetId,
   TargetSpec,
 } from "@camphorlock/types";
-import { TargetClients } from "@camphorlock/platform";
+import { TargetClients } from "@camphorlock/http";
 import {
   type RunningOperation,
   ServiceClient,
--- a/packages/standins/src/balancer/serve_balancer_test.ts
+++ b/packages/standins/src/balancer/serve_balancer_test.ts
@@ -1,8 +1,4 @@
-import {
-  PeerConnection,
-  runWhole,
-  type WholeAnswer,
-} from "@camphorlock/platform";
+import { PeerConnection, runWhole, type WholeAnswer } from "@camphorlock/http";
 import { expect } from "chai";
 import { type RunningService, serveService } from "../service/serve_service.ts";
 import { type RunningBalancer, serveBalancer } from "./serve_balancer.ts";
--- a/packages/standins/src/engine_server/order_routes.ts
+++ b/packages/standins/src/engine_server/order_routes.ts
@@ -2,7 +2,7 @@
  * Orders to the engine stand-in: release, KV export and import, models.
  */
 import type { TargetOrder } from "@camphorlock/types";
-import { FENCE_HEADER } from "@camphorlock/platform";
+import { FENCE_HEADER } from "@camphorlock/http";
 import type { Context, Hono } from "hono";
 import { z } from "zod";
 import type { StandinEnv } from "../http_server.ts";
--- a/packages/standins/src/engine_server/serve_engine.ts
+++ b/packages/standins/src/engine_server/serve_engine.ts
@@ -7,7 +7,7 @@
   ATTEMPT_HEADER,
   NOT_RUN_HEADER,
   PROGRAM_HEADER,
-} from "@camphorlock/platform";
+} from "@camphorlock/http";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 import {
--- a/packages/standins/src/platform/object_store.ts
+++ b/packages/standins/src/platform/object_store.ts
@@ -13,7 +13,7 @@
   type PlatformRequest,
   type WriteCondition,
 } from "@camphorlock/types";
-import { TokenBucket } from "@camphorlock/platform";
+import { TokenBucket } from "@camphorlock/objects";
 import { ChangeLog } from "./change_log.ts";
 import { SortedKeys } from "./sorted_keys.ts";
 
--- a/packages/standins/src/platform/platform_lists_test.ts
+++ b/packages/standins/src/platform/platform_lists_test.ts
@@ -1,4 +1,4 @@
-import { VmListClient, WeightStoreClient } from "@camphorlock/platform";
+import { VmListClient, WeightStoreClient } from "@camphorlock/objects";
 import { expect } from "chai";
 import { type RunningPlatform, servePlatform } from "./serve_platform.ts";
 import { VmList } from "./vm_list.ts";
--- a/packages/standins/src/platform/serve_platform_test.ts
+++ b/packages/standins/src/platform/serve_platform_test.ts
@@ -1,5 +1,5 @@
 import type { PlatformAnswer, PlatformRequest } from "@camphorlock/types";
-import { PlatformClient } from "@camphorlock/platform";
+import { PlatformClient } from "@camphorlock/objects";
 import { expect } from "chai";
 import { type RunningPlatform, servePlatform } from "./serve_platform.ts";
 
--- a/packages/standins/src/platform/vm_list.ts
+++ b/packages/standins/src/platform/vm_list.ts
@@ -1,7 +1,7 @@
 /**
  * The platform's list of live and leaving VMs, which lags behind.
  */
-import type { ListedVm } from "@camphorlock/platform";
+import type { ListedVm } from "@camphorlock/objects";
 import type { Hono } from "hono";
 import type { StandinEnv } from "../http_server.ts";
 
--- a/packages/standins/src/platform/weight_store.ts
+++ b/packages/standins/src/platform/weight_store.ts
@@ -3,7 +3,7 @@
  *
  * A weight is a made-up sequence of bytes of the asked size, read in parts.
  */
-import { TokenBucket } from "@camphorlock/platform";
+import { TokenBucket } from "@camphorlock/objects";
 import type { Hono } from "hono";
 import type { StandinEnv } from "../http_server.ts";
 
--- a/packages/standins/src/service/serve_service.ts
+++ b/packages/standins/src/service/serve_service.ts
@@ -7,11 +7,7 @@
 import { createHash } from "node:crypto";
 import { setTimeout as waitFor } from "node:timers/promises";
 import { checkNever } from "@camphorlock/types";
-import {
-  KEY_HEADER,
-  NOT_RUN_HEADER,
-  PROGRAM_HEADER,
-} from "@camphorlock/platform";
+import { KEY_HEADER, NOT_RUN_HEADER, PROGRAM_HEADER } from "@camphorlock/http";
 import { type Context, Hono } from "hono";
 import {
   closeConnection,
