--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -3,7 +3,7 @@
  *
  * Hundreds tell the area: 1 node, 2 membership and assignment, 3 ledger,
  * 4 calls, 5 dispatch and placement, 6 configuration and operators,
- * 7 platform, 8 targets. docs/EVENTS.md repeats this table; a test checks
+ * 7 platform, 8 targets, 9 gateway. docs/EVENTS.md repeats this table; a test checks
  * that both agree.
  */
 
@@ -194,6 +194,138 @@
     "warn",
     "The node can't tell whether its configuration is the latest.",
   ),
+  GatewayStarted: defineEvent(
+    901,
+    "GatewayStarted",
+    "info",
+    "The gateway listens; the settings that it started with.",
+  ),
+  GatewayReady: defineEvent(
+    902,
+    "GatewayReady",
+    "info",
+    "The gateway knows a configuration and targets and takes callers.",
+  ),
+  GatewayStopping: defineEvent(
+    903,
+    "GatewayStopping",
+    "info",
+    "A planned stop began; open requests run on.",
+  ),
+  GatewayStopped: defineEvent(
+    904,
+    "GatewayStopped",
+    "info",
+    "The gateway ended; requests that it had to cut off.",
+  ),
+  SettingsReloaded: defineEvent(
+    905,
+    "SettingsReloaded",
+    "info",
+    "The settings file was read again.",
+  ),
+  SettingsRefused: defineEvent(
+    906,
+    "SettingsRefused",
+    "warn",
+    "The settings file can't be used; what held before stays in force.",
+  ),
+  StoreLost: defineEvent(
+    911,
+    "StoreLost",
+    "warn",
+    "Calls to the platform's store fail; the last known state stays in use.",
+  ),
+  StoreRegained: defineEvent(
+    912,
+    "StoreRegained",
+    "info",
+    "Calls to the platform's store succeed again.",
+  ),
+  StoreHistoryGone: defineEvent(
+    913,
+    "StoreHistoryGone",
+    "info",
+    "Changes were no longer kept; the whole list is read again.",
+  ),
+  ConfigurationUnusable: defineEvent(
+    915,
+    "ConfigurationUnusable",
+    "warn",
+    "A stored configuration can't be used; the one before stays in force.",
+  ),
+  TargetChanged: defineEvent(
+    916,
+    "TargetChanged",
+    "info",
+    "A target was added, changed its state or was removed.",
+  ),
+  TargetUnreadable: defineEvent(
+    917,
+    "TargetUnreadable",
+    "warn",
+    "A target's entry can't be read; it names no target to use.",
+  ),
+  TargetSuspected: defineEvent(
+    918,
+    "TargetSuspected",
+    "info",
+    "A target failed requests and is avoided for a while.",
+  ),
+  RequestAnswered: defineEvent(
+    921,
+    "RequestAnswered",
+    "info",
+    "A target's whole answer was passed on.",
+  ),
+  RequestRefused: defineEvent(
+    922,
+    "RequestRefused",
+    "info",
+    "A request was turned away; no target ran it or will run it.",
+  ),
+  RequestFailed: defineEvent(
+    923,
+    "RequestFailed",
+    "warn",
+    "A request ended without a whole answer; a target may have run it.",
+  ),
+  RequestAbandoned: defineEvent(
+    924,
+    "RequestAbandoned",
+    "info",
+    "The caller left before the answer was whole.",
+  ),
+  SendFailed: defineEvent(
+    925,
+    "SendFailed",
+    "info",
+    "A request sent to a target wasn't answered whole; what follows.",
+  ),
+  AccountRecorded: defineEvent(
+    931,
+    "AccountRecorded",
+    "info",
+    "The store keeps a program's allowance of tokens.",
+  ),
+  AccountUnavailable: defineEvent(
+    932,
+    "AccountUnavailable",
+    "warn",
+    "A program's allowance of tokens can't be told at present.",
+  ),
+  LogLinesDropped: defineEvent(
+    941,
+    "LogLinesDropped",
+    "warn",
+    "Log lines were dropped because the output is slower than the events.",
+  ),
+  RetirementUpdated: defineEvent(
+    942,
+    "RetirementUpdated",
+    "info",
+    "A VM that is to be emptied was reported as empty.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -60,6 +60,13 @@
     false,
     "The resume offset is beyond the text produced.",
   ),
+  RouteUnknown: defineCode(
+    1007,
+    "RouteUnknown",
+    404,
+    false,
+    "No route leads from the request's host and path.",
+  ),
   ProgramUnknown: defineCode(
     2001,
     "ProgramUnknown",
@@ -117,6 +124,20 @@
     true,
     "The team's or partner's budget doesn't cover the call.",
   ),
+  TurnOverBudget: defineCode(
+    3003,
+    "TurnOverBudget",
+    402,
+    false,
+    "The program's token budget doesn't hold another turn.",
+  ),
+  AccountUnavailable: defineCode(
+    3004,
+    "AccountUnavailable",
+    503,
+    true,
+    "The program's token account can't be read at present.",
+  ),
   NoTarget: defineCode(
     4001,
     "NoTarget",
@@ -166,6 +187,13 @@
     true,
     "The answer's length or digest doesn't match.",
   ),
+  TargetTimeout: defineCode(
+    4008,
+    "TargetTimeout",
+    504,
+    true,
+    "No target answered within the route's time.",
+  ),
   OwnerUnreachable: defineCode(
     5001,
     "OwnerUnreachable",
@@ -222,6 +250,13 @@
     true,
     "Another change was stored first.",
   ),
+  ConfigurationMissing: defineCode(
+    6003,
+    "ConfigurationMissing",
+    503,
+    true,
+    "The node knows no configuration yet.",
+  ),
   StatementInvalid: defineCode(
     7001,
     "StatementInvalid",
--- /dev/null
+++ b/packages/gateway/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * The gateway: the process that stands between callers and targets on every
+ * entry VM.
+ */
+export * from "./src/gateway.ts";
+export * from "./src/log.ts";
+export * from "./src/ports.ts";
+export * from "./src/model/request_fields.ts";
+export * from "./src/model/routing.ts";
+export * from "./src/model/target.ts";
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,179 @@
+/**
+ * Wires the parts of a gateway process and runs it from its start to its
+ * planned stop.
+ */
+import { EVENTS } from "@camphorlock/codes/events";
+import { TimerService } from "@camphorlock/scheduler/timers";
+import { TokenAccounts } from "./accounts/token_accounts.ts";
+import { TargetTable } from "./decisions/target_table.ts";
+import { TargetConnections } from "./exchange/target_connections.ts";
+import { CallerServer } from "./front/caller_server.ts";
+import { PlainServer } from "./front/readiness_server.ts";
+import type { GatewayLog } from "./log.ts";
+import type {
+  GatewaySettings,
+  ObjectStore,
+  RequestCodec,
+  StoreCodec,
+} from "./ports.ts";
+import { Follower } from "./store/follower.ts";
+import { KnownConfiguration, KnownTargets } from "./store/known_state.ts";
+
+/** How often due work is looked for. */
+const TICK_MS = 50;
+const LOG_FLUSH_MS = 100;
+const LAPSE_CHECK_MS = 100;
+/** Part of a bound that a watch may use up when its connection is silent. */
+const WATCH_MARGIN_MS = 500;
+/** The balancer takes a node out after two questions a second apart. */
+const LEAVE_BALANCER_MS = 2_500;
+/** Time kept before the end of the grace for the last answers to be sent. */
+const GRACE_MARGIN_MS = 400;
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly store: ObjectStore;
+  readonly requestCodec: RequestCodec;
+  readonly storeCodec: StoreCodec;
+  readonly log: GatewayLog;
+}
+
+/** One gateway process. */
+export class Gateway {
+  readonly #options: GatewayOptions;
+  readonly #targets = new TargetTable();
+  readonly #connections = new TargetConnections();
+  readonly #timers = new TimerService();
+  readonly #configuration: KnownConfiguration;
+  readonly #knownTargets: KnownTargets;
+  readonly #followers: readonly Follower[];
+  readonly #callers: CallerServer;
+  readonly #readiness: PlainServer;
+  #isStopping = false;
+  #wasReady = false;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { settings, store, log } = options;
+    const parts = {
+      codec: options.storeCodec,
+      log,
+      targets: this.#targets,
+      onConfiguration: () => this.#applyLimits(),
+      onTargetGone: (id: string) => this.#connections.remove(id),
+    };
+    this.#configuration = new KnownConfiguration(parts);
+    this.#knownTargets = new KnownTargets(parts);
+    const { bounds } = settings;
+    const waitMs = Math.min(bounds.drainMs, bounds.configApplyMs) -
+      WATCH_MARGIN_MS;
+    const follow = { store, log, waitMs };
+    const targetFollower = new Follower({
+      ...follow,
+      kind: "targets",
+      objects: this.#knownTargets,
+    });
+    this.#followers = [
+      new Follower({
+        ...follow,
+        kind: "configuration",
+        objects: this.#configuration,
+      }),
+      targetFollower,
+    ];
+    this.#callers = new CallerServer({
+      targets: this.#targets,
+      connections: this.#connections,
+      codec: options.requestCodec,
+      log,
+      placement: {
+        failureDomain: settings.failureDomain,
+        regions: settings.regions,
+      },
+      accounts: new TokenAccounts(),
+      getViewAgeMs: () => targetFollower.countAgeMs(performance.now()),
+      getConfiguration: () => this.#configuration.inForce,
+      isStopping: () => this.#isStopping,
+    });
+    this.#readiness = new PlainServer(() =>
+      this.#isReady()
+        ? { status: 200, text: "ready\n" }
+        : { status: 503, text: "not ready\n" }
+    );
+  }
+
+  /** Starts; rejects when an address can't be used. */
+  async start(): Promise<void> {
+    const { settings, log } = this.#options;
+    for (const follower of this.#followers) this.#startFollower(follower);
+    this.#timers.subscribe(LOG_FLUSH_MS, () => log.flush());
+    this.#timers.subscribe(
+      LAPSE_CHECK_MS,
+      (nowMs) => this.#knownTargets.removeLapsed(nowMs),
+    );
+    setInterval(() => this.#timers.runDue(performance.now()), TICK_MS).unref();
+    await this.#callers.listen(settings.callers);
+    await this.#readiness.listen(settings.readiness);
+    log.write(EVENTS.GatewayStarted, {
+      address: `${settings.callers.host}:${settings.callers.port}`,
+      failure_domain: settings.failureDomain,
+      process_ms: Math.round(performance.now()),
+    });
+  }
+
+  /** Stops as planned: no new callers, open requests run to their end. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { log, settings } = this.#options;
+    const startedAtMs = performance.now();
+    const limitMs = settings.bounds.graceMs - GRACE_MARGIN_MS;
+    log.write(EVENTS.GatewayStopping, { open: this.#callers.openRequests });
+    await waitFor(LEAVE_BALANCER_MS);
+    this.#callers.stopListening();
+    while (
+      this.#callers.openRequests > 0 &&
+      performance.now() - startedAtMs < limitMs
+    ) {
+      await waitFor(TICK_MS);
+    }
+    log.write(EVENTS.GatewayStopped, { cut_off: this.#callers.openRequests });
+    this.#callers.close();
+    this.#readiness.close();
+    for (const follower of this.#followers) follower.stop();
+    await this.#connections.close();
+    log.flush();
+  }
+
+  #startFollower(follower: Follower): void {
+    // A follower reports its own failures; anything else is a defect.
+    follower.run().catch((error: unknown) => {
+      throw error;
+    });
+  }
+
+  #isReady(): boolean {
+    const isReady = !this.#isStopping && this.#targets.size > 0 &&
+      this.#configuration.inForce !== undefined;
+    if (isReady && !this.#wasReady) {
+      this.#wasReady = true;
+      this.#options.log.write(EVENTS.GatewayReady, {
+        targets: this.#targets.size,
+        process_ms: Math.round(performance.now()),
+      });
+    }
+    return isReady;
+  }
+
+  #applyLimits(): void {
+    const inForce = this.#configuration.inForce;
+    if (inForce !== undefined) {
+      this.#callers.setLimits(inForce.configuration.limits);
+    }
+  }
+}
+
+function waitFor(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/gateway/src/model/request_fields.ts
@@ -0,0 +1,33 @@
+/**
+ * What a caller says about its request, decoded from the headers.
+ */
+
+/** A part of a prompt that other requests may share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** The account that a turn's tokens are counted against. */
+export interface TokenBudget {
+  readonly programId: string;
+  /** Tokens that all turns of the program may generate. */
+  readonly budgetTokens: number;
+  /** Most tokens that this turn generates. */
+  readonly turnTokens: number;
+}
+
+/** The decoded fields of one request. */
+export interface RequestFields {
+  /** Names this client attempt; every attempt has its own. */
+  readonly requestId: string;
+  /** How long the caller waits, from the moment it sent the request. */
+  readonly deadlineMs: number | undefined;
+  readonly programId: string | undefined;
+  /** Time left until the program's objective. */
+  readonly programLeftMs: number | undefined;
+  readonly budget: TokenBudget | undefined;
+  readonly prompt: readonly PromptPart[];
+  /** Event after which a resumed stream goes on; 0 from the start. */
+  readonly resumeAfter: number;
+}
--- /dev/null
+++ b/packages/gateway/src/model/target.ts
@@ -0,0 +1,20 @@
+/**
+ * The targets that requests are sent to, as they register themselves.
+ */
+
+/** Whether a target takes new work. */
+export type TargetState = "ready" | "draining";
+
+/** One incarnation of a target. */
+export interface Target {
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly failureDomain: string;
+  readonly state: TargetState;
+  /** Requests that it runs at a time. */
+  readonly slots: number;
+  /** Start of this incarnation in Unix milliseconds; 0 when not stated. */
+  readonly startedAtMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/store/follower.ts
@@ -0,0 +1,122 @@
+/**
+ * Follows one kind of objects of the store: reads the whole list, then waits
+ * for changes, and starts over with the list when changes may be missing.
+ *
+ * A watch waits only for a short time, so that a connection that went silent
+ * is noticed before changes that it hides are overdue.
+ */
+import { EVENTS } from "@camphorlock/codes/events";
+import type { GatewayLog } from "../log.ts";
+import type {
+  ObjectKind,
+  ObjectStore,
+  StoredChange,
+  StoredObject,
+  StoreFailure,
+} from "../ports.ts";
+
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 1_000;
+
+/** Receives what is followed. */
+export interface FollowedObjects {
+  /** Everything there is. `wasLost` tells that the store was out of reach. */
+  setAll(objects: readonly StoredObject[], wasLost: boolean): void;
+  applyChange(change: StoredChange): void;
+}
+
+/** What a follower works with. */
+export interface FollowerParts {
+  readonly store: ObjectStore;
+  readonly log: GatewayLog;
+  readonly kind: ObjectKind;
+  /** How long a watch waits for a change. */
+  readonly waitMs: number;
+  readonly objects: FollowedObjects;
+}
+
+/** Follows one kind of objects. */
+export class Follower {
+  readonly #parts: FollowerParts;
+  #isStopped = false;
+  #isLost = false;
+  #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  #pauseMs = FIRST_PAUSE_MS;
+
+  constructor(parts: FollowerParts) {
+    this.#parts = parts;
+  }
+
+  /** Time since the store last confirmed what is known. */
+  countAgeMs(nowMs: number): number {
+    return nowMs - this.#confirmedAtMs;
+  }
+
+  /** Whether the last call to the store failed. */
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
+  /** Follows until stopped. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      const revision = await this.#readList();
+      if (revision !== undefined) await this.#watchFrom(revision);
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #readList(): Promise<number | undefined> {
+    const { store, kind, objects } = this.#parts;
+    const listed = await store.list(kind);
+    if (this.#isStopped) return undefined;
+    if (listed.isErr()) {
+      await this.#handleFailure(listed.error);
+      return undefined;
+    }
+    const wasLost = this.#isLost;
+    this.#recordContact();
+    objects.setAll(listed.value.objects, wasLost);
+    return listed.value.revision;
+  }
+
+  async #watchFrom(first: number): Promise<void> {
+    const { store, kind, waitMs, objects } = this.#parts;
+    let afterRevision = first;
+    while (!this.#isStopped) {
+      const watched = await store.watch(kind, { afterRevision, waitMs });
+      if (this.#isStopped) return;
+      if (watched.isErr()) return await this.#handleFailure(watched.error);
+      this.#recordContact();
+      for (const change of watched.value.changes) objects.applyChange(change);
+      afterRevision = watched.value.revision;
+    }
+  }
+
+  #recordContact(): void {
+    this.#confirmedAtMs = performance.now();
+    this.#pauseMs = FIRST_PAUSE_MS;
+    if (!this.#isLost) return;
+    this.#isLost = false;
+    this.#parts.log.write(EVENTS.StoreRegained, { kind: this.#parts.kind });
+  }
+
+  async #handleFailure(failure: StoreFailure): Promise<void> {
+    const { log, kind } = this.#parts;
+    if (failure.kind === "history_gone") {
+      log.write(EVENTS.StoreHistoryGone, { kind });
+      return;
+    }
+    if (!this.#isLost) {
+      this.#isLost = true;
+      const detail = "detail" in failure ? failure.detail : failure.kind;
+      log.write(EVENTS.StoreLost, { kind, detail });
+    }
+    const pauseMs = this.#pauseMs * (0.5 + Math.random());
+    this.#pauseMs = Math.min(MAX_PAUSE_MS, this.#pauseMs * 2);
+    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+  }
+}
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -6,16 +6,20 @@
  * have acted on it. The HTTP library never repeats a request by itself, and a
  * silent connection is dropped together with the idle ones beside it.
  */
-import { Client, type Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
+import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
 
+/** Longest wait for a new connection where the settings name none. */
 const CONNECT_TIMEOUT_MS = 2_000;
+/** Common servers close idle connections after five seconds. */
 const KEEP_ALIVE_MS = 4_000;
 
 /** One request to a peer. */
 export interface PeerRequest {
-  readonly method: "GET" | "PUT" | "POST" | "DELETE";
+  readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  /** By name, or as a list in which names and values alternate. */
+  readonly headers: Readonly<Record<string, string>> | readonly string[];
   readonly body?: string | Uint8Array;
   /** Longest wait for the next byte, from the start on. */
   readonly silenceTimeoutMs: number;
@@ -49,6 +53,11 @@
   cancel(): void;
   /** Whether a byte of the request may have been written. */
   readonly wasSent: boolean;
+  /** Whether it runs on a connection that an earlier exchange used. */
+  readonly isOnUsedConnection: boolean;
+  /** Stops reading the answer until `resume`. */
+  pause(): void;
+  resume(): void;
 }
 
 /** Settings of a connection to a peer. */
@@ -56,31 +65,39 @@
   /** For instance `http://10.0.0.4:8000`. */
   readonly baseUrl: string;
   readonly connectTimeoutMs?: number;
-  /** Open connections at a time; unlimited when absent. */
-  readonly maxConnections?: number;
+  /** Longest time that a connection stays open without use. */
+  readonly idleMs?: number;
+  /** Shortest time between an answer and the next use of its connection. */
+  readonly restMs?: number;
 }
 
 /** The connections to one peer. */
 export class PeerConnection {
-  readonly #options: PeerConnectionOptions;
-  #pool: Pool;
+  readonly #pool: ConnectionPool;
 
   constructor(options: PeerConnectionOptions) {
-    this.#options = options;
-    this.#pool = this.#createPool();
+    this.#pool = new ConnectionPool({
+      baseUrl: options.baseUrl,
+      connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+      idleMs: options.idleMs ?? KEEP_ALIVE_MS,
+      restMs: options.restMs ?? 0,
+    });
   }
 
   /** Sends a request and reports the answer as it arrives. */
   start(request: PeerRequest, receiver: AnswerReceiver): Exchange {
-    const client = request.freshConnection ? this.#createClient() : undefined;
+    const connection = this.#pool.take(request.freshConnection);
     const exchange = new RunningExchange(receiver, {
       silenceTimeoutMs: request.silenceTimeoutMs,
-      handleSilence: () => this.#setFreshPool(),
-      handleClose: () => client?.destroy().catch(handleLastError),
+      connection,
+      handleSilence: () => this.#pool.closeIdle(),
+      handleClose: (isReusable) =>
+        isReusable
+          ? this.#pool.release(connection)
+          : this.#pool.remove(connection),
     });
-    const dispatcher = client ?? this.#pool;
     try {
-      dispatcher.dispatch(buildDispatchOptions(request), exchange);
+      connection.client.dispatch(buildDispatchOptions(request), exchange);
     } catch (error) {
       const failure = buildError(error);
       queueMicrotask(() => exchange.onResponseError(undefined, failure));
@@ -90,47 +107,20 @@
 
   /** Takes nothing new and closes when running exchanges have ended. */
   async closeWhenIdle(): Promise<void> {
-    await this.#pool.close();
+    await this.#pool.closeWhenIdle();
   }
 
   /** Closes every connection; running exchanges end as broken. */
   async close(): Promise<void> {
-    await this.#pool.destroy();
-  }
-
-  #setFreshPool(): void {
-    const old = this.#pool;
-    this.#pool = this.#createPool();
-    old.close().catch(handleLastError);
-  }
-
-  #createPool(): Pool {
-    return new Pool(this.#options.baseUrl, {
-      ...this.#buildClientOptions(),
-      connections: this.#options.maxConnections ?? null,
-    });
-  }
-
-  #createClient(): Client {
-    return new Client(this.#options.baseUrl, this.#buildClientOptions());
-  }
-
-  #buildClientOptions(): Client.Options {
-    return {
-      connectTimeout: this.#options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    };
+    await this.#pool.close();
   }
 }
 
 interface ExchangeHooks {
   readonly silenceTimeoutMs: number;
+  readonly connection: PooledConnection;
   handleSilence(): void;
-  handleClose(): void;
+  handleClose(isReusable: boolean): void;
 }
 
 class RunningExchange implements Exchange, Dispatcher.DispatchHandler {
@@ -151,10 +141,22 @@
 
   cancel(): void {
     if (this.#ended) return;
-    this.#close();
+    this.#close(false);
     this.#controller?.abort(new Error("cancelled"));
   }
 
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  get isOnUsedConnection(): boolean {
+    return this.#hooks.connection.wasUsed;
+  }
+
   get wasSent(): boolean {
     return this.#controller !== undefined;
   }
@@ -188,7 +190,13 @@
   }
 
   onResponseEnd(): void {
-    this.#end({ kind: "ended" });
+    // An answer without a length ends with its connection, and the library
+    // takes a reset for such an end.
+    if (this.#hooks.connection.hasFailed()) {
+      this.#endFailed("the connection was reset");
+    } else {
+      this.#end({ kind: "ended" });
+    }
   }
 
   onResponseError(_controller: unknown, error: Error): void {
@@ -209,14 +217,14 @@
 
   #end(end: ExchangeEnd): void {
     if (this.#ended) return;
-    this.#close();
+    this.#close(end.kind === "ended");
     this.#receiver.handleEnd(end);
   }
 
-  #close(): void {
+  #close(isReusable: boolean): void {
     this.#ended = true;
     clearTimeout(this.#timer);
-    this.#hooks.handleClose();
+    this.#hooks.handleClose(isReusable);
   }
 }
 
@@ -224,9 +232,11 @@
   request: PeerRequest,
 ): Dispatcher.DispatchOptions {
   return {
-    method: request.method,
+    method: request.method as Dispatcher.HttpMethod,
     path: request.path,
-    headers: { ...request.headers },
+    headers: isList(request.headers)
+      ? [...request.headers]
+      : { ...request.headers },
     body: request.body ?? null,
     idempotent: false,
   };
@@ -236,6 +246,6 @@
   return error instanceof Error ? error : new Error(String(error));
 }
 
-function handleLastError(): void {
-  // The connection is being given up; its last error has no reader.
+function isList(headers: PeerRequest["headers"]): headers is readonly string[] {
+  return Array.isArray(headers);
 }
--- a/packages/http/src/whole_answer.ts
+++ b/packages/http/src/whole_answer.ts
@@ -26,6 +26,11 @@
   /** Longest time until the whole answer is here. */
   readonly totalTimeoutMs: number;
   readonly maxBytes: number;
+  /**
+   * Takes an answer that ends with its connection for whole when the
+   * connection was closed and not reset; otherwise it's broken.
+   */
+  readonly acceptsUndelimited?: boolean;
 }
 
 /** An exchange whose answer is awaited whole. */
@@ -115,7 +120,8 @@
 
   #buildAnswer(end: ExchangeEnd): WholeAnswer {
     if (end.kind !== "ended") return end;
-    if (!isDelimited(this.#status, this.#headers)) {
+    const accepts = this.#limits.acceptsUndelimited ?? false;
+    if (!accepts && !isDelimited(this.#status, this.#headers)) {
       return { kind: "broken", detail: "the answer's end can't be told" };
     }
     return {
--- /dev/null
+++ b/tools/build.mjs
@@ -0,0 +1,22 @@
+// Builds what runs on the users' platform: each process bundled in one file,
+// so that it starts without resolving modules.
+import { build } from "esbuild";
+
+await build({
+  entryPoints: {
+    gateway: "platform/gateway_main.ts",
+    storage: "platform/storage_main.ts",
+  },
+  outdir: "target",
+  outExtension: { ".js": ".mjs" },
+  bundle: true,
+  platform: "node",
+
+  format: "esm",
+  target: "node20",
+  minifySyntax: true,
+  banner: {
+    js: 'import { createRequire as __createRequire } from "node:module";' +
+      "const require = __createRequire(import.meta.url);",
+  },
+});
--- a/tools/catalogue/render_catalogues.ts
+++ b/tools/catalogue/render_catalogues.ts
@@ -62,6 +62,7 @@
   "Configuration and operators",
   "Platform",
   "Targets",
+  "Gateway",
 ]);
 
 /** Lists the result codes in the order of the source. */
