Count a program's tokens at two homes of its region

Now the turns of a program are admitted by its first home, chosen by rendezvous hash, and told to a second.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -326,6 +326,30 @@
     "info",
     "A VM that is to be emptied was reported as empty.",
   ),
+  PeerChanged: defineEvent(
+    951,
+    "PeerChanged",
+    "info",
+    "Another gateway was heard of, came back, restarted or is leaving.",
+  ),
+  PeerSuspected: defineEvent(
+    952,
+    "PeerSuspected",
+    "warn",
+    "Another gateway doesn't answer; it's passed over until it's heard of.",
+  ),
+  PeerMessageUnreadable: defineEvent(
+    953,
+    "PeerMessageUnreadable",
+    "warn",
+    "A message between gateways can't be read and was dropped.",
+  ),
+  AccountsDoubtful: defineEvent(
+    954,
+    "AccountsDoubtful",
+    "warn",
+    "Token accounts may have been lost; unknown programs count as partly spent.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- /dev/null
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -0,0 +1,182 @@
+/**
+ * One gateway as the home of token accounts: decides on turns and keeps the
+ * store's records ahead of what the accounts' programs may have passed on.
+ *
+ * While the store is out of reach, turns go on with the account in the memory
+ * of its two homes, and the record follows when the store is back.
+ */
+import { EVENTS } from "@camphorlock/codes/events";
+import type { TokenAccounts, TurnRequest } from "../decisions/token_accounts.ts";
+import type { GatewayLog } from "../log.ts";
+import type { TurnAnswer } from "../peers/peer_messages.ts";
+import type { ObjectStore } from "../ports.ts";
+
+/** Longest that a turn waits for its record while the store seems to work. */
+const RECORD_WAIT_MS = 200;
+/** Pause before a record that the store didn't take is written again. */
+const RECORD_RETRY_MS = 500;
+
+/** What a home works with. */
+export interface AccountHomeParts {
+  readonly accounts: TokenAccounts;
+  readonly store: ObjectStore;
+  readonly log: GatewayLog;
+  readonly isStoreLost: () => boolean;
+}
+
+interface Recording {
+  wantedTokens: number;
+  readonly done: Promise<void>;
+}
+
+/** The home role of one gateway. */
+export class AccountHome {
+  readonly #parts: AccountHomeParts;
+  readonly #recordings = new Map<string, Recording>();
+  /** Store revisions of the records that this process wrote or read. */
+  readonly #revisions = new Map<string, number>();
+  #isStopped = false;
+
+  constructor(parts: AccountHomeParts) {
+    this.#parts = parts;
+  }
+
+  /** Decides on a turn. */
+  async open(turn: TurnRequest): Promise<TurnAnswer> {
+    const { accounts } = this.#parts;
+    const decision = accounts.open(turn, performance.now());
+    switch (decision.kind) {
+      case "admitted":
+        return "admitted";
+      case "over_budget":
+        this.#startRecording(turn.programId, turn.budgetTokens);
+        return "over_budget";
+      case "unknown":
+        this.#logUnavailable(turn, "tokens may have been spent before a loss");
+        return "unavailable";
+      case "needs_record":
+        await this.#waitForRecord(turn, decision.allowedTokens);
+        return this.#openRecorded(turn);
+    }
+  }
+
+  /** Reads all records; false when the store can't be reached. */
+  async readRecords(): Promise<boolean> {
+    const listed = await this.#parts.store.list("token_accounts");
+    if (listed.isErr()) return false;
+    for (const { name, revision, value } of listed.value.objects) {
+      this.#revisions.set(name, revision);
+      this.#parts.accounts.addRecord(name, readAllowed(value));
+    }
+    return true;
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  #openRecorded(turn: TurnRequest): TurnAnswer {
+    const { accounts } = this.#parts;
+    const decision = accounts.open(turn, performance.now());
+    switch (decision.kind) {
+      case "admitted":
+        return "admitted";
+      case "needs_record":
+        // The store didn't answer in time; the record is still being written.
+        accounts.add(turn, performance.now());
+        this.#logUnavailable(turn, "admitted ahead of its record");
+        return "admitted";
+      case "over_budget":
+        return "over_budget";
+      case "unknown":
+        return "unavailable";
+    }
+  }
+
+  async #waitForRecord(turn: TurnRequest, allowed: number): Promise<void> {
+    const recording = this.#startRecording(turn.programId, allowed);
+    if (this.#parts.isStoreLost()) return;
+    let timer: NodeJS.Timeout | undefined;
+    const limit = new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, RECORD_WAIT_MS);
+    });
+    await Promise.race([recording, limit]);
+    clearTimeout(timer);
+  }
+
+  #startRecording(programId: string, allowed: number): Promise<void> {
+    const running = this.#recordings.get(programId);
+    if (running !== undefined) {
+      running.wantedTokens = Math.max(running.wantedTokens, allowed);
+      return running.done;
+    }
+    const recorded = this.#parts.accounts.find(programId)?.recordedTokens ?? 0;
+    if (recorded >= allowed) return Promise.resolve();
+    let resolve: () => void = () => {};
+    const done = new Promise<void>((resolveDone) => {
+      resolve = resolveDone;
+    });
+    const recording = { wantedTokens: allowed, done };
+    this.#recordings.set(programId, recording);
+    this.#record(programId, recording).finally(() => {
+      this.#recordings.delete(programId);
+      resolve();
+    });
+    return done;
+  }
+
+  async #record(programId: string, recording: Recording): Promise<void> {
+    const { accounts, log } = this.#parts;
+    while (!this.#isStopped) {
+      const allowed = recording.wantedTokens;
+      const isStored = await this.#write(programId, allowed);
+      if (!isStored) {
+        await new Promise((resolve) => setTimeout(resolve, RECORD_RETRY_MS));
+        continue;
+      }
+      accounts.addRecord(programId, allowed);
+      log.write(EVENTS.AccountRecorded, { program: programId, allowed });
+      if (recording.wantedTokens <= allowed) return;
+    }
+  }
+
+  /** Writes a record of at least `allowed` tokens; false when it must retry. */
+  async #write(programId: string, allowed: number): Promise<boolean> {
+    const { store, accounts } = this.#parts;
+    const revision = this.#revisions.get(programId);
+    const write = { name: programId, value: { allowedTokens: allowed } };
+    const written = revision === undefined
+      ? await store.create("token_accounts", write)
+      : await store.update("token_accounts", { ...write, revision });
+    if (written.isOk()) {
+      this.#revisions.set(programId, written.value.revision);
+      return true;
+    }
+    const failure = written.error;
+    if (failure.kind === "absent") {
+      this.#revisions.delete(programId);
+      return false;
+    }
+    if (failure.kind !== "conflict") return false;
+    const current = failure.current ??
+      (await store.find("token_accounts", programId)).unwrapOr(undefined);
+    if (current === undefined) return false;
+    this.#revisions.set(programId, current.revision);
+    const stored = readAllowed(current.value);
+    accounts.addRecord(programId, stored);
+    return stored >= allowed;
+  }
+
+  #logUnavailable(turn: TurnRequest, detail: string): void {
+    this.#parts.log.write(EVENTS.AccountUnavailable, {
+      program: turn.programId,
+      request: turn.turnId,
+      detail,
+    });
+  }
+}
+
+function readAllowed(value: unknown): number {
+  const { allowedTokens } = (value ?? {}) as { allowedTokens?: unknown };
+  return typeof allowedTokens === "number" ? allowedTokens : 0;
+}
--- /dev/null
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -0,0 +1,118 @@
+/**
+ * The other gateways and which of them are the homes of a program's account.
+ *
+ * A gateway that failed to answer is passed over until it's heard of again.
+ * Every gateway of a region ranks the homes of a program alike, so that all
+ * turns of the program are counted at the same two places.
+ */
+import { computeHash } from "@camphorlock/scheduler/hash";
+
+/** Homes of each account; one may be lost. */
+const HOME_COUNT = 2;
+
+/** One gateway process. */
+export interface PeerInfo {
+  readonly vmId: string;
+  readonly host: string;
+  readonly port: number;
+  readonly region: string;
+  /** Differs from start to start of the process. */
+  readonly bootId: string;
+  readonly isLeaving: boolean;
+}
+
+/** How news of a peer changed the view. */
+export type PeerChange = "none" | "added" | "restarted" | "returned" | "leaving";
+
+interface KnownPeer {
+  info: PeerInfo;
+  isSuspected: boolean;
+}
+
+/** The known gateways. */
+export class PeerDirectory {
+  readonly #self: PeerInfo;
+  readonly #byVm = new Map<string, KnownPeer>();
+
+  constructor(self: PeerInfo) {
+    this.#self = self;
+  }
+
+  /** Records news of a gateway that came from itself. */
+  set(info: PeerInfo): PeerChange {
+    if (info.vmId === this.#self.vmId) return "none";
+    const known = this.#byVm.get(info.vmId);
+    this.#byVm.set(info.vmId, { info, isSuspected: false });
+    if (known === undefined) return "added";
+    if (known.info.bootId !== info.bootId) return "restarted";
+    if (known.isSuspected) return "returned";
+    return info.isLeaving && !known.info.isLeaving ? "leaving" : "none";
+  }
+
+  /** Adds a gateway that others name; false if it was known. */
+  add(info: PeerInfo): boolean {
+    if (info.vmId === this.#self.vmId || this.#byVm.has(info.vmId)) {
+      return false;
+    }
+    this.#byVm.set(info.vmId, { info, isSuspected: false });
+    return true;
+  }
+
+  /** Records that a gateway didn't answer; false if that was known. */
+  suspect(vmId: string): boolean {
+    const known = this.#byVm.get(vmId);
+    if (known === undefined || known.isSuspected) return false;
+    known.isSuspected = true;
+    return true;
+  }
+
+  find(vmId: string): PeerInfo | undefined {
+    return this.#byVm.get(vmId)?.info;
+  }
+
+  isSuspected(vmId: string): boolean {
+    return this.#byVm.get(vmId)?.isSuspected ?? true;
+  }
+
+  /** Lists every other gateway. */
+  list(): PeerInfo[] {
+    return [...this.#byVm.values()].map(({ info }) => info);
+  }
+
+  /** Lists the other gateways that didn't answer lately. */
+  listSuspected(): PeerInfo[] {
+    return [...this.#byVm.values()]
+      .filter(({ isSuspected }) => isSuspected)
+      .map(({ info }) => info);
+  }
+
+  /** Lists a region's other gateways that answer. */
+  listLive(region: string): PeerInfo[] {
+    return [...this.#byVm.values()]
+      .filter(({ info, isSuspected }) => info.region === region && !isSuspected)
+      .map(({ info }) => info);
+  }
+
+  /** Chooses the homes of a program in this gateway's region, best first. */
+  chooseHomes(programId: string): PeerInfo[] {
+    const live = this.listLive(this.#self.region)
+      .filter(({ isLeaving }) => !isLeaving);
+    return sortByRank(programId, [...live, this.#self]).slice(0, HOME_COUNT);
+  }
+
+  /** Chooses the first home of a program in every other region. */
+  chooseDistantHomes(programId: string): PeerInfo[] {
+    const regions = new Set(this.list().map(({ region }) => region));
+    regions.delete(this.#self.region);
+    return [...regions].flatMap((region) =>
+      sortByRank(programId, this.listLive(region)).slice(0, 1)
+    );
+  }
+}
+
+function sortByRank(key: string, peers: readonly PeerInfo[]): PeerInfo[] {
+  return peers
+    .map((peer) => ({ peer, rank: computeHash(`${peer.vmId}|${key}`) }))
+    .sort((left, right) => right.rank - left.rank)
+    .map(({ peer }) => peer);
+}
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -18,7 +18,7 @@
 import type { CallerLimits, Route } from "../model/routing.ts";
 import type { Address } from "../ports.ts";
 import type { ConfigurationInForce } from "../store/known_state.ts";
-import type { TokenAccounts } from "../accounts/token_accounts.ts";
+import type { TurnAccounts } from "../accounts/turn_accounts.ts";
 
 /** When a caller may return while the gateway can't serve anyone. */
 const NOT_READY_RETURN_MS = 300;
@@ -29,7 +29,7 @@
 
 /** What the server works with. */
 export interface CallerServerParts extends ExchangeParts {
-  readonly accounts: TokenAccounts;
+  readonly accounts: TurnAccounts;
   getConfiguration(): ConfigurationInForce | undefined;
   isStopping(): boolean;
 }
@@ -155,13 +155,22 @@
       await new RequestRun(this.#parts, accepted).run();
       return;
     }
-    if (accounts.open(budget, accepted.receivedAtMs) === "over_budget") {
+    const turn = {
+      programId: budget.programId,
+      turnId: fields.requestId,
+      budgetTokens: budget.budgetTokens,
+      turnTokens: budget.turnTokens,
+    };
+    const admission = await accounts.open(turn);
+    if (admission !== "admitted") {
       const detail = `budget of ${budget.budgetTokens} tokens`;
-      return this.#refuse(caller, { code: "TurnOverBudget", detail, fields });
+      const code = admission === "over_budget"
+        ? "TurnOverBudget"
+        : "AccountUnavailable";
+      return this.#refuse(caller, { code, detail, fields });
     }
     const { events } = await new RequestRun(this.#parts, accepted).run();
-    const perEvent = this.#findTokensPerEvent(accepted.route);
-    accounts.close(budget, events * perEvent);
+    accounts.close(turn, events * this.#findTokensPerEvent(accepted.route));
   }
 
   #findTokensPerEvent(route: Route): number {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,14 +2,20 @@
  * Wires the parts of a gateway process and runs it from its start to its
  * planned stop.
  */
+import { randomUUID } from "node:crypto";
 import { EVENTS } from "@camphorlock/codes/events";
 import { TimerService } from "@camphorlock/scheduler/timers";
-import { TokenAccounts } from "./accounts/token_accounts.ts";
+import { AccountHome } from "./accounts/account_home.ts";
+import { TurnAccounts } from "./accounts/turn_accounts.ts";
+import { PeerDirectory, type PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
+import { TokenAccounts } from "./decisions/token_accounts.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
 import { CallerServer } from "./front/caller_server.ts";
 import { PlainServer } from "./front/readiness_server.ts";
 import type { GatewayLog } from "./log.ts";
+import { PeerGroup } from "./peers/peer_group.ts";
+import { PeerLinks } from "./peers/peer_links.ts";
 import type {
   GatewaySettings,
   ObjectStore,
@@ -23,6 +29,9 @@
 const TICK_MS = 50;
 const LOG_FLUSH_MS = 100;
 const LAPSE_CHECK_MS = 100;
+/** How often gateways that didn't answer are asked again. */
+const PROBE_PEERS_MS = 500;
+const ACCOUNT_CLEANUP_MS = 10_000;
 /** Part of a bound that a watch may use up when its connection is silent. */
 const WATCH_MARGIN_MS = 500;
 /** The balancer takes a node out after two questions a second apart. */
@@ -48,9 +57,15 @@
   readonly #configuration: KnownConfiguration;
   readonly #knownTargets: KnownTargets;
   readonly #followers: readonly Follower[];
+  readonly #directory: PeerDirectory;
+  readonly #home: AccountHome;
+  readonly #links: PeerLinks;
+  readonly #group: PeerGroup;
   readonly #callers: CallerServer;
   readonly #readiness: PlainServer;
+  readonly #bootId = randomUUID();
   #isStopping = false;
+  #hasJoined = false;
   #wasReady = false;
 
   constructor(options: GatewayOptions) {
@@ -82,6 +97,33 @@
       }),
       targetFollower,
     ];
+    const accounts = new TokenAccounts();
+    const getSelf = () => this.#buildSelf();
+    this.#directory = new PeerDirectory(getSelf());
+    this.#home = new AccountHome({
+      accounts,
+      store,
+      log,
+      isStoreLost: () => targetFollower.isLost,
+    });
+    this.#links = new PeerLinks({
+      directory: this.#directory,
+      log,
+      getSelf,
+      handleMessage: (envelope) => this.#group.handleMessage(envelope),
+      onChange: (peer, change) => this.#group.handleChange(peer, change),
+    });
+    this.#group = new PeerGroup({
+      directory: this.#directory,
+      links: this.#links,
+      accounts,
+      home: this.#home,
+      store,
+      log,
+      seeds: settings.seeds,
+      getSelf,
+      isFirstStart: settings.isFirstStart,
+    });
     this.#callers = new CallerServer({
       targets: this.#targets,
       connections: this.#connections,
@@ -91,7 +133,13 @@
         failureDomain: settings.failureDomain,
         regions: settings.regions,
       },
-      accounts: new TokenAccounts(),
+      accounts: new TurnAccounts({
+        directory: this.#directory,
+        links: this.#links,
+        accounts,
+        home: this.#home,
+        selfId: settings.vmId,
+      }),
       getViewAgeMs: () => targetFollower.countAgeMs(performance.now()),
       getConfiguration: () => this.#configuration.inForce,
       isStopping: () => this.#isStopping,
@@ -113,6 +161,16 @@
       (nowMs) => this.#knownTargets.removeLapsed(nowMs),
     );
     setInterval(() => this.#timers.runDue(performance.now()), TICK_MS).unref();
+    this.#timers.subscribe(
+      PROBE_PEERS_MS,
+      () => void this.#group.probeSuspected(),
+    );
+    this.#timers.subscribe(
+      ACCOUNT_CLEANUP_MS,
+      (nowMs) => this.#group.removeUnused(nowMs),
+    );
+    await this.#links.listen(settings.peers);
+    this.#joinGroup();
     await this.#callers.listen(settings.callers);
     await this.#readiness.listen(settings.readiness);
     log.write(EVENTS.GatewayStarted, {
@@ -130,6 +188,7 @@
     const startedAtMs = performance.now();
     const limitMs = settings.bounds.graceMs - GRACE_MARGIN_MS;
     log.write(EVENTS.GatewayStopping, { open: this.#callers.openRequests });
+    void this.#group.leave();
     await waitFor(LEAVE_BALANCER_MS);
     this.#callers.stopListening();
     while (
@@ -142,10 +201,28 @@
     this.#callers.close();
     this.#readiness.close();
     for (const follower of this.#followers) follower.stop();
+    this.#group.stop();
+    this.#home.stop();
+    await this.#links.close();
     await this.#connections.close();
     log.flush();
   }
 
+  #buildSelf(): PeerInfo {
+    const { settings } = this.#options;
+    return {
+      vmId: settings.vmId,
+      ...settings.peers,
+      region: settings.region,
+      bootId: this.#bootId,
+      isLeaving: this.#isStopping,
+    };
+  }
+
+  #joinGroup(): void {
+    void this.#group.join().then(() => this.#hasJoined = true);
+  }
+
   #startFollower(follower: Follower): void {
     // A follower reports its own failures; anything else is a defect.
     follower.run().catch((error: unknown) => {
@@ -154,7 +231,7 @@
   }
 
   #isReady(): boolean {
-    const isReady = !this.#isStopping && this.#targets.size > 0 &&
+    const isReady = !this.#isStopping && this.#hasJoined && this.#targets.size > 0 &&
       this.#configuration.inForce !== undefined;
     if (isReady && !this.#wasReady) {
       this.#wasReady = true;
--- /dev/null
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -0,0 +1,222 @@
+/**
+ * The gateways as a group: finds the others through the store and the seeds,
+ * answers their messages, and hands accounts to their homes when the view of
+ * the group changes.
+ */
+import { EVENTS } from "@camphorlock/codes/events";
+import type { AccountHome } from "../accounts/account_home.ts";
+import type {
+  PeerChange,
+  PeerDirectory,
+  PeerInfo,
+} from "../decisions/peer_directory.ts";
+import type { AccountState, TokenAccounts } from "../decisions/token_accounts.ts";
+import type { GatewayLog } from "../log.ts";
+import type { Address, ObjectStore } from "../ports.ts";
+import type { PeerLinks } from "./peer_links.ts";
+import type { PeerAnswer, PeerEnvelope } from "./peer_messages.ts";
+
+/** Gathers changes that come together before accounts are handed over. */
+const HAND_OVER_DELAY_MS = 30;
+/** Accounts in one message. */
+const ACCOUNTS_PER_MESSAGE = 200;
+/** How long accounts of programs without turns are kept. */
+const KEEP_ACCOUNTS_MS = 90_000;
+/** How long programs may come back that were known before a loss. */
+const LOSS_MS = 75_000;
+/** Time within which peers hand over accounts to a gateway that restarted. */
+const INFORMED_MS = 500;
+/** Pause before an entry that the store didn't take is written again. */
+const REGISTER_RETRY_MS = 400;
+
+/** What the group works with. */
+export interface PeerGroupParts {
+  readonly directory: PeerDirectory;
+  readonly links: PeerLinks;
+  readonly accounts: TokenAccounts;
+  readonly home: AccountHome;
+  readonly store: ObjectStore;
+  readonly log: GatewayLog;
+  readonly seeds: readonly Address[];
+  readonly getSelf: () => PeerInfo;
+  /** Whether the whole installation starts for the first time. */
+  readonly isFirstStart: boolean;
+}
+
+/** One gateway's part in the group. */
+export class PeerGroup {
+  readonly #parts: PeerGroupParts;
+  #handOverTimer: NodeJS.Timeout | undefined;
+  #isStopped = false;
+  /** Whether a peer of the region remembered accounts from before the start. */
+  #wasInformed = false;
+
+  constructor(parts: PeerGroupParts) {
+    this.#parts = parts;
+  }
+
+  /** Joins the group. Returns when the peers that answer are known. */
+  async join(): Promise<void> {
+    const { accounts, isFirstStart } = this.#parts;
+    if (!isFirstStart) accounts.setLoss(performance.now() + LOSS_MS);
+    await Promise.all([this.#askSeeds(), this.#register()]);
+    if (isFirstStart) return;
+    if (this.#wasInformed) {
+      // The peers hand over what they keep once they've heard of this start.
+      accounts.setLoss(performance.now() + INFORMED_MS);
+      return;
+    }
+    this.#parts.log.write(EVENTS.AccountsDoubtful, { for_ms: LOSS_MS });
+    while (!this.#isStopped && !(await this.#parts.home.readRecords())) {
+      await new Promise((resolve) => setTimeout(resolve, REGISTER_RETRY_MS));
+    }
+  }
+
+  /** Tells the others that this gateway leaves. */
+  async leave(): Promise<void> {
+    await this.#greet(this.#parts.directory.list());
+    this.handOver();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#handOverTimer);
+  }
+
+  /** Asks gateways that didn't answer whether they're back. */
+  async probeSuspected(): Promise<void> {
+    await this.#greet(this.#parts.directory.listSuspected());
+  }
+
+  removeUnused(nowMs: number): void {
+    this.#parts.accounts.removeUnused(nowMs - KEEP_ACCOUNTS_MS);
+  }
+
+  /** Reacts to a change of the view. */
+  handleChange(peer: PeerInfo, change: PeerChange | "lost"): void {
+    if (peer.region !== this.#parts.getSelf().region) return;
+    if (change === "none") return;
+    this.#handOverTimer ??= setTimeout(() => {
+      this.#handOverTimer = undefined;
+      this.handOver();
+    }, HAND_OVER_DELAY_MS);
+  }
+
+  /** Hands every account to its present homes. */
+  handOver(): void {
+    const { accounts, directory, links, getSelf } = this.#parts;
+    const byHome = new Map<string, { home: PeerInfo; states: AccountState[] }>();
+    for (const programId of accounts.listPrograms()) {
+      const state = accounts.find(programId);
+      if (state === undefined) continue;
+      for (const home of directory.chooseHomes(programId)) {
+        if (home.vmId === getSelf().vmId) continue;
+        const batch = byHome.get(home.vmId) ?? { home, states: [] };
+        batch.states.push(state);
+        byHome.set(home.vmId, batch);
+      }
+    }
+    for (const { home, states } of byHome.values()) {
+      for (let at = 0; at < states.length; at += ACCOUNTS_PER_MESSAGE) {
+        const batch = states.slice(at, at + ACCOUNTS_PER_MESSAGE);
+        // A home that doesn't answer changes the view and starts this anew.
+        void links.call(home, { kind: "merge_accounts", accounts: batch });
+      }
+    }
+  }
+
+  /** Answers a message of another gateway. */
+  async handleMessage({ message }: PeerEnvelope): Promise<PeerAnswer> {
+    const { accounts, home, directory, getSelf } = this.#parts;
+    const from = getSelf();
+    const nowMs = performance.now();
+    switch (message.kind) {
+      case "hello":
+        return {
+          from,
+          peers: directory.list(),
+          mayHaveLost: accounts.mayHaveLost(nowMs),
+        };
+      case "open_turn":
+        return { from, turn: await home.open(message.turn) };
+      case "add_turn":
+        accounts.add(message.turn, nowMs);
+        return { from };
+      case "close_turn": {
+        const { programId, turnId, passedTokens } = message;
+        accounts.close(programId, turnId, passedTokens);
+        return { from };
+      }
+      case "merge_accounts":
+        for (const state of message.accounts) accounts.merge(state, nowMs);
+        return { from };
+      case "find_account": {
+        const account = accounts.find(message.programId);
+        return { from, ...(account === undefined ? {} : { account }) };
+      }
+    }
+  }
+
+  async #askSeeds(): Promise<void> {
+    const { seeds, links, getSelf } = this.#parts;
+    const self = getSelf();
+    const others = seeds.filter(({ host, port }) =>
+      host !== self.host || port !== self.port
+    );
+    await Promise.all(others.map(async (seed) => {
+      const answer = await links.callAddress(seed, { kind: "hello" });
+      await this.#meet(answer?.peers ?? []);
+      this.#recordInformed(answer);
+    }));
+  }
+
+  /** Enters this gateway in the store and meets those that are entered. */
+  async #register(): Promise<void> {
+    const { store, getSelf } = this.#parts;
+    const self = getSelf();
+    const listed = await store.list("gateways");
+    if (listed.isOk()) {
+      const infos = listed.value.objects.map(({ value }) => value as PeerInfo);
+      const own = listed.value.objects.find(({ name }) => name === self.vmId);
+      void this.#writeEntry(own?.revision);
+      await this.#meet(infos);
+    } else {
+      setTimeout(() => {
+        if (!this.#isStopped) void this.#register();
+      }, REGISTER_RETRY_MS);
+    }
+  }
+
+  async #writeEntry(revision: number | undefined): Promise<void> {
+    const { store, getSelf } = this.#parts;
+    const self = getSelf();
+    const write = { name: self.vmId, value: self };
+    const written = revision === undefined
+      ? await store.create("gateways", write)
+      : await store.update("gateways", { ...write, revision });
+    if (written.isOk() || this.#isStopped) return;
+    const { error } = written;
+    const next = error.kind === "conflict" ? error.current?.revision : revision;
+    setTimeout(() => void this.#writeEntry(next), REGISTER_RETRY_MS);
+  }
+
+  /** Greets gateways that weren't known. */
+  async #meet(infos: readonly PeerInfo[]): Promise<void> {
+    const { directory } = this.#parts;
+    await this.#greet(infos.filter((info) => directory.add(info)));
+  }
+
+  async #greet(peers: readonly PeerInfo[]): Promise<void> {
+    await Promise.all(peers.map(async (peer) => {
+      const answer = await this.#parts.links.call(peer, { kind: "hello" });
+      this.#recordInformed(answer);
+      await this.#meet(answer?.peers ?? []);
+    }));
+  }
+
+  #recordInformed(answer: PeerAnswer | undefined): void {
+    const { region } = this.#parts.getSelf();
+    if (answer?.from.region !== region || answer.mayHaveLost !== false) return;
+    this.#wasInformed = true;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -0,0 +1,97 @@
+/**
+ * The messages between gateways, and the check of what arrives.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type {
+  AccountState,
+  TurnRequest,
+} from "../decisions/token_accounts.ts";
+import type { PeerInfo } from "../decisions/peer_directory.ts";
+
+/** A message from one gateway to another. */
+export type PeerMessage =
+  /** Tells of itself and asks for the others. */
+  | { readonly kind: "hello" }
+  /** Asks a home to admit a turn. */
+  | { readonly kind: "open_turn"; readonly turn: TurnRequest }
+  /** Tells the second home of a turn that may be admitted. */
+  | { readonly kind: "add_turn"; readonly turn: TurnRequest }
+  | {
+    readonly kind: "close_turn";
+    readonly programId: string;
+    readonly turnId: string;
+    readonly passedTokens: number;
+  }
+  /** Hands accounts to a home. */
+  | { readonly kind: "merge_accounts"; readonly accounts: AccountState[] }
+  /** Asks a home of another region what it knows. */
+  | { readonly kind: "find_account"; readonly programId: string };
+
+/** What a home answers to `open_turn`. */
+export type TurnAnswer = "admitted" | "over_budget" | "unavailable";
+
+/** The answer to a message. */
+export interface PeerAnswer {
+  /** The answering gateway. */
+  readonly from: PeerInfo;
+  readonly peers?: readonly PeerInfo[];
+  readonly turn?: TurnAnswer;
+  readonly account?: AccountState;
+  /** Whether the answering gateway may have lost accounts. */
+  readonly mayHaveLost?: boolean;
+}
+
+/** A message with its sender. */
+export interface PeerEnvelope {
+  readonly from: PeerInfo;
+  readonly message: PeerMessage;
+}
+
+const KINDS: readonly PeerMessage["kind"][] = [
+  "hello",
+  "open_turn",
+  "add_turn",
+  "close_turn",
+  "merge_accounts",
+  "find_account",
+];
+
+/** Parses a message. All gateways of an installation run one version. */
+export function parseEnvelope(bytes: Uint8Array): Result<PeerEnvelope, string> {
+  return parseJson(bytes).andThen((value) => {
+    const envelope = value as Partial<PeerEnvelope>;
+    const kind = envelope.message?.kind;
+    if (!isPeerInfo(envelope.from)) return err("the sender is missing");
+    if (kind === undefined || !KINDS.includes(kind)) {
+      return err(`unknown kind of message: ${String(kind)}`);
+    }
+    return ok(envelope as PeerEnvelope);
+  });
+}
+
+/** Parses an answer. */
+export function parseAnswer(bytes: Uint8Array): Result<PeerAnswer, string> {
+  return parseJson(bytes).andThen((value) =>
+    isPeerInfo((value as Partial<PeerAnswer>).from)
+      ? ok(value as PeerAnswer)
+      : err("the sender is missing")
+  );
+}
+
+function parseJson(bytes: Uint8Array): Result<object, string> {
+  try {
+    const value: unknown = JSON.parse(Buffer.from(bytes).toString("utf8"));
+    return typeof value === "object" && value !== null
+      ? ok(value)
+      : err("not an object");
+  } catch (error) {
+    return err(`not JSON: ${String(error)}`);
+  }
+}
+
+function isPeerInfo(value: unknown): value is PeerInfo {
+  const info = value as Partial<PeerInfo> | undefined;
+  return typeof info?.vmId === "string" && typeof info.host === "string" &&
+    typeof info.port === "number" && typeof info.bootId === "string" &&
+    typeof info.region === "string";
+}
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -165,8 +165,12 @@
   readonly regions: ReadonlyMap<string, string>;
   readonly callers: Address;
   readonly readiness: Address;
-  /** Where other gateways reach this one; absent when none do. */
-  readonly peers: Address | undefined;
+  /** Where other gateways reach this one. */
+  readonly peers: Address;
+  /** Addresses of a few gateways, which may be stale. */
+  readonly seeds: readonly Address[];
+  /** Whether the whole installation starts for the first time. */
+  readonly isFirstStart: boolean;
   readonly metrics: Address | undefined;
   readonly bounds: GatewayBounds;
 }
