--- /dev/null
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -0,0 +1,270 @@
+import { expect } from "chai";
+import type { Route, RoutingConfiguration } from "../model/routing.ts";
+import type { Target } from "../model/target.ts";
+import { chooseService } from "./choose_service.ts";
+import { chooseTarget } from "./choose_target.ts";
+import { EventSplitter } from "./event_splitter.ts";
+import { PeerDirectory, type PeerInfo } from "./peer_directory.ts";
+import { planNextSend, type SendHistory } from "./plan_next_send.ts";
+import { RouteTable } from "./route_table.ts";
+import { recordFailure, TargetTable } from "./target_table.ts";
+
+function buildRoute(change: Partial<Route>): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/x/",
+    kind: "idempotent",
+    isResumable: false,
+    timeoutMs: 1_000,
+    targetLatencyMs: 100,
+    priority: 0,
+    maxTargets: 1,
+    services: [{ service: "s", weight: 1 }],
+    ...change,
+  };
+}
+
+function buildTarget(change: Partial<Target>): Target {
+  return {
+    id: "i-1",
+    service: "s",
+    host: "127.0.0.1",
+    port: 1,
+    failureDomain: "a",
+    state: "ready",
+    slots: 4,
+    startedAtMs: 1,
+    ...change,
+  };
+}
+
+function buildPeer(vmId: string, change: Partial<PeerInfo> = {}): PeerInfo {
+  return {
+    vmId,
+    host: "127.0.0.1",
+    port: 1,
+    region: "north",
+    bootId: "1",
+    isLeaving: false,
+    ...change,
+  };
+}
+
+describe("route table", () => {
+  const configuration: RoutingConfiguration = {
+    version: 1,
+    routes: [
+      buildRoute({ name: "short", pathPrefix: "/x/" }),
+      buildRoute({ name: "long", pathPrefix: "/x/y/" }),
+    ],
+    services: new Map(),
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+  const table = new RouteTable(configuration);
+
+  it("takes the longest prefix of the host's routes", () => {
+    expect(table.find("a.example", "/x/y/z")?.name).to.equal("long");
+    expect(table.find("A.example:80", "/x/z?q=/x/y/")?.name).to.equal("short");
+  });
+
+  it("finds nothing for other hosts and paths", () => {
+    expect(table.find("b.example", "/x/y")).to.equal(undefined);
+    expect(table.find("a.example", "/xy/")).to.equal(undefined);
+  });
+});
+
+describe("split routes", () => {
+  it("spread keys by weight and keep each key's service", () => {
+    const route = buildRoute({
+      services: [{ service: "s", weight: 90 }, { service: "t", weight: 10 }],
+    });
+    const chosen = Array.from(
+      { length: 1_000 },
+      (_, index) => chooseService(route, `program-${index}`),
+    );
+    const share = chosen.filter((service) => service === "t").length / 1_000;
+    expect(share).to.be.within(0.06, 0.14);
+    expect(chooseService(route, "program-1")).to.equal(chosen[1]);
+  });
+});
+
+describe("target table", () => {
+  it("keeps a lapsed entry until its time is over", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({}));
+    table.remove("i-1", 2_000);
+    expect(table.listReady("s", 1_000)).to.have.length(1);
+    expect(table.listReady("s", 2_000)).to.have.length(0);
+    expect(table.removeLapsed(2_000)).to.have.length(1);
+  });
+
+  it("takes a lapsed entry back when it's written again", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({}));
+    table.remove("i-1", 2_000);
+    table.set(buildTarget({}));
+    expect(table.listReady("s", 3_000)).to.have.length(1);
+  });
+
+  it("forgets what it observed of an earlier incarnation", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({}));
+    const known = table.find("i-1");
+    if (known === undefined) throw new Error("missing");
+    known.prefixes.record([{ id: "p", tokens: 10 }]);
+    recordFailure(known, 0);
+    table.set(buildTarget({ startedAtMs: 2 }));
+    expect(table.find("i-1")?.failuresInRow).to.equal(0);
+    expect(table.find("i-1")?.prefixes.countMissing([{ id: "p", tokens: 10 }]))
+      .to.equal(10);
+  });
+
+  it("lists no draining target as ready", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({ state: "draining" }));
+    expect(table.listReady("s", 0)).to.have.length(0);
+  });
+});
+
+describe("choice of a target", () => {
+  const request = {
+    prompt: [{ id: "shared", tokens: 12_000 }],
+    failureDomain: "a",
+    regions: new Map([["a", "north"], ["b", "south"]]),
+    excluded: new Set<string>(),
+    nowMs: 0,
+  };
+
+  it("prefers the kept prompt over the nearer target once it's worth the way", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({ id: "near" }));
+    table.set(buildTarget({ id: "far", failureDomain: "b" }));
+    const prompt = [{ id: "shared", tokens: 20_000 }];
+    table.find("far")?.prefixes.record(prompt);
+    const ready = table.listReady("s", 0);
+    expect(chooseTarget(ready, { ...request, prompt })?.target.id)
+      .to.equal("far");
+    expect(chooseTarget(ready, { ...request, prompt: [] })?.target.id)
+      .to.equal("near");
+  });
+
+  it("avoids a failing target until its time is over", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({ id: "bad" }));
+    table.set(buildTarget({ id: "good", failureDomain: "b" }));
+    const bad = table.find("bad");
+    if (bad !== undefined) recordFailure(bad, 0);
+    const ready = table.listReady("s", 0);
+    expect(chooseTarget(ready, request)?.target.id).to.equal("good");
+    expect(chooseTarget(ready, { ...request, nowMs: 250 })?.target.id)
+      .to.equal("bad");
+  });
+
+  it("takes an avoided target when there's no other", () => {
+    const table = new TargetTable();
+    table.set(buildTarget({ id: "bad" }));
+    const bad = table.find("bad");
+    if (bad !== undefined) recordFailure(bad, 0);
+    expect(chooseTarget(table.listReady("s", 0), request)?.target.id)
+      .to.equal("bad");
+  });
+});
+
+describe("what follows a failed send", () => {
+  const history: SendHistory = {
+    isRepeatable: false,
+    maxTargets: 1,
+    sends: 1,
+    liveRunners: 0,
+    mayHaveRun: false,
+    leftMs: 500,
+  };
+
+  it("never sends again what may have run and may not be repeated", () => {
+    const broken = { kind: "broken", detail: "reset" } as const;
+    const next = planNextSend(broken, { ...history, mayHaveRun: true });
+    expect(next).to.deep.equal({ kind: "fail" });
+  });
+
+  it("sends elsewhere what wasn't run", () => {
+    const notRun = { kind: "not_run", detail: "status 503" } as const;
+    expect(planNextSend(notRun, history))
+      .to.deep.equal({ kind: "send", to: "any" });
+  });
+
+  it("goes on with a stream at the target that ran it while it lives", () => {
+    const broken = { kind: "broken", detail: "reset" } as const;
+    const repeatable = { ...history, isRepeatable: true, mayHaveRun: true };
+    expect(planNextSend(broken, { ...repeatable, liveRunners: 1 }))
+      .to.deep.equal({ kind: "send", to: "runners" });
+    expect(planNextSend(broken, repeatable))
+      .to.deep.equal({ kind: "send", to: "any" });
+  });
+
+  it("states that a request has not run only where that's known", () => {
+    const notRun = { kind: "not_run", detail: "status 503" } as const;
+    const over = { ...history, leftMs: 0 };
+    expect(planNextSend(notRun, over)).to.deep.equal({ kind: "refuse" });
+    expect(planNextSend(notRun, { ...over, mayHaveRun: true }))
+      .to.deep.equal({ kind: "fail" });
+  });
+});
+
+describe("event splitter", () => {
+  const text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+
+  it("gives whole events however the bytes are cut", () => {
+    for (let size = 1; size < text.length; size += 1) {
+      const splitter = new EventSplitter();
+      const events = [];
+      for (let at = 0; at < text.length; at += size) {
+        events.push(...splitter.take(Buffer.from(text.slice(at, at + size))));
+      }
+      expect(events.map(({ id }) => id)).to.deep.equal([1, 2]);
+      expect(splitter.restBytes).to.equal("id: 3\nda".length);
+    }
+  });
+});
+
+describe("peer directory", () => {
+  const directory = new PeerDirectory(buildPeer("a"));
+  for (const vmId of ["b", "c", "d"]) directory.add(buildPeer(vmId));
+  directory.add(buildPeer("e", { region: "south" }));
+
+  it("ranks the homes of a program alike at every gateway", () => {
+    const other = new PeerDirectory(buildPeer("c"));
+    for (const vmId of ["a", "b", "d"]) other.add(buildPeer(vmId));
+    for (const program of ["p", "q", "r", "s"]) {
+      expect(directory.chooseHomes(program).map(({ vmId }) => vmId))
+        .to.deep.equal(other.chooseHomes(program).map(({ vmId }) => vmId));
+    }
+  });
+
+  it("makes the second home the first when that's lost", () => {
+    const [first, second] = directory.chooseHomes("p");
+    const others = new PeerDirectory(buildPeer("z", { region: "south" }));
+    expect(others.chooseHomes("p").map(({ vmId }) => vmId))
+      .to.deep.equal(["z"]);
+    if (first === undefined || second === undefined) throw new Error("few");
+    directory.suspect(first.vmId);
+    const isSelf = first.vmId === "a";
+    expect(directory.chooseHomes("p")[isSelf ? 1 : 0]?.vmId)
+      .to.equal(second.vmId);
+    directory.set(first);
+    expect(directory.chooseHomes("p")[0]?.vmId).to.equal(first.vmId);
+  });
+
+  it("tells a restart from a return", () => {
+    expect(directory.set(buildPeer("b"))).to.equal("none");
+    directory.suspect("b");
+    expect(directory.set(buildPeer("b"))).to.equal("returned");
+    expect(directory.set(buildPeer("b", { bootId: "2" })))
+      .to.equal("restarted");
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -0,0 +1,107 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { TokenAccounts, type TurnRequest } from "./token_accounts.ts";
+
+const TURN_TOKENS = 560;
+
+function buildTurn(turnId: string, budgetTokens: number): TurnRequest {
+  return { programId: "p", turnId, budgetTokens, turnTokens: TURN_TOKENS };
+}
+
+describe("token accounts", () => {
+  it("admit turns until the budget doesn't hold one at its most", () => {
+    const accounts = new TokenAccounts();
+    const kinds = ["a", "b", "c"].map((id) =>
+      accounts.open(buildTurn(id, 1_400), 0).kind
+    );
+    expect(kinds).to.deep.equal(["admitted", "admitted", "over_budget"]);
+  });
+
+  it("give back what a turn didn't use", () => {
+    const accounts = new TokenAccounts();
+    accounts.open(buildTurn("a", 1_120), 0);
+    accounts.close("p", "a", 35);
+    accounts.addRecord("p", 1_120);
+    expect(accounts.open(buildTurn("b", 1_120), 0).kind).to.equal("admitted");
+  });
+
+  it("ask for a record before most of a budget is passed on", () => {
+    const accounts = new TokenAccounts();
+    const first = accounts.open(buildTurn("a", 1_680), 0);
+    accounts.close("p", "a", 560);
+    const second = accounts.open(buildTurn("b", 1_680), 0);
+    accounts.close("p", "b", 560);
+    const third = accounts.open(buildTurn("c", 1_680), 0);
+    expect(first.kind).to.equal("admitted");
+    expect(second.kind).to.equal("admitted");
+    expect(third).to.deep.equal({ kind: "needs_record", allowedTokens: 1_680 });
+  });
+
+  it("merge what two homes saw, whatever the order", () => {
+    const [left, right] = [new TokenAccounts(), new TokenAccounts()];
+    left.add(buildTurn("a", 2_000), 0);
+    right.add(buildTurn("a", 2_000), 0);
+    right.close("p", "a", 70);
+    right.add(buildTurn("b", 2_000), 0);
+    const [ofLeft, ofRight] = [left.find("p"), right.find("p")];
+    if (ofLeft === undefined || ofRight === undefined) throw new Error("lost");
+    left.merge(ofRight, 0);
+    right.merge(ofLeft, 0);
+    expect(left.find("p")).to.deep.equal(right.find("p"));
+  });
+
+  it("take an unknown program for partly spent after a loss", () => {
+    const accounts = new TokenAccounts();
+    accounts.setLoss(1_000);
+    const kinds = ["a", "b"].map((id) =>
+      accounts.open(buildTurn(id, 1_120), 0).kind
+    );
+    expect(kinds).to.deep.equal(["admitted", "unknown"]);
+  });
+
+  it("refuse a stopped program that comes back after a loss", () => {
+    const accounts = new TokenAccounts();
+    accounts.setLoss(1_000);
+    accounts.addRecord("p", 1_680);
+    expect(accounts.open(buildTurn("a", 1_680), 0).kind)
+      .to.equal("over_budget");
+  });
+
+  it("never pass on more than the budget and a turn, over one loss", () => {
+    const schedule = fc.record({
+      budgetTokens: fc.integer({ min: TURN_TOKENS, max: 8_000 }),
+      uses: fc.array(fc.integer({ min: 0, max: TURN_TOKENS }), {
+        minLength: 1,
+        maxLength: 60,
+      }),
+      lossAt: fc.nat(60),
+    });
+    fc.assert(fc.property(schedule, ({ budgetTokens, uses, lossAt }) => {
+      const stored = { allowed: 0 };
+      let accounts = new TokenAccounts();
+      let passed = 0;
+      uses.forEach((use, index) => {
+        if (index === lossAt) {
+          accounts = new TokenAccounts();
+          accounts.setLoss(1);
+          if (stored.allowed > 0) accounts.addRecord("p", stored.allowed);
+        }
+        const turn = buildTurn(String(index), budgetTokens);
+        let decision = accounts.open(turn, 0);
+        if (decision.kind === "needs_record") {
+          stored.allowed = decision.allowedTokens;
+          accounts.addRecord("p", stored.allowed);
+          decision = accounts.open(turn, 0);
+        }
+        if (decision.kind === "over_budget") {
+          stored.allowed = budgetTokens;
+          accounts.addRecord("p", budgetTokens);
+        }
+        if (decision.kind !== "admitted") return;
+        passed += use;
+        accounts.close("p", turn.turnId, use);
+      });
+      expect(passed).to.be.at.most(budgetTokens + TURN_TOKENS);
+    }), { numRuns: 2_000 });
+  });
+});
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -87,6 +87,7 @@
 
   /** Closes every connection. */
   close(): void {
+    this.#server.close();
     this.#server.closeAllConnections();
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,6 +64,7 @@
   readonly #callers: CallerServer;
   readonly #readiness: PlainServer;
   readonly #bootId = randomUUID();
+  #ticks: NodeJS.Timeout | undefined;
   #isStopping = false;
   #hasJoined = false;
   #wasReady = false;
@@ -160,7 +161,10 @@
       LAPSE_CHECK_MS,
       (nowMs) => this.#knownTargets.removeLapsed(nowMs),
     );
-    setInterval(() => this.#timers.runDue(performance.now()), TICK_MS).unref();
+    this.#ticks = setInterval(
+      () => this.#timers.runDue(performance.now()),
+      TICK_MS,
+    );
     this.#timers.subscribe(
       PROBE_PEERS_MS,
       () => void this.#group.probeSuspected(),
@@ -198,6 +202,12 @@
       await waitFor(TICK_MS);
     }
     log.write(EVENTS.GatewayStopped, { cut_off: this.#callers.openRequests });
+    await this.close();
+  }
+
+  /** Ends at once; open requests are cut off. */
+  async close(): Promise<void> {
+    clearInterval(this.#ticks);
     this.#callers.close();
     this.#readiness.close();
     for (const follower of this.#followers) follower.stop();
@@ -205,7 +215,8 @@
     this.#home.stop();
     await this.#links.close();
     await this.#connections.close();
-    log.flush();
+    await this.#options.store.close();
+    this.#options.log.flush();
   }
 
   #buildSelf(): PeerInfo {
--- /dev/null
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -0,0 +1,400 @@
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { Agent, request as startRequest } from "node:http";
+import type { AddressInfo, Server } from "node:net";
+import { err, ok, type Result } from "neverthrow";
+import { Gateway } from "./gateway.ts";
+import { GatewayLog } from "./log.ts";
+import type { RoutingConfiguration } from "./model/routing.ts";
+import type { Target } from "./model/target.ts";
+import type {
+  GatewaySettings,
+  ObjectKind,
+  ObjectStore,
+  RequestCodec,
+  StoreCodec,
+  StoredChange,
+  StoredObject,
+  StoreFailure,
+  StoreWrite,
+  WatchOptions,
+} from "./ports.ts";
+
+export const PATIENCE_MS = 5_000;
+
+/** A store in memory that can be made to fail. */
+export class FakeStore implements ObjectStore {
+  isDown = false;
+  calls = 0;
+  readonly #kinds = new Map<ObjectKind, Map<string, StoredObject>>();
+  readonly #changes: { kind: ObjectKind; change: StoredChange }[] = [];
+  #wakers: (() => void)[] = [];
+  #revision = 1;
+
+  put(kind: ObjectKind, name: string, value: unknown): StoredObject {
+    this.#revision += 1;
+    const object = { name, revision: this.#revision, value, status: null };
+    this.#getKind(kind).set(name, object);
+    this.#report(kind, { object, isRemoved: false });
+    return object;
+  }
+
+  remove(kind: ObjectKind, name: string): void {
+    const object = this.#getKind(kind).get(name);
+    if (object === undefined) return;
+    this.#revision += 1;
+    this.#getKind(kind).delete(name);
+    this.#report(kind, {
+      object: { ...object, revision: this.#revision },
+      isRemoved: true,
+    });
+  }
+
+  get(kind: ObjectKind, name: string): unknown {
+    return this.#getKind(kind).get(name)?.value;
+  }
+
+  list(kind: ObjectKind) {
+    return this.#call(() =>
+      ok({
+        objects: [...this.#getKind(kind).values()],
+        revision: this.#revision,
+      })
+    );
+  }
+
+  async watch(kind: ObjectKind, { afterRevision, waitMs }: WatchOptions) {
+    const find = () =>
+      this.#changes.filter((each) =>
+        each.kind === kind && each.change.object.revision > afterRevision
+      ).map(({ change }) => change);
+    if (find().length === 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, waitMs);
+        this.#wakers.push(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      });
+    }
+    return await this.#call(() =>
+      ok({ changes: find(), revision: this.#revision })
+    );
+  }
+
+  find(kind: ObjectKind, name: string) {
+    return this.#call((): Result<StoredObject, StoreFailure> => {
+      const object = this.#getKind(kind).get(name);
+      return object === undefined ? err({ kind: "absent" }) : ok(object);
+    });
+  }
+
+  create(kind: ObjectKind, { name, value }: StoreWrite) {
+    return this.#call((): Result<StoredObject, StoreFailure> => {
+      const current = this.#getKind(kind).get(name);
+      if (current !== undefined) return err({ kind: "conflict", current });
+      return ok(this.put(kind, name, value));
+    });
+  }
+
+  update(kind: ObjectKind, { name, value, revision }: StoreWrite) {
+    return this.#call((): Result<StoredObject, StoreFailure> => {
+      const current = this.#getKind(kind).get(name);
+      if (current === undefined) return err({ kind: "absent" });
+      if (revision !== undefined && revision !== current.revision) {
+        return err({ kind: "conflict", current });
+      }
+      return ok(this.put(kind, name, value));
+    });
+  }
+
+  updateStatus(kind: ObjectKind, write: StoreWrite) {
+    return this.update(kind, write);
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  async #call<T>(
+    act: () => Result<T, StoreFailure>,
+  ): Promise<Result<T, StoreFailure>> {
+    this.calls += 1;
+    await new Promise((resolve) => setImmediate(resolve));
+    return this.isDown ? err({ kind: "refused", detail: "down" }) : act();
+  }
+
+  #getKind(kind: ObjectKind): Map<string, StoredObject> {
+    const known = this.#kinds.get(kind) ?? new Map<string, StoredObject>();
+    this.#kinds.set(kind, known);
+    return known;
+  }
+
+  #report(kind: ObjectKind, change: StoredChange): void {
+    this.#changes.push({ kind, change });
+    const wakers = this.#wakers;
+    this.#wakers = [];
+    for (const wake of wakers) wake();
+  }
+}
+
+/** Headers under plain names, as the tests' own wire. */
+const CODEC: RequestCodec = {
+  decodeRequest: (headers) => {
+    const id = headers["id"];
+    if (typeof id !== "string" || id === "") return err("the request has no id");
+    const [programId, budget, turn] = String(headers["budget"] ?? "").split(",");
+    return ok({
+      requestId: id,
+      deadlineMs: Number(headers["deadline"] ?? 5_000),
+      programId,
+      programLeftMs: undefined,
+      budget: budget === undefined || programId === undefined
+        ? undefined
+        : { programId, budgetTokens: Number(budget), turnTokens: Number(turn) },
+      prompt: [],
+      resumeAfter: 0,
+    });
+  },
+  encodeTargetHeaders: (_rawHeaders, { targetId, leftMs, resumeAfter }) => [
+    "target",
+    targetId,
+    "left",
+    String(leftMs),
+    "resume-after",
+    String(resumeAfter),
+  ],
+  decodeAnswer: (_status, headers) => ({
+    requestId: headers["id"] as string | undefined,
+    isNotRun: headers["not-run"] !== undefined,
+    hasSignature: headers["signed"] !== undefined,
+    isClosing: false,
+  }),
+  encodeAnswerHeaders: (headers) => ({ signed: String(headers["signed"]) }),
+};
+
+const STORE_CODEC: StoreCodec = {
+  decodeConfiguration: (value) =>
+    value === "unreadable"
+      ? err("unreadable")
+      : ok(value as RoutingConfiguration),
+  decodeTarget: ({ value }) =>
+    value === "unreadable" ? err("unreadable") : ok(value as Target),
+};
+
+/** Builds a configuration with one route of each kind. */
+export function buildConfiguration(version: number): RoutingConfiguration {
+  const route = {
+    host: "a.example",
+    timeoutMs: 600,
+    targetLatencyMs: 100,
+    priority: 0,
+    maxTargets: 1,
+    isResumable: false,
+    services: [{ service: "s", weight: 1 }],
+  };
+  return {
+    version,
+    routes: [
+      { ...route, name: "safe", pathPrefix: "/safe/", kind: "idempotent", maxTargets: 3 },
+      { ...route, name: "once", pathPrefix: "/once/", kind: "non_idempotent" },
+      {
+        ...route,
+        name: "stream",
+        pathPrefix: "/stream/",
+        kind: "streaming",
+        isResumable: true,
+      },
+    ],
+    services: new Map([
+      ["s", { name: "s", maxConnections: 100, tokensPerEvent: 10 }],
+    ]),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 2_000,
+    },
+  };
+}
+
+type HandleRequest = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** A target whose behaviour the test sets. */
+export class FakeTarget {
+  readonly id: string;
+  handle: HandleRequest = answerWhole;
+  readonly seen: string[] = [];
+  readonly #server: Server;
+
+  constructor(id: string) {
+    this.id = id;
+    this.#server = createServer((request, response) => {
+      this.seen.push(request.url ?? "");
+      this.handle(request, response);
+    });
+  }
+
+  async start(): Promise<Target> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", () => resolve())
+    );
+    return {
+      id: this.id,
+      service: "s",
+      host: "127.0.0.1",
+      port: (this.#server.address() as AddressInfo).port,
+      failureDomain: "a",
+      state: "ready",
+      slots: 4,
+      startedAtMs: 1,
+    };
+  }
+
+  stop(): void {
+    (this.#server as unknown as { closeAllConnections(): void })
+      .closeAllConnections();
+    this.#server.close();
+  }
+}
+
+/** Answers with a signed body. */
+export function answerWhole(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.writeHead(200, { signed: "1" });
+  response.end("whole");
+}
+
+/** Gateways, targets and a store on loopback. */
+export class GatewayFixture {
+  readonly store = new FakeStore();
+  readonly lines: Record<string, unknown>[] = [];
+  readonly gateways: Gateway[] = [];
+  readonly ports: number[] = [];
+  readonly #targets: FakeTarget[] = [];
+  readonly #agent = new Agent({ keepAlive: true });
+
+  async addTarget(id: string): Promise<FakeTarget> {
+    const target = new FakeTarget(id);
+    this.#targets.push(target);
+    this.store.put("targets", id, await target.start());
+    return target;
+  }
+
+  async addGateway(vmId: string, isFirstStart = true): Promise<Gateway> {
+    const [callers, readiness, peers] = await Promise.all([
+      findFreePort(),
+      findFreePort(),
+      findFreePort(),
+    ]);
+    const host = "127.0.0.1";
+    const settings: GatewaySettings = {
+      vmId,
+      failureDomain: "a",
+      region: "north",
+      regions: new Map([["a", "north"]]),
+      callers: { host, port: callers },
+      readiness: { host, port: readiness },
+      peers: { host, port: peers },
+      seeds: [],
+      isFirstStart,
+      metrics: undefined,
+      bounds: {
+        configApplyMs: 2_500,
+        drainMs: 2_500,
+        graceMs: 4_000,
+        contactMs: 3_000,
+      },
+    };
+    const gateway = new Gateway({
+      settings,
+      store: this.store,
+      requestCodec: CODEC,
+      storeCodec: STORE_CODEC,
+      log: new GatewayLog({
+        write: (text, handleWritten) => {
+          for (const line of text.trim().split("\n")) {
+            this.lines.push(JSON.parse(line));
+          }
+          handleWritten();
+        },
+      }, vmId),
+    });
+    await gateway.start();
+    this.gateways.push(gateway);
+    this.ports.push(callers);
+    await waitUntil(async () => (await this.ask(readiness, {})).status === 200);
+    return gateway;
+  }
+
+  /** Makes one request. */
+  ask(
+    port: number,
+    request: {
+      path?: string;
+      method?: string;
+      headers?: Record<string, string>;
+      body?: string;
+      leaveAfterMs?: number;
+    },
+  ): Promise<{ status: number; text: string; headers: IncomingMessage["headers"]; isWhole: boolean }> {
+    return new Promise((resolve, reject) => {
+      const sent = startRequest({
+        host: "127.0.0.1",
+        port,
+        path: request.path ?? "/",
+        method: request.method ?? "GET",
+        headers: { host: "a.example", id: "r1", ...request.headers },
+        agent: this.#agent,
+      }, (response) => {
+        let text = "";
+        response.on("data", (chunk) => text += chunk);
+        response.on("error", () => {});
+        response.on("close", () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            text,
+            headers: response.headers,
+            isWhole: response.complete,
+          }));
+      });
+      sent.on("error", reject);
+      if (request.leaveAfterMs !== undefined) {
+        setTimeout(() => sent.destroy(), request.leaveAfterMs);
+      }
+      sent.end(request.body);
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.#agent.destroy();
+    await Promise.all(this.gateways.map((gateway) => gateway.close()));
+    for (const target of this.#targets) target.stop();
+  }
+}
+
+/** Waits until a condition holds; rejects when it doesn't in time. */
+export async function waitUntil(
+  check: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const endMs = performance.now() + PATIENCE_MS;
+  while (performance.now() < endMs) {
+    if (await check()) return;
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  throw new Error("the condition didn't come to hold");
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return port;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_test.ts
@@ -0,0 +1,259 @@
+import { expect } from "chai";
+import type { ServerResponse } from "node:http";
+import {
+  answerWhole,
+  buildConfiguration,
+  type FakeTarget,
+  GatewayFixture,
+  waitUntil,
+} from "./gateway_fixture_test.ts";
+
+function sendEvents(response: ServerResponse, ids: readonly number[]): void {
+  for (const id of ids) response.write(`id: ${id}\ndata: x\n\n`);
+}
+
+describe("gateway", () => {
+  let fixture: GatewayFixture;
+  let target: FakeTarget;
+  let other: FakeTarget;
+  let port: number;
+
+  beforeEach(async () => {
+    fixture = new GatewayFixture();
+    fixture.store.put("configuration", "main", buildConfiguration(1));
+    target = await fixture.addTarget("t1");
+    other = await fixture.addTarget("t2");
+    await fixture.addGateway("g1");
+    port = fixture.ports[0] ?? 0;
+  });
+
+  afterEach(() => fixture.stop());
+
+  function isSeen(path: string): FakeTarget | undefined {
+    return [target, other].find(({ seen }) => seen.includes(path));
+  }
+
+  it("passes a target's whole answer on", async () => {
+    const answer = await fixture.ask(port, { path: "/safe/1" });
+    expect(answer).to.include({ status: 200, text: "whole", isWhole: true });
+    expect(answer.headers["signed"]).to.equal("1");
+  });
+
+  it("refuses what no route leads to", async () => {
+    expect((await fixture.ask(port, { path: "/none/" })).status).to.equal(404);
+  });
+
+  it("sends a request that wasn't run to another target", async () => {
+    target.handle = (_request, response) => {
+      response.writeHead(503, { "not-run": "1" });
+      response.end();
+    };
+    const answer = await fixture.ask(port, { path: "/once/1", method: "POST" });
+    expect(answer.status).to.equal(200);
+    expect(other.seen).to.deep.equal(["/once/1"]);
+  });
+
+  it("refuses at once with a time to return when every target is full", async () => {
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => {
+        response.writeHead(503, { "not-run": "1" });
+        response.end();
+      };
+    }
+    const answer = await fixture.ask(port, { path: "/once/1", method: "POST" });
+    expect(answer.status).to.equal(503);
+    expect(Number(answer.headers["retry-after"])).to.be.greaterThan(0);
+  });
+
+  it("never repeats what may have run and may not be repeated", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request) => request.socket.destroy();
+    }
+    const answer = await fixture.ask(port, { path: "/once/1", method: "POST" });
+    expect(answer.status).to.equal(502);
+    expect(target.seen.length + other.seen.length).to.equal(1);
+  });
+
+  it("gives no success without a signature, nor another request's answer", async () => {
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => response.end("forged");
+    }
+    const forged = await fixture.ask(port, { path: "/once/1" });
+    expect(forged.status).to.equal(502);
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => {
+        response.writeHead(200, { signed: "1", id: "another" });
+        response.end("of another");
+      };
+    }
+    const crossed = await fixture.ask(port, { path: "/once/2" });
+    expect(crossed.status).to.equal(502);
+  });
+
+  it("takes no reset answer without a length for whole", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request) => {
+        request.socket.write("HTTP/1.1 200 OK\r\nsigned: 1\r\n\r\nhalf");
+        setTimeout(() => request.socket.resetAndDestroy(), 30);
+      };
+    }
+    const answer = await fixture.ask(port, { path: "/once/1" });
+    expect(answer.status).to.equal(502);
+  });
+
+  it("answers by the route's time, however long the target takes", async () => {
+    for (const each of [target, other]) each.handle = () => {};
+    const startedMs = performance.now();
+    const answer = await fixture.ask(port, { path: "/once/1" });
+    expect(answer.status).to.equal(504);
+    expect(performance.now() - startedMs).to.be.within(550, 1_100);
+  });
+
+  it("goes on with a broken stream where it broke off", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request, response) => {
+        response.writeHead(200, { signed: each.id });
+        const after = Number(request.headers["resume-after"]);
+        sendEvents(response, after === 0 ? [1, 2] : [3, 4]);
+        if (after === 0) {
+          response.write("id: 3\nda");
+          setTimeout(() => request.socket.destroy(), 20);
+        } else {
+          response.end();
+        }
+      };
+    }
+    const answer = await fixture.ask(port, { path: "/stream/1" });
+    expect(answer.isWhole).to.equal(true);
+    expect(answer.text.match(/id: \d/g))
+      .to.deep.equal(["id: 1", "id: 2", "id: 3", "id: 4"]);
+    // The route lets one target run the request while that one lives.
+    expect([target.seen.length, other.seen.length].sort())
+      .to.deep.equal([0, 2]);
+  });
+
+  it("cuts a stream that can't go on, so that it doesn't look whole", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request, response) => {
+        if (Number(request.headers["resume-after"]) > 0) return;
+        response.writeHead(200, { signed: "1" });
+        sendEvents(response, [1]);
+        setTimeout(() => request.socket.destroy(), 20);
+      };
+    }
+    const answer = await fixture.ask(port, { path: "/stream/1" });
+    expect(answer.isWhole).to.equal(false);
+  });
+
+  it("stops a repeatable request at its target when the caller leaves", async () => {
+    let isStopped = false;
+    for (const each of [target, other]) {
+      each.handle = (_request, response) =>
+        response.on("close", () => isStopped = true);
+    }
+    const asked = fixture.ask(port, { path: "/safe/1", leaveAfterMs: 50 });
+    await asked.catch(() => {});
+    await waitUntil(() => isStopped);
+  });
+
+  it("sends nothing to a draining target", async () => {
+    const entry = fixture.store.get("targets", "t1") as object;
+    fixture.store.put("targets", "t1", { ...entry, state: "draining" });
+    await waitUntil(() =>
+      fixture.lines.some(({ name, state }) =>
+        name === "TargetChanged" && state === "draining"
+      )
+    );
+    for (let count = 0; count < 10; count += 1) {
+      await fixture.ask(port, { path: "/safe/1" });
+    }
+    expect(target.seen).to.have.length(0);
+  });
+
+  it("keeps the newest configuration and what holds when one can't be read", async () => {
+    fixture.store.put("configuration", "main", buildConfiguration(3));
+    await waitUntil(() =>
+      fixture.lines.some(({ version }) => version === 3)
+    );
+    fixture.store.put("configuration", "main", buildConfiguration(2));
+    fixture.store.put("configuration", "main", "unreadable");
+    await waitUntil(() =>
+      fixture.lines.some(({ name }) => name === "ConfigurationUnusable")
+    );
+    expect((await fixture.ask(port, { path: "/safe/1" })).status).to.equal(200);
+    expect(fixture.lines.some(({ version }) => version === 2)).to.equal(false);
+  });
+
+  it("refuses a body over the limit and a request without an id", async () => {
+    const large = "x".repeat(2_000);
+    const answer = await fixture
+      .ask(port, { path: "/safe/1", method: "POST", body: large });
+    expect(answer.status).to.equal(413);
+    const nameless = await fixture
+      .ask(port, { path: "/safe/1", headers: { id: "" } });
+    expect(nameless.status).to.equal(400);
+  });
+
+  it("counts a program's tokens over two gateways", async () => {
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => {
+        response.writeHead(200, { signed: "1" });
+        sendEvents(response, [1, 2, 3, 4, 5]);
+        response.end();
+      };
+    }
+    await fixture.addGateway("g2");
+    const statuses: number[] = [];
+    for (let turn = 0; turn < 8; turn += 1) {
+      const at = fixture.ports[turn % 2] ?? 0;
+      const headers = { id: `turn-${turn}`, budget: "p,200,50" };
+      const answer = await fixture.ask(at, { path: "/stream/1", headers });
+      statuses.push(answer.status);
+      // The gateways tell the homes what a turn used after its answer.
+      await new Promise((resolve) => setTimeout(resolve, 30));
+    }
+    expect(statuses).to.deep.equal([200, 200, 200, 200, 402, 402, 402, 402]);
+    await waitUntil(() =>
+      fixture.store.get("token_accounts", "p") !== undefined
+    );
+  });
+
+  it("goes on counting when a home is lost", async () => {
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => {
+        response.writeHead(200, { signed: "1" });
+        sendEvents(response, [1, 2, 3, 4, 5]);
+        response.end();
+      };
+    }
+    await fixture.addGateway("g2");
+    await fixture.addGateway("g3");
+    const run = async (at: number, turn: number) => {
+      const headers = { id: `turn-${turn}`, budget: "p,200,50" };
+      const answer = await fixture
+        .ask(fixture.ports[at] ?? 0, { path: "/stream/1", headers });
+      await new Promise((resolve) => setTimeout(resolve, 60));
+      return answer.status;
+    };
+    expect(await run(0, 0)).to.equal(200);
+    expect(await run(1, 1)).to.equal(200);
+    await fixture.gateways[1]?.close();
+    const statuses = [];
+    for (let turn = 2; turn < 6; turn += 1) {
+      statuses.push(await run(turn % 2 === 0 ? 0 : 2, turn));
+    }
+    expect(statuses).to.deep.equal([200, 200, 402, 402]);
+  });
+
+  it("cuts off no request at a planned stop", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request, response) =>
+        void setTimeout(() => answerWhole(request, response), 400);
+    }
+    const asked = fixture.ask(port, { path: "/once/1", method: "POST" });
+    await waitUntil(() => isSeen("/once/1") !== undefined);
+    const stopped = fixture.gateways[0]?.stop();
+    expect((await asked).status).to.equal(200);
+    await stopped;
+  });
+});
