Confirm each turn at the second home; keep room for small budgets after a loss

Now the second home has to confirm, so both sides meet at one that knows of both. Cause of most new refusals: after a loss a small budget was taken for spent to 0.4 and held no second turn.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -83,7 +83,7 @@
         return "admitted";
       case "needs_record":
         // The store didn't answer in time; the record is still being written.
-        accounts.add(turn, performance.now());
+        if (!accounts.confirm(turn, performance.now())) return "over_budget";
         this.#logUnavailable(turn, "admitted ahead of its record");
         return "admitted";
       case "over_budget":
--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -1,17 +1,20 @@
 /**
  * Asks the homes of a program's account before a turn runs, and tells them what
- * it passed on. The first home decides; the second keeps the same account.
+ * it passed on.
+ *
+ * The first home decides and the second confirms, so that two gateways which
+ * take different homes for lost still meet at one that knows of both.
  */
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
 import type { TokenAccounts, TurnRequest } from "../decisions/token_accounts.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
-import type { PeerMessage, TurnAnswer } from "../peers/peer_messages.ts";
+import type { TurnAnswer } from "../peers/peer_messages.ts";
 import type { AccountHome } from "./account_home.ts";
 
 /** What the turns of one gateway work with. */
 export interface TurnAccountsParts {
   readonly directory: PeerDirectory;
-  readonly links: PeerLinks;
+  readonly links: Pick<PeerLinks, "call">;
   readonly accounts: TokenAccounts;
   readonly home: AccountHome;
   readonly selfId: string;
@@ -27,28 +30,43 @@
 
   /** Asks for a turn's tokens. */
   async open(turn: TurnRequest): Promise<TurnAnswer> {
-    const tried = new Set<string>();
+    const asked = new Set<string>();
+    let decided: TurnAnswer | undefined;
     for (;;) {
-      const homes = this.#parts.directory.chooseHomes(turn.programId);
-      const first = homes.find(({ vmId }) => !tried.has(vmId));
-      if (first === undefined) return await this.#parts.home.open(turn);
-      tried.add(first.vmId);
-      const answer = this.#openAt(first, turn);
-      for (const other of homes) {
-        if (other !== first) this.#send(other, { kind: "add_turn", turn });
+      const home = this.#parts.directory.chooseHomes(turn.programId)
+        .find(({ vmId }) => !asked.has(vmId));
+      if (home === undefined) break;
+      asked.add(home.vmId);
+      if (decided === undefined) {
+        decided = await this.#openAt(home, turn);
+        if (decided !== undefined && decided !== "admitted") break;
+      } else if (await this.#confirmAt(home, turn) === false) {
+        decided = "over_budget";
+        break;
       }
-      const decided = await answer;
-      if (decided === undefined) continue;
-      if (decided !== "admitted") this.close(turn, 0);
-      return decided;
     }
+    decided ??= await this.#parts.home.open(turn);
+    if (decided !== "admitted") this.close(turn, 0);
+    return decided;
   }
 
   /** Tells what a turn passed on. */
   close(turn: TurnRequest, passedTokens: number): void {
+    const { selfId, accounts, links } = this.#parts;
     const { programId, turnId } = turn;
     for (const home of this.#parts.directory.chooseHomes(programId)) {
-      this.#send(home, { kind: "close_turn", programId, turnId, passedTokens });
+      if (home.vmId === selfId) {
+        accounts.close(programId, turnId, passedTokens);
+        continue;
+      }
+      // A home that doesn't answer is suspected, and another one takes over
+      // with the accounts of the home that's left.
+      void links.call(home, {
+        kind: "close_turn",
+        programId,
+        turnId,
+        passedTokens,
+      });
     }
   }
 
@@ -62,21 +80,15 @@
     return answer?.turn;
   }
 
-  #send(home: PeerInfo, message: PeerMessage): void {
+  /** Asks a second home; absent when it doesn't answer. */
+  async #confirmAt(
+    home: PeerInfo,
+    turn: TurnRequest,
+  ): Promise<boolean | undefined> {
     const { selfId, accounts, links } = this.#parts;
-    if (home.vmId !== selfId) {
-      // A home that doesn't answer is suspected, and another one takes over
-      // with the accounts of the home that's left.
-      void links.call(home, message);
-      return;
-    }
-    switch (message.kind) {
-      case "add_turn":
-        return accounts.add(message.turn, performance.now());
-      case "close_turn": {
-        const { programId, turnId, passedTokens } = message;
-        return accounts.close(programId, turnId, passedTokens);
-      }
-    }
+    if (home.vmId === selfId) return accounts.confirm(turn, performance.now());
+    const answer = await links.call(home, { kind: "confirm_turn", turn });
+    return answer?.isConfirmed;
   }
+
 }
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -17,6 +17,8 @@
 
 /** Part of a budget that may be passed on before the store keeps a record. */
 const UNSTORED_SHARE = 0.4;
+/** Turns of a budget that stay free for a program that is new after a loss. */
+const KEPT_TURNS = 3;
 /** Turns that one record allows beyond the present one. */
 const RECORD_AHEAD_TURNS = 2;
 
@@ -112,7 +114,7 @@
         turnsTokens + turnTokens <= budgetTokens;
       return { kind: isDoubtful ? "unknown" : "over_budget" };
     }
-    const unstored = budgetTokens * UNSTORED_SHARE + turnTokens;
+    const unstored = computeUnstored(turn) + turnTokens;
     if (wanted > Math.max(unstored, account.recordedTokens)) {
       const ahead = wanted + turnTokens * RECORD_AHEAD_TURNS;
       const allowedTokens = Math.min(budgetTokens, ahead);
@@ -126,14 +128,18 @@
     return { kind: "admitted" };
   }
 
-  /** Reserves a turn's tokens that another home admitted. */
-  add(turn: TurnRequest, nowMs: number): void {
+  /**
+   * Reserves a turn's tokens that another home admitted; false when the budget
+   * doesn't hold them beside turns that the other home may not have seen.
+   */
+  confirm(turn: TurnRequest, nowMs: number): boolean {
     const account = this.#get(turn, nowMs);
-    this.#setTurn(account, {
-      turnId: turn.turnId,
-      isOpen: true,
-      tokens: turn.turnTokens,
-    });
+    const { turnId, turnTokens, budgetTokens } = turn;
+    if (account.turns.has(turnId)) return true;
+    const earlier = account.isAssumed ? 0 : account.earlierTokens;
+    if (earlier + sumTurns(account) + turnTokens > budgetTokens) return false;
+    this.#setTurn(account, { turnId, isOpen: true, tokens: turnTokens });
+    return true;
   }
 
   /** Ends a turn that passed on some of its tokens. */
@@ -193,10 +199,10 @@
     }
     const recorded = this.#records.get(turn.programId) ?? 0;
     const isDoubtful = this.mayHaveLost(nowMs);
-    const assumed = isDoubtful ? turn.budgetTokens * UNSTORED_SHARE : 0;
+    const assumed = isDoubtful ? computeUnstored(turn) : 0;
     return this.#create(turn.programId, {
       budgetTokens: turn.budgetTokens,
-      earlierTokens: Math.max(recorded, Math.floor(assumed)),
+      earlierTokens: Math.max(recorded, assumed),
       isAssumed: isDoubtful && recorded === 0,
       recordedTokens: recorded,
       nowMs,
@@ -228,6 +234,12 @@
   }
 }
 
+/** Tokens that may be passed on, beside one turn, without a record. */
+function computeUnstored({ budgetTokens, turnTokens }: TurnRequest): number {
+  const share = Math.floor(budgetTokens * UNSTORED_SHARE);
+  return Math.max(0, Math.min(share, budgetTokens - turnTokens * KEPT_TURNS));
+}
+
 function sumTurns(account: Account): number {
   let sum = 0;
   for (const { tokens } of account.turns.values()) sum += tokens;
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -139,9 +139,8 @@
         };
       case "open_turn":
         return { from, turn: await home.open(message.turn) };
-      case "add_turn":
-        accounts.add(message.turn, nowMs);
-        return { from };
+      case "confirm_turn":
+        return { from, isConfirmed: accounts.confirm(message.turn, nowMs) };
       case "close_turn": {
         const { programId, turnId, passedTokens } = message;
         accounts.close(programId, turnId, passedTokens);
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -14,8 +14,8 @@
   | { readonly kind: "hello" }
   /** Asks a home to admit a turn. */
   | { readonly kind: "open_turn"; readonly turn: TurnRequest }
-  /** Tells the second home of a turn that may be admitted. */
-  | { readonly kind: "add_turn"; readonly turn: TurnRequest }
+  /** Asks the second home to confirm a turn that the first one admitted. */
+  | { readonly kind: "confirm_turn"; readonly turn: TurnRequest }
   | {
     readonly kind: "close_turn";
     readonly programId: string;
@@ -36,6 +36,7 @@
   readonly from: PeerInfo;
   readonly peers?: readonly PeerInfo[];
   readonly turn?: TurnAnswer;
+  readonly isConfirmed?: boolean;
   readonly account?: AccountState;
   /** Whether the answering gateway may have lost accounts. */
   readonly mayHaveLost?: boolean;
@@ -50,7 +51,7 @@
 const KINDS: readonly PeerMessage["kind"][] = [
   "hello",
   "open_turn",
-  "add_turn",
+  "confirm_turn",
   "close_turn",
   "merge_accounts",
   "find_account",
