--- a/packages/camphorlock/src/metrics/metrics.ts
+++ b/packages/camphorlock/src/metrics/metrics.ts
@@ -1,15 +1,7 @@
 /**
- * Counters and latency histograms, rendered in the text form that common
- * scrapers read.
+ * What a node counts and times.
  */
-import { build, type Histogram } from "hdr-histogram-js";
-
-const HIGHEST_US = 3_600_000_000;
-const DIGITS = 3;
-const US_PER_MS = 1_000;
-const MS_PER_SECOND = 1_000;
-const QUANTILES = [0.5, 0.95, 0.99, 0.999] as const;
-const PERCENT = 100;
+import { MetricSet } from "@camphorlock/metrics";
 
 /** What the node counts. */
 export const COUNTER_NAMES = [
@@ -39,57 +31,8 @@
 export type TimerName = typeof TIMER_NAMES[number];
 
 /** All counters and histograms of a node. */
-export class Metrics {
-  readonly #counters = new Map<CounterName, number>();
-  readonly #timers = new Map<TimerName, Histogram>();
-
+export class Metrics extends MetricSet<CounterName, TimerName> {
   constructor() {
-    for (const name of COUNTER_NAMES) this.#counters.set(name, 0);
-    for (const name of TIMER_NAMES) this.#timers.set(name, createHistogram());
-  }
-
-  /** Adds to a counter. */
-  add(name: CounterName, amount = 1): void {
-    this.#counters.set(name, (this.#counters.get(name) ?? 0) + amount);
-  }
-
-  /** Records a duration in milliseconds. */
-  record(name: TimerName, durationMs: number): void {
-    const us = Math.min(HIGHEST_US, Math.max(1, durationMs * US_PER_MS));
-    this.#timers.get(name)?.recordValue(Math.round(us));
-  }
-
-  /** Renders everything as text for scraping. */
-  render(): string {
-    const lines: string[] = [];
-    for (const [name, value] of this.#counters) {
-      lines.push(`# TYPE camphorlock_${name}_total counter`);
-      lines.push(`camphorlock_${name}_total ${value}`);
-    }
-    for (const [name, histogram] of this.#timers) {
-      lines.push(...renderHistogram(name, histogram));
-    }
-    return lines.join("\n") + "\n";
-  }
-}
-
-function createHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_US,
-    numberOfSignificantValueDigits: DIGITS,
-    useWebAssembly: false,
-  });
-}
-
-function renderHistogram(name: TimerName, histogram: Histogram): string[] {
-  const metric = `camphorlock_${name}_seconds`;
-  const lines = [`# TYPE ${metric} summary`];
-  for (const quantile of QUANTILES) {
-    const us = histogram.getValueAtPercentile(quantile * PERCENT);
-    const seconds = us / US_PER_MS / MS_PER_SECOND;
-    lines.push(`${metric}{quantile="${quantile}"} ${seconds}`);
+    super(COUNTER_NAMES, TIMER_NAMES);
   }
-  lines.push(`${metric}_count ${histogram.totalCount}`);
-  return lines;
 }
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -3,6 +3,7 @@
  * entry VM.
  */
 export * from "./src/gateway.ts";
+export * from "./src/gateway_metrics.ts";
 export * from "./src/log.ts";
 export * from "./src/ports.ts";
 export * from "./src/retirement/retirement_reporter.ts";
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -6,8 +6,13 @@
  * of its two homes, and the record follows when the store is back.
  */
 import { EVENTS } from "@camphorlock/codes/events";
-import type { TokenAccounts, TurnRequest } from "../decisions/token_accounts.ts";
+import type {
+  TokenAccounts,
+  TurnRequest,
+} from "../decisions/token_accounts.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
+import type { DistantAccounts } from "./distant_accounts.ts";
 import type { TurnAnswer } from "../peers/peer_messages.ts";
 import type { ObjectStore } from "../ports.ts";
 
@@ -19,8 +24,10 @@
 /** What a home works with. */
 export interface AccountHomeParts {
   readonly accounts: TokenAccounts;
+  readonly distant: DistantAccounts;
   readonly store: ObjectStore;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   readonly isStoreLost: () => boolean;
 }
 
@@ -43,6 +50,15 @@
 
   /** Decides on a turn. */
   async open(turn: TurnRequest): Promise<TurnAnswer> {
+    const { distant } = this.#parts;
+    await distant.load(turn.programId);
+    const answer = await this.#openHere(turn);
+    if (answer !== "admitted" || await distant.confirm(turn)) return answer;
+    this.#parts.accounts.close(turn.programId, turn.turnId, 0);
+    return "over_budget";
+  }
+
+  async #openHere(turn: TurnRequest): Promise<TurnAnswer> {
     const { accounts } = this.#parts;
     const decision = accounts.open(turn, performance.now());
     switch (decision.kind) {
@@ -62,7 +78,7 @@
 
   /** Reads all records; false when the store can't be reached. */
   async readRecords(): Promise<boolean> {
-    const listed = await this.#parts.store.list("token_accounts");
+    const listed = await this.#parts.store.list("tokenAccounts");
     if (listed.isErr()) return false;
     for (const { name, revision, value } of listed.value.objects) {
       this.#revisions.set(name, revision);
@@ -135,6 +151,7 @@
         continue;
       }
       accounts.addRecord(programId, allowed);
+      this.#parts.metrics.add("account_records");
       log.write(EVENTS.AccountRecorded, { program: programId, allowed });
       if (recording.wantedTokens <= allowed) return;
     }
@@ -146,8 +163,8 @@
     const revision = this.#revisions.get(programId);
     const write = { name: programId, value: { allowedTokens: allowed } };
     const written = revision === undefined
-      ? await store.create("token_accounts", write)
-      : await store.update("token_accounts", { ...write, revision });
+      ? await store.create("tokenAccounts", write)
+      : await store.update("tokenAccounts", { ...write, revision });
     if (written.isOk()) {
       this.#revisions.set(programId, written.value.revision);
       return true;
@@ -159,7 +176,7 @@
     }
     if (failure.kind !== "conflict") return false;
     const current = failure.current ??
-      (await store.find("token_accounts", programId)).unwrapOr(undefined);
+      (await store.find("tokenAccounts", programId)).unwrapOr(undefined);
     if (current === undefined) return false;
     this.#revisions.set(programId, current.revision);
     const stored = readAllowed(current.value);
--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -6,10 +6,14 @@
  * take different homes for lost still meet at one that knows of both.
  */
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
-import type { TokenAccounts, TurnRequest } from "../decisions/token_accounts.ts";
+import type {
+  TokenAccounts,
+  TurnRequest,
+} from "../decisions/token_accounts.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
 import type { TurnAnswer } from "../peers/peer_messages.ts";
 import type { AccountHome } from "./account_home.ts";
+import type { DistantAccounts } from "./distant_accounts.ts";
 
 /** What the turns of one gateway work with. */
 export interface TurnAccountsParts {
@@ -17,6 +21,7 @@
   readonly links: Pick<PeerLinks, "call">;
   readonly accounts: TokenAccounts;
   readonly home: AccountHome;
+  readonly distant: DistantAccounts;
   readonly selfId: string;
 }
 
@@ -52,21 +57,23 @@
 
   /** Tells what a turn passed on. */
   close(turn: TurnRequest, passedTokens: number): void {
-    const { selfId, accounts, links } = this.#parts;
+    const { selfId, accounts, distant, links } = this.#parts;
     const { programId, turnId } = turn;
+    const message = {
+      kind: "close_turn",
+      programId,
+      turnId,
+      passedTokens,
+    } as const;
     for (const home of this.#parts.directory.chooseHomes(programId)) {
       if (home.vmId === selfId) {
         accounts.close(programId, turnId, passedTokens);
+        distant.close(message);
         continue;
       }
       // A home that doesn't answer is suspected, and another one takes over
       // with the accounts of the home that's left.
-      void links.call(home, {
-        kind: "close_turn",
-        programId,
-        turnId,
-        passedTokens,
-      });
+      void links.call(home, message);
     }
   }
 
@@ -90,5 +97,4 @@
     const answer = await links.call(home, { kind: "confirm_turn", turn });
     return answer?.isConfirmed;
   }
-
 }
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -2,9 +2,11 @@
 import { ok } from "neverthrow";
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import { TokenAccounts } from "../decisions/token_accounts.ts";
+import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
 import type { PeerAnswer, PeerMessage } from "../peers/peer_messages.ts";
 import type { ObjectStore } from "../ports.ts";
+import { DistantAccounts } from "./distant_accounts.ts";
 import { AccountHome } from "./account_home.ts";
 import { TurnAccounts } from "./turn_accounts.ts";
 
@@ -14,12 +16,17 @@
 } as unknown as ObjectStore;
 const LOG = new GatewayLog({ write: (_text, done) => done() }, "test");
 
+/** Gateways named by a capital are in the south. */
+function getRegion(vmId: string): string {
+  return vmId === vmId.toLowerCase() ? "north" : "south";
+}
+
 function buildInfo(vmId: string): PeerInfo {
   return {
     vmId,
     host: "127.0.0.1",
     port: 1,
-    region: "north",
+    region: getRegion(vmId),
     bootId: "1",
     isLeaving: false,
   };
@@ -32,22 +39,35 @@
 
   build(vmId: string, all: readonly string[]) {
     const accounts = new TokenAccounts();
+    const directory = new PeerDirectory(buildInfo(vmId));
+    for (const other of all) directory.add(buildInfo(other));
+    const links = {
+      call: (peer: PeerInfo, message: PeerMessage) =>
+        this.#call(vmId, { peer, message }),
+    };
+    const distant = new DistantAccounts({
+      directory,
+      links,
+      accounts,
+      selfId: vmId,
+    });
     const home = new AccountHome({
       accounts,
+      distant,
       store: STORE,
       log: LOG,
+      metrics: new GatewayMetrics(),
       isStoreLost: () => false,
     });
-    const directory = new PeerDirectory(buildInfo(vmId));
-    for (const other of all) directory.add(buildInfo(other));
     const turns = new TurnAccounts({
       directory,
       accounts,
       home,
+      distant,
       selfId: vmId,
-      links: { call: (peer, message) => this.#call(vmId, { peer, message }) },
+      links,
     });
-    return { accounts, home, directory, turns };
+    return { accounts, distant, home, directory, turns };
   }
 
   add(ids: readonly string[]): void {
@@ -65,9 +85,9 @@
     { peer, message }: { peer: PeerInfo; message: PeerMessage },
   ): Promise<PeerAnswer | undefined> {
     await new Promise((resolve) => setTimeout(resolve, 1));
-    const { accounts, home } = this.get(peer.vmId);
+    const { accounts, distant, home } = this.get(peer.vmId);
     if (this.cut.has(`${from}-${peer.vmId}`)) {
-      this.get(from).directory.suspect(peer.vmId);
+      this.get(from).directory.recordSilent(peer.vmId);
       return undefined;
     }
     const answer = { from: buildInfo(peer.vmId) };
@@ -85,7 +105,16 @@
           message.turnId,
           message.passedTokens,
         );
+        if (message.isDistant !== true) distant.close(message);
         return answer;
+      case "merge_accounts":
+        for (const state of message.accounts) accounts.merge(state, 0);
+        return answer;
+      case "find_account": {
+        distant.addRegion(message.programId, getRegion(from));
+        const account = accounts.find(message.programId);
+        return { ...answer, ...(account === undefined ? {} : { account }) };
+      }
       default:
         return answer;
     }
@@ -117,6 +146,30 @@
     expect(admitted.length).to.be.within(1, 2);
   });
 
+  it("admit no more than the budget through two regions", async () => {
+    const group = new Group();
+    group.add([...ids, "E", "F"]);
+    const answers = [];
+    for (let index = 0; index < 10; index += 1) {
+      const at = group.get(index % 2 === 0 ? "a" : "E");
+      answers.push(await at.turns.open(buildTurn(`t${index}`)));
+    }
+    expect(answers.filter((answer) => answer === "admitted"))
+      .to.have.length(2);
+  });
+
+  it("give back in both regions what a turn didn't use", async () => {
+    const group = new Group();
+    group.add([...ids, "E", "F"]);
+    for (let index = 0; index < 10; index += 1) {
+      const at = group.get(index % 2 === 0 ? "a" : "E");
+      const turn = buildTurn(`t${index}`);
+      expect(await at.turns.open(turn)).to.equal("admitted");
+      at.turns.close(turn, 35);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  });
+
   it("admit both turns of a budget that holds two", async () => {
     const group = new Group();
     group.add(ids);
--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -35,9 +35,7 @@
   targets: readonly KnownTarget[],
   request: PlacementRequest,
 ): KnownTarget | undefined {
-  const open = targets.filter(({ target }) =>
-    !request.excluded.has(target.id)
-  );
+  const open = targets.filter(({ target }) => !request.excluded.has(target.id));
   const sound = open.filter(({ avoidedUntilMs }) =>
     avoidedUntilMs <= request.nowMs
   );
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -252,7 +252,7 @@
     expect(others.chooseHomes("p").map(({ vmId }) => vmId))
       .to.deep.equal(["z"]);
     if (first === undefined || second === undefined) throw new Error("few");
-    directory.suspect(first.vmId);
+    directory.recordSilent(first.vmId);
     const isSelf = first.vmId === "a";
     expect(directory.chooseHomes("p")[isSelf ? 1 : 0]?.vmId)
       .to.equal(second.vmId);
@@ -262,7 +262,7 @@
 
   it("tells a restart from a return", () => {
     expect(directory.set(buildPeer("b"))).to.equal("none");
-    directory.suspect("b");
+    directory.recordSilent("b");
     expect(directory.set(buildPeer("b"))).to.equal("returned");
     expect(directory.set(buildPeer("b", { bootId: "2" })))
       .to.equal("restarted");
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -22,7 +22,12 @@
 }
 
 /** How news of a peer changed the view. */
-export type PeerChange = "none" | "added" | "restarted" | "returned" | "leaving";
+export type PeerChange =
+  | "none"
+  | "added"
+  | "restarted"
+  | "returned"
+  | "leaving";
 
 interface KnownPeer {
   info: PeerInfo;
@@ -59,7 +64,7 @@
   }
 
   /** Records that a gateway didn't answer; false if that was known. */
-  suspect(vmId: string): boolean {
+  recordSilent(vmId: string): boolean {
     const known = this.#byVm.get(vmId);
     if (known === undefined || known.isSuspected) return false;
     known.isSuspected = true;
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -59,6 +59,8 @@
   readonly isAssumed: boolean;
   /** Tokens that the store's record allows. */
   readonly recordedTokens: number;
+  /** Other regions that know the account. */
+  readonly regions: readonly string[];
   readonly turns: readonly AccountTurn[];
 }
 
@@ -67,6 +69,7 @@
   earlierTokens: number;
   isAssumed: boolean;
   recordedTokens: number;
+  readonly regions: Set<string>;
   readonly turns: Map<string, AccountTurn>;
   usedAtMs: number;
 }
@@ -89,7 +92,7 @@
   }
 
   /** Whether unknown programs may have spent tokens. */
-  mayHaveLost(nowMs: number): boolean {
+  isLossPossible(nowMs: number): boolean {
     return nowMs < this.#mayHaveLostUntilMs;
   }
 
@@ -168,15 +171,31 @@
       account.recordedTokens,
       state.recordedTokens,
     );
+    for (const region of state.regions) account.regions.add(region);
     for (const turn of state.turns) this.#setTurn(account, turn);
   }
 
+  /** Adds a region that knows an account; false when that's no news. */
+  addRegion(programId: string, region: string): boolean {
+    const account = this.#accounts.get(programId);
+    if (account === undefined || account.regions.has(region)) return false;
+    account.regions.add(region);
+    return true;
+  }
+
   /** Finds an account as it's exchanged. */
   find(programId: string): AccountState | undefined {
     const account = this.#accounts.get(programId);
-    return account === undefined ? undefined : { ...account, programId, turns: [
-      ...account.turns.values(),
-    ] };
+    if (account === undefined) return undefined;
+    return {
+      programId,
+      budgetTokens: account.budgetTokens,
+      earlierTokens: account.earlierTokens,
+      isAssumed: account.isAssumed,
+      recordedTokens: account.recordedTokens,
+      regions: [...account.regions],
+      turns: [...account.turns.values()],
+    };
   }
 
   /** Lists the programs whose accounts are held. */
@@ -198,13 +217,14 @@
       return known;
     }
     const recorded = this.#records.get(turn.programId) ?? 0;
-    const isDoubtful = this.mayHaveLost(nowMs);
+    const isDoubtful = this.isLossPossible(nowMs);
     const assumed = isDoubtful ? computeUnstored(turn) : 0;
     return this.#create(turn.programId, {
       budgetTokens: turn.budgetTokens,
       earlierTokens: Math.max(recorded, assumed),
       isAssumed: isDoubtful && recorded === 0,
       recordedTokens: recorded,
+      regions: [],
       nowMs,
     });
   }
@@ -218,6 +238,7 @@
       earlierTokens: first.earlierTokens,
       isAssumed: first.isAssumed,
       recordedTokens: first.recordedTokens,
+      regions: new Set(first.regions),
       turns: new Map(),
       usedAtMs: first.nowMs,
     };
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -104,32 +104,35 @@
       }),
       lossAt: fc.nat(60),
     });
-    fc.assert(fc.property(schedule, ({ budgetTokens, uses, lossAt }) => {
-      const stored = { allowed: 0 };
-      let accounts = new TokenAccounts();
-      let passed = 0;
-      uses.forEach((use, index) => {
-        if (index === lossAt) {
-          accounts = new TokenAccounts();
-          accounts.setLoss(1);
-          if (stored.allowed > 0) accounts.addRecord("p", stored.allowed);
-        }
-        const turn = buildTurn(String(index), budgetTokens);
-        let decision = accounts.open(turn, 0);
-        if (decision.kind === "needs_record") {
-          stored.allowed = decision.allowedTokens;
-          accounts.addRecord("p", stored.allowed);
-          decision = accounts.open(turn, 0);
-        }
-        if (decision.kind === "over_budget") {
-          stored.allowed = budgetTokens;
-          accounts.addRecord("p", budgetTokens);
-        }
-        if (decision.kind !== "admitted") return;
-        passed += use;
-        accounts.close("p", turn.turnId, use);
-      });
-      expect(passed).to.be.at.most(budgetTokens + TURN_TOKENS);
-    }), { numRuns: 2_000 });
+    fc.assert(
+      fc.property(schedule, ({ budgetTokens, uses, lossAt }) => {
+        const stored = { allowed: 0 };
+        let accounts = new TokenAccounts();
+        let passed = 0;
+        uses.forEach((use, index) => {
+          if (index === lossAt) {
+            accounts = new TokenAccounts();
+            accounts.setLoss(1);
+            if (stored.allowed > 0) accounts.addRecord("p", stored.allowed);
+          }
+          const turn = buildTurn(String(index), budgetTokens);
+          let decision = accounts.open(turn, 0);
+          if (decision.kind === "needs_record") {
+            stored.allowed = decision.allowedTokens;
+            accounts.addRecord("p", stored.allowed);
+            decision = accounts.open(turn, 0);
+          }
+          if (decision.kind === "over_budget") {
+            stored.allowed = budgetTokens;
+            accounts.addRecord("p", budgetTokens);
+          }
+          if (decision.kind !== "admitted") return;
+          passed += use;
+          accounts.close("p", turn.turnId, use);
+        });
+        expect(passed).to.be.at.most(budgetTokens + TURN_TOKENS);
+      }),
+      { numRuns: 2_000 },
+    );
   });
 });
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -74,10 +74,11 @@
         if (bytes > maxBytes) resolve({ kind: "too_large" });
         else chunks.push(chunk);
       });
-      this.request.on("end", () =>
-        resolve({ kind: "whole", body: Buffer.concat(chunks) }));
-      this.request.on("close", () =>
-        resolve({ kind: "gone" }));
+      this.request.on(
+        "end",
+        () => resolve({ kind: "whole", body: Buffer.concat(chunks) }),
+      );
+      this.request.on("close", () => resolve({ kind: "gone" }));
     });
   }
 
@@ -115,7 +116,7 @@
   }
 
   /** Cuts the connection, so that an unfinished answer doesn't look whole. */
-  cut(): void {
+  close(): void {
     this.#response.destroy();
   }
 
--- a/packages/gateway/src/exchange/exchange_parts.ts
+++ b/packages/gateway/src/exchange/exchange_parts.ts
@@ -2,6 +2,7 @@
  * What every exchange works with.
  */
 import type { TargetTable } from "../decisions/target_table.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { RequestCodec } from "../ports.ts";
 import type { TargetConnections } from "./target_connections.ts";
@@ -12,6 +13,7 @@
   readonly connections: TargetConnections;
   readonly codec: RequestCodec;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   /** Where this gateway stands, for the choice of targets. */
   readonly placement: {
     readonly failureDomain: string;
--- a/packages/gateway/src/exchange/request_run.ts
+++ b/packages/gateway/src/exchange/request_run.ts
@@ -1,30 +1,24 @@
 /**
- * One request of a caller, from its head to its final answer: finds the route,
- * reads the body, chooses a target, sends, and follows a failed send as the
- * rules for the kind of request allow.
+ * One request of a caller, from its route to its final answer: chooses a
+ * target, sends, and follows a failed send as the rules for the kind of request
+ * allow.
  */
 import { EVENTS } from "@camphorlock/codes/events";
-import { RESULT_CODES, type ResultCodeData } from "@camphorlock/codes/result_codes";
+import { RESULT_CODES } from "@camphorlock/codes/result_codes";
 import type { PeerRequest } from "@camphorlock/http/exchange";
-import type { LogFields } from "@camphorlock/types";
 import { chooseService } from "../decisions/choose_service.ts";
 import { chooseTarget } from "../decisions/choose_target.ts";
-import {
-  type FailedSend,
-  planNextSend,
-  type SendHistory,
-} from "../decisions/plan_next_send.ts";
-import {
-  type KnownTarget,
-  recordAnswer,
-  recordFailure,
-  recordFull,
-} from "../decisions/target_table.ts";
-import type { RequestFields } from "../model/request_fields.ts";
-import type { Route } from "../model/routing.ts";
-import type { CallerExchange } from "./caller_exchange.ts";
+import { type FailedSend, planNextSend } from "../decisions/plan_next_send.ts";
+import { type KnownTarget, recordAnswer } from "../decisions/target_table.ts";
 import type { ExchangeParts } from "./exchange_parts.ts";
-import { startStreamSend, type StreamProgress } from "./stream_send.ts";
+import {
+  type AcceptedRequest,
+  endRequest,
+  logRequest,
+  type RequestEnd,
+} from "./request_end.ts";
+import { SendRecord } from "./send_record.ts";
+import { startStreamSend } from "./stream_send.ts";
 import {
   type RunningSend,
   startWholeSend,
@@ -37,26 +31,13 @@
 const MAX_WAIT_SHARE = 0.4;
 /** When a caller may return while targets are full or missing. */
 const RETURN_AFTER_MS = 150;
-/** Headroom that callers are given for the way of the answer. */
-const NO_LIMIT_MS = 600_000;
-
-/** The request, once its route is known. */
-export interface AcceptedRequest {
-  readonly caller: CallerExchange;
-  readonly fields: RequestFields;
-  readonly route: Route;
-  readonly body: Buffer;
-  readonly receivedAtMs: number;
-  readonly configurationVersion: number;
-}
-
-type Ended =
-  | { readonly kind: "completed"; readonly status: number }
-  | { readonly kind: "refused"; readonly code: ResultCodeData; readonly detail: string; readonly retryAfterMs?: number }
-  | { readonly kind: "failed"; readonly code: ResultCodeData; readonly detail: string }
-  | { readonly kind: "left" };
+/** Sends have a limit in whole; silence within it is no sign of its own. */
+const NO_SILENCE_LIMIT_MS = 600_000;
 
-type SendResult = { readonly kind: "completed" } | WholeTargetAnswer | FailedSend;
+type SendResult =
+  | { readonly kind: "completed" }
+  | WholeTargetAnswer
+  | FailedSend;
 
 /** Runs one accepted request to its end. */
 export class RequestRun {
@@ -66,11 +47,7 @@
   readonly #isStream: boolean;
   readonly #isRepeatable: boolean;
   readonly #dueAtMs: number;
-  readonly #progress: StreamProgress;
-  readonly #excluded = new Set<string>();
-  /** Targets that may have run the request. */
-  readonly #runners = new Set<string>();
-  readonly #sentTo: string[] = [];
+  readonly #sends: SendRecord;
   #running: RunningSend<SendResult> | undefined;
   #stopped: "timeout" | "left" | undefined;
   #wake: () => void = () => {};
@@ -88,45 +65,44 @@
       fields.deadlineMs ?? Number.POSITIVE_INFINITY,
     );
     this.#dueAtMs = receivedAtMs + limitMs;
-    this.#progress = {
-      lastEventId: fields.resumeAfter,
-      events: 0,
-      firstEventMs: undefined,
-    };
+    this.#sends = new SendRecord(fields.resumeAfter);
   }
 
-  /** Runs to the final answer. Tokens passed on are in the result. */
+  /** Runs to the final answer; tells how many events were passed on. */
   async run(): Promise<{ readonly events: number }> {
-    const { caller } = this.#accepted;
     const timer = setTimeout(() => this.#stop("timeout"), this.#countLeftMs());
-    caller.onLeft(() => this.#stop("left"));
-    const ended = await this.#sendUntilEnd();
+    this.#accepted.caller.onLeft(() => this.#stop("left"));
+    const end = await this.#sendUntilEnd();
     clearTimeout(timer);
-    this.#finish(ended);
-    return { events: this.#progress.events };
+    endRequest(this.#parts, this.#buildReport(), end);
+    return { events: this.#sends.progress.events };
   }
 
-  async #sendUntilEnd(): Promise<Ended> {
+  async #sendUntilEnd(): Promise<RequestEnd> {
     let onlyRunners = false;
     for (;;) {
       if (this.#stopped !== undefined) return this.#buildStopped();
       const known = this.#choose(onlyRunners);
       if (known === undefined) {
         if (!this.#canWait()) return this.#buildRefusal();
-        await this.#pause();
-        this.#excluded.clear();
+        await this.#waitToRetry();
+        this.#sends.excluded.clear();
         continue;
       }
       const result = await this.#send(known);
       if (this.#stopped !== undefined) return this.#buildStopped();
-      if (result.kind === "completed") return { kind: "completed", status: 200 };
-      if (result.kind === "answered") return this.#passOn(result);
-      const history = this.#recordFailed(known, result);
-      const next = planNextSend(result, history);
-      this.#logFailedSend(known, { result, next: next.kind });
-      if (next.kind === "refuse") return this.#buildRefusal();
-      if (next.kind === "fail") return this.#buildFailure(result.detail);
-      onlyRunners = next.to === "runners";
+      switch (result.kind) {
+        case "completed":
+          return { kind: "completed", status: 200 };
+        case "answered":
+          return this.#sendAnswer(result);
+        default: {
+          const next = this.#planNext(known, result);
+          if (next.kind === "refuse") return this.#buildRefusal();
+          if (next.kind === "fail") return this.#buildFailure(result.detail);
+          onlyRunners = next.to === "runners";
+        }
+      }
     }
   }
 
@@ -134,41 +110,24 @@
     const { targets, placement } = this.#parts;
     const nowMs = performance.now();
     const ready = targets.listReady(this.#service, nowMs).filter((known) =>
-      !onlyRunners || this.#runners.has(known.target.id)
+      !onlyRunners || this.#sends.isRunner(known.target.id)
     );
     return chooseTarget(ready, {
       ...placement,
       prompt: this.#accepted.fields.prompt,
-      excluded: this.#excluded,
+      excluded: this.#sends.excluded,
       nowMs,
     });
   }
 
   async #send(known: KnownTarget): Promise<SendResult> {
-    const { parts, accepted } = { parts: this.#parts, accepted: this.#accepted };
-    const connection = parts.connections.get(known.target);
-    const leftMs = this.#countLeftMs();
-    const request = this.#buildRequest(known, leftMs);
-    const options = {
-      codec: parts.codec,
-      requestId: accepted.fields.requestId,
-      timeoutMs: leftMs,
-    };
-    this.#sentTo.push(known.target.id);
+    const running = this.#start(known);
+    this.#running = running;
     known.running += 1;
-    known.prefixes.record(accepted.fields.prompt);
-    this.#running = this.#isStream
-      ? startStreamSend(connection, request, {
-        ...options,
-        progress: this.#progress,
-        caller: accepted.caller,
-        recordEvent: () => this.#recordEvent(),
-      })
-      : startWholeSend(connection, request, options);
     const stopped = new Promise<FailedSend>((resolve) => {
       this.#wake = () => resolve({ kind: "broken", detail: "stopped" });
     });
-    const result = await Promise.race([this.#running.end, stopped]);
+    const result = await Promise.race([running.end, stopped]);
     known.running -= 1;
     if (result.kind === "completed" || result.kind === "answered") {
       recordAnswer(known);
@@ -176,59 +135,75 @@
     return result;
   }
 
+  #start(known: KnownTarget): RunningSend<SendResult> {
+    const { connections, codec, metrics } = this.#parts;
+    const { fields, caller } = this.#accepted;
+    const connection = connections.get(known.target);
+    const leftMs = this.#countLeftMs();
+    const request = this.#buildRequest(known, leftMs);
+    this.#sends.sentTo.push(known.target.id);
+    known.prefixes.record(fields.prompt);
+    metrics.add("sends");
+    const options = {
+      codec,
+      requestId: fields.requestId,
+      timeoutMs: leftMs,
+    };
+    if (!this.#isStream) return startWholeSend(connection, request, options);
+    return startStreamSend(connection, request, {
+      ...options,
+      progress: this.#sends.progress,
+      caller,
+      recordEvent: () => this.#recordEvent(),
+    });
+  }
+
   #buildRequest(known: KnownTarget, leftMs: number): PeerRequest {
     const { caller, fields, body } = this.#accepted;
     const { method = "GET", url = "/", rawHeaders } = caller.request;
     const headers = this.#parts.codec.encodeTargetHeaders(rawHeaders, {
       targetId: known.target.id,
       leftMs: fields.deadlineMs === undefined ? undefined : leftMs,
-      resumeAfter: this.#progress.lastEventId,
+      resumeAfter: this.#sends.progress.lastEventId,
     });
     return {
       method,
       path: url,
       headers,
       ...(body.length > 0 || method === "POST" ? { body } : {}),
-      silenceTimeoutMs: NO_LIMIT_MS,
+      silenceTimeoutMs: NO_SILENCE_LIMIT_MS,
       freshConnection: false,
     };
   }
 
-  #recordFailed(known: KnownTarget, failed: FailedSend): SendHistory {
-    const { id } = known.target;
-    const nowMs = performance.now();
-    switch (failed.kind) {
-      case "not_run":
-        recordFull(known, nowMs);
-        this.#excluded.add(id);
-        break;
-      case "unreachable":
-        recordFailure(known, nowMs);
-        this.#excluded.add(id);
-        // A target that takes no connection runs nothing any more.
-        this.#runners.delete(id);
-        break;
-      case "broken":
-        recordFailure(known, nowMs);
-        this.#runners.add(id);
-        break;
-    }
-    const { targets } = this.#parts;
-    const live = [...this.#runners].filter((each) =>
-      targets.isReady(each, nowMs)
-    );
-    return {
+  #planNext(
+    known: KnownTarget,
+    failed: FailedSend,
+  ): ReturnType<typeof planNextSend> {
+    const { metrics, targets } = this.#parts;
+    this.#sends.add(known, failed);
+    const history = this.#sends.buildHistory(targets, {
       isRepeatable: this.#isRepeatable,
       maxTargets: this.#accepted.route.maxTargets,
-      sends: this.#sentTo.length,
-      liveRunners: live.length,
-      mayHaveRun: this.#runners.size > 0 || this.#progress.events > 0,
       leftMs: this.#countLeftMs(),
-    };
+    });
+    const next = planNextSend(failed, history);
+    metrics.add("sends_failed");
+    logRequest(this.#parts, this.#buildReport(), {
+      event: EVENTS.SendFailed,
+      target: known.target.id,
+      outcome: failed.kind,
+      detail: failed.detail,
+      next: next.kind,
+    });
+    return next;
   }
 
   #recordEvent(): void {
-    this.#progress.firstEventMs ??= this.#countElapsedMs();
+    const { progress } = this.#sends;
+    if (progress.firstEventMs !== undefined) return;
+    progress.firstEventMs = Math.round(this.#countElapsedMs());
+    this.#parts.metrics.record("first_event", progress.firstEventMs);
   }
 
   #canWait(): boolean {
@@ -237,7 +212,7 @@
     return this.#countElapsedMs() < wholeMs * MAX_WAIT_SHARE;
   }
 
-  #pause(): Promise<void> {
+  #waitToRetry(): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, RETRY_PAUSE_MS);
       this.#wake = () => {
@@ -255,15 +230,18 @@
     this.#wake();
   }
 
-  #buildStopped(): Ended {
+  #buildStopped(): RequestEnd {
     if (this.#stopped === "left") return { kind: "left" };
-    const detail = "the route's time is over";
-    if (this.#sentTo.length === 0) return this.#buildRefusal();
-    return { kind: "failed", code: RESULT_CODES.TargetTimeout, detail };
+    if (this.#sends.sentTo.length === 0) return this.#buildRefusal();
+    return {
+      kind: "failed",
+      code: RESULT_CODES.TargetTimeout,
+      detail: "the route's time is over",
+    };
   }
 
-  #buildRefusal(): Ended {
-    if (this.#runners.size > 0 || this.#progress.events > 0) {
+  #buildRefusal(): RequestEnd {
+    if (this.#sends.mayHaveRun) {
       return this.#buildFailure("no target is left to go on with");
     }
     const isEmpty = this.#parts.targets
@@ -276,11 +254,11 @@
     };
   }
 
-  #buildFailure(detail: string): Ended {
+  #buildFailure(detail: string): RequestEnd {
     return { kind: "failed", code: RESULT_CODES.TargetBroken, detail };
   }
 
-  #passOn(answer: WholeTargetAnswer): Ended {
+  #sendAnswer(answer: WholeTargetAnswer): RequestEnd {
     const { caller } = this.#accepted;
     if (caller.isAnswering) {
       return this.#buildFailure(`status ${answer.status} within a stream`);
@@ -290,55 +268,12 @@
     return { kind: "completed", status: answer.status };
   }
 
-  #finish(ended: Ended): void {
-    const { caller } = this.#accepted;
-    switch (ended.kind) {
-      case "completed":
-        if (caller.isAnswering && this.#isStream) caller.endStream();
-        return this.#log(EVENTS.RequestAnswered, { status: ended.status });
-      case "refused":
-        caller.sendOwn(ended);
-        return this.#log(EVENTS.RequestRefused, this.#describe(ended));
-      case "failed":
-        if (caller.isAnswering) caller.cut();
-        else caller.sendOwn(ended);
-        return this.#log(EVENTS.RequestFailed, this.#describe(ended));
-      case "left":
-        return this.#log(EVENTS.RequestAbandoned, {});
-    }
-  }
-
-  #describe(ended: { code: ResultCodeData; detail: string }): LogFields {
-    return { code: ended.code.code, detail: ended.detail };
-  }
-
-  #logFailedSend(
-    known: KnownTarget,
-    { result, next }: { result: FailedSend; next: string },
-  ): void {
-    this.#log(EVENTS.SendFailed, {
-      target: known.target.id,
-      outcome: result.kind,
-      detail: result.detail,
-      next,
-    });
-  }
-
-  #log(event: typeof EVENTS[keyof typeof EVENTS], fields: LogFields): void {
-    const { fields: request, route, configurationVersion } = this.#accepted;
-    this.#parts.log.write(event, {
-      request: request.requestId,
-      program: request.programId,
-      route: route.name,
-      configuration: configurationVersion,
+  #buildReport(): Parameters<typeof endRequest>[1] {
+    return {
+      accepted: this.#accepted,
+      sends: this.#sends,
       service: this.#service,
-      targets: this.#sentTo,
-      view_age_ms: Math.round(this.#parts.getViewAgeMs()),
-      elapsed_ms: Math.round(this.#countElapsedMs()),
-      first_ms: this.#progress.firstEventMs,
-      events: this.#progress.events,
-      ...fields,
-    } as LogFields);
+    };
   }
 
   #countLeftMs(): number {
@@ -346,6 +281,6 @@
   }
 
   #countElapsedMs(): number {
-    return Math.round(performance.now() - this.#accepted.receivedAtMs);
+    return performance.now() - this.#accepted.receivedAtMs;
   }
 }
--- a/packages/gateway/src/exchange/stream_send.ts
+++ b/packages/gateway/src/exchange/stream_send.ts
@@ -11,7 +11,10 @@
   PeerHeaders,
   PeerRequest,
 } from "@camphorlock/http/exchange";
-import { EventSplitter, type StreamEvent } from "../decisions/event_splitter.ts";
+import {
+  EventSplitter,
+  type StreamEvent,
+} from "../decisions/event_splitter.ts";
 import type { FailedSend } from "../decisions/plan_next_send.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import {
@@ -87,7 +90,7 @@
     this.#options.caller.onDrain(() => exchange.resume());
     const { timeoutMs } = this.#options;
     this.#timer = setTimeout(
-      () => this.#break(`no whole answer in ${timeoutMs} ms`),
+      () => this.#endBroken(`no whole answer in ${timeoutMs} ms`),
       timeoutMs,
     );
   }
@@ -102,15 +105,15 @@
     this.#headers = headers;
     const checked = this.#check();
     this.#isStream = checked.kind === "answered" && status === STATUS_OK;
-    if (checked.kind === "broken") this.#break(checked.detail);
+    if (checked.kind === "broken") this.#endBroken(checked.detail);
   }
 
   handleData(chunk: Uint8Array): void {
     if (!this.#isStream) return this.#addPlain(chunk);
     const events = this.#splitter.take(chunk);
-    if (this.#splitter.isOverlong) return this.#break("an overlong event");
+    if (this.#splitter.isOverlong) return this.#endBroken("an overlong event");
     for (const event of events) {
-      if (!this.#passOn(event)) return;
+      if (!this.#sendEvent(event)) return;
     }
   }
 
@@ -144,12 +147,12 @@
     }, this.#options) as WholeTargetAnswer | FailedSend;
   }
 
-  #passOn(event: StreamEvent): boolean {
+  #sendEvent(event: StreamEvent): boolean {
     const { progress, caller } = this.#options;
     const expected = progress.lastEventId + 1;
     if (event.id !== undefined && event.id < expected) return true;
     if (event.id !== undefined && event.id > expected) {
-      this.#break(`event ${event.id} follows ${progress.lastEventId}`);
+      this.#endBroken(`event ${event.id} follows ${progress.lastEventId}`);
       return false;
     }
     this.#openStream();
@@ -168,11 +171,12 @@
 
   #addPlain(chunk: Uint8Array): void {
     this.#plainBytes += chunk.length;
-    if (this.#plainBytes > MAX_PLAIN_BYTES) this.#break("the answer is too large");
-    else this.#plainChunks.push(chunk);
+    if (this.#plainBytes > MAX_PLAIN_BYTES) {
+      this.#endBroken("the answer is too large");
+    } else this.#plainChunks.push(chunk);
   }
 
-  #break(detail: string): void {
+  #endBroken(detail: string): void {
     const wasSent = this.#exchange?.wasSent !== false;
     this.cancel();
     this.#resolve({ kind: wasSent ? "broken" : "unreachable", detail });
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -10,9 +10,13 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
-import { RESULT_CODES, type ResultCodeName } from "@camphorlock/codes/result_codes";
+import {
+  RESULT_CODES,
+  type ResultCodeName,
+} from "@camphorlock/codes/result_codes";
 import { CallerExchange } from "../exchange/caller_exchange.ts";
 import type { ExchangeParts } from "../exchange/exchange_parts.ts";
+import type { AcceptedRequest } from "../exchange/request_end.ts";
 import { RequestRun } from "../exchange/request_run.ts";
 import type { RequestFields } from "../model/request_fields.ts";
 import type { CallerLimits, Route } from "../model/routing.ts";
@@ -61,7 +65,7 @@
   }
 
   /** Listens; rejects when the address can't be used. */
-  listen({ host, port }: Address): Promise<void> {
+  serve({ host, port }: Address): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen({ host, port, backlog: 1_024 }, () => resolve());
@@ -113,12 +117,19 @@
     const { request } = caller;
     const decoded = this.#parts.codec.decodeRequest(request.headers);
     if (decoded.isErr()) {
-      return this.#refuse(caller, { code: "HeaderInvalid", detail: decoded.error });
+      return this.#refuse(caller, {
+        code: "HeaderInvalid",
+        detail: decoded.error,
+      });
     }
     const fields = decoded.value;
     if (inForce === undefined) {
       const detail = "no configuration is known yet";
-      return this.#refuse(caller, { code: "ConfigurationMissing", detail, fields });
+      return this.#refuse(caller, {
+        code: "ConfigurationMissing",
+        detail,
+        fields,
+      });
     }
     const { configuration, routes } = inForce;
     const route = routes.find(request.headers.host ?? "", request.url ?? "");
@@ -147,7 +158,7 @@
   }
 
   async #runTurn(
-    accepted: ConstructorParameters<typeof RequestRun>[1],
+    accepted: AcceptedRequest,
   ): Promise<void> {
     const { fields, caller } = accepted;
     const { accounts } = this.#parts;
@@ -163,6 +174,9 @@
       turnTokens: budget.turnTokens,
     };
     const admission = await accounts.open(turn);
+    const { metrics } = this.#parts;
+    metrics.record("admission", performance.now() - accepted.receivedAtMs);
+    if (admission === "over_budget") metrics.add("turns_over_budget");
     if (admission !== "admitted") {
       const detail = `budget of ${budget.budgetTokens} tokens`;
       const code = admission === "over_budget"
@@ -176,9 +190,12 @@
 
   #findTokensPerEvent(route: Route): number {
     const services = this.#parts.getConfiguration()?.configuration.services;
-    return Math.max(0, ...route.services.map(({ service }) =>
-      services?.get(service)?.tokensPerEvent ?? 0
-    ));
+    return Math.max(
+      0,
+      ...route.services.map(({ service }) =>
+        services?.get(service)?.tokensPerEvent ?? 0
+      ),
+    );
   }
 
   #refuse(
@@ -187,6 +204,7 @@
   ): void {
     const code = RESULT_CODES[reason.code];
     const { detail, fields } = reason;
+    this.#parts.metrics.add("requests_refused");
     const isTemporary = code.httpStatus === 503;
     caller.sendOwn({
       code,
--- a/packages/gateway/src/front/readiness_server.ts
+++ b/packages/gateway/src/front/readiness_server.ts
@@ -19,7 +19,7 @@
   }
 
   /** Listens; rejects when the address can't be used. */
-  listen({ host, port }: Address): Promise<void> {
+  serve({ host, port }: Address): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen({ host, port }, () => resolve());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,17 +5,17 @@
 import { randomUUID } from "node:crypto";
 import { EVENTS } from "@camphorlock/codes/events";
 import { TimerService } from "@camphorlock/scheduler/timers";
-import { AccountHome } from "./accounts/account_home.ts";
-import { TurnAccounts } from "./accounts/turn_accounts.ts";
-import { PeerDirectory, type PeerInfo } from "./decisions/peer_directory.ts";
+import {
+  type AccountParts,
+  buildAccountParts,
+} from "./accounts/account_parts.ts";
+import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
-import { TokenAccounts } from "./decisions/token_accounts.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
 import { CallerServer } from "./front/caller_server.ts";
 import { PlainServer } from "./front/readiness_server.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayLog } from "./log.ts";
-import { PeerGroup } from "./peers/peer_group.ts";
-import { PeerLinks } from "./peers/peer_links.ts";
 import type {
   GatewaySettings,
   ObjectStore,
@@ -32,6 +32,8 @@
 /** How often gateways that didn't answer are asked again. */
 const PROBE_PEERS_MS = 500;
 const ACCOUNT_CLEANUP_MS = 10_000;
+/** Callers that wait for a restarted process come before its histograms. */
+const LOAD_METRICS_AFTER_MS = 5_000;
 /** Part of a bound that a watch may use up when its connection is silent. */
 const WATCH_MARGIN_MS = 500;
 /** The balancer takes a node out after two questions a second apart. */
@@ -46,6 +48,7 @@
   readonly requestCodec: RequestCodec;
   readonly storeCodec: StoreCodec;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
 }
 
 /** One gateway process. */
@@ -57,21 +60,20 @@
   readonly #configuration: KnownConfiguration;
   readonly #knownTargets: KnownTargets;
   readonly #followers: readonly Follower[];
-  readonly #directory: PeerDirectory;
-  readonly #home: AccountHome;
-  readonly #links: PeerLinks;
-  readonly #group: PeerGroup;
+  readonly #accounts: AccountParts;
   readonly #callers: CallerServer;
   readonly #readiness: PlainServer;
+  readonly #metricsServer: PlainServer;
   readonly #bootId = randomUUID();
   #ticks: NodeJS.Timeout | undefined;
+  #metricsTimer: NodeJS.Timeout | undefined;
   #isStopping = false;
   #hasJoined = false;
   #wasReady = false;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { settings, store, log } = options;
+    const { settings, store, log, metrics } = options;
     const parts = {
       codec: options.storeCodec,
       log,
@@ -98,53 +100,33 @@
       }),
       targetFollower,
     ];
-    const accounts = new TokenAccounts();
-    const getSelf = () => this.#buildSelf();
-    this.#directory = new PeerDirectory(getSelf());
-    this.#home = new AccountHome({
-      accounts,
+    this.#accounts = buildAccountParts({
+      settings,
       store,
       log,
+      metrics,
+      getSelf: () => this.#buildSelf(),
       isStoreLost: () => targetFollower.isLost,
     });
-    this.#links = new PeerLinks({
-      directory: this.#directory,
-      log,
-      getSelf,
-      handleMessage: (envelope) => this.#group.handleMessage(envelope),
-      onChange: (peer, change) => this.#group.handleChange(peer, change),
-    });
-    this.#group = new PeerGroup({
-      directory: this.#directory,
-      links: this.#links,
-      accounts,
-      home: this.#home,
-      store,
-      log,
-      seeds: settings.seeds,
-      getSelf,
-      isFirstStart: settings.isFirstStart,
-    });
     this.#callers = new CallerServer({
       targets: this.#targets,
       connections: this.#connections,
       codec: options.requestCodec,
       log,
+      metrics,
       placement: {
         failureDomain: settings.failureDomain,
         regions: settings.regions,
       },
-      accounts: new TurnAccounts({
-        directory: this.#directory,
-        links: this.#links,
-        accounts,
-        home: this.#home,
-        selfId: settings.vmId,
-      }),
+      accounts: this.#accounts.turns,
       getViewAgeMs: () => targetFollower.countAgeMs(performance.now()),
       getConfiguration: () => this.#configuration.inForce,
       isStopping: () => this.#isStopping,
     });
+    this.#metricsServer = new PlainServer(() => ({
+      status: 200,
+      text: metrics.render(),
+    }));
     this.#readiness = new PlainServer(() =>
       this.#isReady()
         ? { status: 200, text: "ready\n" }
@@ -156,7 +138,7 @@
   async start(): Promise<void> {
     const { settings, log } = this.#options;
     for (const follower of this.#followers) this.#startFollower(follower);
-    this.#timers.subscribe(LOG_FLUSH_MS, () => log.flush());
+    this.#timers.subscribe(LOG_FLUSH_MS, () => log.writeWaiting());
     this.#timers.subscribe(
       LAPSE_CHECK_MS,
       (nowMs) => this.#knownTargets.removeLapsed(nowMs),
@@ -167,16 +149,20 @@
     );
     this.#timers.subscribe(
       PROBE_PEERS_MS,
-      () => void this.#group.probeSuspected(),
+      () => void this.#accounts.group.callSuspected(),
     );
     this.#timers.subscribe(
       ACCOUNT_CLEANUP_MS,
-      (nowMs) => this.#group.removeUnused(nowMs),
+      (nowMs) => this.#accounts.group.removeUnused(nowMs),
     );
-    await this.#links.listen(settings.peers);
-    this.#joinGroup();
-    await this.#callers.listen(settings.callers);
-    await this.#readiness.listen(settings.readiness);
+    await this.#accounts.links.serve(settings.peers);
+    this.#openGroup();
+    await this.#callers.serve(settings.callers);
+    await this.#readiness.serve(settings.readiness);
+    if (settings.metrics !== undefined) {
+      await this.#metricsServer.serve(settings.metrics);
+    }
+    this.#loadMetrics();
     log.write(EVENTS.GatewayStarted, {
       address: `${settings.callers.host}:${settings.callers.port}`,
       failure_domain: settings.failureDomain,
@@ -192,7 +178,7 @@
     const startedAtMs = performance.now();
     const limitMs = settings.bounds.graceMs - GRACE_MARGIN_MS;
     log.write(EVENTS.GatewayStopping, { open: this.#callers.openRequests });
-    void this.#group.leave();
+    void this.#accounts.group.sendLeaving();
     await waitFor(LEAVE_BALANCER_MS);
     this.#callers.stopListening();
     while (
@@ -208,15 +194,17 @@
   /** Ends at once; open requests are cut off. */
   async close(): Promise<void> {
     clearInterval(this.#ticks);
+    clearTimeout(this.#metricsTimer);
     this.#callers.close();
     this.#readiness.close();
+    this.#metricsServer.close();
     for (const follower of this.#followers) follower.stop();
-    this.#group.stop();
-    this.#home.stop();
-    await this.#links.close();
+    this.#accounts.group.stop();
+    this.#accounts.home.stop();
+    await this.#accounts.links.close();
     await this.#connections.close();
     await this.#options.store.close();
-    this.#options.log.flush();
+    this.#options.log.writeWaiting();
   }
 
   #buildSelf(): PeerInfo {
@@ -230,8 +218,16 @@
     };
   }
 
-  #joinGroup(): void {
-    void this.#group.join().then(() => this.#hasJoined = true);
+  #loadMetrics(): void {
+    const { metrics } = this.#options;
+    this.#metricsTimer = setTimeout(
+      () => void metrics.load(),
+      LOAD_METRICS_AFTER_MS,
+    );
+  }
+
+  #openGroup(): void {
+    void this.#accounts.group.open().then(() => this.#hasJoined = true);
   }
 
   #startFollower(follower: Follower): void {
@@ -242,7 +238,8 @@
   }
 
   #isReady(): boolean {
-    const isReady = !this.#isStopping && this.#hasJoined && this.#targets.size > 0 &&
+    const isReady = !this.#isStopping && this.#hasJoined &&
+      this.#targets.size > 0 &&
       this.#configuration.inForce !== undefined;
     if (isReady && !this.#wasReady) {
       this.#wasReady = true;
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -1,8 +1,13 @@
-import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
 import { Agent, request as startRequest } from "node:http";
 import type { AddressInfo, Server } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import { Gateway } from "./gateway.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
 import { GatewayLog } from "./log.ts";
 import type { RoutingConfiguration } from "./model/routing.ts";
 import type { Target } from "./model/target.ts";
@@ -13,6 +18,8 @@
   RequestCodec,
   StoreCodec,
   StoredChange,
+  StoredChanges,
+  StoredList,
   StoredObject,
   StoreFailure,
   StoreWrite,
@@ -53,16 +60,19 @@
     return this.#getKind(kind).get(name)?.value;
   }
 
-  list(kind: ObjectKind) {
+  list(kind: ObjectKind): Promise<Result<StoredList, StoreFailure>> {
     return this.#call(() =>
-      ok({
+      ok<StoredList, StoreFailure>({
         objects: [...this.#getKind(kind).values()],
         revision: this.#revision,
       })
     );
   }
 
-  async watch(kind: ObjectKind, { afterRevision, waitMs }: WatchOptions) {
+  async watch(
+    kind: ObjectKind,
+    { afterRevision, waitMs }: WatchOptions,
+  ): Promise<Result<StoredChanges, StoreFailure>> {
     const find = () =>
       this.#changes.filter((each) =>
         each.kind === kind && each.change.object.revision > afterRevision
@@ -77,18 +87,27 @@
       });
     }
     return await this.#call(() =>
-      ok({ changes: find(), revision: this.#revision })
+      ok<StoredChanges, StoreFailure>({
+        changes: find(),
+        revision: this.#revision,
+      })
     );
   }
 
-  find(kind: ObjectKind, name: string) {
+  find(
+    kind: ObjectKind,
+    name: string,
+  ): Promise<Result<StoredObject, StoreFailure>> {
     return this.#call((): Result<StoredObject, StoreFailure> => {
       const object = this.#getKind(kind).get(name);
       return object === undefined ? err({ kind: "absent" }) : ok(object);
     });
   }
 
-  create(kind: ObjectKind, { name, value }: StoreWrite) {
+  create(
+    kind: ObjectKind,
+    { name, value }: StoreWrite,
+  ): Promise<Result<StoredObject, StoreFailure>> {
     return this.#call((): Result<StoredObject, StoreFailure> => {
       const current = this.#getKind(kind).get(name);
       if (current !== undefined) return err({ kind: "conflict", current });
@@ -96,7 +115,10 @@
     });
   }
 
-  update(kind: ObjectKind, { name, value, revision }: StoreWrite) {
+  update(
+    kind: ObjectKind,
+    { name, value, revision }: StoreWrite,
+  ): Promise<Result<StoredObject, StoreFailure>> {
     return this.#call((): Result<StoredObject, StoreFailure> => {
       const current = this.#getKind(kind).get(name);
       if (current === undefined) return err({ kind: "absent" });
@@ -107,7 +129,10 @@
     });
   }
 
-  updateStatus(kind: ObjectKind, write: StoreWrite) {
+  updateStatus(
+    kind: ObjectKind,
+    write: StoreWrite,
+  ): Promise<Result<StoredObject, StoreFailure>> {
     return this.update(kind, write);
   }
 
@@ -141,8 +166,12 @@
 const CODEC: RequestCodec = {
   decodeRequest: (headers) => {
     const id = headers["id"];
-    if (typeof id !== "string" || id === "") return err("the request has no id");
-    const [programId, budget, turn] = String(headers["budget"] ?? "").split(",");
+    if (typeof id !== "string" || id === "") {
+      return err("the request has no id");
+    }
+    const [programId, budget, turn] = String(headers["budget"] ?? "").split(
+      ",",
+    );
     return ok({
       requestId: id,
       deadlineMs: Number(headers["deadline"] ?? 5_000),
@@ -195,7 +224,13 @@
   return {
     version,
     routes: [
-      { ...route, name: "safe", pathPrefix: "/safe/", kind: "idempotent", maxTargets: 3 },
+      {
+        ...route,
+        name: "safe",
+        pathPrefix: "/safe/",
+        kind: "idempotent",
+        maxTargets: 3,
+      },
       { ...route, name: "once", pathPrefix: "/once/", kind: "non_idempotent" },
       {
         ...route,
@@ -315,6 +350,7 @@
       store: this.store,
       requestCodec: CODEC,
       storeCodec: STORE_CODEC,
+      metrics: new GatewayMetrics(),
       log: new GatewayLog({
         write: (text, handleWritten) => {
           for (const line of text.trim().split("\n")) {
@@ -341,7 +377,14 @@
       body?: string;
       leaveAfterMs?: number;
     },
-  ): Promise<{ status: number; text: string; headers: IncomingMessage["headers"]; isWhole: boolean }> {
+  ): Promise<
+    {
+      status: number;
+      text: string;
+      headers: IncomingMessage["headers"];
+      isWhole: boolean;
+    }
+  > {
     return new Promise((resolve, reject) => {
       const sent = startRequest({
         host: "127.0.0.1",
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -172,9 +172,7 @@
 
   it("keeps the newest configuration and what holds when one can't be read", async () => {
     fixture.store.put("configuration", "main", buildConfiguration(3));
-    await waitUntil(() =>
-      fixture.lines.some(({ version }) => version === 3)
-    );
+    await waitUntil(() => fixture.lines.some(({ version }) => version === 3));
     fixture.store.put("configuration", "main", buildConfiguration(2));
     fixture.store.put("configuration", "main", "unreadable");
     await waitUntil(() =>
@@ -214,7 +212,7 @@
     }
     expect(statuses).to.deep.equal([200, 200, 200, 200, 402, 402, 402, 402]);
     await waitUntil(() =>
-      fixture.store.get("token_accounts", "p") !== undefined
+      fixture.store.get("tokenAccounts", "p") !== undefined
     );
   });
 
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -41,7 +41,7 @@
   }
 
   /** Hands the waiting lines to the output, unless it's still busy. */
-  flush(): void {
+  writeWaiting(): void {
     if (this.#isWriting) return;
     if (this.#dropped > 0) {
       const fields = { lines: this.#dropped };
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -5,12 +5,16 @@
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import type { AccountHome } from "../accounts/account_home.ts";
+import type { DistantAccounts } from "../accounts/distant_accounts.ts";
 import type {
   PeerChange,
   PeerDirectory,
   PeerInfo,
 } from "../decisions/peer_directory.ts";
-import type { AccountState, TokenAccounts } from "../decisions/token_accounts.ts";
+import type {
+  AccountState,
+  TokenAccounts,
+} from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Address, ObjectStore } from "../ports.ts";
 import type { PeerLinks } from "./peer_links.ts";
@@ -35,6 +39,7 @@
   readonly links: PeerLinks;
   readonly accounts: TokenAccounts;
   readonly home: AccountHome;
+  readonly distant: DistantAccounts;
   readonly store: ObjectStore;
   readonly log: GatewayLog;
   readonly seeds: readonly Address[];
@@ -56,10 +61,10 @@
   }
 
   /** Joins the group. Returns when the peers that answer are known. */
-  async join(): Promise<void> {
+  async open(): Promise<void> {
     const { accounts, isFirstStart } = this.#parts;
     if (!isFirstStart) accounts.setLoss(performance.now() + LOSS_MS);
-    await Promise.all([this.#askSeeds(), this.#register()]);
+    await Promise.all([this.#callSeeds(), this.#saveEntry()]);
     if (isFirstStart) return;
     if (this.#wasInformed) {
       // The peers hand over what they keep once they've heard of this start.
@@ -73,9 +78,9 @@
   }
 
   /** Tells the others that this gateway leaves. */
-  async leave(): Promise<void> {
-    await this.#greet(this.#parts.directory.list());
-    this.handOver();
+  async sendLeaving(): Promise<void> {
+    await this.#callAll(this.#parts.directory.list());
+    this.sendAccounts();
   }
 
   stop(): void {
@@ -84,8 +89,8 @@
   }
 
   /** Asks gateways that didn't answer whether they're back. */
-  async probeSuspected(): Promise<void> {
-    await this.#greet(this.#parts.directory.listSuspected());
+  async callSuspected(): Promise<void> {
+    await this.#callAll(this.#parts.directory.listSuspected());
   }
 
   removeUnused(nowMs: number): void {
@@ -98,14 +103,17 @@
     if (change === "none") return;
     this.#handOverTimer ??= setTimeout(() => {
       this.#handOverTimer = undefined;
-      this.handOver();
+      this.sendAccounts();
     }, HAND_OVER_DELAY_MS);
   }
 
   /** Hands every account to its present homes. */
-  handOver(): void {
+  sendAccounts(): void {
     const { accounts, directory, links, getSelf } = this.#parts;
-    const byHome = new Map<string, { home: PeerInfo; states: AccountState[] }>();
+    const byHome = new Map<
+      string,
+      { home: PeerInfo; states: AccountState[] }
+    >();
     for (const programId of accounts.listPrograms()) {
       const state = accounts.find(programId);
       if (state === undefined) continue;
@@ -126,8 +134,10 @@
   }
 
   /** Answers a message of another gateway. */
-  async handleMessage({ message }: PeerEnvelope): Promise<PeerAnswer> {
-    const { accounts, home, directory, getSelf } = this.#parts;
+  async handleMessage(
+    { from: sender, message }: PeerEnvelope,
+  ): Promise<PeerAnswer> {
+    const { accounts, home, distant, directory, getSelf } = this.#parts;
     const from = getSelf();
     const nowMs = performance.now();
     switch (message.kind) {
@@ -135,7 +145,7 @@
         return {
           from,
           peers: directory.list(),
-          mayHaveLost: accounts.mayHaveLost(nowMs),
+          mayHaveLost: accounts.isLossPossible(nowMs),
         };
       case "open_turn":
         return { from, turn: await home.open(message.turn) };
@@ -144,19 +154,21 @@
       case "close_turn": {
         const { programId, turnId, passedTokens } = message;
         accounts.close(programId, turnId, passedTokens);
+        if (message.isDistant !== true) distant.close(message);
         return { from };
       }
       case "merge_accounts":
         for (const state of message.accounts) accounts.merge(state, nowMs);
         return { from };
       case "find_account": {
+        distant.addRegion(message.programId, sender.region);
         const account = accounts.find(message.programId);
         return { from, ...(account === undefined ? {} : { account }) };
       }
     }
   }
 
-  async #askSeeds(): Promise<void> {
+  async #callSeeds(): Promise<void> {
     const { seeds, links, getSelf } = this.#parts;
     const self = getSelf();
     const others = seeds.filter(({ host, port }) =>
@@ -164,13 +176,13 @@
     );
     await Promise.all(others.map(async (seed) => {
       const answer = await links.callAddress(seed, { kind: "hello" });
-      await this.#meet(answer?.peers ?? []);
+      await this.#addAll(answer?.peers ?? []);
       this.#recordInformed(answer);
     }));
   }
 
   /** Enters this gateway in the store and meets those that are entered. */
-  async #register(): Promise<void> {
+  async #saveEntry(): Promise<void> {
     const { store, getSelf } = this.#parts;
     const self = getSelf();
     const listed = await store.list("gateways");
@@ -178,10 +190,10 @@
       const infos = listed.value.objects.map(({ value }) => value as PeerInfo);
       const own = listed.value.objects.find(({ name }) => name === self.vmId);
       void this.#writeEntry(own?.revision);
-      await this.#meet(infos);
+      await this.#addAll(infos);
     } else {
       setTimeout(() => {
-        if (!this.#isStopped) void this.#register();
+        if (!this.#isStopped) void this.#saveEntry();
       }, REGISTER_RETRY_MS);
     }
   }
@@ -200,16 +212,16 @@
   }
 
   /** Greets gateways that weren't known. */
-  async #meet(infos: readonly PeerInfo[]): Promise<void> {
+  async #addAll(infos: readonly PeerInfo[]): Promise<void> {
     const { directory } = this.#parts;
-    await this.#greet(infos.filter((info) => directory.add(info)));
+    await this.#callAll(infos.filter((info) => directory.add(info)));
   }
 
-  async #greet(peers: readonly PeerInfo[]): Promise<void> {
+  async #callAll(peers: readonly PeerInfo[]): Promise<void> {
     await Promise.all(peers.map(async (peer) => {
       const answer = await this.#parts.links.call(peer, { kind: "hello" });
       this.#recordInformed(answer);
-      await this.#meet(answer?.peers ?? []);
+      await this.#addAll(answer?.peers ?? []);
     }));
   }
 
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -9,6 +9,7 @@
   PeerDirectory,
   PeerInfo,
 } from "../decisions/peer_directory.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Address } from "../ports.ts";
 import {
@@ -32,6 +33,7 @@
 export interface PeerLinksParts {
   readonly directory: PeerDirectory;
   readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
   /** This gateway as it presents itself. */
   readonly getSelf: () => PeerInfo;
   readonly handleMessage: (envelope: PeerEnvelope) => Promise<PeerAnswer>;
@@ -67,7 +69,7 @@
   }
 
   /** Listens; rejects when the address can't be used. */
-  listen({ host, port }: Address): Promise<void> {
+  serve({ host, port }: Address): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
       this.#server.listen({ host, port }, () => resolve());
@@ -83,7 +85,7 @@
     if (answer !== undefined) return answer;
     const known = this.#parts.directory.find(peer.vmId);
     if (known?.bootId === peer.bootId) {
-      if (this.#parts.directory.suspect(peer.vmId)) {
+      if (this.#parts.directory.recordSilent(peer.vmId)) {
         this.#parts.log.write(EVENTS.PeerSuspected, { peer: peer.vmId });
         this.#parts.onChange(peer, "lost");
       }
@@ -106,7 +108,11 @@
       silenceTimeoutMs: CALL_TIMEOUT_MS,
       freshConnection: false,
     }, { totalTimeoutMs: CALL_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES });
-    if (whole.kind !== "answered" || whole.status !== 200) return undefined;
+    this.#parts.metrics.add("peer_calls");
+    if (whole.kind !== "answered" || whole.status !== 200) {
+      this.#parts.metrics.add("peer_calls_failed");
+      return undefined;
+    }
     const answer = parseAnswer(whole.body);
     if (answer.isErr()) {
       log.write(EVENTS.PeerMessageUnreadable, { detail: answer.error });
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -2,10 +2,7 @@
  * The messages between gateways, and the check of what arrives.
  */
 import { err, ok, type Result } from "neverthrow";
-import type {
-  AccountState,
-  TurnRequest,
-} from "../decisions/token_accounts.ts";
+import type { AccountState, TurnRequest } from "../decisions/token_accounts.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
 
 /** A message from one gateway to another. */
@@ -21,6 +18,8 @@
     readonly programId: string;
     readonly turnId: string;
     readonly passedTokens: number;
+    /** Sent by a home of another region, which isn't told in return. */
+    readonly isDistant?: boolean;
   }
   /** Hands accounts to a home. */
   | { readonly kind: "merge_accounts"; readonly accounts: AccountState[] }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -51,7 +51,7 @@
   | "configuration"
   | "targets"
   | "retirements"
-  | "token_accounts"
+  | "tokenAccounts"
   | "gateways";
 
 /** Where a change is looked for. */
@@ -133,7 +133,9 @@
   ): string[];
   decodeAnswer(status: number, headers: AnswerHeaders): AnswerMarks;
   /** Picks the headers of an answer that its caller receives. */
-  encodeAnswerHeaders(headers: AnswerHeaders): Record<string, string | string[]>;
+  encodeAnswerHeaders(
+    headers: AnswerHeaders,
+  ): Record<string, string | string[]>;
 }
 
 /** Decoders of what others keep in the store. */
--- a/packages/gateway/src/retirement/retirement_reporter.ts
+++ b/packages/gateway/src/retirement/retirement_reporter.ts
@@ -61,7 +61,7 @@
     }
     if (this.#open.has(name)) return;
     this.#open.add(name);
-    setTimeout(() => void this.#report(name), this.#computeWaitMs(name));
+    setTimeout(() => void this.#saveState(name), this.#computeWaitMs(name));
   }
 
   #computeWaitMs(name: string): number {
@@ -70,14 +70,17 @@
     return OTHERS_WAIT_MS + computeHash(`${vmId}|${name}`) % OTHERS_SPREAD_MS;
   }
 
-  async #report(name: string): Promise<void> {
+  async #saveState(name: string): Promise<void> {
     const { store, codec, log } = this.#parts;
     while (this.#open.has(name)) {
       const value = codec.encodeState("emptied");
       const written = await store.updateStatus("retirements", { name, value });
       if (written.isOk()) {
         this.#open.delete(name);
-        log.write(EVENTS.RetirementUpdated, { retired: name, state: "emptied" });
+        log.write(EVENTS.RetirementUpdated, {
+          retired: name,
+          state: "emptied",
+        });
         return;
       }
       if (written.error.kind === "absent") return;
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -124,8 +124,6 @@
   }
 }
 
-
-
 function openSocket(
   address: { readonly host: string; readonly port: number },
   timeoutMs: number,
--- /dev/null
+++ b/packages/metrics/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Counters and latency histograms for scraping.
+ */
+export * from "./src/metric_set.ts";
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -10,6 +10,7 @@
   outdir: "target",
   outExtension: { ".js": ".mjs" },
   bundle: true,
+  splitting: true,
   platform: "node",
 
   format: "esm",
--- a/tools/lint/verbs.ts
+++ b/tools/lint/verbs.ts
@@ -20,6 +20,7 @@
   "choose",
   "compare",
   "confirm",
+  "pause",
   "renew",
   "resume",
   "reserve",
