Follow the store through one gateway of each region

Now the first gateway of a region, by rank, follows the store and the others follow it; news that's too old, or a gateway that's silent, sends them to the next one or to the store. A process that starts while the store is down learns everything from a peer.

--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -8,6 +8,7 @@
 export * from "./src/ports.ts";
 export * from "./src/retirement/retirement_reporter.ts";
 export * from "./src/store/follower.ts";
+export * from "./src/store/news_source.ts";
 export * from "./src/model/request_fields.ts";
 export * from "./src/model/routing.ts";
 export * from "./src/model/target.ts";
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -21,6 +21,9 @@
 /** Pause before a record that the store didn't take is written again. */
 const RECORD_RETRY_MS = 500;
 
+/** How long a call that failed tells that the store is out of reach. */
+const STORE_LOST_MS = 1_500;
+
 /** What a home works with. */
 export interface AccountHomeParts {
   readonly accounts: TokenAccounts;
@@ -28,7 +31,6 @@
   readonly store: ObjectStore;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  readonly isStoreLost: () => boolean;
 }
 
 interface Recording {
@@ -42,6 +44,8 @@
   readonly #recordings = new Map<string, Recording>();
   /** Store revisions of the records that this process wrote or read. */
   readonly #revisions = new Map<string, number>();
+  /** Until then turns don't wait for records. */
+  #storeLostUntilMs = Number.NEGATIVE_INFINITY;
   #isStopped = false;
 
   constructor(parts: AccountHomeParts) {
@@ -111,7 +115,7 @@
 
   async #waitForRecord(turn: TurnRequest, allowed: number): Promise<void> {
     const recording = this.#startRecording(turn.programId, allowed);
-    if (this.#parts.isStoreLost()) return;
+    if (performance.now() < this.#storeLostUntilMs) return;
     let timer: NodeJS.Timeout | undefined;
     const limit = new Promise<void>((resolve) => {
       timer = setTimeout(resolve, RECORD_WAIT_MS);
@@ -174,7 +178,10 @@
       this.#revisions.delete(programId);
       return false;
     }
-    if (failure.kind !== "conflict") return false;
+    if (failure.kind !== "conflict") {
+      this.#storeLostUntilMs = performance.now() + STORE_LOST_MS;
+      return false;
+    }
     const current = failure.current ??
       (await store.find("tokenAccounts", programId)).unwrapOr(undefined);
     if (current === undefined) return false;
--- a/packages/gateway/src/accounts/account_parts.ts
+++ b/packages/gateway/src/accounts/account_parts.ts
@@ -7,7 +7,8 @@
 import type { GatewayLog } from "../log.ts";
 import { PeerGroup } from "../peers/peer_group.ts";
 import { PeerLinks } from "../peers/peer_links.ts";
-import type { GatewaySettings, ObjectStore } from "../ports.ts";
+import type { GatewaySettings, ObjectKind, ObjectStore } from "../ports.ts";
+import type { ObjectCache } from "../store/object_cache.ts";
 import { AccountHome } from "./account_home.ts";
 import { DistantAccounts } from "./distant_accounts.ts";
 import { TurnAccounts } from "./turn_accounts.ts";
@@ -19,11 +20,13 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly getSelf: () => PeerInfo;
-  readonly isStoreLost: () => boolean;
+  /** What this gateway follows, for others to follow it here. */
+  readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
 
 /** The parts. */
 export interface AccountParts {
+  readonly directory: PeerDirectory;
   readonly group: PeerGroup;
   readonly home: AccountHome;
   readonly links: PeerLinks;
@@ -32,7 +35,7 @@
 
 /** Builds the parts. */
 export function buildAccountParts(options: AccountPartsOptions): AccountParts {
-  const { settings, log, metrics, store, getSelf, isStoreLost } = options;
+  const { settings, log, metrics, store, getSelf, findCache } = options;
   const accounts = new TokenAccounts();
   const directory = new PeerDirectory(getSelf());
   const links: PeerLinks = new PeerLinks({
@@ -51,7 +54,6 @@
     store,
     log,
     metrics,
-    isStoreLost,
   });
   const group = new PeerGroup({
     directory,
@@ -63,8 +65,9 @@
     log,
     seeds: settings.seeds,
     getSelf,
+    findCache,
     isFirstStart: settings.isFirstStart,
   });
   const turns = new TurnAccounts({ ...shared, home, distant });
-  return { group, home, links, turns };
+  return { directory, group, home, links, turns };
 }
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -57,7 +57,6 @@
       store: STORE,
       log: LOG,
       metrics: new GatewayMetrics(),
-      isStoreLost: () => false,
     });
     const turns = new TurnAccounts({
       directory,
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -9,6 +9,8 @@
 
 /** Homes of each account; one may be lost. */
 const HOME_COUNT = 2;
+/** Gateways of a region that others may follow instead of the store. */
+const RELAY_COUNT = 2;
 
 /** One gateway process. */
 export interface PeerInfo {
@@ -98,11 +100,14 @@
       .map(({ info }) => info);
   }
 
+  /** Chooses the region's gateways that others follow, best first. */
+  chooseRelays(): PeerInfo[] {
+    return this.#sortLive("relay").slice(0, RELAY_COUNT);
+  }
+
   /** Chooses the homes of a program in this gateway's region, best first. */
   chooseHomes(programId: string): PeerInfo[] {
-    const live = this.listLive(this.#self.region)
-      .filter(({ isLeaving }) => !isLeaving);
-    return sortByRank(programId, [...live, this.#self]).slice(0, HOME_COUNT);
+    return this.#sortLive(programId).slice(0, HOME_COUNT);
   }
 
   /** Chooses the first home of a program in every other region. */
@@ -113,6 +118,12 @@
       sortByRank(programId, this.listLive(region)).slice(0, 1)
     );
   }
+
+  #sortLive(key: string): PeerInfo[] {
+    const live = this.listLive(this.#self.region)
+      .filter(({ isLeaving }) => !isLeaving);
+    return sortByRank(key, [...live, this.#self]);
+  }
 }
 
 function sortByRank(key: string, peers: readonly PeerInfo[]): PeerInfo[] {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,11 +18,17 @@
 import type { GatewayLog } from "./log.ts";
 import type {
   GatewaySettings,
+  ObjectKind,
   ObjectStore,
   RequestCodec,
   StoreCodec,
 } from "./ports.ts";
 import { Follower } from "./store/follower.ts";
+import {
+  NewsSource,
+  type ObjectSource,
+  StoreSource,
+} from "./store/news_source.ts";
 import { KnownConfiguration, KnownTargets } from "./store/known_state.ts";
 
 /** How often due work is looked for. */
@@ -31,6 +37,8 @@
 const LAPSE_CHECK_MS = 100;
 /** How often gateways that didn't answer are asked again. */
 const PROBE_PEERS_MS = 500;
+/** Time beyond a watch's wait within which another gateway's news is used. */
+const NEWS_MARGIN_MS = 300;
 const ACCOUNT_CLEANUP_MS = 10_000;
 /** Callers that wait for a restarted process come before its histograms. */
 const LOAD_METRICS_AFTER_MS = 5_000;
@@ -59,7 +67,8 @@
   readonly #timers = new TimerService();
   readonly #configuration: KnownConfiguration;
   readonly #knownTargets: KnownTargets;
-  readonly #followers: readonly Follower[];
+  readonly #followers: ReadonlyMap<ObjectKind, Follower>;
+  readonly #news: NewsSource;
   readonly #accounts: AccountParts;
   readonly #callers: CallerServer;
   readonly #readiness: PlainServer;
@@ -86,27 +95,39 @@
     const { bounds } = settings;
     const waitMs = Math.min(bounds.drainMs, bounds.configApplyMs) -
       WATCH_MARGIN_MS;
-    const follow = { store, log, waitMs };
+    const source: ObjectSource = {
+      list: (kind) => this.#news.list(kind),
+      watch: (kind, after) => this.#news.watch(kind, after),
+    };
+    const follow = { source, log };
     const targetFollower = new Follower({
       ...follow,
       kind: "targets",
       objects: this.#knownTargets,
     });
-    this.#followers = [
-      new Follower({
-        ...follow,
-        kind: "configuration",
-        objects: this.#configuration,
-      }),
-      targetFollower,
-    ];
+    const configurationFollower = new Follower({
+      ...follow,
+      kind: "configuration",
+      objects: this.#configuration,
+    });
+    this.#followers = new Map([
+      ["configuration", configurationFollower],
+      ["targets", targetFollower],
+    ]);
     this.#accounts = buildAccountParts({
       settings,
       store,
       log,
       metrics,
       getSelf: () => this.#buildSelf(),
-      isStoreLost: () => targetFollower.isLost,
+      findCache: (kind) => this.#followers.get(kind)?.cache,
+    });
+    this.#news = new NewsSource({
+      store: new StoreSource(store, waitMs),
+      directory: this.#accounts.directory,
+      links: this.#accounts.links,
+      selfId: settings.vmId,
+      maxAgeMs: waitMs + NEWS_MARGIN_MS,
     });
     this.#callers = new CallerServer({
       targets: this.#targets,
@@ -137,7 +158,9 @@
   /** Starts; rejects when an address can't be used. */
   async start(): Promise<void> {
     const { settings, log } = this.#options;
-    for (const follower of this.#followers) this.#startFollower(follower);
+    for (const follower of this.#followers.values()) {
+      this.#startFollower(follower);
+    }
     this.#timers.subscribe(LOG_FLUSH_MS, () => log.writeWaiting());
     this.#timers.subscribe(
       LAPSE_CHECK_MS,
@@ -198,7 +221,7 @@
     this.#callers.close();
     this.#readiness.close();
     this.#metricsServer.close();
-    for (const follower of this.#followers) follower.stop();
+    for (const follower of this.#followers.values()) follower.stop();
     this.#accounts.group.stop();
     this.#accounts.home.stop();
     await this.#accounts.links.close();
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -310,6 +310,7 @@
   readonly lines: Record<string, unknown>[] = [];
   readonly gateways: Gateway[] = [];
   readonly ports: number[] = [];
+  readonly peerAddresses: { host: string; port: number }[] = [];
   readonly #targets: FakeTarget[] = [];
   readonly #agent = new Agent({ keepAlive: true });
 
@@ -320,7 +321,10 @@
     return target;
   }
 
-  async addGateway(vmId: string, isFirstStart = true): Promise<Gateway> {
+  async addGateway(
+    vmId: string,
+    change: Partial<GatewaySettings> = {},
+  ): Promise<Gateway> {
     const [callers, readiness, peers] = await Promise.all([
       findFreePort(),
       findFreePort(),
@@ -336,7 +340,7 @@
       readiness: { host, port: readiness },
       peers: { host, port: peers },
       seeds: [],
-      isFirstStart,
+      isFirstStart: true,
       metrics: undefined,
       bounds: {
         configApplyMs: 2_500,
@@ -344,6 +348,7 @@
         graceMs: 4_000,
         contactMs: 3_000,
       },
+      ...change,
     };
     const gateway = new Gateway({
       settings,
@@ -363,6 +368,7 @@
     await gateway.start();
     this.gateways.push(gateway);
     this.ports.push(callers);
+    this.peerAddresses.push({ host, port: peers });
     await waitUntil(async () => (await this.ask(readiness, {})).status === 200);
     return gateway;
   }
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -243,6 +243,29 @@
     expect(statuses).to.deep.equal([200, 200, 402, 402]);
   });
 
+  it("follows the store through one gateway of the region", async () => {
+    for (const vmId of ["g2", "g3", "g4"]) await fixture.addGateway(vmId);
+    await new Promise((resolve) => setTimeout(resolve, 2_300));
+    const before = fixture.store.calls;
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    expect(fixture.store.calls - before).to.be.at.most(4);
+    fixture.store.put("configuration", "main", buildConfiguration(7));
+    await waitUntil(() =>
+      fixture.lines.filter(({ version }) => version === 7).length === 4
+    );
+  });
+
+  it("starts from another gateway while the store is down", async () => {
+    await fixture.addGateway("g2");
+    fixture.store.isDown = true;
+    const seeds = fixture.peerAddresses;
+    await fixture.addGateway("g3", { isFirstStart: false, seeds });
+    const answer = await fixture.ask(fixture.ports[2] ?? 0, {
+      path: "/safe/1",
+    });
+    expect(answer.status).to.equal(200);
+  });
+
   it("cuts off no request at a planned stop", async () => {
     for (const each of [target, other]) {
       each.handle = (request, response) =>
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -16,7 +16,8 @@
   TokenAccounts,
 } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
-import type { Address, ObjectStore } from "../ports.ts";
+import type { Address, ObjectKind, ObjectStore } from "../ports.ts";
+import type { ObjectCache } from "../store/object_cache.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { PeerAnswer, PeerEnvelope } from "./peer_messages.ts";
 
@@ -44,6 +45,8 @@
   readonly log: GatewayLog;
   readonly seeds: readonly Address[];
   readonly getSelf: () => PeerInfo;
+  /** What this gateway follows, for others to follow it here. */
+  readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
   /** Whether the whole installation starts for the first time. */
   readonly isFirstStart: boolean;
 }
@@ -165,6 +168,21 @@
         const account = accounts.find(message.programId);
         return { from, ...(account === undefined ? {} : { account }) };
       }
+      case "list_objects": {
+        const cache = this.#parts.findCache(message.objects);
+        const listed = cache?.list();
+        if (cache === undefined || listed === undefined) return { from };
+        return { from, listed, ageMs: cache.countAgeMs(nowMs) };
+      }
+      case "watch_objects": {
+        const { objects, afterRevision, waitMs } = message;
+        const cache = this.#parts.findCache(objects);
+        const changes = await cache?.waitForChanges(afterRevision, waitMs);
+        if (cache === undefined || changes === undefined) {
+          return { from, isHistoryGone: true };
+        }
+        return { from, changes, ageMs: cache.countAgeMs(performance.now()) };
+      }
     }
   }
 
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -80,8 +80,9 @@
   async call(
     peer: PeerInfo,
     message: PeerMessage,
+    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<PeerAnswer | undefined> {
-    const answer = await this.callAddress(peer, message);
+    const answer = await this.callAddress(peer, message, timeoutMs);
     if (answer !== undefined) return answer;
     const known = this.#parts.directory.find(peer.vmId);
     if (known?.bootId === peer.bootId) {
@@ -97,6 +98,7 @@
   async callAddress(
     address: Address,
     message: PeerMessage,
+    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<PeerAnswer | undefined> {
     const { getSelf, log } = this.#parts;
     const envelope: PeerEnvelope = { from: getSelf(), message };
@@ -105,9 +107,9 @@
       path: `/${message.kind}`,
       headers: { "content-type": "application/json" },
       body: JSON.stringify(envelope),
-      silenceTimeoutMs: CALL_TIMEOUT_MS,
+      silenceTimeoutMs: timeoutMs,
       freshConnection: false,
-    }, { totalTimeoutMs: CALL_TIMEOUT_MS, maxBytes: MAX_ANSWER_BYTES });
+    }, { totalTimeoutMs: timeoutMs, maxBytes: MAX_ANSWER_BYTES });
     this.#parts.metrics.add("peer_calls");
     if (whole.kind !== "answered" || whole.status !== 200) {
       this.#parts.metrics.add("peer_calls_failed");
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { AccountState, TurnRequest } from "../decisions/token_accounts.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
+import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
 /** A message from one gateway to another. */
 export type PeerMessage =
@@ -24,7 +25,16 @@
   /** Hands accounts to a home. */
   | { readonly kind: "merge_accounts"; readonly accounts: AccountState[] }
   /** Asks a home of another region what it knows. */
-  | { readonly kind: "find_account"; readonly programId: string };
+  | { readonly kind: "find_account"; readonly programId: string }
+  /** Asks for the objects of a kind as the peer knows them. */
+  | { readonly kind: "list_objects"; readonly objects: ObjectKind }
+  /** Asks for changes of the objects of a kind. */
+  | {
+    readonly kind: "watch_objects";
+    readonly objects: ObjectKind;
+    readonly afterRevision: number;
+    readonly waitMs: number;
+  };
 
 /** What a home answers to `open_turn`. */
 export type TurnAnswer = "admitted" | "over_budget" | "unavailable";
@@ -39,6 +49,12 @@
   readonly account?: AccountState;
   /** Whether the answering gateway may have lost accounts. */
   readonly mayHaveLost?: boolean;
+  readonly listed?: StoredList;
+  readonly changes?: StoredChanges;
+  /** Whether the changes that were asked for are no longer kept. */
+  readonly isHistoryGone?: boolean;
+  /** Age of what the answering gateway knows. */
+  readonly ageMs?: number;
 }
 
 /** A message with its sender. */
@@ -54,6 +70,8 @@
   "close_turn",
   "merge_accounts",
   "find_account",
+  "list_objects",
+  "watch_objects",
 ];
 
 /** Parses a message. All gateways of an installation run one version. */
--- a/packages/gateway/src/store/follower.ts
+++ b/packages/gateway/src/store/follower.ts
@@ -9,11 +9,12 @@
 import type { GatewayLog } from "../log.ts";
 import type {
   ObjectKind,
-  ObjectStore,
   StoredChange,
   StoredObject,
   StoreFailure,
 } from "../ports.ts";
+import type { ObjectSource } from "./news_source.ts";
+import { ObjectCache } from "./object_cache.ts";
 
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 1_000;
@@ -27,20 +28,19 @@
 
 /** What a follower works with. */
 export interface FollowerParts {
-  readonly store: ObjectStore;
+  readonly source: ObjectSource;
   readonly log: GatewayLog;
   readonly kind: ObjectKind;
-  /** How long a watch waits for a change. */
-  readonly waitMs: number;
   readonly objects: FollowedObjects;
 }
 
 /** Follows one kind of objects. */
 export class Follower {
+  /** What is followed, for others to follow it here. */
+  readonly cache = new ObjectCache();
   readonly #parts: FollowerParts;
   #isStopped = false;
   #isLost = false;
-  #confirmedAtMs = Number.NEGATIVE_INFINITY;
   #pauseMs = FIRST_PAUSE_MS;
 
   constructor(parts: FollowerParts) {
@@ -49,12 +49,7 @@
 
   /** Time since the store last confirmed what is known. */
   countAgeMs(nowMs: number): number {
-    return nowMs - this.#confirmedAtMs;
-  }
-
-  /** Whether the last call to the store failed. */
-  get isLost(): boolean {
-    return this.#isLost;
+    return this.cache.countAgeMs(nowMs);
   }
 
   /** Follows until stopped. */
@@ -70,8 +65,8 @@
   }
 
   async #readList(): Promise<number | undefined> {
-    const { store, kind, objects } = this.#parts;
-    const listed = await store.list(kind);
+    const { source, kind, objects } = this.#parts;
+    const listed = await source.list(kind);
     if (this.#isStopped) return undefined;
     if (listed.isErr()) {
       await this.#handleFailure(listed.error);
@@ -79,25 +74,28 @@
     }
     const wasLost = this.#isLost;
     this.#recordContact();
-    objects.setAll(listed.value.objects, wasLost);
-    return listed.value.revision;
+    const { value, confirmedAtMs } = listed.value;
+    objects.setAll(value.objects, wasLost);
+    this.cache.setAll(value, confirmedAtMs);
+    return value.revision;
   }
 
   async #watchFrom(first: number): Promise<void> {
-    const { store, kind, waitMs, objects } = this.#parts;
+    const { source, kind, objects } = this.#parts;
     let afterRevision = first;
     while (!this.#isStopped) {
-      const watched = await store.watch(kind, { afterRevision, waitMs });
+      const watched = await source.watch(kind, afterRevision);
       if (this.#isStopped) return;
       if (watched.isErr()) return await this.#handleFailure(watched.error);
       this.#recordContact();
-      for (const change of watched.value.changes) objects.applyChange(change);
-      afterRevision = watched.value.revision;
+      const { value, confirmedAtMs } = watched.value;
+      for (const change of value.changes) objects.applyChange(change);
+      this.cache.applyChanges(value, confirmedAtMs);
+      afterRevision = value.revision;
     }
   }
 
   #recordContact(): void {
-    this.#confirmedAtMs = performance.now();
     this.#pauseMs = FIRST_PAUSE_MS;
     if (!this.#isLost) return;
     this.#isLost = false;
--- /dev/null
+++ b/packages/gateway/src/store/object_cache_test.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import { ObjectCache } from "./object_cache.ts";
+
+function buildObject(name: string, revision: number) {
+  return { name, revision, value: name, status: null };
+}
+
+describe("object cache", () => {
+  it("gives changes after a revision, at once or when they come", async () => {
+    const cache = new ObjectCache();
+    cache.setAll({ objects: [buildObject("a", 1)], revision: 5 }, 0);
+    const waiting = cache.waitForChanges(5, 1_000);
+    const change = { object: buildObject("b", 6), isRemoved: false };
+    cache.applyChanges({ changes: [change], revision: 6 }, 10);
+    expect(await waiting).to.deep.equal({ changes: [change], revision: 6 });
+    expect((await cache.waitForChanges(5, 0))?.changes).to.have.length(1);
+    expect((await cache.waitForChanges(6, 0))?.changes).to.have.length(0);
+    expect(cache.list()?.objects.map(({ name }) => name))
+      .to.deep.equal(["a", "b"]);
+  });
+
+  it("asks for the list when changes are no longer kept", async () => {
+    const cache = new ObjectCache();
+    expect(await cache.waitForChanges(0, 0)).to.equal(undefined);
+    cache.setAll({ objects: [], revision: 5 }, 0);
+    expect(await cache.waitForChanges(4, 0)).to.equal(undefined);
+    for (let revision = 6; revision < 700; revision += 1) {
+      const change = { object: buildObject("a", revision), isRemoved: false };
+      cache.applyChanges({ changes: [change], revision }, 0);
+    }
+    expect(await cache.waitForChanges(100, 0)).to.equal(undefined);
+    expect((await cache.waitForChanges(690, 0))?.changes).to.have.length(9);
+  });
+
+  it("ages while the store confirms nothing", () => {
+    const cache = new ObjectCache();
+    cache.setAll({ objects: [], revision: 1 }, 100);
+    cache.applyChanges({ changes: [], revision: 1 }, 200);
+    expect(cache.countAgeMs(1_200)).to.equal(1_000);
+  });
+});
