--- a/packages/gateway/src/exchange/whole_send.ts
+++ b/packages/gateway/src/exchange/whole_send.ts
@@ -73,6 +73,10 @@
     return { kind: "broken", detail };
   }
   if (marks.isNotRun) return { kind: "not_run", detail: `status ${status}` };
+  if (marks.impliesNotRun) {
+    const detail = `status ${status}, but the target doesn't say "not run"`;
+    return { kind: "broken", detail };
+  }
   if (!marks.hasSignature) {
     return { kind: "broken", detail: `status ${status} without a signature` };
   }
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -192,7 +192,8 @@
     "resume-after",
     String(resumeAfter),
   ],
-  decodeAnswer: (_status, headers) => ({
+  decodeAnswer: (status, headers) => ({
+    impliesNotRun: status === 503,
     requestId: headers["id"] as string | undefined,
     isNotRun: headers["not-run"] !== undefined,
     hasSignature: headers["signed"] !== undefined,
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -74,6 +74,18 @@
     expect(target.seen.length + other.seen.length).to.equal(1);
   });
 
+  it("doesn't pass on a refusal of a target that may have run the request", async () => {
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => {
+        response.writeHead(503, { signed: "1" });
+        response.end();
+      };
+    }
+    const answer = await fixture.ask(port, { path: "/once/1", method: "POST" });
+    expect(answer.status).to.equal(502);
+    expect(target.seen.length + other.seen.length).to.equal(1);
+  });
+
   it("gives no success without a signature, nor another request's answer", async () => {
     for (const each of [target, other]) {
       each.handle = (_request, response) => response.end("forged");
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -114,6 +114,8 @@
   readonly requestId: string | undefined;
   /** The target states that it didn't run the request. */
   readonly isNotRun: boolean;
+  /** The status would tell a caller that the request wasn't run. */
+  readonly impliesNotRun: boolean;
   /** The target's signature, without which no success counts. */
   readonly hasSignature: boolean;
   /** The target takes no further requests on this connection. */
