--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -93,7 +93,7 @@
     this.#configuration = new KnownConfiguration(parts);
     this.#knownTargets = new KnownTargets(parts);
     const { bounds } = settings;
-    const waitMs = Math.min(bounds.drainMs, bounds.configApplyMs) -
+    const waitMs = Math.min(bounds.drainMs, bounds.configurationMs) -
       WATCH_MARGIN_MS;
     const source: ObjectSource = {
       list: (kind) => this.#news.list(kind),
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -344,10 +344,9 @@
       isFirstStart: true,
       metrics: undefined,
       bounds: {
-        configApplyMs: 2_500,
+        configurationMs: 2_500,
         drainMs: 2_500,
         graceMs: 4_000,
-        contactMs: 3_000,
       },
       ...change,
     };
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -151,13 +151,11 @@
 /** Times within which the platform expects this process to act. */
 export interface GatewayBounds {
   /** A changed configuration is in force within this time. */
-  readonly configApplyMs: number;
+  readonly configurationMs: number;
   /** A leaving target gets no new work after this time. */
   readonly drainMs: number;
   /** From SIGTERM to SIGKILL. */
   readonly graceMs: number;
-  /** Time without faults after which a VM counts as sound again. */
-  readonly contactMs: number;
 }
 
 /** What a gateway process is told at its start. */
--- a/tools/lint/plugin.ts
+++ b/tools/lint/plugin.ts
@@ -72,6 +72,17 @@
     : undefined;
 }
 
+/** Names of the users' platform, which only its adapter may know. */
+const PLATFORM_NAMES =
+  /^(x-(attempt-id|token-budget|token-count|program-id|session-id|program-deadline-ms|prompt-prefix|deadline-ms|server-signature|not-executed|target-instance|model|hold|pin-ms|kv-backup)|kv-(from|fetch|move|events|list)|writesPerS|readsPerS|pathPrefix|routeType|idleTimeoutMs|morePages|asOf|allowStale|deletionPending)$|\/camphorlock\/(objects|report|readyz)|hold-take/i;
+
+/** Names of the project that are spelled like the platform's. */
+const OWN_NAMES: readonly string[] = ["pathPrefix", "idleTimeoutMs"];
+
+function isPlatformName(text: string): boolean {
+  return PLATFORM_NAMES.test(text) && !OWN_NAMES.includes(text);
+}
+
 const plugin: Deno.lint.Plugin = {
   name: "camphorlock",
   rules: {
@@ -114,6 +125,19 @@
         };
       },
     },
+    "platform-names": {
+      create(context) {
+        return {
+          Literal(node) {
+            if (!/packages\//.test(context.filename)) return;
+            if (typeof node.value !== "string") return;
+            if (!isPlatformName(node.value)) return;
+            const message = `${node.value} is known to platform/ alone`;
+            context.report({ node, message });
+          },
+        };
+      },
+    },
     "module-head": {
       create(context) {
         return {
--- a/tools/lint/plugin_test.ts
+++ b/tools/lint/plugin_test.ts
@@ -30,6 +30,11 @@
     expect(printed).to.include("this package may not import ../../codes");
   });
 
+  it("reports names of the users' platform outside its adapter", () => {
+    expect(runLint("packages/scheduler/src/bad_platform_name.ts"))
+      .to.include("X-Attempt-Id is known to platform/ alone");
+  });
+
   it("reports modules without a head, with a banner, or too long", () => {
     expect(runLint("bad_head.ts")).to.include("module-head");
     expect(runLint("bad_banner.ts")).to.include("no-banner");
