Keep two homes deciding through slow records and regions that begin together

Records are waited for 80 ms now, and a decision may take 350 ms. A record that only allows is told from one of a program that was stopped, so that a program that goes on after a loss gets 503 and not 402.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -7,6 +7,7 @@
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import type {
+  AccountRecord,
   TokenAccounts,
   TurnRequest,
 } from "../decisions/token_accounts.ts";
@@ -17,7 +18,7 @@
 import type { ObjectStore } from "../ports.ts";
 
 /** Longest that a turn waits for its record while the store seems to work. */
-const RECORD_WAIT_MS = 200;
+const RECORD_WAIT_MS = 80;
 /** Pause before a record that the store didn't take is written again. */
 const RECORD_RETRY_MS = 500;
 
@@ -34,7 +35,7 @@
 }
 
 interface Recording {
-  wantedTokens: number;
+  wanted: AccountRecord;
   readonly done: Promise<void>;
 }
 
@@ -46,6 +47,7 @@
   readonly #revisions = new Map<string, number>();
   /** Until then turns don't wait for records. */
   #storeLostUntilMs = Number.NEGATIVE_INFINITY;
+  readonly #stored = new Map<string, AccountRecord>();
   #isStopped = false;
 
   constructor(parts: AccountHomeParts) {
@@ -69,7 +71,10 @@
       case "admitted":
         return "admitted";
       case "over_budget":
-        this.#startRecording(turn.programId, turn.budgetTokens);
+        this.#startRecording(turn.programId, {
+          allowedTokens: turn.budgetTokens,
+          isSpent: true,
+        });
         return "over_budget";
       case "unknown":
         this.#logUnavailable(turn, "tokens may have been spent before a loss");
@@ -86,7 +91,7 @@
     if (listed.isErr()) return false;
     for (const { name, revision, value } of listed.value.objects) {
       this.#revisions.set(name, revision);
-      this.#parts.accounts.addRecord(name, readAllowed(value));
+      this.#parts.accounts.addRecord(name, readRecord(value));
     }
     return true;
   }
@@ -114,7 +119,10 @@
   }
 
   async #waitForRecord(turn: TurnRequest, allowed: number): Promise<void> {
-    const recording = this.#startRecording(turn.programId, allowed);
+    const recording = this.#startRecording(turn.programId, {
+      allowedTokens: allowed,
+      isSpent: false,
+    });
     if (performance.now() < this.#storeLostUntilMs) return;
     let timer: NodeJS.Timeout | undefined;
     const limit = new Promise<void>((resolve) => {
@@ -124,19 +132,21 @@
     clearTimeout(timer);
   }
 
-  #startRecording(programId: string, allowed: number): Promise<void> {
+  #startRecording(programId: string, wanted: AccountRecord): Promise<void> {
     const running = this.#recordings.get(programId);
     if (running !== undefined) {
-      running.wantedTokens = Math.max(running.wantedTokens, allowed);
+      running.wanted = mergeRecords(running.wanted, wanted);
       return running.done;
     }
-    const recorded = this.#parts.accounts.find(programId)?.recordedTokens ?? 0;
-    if (recorded >= allowed) return Promise.resolve();
+    const stored = this.#stored.get(programId);
+    if (stored !== undefined && hasCovered(stored, wanted)) {
+      return Promise.resolve();
+    }
     let resolve: () => void = () => {};
     const done = new Promise<void>((resolveDone) => {
       resolve = resolveDone;
     });
-    const recording = { wantedTokens: allowed, done };
+    const recording = { wanted, done };
     this.#recordings.set(programId, recording);
     this.#record(programId, recording).finally(() => {
       this.#recordings.delete(programId);
@@ -146,26 +156,26 @@
   }
 
   async #record(programId: string, recording: Recording): Promise<void> {
-    const { accounts, log } = this.#parts;
+    const { accounts, log, metrics } = this.#parts;
     while (!this.#isStopped) {
-      const allowed = recording.wantedTokens;
-      const isStored = await this.#write(programId, allowed);
-      if (!isStored) {
+      const { wanted } = recording;
+      if (!await this.#write(programId, wanted)) {
         await new Promise((resolve) => setTimeout(resolve, RECORD_RETRY_MS));
         continue;
       }
-      accounts.addRecord(programId, allowed);
-      this.#parts.metrics.add("account_records");
-      log.write(EVENTS.AccountRecorded, { program: programId, allowed });
-      if (recording.wantedTokens <= allowed) return;
+      accounts.addRecord(programId, wanted);
+      this.#stored.set(programId, wanted);
+      metrics.add("account_records");
+      log.write(EVENTS.AccountRecorded, { program: programId, ...wanted });
+      if (hasCovered(wanted, recording.wanted)) return;
     }
   }
 
-  /** Writes a record of at least `allowed` tokens; false when it must retry. */
-  async #write(programId: string, allowed: number): Promise<boolean> {
+  /** Writes a record that covers `wanted`; false when it must be repeated. */
+  async #write(programId: string, wanted: AccountRecord): Promise<boolean> {
     const { store, accounts } = this.#parts;
     const revision = this.#revisions.get(programId);
-    const write = { name: programId, value: { allowedTokens: allowed } };
+    const write = { name: programId, value: wanted };
     const written = revision === undefined
       ? await store.create("tokenAccounts", write)
       : await store.update("tokenAccounts", { ...write, revision });
@@ -186,9 +196,9 @@
       (await store.find("tokenAccounts", programId)).unwrapOr(undefined);
     if (current === undefined) return false;
     this.#revisions.set(programId, current.revision);
-    const stored = readAllowed(current.value);
+    const stored = readRecord(current.value);
     accounts.addRecord(programId, stored);
-    return stored >= allowed;
+    return hasCovered(stored, wanted);
   }
 
   #logUnavailable(turn: TurnRequest, detail: string): void {
@@ -200,7 +210,25 @@
   }
 }
 
-function readAllowed(value: unknown): number {
-  const { allowedTokens } = (value ?? {}) as { allowedTokens?: unknown };
-  return typeof allowedTokens === "number" ? allowedTokens : 0;
+function readRecord(value: unknown): AccountRecord {
+  const { allowedTokens, isSpent } = (value ?? {}) as Partial<AccountRecord>;
+  return {
+    allowedTokens: typeof allowedTokens === "number" ? allowedTokens : 0,
+    isSpent: isSpent === true,
+  };
+}
+
+function hasCovered(stored: AccountRecord, wanted: AccountRecord): boolean {
+  return stored.allowedTokens >= wanted.allowedTokens &&
+    (stored.isSpent || !wanted.isSpent);
+}
+
+function mergeRecords(
+  left: AccountRecord,
+  right: AccountRecord,
+): AccountRecord {
+  return {
+    allowedTokens: Math.max(left.allowedTokens, right.allowedTokens),
+    isSpent: left.isSpent || right.isSpent,
+  };
 }
--- a/packages/gateway/src/accounts/distant_accounts.ts
+++ b/packages/gateway/src/accounts/distant_accounts.ts
@@ -14,6 +14,9 @@
 import type { PeerLinks } from "../peers/peer_links.ts";
 import type { PeerMessage } from "../peers/peer_messages.ts";
 
+/** Several times the way between regions. */
+const LOOK_UP_MS = 100;
+
 /** What the exchange with other regions works with. */
 export interface DistantAccountsParts {
   readonly directory: PeerDirectory;
@@ -66,7 +69,8 @@
 
   /** Records that a region asked for a program, and tells the other home. */
   addRegion(programId: string, region: string): void {
-    if (!this.#parts.accounts.addRegion(programId, region)) return;
+    const { accounts } = this.#parts;
+    if (!accounts.addRegion(programId, region, performance.now())) return;
     this.#sendAccount(programId);
   }
 
@@ -83,10 +87,10 @@
     let isFound = false;
     await Promise.all(homes.map(async (home) => {
       const answer = await links
-        .call(home, { kind: "find_account", programId });
+        .call(home, { kind: "find_account", programId }, LOOK_UP_MS);
       if (answer?.account === undefined) return;
       accounts.merge(answer.account, performance.now());
-      accounts.addRegion(programId, home.region);
+      accounts.addRegion(programId, home.region, performance.now());
       isFound = true;
     }));
     if (isFound) this.#sendAccount(programId);
--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -15,6 +15,12 @@
 import type { AccountHome } from "./account_home.ts";
 import type { DistantAccounts } from "./distant_accounts.ts";
 
+/**
+ * Longest wait for a home's decision: it may look the account up in other
+ * regions, then wait for a record, then for those regions to confirm.
+ */
+const OPEN_MS = 350;
+
 /** What the turns of one gateway work with. */
 export interface TurnAccountsParts {
   readonly directory: PeerDirectory;
@@ -83,7 +89,8 @@
   ): Promise<TurnAnswer | undefined> {
     const { selfId, home: own, links } = this.#parts;
     if (home.vmId === selfId) return await own.open(turn);
-    const answer = await links.call(home, { kind: "open_turn", turn });
+    const message = { kind: "open_turn", turn } as const;
+    const answer = await links.call(home, message, OPEN_MS);
     return answer?.turn;
   }
 
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -79,11 +79,21 @@
     return member;
   }
 
+  /** Carries a message and its answer, each with a delay. */
   async #call(
     from: string,
-    { peer, message }: { peer: PeerInfo; message: PeerMessage },
+    sent: { peer: PeerInfo; message: PeerMessage },
   ): Promise<PeerAnswer | undefined> {
     await new Promise((resolve) => setTimeout(resolve, 1));
+    const answer = await this.#answer(from, sent);
+    await new Promise((resolve) => setTimeout(resolve, 1));
+    return answer;
+  }
+
+  async #answer(
+    from: string,
+    { peer, message }: { peer: PeerInfo; message: PeerMessage },
+  ): Promise<PeerAnswer | undefined> {
     const { accounts, distant, home } = this.get(peer.vmId);
     if (this.cut.has(`${from}-${peer.vmId}`)) {
       this.get(from).directory.recordSilent(peer.vmId);
@@ -157,6 +167,25 @@
       .to.have.length(2);
   });
 
+  it("admit no more than the budget when two regions begin at once", async () => {
+    const group = new Group();
+    group.add([...ids, "E", "F"]);
+    for (let program = 0; program < 20; program += 1) {
+      const answers = await Promise.all(
+        Array.from(
+          { length: 12 },
+          (_, index) =>
+            group.get(index % 2 === 0 ? "a" : "E").turns.open({
+              ...buildTurn(`t${index}`),
+              programId: `p${program}`,
+            }),
+        ),
+      );
+      expect(answers.filter((answer) => answer === "admitted").length)
+        .to.be.at.most(2);
+    }
+  });
+
   it("give back in both regions what a turn didn't use", async () => {
     const group = new Group();
     group.add([...ids, "E", "F"]);
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -110,12 +110,15 @@
     return this.#sortLive(programId).slice(0, HOME_COUNT);
   }
 
-  /** Chooses the first home of a program in every other region. */
+  /** Chooses the homes of a program in every other region. */
   chooseDistantHomes(programId: string): PeerInfo[] {
     const regions = new Set(this.list().map(({ region }) => region));
     regions.delete(this.#self.region);
     return [...regions].flatMap((region) =>
-      sortByRank(programId, this.listLive(region)).slice(0, 1)
+      sortByRank(
+        programId,
+        this.listLive(region).filter(({ isLeaving }) => !isLeaving),
+      ).slice(0, HOME_COUNT)
     );
   }
 
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -41,6 +41,14 @@
   /** A record of at least this many tokens must be stored first. */
   | { readonly kind: "needs_record"; readonly allowedTokens: number };
 
+/** What the store keeps of a program. */
+export interface AccountRecord {
+  /** Most tokens that may have been passed on. */
+  readonly allowedTokens: number;
+  /** Whether the program was stopped because its budget is spent. */
+  readonly isSpent: boolean;
+}
+
 /** One turn of an account. */
 export interface AccountTurn {
   readonly turnId: string;
@@ -78,7 +86,9 @@
 export class TokenAccounts {
   readonly #accounts = new Map<string, Account>();
   /** Records that the store held when this process read them. */
-  readonly #records = new Map<string, number>();
+  readonly #records = new Map<string, AccountRecord>();
+  /** Regions that asked for programs before these were known here. */
+  readonly #askedBy = new Map<string, { regions: Set<string>; atMs: number }>();
   #mayHaveLostUntilMs = Number.NEGATIVE_INFINITY;
 
   /** Number of accounts held. */
@@ -97,9 +107,13 @@
   }
 
   /** Adds what the store keeps of a program. */
-  addRecord(programId: string, allowedTokens: number): void {
-    const known = this.#records.get(programId) ?? 0;
-    this.#records.set(programId, Math.max(known, allowedTokens));
+  addRecord(programId: string, record: AccountRecord): void {
+    const { allowedTokens, isSpent } = record;
+    const known = this.#records.get(programId);
+    this.#records.set(programId, {
+      allowedTokens: Math.max(known?.allowedTokens ?? 0, allowedTokens),
+      isSpent: isSpent || known?.isSpent === true,
+    });
     const account = this.#accounts.get(programId);
     if (account === undefined) return;
     account.recordedTokens = Math.max(account.recordedTokens, allowedTokens);
@@ -175,10 +189,19 @@
     for (const turn of state.turns) this.#setTurn(account, turn);
   }
 
-  /** Adds a region that knows an account; false when that's no news. */
-  addRegion(programId: string, region: string): boolean {
+  /**
+   * Adds a region that knows an account or asked for it; false when the account
+   * isn't known here or that's no news.
+   */
+  addRegion(programId: string, region: string, nowMs: number): boolean {
     const account = this.#accounts.get(programId);
-    if (account === undefined || account.regions.has(region)) return false;
+    if (account === undefined) {
+      const asked = this.#askedBy.get(programId);
+      const regions = (asked?.regions ?? new Set()).add(region);
+      this.#askedBy.set(programId, { regions, atMs: nowMs });
+      return false;
+    }
+    if (account.regions.has(region)) return false;
     account.regions.add(region);
     return true;
   }
@@ -208,6 +231,9 @@
     for (const [programId, account] of this.#accounts) {
       if (account.usedAtMs < beforeMs) this.#accounts.delete(programId);
     }
+    for (const [programId, { atMs }] of this.#askedBy) {
+      if (atMs < beforeMs) this.#askedBy.delete(programId);
+    }
   }
 
   #get(turn: TurnRequest, nowMs: number): Account {
@@ -216,15 +242,16 @@
       known.usedAtMs = nowMs;
       return known;
     }
-    const recorded = this.#records.get(turn.programId) ?? 0;
+    const record = this.#records.get(turn.programId);
+    const recorded = record?.allowedTokens ?? 0;
     const isDoubtful = this.isLossPossible(nowMs);
     const assumed = isDoubtful ? computeUnstored(turn) : 0;
     return this.#create(turn.programId, {
       budgetTokens: turn.budgetTokens,
       earlierTokens: Math.max(recorded, assumed),
-      isAssumed: isDoubtful && recorded === 0,
+      isAssumed: record === undefined ? isDoubtful : !record.isSpent,
       recordedTokens: recorded,
-      regions: [],
+      regions: [...this.#askedBy.get(turn.programId)?.regions ?? []],
       nowMs,
     });
   }
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -15,7 +15,10 @@
       const turn = buildTurn(id, 1_400);
       const decision = accounts.open(turn, 0);
       if (decision.kind !== "needs_record") return decision.kind;
-      accounts.addRecord("p", decision.allowedTokens);
+      accounts.addRecord("p", {
+        allowedTokens: decision.allowedTokens,
+        isSpent: false,
+      });
       return accounts.open(turn, 0).kind;
     });
     expect(kinds).to.deep.equal(["admitted", "admitted", "over_budget"]);
@@ -25,7 +28,7 @@
     const accounts = new TokenAccounts();
     accounts.open(buildTurn("a", 1_120), 0);
     accounts.close("p", "a", 35);
-    accounts.addRecord("p", 1_120);
+    accounts.addRecord("p", { allowedTokens: 1_120, isSpent: false });
     expect(accounts.open(buildTurn("b", 1_120), 0).kind).to.equal("admitted");
   });
 
@@ -62,12 +65,15 @@
   it("take an unknown program for partly spent after a loss", () => {
     const accounts = new TokenAccounts();
     accounts.setLoss(1_000);
-    accounts.addRecord("other", 2_800);
+    accounts.addRecord("other", { allowedTokens: 2_800, isSpent: false });
     const kinds = ["a", "b", "c", "d"].map((id) => {
       const turn = buildTurn(id, 2_800);
       const decision = accounts.open(turn, 0);
       if (decision.kind !== "needs_record") return decision.kind;
-      accounts.addRecord("p", decision.allowedTokens);
+      accounts.addRecord("p", {
+        allowedTokens: decision.allowedTokens,
+        isSpent: false,
+      });
       return accounts.open(turn, 0).kind;
     });
     expect(kinds)
@@ -81,7 +87,7 @@
       expect(accounts.open(buildTurn("a", budgetTokens), 0).kind)
         .to.equal("admitted");
       accounts.close("p", "a", 140);
-      accounts.addRecord("p", budgetTokens);
+      accounts.addRecord("p", { allowedTokens: budgetTokens, isSpent: false });
       expect(accounts.open(buildTurn("b", budgetTokens), 0).kind)
         .to.equal("admitted");
     }
@@ -90,7 +96,7 @@
   it("refuse a stopped program that comes back after a loss", () => {
     const accounts = new TokenAccounts();
     accounts.setLoss(1_000);
-    accounts.addRecord("p", 1_680);
+    accounts.addRecord("p", { allowedTokens: 1_680, isSpent: true });
     expect(accounts.open(buildTurn("a", 1_680), 0).kind)
       .to.equal("over_budget");
   });
@@ -113,18 +119,29 @@
           if (index === lossAt) {
             accounts = new TokenAccounts();
             accounts.setLoss(1);
-            if (stored.allowed > 0) accounts.addRecord("p", stored.allowed);
+            if (stored.allowed > 0) {
+              accounts.addRecord("p", {
+                allowedTokens: stored.allowed,
+                isSpent: false,
+              });
+            }
           }
           const turn = buildTurn(String(index), budgetTokens);
           let decision = accounts.open(turn, 0);
           if (decision.kind === "needs_record") {
             stored.allowed = decision.allowedTokens;
-            accounts.addRecord("p", stored.allowed);
+            accounts.addRecord("p", {
+              allowedTokens: stored.allowed,
+              isSpent: false,
+            });
             decision = accounts.open(turn, 0);
           }
           if (decision.kind === "over_budget") {
             stored.allowed = budgetTokens;
-            accounts.addRecord("p", budgetTokens);
+            accounts.addRecord("p", {
+              allowedTokens: budgetTokens,
+              isSpent: false,
+            });
           }
           if (decision.kind !== "admitted") return;
           passed += use;
