--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -18,7 +18,7 @@
 /** Part of a budget that may be passed on before the store keeps a record. */
 const UNSTORED_SHARE = 0.4;
 /** Turns of a budget that stay free for a program that is new after a loss. */
-const KEPT_TURNS = 3;
+const KEPT_TURNS = 2;
 /** Turns that one record allows beyond the present one. */
 const RECORD_AHEAD_TURNS = 2;
 
@@ -131,7 +131,8 @@
         turnsTokens + turnTokens <= budgetTokens;
       return { kind: isDoubtful ? "unknown" : "over_budget" };
     }
-    const unstored = computeUnstored(turn) + turnTokens;
+    const assumed = account.isAssumed ? account.earlierTokens : 0;
+    const unstored = assumed + computeUnstored(turn) + turnTokens;
     if (wanted > Math.max(unstored, account.recordedTokens)) {
       const ahead = wanted + turnTokens * RECORD_AHEAD_TURNS;
       const allowedTokens = Math.min(budgetTokens, ahead);
