--- a/packages/camphorlock/src/cli/main.ts
+++ b/packages/camphorlock/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { defineCheckSettings } from "./check_settings/command.ts";
 import { defineDev } from "./dev/command.ts";
 import { defineDrain } from "./drain/command.ts";
+import { defineExplain } from "./explain/command.ts";
 import { defineOperate } from "./operate/command.ts";
 import { defineScenario } from "./scenario/command.ts";
 import { defineServe } from "./serve/command.ts";
@@ -20,6 +21,7 @@
 defineServe(program);
 defineDev(program);
 defineCheckSettings(program);
+defineExplain(program);
 defineOperate(program);
 defineShow(program);
 defineDrain(program);
