--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -24,6 +24,11 @@
 import type { ConfigurationInForce } from "../store/known_state.ts";
 import type { TurnAccounts } from "../accounts/turn_accounts.ts";
 
+/**
+ * How long callers of a process that just started wait for its configuration,
+ * which takes a call or two to the store or another gateway.
+ */
+const START_WAIT_MS = 250;
 /** When a caller may return while the gateway can't serve anyone. */
 const NOT_READY_RETURN_MS = 300;
 /** How often the library looks for connections that are over their limits. */
@@ -35,6 +40,10 @@
 export interface CallerServerParts extends ExchangeParts {
   readonly accounts: TurnAccounts;
   getConfiguration(): ConfigurationInForce | undefined;
+  /** Waits for the first configuration, for `limitMs` at most. */
+  waitForConfiguration(
+    limitMs: number,
+  ): Promise<ConfigurationInForce | undefined>;
   isStopping(): boolean;
 }
 
@@ -113,7 +122,7 @@
   }
 
   async #serve(caller: CallerExchange, receivedAtMs: number): Promise<void> {
-    const inForce = this.#parts.getConfiguration();
+    const inForce = await this.#parts.waitForConfiguration(START_WAIT_MS);
     const { request } = caller;
     const decoded = this.#parts.codec.decodeRequest(request.headers);
     if (decoded.isErr()) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,6 +142,8 @@
       accounts: this.#accounts.turns,
       getViewAgeMs: () => targetFollower.countAgeMs(performance.now()),
       getConfiguration: () => this.#configuration.inForce,
+      waitForConfiguration: (limitMs) =>
+        this.#configuration.waitUntilKnown(limitMs),
       isStopping: () => this.#isStopping,
     });
     this.#metricsServer = new PlainServer(() => ({
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -314,6 +314,7 @@
   readonly peerAddresses: { host: string; port: number }[] = [];
   readonly #targets: FakeTarget[] = [];
   readonly #agent = new Agent({ keepAlive: true });
+  #waitsUntilReady = true;
 
   async addTarget(id: string): Promise<FakeTarget> {
     const target = new FakeTarget(id);
@@ -369,10 +370,24 @@
     this.gateways.push(gateway);
     this.ports.push(callers);
     this.peerAddresses.push({ host, port: peers });
-    await waitUntil(async () => (await this.ask(readiness, {})).status === 200);
+    if (this.#waitsUntilReady) {
+      await waitUntil(async () =>
+        (await this.ask(readiness, {})).status === 200
+      );
+    }
     return gateway;
   }
 
+  /** Starts a target and a gateway that knows no configuration yet. */
+  async startWithoutConfiguration<T>(
+    act: (port: number) => Promise<T>,
+  ): Promise<{ readonly answer: T }> {
+    this.#waitsUntilReady = false;
+    await this.addTarget("t1");
+    await this.addGateway("g1");
+    return { answer: await act(this.ports[0] ?? 0) };
+  }
+
   /** Makes one request. */
   ask(
     port: number,
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -267,6 +267,18 @@
     );
   });
 
+  it("serves a caller that comes before the first configuration", async () => {
+    const late = new GatewayFixture();
+    const { answer } = await late.startWithoutConfiguration(async (at) => {
+      const asked = late.ask(at, { path: "/safe/1" });
+      await new Promise((resolve) => setTimeout(resolve, 80));
+      late.store.put("configuration", "main", buildConfiguration(1));
+      return await asked;
+    });
+    await late.stop();
+    expect(answer.status).to.equal(200);
+  });
+
   it("starts from another gateway while the store is down", async () => {
     await fixture.addGateway("g2");
     fixture.store.isDown = true;
--- a/packages/gateway/src/store/known_state.ts
+++ b/packages/gateway/src/store/known_state.ts
@@ -37,6 +37,8 @@
 export class KnownConfiguration implements FollowedObjects {
   readonly #parts: KnownStateParts;
   #inForce: ConfigurationInForce | undefined;
+  /** Told when the first configuration is known. */
+  readonly #waiting = new Set<() => void>();
 
   constructor(parts: KnownStateParts) {
     this.#parts = parts;
@@ -46,6 +48,18 @@
     return this.#inForce;
   }
 
+  /** Waits until a configuration is known, for `limitMs` at most. */
+  async waitUntilKnown(
+    limitMs: number,
+  ): Promise<ConfigurationInForce | undefined> {
+    if (this.#inForce !== undefined) return this.#inForce;
+    await new Promise<void>((resolve) => {
+      this.#waiting.add(resolve);
+      setTimeout(resolve, limitMs);
+    });
+    return this.#inForce;
+  }
+
   setAll(objects: readonly StoredObject[]): void {
     for (const object of objects) this.#apply(object);
   }
@@ -76,6 +90,8 @@
       routes: configuration.routes.length,
     });
     onConfiguration(this.#inForce);
+    for (const resolve of this.#waiting) resolve();
+    this.#waiting.clear();
   }
 }
 
