--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -314,6 +314,12 @@
     "warn",
     "A program's allowance of tokens can't be told at present.",
   ),
+  TurnOverBudget: defineEvent(
+    933,
+    "TurnOverBudget",
+    "info",
+    "A home of the program's account found that its budget holds no such turn.",
+  ),
   LogLinesDropped: defineEvent(
     941,
     "LogLinesDropped",
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -71,6 +71,7 @@
       case "admitted":
         return "admitted";
       case "over_budget":
+        this.#logOverBudget(turn);
         this.#startRecording(turn.programId, {
           allowedTokens: turn.budgetTokens,
           isSpent: true,
@@ -201,6 +202,24 @@
     return hasCovered(stored, wanted);
   }
 
+  #logOverBudget(turn: TurnRequest): void {
+    const account = this.#parts.accounts.find(turn.programId);
+    const turns = account?.turns ?? [];
+    const sum = (isOpen: boolean) =>
+      turns.filter((each) => each.isOpen === isOpen)
+        .reduce((total, { tokens }) => total + tokens, 0);
+    this.#parts.log.write(EVENTS.TurnOverBudget, {
+      request: turn.turnId,
+      program: turn.programId,
+      budget_tokens: turn.budgetTokens,
+      turn_tokens: turn.turnTokens,
+      passed_tokens: sum(false),
+      open_tokens: sum(true),
+      earlier_tokens: account?.earlierTokens ?? 0,
+      recorded_tokens: account?.recordedTokens ?? 0,
+    });
+  }
+
   #logUnavailable(turn: TurnRequest, detail: string): void {
     this.#parts.log.write(EVENTS.AccountUnavailable, {
       program: turn.programId,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -159,11 +159,14 @@
 
   /** Starts; rejects when an address can't be used. */
   async start(): Promise<void> {
-    const { settings, log } = this.#options;
+    const { settings, log, metrics } = this.#options;
     for (const follower of this.#followers.values()) {
       this.#startFollower(follower);
     }
-    this.#timers.subscribe(LOG_FLUSH_MS, () => log.writeWaiting());
+    this.#timers.subscribe(
+      LOG_FLUSH_MS,
+      () => metrics.add("log_lines_dropped", log.writeWaiting()),
+    );
     this.#timers.subscribe(
       LAPSE_CHECK_MS,
       (nowMs) => this.#knownTargets.removeLapsed(nowMs),
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -40,19 +40,24 @@
     this.#lines.push(this.#format(event, fields));
   }
 
-  /** Hands the waiting lines to the output, unless it's still busy. */
-  writeWaiting(): void {
-    if (this.#isWriting) return;
-    if (this.#dropped > 0) {
-      const fields = { lines: this.#dropped };
+  /**
+   * Hands the waiting lines to the output, unless it's still busy. Returns how
+   * many lines were dropped since the last time.
+   */
+  writeWaiting(): number {
+    if (this.#isWriting) return 0;
+    const dropped = this.#dropped;
+    this.#dropped = 0;
+    if (dropped > 0) {
+      const fields = { lines: dropped };
       this.#lines.push(this.#format(EVENTS.LogLinesDropped, fields));
-      this.#dropped = 0;
     }
-    if (this.#lines.length === 0) return;
+    if (this.#lines.length === 0) return dropped;
     const text = this.#lines.join("");
     this.#lines = [];
     this.#isWriting = true;
     this.#output.write(text, () => this.#isWriting = false);
+    return dropped;
   }
 
   #format(event: EventData, fields: LogFields): string {
