Enter a gateway in the store before the others are listed

The entry is written first now, and every 2 s a gateway asks another for those it knows. A test with three gateways that start together fails with the old order.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,8 @@
 const PROBE_PEERS_MS = 500;
 /** Time beyond a watch's wait within which another gateway's news is used. */
 const NEWS_MARGIN_MS = 300;
+/** How often another gateway is asked for those that it knows. */
+const EXCHANGE_PEERS_MS = 2_000;
 const ACCOUNT_CLEANUP_MS = 10_000;
 /** Callers that wait for a restarted process come before its histograms. */
 const LOAD_METRICS_AFTER_MS = 5_000;
@@ -179,6 +181,10 @@
       PROBE_PEERS_MS,
       () => void this.#accounts.group.callSuspected(),
     );
+    this.#timers.subscribe(
+      EXCHANGE_PEERS_MS,
+      () => void this.#accounts.group.callNext(),
+    );
     this.#timers.subscribe(
       ACCOUNT_CLEANUP_MS,
       (nowMs) => this.#accounts.group.removeUnused(nowMs),
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -279,6 +279,18 @@
     expect(answer.status).to.equal(200);
   });
 
+  it("meets gateways that start at the same moment", async () => {
+    const together = new GatewayFixture();
+    together.store.put("configuration", "main", buildConfiguration(1));
+    await together.addTarget("t1");
+    await Promise.all(["g1", "g2", "g3"].map((id) => together.addGateway(id)));
+    const listMet = () =>
+      together.lines.filter(({ name }) => name === "PeerChanged")
+        .map(({ vm, peer }) => `${vm} knows ${peer}`);
+    await waitUntil(() => new Set(listMet()).size === 6);
+    await together.stop();
+  });
+
   it("starts from another gateway while the store is down", async () => {
     await fixture.addGateway("g2");
     fixture.store.isDown = true;
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -56,6 +56,7 @@
   readonly #parts: PeerGroupParts;
   #handOverTimer: NodeJS.Timeout | undefined;
   #isStopped = false;
+  #nextPeer = 0;
   /** Whether a peer of the region remembered accounts from before the start. */
   #wasInformed = false;
 
@@ -91,6 +92,14 @@
     clearTimeout(this.#handOverTimer);
   }
 
+  /** Asks one gateway, in turn, for those that it knows. */
+  async callNext(): Promise<void> {
+    const peers = this.#parts.directory.list();
+    this.#nextPeer += 1;
+    const peer = peers[this.#nextPeer % Math.max(1, peers.length)];
+    if (peer !== undefined) await this.#callAll([peer]);
+  }
+
   /** Asks gateways that didn't answer whether they're back. */
   async callSuspected(): Promise<void> {
     await this.#callAll(this.#parts.directory.listSuspected());
@@ -199,40 +208,44 @@
     }));
   }
 
-  /** Enters this gateway in the store and meets those that are entered. */
+  /**
+   * Enters this gateway in the store and meets those that are entered. The
+   * entry comes first, so that of two gateways that start together one finds
+   * the other.
+   */
   async #saveEntry(): Promise<void> {
-    const { store, getSelf } = this.#parts;
-    const self = getSelf();
-    const listed = await store.list("gateways");
-    if (listed.isOk()) {
-      const infos = listed.value.objects.map(({ value }) => value as PeerInfo);
-      const own = listed.value.objects.find(({ name }) => name === self.vmId);
-      void this.#writeEntry(own?.revision);
-      await this.#addAll(infos);
-    } else {
-      setTimeout(() => {
-        if (!this.#isStopped) void this.#saveEntry();
-      }, REGISTER_RETRY_MS);
+    const { store } = this.#parts;
+    const isWritten = await this.#writeEntry();
+    const listed = isWritten ? await store.list("gateways") : undefined;
+    if (listed?.isOk()) {
+      await this.#addAll(
+        listed.value.objects.map(({ value }) => value as PeerInfo),
+      );
+      return;
     }
+    setTimeout(() => {
+      if (!this.#isStopped) void this.#saveEntry();
+    }, REGISTER_RETRY_MS);
   }
 
-  async #writeEntry(revision: number | undefined): Promise<void> {
+  async #writeEntry(): Promise<boolean> {
     const { store, getSelf } = this.#parts;
     const self = getSelf();
     const write = { name: self.vmId, value: self };
-    const written = revision === undefined
-      ? await store.create("gateways", write)
-      : await store.update("gateways", { ...write, revision });
-    if (written.isOk() || this.#isStopped) return;
-    const { error } = written;
-    const next = error.kind === "conflict" ? error.current?.revision : revision;
-    setTimeout(() => void this.#writeEntry(next), REGISTER_RETRY_MS);
+    const created = await store.create("gateways", write);
+    if (created.isOk()) return true;
+    if (created.error.kind !== "conflict") return false;
+    return (await store.update("gateways", write)).isOk();
   }
 
   /** Greets gateways that weren't known. */
   async #addAll(infos: readonly PeerInfo[]): Promise<void> {
-    const { directory } = this.#parts;
-    await this.#callAll(infos.filter((info) => directory.add(info)));
+    const { directory, log } = this.#parts;
+    const added = infos.filter((info) => directory.add(info));
+    for (const { vmId } of added) {
+      log.write(EVENTS.PeerChanged, { peer: vmId, change: "added" });
+    }
+    await this.#callAll(added);
   }
 
   async #callAll(peers: readonly PeerInfo[]): Promise<void> {
