Hand over only the accounts whose homes changed; tell peers only on news

Each change of the group made every gateway send every account to both homes, and each greeting carried the whole list of 55 gateways: under load, gateways that answered late were passed over, which changed the group again. Now an account goes from a gateway that was its home to one that became it, and lists only to who knows another number of gateways.

--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -81,6 +81,11 @@
     return this.#byVm.get(vmId)?.isSuspected ?? true;
   }
 
+  /** Number of other gateways known. */
+  get size(): number {
+    return this.#byVm.size;
+  }
+
   /** Lists every other gateway. */
   list(): PeerInfo[] {
     return [...this.#byVm.values()].map(({ info }) => info);
@@ -110,6 +115,20 @@
     return this.#sortLive(programId).slice(0, HOME_COUNT);
   }
 
+  /** Chooses the homes as if a gateway were there. */
+  chooseHomesWith(programId: string, peer: PeerInfo): PeerInfo[] {
+    const others = this.#listHomeCandidates()
+      .filter(({ vmId }) => vmId !== peer.vmId);
+    return sortByRank(programId, [...others, peer]).slice(0, HOME_COUNT);
+  }
+
+  /** Chooses the homes as if a gateway weren't there. */
+  chooseHomesWithout(programId: string, vmId: string): PeerInfo[] {
+    const others = this.#listHomeCandidates()
+      .filter((each) => each.vmId !== vmId);
+    return sortByRank(programId, others).slice(0, HOME_COUNT);
+  }
+
   /** Chooses the homes of a program in every other region. */
   chooseDistantHomes(programId: string): PeerInfo[] {
     const regions = new Set(this.list().map(({ region }) => region));
@@ -123,9 +142,13 @@
   }
 
   #sortLive(key: string): PeerInfo[] {
+    return sortByRank(key, this.#listHomeCandidates());
+  }
+
+  #listHomeCandidates(): PeerInfo[] {
     const live = this.listLive(this.#self.region)
       .filter(({ isLeaving }) => !isLeaving);
-    return sortByRank(key, [...live, this.#self]);
+    return [...live, this.#self];
   }
 }
 
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -116,6 +116,13 @@
     this.#open += 1;
     try {
       await this.#serve(caller, performance.now());
+    } catch (error) {
+      // A defect met by one request must not end those beside it.
+      this.#parts.log.write(EVENTS.RequestFailed, {
+        url: request.url ?? "",
+        detail: String(error),
+      });
+      caller.close();
     } finally {
       this.#open -= 1;
     }
@@ -166,9 +173,7 @@
     }
   }
 
-  async #runTurn(
-    accepted: AcceptedRequest,
-  ): Promise<void> {
+  async #runTurn(accepted: AcceptedRequest): Promise<void> {
     const { fields, caller } = accepted;
     const { accounts } = this.#parts;
     const { budget } = fields;
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -6,15 +6,16 @@
 import { EVENTS } from "@camphorlock/codes/events";
 import type { AccountHome } from "../accounts/account_home.ts";
 import type { DistantAccounts } from "../accounts/distant_accounts.ts";
+import {
+  type GroupChange,
+  listReceivers,
+} from "../decisions/list_receivers.ts";
 import type {
   PeerChange,
   PeerDirectory,
   PeerInfo,
 } from "../decisions/peer_directory.ts";
-import type {
-  AccountState,
-  TokenAccounts,
-} from "../decisions/token_accounts.ts";
+import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Address, ObjectKind, ObjectStore } from "../ports.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
@@ -51,10 +52,17 @@
   readonly isFirstStart: boolean;
 }
 
+interface HandOver {
+  readonly home: PeerInfo;
+  readonly programs: Set<string>;
+}
+
 /** One gateway's part in the group. */
 export class PeerGroup {
   readonly #parts: PeerGroupParts;
   #handOverTimer: NodeJS.Timeout | undefined;
+  /** Changes of the view that accounts weren't handed over for yet. */
+  readonly #changes = new Map<string, GroupChange>();
   #isStopped = false;
   #nextPeer = 0;
   /** Whether a peer of the region remembered accounts from before the start. */
@@ -81,10 +89,9 @@
     }
   }
 
-  /** Tells the others that this gateway leaves. */
+  /** Tells the others that this gateway leaves; they hand its accounts on. */
   async sendLeaving(): Promise<void> {
     await this.#callAll(this.#parts.directory.list());
-    this.sendAccounts();
   }
 
   stop(): void {
@@ -113,35 +120,45 @@
   handleChange(peer: PeerInfo, change: PeerChange | "lost"): void {
     if (peer.region !== this.#parts.getSelf().region) return;
     if (change === "none") return;
+    const isHere = change !== "lost" && change !== "leaving";
+    this.#changes.set(peer.vmId, { peer, isHere });
     this.#handOverTimer ??= setTimeout(() => {
       this.#handOverTimer = undefined;
-      this.sendAccounts();
+      this.#sendAccounts();
     }, HAND_OVER_DELAY_MS);
   }
 
-  /** Hands every account to its present homes. */
-  sendAccounts(): void {
-    const { accounts, directory, links, getSelf } = this.#parts;
-    const byHome = new Map<
-      string,
-      { home: PeerInfo; states: AccountState[] }
-    >();
-    for (const programId of accounts.listPrograms()) {
-      const state = accounts.find(programId);
-      if (state === undefined) continue;
-      for (const home of directory.chooseHomes(programId)) {
-        if (home.vmId === getSelf().vmId) continue;
-        const batch = byHome.get(home.vmId) ?? { home, states: [] };
-        batch.states.push(state);
-        byHome.set(home.vmId, batch);
+  /** Hands accounts to the gateways that became their homes. */
+  #sendAccounts(): void {
+    const { accounts, directory, getSelf } = this.#parts;
+    const selfId = getSelf().vmId;
+    const byHome = new Map<string, HandOver>();
+    for (const change of this.#changes.values()) {
+      for (const programId of accounts.listPrograms()) {
+        const receivers = listReceivers(directory, programId, {
+          selfId,
+          change,
+        });
+        for (const home of receivers) {
+          const handOver = byHome.get(home.vmId) ??
+            { home, programs: new Set<string>() };
+          handOver.programs.add(programId);
+          byHome.set(home.vmId, handOver);
+        }
       }
     }
-    for (const { home, states } of byHome.values()) {
-      for (let at = 0; at < states.length; at += ACCOUNTS_PER_MESSAGE) {
-        const batch = states.slice(at, at + ACCOUNTS_PER_MESSAGE);
-        // A home that doesn't answer changes the view and starts this anew.
-        void links.call(home, { kind: "merge_accounts", accounts: batch });
-      }
+    this.#changes.clear();
+    for (const handOver of byHome.values()) this.#sendTo(handOver);
+  }
+
+  #sendTo({ home, programs }: HandOver): void {
+    const { accounts, links } = this.#parts;
+    const states = [...programs]
+      .flatMap((programId) => accounts.find(programId) ?? []);
+    for (let at = 0; at < states.length; at += ACCOUNTS_PER_MESSAGE) {
+      const batch = states.slice(at, at + ACCOUNTS_PER_MESSAGE);
+      // A home that doesn't answer changes the view and starts this anew.
+      void links.call(home, { kind: "merge_accounts", accounts: batch });
     }
   }
 
@@ -156,7 +173,9 @@
       case "hello":
         return {
           from,
-          peers: directory.list(),
+          ...(message.known === directory.size
+            ? {}
+            : { peers: directory.list() }),
           mayHaveLost: accounts.isLossPossible(nowMs),
         };
       case "open_turn":
@@ -196,13 +215,14 @@
   }
 
   async #callSeeds(): Promise<void> {
-    const { seeds, links, getSelf } = this.#parts;
+    const { seeds, links, directory, getSelf } = this.#parts;
     const self = getSelf();
     const others = seeds.filter(({ host, port }) =>
       host !== self.host || port !== self.port
     );
     await Promise.all(others.map(async (seed) => {
-      const answer = await links.callAddress(seed, { kind: "hello" });
+      const hello = { kind: "hello", known: directory.size } as const;
+      const answer = await links.callAddress(seed, hello);
       await this.#addAll(answer?.peers ?? []);
       this.#recordInformed(answer);
     }));
@@ -249,8 +269,10 @@
   }
 
   async #callAll(peers: readonly PeerInfo[]): Promise<void> {
+    const { links, directory } = this.#parts;
     await Promise.all(peers.map(async (peer) => {
-      const answer = await this.#parts.links.call(peer, { kind: "hello" });
+      const hello = { kind: "hello", known: directory.size } as const;
+      const answer = await links.call(peer, hello);
       this.#recordInformed(answer);
       await this.#addAll(answer?.peers ?? []);
     }));
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -8,8 +8,8 @@
 
 /** A message from one gateway to another. */
 export type PeerMessage =
-  /** Tells of itself and asks for the others. */
-  | { readonly kind: "hello" }
+  /** Tells of itself, and asks for the others if the peer knows another number. */
+  | { readonly kind: "hello"; readonly known: number }
   /** Asks a home to admit a turn. */
   | { readonly kind: "open_turn"; readonly turn: TurnRequest }
   /** Asks the second home to confirm a turn that the first one admitted. */
