Decide on no turn before a home that restarted has read the records

Records are read at once now, and turns wait for them for 250 ms at most. A test with a silent peer fails without it.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -19,6 +19,8 @@
 
 /** Longest that a turn waits for its record while the store seems to work. */
 const RECORD_WAIT_MS = 80;
+/** How long turns wait for a home that just started; less than its callers. */
+const START_WAIT_MS = 250;
 /** Pause before a record that the store didn't take is written again. */
 const RECORD_RETRY_MS = 500;
 
@@ -48,6 +50,9 @@
   /** Until then turns don't wait for records. */
   #storeLostUntilMs = Number.NEGATIVE_INFINITY;
   readonly #stored = new Map<string, AccountRecord>();
+  /** Turns that came before this home began to decide. */
+  readonly #waiting = new Set<() => void>();
+  #isStarted = false;
   #isStopped = false;
 
   constructor(parts: AccountHomeParts) {
@@ -57,6 +62,10 @@
   /** Decides on a turn. */
   async open(turn: TurnRequest): Promise<TurnAnswer> {
     const { distant } = this.#parts;
+    if (!await this.#waitForStart()) {
+      this.#logUnavailable(turn, "the records of accounts aren't read yet");
+      return "unavailable";
+    }
     await distant.load(turn.programId);
     const answer = await this.#openHere(turn);
     if (answer !== "admitted" || await distant.confirm(turn)) return answer;
@@ -86,6 +95,13 @@
     }
   }
 
+  /** Begins to decide, once what was known before the start is known again. */
+  start(): void {
+    this.#isStarted = true;
+    for (const resolve of this.#waiting) resolve();
+    this.#waiting.clear();
+  }
+
   /** Reads all records; false when the store can't be reached. */
   async readRecords(): Promise<boolean> {
     const listed = await this.#parts.store.list("tokenAccounts");
@@ -101,6 +117,15 @@
     this.#isStopped = true;
   }
 
+  async #waitForStart(): Promise<boolean> {
+    if (this.#isStarted) return true;
+    await new Promise<void>((resolve) => {
+      this.#waiting.add(resolve);
+      setTimeout(resolve, START_WAIT_MS);
+    });
+    return this.#isStarted;
+  }
+
   #openRecorded(turn: TurnRequest): TurnAnswer {
     const { accounts } = this.#parts;
     const decision = accounts.open(turn, performance.now());
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -58,6 +58,7 @@
       log: LOG,
       metrics: new GatewayMetrics(),
     });
+    home.start();
     const turns = new TurnAccounts({
       directory,
       accounts,
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -232,16 +232,25 @@
     return gateway;
   }
 
-  /** Starts a target and a gateway that knows no configuration yet. */
-  async startWithoutConfiguration<T>(
+  /** Starts a gateway and acts as soon as it listens. */
+  async startEarly<T>(
+    change: Partial<GatewaySettings>,
     act: (port: number) => Promise<T>,
   ): Promise<{ readonly answer: T }> {
     this.#waitsUntilReady = false;
-    await this.addTarget("t1");
-    await this.addGateway("g1");
+    await this.addGateway("g1", change);
     return { answer: await act(this.ports[0] ?? 0) };
   }
 
+  /** Listens as a gateway that never answers. */
+  async addSilentPeer(): Promise<{ host: string; port: number }> {
+    const silent = new FakeTarget("silent");
+    silent.handle = () => {};
+    this.#targets.push(silent);
+    const { host, port } = await silent.start();
+    return { host, port };
+  }
+
   /** Makes one request. */
   ask(
     port: number,
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -269,7 +269,8 @@
 
   it("serves a caller that comes before the first configuration", async () => {
     const late = new GatewayFixture();
-    const { answer } = await late.startWithoutConfiguration(async (at) => {
+    await late.addTarget("t1");
+    const { answer } = await late.startEarly({}, async (at) => {
       const asked = late.ask(at, { path: "/safe/1" });
       await new Promise((resolve) => setTimeout(resolve, 80));
       late.store.put("configuration", "main", buildConfiguration(1));
@@ -291,6 +292,23 @@
     await together.stop();
   });
 
+  it("decides on no turn before it has read the records of a lost time", async () => {
+    const after = new GatewayFixture();
+    after.store.put("configuration", "main", buildConfiguration(1));
+    const record = { allowedTokens: 200, isSpent: true };
+    after.store.put("tokenAccounts", "p", record);
+    await after.addTarget("t1");
+    const { answer } = await after.startEarly(
+      { isFirstStart: false, seeds: [await after.addSilentPeer()] },
+      (at) => {
+        const headers = { id: "t", budget: "p,200,50" };
+        return after.ask(at, { path: "/stream/1", headers });
+      },
+    );
+    await after.stop();
+    expect(answer.status).to.equal(402);
+  });
+
   it("starts from another gateway while the store is down", async () => {
     await fixture.addGateway("g2");
     fixture.store.isDown = true;
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -74,16 +74,27 @@
 
   /** Joins the group. Returns when the peers that answer are known. */
   async open(): Promise<void> {
-    const { accounts, isFirstStart } = this.#parts;
-    if (!isFirstStart) accounts.setLoss(performance.now() + LOSS_MS);
-    await Promise.all([this.#callSeeds(), this.#saveEntry()]);
-    if (isFirstStart) return;
+    const { accounts, home, isFirstStart } = this.#parts;
+    const met = Promise.all([this.#callSeeds(), this.#saveEntry()]);
+    if (isFirstStart) {
+      home.start();
+      await met;
+      return;
+    }
+    accounts.setLoss(performance.now() + LOSS_MS);
+    const recordsRead = this.#readRecords();
+    await met;
     if (this.#wasInformed) {
       // The peers hand over what they keep once they've heard of this start.
       accounts.setLoss(performance.now() + INFORMED_MS);
-      return;
+    } else {
+      this.#parts.log.write(EVENTS.AccountsDoubtful, { for_ms: LOSS_MS });
+      await recordsRead;
     }
-    this.#parts.log.write(EVENTS.AccountsDoubtful, { for_ms: LOSS_MS });
+    home.start();
+  }
+
+  async #readRecords(): Promise<void> {
     while (!this.#isStopped && !(await this.#parts.home.readRecords())) {
       await new Promise((resolve) => setTimeout(resolve, REGISTER_RETRY_MS));
     }
