Take no answer for whole whose end can't be told

What may be repeated is sent again, a stream asks for the rest, an order ends with 502. Ruled out: a reset that the HTTP library hides; that case is handled and tested. Two tests fail without the change.

--- a/packages/gateway/src/exchange/stream_send.ts
+++ b/packages/gateway/src/exchange/stream_send.ts
@@ -3,13 +3,14 @@
  * arrive, each whole and once. What the caller has received is kept across
  * sends, so that a later send can go on where an earlier one broke off.
  */
-import type {
-  AnswerReceiver,
-  Exchange,
-  ExchangeEnd,
-  PeerConnection,
-  PeerHeaders,
-  PeerRequest,
+import {
+  type AnswerReceiver,
+  type Exchange,
+  type ExchangeEnd,
+  isDelimited,
+  type PeerConnection,
+  type PeerHeaders,
+  type PeerRequest,
 } from "@camphorlock/http/exchange";
 import {
   EventSplitter,
@@ -134,6 +135,9 @@
     if (this.#splitter.restBytes > 0) {
       return { kind: "broken", detail: "ended within an event" };
     }
+    if (!isDelimited(this.#status, this.#headers)) {
+      return { kind: "broken", detail: "the stream's end can't be told" };
+    }
     this.#openStream();
     return { kind: "completed" };
   }
--- a/packages/gateway/src/exchange/whole_send.ts
+++ b/packages/gateway/src/exchange/whole_send.ts
@@ -44,7 +44,6 @@
   const running = startWhole(connection, request, {
     totalTimeoutMs: options.timeoutMs,
     maxBytes: MAX_ANSWER_BYTES,
-    acceptsUndelimited: true,
   });
   return {
     cancel: () => running.cancel(),
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -113,6 +113,41 @@
     expect(answer.status).to.equal(502);
   });
 
+  it("takes no answer for whole whose end can't be told", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request) => {
+        const framed = each.seen.length > 1
+          ? "content-length: 5\r\n\r\nwhole"
+          : "connection: close\r\n\r\nwho";
+        request.socket.end(`HTTP/1.1 200 OK\r\nsigned: 1\r\n${framed}`);
+      };
+    }
+    expect((await fixture.ask(port, { path: "/once/1" })).status).to.equal(502);
+    for (const each of [target, other]) each.seen.length = 0;
+    const safe = await fixture.ask(port, { path: "/safe/1" });
+    expect(safe).to.include({ status: 200, text: "whole" });
+  });
+
+  it("asks for the rest of a stream whose end can't be told", async () => {
+    for (const each of [target, other]) {
+      each.handle = (request, response) => {
+        if (Number(request.headers["resume-after"]) > 0) {
+          response.writeHead(200, { signed: "1" });
+          sendEvents(response, [2]);
+          response.end();
+          return;
+        }
+        request.socket.end(
+          "HTTP/1.1 200 OK\r\nsigned: 1\r\nconnection: close\r\n\r\n" +
+            "id: 1\ndata: x\n\n",
+        );
+      };
+    }
+    const answer = await fixture.ask(port, { path: "/stream/1" });
+    expect(answer.isWhole).to.equal(true);
+    expect(answer.text.match(/id: \d/g)).to.deep.equal(["id: 1", "id: 2"]);
+  });
+
   it("answers by the route's time, however long the target takes", async () => {
     for (const each of [target, other]) each.handle = () => {};
     const startedMs = performance.now();
--- a/packages/http/src/whole_answer.ts
+++ b/packages/http/src/whole_answer.ts
@@ -26,11 +26,6 @@
   /** Longest time until the whole answer is here. */
   readonly totalTimeoutMs: number;
   readonly maxBytes: number;
-  /**
-   * Takes an answer that ends with its connection for whole when the
-   * connection was closed and not reset; otherwise it's broken.
-   */
-  readonly acceptsUndelimited?: boolean;
 }
 
 /** An exchange whose answer is awaited whole. */
@@ -120,8 +115,7 @@
 
   #buildAnswer(end: ExchangeEnd): WholeAnswer {
     if (end.kind !== "ended") return end;
-    const accepts = this.#limits.acceptsUndelimited ?? false;
-    if (!accepts && !isDelimited(this.#status, this.#headers)) {
+    if (!isDelimited(this.#status, this.#headers)) {
       return { kind: "broken", detail: "the answer's end can't be told" };
     }
     return {
@@ -137,7 +131,7 @@
  * Whether a cut answer can be told from a whole one: an answer that ends with
  * its connection looks whole wherever it's cut.
  */
-function isDelimited(status: number, headers: PeerHeaders): boolean {
+export function isDelimited(status: number, headers: PeerHeaders): boolean {
   if (status === 204 || status === 304) return true;
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
