--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -77,10 +77,6 @@
     return this.#byVm.get(vmId)?.info;
   }
 
-  isSuspected(vmId: string): boolean {
-    return this.#byVm.get(vmId)?.isSuspected ?? true;
-  }
-
   /** Number of other gateways known. */
   get size(): number {
     return this.#byVm.size;
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -51,7 +51,6 @@
     requestId: headers["id"] as string | undefined,
     isNotRun: headers["not-run"] !== undefined,
     hasSignature: headers["signed"] !== undefined,
-    isClosing: false,
   }),
   encodeAnswerHeaders: (headers) => ({ signed: String(headers["signed"]) }),
 };
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -118,8 +118,6 @@
   readonly impliesNotRun: boolean;
   /** The target's signature, without which no success counts. */
   readonly hasSignature: boolean;
-  /** The target takes no further requests on this connection. */
-  readonly isClosing: boolean;
 }
 
 /** How requests and answers look on the platform's wire. */
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -26,8 +26,6 @@
   readonly client: Client;
   /** Whether the connection ended with an error instead of a plain close. */
   readonly hasFailed: () => boolean;
-  /** Whether an earlier exchange used it. */
-  wasUsed: boolean;
   restsUntilMs: number;
 }
 
@@ -56,7 +54,6 @@
   /** Gives a connection back after a complete answer. */
   release(connection: PooledConnection): void {
     if (!this.#all.has(connection)) return this.#end(connection);
-    connection.wasUsed = true;
     connection.restsUntilMs = performance.now() + this.#options.restMs;
     this.#idle.push(connection);
   }
@@ -112,7 +109,6 @@
     const connection: PooledConnection = {
       client,
       hasFailed: () => failed,
-      wasUsed: false,
       restsUntilMs: 0,
     };
     this.#all.add(connection);
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -53,8 +53,6 @@
   cancel(): void;
   /** Whether a byte of the request may have been written. */
   readonly wasSent: boolean;
-  /** Whether it runs on a connection that an earlier exchange used. */
-  readonly isOnUsedConnection: boolean;
   /** Stops reading the answer until `resume`. */
   pause(): void;
   resume(): void;
@@ -153,10 +151,6 @@
     this.#controller?.resume();
   }
 
-  get isOnUsedConnection(): boolean {
-    return this.#hooks.connection.wasUsed;
-  }
-
   get wasSent(): boolean {
     return this.#controller !== undefined;
   }
