Record what may have been spent when both homes of an account are lost

After a second loss the part that may be passed on without a record was granted once more.

Now a gateway that sees as many unplanned losses within five seconds as an account has homes counts unknown programs as partly spent, too; a restarted one is informed only if no gateway that answers saw another loss; another region that doesn't answer, or may have lost accounts, leaves a program in doubt; and a program in doubt passes nothing on before its allowance is in the store, where a record of an earlier life is found. Without the store such a program is refused as not run.

With that no home has to list all records at its start.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -5,6 +5,7 @@
  * While the store is out of reach, turns go on with the account in the memory
  * of its two homes, and the record follows when the store is back.
  */
+import { randomUUID } from "node:crypto";
 import { EVENTS } from "@camphorlock/codes/events";
 import type {
   AccountRecord,
@@ -19,11 +20,12 @@
 
 /** Longest that a turn waits for its record while the store seems to work. */
 const RECORD_WAIT_MS = 80;
+/** A record that was found asks for a larger one; a third is never needed. */
+const MAX_RECORD_WAITS = 2;
 /** How long turns wait for a home that just started; less than its callers. */
 const START_WAIT_MS = 250;
 /** Pause before a record that the store didn't take is written again. */
 const RECORD_RETRY_MS = 500;
-
 /** How long a call that failed tells that the store is out of reach. */
 const STORE_LOST_MS = 1_500;
 
@@ -36,6 +38,12 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** A record as the store keeps it. */
+interface StoredRecord extends AccountRecord {
+  /** The home that wrote it, as one process. */
+  readonly writtenBy: string;
+}
+
 interface Recording {
   wanted: AccountRecord;
   readonly done: Promise<void>;
@@ -44,8 +52,9 @@
 /** The home role of one gateway. */
 export class AccountHome {
   readonly #parts: AccountHomeParts;
+  readonly #homeId: string = randomUUID();
   readonly #recordings = new Map<string, Recording>();
-  /** Store revisions of the records that this process wrote or read. */
+  /** Store revisions of the records that this process wrote or found. */
   readonly #revisions = new Map<string, number>();
   /** Until then turns don't wait for records. */
   #storeLostUntilMs = Number.NEGATIVE_INFINITY;
@@ -63,19 +72,27 @@
   async open(turn: TurnRequest): Promise<TurnAnswer> {
     const { distant } = this.#parts;
     if (!await this.#waitForStart()) {
-      this.#logUnavailable(turn, "the records of accounts aren't read yet");
+      this.#logUnavailable(turn, "the other gateways aren't met yet");
       return "unavailable";
     }
-    await distant.load(turn.programId);
-    const answer = await this.#openHere(turn);
+    const mayBeKnown = await distant.load(turn.programId) === "doubtful";
+    const answer = await this.#openHere(turn, mayBeKnown);
     if (answer !== "admitted" || await distant.confirm(turn)) return answer;
     this.#parts.accounts.close(turn.programId, turn.turnId, 0);
     return "over_budget";
   }
 
-  async #openHere(turn: TurnRequest): Promise<TurnAnswer> {
+  async #openHere(turn: TurnRequest, mayBeKnown: boolean): Promise<TurnAnswer> {
     const { accounts } = this.#parts;
-    const decision = accounts.open(turn, performance.now());
+    let decision = accounts.open(turn, performance.now(), mayBeKnown);
+    for (
+      let tries = 0;
+      decision.kind === "needs_record" && tries < MAX_RECORD_WAITS;
+      tries += 1
+    ) {
+      await this.#waitForRecord(turn, decision.allowedTokens);
+      decision = accounts.open(turn, performance.now());
+    }
     switch (decision.kind) {
       case "admitted":
         return "admitted";
@@ -90,11 +107,22 @@
         this.#logUnavailable(turn, "tokens may have been spent before a loss");
         return "unavailable";
       case "needs_record":
-        await this.#waitForRecord(turn, decision.allowedTokens);
-        return this.#openRecorded(turn);
+        return this.#openUnrecorded(turn);
     }
   }
 
+  /** Decides while the store doesn't take the record, which is tried again. */
+  #openUnrecorded(turn: TurnRequest): TurnAnswer {
+    const { accounts } = this.#parts;
+    if (accounts.find(turn.programId)?.isAssumed) {
+      this.#logUnavailable(turn, "the store can't tell what was spent before");
+      return "unavailable";
+    }
+    if (!accounts.confirm(turn, performance.now())) return "over_budget";
+    this.#logUnavailable(turn, "admitted ahead of its record");
+    return "admitted";
+  }
+
   /** Begins to decide, once what was known before the start is known again. */
   start(): void {
     this.#isStarted = true;
@@ -102,17 +130,6 @@
     this.#waiting.clear();
   }
 
-  /** Reads all records; false when the store can't be reached. */
-  async readRecords(): Promise<boolean> {
-    const listed = await this.#parts.store.list("tokenAccounts");
-    if (listed.isErr()) return false;
-    for (const { name, revision, value } of listed.value.objects) {
-      this.#revisions.set(name, revision);
-      this.#parts.accounts.addRecord(name, readRecord(value));
-    }
-    return true;
-  }
-
   stop(): void {
     this.#isStopped = true;
   }
@@ -126,24 +143,6 @@
     return this.#isStarted;
   }
 
-  #openRecorded(turn: TurnRequest): TurnAnswer {
-    const { accounts } = this.#parts;
-    const decision = accounts.open(turn, performance.now());
-    switch (decision.kind) {
-      case "admitted":
-        return "admitted";
-      case "needs_record":
-        // The store didn't answer in time; the record is still being written.
-        if (!accounts.confirm(turn, performance.now())) return "over_budget";
-        this.#logUnavailable(turn, "admitted ahead of its record");
-        return "admitted";
-      case "over_budget":
-        return "over_budget";
-      case "unknown":
-        return "unavailable";
-    }
-  }
-
   async #waitForRecord(turn: TurnRequest, allowed: number): Promise<void> {
     const recording = this.#startRecording(turn.programId, {
       allowedTokens: allowed,
@@ -201,7 +200,8 @@
   async #write(programId: string, wanted: AccountRecord): Promise<boolean> {
     const { store, accounts } = this.#parts;
     const revision = this.#revisions.get(programId);
-    const write = { name: programId, value: wanted };
+    const value: StoredRecord = { ...wanted, writtenBy: this.#homeId };
+    const write = { name: programId, value };
     const written = revision === undefined
       ? await store.create("tokenAccounts", write)
       : await store.update("tokenAccounts", { ...write, revision });
@@ -223,7 +223,10 @@
     if (current === undefined) return false;
     this.#revisions.set(programId, current.revision);
     const stored = readRecord(current.value);
-    accounts.addRecord(programId, stored);
+    // A write whose answer was lost is found again.
+    if (stored.writtenBy === this.#homeId) {
+      accounts.addRecord(programId, stored);
+    } else accounts.addFoundRecord(programId, stored);
     return hasCovered(stored, wanted);
   }
 
@@ -254,11 +257,13 @@
   }
 }
 
-function readRecord(value: unknown): AccountRecord {
-  const { allowedTokens, isSpent } = (value ?? {}) as Partial<AccountRecord>;
+function readRecord(value: unknown): StoredRecord {
+  const record = (value ?? {}) as Partial<StoredRecord>;
+  const { allowedTokens, isSpent, writtenBy } = record;
   return {
     allowedTokens: typeof allowedTokens === "number" ? allowedTokens : 0,
     isSpent: isSpent === true,
+    writtenBy: typeof writtenBy === "string" ? writtenBy : "",
   };
 }
 
--- a/packages/gateway/src/accounts/distant_accounts.ts
+++ b/packages/gateway/src/accounts/distant_accounts.ts
@@ -17,6 +17,12 @@
 /** Several times the way between regions. */
 const LOOK_UP_MS = 100;
 
+/**
+ * What a look-up came to: the program isn't known elsewhere for certain, or a
+ * region that may know it can't be asked or may have lost it.
+ */
+export type LookUp = "certain" | "doubtful";
+
 /** What the exchange with other regions works with. */
 export interface DistantAccountsParts {
   readonly directory: PeerDirectory;
@@ -28,16 +34,16 @@
 /** The homes of other regions. */
 export class DistantAccounts {
   readonly #parts: DistantAccountsParts;
-  readonly #lookUps = new Map<string, Promise<void>>();
+  readonly #lookUps = new Map<string, Promise<LookUp>>();
 
   constructor(parts: DistantAccountsParts) {
     this.#parts = parts;
   }
 
   /** Makes sure that what other regions know of a program is known here. */
-  load(programId: string): Promise<void> {
+  load(programId: string): Promise<LookUp> {
     if (this.#parts.accounts.find(programId) !== undefined) {
-      return this.#lookUps.get(programId) ?? Promise.resolve();
+      return this.#lookUps.get(programId) ?? Promise.resolve("certain");
     }
     const running = this.#lookUps.get(programId);
     if (running !== undefined) return running;
@@ -81,19 +87,39 @@
       .filter(({ region }) => regions.includes(region));
   }
 
-  async #loadDistant(programId: string): Promise<void> {
+  async #loadDistant(programId: string): Promise<LookUp> {
+    const regions = this.#parts.directory.listOtherRegions();
+    const found = await Promise.all(
+      regions.map((region) => this.#loadFrom(region, programId)),
+    );
+    if (found.includes("found")) {
+      this.#sendAccount(programId);
+      return "certain";
+    }
+    return found.includes("doubtful") ? "doubtful" : "certain";
+  }
+
+  /** Asks the homes of one region. */
+  async #loadFrom(
+    region: string,
+    programId: string,
+  ): Promise<"found" | LookUp> {
     const { directory, links, accounts } = this.#parts;
-    const homes = directory.chooseDistantHomes(programId);
-    let isFound = false;
-    await Promise.all(homes.map(async (home) => {
-      const answer = await links
-        .call(home, { kind: "find_account", programId }, LOOK_UP_MS);
-      if (answer?.account === undefined) return;
-      accounts.merge(answer.account, performance.now());
-      accounts.addRegion(programId, home.region, performance.now());
-      isFound = true;
-    }));
-    if (isFound) this.#sendAccount(programId);
+    const homes = directory.chooseDistantHomes(programId)
+      .filter((home) => home.region === region);
+    const answers = await Promise.all(
+      homes.map((home) =>
+        links.call(home, { kind: "find_account", programId }, LOOK_UP_MS)
+      ),
+    );
+    const known = answers.flatMap((answer) => answer?.account ?? []);
+    for (const account of known) {
+      accounts.merge(account, performance.now());
+      accounts.addRegion(programId, region, performance.now());
+    }
+    if (known.length > 0) return "found";
+    const isCertain = answers.some((answer) => answer?.mayHaveLost === false);
+    return isCertain ? "certain" : "doubtful";
   }
 
   #sendAccount(programId: string): void {
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -123,7 +123,12 @@
       case "find_account": {
         distant.addRegion(message.programId, getRegion(from));
         const account = accounts.find(message.programId);
-        return { ...answer, ...(account === undefined ? {} : { account }) };
+        const mayHaveLost = false;
+        return {
+          ...answer,
+          mayHaveLost,
+          ...(account === undefined ? {} : { account }),
+        };
       }
       default:
         return answer;
@@ -199,6 +204,18 @@
     }
   });
 
+  it("admit only recorded tokens where another region may have lost accounts", async () => {
+    const group = new Group();
+    group.add([...ids, "E", "F"]);
+    for (const id of ids) group.cut.add(`E-${id}`).add(`F-${id}`);
+    const turn = { ...buildTurn("t"), budgetTokens: 5_600 };
+    expect(await group.get("E").turns.open(turn)).to.equal("admitted");
+    const home = group.get("E").directory.chooseHomes("p")[0]?.vmId ?? "";
+    const account = group.get(home).accounts.find("p");
+    expect(account?.isAssumed).to.equal(true);
+    expect(account?.recordedTokens).to.be.greaterThan(0);
+  });
+
   it("admit both turns of a budget that holds two", async () => {
     const group = new Group();
     group.add(ids);
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -8,7 +8,7 @@
 import { computeHash } from "@camphorlock/scheduler/hash";
 
 /** Homes of each account; one may be lost. */
-const HOME_COUNT = 2;
+export const HOME_COUNT = 2;
 /** Gateways of a region that others may follow instead of the store. */
 const RELAY_COUNT = 2;
 
@@ -125,11 +125,16 @@
     return sortByRank(programId, others).slice(0, HOME_COUNT);
   }
 
-  /** Chooses the homes of a program in every other region. */
-  chooseDistantHomes(programId: string): PeerInfo[] {
+  /** Lists the regions of the other gateways but for this one's. */
+  listOtherRegions(): string[] {
     const regions = new Set(this.list().map(({ region }) => region));
     regions.delete(this.#self.region);
-    return [...regions].flatMap((region) =>
+    return [...regions];
+  }
+
+  /** Chooses the homes of a program in every other region. */
+  chooseDistantHomes(programId: string): PeerInfo[] {
+    return this.listOtherRegions().flatMap((region) =>
       sortByRank(
         programId,
         this.listLive(region).filter(({ isLeaving }) => !isLeaving),
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -10,9 +10,11 @@
  * two homes that saw different turns agree once they've exchanged them.
  *
  * An account that isn't stored may be lost with all of its homes. A program may
- * pass on only a part of its budget before its allowance is stored; a home that
- * may have lost accounts takes that part for spent. Together that stays within
- * the budget and one turn more.
+ * pass on only a part of its budget before its allowance is stored. A home that
+ * may have lost accounts takes that part, or what a record of the store allows,
+ * for spent, and stores an allowance before the first turn that it admits. So
+ * losses that follow one another find all that was passed on before, and the
+ * whole stays within the budget and one turn more.
  */
 
 /** Part of a budget that may be passed on before the store keeps a record. */
@@ -73,6 +75,8 @@
 }
 
 interface Account {
+  /** When its program was met; absent when another home told of it. */
+  metAtMs: number | undefined;
   budgetTokens: number;
   earlierTokens: number;
   isAssumed: boolean;
@@ -85,20 +89,23 @@
 /** The accounts that one gateway holds. */
 export class TokenAccounts {
   readonly #accounts = new Map<string, Account>();
-  /** Records that the store held when this process read them. */
-  readonly #records = new Map<string, AccountRecord>();
   /** Regions that asked for programs before these were known here. */
   readonly #askedBy = new Map<string, { regions: Set<string>; atMs: number }>();
   #mayHaveLostUntilMs = Number.NEGATIVE_INFINITY;
+  #lostSinceMs = Number.POSITIVE_INFINITY;
 
   /** Number of accounts held. */
   get size(): number {
     return this.#accounts.size;
   }
 
-  /** Takes programs that are unknown until then for ones that have spent. */
-  setLoss(untilMs: number): void {
+  /**
+   * Takes programs for ones that have spent if they're unknown until `untilMs`,
+   * or if they were met at `sinceMs` or later and no other home knows them.
+   */
+  setLoss(untilMs: number, sinceMs = Number.POSITIVE_INFINITY): void {
     this.#mayHaveLostUntilMs = untilMs;
+    this.#lostSinceMs = Math.min(this.#lostSinceMs, sinceMs);
   }
 
   /** Whether unknown programs may have spent tokens. */
@@ -106,22 +113,29 @@
     return nowMs < this.#mayHaveLostUntilMs;
   }
 
-  /** Adds what the store keeps of a program. */
-  addRecord(programId: string, record: AccountRecord): void {
-    const { allowedTokens, isSpent } = record;
-    const known = this.#records.get(programId);
-    this.#records.set(programId, {
-      allowedTokens: Math.max(known?.allowedTokens ?? 0, allowedTokens),
-      isSpent: isSpent || known?.isSpent === true,
-    });
+  /** Records that the store keeps an allowance which a home of now wrote. */
+  addRecord(programId: string, { allowedTokens }: AccountRecord): void {
     const account = this.#accounts.get(programId);
     if (account === undefined) return;
     account.recordedTokens = Math.max(account.recordedTokens, allowedTokens);
   }
 
-  /** Decides on a turn and, when it's admitted, reserves its tokens. */
-  open(turn: TurnRequest, nowMs: number): TurnDecision {
-    const account = this.#get(turn, nowMs);
+  /** Adds a record that the store was found to hold. */
+  addFoundRecord(programId: string, record: AccountRecord): void {
+    this.addRecord(programId, record);
+    const account = this.#accounts.get(programId);
+    if (account === undefined || !account.isAssumed) return;
+    const { allowedTokens, isSpent } = record;
+    account.earlierTokens = Math.max(account.earlierTokens, allowedTokens);
+    if (isSpent) account.isAssumed = false;
+  }
+
+  /**
+   * Decides on a turn and, when it's admitted, reserves its tokens.
+   * `mayBeKnown` tells that an unknown program may be known elsewhere.
+   */
+  open(turn: TurnRequest, nowMs: number, mayBeKnown = false): TurnDecision {
+    const account = this.#get(turn, nowMs, mayBeKnown);
     if (account.turns.has(turn.turnId)) return { kind: "admitted" };
     const { budgetTokens, turnTokens } = turn;
     const turnsTokens = sumTurns(account);
@@ -131,8 +145,7 @@
         turnsTokens + turnTokens <= budgetTokens;
       return { kind: isDoubtful ? "unknown" : "over_budget" };
     }
-    const assumed = account.isAssumed ? account.earlierTokens : 0;
-    const unstored = assumed + computeUnstored(turn) + turnTokens;
+    const unstored = account.isAssumed ? 0 : computeUnstored(turn) + turnTokens;
     if (wanted > Math.max(unstored, account.recordedTokens)) {
       const ahead = wanted + turnTokens * RECORD_AHEAD_TURNS;
       const allowedTokens = Math.min(budgetTokens, ahead);
@@ -172,6 +185,7 @@
     const account = this.#accounts.get(state.programId) ??
       this.#create(state.programId, { ...state, nowMs });
     account.usedAtMs = nowMs;
+    if (!state.isAssumed) account.metAtMs = undefined;
     // What a home remembers for certain replaces what is only assumed.
     if (account.isAssumed && !state.isAssumed) {
       account.earlierTokens = state.earlierTokens;
@@ -237,24 +251,28 @@
     }
   }
 
-  #get(turn: TurnRequest, nowMs: number): Account {
+  #get(turn: TurnRequest, nowMs: number, mayBeKnown = false): Account {
     const known = this.#accounts.get(turn.programId);
     if (known !== undefined) {
       known.usedAtMs = nowMs;
+      if (!known.isAssumed && (known.metAtMs ?? 0) >= this.#lostSinceMs) {
+        known.metAtMs = undefined;
+        known.isAssumed = true;
+        known.earlierTokens = computeUnstored(turn);
+      }
       return known;
     }
-    const record = this.#records.get(turn.programId);
-    const recorded = record?.allowedTokens ?? 0;
-    const isDoubtful = this.isLossPossible(nowMs);
-    const assumed = isDoubtful ? computeUnstored(turn) : 0;
-    return this.#create(turn.programId, {
+    const isAssumed = mayBeKnown || this.isLossPossible(nowMs);
+    const account = this.#create(turn.programId, {
       budgetTokens: turn.budgetTokens,
-      earlierTokens: Math.max(recorded, assumed),
-      isAssumed: record === undefined ? isDoubtful : !record.isSpent,
-      recordedTokens: recorded,
+      earlierTokens: isAssumed ? computeUnstored(turn) : 0,
+      isAssumed,
+      recordedTokens: 0,
       regions: [...this.#askedBy.get(turn.programId)?.regions ?? []],
       nowMs,
     });
+    account.metAtMs = nowMs;
+    return account;
   }
 
   #create(
@@ -262,6 +280,7 @@
     first: Omit<AccountState, "programId" | "turns"> & { nowMs: number },
   ): Account {
     const account: Account = {
+      metAtMs: undefined,
       budgetTokens: first.budgetTokens,
       earlierTokens: first.earlierTokens,
       isAssumed: first.isAssumed,
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { TokenAccounts, type TurnRequest } from "./token_accounts.ts";
+import {
+  type AccountRecord,
+  TokenAccounts,
+  type TurnRequest,
+} from "./token_accounts.ts";
 
 const TURN_TOKENS = 560;
 
@@ -65,7 +69,6 @@
   it("take an unknown program for partly spent after a loss", () => {
     const accounts = new TokenAccounts();
     accounts.setLoss(1_000);
-    accounts.addRecord("other", { allowedTokens: 2_800, isSpent: false });
     const kinds = ["a", "b", "c", "d"].map((id) => {
       const turn = buildTurn(id, 2_800);
       const decision = accounts.open(turn, 0);
@@ -84,10 +87,12 @@
     for (const budgetTokens of [900, 1_120, 1_680]) {
       const accounts = new TokenAccounts();
       accounts.setLoss(1_000);
+      expect(accounts.open(buildTurn("a", budgetTokens), 0).kind)
+        .to.equal("needs_record");
+      accounts.addRecord("p", { allowedTokens: budgetTokens, isSpent: false });
       expect(accounts.open(buildTurn("a", budgetTokens), 0).kind)
         .to.equal("admitted");
       accounts.close("p", "a", 140);
-      accounts.addRecord("p", { allowedTokens: budgetTokens, isSpent: false });
       expect(accounts.open(buildTurn("b", budgetTokens), 0).kind)
         .to.equal("admitted");
     }
@@ -96,52 +101,74 @@
   it("refuse a stopped program that comes back after a loss", () => {
     const accounts = new TokenAccounts();
     accounts.setLoss(1_000);
-    accounts.addRecord("p", { allowedTokens: 1_680, isSpent: true });
+    expect(accounts.open(buildTurn("a", 1_680), 0).kind)
+      .to.equal("needs_record");
+    accounts.addFoundRecord("p", { allowedTokens: 1_680, isSpent: true });
     expect(accounts.open(buildTurn("a", 1_680), 0).kind)
       .to.equal("over_budget");
   });
 
-  it("never pass on more than the budget and a turn, over one loss", () => {
+  it("doubt programs met shortly before a loss, but for those vouched for", () => {
+    const accounts = new TokenAccounts();
+    accounts.open(buildTurn("a", 5_600), 900);
+    const vouched = new TokenAccounts();
+    vouched.open({ ...buildTurn("b", 5_600), programId: "q" }, 0);
+    const known = vouched.find("q");
+    if (known === undefined) throw new Error("lost");
+    accounts.merge(known, 900);
+    accounts.setLoss(2_000, 500);
+    expect(accounts.open(buildTurn("c", 5_600), 1_000).kind)
+      .to.equal("needs_record");
+    const other = { ...buildTurn("d", 5_600), programId: "q" };
+    expect(accounts.open(other, 1_000).kind).to.equal("admitted");
+  });
+
+  it("never pass on more than the budget and a turn, over any losses", () => {
     const schedule = fc.record({
       budgetTokens: fc.integer({ min: TURN_TOKENS, max: 8_000 }),
       uses: fc.array(fc.integer({ min: 0, max: TURN_TOKENS }), {
         minLength: 1,
         maxLength: 60,
       }),
-      lossAt: fc.nat(60),
+      lossesAt: fc.array(fc.nat(60), { minLength: 1, maxLength: 5 }),
     });
     fc.assert(
-      fc.property(schedule, ({ budgetTokens, uses, lossAt }) => {
-        const stored = { allowed: 0 };
+      fc.property(schedule, ({ budgetTokens, uses, lossesAt }) => {
+        const store: { record?: AccountRecord; life: number } = { life: 0 };
+        let life = 0;
         let accounts = new TokenAccounts();
+        const save = (record: AccountRecord) => {
+          if (store.record !== undefined && store.life !== life) {
+            accounts.addFoundRecord("p", store.record);
+          }
+          const allowed = store.record?.allowedTokens ?? 0;
+          if (allowed >= record.allowedTokens && !record.isSpent) return;
+          store.record = {
+            allowedTokens: Math.max(allowed, record.allowedTokens),
+            isSpent: record.isSpent,
+          };
+          store.life = life;
+          accounts.addRecord("p", store.record);
+        };
         let passed = 0;
         uses.forEach((use, index) => {
-          if (index === lossAt) {
+          if (lossesAt.includes(index)) {
             accounts = new TokenAccounts();
             accounts.setLoss(1);
-            if (stored.allowed > 0) {
-              accounts.addRecord("p", {
-                allowedTokens: stored.allowed,
-                isSpent: false,
-              });
-            }
+            life += 1;
           }
           const turn = buildTurn(String(index), budgetTokens);
           let decision = accounts.open(turn, 0);
-          if (decision.kind === "needs_record") {
-            stored.allowed = decision.allowedTokens;
-            accounts.addRecord("p", {
-              allowedTokens: stored.allowed,
-              isSpent: false,
-            });
+          for (
+            let tries = 0;
+            decision.kind === "needs_record" && tries < 2;
+            tries += 1
+          ) {
+            save({ allowedTokens: decision.allowedTokens, isSpent: false });
             decision = accounts.open(turn, 0);
           }
           if (decision.kind === "over_budget") {
-            stored.allowed = budgetTokens;
-            accounts.addRecord("p", {
-              allowedTokens: budgetTokens,
-              isSpent: false,
-            });
+            save({ allowedTokens: budgetTokens, isSpent: true });
           }
           if (decision.kind !== "admitted") return;
           passed += use;
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import type { ServerResponse } from "node:http";
+import { PeerDirectory } from "./decisions/peer_directory.ts";
 import {
   answerWhole,
   buildConfiguration,
@@ -8,6 +9,23 @@
   waitUntil,
 } from "./gateway_fixture_test.ts";
 
+/** Chooses the homes of a program as the gateways of the fixture do. */
+function chooseHomes(programId: string, vmIds: readonly string[]): string[] {
+  const infos = vmIds.map((vmId) => ({
+    vmId,
+    host: "127.0.0.1",
+    port: 1,
+    region: "north",
+    bootId: "1",
+    isLeaving: false,
+  }));
+  const [self, ...others] = infos;
+  if (self === undefined) return [];
+  const directory = new PeerDirectory(self);
+  for (const other of others) directory.add(other);
+  return directory.chooseHomes(programId).map(({ vmId }) => vmId);
+}
+
 function sendEvents(response: ServerResponse, ids: readonly number[]): void {
   for (const id of ids) response.write(`id: ${id}\ndata: x\n\n`);
 }
@@ -290,6 +308,37 @@
     expect(statuses).to.deep.equal([200, 200, 402, 402]);
   });
 
+  it("records what may have been passed on when both homes are killed", async () => {
+    for (const each of [target, other]) {
+      each.handle = (_request, response) => {
+        response.writeHead(200, { signed: "1" });
+        sendEvents(response, [1, 2, 3, 4, 5]);
+        response.end();
+      };
+    }
+    const vmIds = ["g1", "g2", "g3", "g4"];
+    for (const vmId of vmIds.slice(1)) await fixture.addGateway(vmId);
+    const homes = chooseHomes("p", vmIds);
+    const at = vmIds.findIndex((vmId) => !homes.includes(vmId));
+    const run = async (turn: number) => {
+      const headers = { id: `turn-${turn}`, budget: "p,500,50" };
+      const answer = await fixture
+        .ask(fixture.ports[at] ?? 0, { path: "/stream/1", headers });
+      await new Promise((resolve) => setTimeout(resolve, 60));
+      return answer.status;
+    };
+    for (let turn = 0; turn < 3; turn += 1) {
+      expect(await run(turn)).to.equal(200);
+    }
+    expect(fixture.store.get("tokenAccounts", "p")).to.equal(undefined);
+    await Promise.all(
+      homes.map((vmId) => fixture.gateways[vmIds.indexOf(vmId)]?.close()),
+    );
+    expect(await run(3)).to.equal(200);
+    const record = fixture.store.get("tokenAccounts", "p");
+    expect(record).to.have.property("allowedTokens").that.is.at.least(250);
+  });
+
   it("follows the store through one gateway of the region", async () => {
     for (const vmId of ["g2", "g3", "g4"]) await fixture.addGateway(vmId);
     await new Promise((resolve) => setTimeout(resolve, 2_300));
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -10,11 +10,13 @@
   type GroupChange,
   listReceivers,
 } from "../decisions/list_receivers.ts";
-import type {
-  PeerChange,
-  PeerDirectory,
-  PeerInfo,
+import {
+  HOME_COUNT,
+  type PeerChange,
+  type PeerDirectory,
+  type PeerInfo,
 } from "../decisions/peer_directory.ts";
+import { LOSS_WINDOW_MS, RecentLosses } from "../decisions/recent_losses.ts";
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Address, ObjectKind, ObjectStore } from "../ports.ts";
@@ -65,8 +67,9 @@
   readonly #changes = new Map<string, GroupChange>();
   #isStopped = false;
   #nextPeer = 0;
-  /** Whether a peer of the region remembered accounts from before the start. */
-  #wasInformed = false;
+  readonly #losses = new RecentLosses();
+  /** Whether peers that answered can hand over what this one held before. */
+  readonly #informants = new Map<string, boolean>();
 
   constructor(parts: PeerGroupParts) {
     this.#parts = parts;
@@ -82,24 +85,17 @@
       return;
     }
     accounts.setLoss(performance.now() + LOSS_MS);
-    const recordsRead = this.#readRecords();
     await met;
-    if (this.#wasInformed) {
+    const answers = [...this.#informants.values()];
+    if (answers.length > 0 && !answers.includes(false)) {
       // The peers hand over what they keep once they've heard of this start.
       accounts.setLoss(performance.now() + INFORMED_MS);
     } else {
-      this.#parts.log.write(EVENTS.AccountsDoubtful, { for_ms: LOSS_MS });
-      await recordsRead;
+      this.#logDoubt();
     }
     home.start();
   }
 
-  async #readRecords(): Promise<void> {
-    while (!this.#isStopped && !(await this.#parts.home.readRecords())) {
-      await new Promise((resolve) => setTimeout(resolve, REGISTER_RETRY_MS));
-    }
-  }
-
   /** Tells the others that this gateway leaves; they hand its accounts on. */
   async sendLeaving(): Promise<void> {
     await this.#callAll(this.#parts.directory.list());
@@ -131,6 +127,7 @@
   handleChange(peer: PeerInfo, change: PeerChange | "lost"): void {
     if (peer.region !== this.#parts.getSelf().region) return;
     if (change === "none") return;
+    this.#recordLoss(peer, change);
     const isHere = change !== "lost" && change !== "leaving";
     this.#changes.set(peer.vmId, { peer, isHere });
     this.#handOverTimer ??= setTimeout(() => {
@@ -139,6 +136,24 @@
     }, HAND_OVER_DELAY_MS);
   }
 
+  /** Notes a gateway that ended; two at about the same time may be both homes. */
+  #recordLoss(peer: PeerInfo, change: PeerChange | "lost"): void {
+    const nowMs = performance.now();
+    this.#losses.add(peer, change, nowMs);
+    const lost = this.#losses.list(nowMs);
+    if (lost.length < HOME_COUNT) return;
+    const { accounts } = this.#parts;
+    if (!accounts.isLossPossible(nowMs)) this.#logDoubt();
+    accounts.setLoss(nowMs + LOSS_MS, nowMs - LOSS_WINDOW_MS);
+  }
+
+  #logDoubt(): void {
+    this.#parts.log.write(EVENTS.AccountsDoubtful, {
+      for_ms: LOSS_MS,
+      lost: this.#losses.list(performance.now()),
+    });
+  }
+
   /** Hands accounts to the gateways that became their homes. */
   #sendAccounts(): void {
     const { accounts, directory, getSelf } = this.#parts;
@@ -188,6 +203,7 @@
             ? {}
             : { peers: directory.list() }),
           mayHaveLost: accounts.isLossPossible(nowMs),
+          lost: this.#losses.list(nowMs),
         };
       case "open_turn":
         return { from, turn: await home.open(message.turn) };
@@ -205,7 +221,12 @@
       case "find_account": {
         distant.addRegion(message.programId, sender.region);
         const account = accounts.find(message.programId);
-        return { from, ...(account === undefined ? {} : { account }) };
+        const mayHaveLost = accounts.isLossPossible(nowMs);
+        return {
+          from,
+          mayHaveLost,
+          ...(account === undefined ? {} : { account }),
+        };
       }
       case "list_objects": {
         const cache = this.#parts.findCache(message.objects);
@@ -290,8 +311,10 @@
   }
 
   #recordInformed(answer: PeerAnswer | undefined): void {
-    const { region } = this.#parts.getSelf();
-    if (answer?.from.region !== region || answer.mayHaveLost !== false) return;
-    this.#wasInformed = true;
+    const { region, vmId } = this.#parts.getSelf();
+    if (answer === undefined || answer.from.region !== region) return;
+    const others = (answer.lost ?? []).filter((lost) => lost !== vmId);
+    const isInformed = answer.mayHaveLost === false && others.length === 0;
+    this.#informants.set(answer.from.vmId, isInformed);
   }
 }
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -49,6 +49,8 @@
   readonly account?: AccountState;
   /** Whether the answering gateway may have lost accounts. */
   readonly mayHaveLost?: boolean;
+  /** Gateways of its region that ended lately without a planned stop. */
+  readonly lost?: readonly string[];
   readonly listed?: StoredList;
   readonly changes?: StoredChanges;
   /** Whether the changes that were asked for are no longer kept. */
