--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -308,6 +308,12 @@
     "info",
     "The store keeps a program's allowance of tokens.",
   ),
+  AccountRecordFound: defineEvent(
+    934,
+    "AccountRecordFound",
+    "info",
+    "The store already held an allowance of a program when one was recorded.",
+  ),
   AccountUnavailable: defineEvent(
     932,
     "AccountUnavailable",
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -198,7 +198,7 @@
 
   /** Writes a record that covers `wanted`; false when it must be repeated. */
   async #write(programId: string, wanted: AccountRecord): Promise<boolean> {
-    const { store, accounts } = this.#parts;
+    const { store, accounts, log } = this.#parts;
     const revision = this.#revisions.get(programId);
     const value: StoredRecord = { ...wanted, writtenBy: this.#homeId };
     const write = { name: programId, value };
@@ -223,6 +223,13 @@
     if (current === undefined) return false;
     this.#revisions.set(programId, current.revision);
     const stored = readRecord(current.value);
+    log.write(EVENTS.AccountRecordFound, {
+      program: programId,
+      revision: current.revision,
+      ...stored,
+      is_own: stored.writtenBy === this.#homeId,
+      is_assumed: accounts.find(programId)?.isAssumed ?? false,
+    });
     // A write whose answer was lost is found again.
     if (stored.writtenBy === this.#homeId) {
       accounts.addRecord(programId, stored);
