--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -75,7 +75,7 @@
 }
 
 interface Account {
-  /** When its program was met; absent when another home told of it. */
+  /** When its program was met, if it was taken for new without doubt. */
   metAtMs: number | undefined;
   budgetTokens: number;
   earlierTokens: number;
@@ -255,7 +255,7 @@
     const known = this.#accounts.get(turn.programId);
     if (known !== undefined) {
       known.usedAtMs = nowMs;
-      if (!known.isAssumed && (known.metAtMs ?? 0) >= this.#lostSinceMs) {
+      if (known.metAtMs !== undefined && known.metAtMs >= this.#lostSinceMs) {
         known.metAtMs = undefined;
         known.isAssumed = true;
         known.earlierTokens = computeUnstored(turn);
@@ -271,7 +271,7 @@
       regions: [...this.#askedBy.get(turn.programId)?.regions ?? []],
       nowMs,
     });
-    account.metAtMs = nowMs;
+    if (!isAssumed) account.metAtMs = nowMs;
     return account;
   }
 
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -108,6 +108,16 @@
       .to.equal("over_budget");
   });
 
+  it("keep what a record tells of a program when a loss is noticed late", () => {
+    const accounts = new TokenAccounts();
+    accounts.setLoss(1_000, -500);
+    accounts.open(buildTurn("a", 1_120), 0);
+    accounts.addFoundRecord("p", { allowedTokens: 1_120, isSpent: true });
+    accounts.setLoss(1_100, -400);
+    expect(accounts.open(buildTurn("a", 1_120), 10).kind)
+      .to.equal("over_budget");
+  });
+
   it("doubt programs met shortly before a loss, but for those vouched for", () => {
     const accounts = new TokenAccounts();
     accounts.open(buildTurn("a", 5_600), 900);
