Carry messages between gateways on one connection a peer; follow on when turned away

A turn makes four calls to homes, each an HTTP exchange at both ends.

Watches now wait a quarter of the shorter bound, old news is told at once, and a gateway that is turned away follows any other that isn't.

--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -103,7 +103,12 @@
 
   /** Chooses the region's gateways that others follow, best first. */
   chooseRelays(): PeerInfo[] {
-    return this.#sortLive("relay").slice(0, RELAY_COUNT);
+    return this.sortRelays().slice(0, RELAY_COUNT);
+  }
+
+  /** Sorts the region's gateways in the order in which others follow them. */
+  sortRelays(): PeerInfo[] {
+    return this.#sortLive("relay");
   }
 
   /** Chooses the homes of a program in this gateway's region, best first. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,8 +44,11 @@
 const ACCOUNT_CLEANUP_MS = 10_000;
 /** Callers that wait for a restarted process come before its histograms. */
 const LOAD_METRICS_AFTER_MS = 5_000;
-/** Part of a bound that a watch may use up when its connection is silent. */
-const WATCH_MARGIN_MS = 500;
+/**
+ * Part of the shorter bound for changes that a watch waits at the store. A
+ * silent connection costs it whole, and the way on to other gateways as much.
+ */
+const WATCH_SHARE = 0.25;
 /** The balancer takes a node out after two questions a second apart. */
 const LEAVE_BALANCER_MS = 2_500;
 /** Time kept before the end of the grace for the last answers to be sent. */
@@ -95,8 +98,8 @@
     this.#configuration = new KnownConfiguration(parts);
     this.#knownTargets = new KnownTargets(parts);
     const { bounds } = settings;
-    const waitMs = Math.min(bounds.drainMs, bounds.configurationMs) -
-      WATCH_MARGIN_MS;
+    const waitMs = Math.min(bounds.drainMs, bounds.configurationMs) *
+      WATCH_SHARE;
     const source: ObjectSource = {
       list: (kind) => this.#news.list(kind),
       watch: (kind, after) => this.#news.watch(kind, after),
@@ -235,7 +238,7 @@
     for (const follower of this.#followers.values()) follower.stop();
     this.#accounts.group.stop();
     this.#accounts.home.stop();
-    await this.#accounts.links.close();
+    this.#accounts.links.close();
     await this.#connections.close();
     await this.#options.store.close();
     this.#options.log.writeWaiting();
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -235,8 +235,11 @@
         return { from, listed, ageMs: cache.countAgeMs(nowMs) };
       }
       case "watch_objects": {
-        const { objects, afterRevision, waitMs } = message;
+        const { objects, afterRevision, maxAgeMs } = message;
         const cache = this.#parts.findCache(objects);
+        const isRecent = cache !== undefined &&
+          cache.countAgeMs(nowMs) <= maxAgeMs;
+        const waitMs = isRecent ? message.waitMs : 0;
         const changes = await cache?.waitForChanges(afterRevision, waitMs);
         if (cache === undefined || changes === undefined) {
           return { from, isHistoryGone: true };
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -1,9 +1,8 @@
 /**
  * Sends messages to other gateways and receives theirs.
  */
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
-import { PeerConnection, runWhole } from "@camphorlock/http/exchange";
 import type {
   PeerChange,
   PeerDirectory,
@@ -12,6 +11,12 @@
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Address } from "../ports.ts";
+import {
+  type Frame,
+  PeerChannel,
+  readFrames,
+  writeFrame,
+} from "./peer_channel.ts";
 import {
   parseAnswer,
   parseEnvelope,
@@ -22,12 +27,6 @@
 
 /** Twice the way between regions leaves most of this to the peer. */
 const CALL_TIMEOUT_MS = 150;
-const CONNECT_TIMEOUT_MS = 120;
-const IDLE_MS = 30_000;
-/** Peers keep connections longer than their callers use them. */
-const SERVER_IDLE_MS = 60_000;
-const MAX_ANSWER_BYTES = 8 * 1_024 * 1_024;
-const MAX_MESSAGE_BYTES = 8 * 1_024 * 1_024;
 
 /** What the links work with. */
 export interface PeerLinksParts {
@@ -44,27 +43,16 @@
 /** The links to all other gateways. */
 export class PeerLinks {
   readonly #parts: PeerLinksParts;
-  readonly #connections = new Map<string, PeerConnection>();
+  readonly #channels = new Map<string, PeerChannel>();
   readonly #server: Server;
+  readonly #accepted = new Set<Socket>();
 
   constructor(parts: PeerLinksParts) {
     this.#parts = parts;
-    this.#server = createServer({ keepAliveTimeout: SERVER_IDLE_MS }, (
-      request,
-      response,
-    ) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      request.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > MAX_MESSAGE_BYTES) request.destroy();
-        else chunks.push(chunk);
-      });
-      request.on("end", async () => {
-        const { status, body } = await this.#answer(Buffer.concat(chunks));
-        response.writeHead(status, { "content-type": "application/json" });
-        response.end(body);
-      });
+    this.#server = createServer({ noDelay: true }, (socket) => {
+      this.#accepted.add(socket);
+      socket.on("close", () => this.#accepted.delete(socket));
+      readFrames(socket, (frame) => void this.#answer(socket, frame));
     });
   }
 
@@ -102,20 +90,13 @@
   ): Promise<PeerAnswer | undefined> {
     const { getSelf, log } = this.#parts;
     const envelope: PeerEnvelope = { from: getSelf(), message };
-    const whole = await runWhole(this.#getConnection(address), {
-      method: "POST",
-      path: `/${message.kind}`,
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(envelope),
-      silenceTimeoutMs: timeoutMs,
-      freshConnection: false,
-    }, { totalTimeoutMs: timeoutMs, maxBytes: MAX_ANSWER_BYTES });
+    const body = await this.#getChannel(address).call(envelope, timeoutMs);
     this.#parts.metrics.add("peer_calls");
-    if (whole.kind !== "answered" || whole.status !== 200) {
+    if (body === undefined) {
       this.#parts.metrics.add("peer_calls_failed");
       return undefined;
     }
-    const answer = parseAnswer(whole.body);
+    const answer = parseAnswer(body);
     if (answer.isErr()) {
       log.write(EVENTS.PeerMessageUnreadable, { detail: answer.error });
       return undefined;
@@ -124,26 +105,23 @@
     return answer.value;
   }
 
-  async close(): Promise<void> {
+  close(): void {
     this.#server.close();
-    this.#server.closeAllConnections();
-    const all = [...this.#connections.values()];
-    await Promise.allSettled(all.map((each) => each.close()));
+    for (const socket of this.#accepted) socket.destroy();
+    for (const channel of this.#channels.values()) channel.close();
   }
 
-  async #answer(
-    bytes: Buffer,
-  ): Promise<{ readonly status: number; readonly body: string }> {
-    const envelope = parseEnvelope(bytes);
+  async #answer(socket: Socket, { id, body }: Frame): Promise<void> {
+    const envelope = parseEnvelope(body);
     if (envelope.isErr()) {
-      this.#parts.log.write(EVENTS.PeerMessageUnreadable, {
-        detail: envelope.error,
-      });
-      return { status: 400, body: "{}" };
+      const detail = envelope.error;
+      this.#parts.log.write(EVENTS.PeerMessageUnreadable, { detail });
+      socket.destroy();
+      return;
     }
     this.#recordContact(envelope.value.from);
     const answer = await this.#parts.handleMessage(envelope.value);
-    return { status: 200, body: JSON.stringify(answer) };
+    writeFrame(socket, { id, body: answer });
   }
 
   #recordContact(info: PeerInfo): void {
@@ -153,16 +131,12 @@
     this.#parts.onChange(info, change);
   }
 
-  #getConnection({ host, port }: Address): PeerConnection {
-    const baseUrl = `http://${host}:${port}`;
-    const known = this.#connections.get(baseUrl);
+  #getChannel({ host, port }: Address): PeerChannel {
+    const key = `${host}:${port}`;
+    const known = this.#channels.get(key);
     if (known !== undefined) return known;
-    const connection = new PeerConnection({
-      baseUrl,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      idleMs: IDLE_MS,
-    });
-    this.#connections.set(baseUrl, connection);
-    return connection;
+    const channel = new PeerChannel({ host, port });
+    this.#channels.set(key, channel);
+    return channel;
   }
 }
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -34,6 +34,8 @@
     readonly objects: ObjectKind;
     readonly afterRevision: number;
     readonly waitMs: number;
+    /** Older news is of no use and told at once. */
+    readonly maxAgeMs: number;
   };
 
 /** What a home answers to `open_turn`. */
@@ -76,41 +78,26 @@
   "watch_objects",
 ];
 
-/** Parses a message. All gateways of an installation run one version. */
-export function parseEnvelope(bytes: Uint8Array): Result<PeerEnvelope, string> {
-  return parseJson(bytes).andThen((value) => {
-    const envelope = value as Partial<PeerEnvelope>;
-    const kind = envelope.message?.kind;
-    if (!isPeerInfo(envelope.from)) return err("the sender is missing");
-    if (kind === undefined || !KINDS.includes(kind)) {
-      return err(`unknown kind of message: ${String(kind)}`);
-    }
-    return ok(envelope as PeerEnvelope);
-  });
-}
-
-/** Parses an answer. */
-export function parseAnswer(bytes: Uint8Array): Result<PeerAnswer, string> {
-  return parseJson(bytes).andThen((value) =>
-    isPeerInfo((value as Partial<PeerAnswer>).from)
-      ? ok(value as PeerAnswer)
-      : err("the sender is missing")
-  );
+/** Checks a message. All gateways of an installation run one version. */
+export function parseEnvelope(body: unknown): Result<PeerEnvelope, string> {
+  const envelope = body as Partial<PeerEnvelope> | null | undefined;
+  const kind = envelope?.message?.kind;
+  if (!isPeerInfo(envelope?.from)) return err("the sender is missing");
+  if (kind === undefined || !KINDS.includes(kind)) {
+    return err(`unknown kind of message: ${String(kind)}`);
+  }
+  return ok(envelope as PeerEnvelope);
 }
 
-function parseJson(bytes: Uint8Array): Result<object, string> {
-  try {
-    const value: unknown = JSON.parse(Buffer.from(bytes).toString("utf8"));
-    return typeof value === "object" && value !== null
-      ? ok(value)
-      : err("not an object");
-  } catch (error) {
-    return err(`not JSON: ${String(error)}`);
-  }
+/** Checks an answer. */
+export function parseAnswer(body: unknown): Result<PeerAnswer, string> {
+  return isPeerInfo((body as Partial<PeerAnswer> | null)?.from)
+    ? ok(body as PeerAnswer)
+    : err("the sender is missing");
 }
 
 function isPeerInfo(value: unknown): value is PeerInfo {
-  const info = value as Partial<PeerInfo> | undefined;
+  const info = value as Partial<PeerInfo> | null | undefined;
   return typeof info?.vmId === "string" && typeof info.host === "string" &&
     typeof info.port === "number" && typeof info.bootId === "string" &&
     typeof info.region === "string";
--- a/packages/gateway/src/store/follower.ts
+++ b/packages/gateway/src/store/follower.ts
@@ -104,6 +104,7 @@
 
   async #handleFailure(failure: StoreFailure): Promise<void> {
     const { log, kind } = this.#parts;
+    this.cache.endWaits();
     if (failure.kind === "history_gone") {
       log.write(EVENTS.StoreHistoryGone, { kind });
       return;
--- a/packages/gateway/src/store/news_source.ts
+++ b/packages/gateway/src/store/news_source.ts
@@ -21,6 +21,15 @@
 const PEER_WAIT_MS = 1_000;
 /** Time beyond the wait after which another gateway counts as silent. */
 const PEER_GRACE_MS = 200;
+/** How long other gateways are asked first after the store turned this away. */
+const AVOID_STORE_MS = 3_000;
+/** Gateways asked in place of the store; one that reaches it is among them. */
+const MAX_OTHERS = 4;
+
+const NO_NEWS: StoreFailure = {
+  kind: "refused",
+  detail: "the gateway has no recent news",
+};
 
 /** An answer and as of when it was current. */
 export interface News<T> {
@@ -82,48 +91,98 @@
 /** The source of one gateway. */
 export class NewsSource implements ObjectSource {
   readonly #parts: NewsSourceParts;
+  #avoidStoreUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(parts: NewsSourceParts) {
     this.#parts = parts;
   }
 
   /** Reads all objects of a kind. */
-  async list(objects: ObjectKind): NewsResult<StoredList> {
-    for (const peer of this.#listRelays()) {
-      const startedMs = performance.now();
-      const answer = await this.#parts.links.call(peer, {
-        kind: "list_objects",
-        objects,
-      });
-      if (answer?.listed === undefined || !this.#isRecent(answer.ageMs)) {
-        continue;
-      }
-      const confirmedAtMs = startedMs - (answer.ageMs ?? 0);
-      return ok({ value: answer.listed, confirmedAtMs });
-    }
-    return await this.#parts.store.list(objects);
+  list(objects: ObjectKind): NewsResult<StoredList> {
+    return this.#callInTurn(
+      (peer) => this.#listAt(peer, objects),
+      () => this.#parts.store.list(objects),
+    );
   }
 
   /** Waits for changes after a revision. */
-  async watch(
+  watch(
+    objects: ObjectKind,
+    afterRevision: number,
+  ): NewsResult<StoredChanges> {
+    return this.#callInTurn(
+      (peer) => this.#watchAt(peer, objects, afterRevision),
+      () => this.#parts.store.watch(objects, afterRevision),
+    );
+  }
+
+  /**
+   * Asks the gateways that others follow, then the store, and other gateways
+   * where the store turns this one away.
+   */
+  async #callInTurn<T>(
+    callPeer: (peer: PeerInfo) => Promise<Result<News<T>, StoreFailure>>,
+    callStore: () => NewsResult<T>,
+  ): NewsResult<T> {
+    const relays = this.#listRelays();
+    const found = await this.#callPeers(relays, callPeer);
+    if (found !== undefined) return found;
+    const isTurnedAway = performance.now() < this.#avoidStoreUntilMs;
+    const others = () => this.#callPeers(this.#listOthers(relays), callPeer);
+    const early = isTurnedAway ? await others() : undefined;
+    if (early !== undefined) return early;
+    const answer = await callStore();
+    if (answer.isOk() || answer.error.kind === "history_gone") return answer;
+    this.#avoidStoreUntilMs = performance.now() + AVOID_STORE_MS;
+    return isTurnedAway ? answer : await others() ?? answer;
+  }
+
+  /** Asks gateways one after another until one has news of use. */
+  async #callPeers<T>(
+    peers: readonly PeerInfo[],
+    callPeer: (peer: PeerInfo) => Promise<Result<News<T>, StoreFailure>>,
+  ): Promise<Result<News<T>, StoreFailure> | undefined> {
+    for (const peer of peers) {
+      const answer = await callPeer(peer);
+      if (answer.isOk() || answer.error.kind === "history_gone") return answer;
+    }
+    return undefined;
+  }
+
+  async #listAt(
+    peer: PeerInfo,
+    objects: ObjectKind,
+  ): NewsResult<StoredList> {
+    const startedMs = performance.now();
+    const answer = await this.#parts.links.call(peer, {
+      kind: "list_objects",
+      objects,
+    });
+    if (answer?.listed === undefined || !this.#isRecent(answer.ageMs)) {
+      return err(NO_NEWS);
+    }
+    const confirmedAtMs = startedMs - (answer.ageMs ?? 0);
+    return ok({ value: answer.listed, confirmedAtMs });
+  }
+
+  async #watchAt(
+    peer: PeerInfo,
     objects: ObjectKind,
     afterRevision: number,
   ): NewsResult<StoredChanges> {
-    for (const peer of this.#listRelays()) {
-      const answer = await this.#parts.links.call(peer, {
-        kind: "watch_objects",
-        objects,
-        afterRevision,
-        waitMs: PEER_WAIT_MS,
-      }, PEER_WAIT_MS + PEER_GRACE_MS);
-      if (answer?.isHistoryGone) return err({ kind: "history_gone" });
-      if (answer?.changes === undefined || !this.#isRecent(answer.ageMs)) {
-        continue;
-      }
-      const confirmedAtMs = performance.now() - (answer.ageMs ?? 0);
-      return ok({ value: answer.changes, confirmedAtMs });
+    const answer = await this.#parts.links.call(peer, {
+      kind: "watch_objects",
+      objects,
+      afterRevision,
+      waitMs: PEER_WAIT_MS,
+      maxAgeMs: this.#parts.maxAgeMs,
+    }, PEER_WAIT_MS + PEER_GRACE_MS);
+    if (answer?.isHistoryGone) return err({ kind: "history_gone" });
+    if (answer?.changes === undefined || !this.#isRecent(answer.ageMs)) {
+      return err(NO_NEWS);
     }
-    return await this.#parts.store.watch(objects, afterRevision);
+    const confirmedAtMs = performance.now() - (answer.ageMs ?? 0);
+    return ok({ value: answer.changes, confirmedAtMs });
   }
 
   /** Lists the gateways to ask before the store, best first. */
@@ -134,6 +193,16 @@
     return own < 0 ? ranked : ranked.slice(0, own);
   }
 
+  /** Lists gateways to ask when the store turns this one away. */
+  #listOthers(asked: readonly PeerInfo[]): PeerInfo[] {
+    const { directory, selfId } = this.#parts;
+    return directory.sortRelays()
+      .filter(({ vmId }) =>
+        vmId !== selfId && !asked.some((each) => each.vmId === vmId)
+      )
+      .slice(0, MAX_OTHERS);
+  }
+
   #isRecent(ageMs: number | undefined): boolean {
     return ageMs !== undefined && ageMs <= this.#parts.maxAgeMs;
   }
--- a/packages/gateway/src/store/object_cache.ts
+++ b/packages/gateway/src/store/object_cache.ts
@@ -40,7 +40,7 @@
     this.#keptAfter = list.revision;
     this.#revision = list.revision;
     this.#confirmedAtMs = confirmedAtMs;
-    this.#endWaits();
+    this.endWaits();
   }
 
   /** Applies changes up to a revision. */
@@ -59,7 +59,7 @@
     if (this.#log.length > MAX_CHANGES) {
       this.#keptAfter = this.#log.shift()?.revision;
     }
-    this.#endWaits();
+    this.endWaits();
   }
 
   /** Gives everything; absent before the first list. */
@@ -105,7 +105,8 @@
     });
   }
 
-  #endWaits(): void {
+  /** Answers those who wait, so that they learn how old the objects are. */
+  endWaits(): void {
     for (const wake of [...this.#waiting]) wake();
   }
 }
