Greet only the region at a start; split what had grown too long

A start now greets its region and the seeds; of other regions one silent gateway is asked in turn.

The hand-over of accounts and the types of accounts have files of their own.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -7,11 +7,8 @@
  */
 import { randomUUID } from "node:crypto";
 import { EVENTS } from "@camphorlock/codes/events";
-import type {
-  AccountRecord,
-  TokenAccounts,
-  TurnRequest,
-} from "../decisions/token_accounts.ts";
+import type { TokenAccounts } from "../decisions/token_accounts.ts";
+import type { AccountRecord, TurnRequest } from "../model/token_account.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { DistantAccounts } from "./distant_accounts.ts";
--- a/packages/gateway/src/accounts/distant_accounts.ts
+++ b/packages/gateway/src/accounts/distant_accounts.ts
@@ -7,10 +7,8 @@
  * others that know the program.
  */
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
-import type {
-  TokenAccounts,
-  TurnRequest,
-} from "../decisions/token_accounts.ts";
+import type { TokenAccounts } from "../decisions/token_accounts.ts";
+import type { TurnRequest } from "../model/token_account.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
 import type { PeerMessage } from "../peers/peer_messages.ts";
 
--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -6,10 +6,8 @@
  * take different homes for lost still meet at one that knows of both.
  */
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
-import type {
-  TokenAccounts,
-  TurnRequest,
-} from "../decisions/token_accounts.ts";
+import type { TokenAccounts } from "../decisions/token_accounts.ts";
+import type { TurnRequest } from "../model/token_account.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
 import type { TurnAnswer } from "../peers/peer_messages.ts";
 import type { AccountHome } from "./account_home.ts";
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -16,6 +16,13 @@
  * losses that follow one another find all that was passed on before, and the
  * whole stays within the budget and one turn more.
  */
+import type {
+  AccountRecord,
+  AccountState,
+  AccountTurn,
+  TurnDecision,
+  TurnRequest,
+} from "../model/token_account.ts";
 
 /** Part of a budget that may be passed on before the store keeps a record. */
 const UNSTORED_SHARE = 0.4;
@@ -24,56 +31,6 @@
 /** Turns that one record allows beyond the present one. */
 const RECORD_AHEAD_TURNS = 2;
 
-/** A turn that asks for tokens. */
-export interface TurnRequest {
-  readonly programId: string;
-  readonly turnId: string;
-  readonly budgetTokens: number;
-  /** Most tokens that the turn generates. */
-  readonly turnTokens: number;
-}
-
-/** What a home says of a turn. */
-export type TurnDecision =
-  | { readonly kind: "admitted" }
-  /** The budget doesn't hold the turn. */
-  | { readonly kind: "over_budget" }
-  /** The budget holds it only if nothing was spent before a loss. */
-  | { readonly kind: "unknown" }
-  /** A record of at least this many tokens must be stored first. */
-  | { readonly kind: "needs_record"; readonly allowedTokens: number };
-
-/** What the store keeps of a program. */
-export interface AccountRecord {
-  /** Most tokens that may have been passed on. */
-  readonly allowedTokens: number;
-  /** Whether the program was stopped because its budget is spent. */
-  readonly isSpent: boolean;
-}
-
-/** One turn of an account. */
-export interface AccountTurn {
-  readonly turnId: string;
-  readonly isOpen: boolean;
-  /** Passed on, or the most that an open turn may pass on. */
-  readonly tokens: number;
-}
-
-/** An account as homes exchange it. */
-export interface AccountState {
-  readonly programId: string;
-  readonly budgetTokens: number;
-  /** Tokens that may have been passed on in turns that no home remembers. */
-  readonly earlierTokens: number;
-  /** Whether `earlierTokens` is only assumed. */
-  readonly isAssumed: boolean;
-  /** Tokens that the store's record allows. */
-  readonly recordedTokens: number;
-  /** Other regions that know the account. */
-  readonly regions: readonly string[];
-  readonly turns: readonly AccountTurn[];
-}
-
 interface Account {
   /** When its program was met, if it was taken for new without doubt. */
   metAtMs: number | undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -193,7 +193,7 @@
       (nowMs) => this.#accounts.group.removeUnused(nowMs),
     );
     await this.#accounts.links.serve(settings.peers);
-    this.#openGroup();
+    void this.#accounts.group.open().then(() => this.#hasJoined = true);
     await this.#callers.serve(settings.callers);
     await this.#readiness.serve(settings.readiness);
     if (settings.metrics !== undefined) {
@@ -263,10 +263,6 @@
     );
   }
 
-  #openGroup(): void {
-    void this.#accounts.group.open().then(() => this.#hasJoined = true);
-  }
-
   #startFollower(follower: Follower): void {
     // A follower reports its own failures; anything else is a defect.
     follower.run().catch((error: unknown) => {
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -1,15 +1,11 @@
 /**
  * The gateways as a group: finds the others through the store and the seeds,
- * answers their messages, and hands accounts to their homes when the view of
- * the group changes.
+ * answers their messages, and notes who comes and goes.
  */
 import { EVENTS } from "@camphorlock/codes/events";
+import { AccountHandOver } from "../accounts/account_hand_over.ts";
 import type { AccountHome } from "../accounts/account_home.ts";
 import type { DistantAccounts } from "../accounts/distant_accounts.ts";
-import {
-  type GroupChange,
-  listReceivers,
-} from "../decisions/list_receivers.ts";
 import {
   HOME_COUNT,
   type PeerChange,
@@ -24,10 +20,6 @@
 import type { PeerLinks } from "./peer_links.ts";
 import type { PeerAnswer, PeerEnvelope } from "./peer_messages.ts";
 
-/** Gathers changes that come together before accounts are handed over. */
-const HAND_OVER_DELAY_MS = 30;
-/** Accounts in one message. */
-const ACCOUNTS_PER_MESSAGE = 200;
 /** How long accounts of programs without turns are kept. */
 const KEEP_ACCOUNTS_MS = 90_000;
 /** How long programs may come back that were known before a loss. */
@@ -54,25 +46,20 @@
   readonly isFirstStart: boolean;
 }
 
-interface HandOver {
-  readonly home: PeerInfo;
-  readonly programs: Set<string>;
-}
-
 /** One gateway's part in the group. */
 export class PeerGroup {
   readonly #parts: PeerGroupParts;
-  #handOverTimer: NodeJS.Timeout | undefined;
-  /** Changes of the view that accounts weren't handed over for yet. */
-  readonly #changes = new Map<string, GroupChange>();
+  readonly #handOver: AccountHandOver;
   #isStopped = false;
   #nextPeer = 0;
+  #nextSuspected = 0;
   readonly #losses = new RecentLosses();
   /** Whether peers that answered can hand over what this one held before. */
   readonly #informants = new Map<string, boolean>();
 
   constructor(parts: PeerGroupParts) {
     this.#parts = parts;
+    this.#handOver = new AccountHandOver(parts);
   }
 
   /** Joins the group. Returns when the peers that answer are known. */
@@ -103,7 +90,7 @@
 
   stop(): void {
     this.#isStopped = true;
-    clearTimeout(this.#handOverTimer);
+    this.#handOver.stop();
   }
 
   /** Asks one gateway, in turn, for those that it knows. */
@@ -114,9 +101,21 @@
     if (peer !== undefined) await this.#callAll([peer]);
   }
 
-  /** Asks gateways that didn't answer whether they're back. */
+  /**
+   * Asks gateways that didn't answer whether they're back: those of the region
+   * and one of the others, in turn.
+   */
   async callSuspected(): Promise<void> {
-    await this.#callAll(this.#parts.directory.listSuspected());
+    const { directory, getSelf } = this.#parts;
+    const { region } = getSelf();
+    const suspected = directory.listSuspected();
+    const distant = suspected.filter((peer) => peer.region !== region);
+    this.#nextSuspected += 1;
+    const next = distant[this.#nextSuspected % Math.max(1, distant.length)];
+    await this.#callAll([
+      ...suspected.filter((peer) => peer.region === region),
+      ...next === undefined ? [] : [next],
+    ]);
   }
 
   removeUnused(nowMs: number): void {
@@ -129,11 +128,7 @@
     if (change === "none") return;
     this.#recordLoss(peer, change);
     const isHere = change !== "lost" && change !== "leaving";
-    this.#changes.set(peer.vmId, { peer, isHere });
-    this.#handOverTimer ??= setTimeout(() => {
-      this.#handOverTimer = undefined;
-      this.#sendAccounts();
-    }, HAND_OVER_DELAY_MS);
+    this.#handOver.add({ peer, isHere });
   }
 
   /** Notes a gateway that ended; two at about the same time may be both homes. */
@@ -154,40 +149,6 @@
     });
   }
 
-  /** Hands accounts to the gateways that became their homes. */
-  #sendAccounts(): void {
-    const { accounts, directory, getSelf } = this.#parts;
-    const selfId = getSelf().vmId;
-    const byHome = new Map<string, HandOver>();
-    for (const change of this.#changes.values()) {
-      for (const programId of accounts.listPrograms()) {
-        const receivers = listReceivers(directory, programId, {
-          selfId,
-          change,
-        });
-        for (const home of receivers) {
-          const handOver = byHome.get(home.vmId) ??
-            { home, programs: new Set<string>() };
-          handOver.programs.add(programId);
-          byHome.set(home.vmId, handOver);
-        }
-      }
-    }
-    this.#changes.clear();
-    for (const handOver of byHome.values()) this.#sendTo(handOver);
-  }
-
-  #sendTo({ home, programs }: HandOver): void {
-    const { accounts, links } = this.#parts;
-    const states = [...programs]
-      .flatMap((programId) => accounts.find(programId) ?? []);
-    for (let at = 0; at < states.length; at += ACCOUNTS_PER_MESSAGE) {
-      const batch = states.slice(at, at + ACCOUNTS_PER_MESSAGE);
-      // A home that doesn't answer changes the view and starts this anew.
-      void links.call(home, { kind: "merge_accounts", accounts: batch });
-    }
-  }
-
   /** Answers a message of another gateway. */
   async handleMessage(
     { from: sender, message }: PeerEnvelope,
@@ -293,14 +254,18 @@
     return (await store.update("gateways", write)).isOk();
   }
 
-  /** Greets gateways that weren't known. */
+  /**
+   * Greets gateways of the region that weren't known. Those of other regions
+   * are met when they're needed, and in turn.
+   */
   async #addAll(infos: readonly PeerInfo[]): Promise<void> {
-    const { directory, log } = this.#parts;
+    const { directory, log, getSelf } = this.#parts;
+    const { region } = getSelf();
     const added = infos.filter((info) => directory.add(info));
     for (const { vmId } of added) {
       log.write(EVENTS.PeerChanged, { peer: vmId, change: "added" });
     }
-    await this.#callAll(added);
+    await this.#callAll(added.filter((peer) => peer.region === region));
   }
 
   async #callAll(peers: readonly PeerInfo[]): Promise<void> {
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -2,7 +2,7 @@
  * The messages between gateways, and the check of what arrives.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { AccountState, TurnRequest } from "../decisions/token_accounts.ts";
+import type { AccountState, TurnRequest } from "../model/token_account.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
 import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
