Share load that gateways can't see; step aside while overloaded

A gateway now begins with another target among equals than the others do, and counts how long its own requests waited there lately.

A gateway whose timers run late for about a second isn't ready and, once the balancer has taken it out, closes callers' connections after their answers.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -356,6 +356,12 @@
     "warn",
     "A message between gateways can't be read and was dropped.",
   ),
+  OverloadChanged: defineEvent(
+    943,
+    "OverloadChanged",
+    "warn",
+    "The process gets too little processor time for its work, or has caught up.",
+  ),
   AccountsDoubtful: defineEvent(
     954,
     "AccountsDoubtful",
--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -4,8 +4,11 @@
  * The load that this answers: many gateways place short, steady work beside
  * bursts, each with only its own view. The target with the least expected time
  * to the first token is taken: reading the part of the prompt that it doesn't
- * keep, waiting behind this gateway's requests there, and the way.
+ * keep, waiting behind this gateway's requests there and as long as its others
+ * waited lately, and the way. Among equals each gateway begins with another
+ * target, so that not all of them fill the same one.
  */
+import { computeHash } from "@camphorlock/scheduler/hash";
 import type { PromptPart } from "../model/request_fields.ts";
 import type { KnownTarget } from "./target_table.ts";
 
@@ -28,6 +31,8 @@
   /** Targets that already turned this request away. */
   readonly excluded: ReadonlySet<string>;
   readonly nowMs: number;
+  /** The gateway that chooses. */
+  readonly vmId: string;
 }
 
 /** Chooses among targets that take new work; absent when all are excluded. */
@@ -44,7 +49,11 @@
   let bestMs = Number.POSITIVE_INFINITY;
   for (const known of candidates) {
     const costMs = computeCostMs(known, request);
-    if (costMs >= bestMs) continue;
+    if (costMs > bestMs) continue;
+    if (
+      costMs === bestMs && best !== undefined &&
+      computeOrder(known, request) < computeOrder(best, request)
+    ) continue;
     best = known;
     bestMs = costMs;
   }
@@ -56,9 +65,14 @@
   const waiting = Math.max(0, running + 1 - Math.max(1, target.slots));
   return prefixes.countMissing(request.prompt) / PREFILL_TOKENS_PER_MS +
     running * SHARED_SLOT_MS + waiting * QUEUED_MS +
+    known.computeDelayMs(request.nowMs) +
     computeWayMs(target.failureDomain, request);
 }
 
+function computeOrder(known: KnownTarget, { vmId }: PlacementRequest): number {
+  return computeHash(`${vmId}|${known.target.id}`);
+}
+
 function computeWayMs(domain: string, request: PlacementRequest): number {
   if (domain === request.failureDomain) return 0;
   const { regions } = request;
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -135,6 +135,7 @@
 describe("choice of a target", () => {
   const request = {
     prompt: [{ id: "shared", tokens: 12_000 }],
+    vmId: "g",
     failureDomain: "a",
     regions: new Map([["a", "north"], ["b", "south"]]),
     excluded: new Set<string>(),
--- /dev/null
+++ b/packages/gateway/src/decisions/overload_test.ts
@@ -0,0 +1,28 @@
+import { expect } from "chai";
+import { Overload } from "./overload.ts";
+
+const TICK_MS = 50;
+
+function runTicks(overload: Overload, delays: readonly number[]): void {
+  delays.forEach((delay, index) => overload.record(delay, index * TICK_MS));
+}
+
+describe("overload", () => {
+  it("is told when timers keep running late, until they're in time", () => {
+    const overload = new Overload();
+    runTicks(overload, Array.from({ length: 40 }, () => 120));
+    expect(overload.isOverloaded).to.equal(true);
+    expect(overload.countForMs(40 * TICK_MS)).to.be.greaterThan(500);
+    runTicks(overload, Array.from({ length: 40 }, () => 2));
+    expect(overload.isOverloaded).to.equal(false);
+    expect(overload.countForMs(10_000)).to.equal(0);
+  });
+
+  it("isn't told for one long stop, nor for a quota that ends each tenth of a second", () => {
+    const overload = new Overload();
+    runTicks(overload, [0, 1, 4_000, 2, 1, 0]);
+    expect(overload.isOverloaded).to.equal(false);
+    runTicks(overload, Array.from({ length: 100 }, (_, at) => at % 2 * 90));
+    expect(overload.isOverloaded).to.equal(false);
+  });
+});
--- a/packages/gateway/src/decisions/target_table.ts
+++ b/packages/gateway/src/decisions/target_table.ts
@@ -16,6 +16,11 @@
 /** How long a target that reported to be full is passed over. */
 const FULL_MS = 60;
 
+/** Time to a first answer that tells of no queue. */
+const USUAL_DELAY_MS = 80;
+/** Time after which an observed delay counts for about a third. */
+const FORGET_DELAY_MS = 1_500;
+
 /** One target and what is known of it. */
 export class KnownTarget {
   target: Target;
@@ -26,10 +31,43 @@
   /** When a lapsed entry stops being used; infinite while it's listed. */
   usableUntilMs = Number.POSITIVE_INFINITY;
   readonly prefixes = new PrefixMemory();
+  /** When each send began that has no answer yet. */
+  readonly #waitingSinceMs = new Map<string, number>();
+  #delayMs = 0;
+  #delayedAtMs = 0;
 
   constructor(target: Target) {
     this.target = target;
   }
+
+  /** Records that a request was sent there. */
+  recordSend(requestId: string, nowMs: number): void {
+    this.#waitingSinceMs.set(requestId, nowMs);
+  }
+
+  /** Records a request's first answer, or that it got none. */
+  recordFirstAnswer(requestId: string, nowMs: number): void {
+    const sinceMs = this.#waitingSinceMs.get(requestId);
+    if (sinceMs === undefined) return;
+    this.#waitingSinceMs.delete(requestId);
+    const delayMs = Math.max(0, nowMs - sinceMs - USUAL_DELAY_MS);
+    this.#delayMs = Math.max(delayMs, this.#computeKeptDelayMs(nowMs));
+    this.#delayedAtMs = nowMs;
+  }
+
+  /** Computes how much longer than usual a request may wait there. */
+  computeDelayMs(nowMs: number): number {
+    let delayMs = this.#computeKeptDelayMs(nowMs);
+    for (const sinceMs of this.#waitingSinceMs.values()) {
+      delayMs = Math.max(delayMs, nowMs - sinceMs - USUAL_DELAY_MS);
+    }
+    return delayMs;
+  }
+
+  #computeKeptDelayMs(nowMs: number): number {
+    const ageMs = nowMs - this.#delayedAtMs;
+    return this.#delayMs * Math.exp(-ageMs / FORGET_DELAY_MS);
+  }
 }
 
 /** A change of the table, for the log. */
--- a/packages/gateway/src/exchange/exchange_parts.ts
+++ b/packages/gateway/src/exchange/exchange_parts.ts
@@ -16,6 +16,7 @@
   readonly metrics: GatewayMetrics;
   /** Where this gateway stands, for the choice of targets. */
   readonly placement: {
+    readonly vmId: string;
     readonly failureDomain: string;
     readonly regions: ReadonlyMap<string, string>;
   };
--- a/packages/gateway/src/exchange/request_run.ts
+++ b/packages/gateway/src/exchange/request_run.ts
@@ -124,11 +124,14 @@
     const running = this.#start(known);
     this.#running = running;
     known.running += 1;
+    known.recordSend(this.#accepted.fields.requestId, performance.now());
     const stopped = new Promise<FailedSend>((resolve) => {
       this.#wake = () => resolve({ kind: "broken", detail: "stopped" });
     });
     const result = await Promise.race([running.end, stopped]);
     known.running -= 1;
+    const { requestId } = this.#accepted.fields;
+    known.recordFirstAnswer(requestId, performance.now());
     if (result.kind === "completed" || result.kind === "answered") {
       recordAnswer(known);
     }
@@ -154,7 +157,7 @@
       ...options,
       progress: this.#sends.progress,
       caller,
-      recordEvent: () => this.#recordEvent(),
+      recordEvent: () => this.#recordEvent(known),
     });
   }
 
@@ -199,8 +202,10 @@
     return next;
   }
 
-  #recordEvent(): void {
+  #recordEvent(known: KnownTarget): void {
     const { progress } = this.#sends;
+    const { requestId } = this.#accepted.fields;
+    known.recordFirstAnswer(requestId, performance.now());
     if (progress.firstEventMs !== undefined) return;
     progress.firstEventMs = Math.round(this.#countElapsedMs());
     this.#parts.metrics.record("first_event", progress.firstEventMs);
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -44,7 +44,8 @@
   waitForConfiguration(
     limitMs: number,
   ): Promise<ConfigurationInForce | undefined>;
-  isStopping(): boolean;
+  /** Whether answers close their connections, so that callers go elsewhere. */
+  isTurningAway(): boolean;
 }
 
 /** The server for callers. */
@@ -111,7 +112,7 @@
     const caller = new CallerExchange(
       request,
       response,
-      () => this.#parts.isStopping(),
+      () => this.#parts.isTurningAway(),
     );
     this.#open += 1;
     try {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,7 +13,8 @@
 import { TargetTable } from "./decisions/target_table.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
 import { CallerServer } from "./front/caller_server.ts";
-import { PlainServer } from "./front/readiness_server.ts";
+import { PlainServer } from "./front/plain_server.ts";
+import { LEAVE_BALANCER_MS, ReadinessState } from "./front/readiness_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewayLog } from "./log.ts";
 import type {
@@ -49,8 +50,6 @@
  * silent connection costs it whole, and the way on to other gateways as much.
  */
 const WATCH_SHARE = 0.25;
-/** The balancer takes a node out after two questions a second apart. */
-const LEAVE_BALANCER_MS = 2_500;
 /** Time kept before the end of the grace for the last answers to be sent. */
 const GRACE_MARGIN_MS = 400;
 
@@ -81,9 +80,9 @@
   readonly #bootId = randomUUID();
   #ticks: NodeJS.Timeout | undefined;
   #metricsTimer: NodeJS.Timeout | undefined;
+  readonly #readinessState: ReadinessState;
   #isStopping = false;
   #hasJoined = false;
-  #wasReady = false;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -134,6 +133,14 @@
       selfId: settings.vmId,
       maxAgeMs: waitMs + NEWS_MARGIN_MS,
     });
+    this.#readinessState = new ReadinessState({
+      log,
+      isStopping: () => this.#isStopping,
+      isInformed: () =>
+        this.#hasJoined && this.#targets.size > 0 &&
+        this.#configuration.inForce !== undefined,
+      countTargets: () => this.#targets.size,
+    });
     this.#callers = new CallerServer({
       targets: this.#targets,
       connections: this.#connections,
@@ -141,6 +148,7 @@
       log,
       metrics,
       placement: {
+        vmId: settings.vmId,
         failureDomain: settings.failureDomain,
         regions: settings.regions,
       },
@@ -149,14 +157,14 @@
       getConfiguration: () => this.#configuration.inForce,
       waitForConfiguration: (limitMs) =>
         this.#configuration.waitUntilKnown(limitMs),
-      isStopping: () => this.#isStopping,
+      isTurningAway: () => this.#readinessState.isTurningAway,
     });
     this.#metricsServer = new PlainServer(() => ({
       status: 200,
       text: metrics.render(),
     }));
     this.#readiness = new PlainServer(() =>
-      this.#isReady()
+      this.#readinessState.isReady
         ? { status: 200, text: "ready\n" }
         : { status: 503, text: "not ready\n" }
     );
@@ -176,10 +184,10 @@
       LAPSE_CHECK_MS,
       (nowMs) => this.#knownTargets.removeLapsed(nowMs),
     );
-    this.#ticks = setInterval(
-      () => this.#timers.runDue(performance.now()),
-      TICK_MS,
-    );
+    this.#ticks = setInterval(() => {
+      this.#readinessState.recordTick(TICK_MS);
+      this.#timers.runDue(performance.now());
+    }, TICK_MS);
     this.#timers.subscribe(
       PROBE_PEERS_MS,
       () => void this.#accounts.group.callSuspected(),
@@ -270,20 +278,6 @@
     });
   }
 
-  #isReady(): boolean {
-    const isReady = !this.#isStopping && this.#hasJoined &&
-      this.#targets.size > 0 &&
-      this.#configuration.inForce !== undefined;
-    if (isReady && !this.#wasReady) {
-      this.#wasReady = true;
-      this.#options.log.write(EVENTS.GatewayReady, {
-        targets: this.#targets.size,
-        process_ms: Math.round(performance.now()),
-      });
-    }
-    return isReady;
-  }
-
   #applyLimits(): void {
     const inForce = this.#configuration.inForce;
     if (inForce !== undefined) {
