--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -308,12 +308,6 @@
     "info",
     "The store keeps a program's allowance of tokens.",
   ),
-  AccountRecordFound: defineEvent(
-    934,
-    "AccountRecordFound",
-    "info",
-    "The store already held an allowance of a program when one was recorded.",
-  ),
   AccountUnavailable: defineEvent(
     932,
     "AccountUnavailable",
@@ -326,6 +320,12 @@
     "info",
     "A home of the program's account found that its budget holds no such turn.",
   ),
+  AccountRecordFound: defineEvent(
+    934,
+    "AccountRecordFound",
+    "info",
+    "The store already held an allowance of a program when one was recorded.",
+  ),
   LogLinesDropped: defineEvent(
     941,
     "LogLinesDropped",
@@ -338,6 +338,12 @@
     "info",
     "A VM that is to be emptied was reported as empty.",
   ),
+  OverloadChanged: defineEvent(
+    943,
+    "OverloadChanged",
+    "warn",
+    "The process gets too little processor time for its work, or has caught up.",
+  ),
   PeerChanged: defineEvent(
     951,
     "PeerChanged",
@@ -356,12 +362,6 @@
     "warn",
     "A message between gateways can't be read and was dropped.",
   ),
-  OverloadChanged: defineEvent(
-    943,
-    "OverloadChanged",
-    "warn",
-    "The process gets too little processor time for its work, or has caught up.",
-  ),
   AccountsDoubtful: defineEvent(
     954,
     "AccountsDoubtful",
