Question only the accounts that a loss may have taken

A loss put in doubt, for good, every program that was met after it: harmless while unknown programs are doubted anyway, but 75 s later each new program would have been counted as partly spent at its second turn. Found by reading; the new test failed before. The tests of gateways share one builder of peers.

--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -9,6 +9,7 @@
 import { DistantAccounts } from "./distant_accounts.ts";
 import { AccountHome } from "./account_home.ts";
 import { TurnAccounts } from "./turn_accounts.ts";
+import { buildPeer } from "../peer_fixture_test.ts";
 
 const STORE = {
   create: () => Promise.resolve(ok({ revision: 1 })),
@@ -22,14 +23,7 @@
 }
 
 function buildInfo(vmId: string): PeerInfo {
-  return {
-    vmId,
-    host: "127.0.0.1",
-    port: 1,
-    region: getRegion(vmId),
-    bootId: "1",
-    isLeaving: false,
-  };
+  return buildPeer(vmId, { region: getRegion(vmId) });
 }
 
 /** Gateways that reach each other but for the pairs that are cut. */
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -4,10 +4,11 @@
 import { chooseService } from "./choose_service.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { EventSplitter } from "./event_splitter.ts";
-import { PeerDirectory, type PeerInfo } from "./peer_directory.ts";
+import { PeerDirectory } from "./peer_directory.ts";
 import { planNextSend, type SendHistory } from "./plan_next_send.ts";
 import { RouteTable } from "./route_table.ts";
 import { recordFailure, TargetTable } from "./target_table.ts";
+import { buildPeer } from "../peer_fixture_test.ts";
 
 function buildRoute(change: Partial<Route>): Route {
   return {
@@ -39,18 +40,6 @@
   };
 }
 
-function buildPeer(vmId: string, change: Partial<PeerInfo> = {}): PeerInfo {
-  return {
-    vmId,
-    host: "127.0.0.1",
-    port: 1,
-    region: "north",
-    bootId: "1",
-    isLeaving: false,
-    ...change,
-  };
-}
-
 describe("route table", () => {
   const configuration: RoutingConfiguration = {
     version: 1,
--- a/packages/gateway/src/decisions/list_receivers_test.ts
+++ b/packages/gateway/src/decisions/list_receivers_test.ts
@@ -1,21 +1,11 @@
 import { expect } from "chai";
 import { listReceivers } from "./list_receivers.ts";
-import { PeerDirectory, type PeerInfo } from "./peer_directory.ts";
+import { PeerDirectory } from "./peer_directory.ts";
+import { buildPeer } from "../peer_fixture_test.ts";
 
 const IDS = ["a", "b", "c", "d", "e", "f"];
 const PROGRAMS = Array.from({ length: 300 }, (_, index) => `p${index}`);
 
-function buildPeer(vmId: string): PeerInfo {
-  return {
-    vmId,
-    host: "127.0.0.1",
-    port: 1,
-    region: "north",
-    bootId: "1",
-    isLeaving: false,
-  };
-}
-
 function buildDirectories(ids: readonly string[]): Map<string, PeerDirectory> {
   return new Map(ids.map((id) => {
     const directory = new PeerDirectory(buildPeer(id));
--- a/packages/gateway/src/decisions/recent_losses_test.ts
+++ b/packages/gateway/src/decisions/recent_losses_test.ts
@@ -1,17 +1,6 @@
 import { expect } from "chai";
-import type { PeerInfo } from "./peer_directory.ts";
 import { LOSS_WINDOW_MS, RecentLosses } from "./recent_losses.ts";
-
-function buildPeer(vmId: string): PeerInfo {
-  return {
-    vmId,
-    host: "127.0.0.1",
-    port: 1,
-    region: "north",
-    bootId: "1",
-    isLeaving: false,
-  };
-}
+import { buildPeer } from "../peer_fixture_test.ts";
 
 describe("recent losses", () => {
   it("hold gateways that ended, until they're long past or back", () => {
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -34,6 +34,8 @@
 interface Account {
   /** When its program was met, if it was taken for new without doubt. */
   metAtMs: number | undefined;
+  /** Whether a loss was noticed since that may have taken its turns. */
+  isQuestioned: boolean;
   budgetTokens: number;
   earlierTokens: number;
   isAssumed: boolean;
@@ -49,7 +51,6 @@
   /** Regions that asked for programs before these were known here. */
   readonly #askedBy = new Map<string, { regions: Set<string>; atMs: number }>();
   #mayHaveLostUntilMs = Number.NEGATIVE_INFINITY;
-  #lostSinceMs = Number.POSITIVE_INFINITY;
 
   /** Number of accounts held. */
   get size(): number {
@@ -62,7 +63,12 @@
    */
   setLoss(untilMs: number, sinceMs = Number.POSITIVE_INFINITY): void {
     this.#mayHaveLostUntilMs = untilMs;
-    this.#lostSinceMs = Math.min(this.#lostSinceMs, sinceMs);
+    for (const account of this.#accounts.values()) {
+      const { metAtMs } = account;
+      if (metAtMs !== undefined && metAtMs >= sinceMs) {
+        account.isQuestioned = true;
+      }
+    }
   }
 
   /** Whether unknown programs may have spent tokens. */
@@ -212,7 +218,7 @@
     const known = this.#accounts.get(turn.programId);
     if (known !== undefined) {
       known.usedAtMs = nowMs;
-      if (known.metAtMs !== undefined && known.metAtMs >= this.#lostSinceMs) {
+      if (known.metAtMs !== undefined && known.isQuestioned) {
         known.metAtMs = undefined;
         known.isAssumed = true;
         known.earlierTokens = computeUnstored(turn);
@@ -238,6 +244,7 @@
   ): Account {
     const account: Account = {
       metAtMs: undefined,
+      isQuestioned: false,
       budgetTokens: first.budgetTokens,
       earlierTokens: first.earlierTokens,
       isAssumed: first.isAssumed,
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -105,6 +105,16 @@
       .to.equal("over_budget");
   });
 
+  it("don't doubt programs that are met long after a loss", () => {
+    const accounts = new TokenAccounts();
+    accounts.setLoss(1_000, 0);
+    expect(accounts.open(buildTurn("a", 5_600), 2_000).kind)
+      .to.equal("admitted");
+    expect(accounts.open(buildTurn("b", 5_600), 2_010).kind)
+      .to.equal("admitted");
+    expect(accounts.find("p")?.isAssumed).to.equal(false);
+  });
+
   it("keep what a record tells of a program when a loss is noticed late", () => {
     const accounts = new TokenAccounts();
     accounts.setLoss(1_000, -500);
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import type { ServerResponse } from "node:http";
 import { PeerDirectory } from "./decisions/peer_directory.ts";
+import { buildPeer } from "./peer_fixture_test.ts";
 import {
   answerWhole,
   buildConfiguration,
@@ -11,15 +12,7 @@
 
 /** Chooses the homes of a program as the gateways of the fixture do. */
 function chooseHomes(programId: string, vmIds: readonly string[]): string[] {
-  const infos = vmIds.map((vmId) => ({
-    vmId,
-    host: "127.0.0.1",
-    port: 1,
-    region: "north",
-    bootId: "1",
-    isLeaving: false,
-  }));
-  const [self, ...others] = infos;
+  const [self, ...others] = vmIds.map((vmId) => buildPeer(vmId));
   if (self === undefined) return [];
   const directory = new PeerDirectory(self);
   for (const other of others) directory.add(other);
--- /dev/null
+++ b/packages/gateway/src/peer_fixture_test.ts
@@ -0,0 +1,17 @@
+import type { PeerInfo } from "./decisions/peer_directory.ts";
+
+/** Builds a gateway as the others know it. */
+export function buildPeer(
+  vmId: string,
+  change: Partial<PeerInfo> = {},
+): PeerInfo {
+  return {
+    vmId,
+    host: "127.0.0.1",
+    port: 1,
+    region: "north",
+    bootId: "1",
+    isLeaving: false,
+    ...change,
+  };
+}
--- a/packages/gateway/src/store/news_source_test.ts
+++ b/packages/gateway/src/store/news_source_test.ts
@@ -3,23 +3,13 @@
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import type { PeerAnswer } from "../peers/peer_messages.ts";
 import { NewsSource, type ObjectSource } from "./news_source.ts";
+import { buildPeer } from "../peer_fixture_test.ts";
 
 const MAX_AGE_MS = 900;
 
-function buildInfo(vmId: string): PeerInfo {
-  return {
-    vmId,
-    host: "127.0.0.1",
-    port: 1,
-    region: "north",
-    bootId: "1",
-    isLeaving: false,
-  };
-}
-
 const IDS = ["a", "b", "c", "d", "e", "f"];
-const ORDER = new PeerDirectory(buildInfo("a"));
-for (const id of IDS) ORDER.add(buildInfo(id));
+const ORDER = new PeerDirectory(buildPeer("a"));
+for (const id of IDS) ORDER.add(buildPeer(id));
 const SORTED = ORDER.sortRelays().map(({ vmId }) => vmId);
 
 /** A gateway that is the last in the order, and how old the others' news is. */
@@ -28,8 +18,8 @@
   isTurnedAway: boolean,
 ) {
   const selfId = SORTED.at(-1) ?? "";
-  const directory = new PeerDirectory(buildInfo(selfId));
-  for (const id of IDS) directory.add(buildInfo(id));
+  const directory = new PeerDirectory(buildPeer(selfId));
+  for (const id of IDS) directory.add(buildPeer(id));
   const asked: string[] = [];
   const value = { changes: [], revision: 9 };
   const store: ObjectSource = {
