Count a record once when the home that wrote it told of its turns

Homes change while restarted gateways find each other; the new home found the record of the first one, which allows turns ahead, and took all of it for spent, beside the turns that it had been handed. An account now carries the homes whose turns are all in it; records of those aren't counted again.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -35,14 +35,10 @@
   readonly metrics: GatewayMetrics;
 }
 
-/** A record as the store keeps it. */
-interface StoredRecord extends AccountRecord {
-  /** The home that wrote it, as one process. */
-  readonly writtenBy: string;
-}
+type Allowance = Pick<AccountRecord, "allowedTokens" | "isSpent">;
 
 interface Recording {
-  wanted: AccountRecord;
+  wanted: Allowance;
   readonly done: Promise<void>;
 }
 
@@ -55,7 +51,7 @@
   readonly #revisions = new Map<string, number>();
   /** Until then turns don't wait for records. */
   #storeLostUntilMs = Number.NEGATIVE_INFINITY;
-  readonly #stored = new Map<string, AccountRecord>();
+  readonly #stored = new Map<string, Allowance>();
   /** Turns that came before this home began to decide. */
   readonly #waiting = new Set<() => void>();
   #isStarted = false;
@@ -154,10 +150,10 @@
     clearTimeout(timer);
   }
 
-  #startRecording(programId: string, wanted: AccountRecord): Promise<void> {
+  #startRecording(programId: string, wanted: Allowance): Promise<void> {
     const running = this.#recordings.get(programId);
     if (running !== undefined) {
-      running.wanted = mergeRecords(running.wanted, wanted);
+      running.wanted = mergeAllowances(running.wanted, wanted);
       return running.done;
     }
     const stored = this.#stored.get(programId);
@@ -185,7 +181,7 @@
         await new Promise((resolve) => setTimeout(resolve, RECORD_RETRY_MS));
         continue;
       }
-      accounts.addRecord(programId, wanted);
+      accounts.addRecord(programId, { ...wanted, writtenBy: this.#homeId });
       this.#stored.set(programId, wanted);
       metrics.add("account_records");
       log.write(EVENTS.AccountRecorded, { program: programId, ...wanted });
@@ -194,10 +190,10 @@
   }
 
   /** Writes a record that covers `wanted`; false when it must be repeated. */
-  async #write(programId: string, wanted: AccountRecord): Promise<boolean> {
+  async #write(programId: string, wanted: Allowance): Promise<boolean> {
     const { store, accounts, log } = this.#parts;
     const revision = this.#revisions.get(programId);
-    const value: StoredRecord = { ...wanted, writtenBy: this.#homeId };
+    const value: AccountRecord = { ...wanted, writtenBy: this.#homeId };
     const write = { name: programId, value };
     const written = revision === undefined
       ? await store.create("tokenAccounts", write)
@@ -261,8 +257,8 @@
   }
 }
 
-function readRecord(value: unknown): StoredRecord {
-  const record = (value ?? {}) as Partial<StoredRecord>;
+function readRecord(value: unknown): AccountRecord {
+  const record = (value ?? {}) as Partial<AccountRecord>;
   const { allowedTokens, isSpent, writtenBy } = record;
   return {
     allowedTokens: typeof allowedTokens === "number" ? allowedTokens : 0,
@@ -271,15 +267,12 @@
   };
 }
 
-function hasCovered(stored: AccountRecord, wanted: AccountRecord): boolean {
+function hasCovered(stored: Allowance, wanted: Allowance): boolean {
   return stored.allowedTokens >= wanted.allowedTokens &&
     (stored.isSpent || !wanted.isSpent);
 }
 
-function mergeRecords(
-  left: AccountRecord,
-  right: AccountRecord,
-): AccountRecord {
+function mergeAllowances(left: Allowance, right: Allowance): Allowance {
   return {
     allowedTokens: Math.max(left.allowedTokens, right.allowedTokens),
     isSpent: left.isSpent || right.isSpent,
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -40,6 +40,7 @@
   earlierTokens: number;
   isAssumed: boolean;
   recordedTokens: number;
+  readonly toldBy: Set<string>;
   readonly regions: Set<string>;
   readonly turns: Map<string, AccountTurn>;
   usedAtMs: number;
@@ -76,19 +77,25 @@
     return nowMs < this.#mayHaveLostUntilMs;
   }
 
-  /** Records that the store keeps an allowance which a home of now wrote. */
-  addRecord(programId: string, { allowedTokens }: AccountRecord): void {
+  /** Records that the store keeps an allowance which this home wrote. */
+  addRecord(programId: string, record: AccountRecord): void {
     const account = this.#accounts.get(programId);
     if (account === undefined) return;
+    const { allowedTokens, writtenBy } = record;
     account.recordedTokens = Math.max(account.recordedTokens, allowedTokens);
+    account.toldBy.add(writtenBy);
   }
 
-  /** Adds a record that the store was found to hold. */
+  /**
+   * Adds a record that the store was found to hold. What it allows counts as
+   * spent, unless the home that wrote it has told of its turns.
+   */
   addFoundRecord(programId: string, record: AccountRecord): void {
-    this.addRecord(programId, record);
     const account = this.#accounts.get(programId);
-    if (account === undefined || !account.isAssumed) return;
-    const { allowedTokens, isSpent } = record;
+    if (account === undefined) return;
+    const { allowedTokens, isSpent, writtenBy } = record;
+    account.recordedTokens = Math.max(account.recordedTokens, allowedTokens);
+    if (!account.isAssumed || account.toldBy.has(writtenBy)) return;
     account.earlierTokens = Math.max(account.earlierTokens, allowedTokens);
     if (isSpent) account.isAssumed = false;
   }
@@ -163,6 +170,7 @@
       account.recordedTokens,
       state.recordedTokens,
     );
+    for (const home of state.toldBy) account.toldBy.add(home);
     for (const region of state.regions) account.regions.add(region);
     for (const turn of state.turns) this.#setTurn(account, turn);
   }
@@ -194,6 +202,7 @@
       earlierTokens: account.earlierTokens,
       isAssumed: account.isAssumed,
       recordedTokens: account.recordedTokens,
+      toldBy: [...account.toldBy],
       regions: [...account.regions],
       turns: [...account.turns.values()],
     };
@@ -231,6 +240,7 @@
       earlierTokens: isAssumed ? computeUnstored(turn) : 0,
       isAssumed,
       recordedTokens: 0,
+      toldBy: [],
       regions: [...this.#askedBy.get(turn.programId)?.regions ?? []],
       nowMs,
     });
@@ -249,6 +259,7 @@
       earlierTokens: first.earlierTokens,
       isAssumed: first.isAssumed,
       recordedTokens: first.recordedTokens,
+      toldBy: new Set(first.toldBy),
       regions: new Set(first.regions),
       turns: new Map(),
       usedAtMs: first.nowMs,
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -19,6 +19,7 @@
       accounts.addRecord("p", {
         allowedTokens: decision.allowedTokens,
         isSpent: false,
+        writtenBy: "home",
       });
       return accounts.open(turn, 0).kind;
     });
@@ -29,7 +30,11 @@
     const accounts = new TokenAccounts();
     accounts.open(buildTurn("a", 1_120), 0);
     accounts.close("p", "a", 35);
-    accounts.addRecord("p", { allowedTokens: 1_120, isSpent: false });
+    accounts.addRecord("p", {
+      allowedTokens: 1_120,
+      isSpent: false,
+      writtenBy: "home",
+    });
     expect(accounts.open(buildTurn("b", 1_120), 0).kind).to.equal("admitted");
   });
 
@@ -73,6 +78,7 @@
       accounts.addRecord("p", {
         allowedTokens: decision.allowedTokens,
         isSpent: false,
+        writtenBy: "home",
       });
       return accounts.open(turn, 0).kind;
     });
@@ -86,7 +92,11 @@
       accounts.setLoss(1_000);
       expect(accounts.open(buildTurn("a", budgetTokens), 0).kind)
         .to.equal("needs_record");
-      accounts.addRecord("p", { allowedTokens: budgetTokens, isSpent: false });
+      accounts.addRecord("p", {
+        allowedTokens: budgetTokens,
+        isSpent: false,
+        writtenBy: "home",
+      });
       expect(accounts.open(buildTurn("a", budgetTokens), 0).kind)
         .to.equal("admitted");
       accounts.close("p", "a", 140);
@@ -100,7 +110,11 @@
     accounts.setLoss(1_000);
     expect(accounts.open(buildTurn("a", 1_680), 0).kind)
       .to.equal("needs_record");
-    accounts.addFoundRecord("p", { allowedTokens: 1_680, isSpent: true });
+    accounts.addFoundRecord("p", {
+      allowedTokens: 1_680,
+      isSpent: true,
+      writtenBy: "home",
+    });
     expect(accounts.open(buildTurn("a", 1_680), 0).kind)
       .to.equal("over_budget");
   });
@@ -119,12 +133,37 @@
     const accounts = new TokenAccounts();
     accounts.setLoss(1_000, -500);
     accounts.open(buildTurn("a", 1_120), 0);
-    accounts.addFoundRecord("p", { allowedTokens: 1_120, isSpent: true });
+    accounts.addFoundRecord("p", {
+      allowedTokens: 1_120,
+      isSpent: true,
+      writtenBy: "home",
+    });
     accounts.setLoss(1_100, -400);
     expect(accounts.open(buildTurn("a", 1_120), 10).kind)
       .to.equal("over_budget");
   });
 
+  it("count a record once when the home that wrote it told of its turns", () => {
+    const [writer, other] = [new TokenAccounts(), new TokenAccounts()];
+    for (const accounts of [writer, other]) accounts.setLoss(1_000);
+    const record = { allowedTokens: 3_920, isSpent: false, writtenBy: "w" };
+    writer.open(buildTurn("a", 5_600), 0);
+    writer.addRecord("p", record);
+    expect(writer.open(buildTurn("a", 5_600), 0).kind).to.equal("admitted");
+    writer.close("p", "a", 140);
+    const told = writer.find("p");
+    if (told === undefined) throw new Error("lost");
+    other.merge(told, 0);
+    other.addFoundRecord("p", record);
+    expect(other.find("p")?.earlierTokens).to.equal(2_240);
+    // One that wasn't told takes all that the record allows for spent.
+    const untold = new TokenAccounts();
+    untold.setLoss(1_000);
+    untold.open(buildTurn("b", 5_600), 0);
+    untold.addFoundRecord("p", record);
+    expect(untold.find("p")?.earlierTokens).to.equal(3_920);
+  });
+
   it("doubt programs met shortly before a loss, but for those vouched for", () => {
     const accounts = new TokenAccounts();
     accounts.open(buildTurn("a", 5_600), 900);
@@ -154,18 +193,20 @@
         const store: { record?: AccountRecord; life: number } = { life: 0 };
         let life = 0;
         let accounts = new TokenAccounts();
-        const save = (record: AccountRecord) => {
+        const save = (wanted: Omit<AccountRecord, "writtenBy">) => {
           if (store.record !== undefined && store.life !== life) {
             accounts.addFoundRecord("p", store.record);
           }
           const allowed = store.record?.allowedTokens ?? 0;
-          if (allowed >= record.allowedTokens && !record.isSpent) return;
-          store.record = {
-            allowedTokens: Math.max(allowed, record.allowedTokens),
-            isSpent: record.isSpent,
+          if (allowed >= wanted.allowedTokens && !wanted.isSpent) return;
+          const record = {
+            allowedTokens: Math.max(allowed, wanted.allowedTokens),
+            isSpent: wanted.isSpent,
+            writtenBy: `life ${life}`,
           };
+          store.record = record;
           store.life = life;
-          accounts.addRecord("p", store.record);
+          accounts.addRecord("p", record);
         };
         let passed = 0;
         uses.forEach((use, index) => {
@@ -181,11 +222,17 @@
             decision.kind === "needs_record" && tries < 2;
             tries += 1
           ) {
-            save({ allowedTokens: decision.allowedTokens, isSpent: false });
+            save({
+              allowedTokens: decision.allowedTokens,
+              isSpent: false,
+            });
             decision = accounts.open(turn, 0);
           }
           if (decision.kind === "over_budget") {
-            save({ allowedTokens: budgetTokens, isSpent: true });
+            save({
+              allowedTokens: budgetTokens,
+              isSpent: true,
+            });
           }
           if (decision.kind !== "admitted") return;
           passed += use;
--- a/packages/gateway/src/model/token_account.ts
+++ b/packages/gateway/src/model/token_account.ts
@@ -28,6 +28,8 @@
   readonly allowedTokens: number;
   /** Whether the program was stopped because its budget is spent. */
   readonly isSpent: boolean;
+  /** The home that wrote it, as one process. */
+  readonly writtenBy: string;
 }
 
 /** One turn of an account. */
@@ -48,6 +50,8 @@
   readonly isAssumed: boolean;
   /** Tokens that the store's record allows. */
   readonly recordedTokens: number;
+  /** Homes whose turns are all among `turns`. */
+  readonly toldBy: readonly string[];
   /** Other regions that know the account. */
   readonly regions: readonly string[];
   readonly turns: readonly AccountTurn[];
