Replace a silent connection between gateways before the next call

The new test of the channel found it: a call that timed out destroyed its connection, but the next call was still written to it, until its close was reported, and failed as well.

--- a/packages/gateway/src/peers/peer_channel.ts
+++ b/packages/gateway/src/peers/peer_channel.ts
@@ -49,7 +49,7 @@
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.#calls.delete(id);
-        if (this.#receivedAtMs < sentAtMs) socket.destroy();
+        if (this.#receivedAtMs < sentAtMs) this.#remove(socket);
         resolve(undefined);
       }, timeoutMs);
       this.#calls.set(id, { resolve, timer });
@@ -59,24 +59,29 @@
 
   /** Ends every call and closes the connection. */
   close(): void {
-    this.#socket?.destroy();
-    this.#endCalls();
+    if (this.#socket !== undefined) this.#remove(this.#socket);
   }
 
   #open(): Socket {
     const socket = connect({ ...this.#address, noDelay: true });
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    const timer = setTimeout(() => this.#remove(socket), CONNECT_TIMEOUT_MS);
     socket.on("connect", () => clearTimeout(timer));
     readFrames(socket, (frame) => this.#handleFrame(frame));
     socket.on("close", () => {
       clearTimeout(timer);
-      if (this.#socket !== socket) return;
-      this.#socket = undefined;
-      this.#endCalls();
+      this.#remove(socket);
     });
     return socket;
   }
 
+  /** Gives a connection up, so that the next call opens another one. */
+  #remove(socket: Socket): void {
+    socket.destroy();
+    if (this.#socket !== socket) return;
+    this.#socket = undefined;
+    this.#endCalls();
+  }
+
   #handleFrame({ id, body }: Frame): void {
     this.#receivedAtMs = performance.now();
     const call = this.#calls.get(id);
--- /dev/null
+++ b/packages/gateway/src/peers/peer_channel_test.ts
@@ -0,0 +1,112 @@
+import { expect } from "chai";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { PeerChannel, readFrames, writeFrame } from "./peer_channel.ts";
+
+const PATIENCE_MS = 2_000;
+/** Far below what a test waits for, far above the way on loopback. */
+const SHORT_MS = 100;
+
+/** A peer on loopback whose behaviour the test sets. */
+class FakePeer {
+  handle: (socket: Socket, id: number, body: unknown) => void = (
+    socket,
+    id,
+    body,
+  ) => writeFrame(socket, { id, body: { echo: body } });
+  connections = 0;
+  chunks = 0;
+  readonly #sockets = new Set<Socket>();
+  readonly #server: Server = createServer((socket) => {
+    this.connections += 1;
+    this.#sockets.add(socket);
+    socket.on("data", () => this.chunks += 1);
+    readFrames(socket, ({ id, body }) => this.handle(socket, id, body));
+  });
+
+  async start(): Promise<PeerChannel> {
+    const host = "127.0.0.1";
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, host, () => resolve())
+    );
+    const { port } = this.#server.address() as AddressInfo;
+    return new PeerChannel({ host, port });
+  }
+
+  stop(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.#server.close();
+  }
+}
+
+describe("peer channel", () => {
+  let peer: FakePeer;
+  let channel: PeerChannel;
+
+  beforeEach(async () => {
+    peer = new FakePeer();
+    channel = await peer.start();
+  });
+
+  afterEach(() => {
+    channel.close();
+    peer.stop();
+  });
+
+  it("pairs answers with messages, many on one connection", async () => {
+    await channel.call("first", PATIENCE_MS);
+    const before = peer.chunks;
+    const texts = Array.from({ length: 20 }, (_, index) => `m\n${index}`);
+    const answers = await Promise.all(
+      texts.map((text) => channel.call(text, PATIENCE_MS)),
+    );
+    expect(answers).to.deep.equal(texts.map((echo) => ({ echo })));
+    expect(peer.connections).to.equal(1);
+    // Messages of one moment leave together.
+    expect(peer.chunks - before).to.be.below(texts.length);
+  });
+
+  it("pairs answers that come in another order", async () => {
+    const held: (() => void)[] = [];
+    peer.handle = (socket, id, body) => {
+      held.push(() => writeFrame(socket, { id, body }));
+      if (held.length === 3) { for (const answer of held.reverse()) answer(); }
+    };
+    const answers = await Promise.all(
+      ["a", "b", "c"].map((text) => channel.call(text, PATIENCE_MS)),
+    );
+    expect(answers).to.deep.equal(["a", "b", "c"]);
+  });
+
+  it("replaces a connection that has gone silent", async () => {
+    peer.handle = () => {};
+    expect(await channel.call("lost", SHORT_MS)).to.equal(undefined);
+    peer.handle = (socket, id, body) => writeFrame(socket, { id, body });
+    expect(await channel.call("next", PATIENCE_MS)).to.equal("next");
+    expect(peer.connections).to.equal(2);
+  });
+
+  it("keeps a connection on which only one call is slow", async () => {
+    peer.handle = (socket, id, body) => {
+      if (body !== "slow") writeFrame(socket, { id, body });
+    };
+    const slow = channel.call("slow", SHORT_MS);
+    expect(await channel.call("quick", PATIENCE_MS)).to.equal("quick");
+    expect(await slow).to.equal(undefined);
+    expect(await channel.call("later", PATIENCE_MS)).to.equal("later");
+    expect(peer.connections).to.equal(1);
+  });
+
+  it("ends its calls when the peer speaks something else, or is gone", async () => {
+    peer.handle = (socket) => socket.write("HTTP/1.1 400 Bad Request\r\n\r\n");
+    expect(await channel.call("a", PATIENCE_MS)).to.equal(undefined);
+    peer.handle = (socket) => socket.destroy();
+    expect(await channel.call("b", PATIENCE_MS)).to.equal(undefined);
+    peer.stop();
+    expect(await channel.call("c", PATIENCE_MS)).to.equal(undefined);
+  });
+});
