Choose a region's distant homes once; share a target's answer between tests

A program that is met for the first time had the homes of all other regions sorted once for each region that was asked, and filtered afterwards. The directory now chooses for one region. Three tests of the gateway set the same answer of five events; one function does.

--- a/packages/gateway/src/accounts/distant_accounts.ts
+++ b/packages/gateway/src/accounts/distant_accounts.ts
@@ -79,10 +79,12 @@
   }
 
   #listHomes(programId: string): PeerInfo[] {
-    const regions = this.#parts.accounts.find(programId)?.regions ?? [];
-    if (regions.length === 0) return [];
-    return this.#parts.directory.chooseDistantHomes(programId)
-      .filter(({ region }) => regions.includes(region));
+    const { accounts, directory } = this.#parts;
+    const known = accounts.find(programId)?.regions ?? [];
+    if (known.length === 0) return [];
+    return directory.listOtherRegions()
+      .filter((region) => known.includes(region))
+      .flatMap((region) => directory.chooseDistantHomes(programId, region));
   }
 
   async #loadDistant(programId: string): Promise<LookUp> {
@@ -103,8 +105,7 @@
     programId: string,
   ): Promise<"found" | LookUp> {
     const { directory, links, accounts } = this.#parts;
-    const homes = directory.chooseDistantHomes(programId)
-      .filter((home) => home.region === region);
+    const homes = directory.chooseDistantHomes(programId, region);
     const answers = await Promise.all(
       homes.map((home) =>
         links.call(home, { kind: "find_account", programId }, LOOK_UP_MS)
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -137,14 +137,10 @@
     return [...regions];
   }
 
-  /** Chooses the homes of a program in every other region. */
-  chooseDistantHomes(programId: string): PeerInfo[] {
-    return this.listOtherRegions().flatMap((region) =>
-      sortByRank(
-        programId,
-        this.listLive(region).filter(({ isLeaving }) => !isLeaving),
-      ).slice(0, HOME_COUNT)
-    );
+  /** Chooses the homes of a program in another region, best first. */
+  chooseDistantHomes(programId: string, region: string): PeerInfo[] {
+    const live = this.listLive(region).filter(({ isLeaving }) => !isLeaving);
+    return sortByRank(programId, live).slice(0, HOME_COUNT);
   }
 
   #sortLive(key: string): PeerInfo[] {
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { PeerDirectory } from "./decisions/peer_directory.ts";
 import { buildPeer } from "./peer_fixture_test.ts";
 import {
@@ -23,6 +23,15 @@
   for (const id of ids) response.write(`id: ${id}\ndata: x\n\n`);
 }
 
+function answerFiveEvents(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.writeHead(200, { signed: "1" });
+  sendEvents(response, [1, 2, 3, 4, 5]);
+  response.end();
+}
+
 describe("gateway", () => {
   let fixture: GatewayFixture;
   let target: FakeTarget;
@@ -251,13 +260,7 @@
   });
 
   it("counts a program's tokens over two gateways", async () => {
-    for (const each of [target, other]) {
-      each.handle = (_request, response) => {
-        response.writeHead(200, { signed: "1" });
-        sendEvents(response, [1, 2, 3, 4, 5]);
-        response.end();
-      };
-    }
+    for (const each of [target, other]) each.handle = answerFiveEvents;
     await fixture.addGateway("g2");
     const statuses: number[] = [];
     for (let turn = 0; turn < 8; turn += 1) {
@@ -275,13 +278,7 @@
   });
 
   it("goes on counting when a home is lost", async () => {
-    for (const each of [target, other]) {
-      each.handle = (_request, response) => {
-        response.writeHead(200, { signed: "1" });
-        sendEvents(response, [1, 2, 3, 4, 5]);
-        response.end();
-      };
-    }
+    for (const each of [target, other]) each.handle = answerFiveEvents;
     await fixture.addGateway("g2");
     await fixture.addGateway("g3");
     const run = async (at: number, turn: number) => {
@@ -302,13 +299,7 @@
   });
 
   it("records what may have been passed on when both homes are killed", async () => {
-    for (const each of [target, other]) {
-      each.handle = (_request, response) => {
-        response.writeHead(200, { signed: "1" });
-        sendEvents(response, [1, 2, 3, 4, 5]);
-        response.end();
-      };
-    }
+    for (const each of [target, other]) each.handle = answerFiveEvents;
     const vmIds = ["g1", "g2", "g3", "g4"];
     for (const vmId of vmIds.slice(1)) await fixture.addGateway(vmId);
     const homes = chooseHomes("p", vmIds);
