--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -326,6 +326,24 @@
     "info",
     "The store already held an allowance of a program when one was recorded.",
   ),
+  TurnAdmitted: defineEvent(
+    935,
+    "TurnAdmitted",
+    "info",
+    "A home admitted a turn; on what basis, and its account beforehand.",
+  ),
+  AccountMet: defineEvent(
+    936,
+    "AccountMet",
+    "info",
+    "A home began an account, and what it takes its program to have spent.",
+  ),
+  AccountsReceived: defineEvent(
+    937,
+    "AccountsReceived",
+    "info",
+    "Another gateway handed over accounts.",
+  ),
   LogLinesDropped: defineEvent(
     941,
     "LogLinesDropped",
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -14,6 +14,7 @@
 import type { DistantAccounts } from "./distant_accounts.ts";
 import type { TurnAnswer } from "../peers/peer_messages.ts";
 import type { ObjectStore } from "../ports.ts";
+import { AccountLog } from "./account_log.ts";
 
 /** Longest that a turn waits for its record while the store seems to work. */
 const RECORD_WAIT_MS = 80;
@@ -57,19 +58,24 @@
   #isStarted = false;
   #isStopped = false;
 
+  readonly #log: AccountLog;
+
   constructor(parts: AccountHomeParts) {
     this.#parts = parts;
+    this.#log = new AccountLog(parts);
   }
 
   /** Decides on a turn. */
   async open(turn: TurnRequest): Promise<TurnAnswer> {
     const { distant } = this.#parts;
     if (!await this.#waitForStart()) {
-      this.#logUnavailable(turn, "the other gateways aren't met yet");
+      this.#log.writeUnavailable(turn, "the other gateways aren't met yet");
       return "unavailable";
     }
     const mayBeKnown = await distant.load(turn.programId) === "doubtful";
+    const isMet = this.#parts.accounts.find(turn.programId) === undefined;
     const answer = await this.#openHere(turn, mayBeKnown);
+    if (isMet) this.#log.writeMet(turn, mayBeKnown);
     if (answer !== "admitted" || await distant.confirm(turn)) return answer;
     this.#parts.accounts.close(turn.programId, turn.turnId, 0);
     return "over_budget";
@@ -88,16 +94,20 @@
     }
     switch (decision.kind) {
       case "admitted":
+        this.#log.writeAdmitted(turn, "recorded");
         return "admitted";
       case "over_budget":
-        this.#logOverBudget(turn);
+        this.#log.writeOverBudget(turn);
         this.#startRecording(turn.programId, {
           allowedTokens: turn.budgetTokens,
           isSpent: true,
         });
         return "over_budget";
       case "unknown":
-        this.#logUnavailable(turn, "tokens may have been spent before a loss");
+        this.#log.writeUnavailable(
+          turn,
+          "tokens may have been spent before a loss",
+        );
         return "unavailable";
       case "needs_record":
         return this.#openUnrecorded(turn);
@@ -108,11 +118,14 @@
   #openUnrecorded(turn: TurnRequest): TurnAnswer {
     const { accounts } = this.#parts;
     if (accounts.find(turn.programId)?.isAssumed) {
-      this.#logUnavailable(turn, "the store can't tell what was spent before");
+      this.#log.writeUnavailable(
+        turn,
+        "the store can't tell what was spent before",
+      );
       return "unavailable";
     }
     if (!accounts.confirm(turn, performance.now())) return "over_budget";
-    this.#logUnavailable(turn, "admitted ahead of its record");
+    this.#log.writeAdmitted(turn, "ahead_of_record");
     return "admitted";
   }
 
@@ -229,32 +242,6 @@
     } else accounts.addFoundRecord(programId, stored);
     return hasCovered(stored, wanted);
   }
-
-  #logOverBudget(turn: TurnRequest): void {
-    const account = this.#parts.accounts.find(turn.programId);
-    const turns = account?.turns ?? [];
-    const sum = (isOpen: boolean) =>
-      turns.filter((each) => each.isOpen === isOpen)
-        .reduce((total, { tokens }) => total + tokens, 0);
-    this.#parts.log.write(EVENTS.TurnOverBudget, {
-      request: turn.turnId,
-      program: turn.programId,
-      budget_tokens: turn.budgetTokens,
-      turn_tokens: turn.turnTokens,
-      passed_tokens: sum(false),
-      open_tokens: sum(true),
-      earlier_tokens: account?.earlierTokens ?? 0,
-      recorded_tokens: account?.recordedTokens ?? 0,
-    });
-  }
-
-  #logUnavailable(turn: TurnRequest, detail: string): void {
-    this.#parts.log.write(EVENTS.AccountUnavailable, {
-      program: turn.programId,
-      request: turn.turnId,
-      detail,
-    });
-  }
 }
 
 function readRecord(value: unknown): AccountRecord {
--- a/packages/gateway/src/exchange/request_run.ts
+++ b/packages/gateway/src/exchange/request_run.ts
@@ -144,6 +144,11 @@
     const connection = connections.get(known.target);
     const leftMs = this.#countLeftMs();
     const request = this.#buildRequest(known, leftMs);
+    const { maxTargets } = this.#accepted.route;
+    if (this.#sends.isBeyondLimit(known.target.id, maxTargets)) {
+      metrics.add("sends_beyond_target_limit");
+    }
+    if (fields.deadlineMs === undefined) metrics.add("sends_without_deadline");
     this.#sends.sentTo.push(known.target.id);
     known.prefixes.record(fields.prompt);
     metrics.add("sends");
--- a/packages/gateway/src/exchange/send_record.ts
+++ b/packages/gateway/src/exchange/send_record.ts
@@ -45,6 +45,12 @@
     return this.#runners.has(targetId);
   }
 
+  /** Whether one more target may run the request than its route allows. */
+  isBeyondLimit(targetId: string, maxTargets: number): boolean {
+    const others = [...this.#runners].filter((id) => id !== targetId);
+    return others.length >= maxTargets;
+  }
+
   /** Records a send that brought no whole answer. */
   add(known: KnownTarget, failed: FailedSend): void {
     const { id } = known.target;
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -28,6 +28,8 @@
 const INFORMED_MS = 500;
 /** Pause before an entry that the store didn't take is written again. */
 const REGISTER_RETRY_MS = 400;
+/** Programs that one log line names. */
+const MAX_LOGGED_PROGRAMS = 20;
 
 /** What the group works with. */
 export interface PeerGroupParts {
@@ -178,6 +180,12 @@
       }
       case "merge_accounts":
         for (const state of message.accounts) accounts.merge(state, nowMs);
+        this.#parts.log.write(EVENTS.AccountsReceived, {
+          peer: sender.vmId,
+          accounts: message.accounts.length,
+          programs: message.accounts.slice(0, MAX_LOGGED_PROGRAMS)
+            .map(({ programId }) => programId),
+        });
         return { from };
       case "find_account": {
         distant.addRegion(message.programId, sender.region);
