--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -155,6 +155,32 @@
     expect(admitted.length).to.be.within(1, 2);
   });
 
+  // Seed 1093214820439 of a day with cuts: callers reached both gateways.
+  it("admit no more than the budget at homes that are cut off from each other", async () => {
+    const group = new Group();
+    group.add(ids);
+    const budgetTokens = 5_600;
+    const homes = group.get("a").directory.chooseHomes("p");
+    const [first = "", second = ""] = homes.map(({ vmId }) => vmId);
+    let tokens = 0;
+    async function runTurn(at: string, turnId: string): Promise<void> {
+      const turn = { ...buildTurn(turnId), budgetTokens };
+      if (await group.get(at).turns.open(turn) !== "admitted") return;
+      tokens += turn.turnTokens;
+      group.get(at).turns.close(turn, turn.turnTokens);
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    for (let turn = 0; turn < 5; turn += 1) await runTurn(first, `t${turn}`);
+    for (const id of ids) {
+      for (const other of ids) group.cut.add(`${id}-${other}`);
+    }
+    for (let turn = 5; turn < 20; turn += 1) {
+      await runTurn(first, `t${turn}`);
+      await runTurn(second, `u${turn}`);
+    }
+    expect(tokens).to.be.at.most(budgetTokens + 560);
+  });
+
   it("admit no more than the budget through two regions", async () => {
     const group = new Group();
     group.add([...ids, "E", "F"]);
--- /dev/null
+++ b/packages/gateway/src/token_budget_test.ts
@@ -0,0 +1,66 @@
+import { expect } from "chai";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { buildConfiguration, GatewayFixture } from "./gateway_fixture_test.ts";
+
+const EVENTS_PER_TURN = 5;
+/** As the fixture's configuration has it. */
+const TOKENS_PER_EVENT = 10;
+const BUDGET_TOKENS = 120;
+const TURN_TOKENS = 60;
+
+function answerEvents(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.writeHead(200, { signed: "1" });
+  for (let id = 1; id <= EVENTS_PER_TURN; id += 1) {
+    response.write(`id: ${id}\ndata: x\n\n`);
+  }
+  response.end();
+}
+
+describe("a program's token budget", () => {
+  let fixture: GatewayFixture;
+  let turns = 0;
+
+  beforeEach(async () => {
+    fixture = new GatewayFixture();
+    fixture.store.put("configuration", "main", buildConfiguration(1));
+    (await fixture.addTarget("t1")).handle = answerEvents;
+  });
+
+  afterEach(() => fixture.stop());
+
+  /** Sends turns one after another and counts the tokens that came back. */
+  async function runTurns(port: number, count: number): Promise<number> {
+    let tokens = 0;
+    for (let turn = 0; turn < count; turn += 1) {
+      turns += 1;
+      const { text } = await fixture.ask(port, {
+        path: "/stream/1",
+        headers: {
+          id: `turn-${turns}`,
+          budget: `p,${BUDGET_TOKENS},${TURN_TOKENS}`,
+        },
+      });
+      tokens += TOKENS_PER_EVENT * (text.match(/^id:/gm)?.length ?? 0);
+      await new Promise((resolve) => setTimeout(resolve, 30));
+    }
+    return tokens;
+  }
+
+  // Issue 14: the store was down for six seconds before all VMs lost power.
+  it("isn't passed when all gateways are killed while the store is away", async () => {
+    await fixture.addGateway("g1");
+    await fixture.addGateway("g2");
+    fixture.store.isDown = true;
+    const before = await runTurns(fixture.ports[0] ?? 0, 4);
+    await Promise.all(fixture.gateways.map((gateway) => gateway.close()));
+    fixture.store.isDown = false;
+    await fixture.addGateway("g1", { isFirstStart: false });
+    await fixture.addGateway("g2", { isFirstStart: false });
+    const after = await runTurns(fixture.ports[2] ?? 0, 4);
+    expect(before).to.be.greaterThan(0);
+    expect(before + after).to.be.at.most(BUDGET_TOKENS + TURN_TOKENS);
+  });
+});
