--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -330,13 +330,13 @@
     935,
     "TurnAdmitted",
     "info",
-    "A home admitted a turn; on what basis, and its account beforehand.",
+    "A home granted a turn tokens; its account afterwards.",
   ),
   AccountMet: defineEvent(
     936,
     "AccountMet",
     "info",
-    "A home began an account, and what it takes its program to have spent.",
+    "A home met a program; whether it got the first allowance.",
   ),
   AccountsReceived: defineEvent(
     937,
@@ -380,11 +380,29 @@
     "warn",
     "A message between gateways can't be read and was dropped.",
   ),
-  AccountsDoubtful: defineEvent(
-    954,
-    "AccountsDoubtful",
+  ShardsChanged: defineEvent(
+    955,
+    "ShardsChanged",
+    "info",
+    "A newer table of shards is known; how many this gateway holds.",
+  ),
+  ShardsReleased: defineEvent(
+    956,
+    "ShardsReleased",
+    "info",
+    "A planned stop gave this gateway's shards to another one, or couldn't.",
+  ),
+  ShardsUnreadable: defineEvent(
+    957,
+    "ShardsUnreadable",
     "warn",
-    "Token accounts may have been lost; unknown programs count as partly spent.",
+    "The stored table of shards can't be read; no first allowance is given.",
+  ),
+  FirstAllowanceDecided: defineEvent(
+    938,
+    "FirstAllowanceDecided",
+    "info",
+    "The holder of a program's shard gave its first allowance, or why not.",
   ),
 } as const;
 
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -1,267 +1,148 @@
 /**
- * One gateway as the home of token accounts: decides on turns and keeps the
- * store's records ahead of what the accounts' programs may have passed on.
+ * One gateway as the home of token accounts: decides on turns, and sees to it
+ * that it has an allowance before it grants any of it.
  *
- * While the store is out of reach, turns go on with the account in the memory
- * of its two homes, and the record follows when the store is back.
+ * The first allowance of a program comes from the holder of the program's
+ * shard, without a write to the store. Any other is taken from the program's
+ * record. A turn for which there's neither is refused as not run.
  */
-import { randomUUID } from "node:crypto";
-import { EVENTS } from "@camphorlock/codes/events";
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
-import type { AccountRecord, TurnRequest } from "../model/token_account.ts";
+import { computeFirstAllowance } from "../decisions/first_allowances.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
-import type { DistantAccounts } from "./distant_accounts.ts";
-import type { TurnAnswer } from "../peers/peer_messages.ts";
+import type { TurnAnswer, TurnRequest } from "../model/token_account.ts";
 import type { ObjectStore } from "../ports.ts";
 import { AccountLog } from "./account_log.ts";
+import { AllowanceRecords } from "./allowance_records.ts";
 
-/** Longest that a turn waits for its record while the store seems to work. */
-const RECORD_WAIT_MS = 80;
-/** A record that was found asks for a larger one; a third is never needed. */
-const MAX_RECORD_WAITS = 2;
-/** How long turns wait for a home that just started; less than its callers. */
-const START_WAIT_MS = 250;
-/** Pause before a record that the store didn't take is written again. */
-const RECORD_RETRY_MS = 500;
-/** How long a call that failed tells that the store is out of reach. */
-const STORE_LOST_MS = 1_500;
+/** Time after which a home says that it waits for others. */
+const PENDING_AFTER_MS = 60;
+/** Allowances that one question may wait for; other turns use some of them. */
+const MAX_ALLOWANCES = 8;
+/** How long accounts of programs without turns are kept. */
+const KEEP_ACCOUNTS_MS = 300_000;
 
 /** What a home works with. */
 export interface AccountHomeParts {
   readonly accounts: TokenAccounts;
-  readonly distant: DistantAccounts;
   readonly store: ObjectStore;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-}
-
-type Allowance = Pick<AccountRecord, "allowedTokens" | "isSpent">;
-
-interface Recording {
-  wanted: Allowance;
-  readonly done: Promise<void>;
+  /** Asks the holder of a program's shard for its first allowance. */
+  readonly callHolder: (programId: string) => Promise<boolean>;
 }
 
 /** The home role of one gateway. */
 export class AccountHome {
   readonly #parts: AccountHomeParts;
-  readonly #homeId: string = randomUUID();
-  readonly #recordings = new Map<string, Recording>();
-  /** Store revisions of the records that this process wrote or found. */
-  readonly #revisions = new Map<string, number>();
-  /** Until then turns don't wait for records. */
-  #storeLostUntilMs = Number.NEGATIVE_INFINITY;
-  readonly #stored = new Map<string, Allowance>();
-  /** Turns that came before this home began to decide. */
-  readonly #waiting = new Set<() => void>();
-  #isStarted = false;
-  #isStopped = false;
-
+  readonly #records: AllowanceRecords;
   readonly #log: AccountLog;
+  /** Decisions under way, by turn. */
+  readonly #deciding = new Map<string, Promise<TurnAnswer>>();
+  /** Allowances under way, by program. */
+  readonly #allowing = new Map<string, Promise<string | undefined>>();
 
   constructor(parts: AccountHomeParts) {
     this.#parts = parts;
+    this.#records = new AllowanceRecords(parts);
     this.#log = new AccountLog(parts);
   }
 
-  /** Decides on a turn. */
-  async open(turn: TurnRequest): Promise<TurnAnswer> {
-    const { distant } = this.#parts;
-    if (!await this.#waitForStart()) {
-      this.#log.writeUnavailable(turn, "the other gateways aren't met yet");
-      return "unavailable";
-    }
-    const mayBeKnown = await distant.load(turn.programId) === "doubtful";
-    const isMet = this.#parts.accounts.find(turn.programId) === undefined;
-    const answer = await this.#openHere(turn, mayBeKnown);
-    if (isMet) this.#log.writeMet(turn, mayBeKnown);
-    if (answer !== "admitted" || await distant.confirm(turn)) return answer;
-    this.#parts.accounts.close(turn.programId, turn.turnId, 0);
-    return "over_budget";
-  }
-
-  async #openHere(turn: TurnRequest, mayBeKnown: boolean): Promise<TurnAnswer> {
-    const { accounts } = this.#parts;
-    let decision = accounts.open(turn, performance.now(), mayBeKnown);
-    for (
-      let tries = 0;
-      decision.kind === "needs_record" && tries < MAX_RECORD_WAITS;
-      tries += 1
-    ) {
-      await this.#waitForRecord(turn, decision.allowedTokens);
-      decision = accounts.open(turn, performance.now());
-    }
-    switch (decision.kind) {
-      case "admitted":
-        this.#log.writeAdmitted(turn, "recorded");
-        return "admitted";
-      case "over_budget":
-        this.#log.writeOverBudget(turn);
-        this.#startRecording(turn.programId, {
-          allowedTokens: turn.budgetTokens,
-          isSpent: true,
-        });
-        return "over_budget";
-      case "unknown":
-        this.#log.writeUnavailable(
-          turn,
-          "tokens may have been spent before a loss",
-        );
-        return "unavailable";
-      case "needs_record":
-        return this.#openUnrecorded(turn);
-    }
-  }
-
-  /** Decides while the store doesn't take the record, which is tried again. */
-  #openUnrecorded(turn: TurnRequest): TurnAnswer {
-    const { accounts } = this.#parts;
-    if (accounts.find(turn.programId)?.isAssumed) {
-      this.#log.writeUnavailable(
-        turn,
-        "the store can't tell what was spent before",
+  /** Decides on a turn. A question that is asked again joins the first. */
+  open(turn: TurnRequest): Promise<TurnAnswer> {
+    const running = this.#deciding.get(turn.turnId) ?? this.#start(turn);
+    let timer: NodeJS.Timeout | undefined;
+    const pending = new Promise<TurnAnswer>((resolve) => {
+      timer = setTimeout(
+        () => resolve({ kind: "pending" }),
+        PENDING_AFTER_MS,
       );
-      return "unavailable";
-    }
-    if (!accounts.confirm(turn, performance.now())) return "over_budget";
-    this.#log.writeAdmitted(turn, "ahead_of_record");
-    return "admitted";
-  }
-
-  /** Begins to decide, once what was known before the start is known again. */
-  start(): void {
-    this.#isStarted = true;
-    for (const resolve of this.#waiting) resolve();
-    this.#waiting.clear();
+    });
+    return Promise.race([running, pending]).finally(() => clearTimeout(timer));
   }
 
-  stop(): void {
-    this.#isStopped = true;
+  /** Ends a turn. */
+  close(programId: string, turnId: string, passedTokens: number): void {
+    this.#parts.accounts.close(programId, turnId, passedTokens);
   }
 
-  async #waitForStart(): Promise<boolean> {
-    if (this.#isStarted) return true;
-    await new Promise<void>((resolve) => {
-      this.#waiting.add(resolve);
-      setTimeout(resolve, START_WAIT_MS);
-    });
-    return this.#isStarted;
+  removeUnused(nowMs: number): void {
+    this.#parts.accounts.removeUnused(nowMs - KEEP_ACCOUNTS_MS);
+    this.#records.removeUnused(nowMs - KEEP_ACCOUNTS_MS);
   }
 
-  async #waitForRecord(turn: TurnRequest, allowed: number): Promise<void> {
-    const recording = this.#startRecording(turn.programId, {
-      allowedTokens: allowed,
-      isSpent: false,
-    });
-    if (performance.now() < this.#storeLostUntilMs) return;
-    let timer: NodeJS.Timeout | undefined;
-    const limit = new Promise<void>((resolve) => {
-      timer = setTimeout(resolve, RECORD_WAIT_MS);
-    });
-    await Promise.race([recording, limit]);
-    clearTimeout(timer);
+  #start(turn: TurnRequest): Promise<TurnAnswer> {
+    const decision = this.#settle(turn)
+      .finally(() => this.#deciding.delete(turn.turnId));
+    this.#deciding.set(turn.turnId, decision);
+    return decision;
   }
 
-  #startRecording(programId: string, wanted: Allowance): Promise<void> {
-    const running = this.#recordings.get(programId);
-    if (running !== undefined) {
-      running.wanted = mergeAllowances(running.wanted, wanted);
-      return running.done;
-    }
-    const stored = this.#stored.get(programId);
-    if (stored !== undefined && hasCovered(stored, wanted)) {
-      return Promise.resolve();
+  async #settle(turn: TurnRequest): Promise<TurnAnswer> {
+    const { accounts } = this.#parts;
+    for (let allowances = 0;; allowances += 1) {
+      const decision = accounts.open(turn, performance.now());
+      switch (decision.kind) {
+        case "admitted":
+          this.#log.writeAdmitted(turn, decision.grantedTokens);
+          return decision;
+        case "over_budget":
+          this.#log.writeOverBudget(turn);
+          void this.#records.saveSpent(turn.programId, turn.budgetTokens);
+          return decision;
+        case "needs_allowance": {
+          const detail = allowances < MAX_ALLOWANCES
+            ? await this.#startAllowing(turn, decision.missingTokens)
+            : "other turns of the program use up what is taken";
+          if (detail === undefined) continue;
+          this.#log.writeUnavailable(turn, detail);
+          return { kind: "unavailable" };
+        }
+      }
     }
-    let resolve: () => void = () => {};
-    const done = new Promise<void>((resolveDone) => {
-      resolve = resolveDone;
-    });
-    const recording = { wanted, done };
-    this.#recordings.set(programId, recording);
-    this.#record(programId, recording).finally(() => {
-      this.#recordings.delete(programId);
-      resolve();
-    });
-    return done;
   }
 
-  async #record(programId: string, recording: Recording): Promise<void> {
-    const { accounts, log, metrics } = this.#parts;
-    while (!this.#isStopped) {
-      const { wanted } = recording;
-      if (!await this.#write(programId, wanted)) {
-        await new Promise((resolve) => setTimeout(resolve, RECORD_RETRY_MS));
-        continue;
-      }
-      accounts.addRecord(programId, { ...wanted, writtenBy: this.#homeId });
-      this.#stored.set(programId, wanted);
-      metrics.add("account_records");
-      log.write(EVENTS.AccountRecorded, { program: programId, ...wanted });
-      if (hasCovered(wanted, recording.wanted)) return;
-    }
+  /** Gets an allowance, one at a time; a text says why there's none. */
+  #startAllowing(
+    turn: TurnRequest,
+    missingTokens: number,
+  ): Promise<string | undefined> {
+    const { programId } = turn;
+    const running = this.#allowing.get(programId);
+    if (running !== undefined) return running;
+    const allowing = this.#reserveAllowance(turn, missingTokens)
+      .finally(() => this.#allowing.delete(programId));
+    this.#allowing.set(programId, allowing);
+    return allowing;
   }
 
-  /** Writes a record that covers `wanted`; false when it must be repeated. */
-  async #write(programId: string, wanted: Allowance): Promise<boolean> {
-    const { store, accounts, log } = this.#parts;
-    const revision = this.#revisions.get(programId);
-    const value: AccountRecord = { ...wanted, writtenBy: this.#homeId };
-    const write = { name: programId, value };
-    const written = revision === undefined
-      ? await store.create("tokenAccounts", write)
-      : await store.update("tokenAccounts", { ...write, revision });
-    if (written.isOk()) {
-      this.#revisions.set(programId, written.value.revision);
-      return true;
-    }
-    const failure = written.error;
-    if (failure.kind === "absent") {
-      this.#revisions.delete(programId);
-      return false;
+  async #reserveAllowance(
+    turn: TurnRequest,
+    missingTokens: number,
+  ): Promise<string | undefined> {
+    const { programId, budgetTokens } = turn;
+    const { accounts, callHolder } = this.#parts;
+    if (accounts.takeFirstQuestion(programId)) {
+      const isGiven = await callHolder(programId);
+      this.#log.writeFirst(turn, isGiven);
+      if (isGiven) {
+        const tokens = computeFirstAllowance(budgetTokens);
+        accounts.addAllowance(programId, tokens);
+        return undefined;
+      }
     }
-    if (failure.kind !== "conflict") {
-      this.#storeLostUntilMs = performance.now() + STORE_LOST_MS;
-      return false;
+    const wanted = { programId, budgetTokens, missingTokens };
+    const taken = await this.#records.take(wanted);
+    switch (taken.kind) {
+      case "taken":
+        accounts.addAllowance(programId, taken.tokens);
+        return undefined;
+      case "exhausted":
+        if (!taken.isSpent) return "other homes have the rest of the budget";
+        accounts.setSpent(programId);
+        return turn.isRunning ? "the program was stopped before" : undefined;
+      case "unavailable":
+        return taken.detail;
     }
-    const current = failure.current ??
-      (await store.find("tokenAccounts", programId)).unwrapOr(undefined);
-    if (current === undefined) return false;
-    this.#revisions.set(programId, current.revision);
-    const stored = readRecord(current.value);
-    log.write(EVENTS.AccountRecordFound, {
-      program: programId,
-      revision: current.revision,
-      ...stored,
-      is_own: stored.writtenBy === this.#homeId,
-      is_assumed: accounts.find(programId)?.isAssumed ?? false,
-    });
-    // A write whose answer was lost is found again.
-    if (stored.writtenBy === this.#homeId) {
-      accounts.addRecord(programId, stored);
-    } else accounts.addFoundRecord(programId, stored);
-    return hasCovered(stored, wanted);
   }
 }
-
-function readRecord(value: unknown): AccountRecord {
-  const record = (value ?? {}) as Partial<AccountRecord>;
-  const { allowedTokens, isSpent, writtenBy } = record;
-  return {
-    allowedTokens: typeof allowedTokens === "number" ? allowedTokens : 0,
-    isSpent: isSpent === true,
-    writtenBy: typeof writtenBy === "string" ? writtenBy : "",
-  };
-}
-
-function hasCovered(stored: Allowance, wanted: Allowance): boolean {
-  return stored.allowedTokens >= wanted.allowedTokens &&
-    (stored.isSpent || !wanted.isSpent);
-}
-
-function mergeAllowances(left: Allowance, right: Allowance): Allowance {
-  return {
-    allowedTokens: Math.max(left.allowedTokens, right.allowedTokens),
-    isSpent: left.isSpent || right.isSpent,
-  };
-}
--- a/packages/gateway/src/accounts/account_log.ts
+++ b/packages/gateway/src/accounts/account_log.ts
@@ -23,17 +23,11 @@
     this.#parts = parts;
   }
 
-  /** Writes that a turn was admitted, and what that rests on. */
-  writeAdmitted(
-    turn: TurnRequest,
-    basis: "recorded" | "ahead_of_record",
-  ): void {
+  writeAdmitted(turn: TurnRequest, grantedTokens: number): void {
     const { log, metrics } = this.#parts;
     metrics.add("turns_admitted");
-    if (basis === "ahead_of_record") {
-      metrics.add("turns_admitted_ahead_of_record");
-    }
-    log.write(EVENTS.TurnAdmitted, { ...this.#buildFields(turn), basis });
+    const fields = this.#buildFields(turn);
+    log.write(EVENTS.TurnAdmitted, { ...fields, turn_granted: grantedTokens });
   }
 
   writeOverBudget(turn: TurnRequest): void {
@@ -41,42 +35,34 @@
   }
 
   writeUnavailable(turn: TurnRequest, detail: string): void {
-    this.#parts.log.write(EVENTS.AccountUnavailable, {
-      ...this.#buildFields(turn),
-      detail,
-    });
+    const { log, metrics } = this.#parts;
+    metrics.add("turns_without_allowance");
+    const fields = this.#buildFields(turn);
+    log.write(EVENTS.AccountUnavailable, { ...fields, detail });
   }
 
-  /** Writes what a new account begins with. */
-  writeMet({ programId, turnId }: TurnRequest, mayBeKnown: boolean): void {
-    const { accounts, log } = this.#parts;
-    const account = accounts.find(programId);
+  /** Writes whether a program's first allowance was given to this home. */
+  writeFirst({ programId, turnId }: TurnRequest, isGiven: boolean): void {
+    const { log, metrics } = this.#parts;
+    if (isGiven) metrics.add("first_allowances");
     log.write(EVENTS.AccountMet, {
       program: programId,
       request: turnId,
-      is_assumed: account?.isAssumed ?? false,
-      earlier_tokens: account?.earlierTokens ?? 0,
-      may_be_known_elsewhere: mayBeKnown,
-      is_loss_possible: accounts.isLossPossible(performance.now()),
+      has_first_allowance: isGiven,
     });
   }
 
   #buildFields(turn: TurnRequest): LogFields {
     const account = this.#parts.accounts.find(turn.programId);
-    const turns = account?.turns ?? [];
-    const sum = (isOpen: boolean) =>
-      turns.filter((each) => each.isOpen === isOpen)
-        .reduce((total, { tokens }) => total + tokens, 0);
     return {
       request: turn.turnId,
       program: turn.programId,
       budget_tokens: turn.budgetTokens,
       turn_tokens: turn.turnTokens,
-      passed_tokens: sum(false),
-      open_tokens: sum(true),
-      earlier_tokens: account?.earlierTokens ?? 0,
-      recorded_tokens: account?.recordedTokens ?? 0,
-      is_assumed: account?.isAssumed ?? false,
+      is_running: turn.isRunning,
+      allowed_tokens: account?.allowedTokens ?? 0,
+      passed_tokens: account?.passedTokens ?? 0,
+      granted_tokens: account?.grantedTokens ?? 0,
     };
   }
 }
--- a/packages/gateway/src/accounts/account_parts.ts
+++ b/packages/gateway/src/accounts/account_parts.ts
@@ -9,13 +9,14 @@
 import { PeerLinks } from "../peers/peer_links.ts";
 import type { GatewaySettings, ObjectKind, ObjectStore } from "../ports.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
+import { AccountHandOver } from "./account_hand_over.ts";
 import { AccountHome } from "./account_home.ts";
-import { DistantAccounts } from "./distant_accounts.ts";
+import { ShardKeeper } from "./shard_keeper.ts";
 import { TurnAccounts } from "./turn_accounts.ts";
 
 /** What the parts are built from. */
 export interface AccountPartsOptions {
-  readonly settings: GatewaySettings;
+  readonly settings: Pick<GatewaySettings, "seeds">;
   readonly store: ObjectStore;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -24,50 +25,64 @@
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
 
+/** The parts that count tokens. */
+export interface CountingParts {
+  readonly group: PeerGroup;
+  readonly shards: ShardKeeper;
+  readonly turns: TurnAccounts;
+}
+
 /** The parts. */
-export interface AccountParts {
+export interface AccountParts extends CountingParts {
   readonly directory: PeerDirectory;
-  readonly group: PeerGroup;
-  readonly home: AccountHome;
   readonly links: PeerLinks;
-  readonly turns: TurnAccounts;
 }
 
 /** Builds the parts. */
 export function buildAccountParts(options: AccountPartsOptions): AccountParts {
-  const { settings, log, metrics, store, getSelf, findCache } = options;
-  const accounts = new TokenAccounts();
+  const { log, metrics, getSelf } = options;
   const directory = new PeerDirectory(getSelf());
   const links: PeerLinks = new PeerLinks({
     directory,
     log,
     metrics,
     getSelf,
-    handleMessage: (envelope) => group.handleMessage(envelope),
-    onChange: (peer, change) => group.handleChange(peer, change),
+    handleMessage: (envelope) => counting.group.handleMessage(envelope),
+    onChange: (peer, change) => counting.group.handleChange(peer, change),
   });
-  const shared = { directory, links, accounts, selfId: settings.vmId };
-  const distant = new DistantAccounts(shared);
+  const counting = buildCountingParts(options, directory, links);
+  return { ...counting, directory, links };
+}
+
+/** Builds the parts that count tokens, on links to the other gateways. */
+export function buildCountingParts(
+  options: AccountPartsOptions,
+  directory: PeerDirectory,
+  links: Pick<PeerLinks, "call" | "callAddress">,
+): CountingParts {
+  const { settings, log, metrics, store, getSelf, findCache } = options;
+  const accounts = new TokenAccounts();
+  const shared = { directory, links, accounts, log, self: getSelf() };
+  const handOver = new AccountHandOver(shared);
+  const shards = new ShardKeeper({ ...shared, store });
   const home = new AccountHome({
     accounts,
-    distant,
     store,
     log,
     metrics,
+    callHolder: (programId) => shards.callHolder(programId),
   });
   const group = new PeerGroup({
-    directory,
-    links,
-    accounts,
+    ...shared,
     home,
-    distant,
+    handOver,
+    shards,
     store,
-    log,
     seeds: settings.seeds,
     getSelf,
     findCache,
-    isFirstStart: settings.isFirstStart,
   });
-  const turns = new TurnAccounts({ ...shared, home, distant });
-  return { directory, group, home, links, turns };
+  const { joined } = group;
+  const turns = new TurnAccounts({ ...shared, home, handOver, joined });
+  return { group, shards, turns };
 }
--- /dev/null
+++ b/packages/gateway/src/accounts/allowance_records_test.ts
@@ -0,0 +1,132 @@
+import { expect } from "chai";
+import { err, type Result } from "neverthrow";
+import { FakeStore } from "../fake_store_test.ts";
+import { GatewayMetrics } from "../gateway_metrics.ts";
+import { GatewayLog } from "../log.ts";
+import type {
+  ObjectKind,
+  StoredObject,
+  StoreFailure,
+  StoreWrite,
+} from "../ports.ts";
+import type { Wanted } from "../decisions/allowance_take.ts";
+import { AllowanceRecords } from "./allowance_records.ts";
+
+const BUDGET_TOKENS = 1_000;
+const WANTED: Wanted = {
+  programId: "p",
+  budgetTokens: BUDGET_TOKENS,
+  missingTokens: 100,
+};
+
+/** A store whose next answers to writes are lost, though it does them. */
+class LossyStore extends FakeStore {
+  lost = 0;
+  isSilent = false;
+
+  override create(
+    kind: ObjectKind,
+    write: StoreWrite,
+  ): Promise<Result<StoredObject, StoreFailure>> {
+    return this.#answer(super.create(kind, write));
+  }
+
+  override update(
+    kind: ObjectKind,
+    write: StoreWrite,
+  ): Promise<Result<StoredObject, StoreFailure>> {
+    return this.#answer(super.update(kind, write));
+  }
+
+  async #answer(
+    written: Promise<Result<StoredObject, StoreFailure>>,
+  ): Promise<Result<StoredObject, StoreFailure>> {
+    const result = await written;
+    if (this.lost === 0) return result;
+    this.lost -= 1;
+    if (this.isSilent) {
+      await new Promise((resolve) => setTimeout(resolve, 1_000));
+    }
+    return err({ kind: "uncertain", detail: "lost" });
+  }
+}
+
+function buildRecords(store: FakeStore): AllowanceRecords {
+  const log = new GatewayLog({ write: (_text, done) => done() }, "test");
+  return new AllowanceRecords({ store, log, metrics: new GatewayMetrics() });
+}
+
+function getAllowed(store: FakeStore): number {
+  const record = store.get("tokenAccounts", "p");
+  return (record as { allowedTokens: number }).allowedTokens;
+}
+
+describe("allowance records", () => {
+  it("take no more than the budget beside the first allowance", async () => {
+    const store = new FakeStore();
+    const homes = [buildRecords(store), buildRecords(store)];
+    let tokens = 0;
+    for (let index = 0; index < 12; index += 1) {
+      const taken = await homes[index % 2]?.take(WANTED);
+      if (taken?.kind === "taken") tokens += taken.tokens;
+    }
+    expect(tokens).to.be.within(400, BUDGET_TOKENS / 2);
+    expect(getAllowed(store)).to.equal(BUDGET_TOKENS / 2 + tokens);
+  });
+
+  it("take parts of their own when two homes take at once", async () => {
+    const store = new FakeStore();
+    const taken = await Promise.all(
+      Array.from({ length: 4 }, () => buildRecords(store).take(WANTED)),
+    );
+    const tokens = taken.map((each) => each.kind === "taken" ? each.tokens : 0)
+      .reduce((sum, each) => sum + each, 0);
+    expect(getAllowed(store)).to.equal(BUDGET_TOKENS / 2 + tokens);
+  });
+
+  it("find a write whose answer was lost, and count it once", async () => {
+    const store = new LossyStore();
+    const records = buildRecords(store);
+    store.lost = 1;
+    expect((await records.take(WANTED)).kind).to.equal("unavailable");
+    const allowed = getAllowed(store);
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    const taken = await records.take(WANTED);
+    expect(taken).to.deep
+      .equal({ kind: "taken", tokens: allowed - BUDGET_TOKENS / 2 });
+    expect(getAllowed(store)).to.equal(allowed);
+  });
+
+  it("write once more when an answer is late", async () => {
+    const store = new LossyStore();
+    store.lost = 1;
+    store.isSilent = true;
+    const startedAtMs = performance.now();
+    const taken = await buildRecords(store).take(WANTED);
+    expect(taken.kind).to.equal("taken");
+    expect(performance.now() - startedAtMs).to.be.below(500);
+    const tokens = taken.kind === "taken" ? taken.tokens : 0;
+    expect(getAllowed(store)).to.equal(BUDGET_TOKENS / 2 + tokens);
+  });
+
+  it("take nothing from a program that was stopped", async () => {
+    const store = new FakeStore();
+    await buildRecords(store).saveSpent("p", BUDGET_TOKENS);
+    expect(await buildRecords(store).take(WANTED))
+      .to.deep.equal({ kind: "exhausted", isSpent: true });
+  });
+
+  it("take nothing where another writer's record can't be read", async () => {
+    const store = new FakeStore();
+    store.put("tokenAccounts", "p", "unreadable");
+    expect((await buildRecords(store).take(WANTED)).kind)
+      .to.equal("unavailable");
+  });
+
+  it("take nothing while the store is away", async () => {
+    const store = new FakeStore();
+    store.isDown = true;
+    expect((await buildRecords(store).take(WANTED)).kind)
+      .to.equal("unavailable");
+  });
+});
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -2,13 +2,13 @@
  * The other gateways and which of them are the homes of a program's account.
  *
  * A gateway that failed to answer is passed over until it's heard of again.
- * Every gateway of a region ranks the homes of a program alike, so that all
- * turns of the program are counted at the same two places.
+ * Every gateway of a region ranks the homes of a program alike, so that the
+ * turns of the program are mostly counted at one place.
  */
 import { computeHash } from "@camphorlock/scheduler/hash";
 
-/** Homes of each account; one may be lost. */
-export const HOME_COUNT = 2;
+/** Homes that are asked for a turn, one after another. */
+const HOME_COUNT = 2;
 /** Gateways of a region that others may follow instead of the store. */
 const RELAY_COUNT = 2;
 
@@ -34,12 +34,15 @@
 interface KnownPeer {
   info: PeerInfo;
   isSuspected: boolean;
+  /** When it was found not to answer. */
+  suspectedAtMs: number;
 }
 
 /** The known gateways. */
 export class PeerDirectory {
   readonly #self: PeerInfo;
   readonly #byVm = new Map<string, KnownPeer>();
+  #isLeaving = false;
 
   constructor(self: PeerInfo) {
     this.#self = self;
@@ -49,7 +52,7 @@
   set(info: PeerInfo): PeerChange {
     if (info.vmId === this.#self.vmId) return "none";
     const known = this.#byVm.get(info.vmId);
-    this.#byVm.set(info.vmId, { info, isSuspected: false });
+    this.#byVm.set(info.vmId, { info, isSuspected: false, suspectedAtMs: 0 });
     if (known === undefined) return "added";
     if (known.info.bootId !== info.bootId) return "restarted";
     if (known.isSuspected) return "returned";
@@ -61,22 +64,46 @@
     if (info.vmId === this.#self.vmId || this.#byVm.has(info.vmId)) {
       return false;
     }
-    this.#byVm.set(info.vmId, { info, isSuspected: false });
+    this.#byVm.set(info.vmId, { info, isSuspected: false, suspectedAtMs: 0 });
     return true;
   }
 
   /** Records that a gateway didn't answer; false if that was known. */
-  recordSilent(vmId: string): boolean {
+  recordSilent(vmId: string, nowMs = performance.now()): boolean {
     const known = this.#byVm.get(vmId);
     if (known === undefined || known.isSuspected) return false;
     known.isSuspected = true;
+    known.suspectedAtMs = nowMs;
     return true;
   }
 
+  /** Records that this gateway leaves; others take its part. */
+  setLeaving(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Whether a process ended, as far as its VM's last news or silence tell. */
+  hasEnded(
+    { vmId, bootId }: Pick<PeerInfo, "vmId" | "bootId">,
+    silentSinceMs: number,
+  ): boolean {
+    if (vmId === this.#self.vmId) return bootId !== this.#self.bootId;
+    const known = this.#byVm.get(vmId);
+    if (known === undefined) return false;
+    if (known.info.bootId !== bootId) return true;
+    return known.isSuspected && known.suspectedAtMs < silentSinceMs;
+  }
+
   find(vmId: string): PeerInfo | undefined {
     return this.#byVm.get(vmId)?.info;
   }
 
+  /** Finds a gateway that answers. */
+  findLive(vmId: string): PeerInfo | undefined {
+    const known = this.#byVm.get(vmId);
+    return known === undefined || known.isSuspected ? undefined : known.info;
+  }
+
   /** Number of other gateways known. */
   get size(): number {
     return this.#byVm.size;
@@ -116,31 +143,17 @@
     return this.#sortLive(programId).slice(0, HOME_COUNT);
   }
 
-  /** Chooses the homes as if a gateway were there. */
-  chooseHomesWith(programId: string, peer: PeerInfo): PeerInfo[] {
-    const others = this.#listHomeCandidates()
-      .filter(({ vmId }) => vmId !== peer.vmId);
-    return sortByRank(programId, [...others, peer]).slice(0, HOME_COUNT);
-  }
-
-  /** Chooses the homes as if a gateway weren't there. */
-  chooseHomesWithout(programId: string, vmId: string): PeerInfo[] {
-    const others = this.#listHomeCandidates()
-      .filter((each) => each.vmId !== vmId);
-    return sortByRank(programId, others).slice(0, HOME_COUNT);
-  }
-
-  /** Lists the regions of the other gateways but for this one's. */
-  listOtherRegions(): string[] {
-    const regions = new Set(this.list().map(({ region }) => region));
-    regions.delete(this.#self.region);
-    return [...regions];
+  /** Lists all gateways that answer and stay, this one among them. */
+  listStaying(): PeerInfo[] {
+    const live = [...this.#byVm.values()]
+      .filter(({ info, isSuspected }) => !isSuspected && !info.isLeaving)
+      .map(({ info }) => info);
+    return this.#isLeaving ? live : [...live, this.#self];
   }
 
-  /** Chooses the homes of a program in another region, best first. */
-  chooseDistantHomes(programId: string, region: string): PeerInfo[] {
-    const live = this.listLive(region).filter(({ isLeaving }) => !isLeaving);
-    return sortByRank(programId, live).slice(0, HOME_COUNT);
+  /** Whether this gateway comes first by rank among all that stay. */
+  isFirst(key: string): boolean {
+    return sortByRank(key, this.listStaying())[0]?.vmId === this.#self.vmId;
   }
 
   #sortLive(key: string): PeerInfo[] {
@@ -150,7 +163,8 @@
   #listHomeCandidates(): PeerInfo[] {
     const live = this.listLive(this.#self.region)
       .filter(({ isLeaving }) => !isLeaving);
-    return [...live, this.#self];
+    // One that leaves is a home only where nobody else is.
+    return this.#isLeaving && live.length > 0 ? live : [...live, this.#self];
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/decisions/shard_table.ts
@@ -0,0 +1,121 @@
+/**
+ * Which gateway process gives out the first allowances of which programs.
+ *
+ * Programs are divided into shards by a hash of their id. One object of the
+ * store names a process for each shard; it changes by conditional writes, so at
+ * any revision a shard has one holder. The table is global, since a program may
+ * come in through several regions.
+ */
+import { computeHash } from "@camphorlock/scheduler/hash";
+import { err, ok, type Result } from "neverthrow";
+
+/** Shards of all programs; several for each gateway of a large installation. */
+export const SHARD_COUNT = 1_024;
+
+/** A process that holds shards. */
+export interface ShardHolder {
+  readonly vmId: string;
+  /** Differs from start to start of the process. */
+  readonly bootId: string;
+  /** Whether an earlier holder may have given allowances it never told of. */
+  readonly isDoubtful: boolean;
+}
+
+/** The holder of each shard, in order. */
+export type ShardTable = readonly ShardHolder[];
+
+/** The table as it's stored and sent: each holder once, then their indexes. */
+export interface EncodedShardTable {
+  readonly holders: readonly ShardHolder[];
+  readonly shards: readonly number[];
+}
+
+/** Gets the shard of a program. */
+export function getShard(programId: string): number {
+  return computeHash(programId) % SHARD_COUNT;
+}
+
+/** Divides all shards among processes, before any of them has held one. */
+export function buildShardTable(
+  processes: readonly Omit<ShardHolder, "isDoubtful">[],
+): ShardTable {
+  return Array.from({ length: SHARD_COUNT }, (_, shard) => ({
+    ...placeShard(shard, processes),
+    isDoubtful: false,
+  }));
+}
+
+/**
+ * Gives the shards of processes that ended to others; absent when there are
+ * none.
+ */
+export function updateEnded(
+  table: ShardTable,
+  processes: readonly Omit<ShardHolder, "isDoubtful">[],
+  hasEnded: (holder: ShardHolder) => boolean,
+): ShardTable | undefined {
+  if (processes.length === 0 || !table.some(hasEnded)) return undefined;
+  return table.map((holder, shard) =>
+    hasEnded(holder)
+      ? { ...placeShard(shard, processes), isDoubtful: true }
+      : holder
+  );
+}
+
+/** Gives the shards of one process to another that it told of them. */
+export function updateHolder(
+  table: ShardTable,
+  fromBootId: string,
+  to: Omit<ShardHolder, "isDoubtful">,
+): ShardTable {
+  return table.map((holder) =>
+    holder.bootId === fromBootId
+      ? { ...to, isDoubtful: holder.isDoubtful }
+      : holder
+  );
+}
+
+export function encodeShardTable(table: ShardTable): EncodedShardTable {
+  const indexes = new Map<string, number>();
+  const holders: ShardHolder[] = [];
+  const shards = table.map((holder) => {
+    const key = `${holder.bootId} ${holder.isDoubtful}`;
+    const index = indexes.get(key) ?? holders.push(holder) - 1;
+    indexes.set(key, index);
+    return index;
+  });
+  return { holders, shards };
+}
+
+/** Decodes a table; a text says what is wrong with it. */
+export function decodeShardTable(value: unknown): Result<ShardTable, string> {
+  const { holders, shards } = (value ?? {}) as Partial<EncodedShardTable>;
+  if (!Array.isArray(holders) || !Array.isArray(shards)) {
+    return err("holders or shards are missing");
+  }
+  if (shards.length !== SHARD_COUNT) return err(`${shards.length} shards`);
+  const table: ShardHolder[] = [];
+  for (const index of shards) {
+    const holder = holders[index as number] as Partial<ShardHolder> | undefined;
+    const { vmId, bootId, isDoubtful } = holder ?? {};
+    if (typeof vmId !== "string" || typeof bootId !== "string") {
+      return err(`no holder ${String(index)}`);
+    }
+    table.push({ vmId, bootId, isDoubtful: isDoubtful !== false });
+  }
+  return ok(table);
+}
+
+function placeShard(
+  shard: number,
+  processes: readonly Omit<ShardHolder, "isDoubtful">[],
+): Omit<ShardHolder, "isDoubtful"> {
+  let best = processes[0];
+  let bestRank = -1;
+  for (const each of processes) {
+    const rank = computeHash(`${each.vmId}|shard|${shard}`);
+    if (rank > bestRank) [best, bestRank] = [each, rank];
+  }
+  if (best === undefined) throw new Error("no process to hold a shard");
+  return { vmId: best.vmId, bootId: best.bootId };
+}
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -1,210 +1,181 @@
 /**
- * The token accounts of programs at one of their home gateways.
+ * The token accounts of programs at one home gateway.
  *
  * The load that this answers: programs that start turns without end, through
- * several gateways at once, and come back after they were stopped. A turn is
- * admitted only if the budget holds it at its most beside all other turns.
+ * several gateways at once, while gateways are cut off, killed and started
+ * anew.
  *
- * What an account is made of merges in any order: turns by their id, where a
- * closed one wins over an open one, and the largest of what was recorded. So
- * two homes that saw different turns agree once they've exchanged them.
- *
- * An account that isn't stored may be lost with all of its homes. A program may
- * pass on only a part of its budget before its allowance is stored. A home that
- * may have lost accounts takes that part, or what a record of the store allows,
- * for spent, and stores an allowance before the first turn that it admits. So
- * losses that follow one another find all that was passed on before, and the
- * whole stays within the budget and one turn more.
+ * A budget is divided among homes by allowances, each given to one home and
+ * never to two: the first one by the holder of the program's shard, the others
+ * by conditional writes to the store. A home grants turns no more than its own
+ * allowances. So what all homes pass on stays within the budget, however many
+ * of them decide at once; a home that is lost takes its allowances with it.
  */
 import type {
-  AccountRecord,
-  AccountState,
-  AccountTurn,
+  MovedAccount,
   TurnDecision,
   TurnRequest,
 } from "../model/token_account.ts";
 
-/** Part of a budget that may be passed on before the store keeps a record. */
-const UNSTORED_SHARE = 0.4;
-/** Turns of a budget that stay free for a program that is new after a loss. */
-const KEPT_TURNS = 2;
-/** Turns that one record allows beyond the present one. */
-const RECORD_AHEAD_TURNS = 2;
+/** Part of a turn's tokens that is worth a grant of its own. */
+const LEAST_GRANT_SHARE = 0.25;
+
+interface Turn {
+  readonly isOpen: boolean;
+  /** Granted while the turn is open, passed on once it has ended. */
+  readonly tokens: number;
+  /** Most that the turn passes on, as its caller declared. */
+  readonly mostTokens: number;
+}
 
 interface Account {
-  /** When its program was met, if it was taken for new without doubt. */
-  metAtMs: number | undefined;
-  /** Whether a loss was noticed since that may have taken its turns. */
-  isQuestioned: boolean;
-  budgetTokens: number;
-  earlierTokens: number;
-  isAssumed: boolean;
-  recordedTokens: number;
-  readonly toldBy: Set<string>;
-  readonly regions: Set<string>;
-  readonly turns: Map<string, AccountTurn>;
+  readonly budgetTokens: number;
+  allowedTokens: number;
+  /** Tokens that other homes told of with the accounts they moved here. */
+  passedElsewhereTokens: number;
+  hasAskedFirst: boolean;
+  isSpent: boolean;
+  /** Whether only the open turns are left here. */
+  hasMoved: boolean;
+  readonly turns: Map<string, Turn>;
   usedAtMs: number;
 }
 
+/** An account as log lines show it. */
+export interface AccountView {
+  readonly allowedTokens: number;
+  /** Tokens of turns that have ended. */
+  readonly passedTokens: number;
+  /** Tokens granted to open turns. */
+  readonly grantedTokens: number;
+  readonly isSpent: boolean;
+}
+
 /** The accounts that one gateway holds. */
 export class TokenAccounts {
   readonly #accounts = new Map<string, Account>();
-  /** Regions that asked for programs before these were known here. */
-  readonly #askedBy = new Map<string, { regions: Set<string>; atMs: number }>();
-  #mayHaveLostUntilMs = Number.NEGATIVE_INFINITY;
 
   /** Number of accounts held. */
   get size(): number {
     return this.#accounts.size;
   }
 
-  /**
-   * Takes programs for ones that have spent if they're unknown until `untilMs`,
-   * or if they were met at `sinceMs` or later and no other home knows them.
-   */
-  setLoss(untilMs: number, sinceMs = Number.POSITIVE_INFINITY): void {
-    this.#mayHaveLostUntilMs = untilMs;
-    for (const account of this.#accounts.values()) {
-      const { metAtMs } = account;
-      if (metAtMs !== undefined && metAtMs >= sinceMs) {
-        account.isQuestioned = true;
-      }
+  /** Decides on a turn and, when it's admitted, reserves what it's granted. */
+  open(turn: TurnRequest, nowMs: number): TurnDecision {
+    const account = this.#get(turn.programId, turn.budgetTokens, nowMs);
+    const known = account.turns.get(turn.turnId);
+    const grantedTokens = known?.tokens ?? 0;
+    // The answer to an earlier question was lost or is late.
+    if (known !== undefined && !known.isOpen) {
+      return { kind: "admitted", grantedTokens };
     }
-  }
-
-  /** Whether unknown programs may have spent tokens. */
-  isLossPossible(nowMs: number): boolean {
-    return nowMs < this.#mayHaveLostUntilMs;
-  }
-
-  /** Records that the store keeps an allowance which this home wrote. */
-  addRecord(programId: string, record: AccountRecord): void {
-    const account = this.#accounts.get(programId);
-    if (account === undefined) return;
-    const { allowedTokens, writtenBy } = record;
-    account.recordedTokens = Math.max(account.recordedTokens, allowedTokens);
-    account.toldBy.add(writtenBy);
+    if (grantedTokens > turn.heldTokens) {
+      return { kind: "admitted", grantedTokens };
+    }
+    if (!turn.isRunning && isOverBudget(account, turn)) {
+      return { kind: "over_budget" };
+    }
+    const { turnTokens, eventTokens } = turn;
+    const least = Math.min(
+      turnTokens,
+      Math.max(eventTokens, Math.ceil(turnTokens * LEAST_GRANT_SHARE)),
+    );
+    const room = account.allowedTokens - sumTurns(account);
+    if (room < least) {
+      return { kind: "needs_allowance", missingTokens: least - room };
+    }
+    if (!turn.isRunning) account.hasMoved = false;
+    const tokens = grantedTokens + Math.min(room, turnTokens);
+    account.turns.set(turn.turnId, {
+      isOpen: true,
+      tokens,
+      mostTokens: grantedTokens + turnTokens,
+    });
+    return { kind: "admitted", grantedTokens: tokens };
   }
 
   /**
-   * Adds a record that the store was found to hold. What it allows counts as
-   * spent, unless the home that wrote it has told of its turns.
+   * Ends a turn that passed on some of its tokens. One that isn't open yet is
+   * ended beforehand: its caller has given up.
    */
-  addFoundRecord(programId: string, record: AccountRecord): void {
+  close(programId: string, turnId: string, passedTokens: number): void {
     const account = this.#accounts.get(programId);
     if (account === undefined) return;
-    const { allowedTokens, isSpent, writtenBy } = record;
-    account.recordedTokens = Math.max(account.recordedTokens, allowedTokens);
-    if (!account.isAssumed || account.toldBy.has(writtenBy)) return;
-    account.earlierTokens = Math.max(account.earlierTokens, allowedTokens);
-    if (isSpent) account.isAssumed = false;
-  }
-
-  /**
-   * Decides on a turn and, when it's admitted, reserves its tokens.
-   * `mayBeKnown` tells that an unknown program may be known elsewhere.
-   */
-  open(turn: TurnRequest, nowMs: number, mayBeKnown = false): TurnDecision {
-    const account = this.#get(turn, nowMs, mayBeKnown);
-    if (account.turns.has(turn.turnId)) return { kind: "admitted" };
-    const { budgetTokens, turnTokens } = turn;
-    const turnsTokens = sumTurns(account);
-    const wanted = account.earlierTokens + turnsTokens + turnTokens;
-    if (wanted > budgetTokens) {
-      const isDoubtful = account.isAssumed &&
-        turnsTokens + turnTokens <= budgetTokens;
-      return { kind: isDoubtful ? "unknown" : "over_budget" };
-    }
-    const unstored = account.isAssumed ? 0 : computeUnstored(turn) + turnTokens;
-    if (wanted > Math.max(unstored, account.recordedTokens)) {
-      const ahead = wanted + turnTokens * RECORD_AHEAD_TURNS;
-      const allowedTokens = Math.min(budgetTokens, ahead);
-      return { kind: "needs_record", allowedTokens };
-    }
-    this.#setTurn(account, {
-      turnId: turn.turnId,
-      isOpen: true,
-      tokens: turnTokens,
+    const turn = account.turns.get(turnId);
+    if (turn !== undefined && !turn.isOpen) return;
+    account.turns.set(turnId, {
+      isOpen: false,
+      tokens: passedTokens,
+      mostTokens: passedTokens,
     });
-    return { kind: "admitted" };
   }
 
-  /**
-   * Reserves a turn's tokens that another home admitted; false when the budget
-   * doesn't hold them beside turns that the other home may not have seen.
-   */
-  confirm(turn: TurnRequest, nowMs: number): boolean {
-    const account = this.#get(turn, nowMs);
-    const { turnId, turnTokens, budgetTokens } = turn;
-    if (account.turns.has(turnId)) return true;
-    const earlier = account.isAssumed ? 0 : account.earlierTokens;
-    if (earlier + sumTurns(account) + turnTokens > budgetTokens) return false;
-    this.#setTurn(account, { turnId, isOpen: true, tokens: turnTokens });
+  /** Whether the holder of the program's shard is to be asked; once only. */
+  takeFirstQuestion(programId: string): boolean {
+    const account = this.#accounts.get(programId);
+    if (account === undefined || account.hasAskedFirst) return false;
+    account.hasAskedFirst = true;
     return true;
   }
 
-  /** Ends a turn that passed on some of its tokens. */
-  close(programId: string, turnId: string, passedTokens: number): void {
+  /** Adds an allowance that was given to this home. */
+  addAllowance(programId: string, tokens: number): void {
     const account = this.#accounts.get(programId);
-    if (account === undefined) return;
-    this.#setTurn(account, { turnId, isOpen: false, tokens: passedTokens });
+    if (account !== undefined) account.allowedTokens += tokens;
   }
 
-  /** Merges an account as another home knows it. */
-  merge(state: AccountState, nowMs: number): void {
-    const account = this.#accounts.get(state.programId) ??
-      this.#create(state.programId, { ...state, nowMs });
-    account.usedAtMs = nowMs;
-    if (!state.isAssumed) account.metAtMs = undefined;
-    // What a home remembers for certain replaces what is only assumed.
-    if (account.isAssumed && !state.isAssumed) {
-      account.earlierTokens = state.earlierTokens;
-      account.isAssumed = false;
-    } else if (account.isAssumed === state.isAssumed) {
-      account.earlierTokens = Math.max(
-        account.earlierTokens,
-        state.earlierTokens,
-      );
-    }
-    account.recordedTokens = Math.max(
-      account.recordedTokens,
-      state.recordedTokens,
-    );
-    for (const home of state.toldBy) account.toldBy.add(home);
-    for (const region of state.regions) account.regions.add(region);
-    for (const turn of state.turns) this.#setTurn(account, turn);
+  /** Records that the program was stopped before for its spent budget. */
+  setSpent(programId: string): void {
+    const account = this.#accounts.get(programId);
+    if (account !== undefined) account.isSpent = true;
   }
 
   /**
-   * Adds a region that knows an account or asked for it; false when the account
-   * isn't known here or that's no news.
+   * Takes what can move to another home out of an account. Open turns stay
+   * with what they were granted.
    */
-  addRegion(programId: string, region: string, nowMs: number): boolean {
+  takeMovable(programId: string): MovedAccount | undefined {
     const account = this.#accounts.get(programId);
-    if (account === undefined) {
-      const asked = this.#askedBy.get(programId);
-      const regions = (asked?.regions ?? new Set()).add(region);
-      this.#askedBy.set(programId, { regions, atMs: nowMs });
-      return false;
+    if (account === undefined) return undefined;
+    const passedTokens = account.passedElsewhereTokens + sumPassed(account);
+    const allowedTokens = account.allowedTokens - sumTurns(account);
+    for (const [turnId, { isOpen }] of account.turns) {
+      if (!isOpen) account.turns.delete(turnId);
     }
-    if (account.regions.has(region)) return false;
-    account.regions.add(region);
-    return true;
+    account.allowedTokens = sumTurns(account);
+    account.passedElsewhereTokens = 0;
+    account.hasMoved = true;
+    if (account.turns.size === 0) this.#accounts.delete(programId);
+    const { budgetTokens, isSpent } = account;
+    return { programId, budgetTokens, allowedTokens, passedTokens, isSpent };
+  }
+
+  /** Whether an account has moved to another home but for its open turns. */
+  hasMoved(programId: string): boolean {
+    return this.#accounts.get(programId)?.hasMoved ?? false;
   }
 
-  /** Finds an account as it's exchanged. */
-  find(programId: string): AccountState | undefined {
+  /** Adds what another home took out of its account. */
+  addMoved(moved: MovedAccount, nowMs: number): void {
+    const account = this.#get(moved.programId, moved.budgetTokens, nowMs);
+    account.allowedTokens += moved.allowedTokens;
+    account.passedElsewhereTokens += moved.passedTokens;
+    // The home that moves it asked, or was told by one that did.
+    account.hasAskedFirst = true;
+    account.isSpent ||= moved.isSpent;
+    account.hasMoved = false;
+  }
+
+  /** Finds an account as log lines show it. */
+  find(programId: string): AccountView | undefined {
     const account = this.#accounts.get(programId);
     if (account === undefined) return undefined;
+    const passedTokens = sumPassed(account);
     return {
-      programId,
-      budgetTokens: account.budgetTokens,
-      earlierTokens: account.earlierTokens,
-      isAssumed: account.isAssumed,
-      recordedTokens: account.recordedTokens,
-      toldBy: [...account.toldBy],
-      regions: [...account.regions],
-      turns: [...account.turns.values()],
+      allowedTokens: account.allowedTokens,
+      passedTokens: passedTokens + account.passedElsewhereTokens,
+      grantedTokens: sumTurns(account) - passedTokens,
+      isSpent: account.isSpent,
     };
   }
 
@@ -215,76 +186,50 @@
 
   /** Forgets accounts that weren't used since `beforeMs`. */
   removeUnused(beforeMs: number): void {
-    for (const [programId, account] of this.#accounts) {
-      if (account.usedAtMs < beforeMs) this.#accounts.delete(programId);
-    }
-    for (const [programId, { atMs }] of this.#askedBy) {
-      if (atMs < beforeMs) this.#askedBy.delete(programId);
+    for (const [programId, { usedAtMs }] of this.#accounts) {
+      if (usedAtMs < beforeMs) this.#accounts.delete(programId);
     }
   }
 
-  #get(turn: TurnRequest, nowMs: number, mayBeKnown = false): Account {
-    const known = this.#accounts.get(turn.programId);
+  #get(programId: string, budgetTokens: number, nowMs: number): Account {
+    const known = this.#accounts.get(programId);
     if (known !== undefined) {
       known.usedAtMs = nowMs;
-      if (known.metAtMs !== undefined && known.isQuestioned) {
-        known.metAtMs = undefined;
-        known.isAssumed = true;
-        known.earlierTokens = computeUnstored(turn);
-      }
       return known;
     }
-    const isAssumed = mayBeKnown || this.isLossPossible(nowMs);
-    const account = this.#create(turn.programId, {
-      budgetTokens: turn.budgetTokens,
-      earlierTokens: isAssumed ? computeUnstored(turn) : 0,
-      isAssumed,
-      recordedTokens: 0,
-      toldBy: [],
-      regions: [...this.#askedBy.get(turn.programId)?.regions ?? []],
-      nowMs,
-    });
-    if (!isAssumed) account.metAtMs = nowMs;
-    return account;
-  }
-
-  #create(
-    programId: string,
-    first: Omit<AccountState, "programId" | "turns"> & { nowMs: number },
-  ): Account {
     const account: Account = {
-      metAtMs: undefined,
-      isQuestioned: false,
-      budgetTokens: first.budgetTokens,
-      earlierTokens: first.earlierTokens,
-      isAssumed: first.isAssumed,
-      recordedTokens: first.recordedTokens,
-      toldBy: new Set(first.toldBy),
-      regions: new Set(first.regions),
+      budgetTokens,
+      allowedTokens: 0,
+      passedElsewhereTokens: 0,
+      hasAskedFirst: false,
+      isSpent: false,
+      hasMoved: false,
       turns: new Map(),
-      usedAtMs: first.nowMs,
+      usedAtMs: nowMs,
     };
     this.#accounts.set(programId, account);
     return account;
   }
+}
 
-  #setTurn(account: Account, turn: AccountTurn): void {
-    const known = account.turns.get(turn.turnId);
-    if (known !== undefined && !known.isOpen) {
-      if (turn.isOpen || known.tokens >= turn.tokens) return;
-    }
-    account.turns.set(turn.turnId, turn);
+/** Counts only what is certain: allowances of other homes may be unspent. */
+function isOverBudget(account: Account, turn: TurnRequest): boolean {
+  if (account.isSpent) return true;
+  let tokens = account.passedElsewhereTokens + turn.turnTokens;
+  for (const { isOpen, tokens: passed, mostTokens } of account.turns.values()) {
+    tokens += isOpen ? mostTokens : passed;
   }
+  return tokens > turn.budgetTokens;
 }
 
-/** Tokens that may be passed on, beside one turn, without a record. */
-function computeUnstored({ budgetTokens, turnTokens }: TurnRequest): number {
-  const share = Math.floor(budgetTokens * UNSTORED_SHARE);
-  return Math.max(0, Math.min(share, budgetTokens - turnTokens * KEPT_TURNS));
+function sumTurns({ turns }: Account): number {
+  let sum = 0;
+  for (const { tokens } of turns.values()) sum += tokens;
+  return sum;
 }
 
-function sumTurns(account: Account): number {
+function sumPassed({ turns }: Account): number {
   let sum = 0;
-  for (const { tokens } of account.turns.values()) sum += tokens;
+  for (const { isOpen, tokens } of turns.values()) sum += isOpen ? 0 : tokens;
   return sum;
 }
--- /dev/null
+++ b/packages/gateway/src/decisions/token_meter_test.ts
@@ -0,0 +1,42 @@
+import { expect } from "chai";
+import { TokenMeter } from "./token_meter.ts";
+
+describe("token meter", () => {
+  it("lets no event pass whose tokens aren't granted", () => {
+    const meter = new TokenMeter({ turnTokens: 100, eventTokens: 30 });
+    expect(meter.addEvent()).to.equal(false);
+    meter.add(65);
+    expect([meter.addEvent(), meter.addEvent(), meter.addEvent()])
+      .to.deep.equal([true, true, false]);
+    expect(meter.passedTokens).to.equal(60);
+  });
+
+  it("asks for more while events can still pass", () => {
+    const meter = new TokenMeter({ turnTokens: 300, eventTokens: 30 });
+    meter.add(120);
+    meter.addEvent();
+    meter.addEvent();
+    expect(meter.needsMore).to.equal(false);
+    meter.addEvent();
+    expect(meter.needsMore).to.equal(true);
+    expect(meter.missingTokens).to.equal(180);
+  });
+
+  it("counts no more than the turn declares", () => {
+    const meter = new TokenMeter({ turnTokens: 50, eventTokens: 30 });
+    meter.add(50);
+    meter.addEvent();
+    meter.addEvent();
+    expect(meter.passedTokens).to.equal(50);
+    expect(meter.needsMore).to.equal(false);
+  });
+
+  it("takes one event of unknown size for the whole turn", () => {
+    const meter = new TokenMeter({ turnTokens: 50, eventTokens: 0 });
+    meter.add(49);
+    expect(meter.addEvent()).to.equal(false);
+    meter.add(1);
+    expect(meter.addEvent()).to.equal(true);
+    expect(meter.passedTokens).to.equal(50);
+  });
+});
--- a/packages/gateway/src/exchange/request_run.ts
+++ b/packages/gateway/src/exchange/request_run.ts
@@ -10,6 +10,7 @@
 import { chooseTarget } from "../decisions/choose_target.ts";
 import { type FailedSend, planNextSend } from "../decisions/plan_next_send.ts";
 import { type KnownTarget, recordAnswer } from "../decisions/target_table.ts";
+import type { TurnGrant } from "../accounts/turn_accounts.ts";
 import type { ExchangeParts } from "./exchange_parts.ts";
 import {
   type AcceptedRequest,
@@ -43,6 +44,7 @@
 export class RequestRun {
   readonly #parts: ExchangeParts;
   readonly #accepted: AcceptedRequest;
+  readonly #grant: TurnGrant | undefined;
   readonly #service: string;
   readonly #isStream: boolean;
   readonly #isRepeatable: boolean;
@@ -52,9 +54,15 @@
   #stopped: "timeout" | "left" | undefined;
   #wake: () => void = () => {};
 
-  constructor(parts: ExchangeParts, accepted: AcceptedRequest) {
+  /** `grant` holds the tokens of a turn whose program has a budget. */
+  constructor(
+    parts: ExchangeParts,
+    accepted: AcceptedRequest,
+    grant?: TurnGrant,
+  ) {
     this.#parts = parts;
     this.#accepted = accepted;
+    this.#grant = grant;
     const { route, fields, receivedAtMs } = accepted;
     this.#service = chooseService(route, fields.programId ?? fields.requestId);
     this.#isStream = route.kind === "streaming";
@@ -68,14 +76,13 @@
     this.#sends = new SendRecord(fields.resumeAfter);
   }
 
-  /** Runs to the final answer; tells how many events were passed on. */
-  async run(): Promise<{ readonly events: number }> {
+  /** Runs to the final answer. */
+  async run(): Promise<void> {
     const timer = setTimeout(() => this.#stop("timeout"), this.#countLeftMs());
     this.#accepted.caller.onLeft(() => this.#stop("left"));
     const end = await this.#sendUntilEnd();
     clearTimeout(timer);
     endRequest(this.#parts, this.#buildReport(), end);
-    return { events: this.#sends.progress.events };
   }
 
   async #sendUntilEnd(): Promise<RequestEnd> {
@@ -144,14 +151,7 @@
     const connection = connections.get(known.target);
     const leftMs = this.#countLeftMs();
     const request = this.#buildRequest(known, leftMs);
-    const { maxTargets } = this.#accepted.route;
-    if (this.#sends.isBeyondLimit(known.target.id, maxTargets)) {
-      metrics.add("sends_beyond_target_limit");
-    }
-    if (fields.deadlineMs === undefined) metrics.add("sends_without_deadline");
-    this.#sends.sentTo.push(known.target.id);
-    known.prefixes.record(fields.prompt);
-    metrics.add("sends");
+    this.#sends.start(known, this.#accepted, metrics);
     const options = {
       codec,
       requestId: fields.requestId,
@@ -162,6 +162,7 @@
       ...options,
       progress: this.#sends.progress,
       caller,
+      grant: this.#grant,
       recordEvent: () => this.#recordEvent(known),
     });
   }
--- a/packages/gateway/src/exchange/send_record.ts
+++ b/packages/gateway/src/exchange/send_record.ts
@@ -9,6 +9,8 @@
   recordFull,
   type TargetTable,
 } from "../decisions/target_table.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { AcceptedRequest } from "./request_end.ts";
 import type { StreamProgress } from "./stream_send.ts";
 
 /** What the history of a request's sends depends on. */
@@ -45,10 +47,21 @@
     return this.#runners.has(targetId);
   }
 
-  /** Whether one more target may run the request than its route allows. */
-  isBeyondLimit(targetId: string, maxTargets: number): boolean {
-    const others = [...this.#runners].filter((id) => id !== targetId);
-    return others.length >= maxTargets;
+  /** Records a send that begins, and counts what the platform limits. */
+  start(
+    known: KnownTarget,
+    { route, fields }: Pick<AcceptedRequest, "route" | "fields">,
+    metrics: GatewayMetrics,
+  ): void {
+    const { id } = known.target;
+    const others = [...this.#runners].filter((each) => each !== id);
+    if (others.length >= route.maxTargets) {
+      metrics.add("sends_beyond_target_limit");
+    }
+    if (fields.deadlineMs === undefined) metrics.add("sends_without_deadline");
+    metrics.add("sends");
+    this.sentTo.push(id);
+    known.prefixes.record(fields.prompt);
   }
 
   /** Records a send that brought no whole answer. */
--- a/packages/gateway/src/exchange/stream_send.ts
+++ b/packages/gateway/src/exchange/stream_send.ts
@@ -46,11 +46,21 @@
   | WholeTargetAnswer
   | FailedSend;
 
+/** Tokens that are granted a few events at a time. */
+export interface StreamGrant {
+  /** Counts the next event; false when it has to wait. */
+  addEvent(): boolean;
+  /** Waits until the next event can pass, or the request is over. */
+  waitForMore(): Promise<void>;
+}
+
 /** What a stream needs from its request. */
 export interface StreamSendOptions extends SendOptions {
   readonly progress: StreamProgress;
   readonly caller: CallerExchange;
-  /** Counts one event against the caller's allowance before it's passed on. */
+  /** The tokens that may be passed on, where a budget limits them. */
+  readonly grant: StreamGrant | undefined;
+  /** Notes an event before it's passed on. */
   readonly recordEvent: () => void;
 }
 
@@ -77,18 +87,28 @@
   #status = 0;
   #headers: PeerHeaders = {};
   #isStream = false;
+  /** Events that have arrived and aren't granted yet. */
+  readonly #waiting: StreamEvent[] = [];
+  /** How the target ended while events waited. */
+  #ended: ExchangeEnd | undefined;
+  #isOver = false;
 
   constructor(options: StreamSendOptions) {
     this.#options = options;
     this.end = new Promise((resolve) => {
-      this.#resolve = resolve;
+      this.#resolve = (end) => {
+        this.#isOver = true;
+        resolve(end);
+      };
     });
   }
 
   start(connection: PeerConnection, request: PeerRequest): void {
     const exchange = connection.start(request, this);
     this.#exchange = exchange;
-    this.#options.caller.onDrain(() => exchange.resume());
+    this.#options.caller.onDrain(() => {
+      if (this.#waiting.length === 0) exchange.resume();
+    });
     const { timeoutMs } = this.#options;
     this.#timer = setTimeout(
       () => this.#endBroken(`no whole answer in ${timeoutMs} ms`),
@@ -97,6 +117,7 @@
   }
 
   cancel(): void {
+    this.#isOver = true;
     clearTimeout(this.#timer);
     this.#exchange?.cancel();
   }
@@ -113,12 +134,15 @@
     if (!this.#isStream) return this.#addPlain(chunk);
     const events = this.#splitter.take(chunk);
     if (this.#splitter.isOverlong) return this.#endBroken("an overlong event");
-    for (const event of events) {
-      if (!this.#sendEvent(event)) return;
-    }
+    this.#waiting.push(...events);
+    this.#sendWaiting();
   }
 
   handleEnd(end: ExchangeEnd): void {
+    if (this.#waiting.length > 0) {
+      this.#ended = end;
+      return;
+    }
     clearTimeout(this.#timer);
     switch (end.kind) {
       case "not_sent":
@@ -151,6 +175,32 @@
     }, this.#options) as WholeTargetAnswer | FailedSend;
   }
 
+  /** Passes on what's granted, then the end if the target has ended. */
+  #sendWaiting(): void {
+    for (;;) {
+      const [event] = this.#waiting;
+      if (event === undefined) break;
+      if (!this.#canSend(event)) return;
+      this.#waiting.shift();
+      if (!this.#sendEvent(event)) return;
+    }
+    if (this.#ended !== undefined) this.handleEnd(this.#ended);
+  }
+
+  /** Whether an event may pass; one that can't holds the stream up. */
+  #canSend(event: StreamEvent): boolean {
+    const { grant, progress } = this.#options;
+    const isNew = event.id === undefined || event.id > progress.lastEventId;
+    if (grant === undefined || !isNew || grant.addEvent()) return true;
+    this.#exchange?.pause();
+    void grant.waitForMore().then(() => {
+      if (this.#isOver) return;
+      this.#exchange?.resume();
+      this.#sendWaiting();
+    });
+    return false;
+  }
+
   #sendEvent(event: StreamEvent): boolean {
     const { progress, caller } = this.#options;
     const expected = progress.lastEventId + 1;
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -182,35 +182,33 @@
       await new RequestRun(this.#parts, accepted).run();
       return;
     }
-    const turn = {
-      programId: budget.programId,
+    const startedAtMs = performance.now();
+    const opening = await accounts.open({
+      ...budget,
       turnId: fields.requestId,
-      budgetTokens: budget.budgetTokens,
-      turnTokens: budget.turnTokens,
-    };
-    const admission = await accounts.open(turn);
+      eventTokens: this.#findEventTokens(accepted.route),
+    });
     const { metrics } = this.#parts;
-    metrics.record("admission", performance.now() - accepted.receivedAtMs);
-    if (admission === "over_budget") metrics.add("turns_over_budget");
-    if (admission !== "admitted") {
-      const detail = `budget of ${budget.budgetTokens} tokens`;
-      const code = admission === "over_budget"
-        ? "TurnOverBudget"
-        : "AccountUnavailable";
-      return this.#refuse(caller, { code, detail, fields });
+    metrics.record("admission", performance.now() - startedAtMs);
+    if (opening.kind !== "admitted") {
+      const isOver = opening.kind === "over_budget";
+      if (isOver) metrics.add("turns_over_budget");
+      return this.#refuse(caller, {
+        code: isOver ? "TurnOverBudget" : "AccountUnavailable",
+        detail: `budget of ${budget.budgetTokens} tokens`,
+        fields,
+      });
     }
-    const { events } = await new RequestRun(this.#parts, accepted).run();
-    accounts.close(turn, events * this.#findTokensPerEvent(accepted.route));
+    await new RequestRun(this.#parts, accepted, opening.grant).run();
+    opening.grant.close();
   }
 
-  #findTokensPerEvent(route: Route): number {
+  /** Finds the tokens of an event; 0 if the configuration doesn't tell. */
+  #findEventTokens(route: Route): number {
     const services = this.#parts.getConfiguration()?.configuration.services;
-    return Math.max(
-      0,
-      ...route.services.map(({ service }) =>
-        services?.get(service)?.tokensPerEvent ?? 0
-      ),
-    );
+    const tokens = route.services
+      .map(({ service }) => services?.get(service)?.tokensPerEvent ?? 0);
+    return tokens.includes(0) ? 0 : Math.max(...tokens);
   }
 
   #refuse(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
   type AccountParts,
   buildAccountParts,
 } from "./accounts/account_parts.ts";
+import { SHARD_CHECK_MS } from "./accounts/shard_keeper.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
@@ -196,6 +197,10 @@
       EXCHANGE_PEERS_MS,
       () => void this.#accounts.group.callNext(),
     );
+    this.#timers.subscribe(
+      SHARD_CHECK_MS,
+      () => void this.#accounts.shards.check(),
+    );
     this.#timers.subscribe(
       ACCOUNT_CLEANUP_MS,
       (nowMs) => this.#accounts.group.removeUnused(nowMs),
@@ -245,7 +250,6 @@
     this.#metricsServer.close();
     for (const follower of this.#followers.values()) follower.stop();
     this.#accounts.group.stop();
-    this.#accounts.home.stop();
     this.#accounts.links.close();
     await this.#connections.close();
     await this.#options.store.close();
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -231,6 +231,17 @@
     return gateway;
   }
 
+  /** Waits until every gateway knows who gives first allowances. */
+  async waitForShards(): Promise<void> {
+    await waitUntil(() => {
+      const known = new Set(
+        this.lines.filter(({ name }) => name === "ShardsChanged")
+          .map(({ vm }) => vm),
+      );
+      return known.size === this.gateways.length;
+    });
+  }
+
   /** Starts a gateway and acts as soon as it listens. */
   async startEarly<T>(
     change: Partial<GatewaySettings>,
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -3,29 +3,22 @@
  * answers their messages, and notes who comes and goes.
  */
 import { EVENTS } from "@camphorlock/codes/events";
-import { AccountHandOver } from "../accounts/account_hand_over.ts";
+import type { AccountHandOver } from "../accounts/account_hand_over.ts";
 import type { AccountHome } from "../accounts/account_home.ts";
-import type { DistantAccounts } from "../accounts/distant_accounts.ts";
-import {
-  HOME_COUNT,
-  type PeerChange,
-  type PeerDirectory,
-  type PeerInfo,
+import type { ShardKeeper } from "../accounts/shard_keeper.ts";
+import type {
+  PeerChange,
+  PeerDirectory,
+  PeerInfo,
 } from "../decisions/peer_directory.ts";
-import { LOSS_WINDOW_MS, RecentLosses } from "../decisions/recent_losses.ts";
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Address, ObjectKind, ObjectStore } from "../ports.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import type { PeerAnswer, PeerEnvelope } from "./peer_messages.ts";
+import type { MovedAccount } from "../model/token_account.ts";
+import type { PeerAnswer, PeerEnvelope, PeerMessage } from "./peer_messages.ts";
 
-/** How long accounts of programs without turns are kept. */
-const KEEP_ACCOUNTS_MS = 90_000;
-/** How long programs may come back that were known before a loss. */
-const LOSS_MS = 75_000;
-/** Time within which peers hand over accounts to a gateway that restarted. */
-const INFORMED_MS = 500;
 /** Pause before an entry that the store didn't take is written again. */
 const REGISTER_RETRY_MS = 400;
 /** Programs that one log line names. */
@@ -34,65 +27,54 @@
 /** What the group works with. */
 export interface PeerGroupParts {
   readonly directory: PeerDirectory;
-  readonly links: PeerLinks;
+  readonly links: Pick<PeerLinks, "call" | "callAddress">;
   readonly accounts: TokenAccounts;
   readonly home: AccountHome;
-  readonly distant: DistantAccounts;
+  readonly handOver: AccountHandOver;
+  readonly shards: ShardKeeper;
   readonly store: ObjectStore;
   readonly log: GatewayLog;
   readonly seeds: readonly Address[];
   readonly getSelf: () => PeerInfo;
   /** What this gateway follows, for others to follow it here. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
-  /** Whether the whole installation starts for the first time. */
-  readonly isFirstStart: boolean;
 }
 
 /** One gateway's part in the group. */
 export class PeerGroup {
+  /** Ends when the peers that answer are known. */
+  readonly joined: Promise<void>;
   readonly #parts: PeerGroupParts;
-  readonly #handOver: AccountHandOver;
+  #handleJoined: () => void = () => {};
   #isStopped = false;
   #nextPeer = 0;
   #nextSuspected = 0;
-  readonly #losses = new RecentLosses();
-  /** Whether peers that answered can hand over what this one held before. */
-  readonly #informants = new Map<string, boolean>();
 
   constructor(parts: PeerGroupParts) {
     this.#parts = parts;
-    this.#handOver = new AccountHandOver(parts);
+    this.joined = new Promise((resolve) => {
+      this.#handleJoined = resolve;
+    });
   }
 
   /** Joins the group. Returns when the peers that answer are known. */
   async open(): Promise<void> {
-    const { accounts, home, isFirstStart } = this.#parts;
-    const met = Promise.all([this.#callSeeds(), this.#saveEntry()]);
-    if (isFirstStart) {
-      home.start();
-      await met;
-      return;
-    }
-    accounts.setLoss(performance.now() + LOSS_MS);
-    await met;
-    const answers = [...this.#informants.values()];
-    if (answers.length > 0 && !answers.includes(false)) {
-      // The peers hand over what they keep once they've heard of this start.
-      accounts.setLoss(performance.now() + INFORMED_MS);
-    } else {
-      this.#logDoubt();
-    }
-    home.start();
+    await Promise.all([this.#callSeeds(), this.#saveEntry()]);
+    this.#parts.shards.start();
+    this.#handleJoined();
   }
 
-  /** Tells the others that this gateway leaves; they hand its accounts on. */
+  /** Tells the others that this gateway leaves, and gives them what it has. */
   async sendLeaving(): Promise<void> {
-    await this.#callAll(this.#parts.directory.list());
+    const { directory, handOver, shards } = this.#parts;
+    directory.setLeaving();
+    await this.#callAll(directory.list());
+    await Promise.all([shards.release(), handOver.sendAll()]);
   }
 
   stop(): void {
     this.#isStopped = true;
-    this.#handOver.stop();
+    this.#parts.handOver.stop();
   }
 
   /** Asks one gateway, in turn, for those that it knows. */
@@ -121,82 +103,55 @@
   }
 
   removeUnused(nowMs: number): void {
-    this.#parts.accounts.removeUnused(nowMs - KEEP_ACCOUNTS_MS);
+    this.#parts.home.removeUnused(nowMs);
+    this.#parts.shards.removeOld(nowMs);
   }
 
   /** Reacts to a change of the view. */
   handleChange(peer: PeerInfo, change: PeerChange | "lost"): void {
     if (peer.region !== this.#parts.getSelf().region) return;
-    if (change === "none") return;
-    this.#recordLoss(peer, change);
-    const isHere = change !== "lost" && change !== "leaving";
-    this.#handOver.add({ peer, isHere });
-  }
-
-  /** Notes a gateway that ended; two at about the same time may be both homes. */
-  #recordLoss(peer: PeerInfo, change: PeerChange | "lost"): void {
-    const nowMs = performance.now();
-    this.#losses.add(peer, change, nowMs);
-    const lost = this.#losses.list(nowMs);
-    if (lost.length < HOME_COUNT) return;
-    const { accounts } = this.#parts;
-    if (!accounts.isLossPossible(nowMs)) this.#logDoubt();
-    accounts.setLoss(nowMs + LOSS_MS, nowMs - LOSS_WINDOW_MS);
-  }
-
-  #logDoubt(): void {
-    this.#parts.log.write(EVENTS.AccountsDoubtful, {
-      for_ms: LOSS_MS,
-      lost: this.#losses.list(performance.now()),
-    });
+    if (change !== "none") this.#parts.handOver.startMoving();
   }
 
   /** Answers a message of another gateway. */
   async handleMessage(
     { from: sender, message }: PeerEnvelope,
   ): Promise<PeerAnswer> {
-    const { accounts, home, distant, directory, getSelf } = this.#parts;
-    const from = getSelf();
+    const { accounts, home, handOver, directory, shards } = this.#parts;
+    const from = this.#parts.getSelf();
     const nowMs = performance.now();
     switch (message.kind) {
-      case "hello":
+      case "hello": {
+        const news = shards.buildNews(message.shardsRevision);
         return {
           from,
           ...(message.known === directory.size
             ? {}
             : { peers: directory.list() }),
-          mayHaveLost: accounts.isLossPossible(nowMs),
-          lost: this.#losses.list(nowMs),
+          ...(news === undefined ? {} : { shards: news }),
         };
+      }
       case "open_turn":
         return { from, turn: await home.open(message.turn) };
-      case "confirm_turn":
-        return { from, isConfirmed: accounts.confirm(message.turn, nowMs) };
       case "close_turn": {
         const { programId, turnId, passedTokens } = message;
-        accounts.close(programId, turnId, passedTokens);
-        if (message.isDistant !== true) distant.close(message);
+        home.close(programId, turnId, passedTokens);
+        handOver.handleClosed(programId);
         return { from };
       }
-      case "merge_accounts":
-        for (const state of message.accounts) accounts.merge(state, nowMs);
-        this.#parts.log.write(EVENTS.AccountsReceived, {
-          peer: sender.vmId,
-          accounts: message.accounts.length,
-          programs: message.accounts.slice(0, MAX_LOGGED_PROGRAMS)
-            .map(({ programId }) => programId),
-        });
+      case "move_accounts":
+        for (const moved of message.accounts) accounts.addMoved(moved, nowMs);
+        this.#logReceived(sender, message.accounts);
         return { from };
-      case "find_account": {
-        distant.addRegion(message.programId, sender.region);
-        const account = accounts.find(message.programId);
-        const mayHaveLost = accounts.isLossPossible(nowMs);
-        return {
-          from,
-          mayHaveLost,
-          ...(account === undefined ? {} : { account }),
-        };
+      case "grant_first": {
+        const isGiven = shards.grantFirst(message.programId) === undefined;
+        return { from, isGiven };
       }
+      case "take_shards":
+        return { from, isTaken: await shards.take(sender, message.given) };
+      case "share_shards":
+        shards.applyNews(message.shards);
+        return { from };
       case "list_objects": {
         const cache = this.#parts.findCache(message.objects);
         const listed = cache?.list();
@@ -219,16 +174,14 @@
   }
 
   async #callSeeds(): Promise<void> {
-    const { seeds, links, directory, getSelf } = this.#parts;
+    const { seeds, links, getSelf } = this.#parts;
     const self = getSelf();
     const others = seeds.filter(({ host, port }) =>
       host !== self.host || port !== self.port
     );
     await Promise.all(others.map(async (seed) => {
-      const hello = { kind: "hello", known: directory.size } as const;
-      const answer = await links.callAddress(seed, hello);
-      await this.#addAll(answer?.peers ?? []);
-      this.#recordInformed(answer);
+      const answer = await links.callAddress(seed, this.#buildHello());
+      await this.#applyAnswer(answer);
     }));
   }
 
@@ -277,20 +230,35 @@
   }
 
   async #callAll(peers: readonly PeerInfo[]): Promise<void> {
-    const { links, directory } = this.#parts;
+    const { links } = this.#parts;
     await Promise.all(peers.map(async (peer) => {
-      const hello = { kind: "hello", known: directory.size } as const;
-      const answer = await links.call(peer, hello);
-      this.#recordInformed(answer);
-      await this.#addAll(answer?.peers ?? []);
+      await this.#applyAnswer(await links.call(peer, this.#buildHello()));
     }));
   }
 
-  #recordInformed(answer: PeerAnswer | undefined): void {
-    const { region, vmId } = this.#parts.getSelf();
-    if (answer === undefined || answer.from.region !== region) return;
-    const others = (answer.lost ?? []).filter((lost) => lost !== vmId);
-    const isInformed = answer.mayHaveLost === false && others.length === 0;
-    this.#informants.set(answer.from.vmId, isInformed);
+  #buildHello(): PeerMessage {
+    const { directory, shards } = this.#parts;
+    return {
+      kind: "hello",
+      known: directory.size,
+      shardsRevision: shards.revision,
+    };
+  }
+
+  async #applyAnswer(answer: PeerAnswer | undefined): Promise<void> {
+    if (answer?.shards !== undefined) {
+      this.#parts.shards.applyNews(answer.shards);
+    }
+    await this.#addAll(answer?.peers ?? []);
+  }
+
+  #logReceived(sender: PeerInfo, moved: readonly MovedAccount[]): void {
+    this.#parts.log.write(EVENTS.AccountsReceived, {
+      peer: sender.vmId,
+      accounts: moved.length,
+      allowed_tokens: moved.reduce((sum, each) => sum + each.allowedTokens, 0),
+      programs: moved.slice(0, MAX_LOGGED_PROGRAMS)
+        .map(({ programId }) => programId),
+    });
   }
 }
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -2,30 +2,44 @@
  * The messages between gateways, and the check of what arrives.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { AccountState, TurnRequest } from "../model/token_account.ts";
+import type {
+  MovedAccount,
+  TurnAnswer,
+  TurnRequest,
+} from "../model/token_account.ts";
+import type { EncodedShardTable } from "../decisions/shard_table.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
 import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
 /** A message from one gateway to another. */
 export type PeerMessage =
-  /** Tells of itself, and asks for the others if the peer knows another number. */
-  | { readonly kind: "hello"; readonly known: number }
-  /** Asks a home to admit a turn. */
+  /** Tells of itself, and asks for what the peer knows beyond the sender. */
+  | {
+    readonly kind: "hello";
+    /** Number of gateways that the sender knows. */
+    readonly known: number;
+    /** Revision of the shard table that the sender knows; 0 for none. */
+    readonly shardsRevision: number;
+  }
+  /** Asks a home for tokens of a turn. */
   | { readonly kind: "open_turn"; readonly turn: TurnRequest }
-  /** Asks the second home to confirm a turn that the first one admitted. */
-  | { readonly kind: "confirm_turn"; readonly turn: TurnRequest }
   | {
     readonly kind: "close_turn";
     readonly programId: string;
     readonly turnId: string;
     readonly passedTokens: number;
-    /** Sent by a home of another region, which isn't told in return. */
-    readonly isDistant?: boolean;
   }
-  /** Hands accounts to a home. */
-  | { readonly kind: "merge_accounts"; readonly accounts: AccountState[] }
-  /** Asks a home of another region what it knows. */
-  | { readonly kind: "find_account"; readonly programId: string }
+  /** Gives accounts to their new home. */
+  | {
+    readonly kind: "move_accounts";
+    readonly accounts: readonly MovedAccount[];
+  }
+  /** Asks the holder of a program's shard for its first allowance. */
+  | { readonly kind: "grant_first"; readonly programId: string }
+  /** Gives the sender's shards away, with the programs that were served. */
+  | { readonly kind: "take_shards"; readonly given: readonly string[] }
+  /** Tells of a newer shard table. */
+  | { readonly kind: "share_shards"; readonly shards: ShardNews }
   /** Asks for the objects of a kind as the peer knows them. */
   | { readonly kind: "list_objects"; readonly objects: ObjectKind }
   /** Asks for changes of the objects of a kind. */
@@ -38,8 +52,14 @@
     readonly maxAgeMs: number;
   };
 
-/** What a home answers to `open_turn`. */
-export type TurnAnswer = "admitted" | "over_budget" | "unavailable";
+/** The shard table as one gateway knows it. */
+export interface ShardNews {
+  readonly revision: number;
+  /** Time since the store last had it. */
+  readonly ageMs: number;
+  /** Absent where the receiver knows this revision. */
+  readonly table?: EncodedShardTable;
+}
 
 /** The answer to a message. */
 export interface PeerAnswer {
@@ -47,12 +67,10 @@
   readonly from: PeerInfo;
   readonly peers?: readonly PeerInfo[];
   readonly turn?: TurnAnswer;
-  readonly isConfirmed?: boolean;
-  readonly account?: AccountState;
-  /** Whether the answering gateway may have lost accounts. */
-  readonly mayHaveLost?: boolean;
-  /** Gateways of its region that ended lately without a planned stop. */
-  readonly lost?: readonly string[];
+  readonly shards?: ShardNews;
+  readonly isGiven?: boolean;
+  /** Whether the shards were taken over. */
+  readonly isTaken?: boolean;
   readonly listed?: StoredList;
   readonly changes?: StoredChanges;
   /** Whether the changes that were asked for are no longer kept. */
@@ -70,10 +88,11 @@
 const KINDS: readonly PeerMessage["kind"][] = [
   "hello",
   "open_turn",
-  "confirm_turn",
   "close_turn",
-  "merge_accounts",
-  "find_account",
+  "move_accounts",
+  "grant_first",
+  "take_shards",
+  "share_shards",
   "list_objects",
   "watch_objects",
 ];
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -52,6 +52,7 @@
   | "targets"
   | "retirements"
   | "tokenAccounts"
+  | "accountShards"
   | "gateways";
 
 /** Where a change is looked for. */
--- a/packages/gateway/src/token_budget_test.ts
+++ b/packages/gateway/src/token_budget_test.ts
@@ -7,6 +7,8 @@
 const TOKENS_PER_EVENT = 10;
 const BUDGET_TOKENS = 120;
 const TURN_TOKENS = 60;
+/** Time after which gateways that started together serve as they always do. */
+const START_MS = 2_500;
 
 function answerEvents(
   _request: IncomingMessage,
@@ -53,6 +55,8 @@
   it("isn't passed when all gateways are killed while the store is away", async () => {
     await fixture.addGateway("g1");
     await fixture.addGateway("g2");
+    // Programs are served without the store once this is known.
+    await new Promise((resolve) => setTimeout(resolve, START_MS));
     fixture.store.isDown = true;
     const before = await runTurns(fixture.ports[0] ?? 0, 4);
     await Promise.all(fixture.gateways.map((gateway) => gateway.close()));
