Bound what a target that sends without end costs

What callers would see: a gateway near its memory limit, killed by six targets' answers at once. Cause: plain answers were held up to 16 MiB each, and a stream searched up to 1 MiB for the end of an event, anew with each piece. Test: heads, headers, bodies, events and no answer at all, without end, on each kind of route; the target's connections are closed and the request ends by the route's time.

--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -5,7 +5,7 @@
 
 const LINE_FEED = 0x0a;
 /** Longest event that is held; a longer one means that the stream is broken. */
-const MAX_EVENT_BYTES = 1_048_576;
+const MAX_EVENT_BYTES = 262_144;
 const ID_PATTERN = /^id: ?(\d+)\r?$/m;
 
 /** One whole event. */
--- /dev/null
+++ b/packages/gateway/src/endless_answer_test.ts
@@ -0,0 +1,122 @@
+import { expect } from "chai";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import {
+  buildConfiguration,
+  GatewayFixture,
+  waitUntil,
+} from "./gateway_fixture_test.ts";
+
+const HEAD = "HTTP/1.1 200 OK\r\nsigned: 1\r\n";
+const CHUNKED = `${HEAD}transfer-encoding: chunked\r\n\r\n`;
+const PIECE_BYTES = 16_384;
+/** What an entry VM of 178 MB has beside a gateway without load. */
+const MAX_GROWTH_BYTES = 96 * 1_024 * 1_024;
+const REQUESTS = 6;
+
+/** What comes first, and what follows without end. */
+interface Endless {
+  readonly first: string;
+  readonly piece: (number: number) => string;
+}
+
+const FILLER = "x".repeat(PIECE_BYTES);
+
+function buildChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const CASES: Readonly<Record<string, Endless>> = {
+  "no answer at all": { first: FILLER, piece: () => FILLER },
+  "a head": { first: HEAD, piece: (number) => `h${number}: ${FILLER}\r\n` },
+  "one header": { first: `${HEAD}h: `, piece: () => FILLER },
+  "a body": { first: CHUNKED, piece: () => buildChunk(FILLER) },
+  "an event": { first: CHUNKED, piece: () => buildChunk(FILLER) },
+  "events": {
+    first: CHUNKED,
+    piece: (number) => buildChunk(`id: ${number}\ndata: x\n\n`),
+  },
+};
+
+describe("an answer without end", () => {
+  let fixture: GatewayFixture;
+  let server: Server;
+  let answer: Endless;
+  const sockets = new Set<Socket>();
+
+  beforeEach(async () => {
+    fixture = new GatewayFixture();
+    fixture.store.put("configuration", "main", buildConfiguration(1));
+    server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on("close", () => sockets.delete(socket));
+      socket.on("error", () => socket.destroy());
+      socket.once("data", () => sendWithoutEnd(socket, answer));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    fixture.store.put("targets", "t1", {
+      id: "t1",
+      service: "s",
+      host: "127.0.0.1",
+      port: (server.address() as AddressInfo).port,
+      failureDomain: "a",
+      state: "ready",
+      slots: 4,
+      startedAtMs: 1,
+    });
+    await fixture.addGateway("g1");
+  });
+
+  afterEach(async () => {
+    await fixture.stop();
+    for (const socket of sockets) socket.destroy();
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+  });
+
+  /** Writes as fast as the gateway reads, until it closes. */
+  function sendWithoutEnd(socket: Socket, { first, piece }: Endless): void {
+    let number = 0;
+    socket.write(first);
+    const writeMore = (): void => {
+      if (socket.destroyed) return;
+      number += 1;
+      if (socket.write(piece(number))) setImmediate(writeMore);
+      else socket.once("drain", writeMore);
+    };
+    writeMore();
+  }
+
+  for (const [name, endless] of Object.entries(CASES)) {
+    for (const path of ["/safe/1", "/once/1", "/stream/1"]) {
+      it(`of ${name} ends ${path} in time and in bounded memory`, async () => {
+        answer = endless;
+        const before = process.memoryUsage().rss;
+        const startedAtMs = performance.now();
+        const answers = await Promise.all(
+          Array.from(
+            { length: REQUESTS },
+            (_, index) =>
+              fixture.ask(fixture.ports[0] ?? 0, {
+                path,
+                headers: { id: `r${index}`, budget: `p${index},500,50` },
+              }),
+          ),
+        );
+        // The route's time, and half a second as callers are promised.
+        expect(performance.now() - startedAtMs).to.be.below(1_100);
+        for (const { status, isWhole } of answers) {
+          expect(status === 200 && isWhole).to.equal(false);
+        }
+        await waitUntil(() => sockets.size === 0);
+        expect(process.memoryUsage().rss - before)
+          .to.be.below(MAX_GROWTH_BYTES);
+      });
+    }
+  }
+});
--- a/packages/gateway/src/exchange/whole_send.ts
+++ b/packages/gateway/src/exchange/whole_send.ts
@@ -8,8 +8,8 @@
 import type { FailedSend } from "../decisions/plan_next_send.ts";
 import type { AnswerHeaders, RequestCodec } from "../ports.ts";
 
-/** Largest answer that is held. */
-const MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
+/** Largest answer that is held; several at once fit a small VM's memory. */
+const MAX_ANSWER_BYTES = 4 * 1_024 * 1_024;
 
 /** A target's whole answer. */
 export interface WholeTargetAnswer {
