End a stream that has more events than its turn declares

What callers would see: a turn whose target sends events without end, each passed on and counted as nothing beyond the declared tokens, so that the program passed its budget. Cause: the count of a turn's tokens was cut at what the turn declares, the events weren't. Evidence: the new test, which fails with the cut count. Why this works: the meter counts whole events, the last one in full, and what comes after them breaks the stream off.

--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -91,6 +91,11 @@
     return this.#meter.passedTokens;
   }
 
+  /** Whether the turn has generated all that it declares. */
+  get isFull(): boolean {
+    return this.#meter.isFull;
+  }
+
   /** Counts the next event; false when it has to wait for `waitForMore`. */
   addEvent(): boolean {
     const isGranted = this.#meter.addEvent();
@@ -100,7 +105,7 @@
 
   /** Waits until more tokens were granted, or the turn is over. */
   async waitForMore(): Promise<void> {
-    while (!this.#isClosed && !this.#meter.canAddEvent) {
+    while (!this.#isClosed && !this.isFull && !this.#meter.canAddEvent) {
       await this.#startAsking();
     }
   }
--- a/packages/gateway/src/decisions/token_meter.ts
+++ b/packages/gateway/src/decisions/token_meter.ts
@@ -23,10 +23,15 @@
   #grantedTokens = 0;
   #events = 0;
 
+  readonly #isSizeKnown: boolean;
+
   constructor({ turnTokens, eventTokens }: TurnSize) {
-    this.#turnTokens = turnTokens;
+    this.#isSizeKnown = eventTokens > 0;
     // Of unknown size, one event may be the whole turn.
-    this.#eventTokens = eventTokens > 0 ? eventTokens : turnTokens;
+    this.#eventTokens = this.#isSizeKnown ? eventTokens : turnTokens;
+    // The last event counts in full, however little of it is needed.
+    this.#turnTokens = Math.ceil(turnTokens / this.#eventTokens) *
+      this.#eventTokens;
   }
 
   /** Tokens of one event at most. */
@@ -34,7 +39,13 @@
     return this.#eventTokens;
   }
 
-  /** Tokens passed on; never more than the turn declares. */
+  /** Whether the turn has generated all that it declares. */
+  get isFull(): boolean {
+    return this.#isSizeKnown &&
+      this.#events * this.#eventTokens >= this.#turnTokens;
+  }
+
+  /** Tokens passed on. */
   get passedTokens(): number {
     return this.#countTokens(this.#events);
   }
@@ -55,7 +66,8 @@
 
   /** Whether the tokens of the next event are granted. */
   get canAddEvent(): boolean {
-    return this.#countTokens(this.#events + 1) <= this.#grantedTokens;
+    return !this.isFull &&
+      this.#countTokens(this.#events + 1) <= this.#grantedTokens;
   }
 
   /** Counts the next event; false when its tokens aren't granted yet. */
--- a/packages/gateway/src/decisions/token_meter_test.ts
+++ b/packages/gateway/src/decisions/token_meter_test.ts
@@ -22,13 +22,14 @@
     expect(meter.missingTokens).to.equal(180);
   });
 
-  it("counts no more than the turn declares", () => {
+  it("lets no more events pass than the turn declares", () => {
     const meter = new TokenMeter({ turnTokens: 50, eventTokens: 30 });
-    meter.add(50);
-    meter.addEvent();
-    meter.addEvent();
-    expect(meter.passedTokens).to.equal(50);
-    expect(meter.needsMore).to.equal(false);
+    meter.add(60);
+    expect([meter.addEvent(), meter.addEvent(), meter.addEvent()])
+      .to.deep.equal([true, true, false]);
+    expect(meter.passedTokens).to.equal(60);
+    expect(meter.isFull).to.equal(true);
+    expect(meter.missingTokens).to.equal(0);
   });
 
   it("takes one event of unknown size for the whole turn", () => {
--- a/packages/gateway/src/endless_answer_test.ts
+++ b/packages/gateway/src/endless_answer_test.ts
@@ -119,4 +119,13 @@
       });
     }
   }
+
+  it("of events passes on no more than a turn declares", async () => {
+    answer = CASES["events"] as Endless;
+    const { text } = await fixture.ask(fixture.ports[0] ?? 0, {
+      path: "/stream/1",
+      headers: { id: "r", budget: "p,500,50" },
+    });
+    expect(text.match(/^id:/gm)).to.have.length(5);
+  });
 });
--- a/packages/gateway/src/exchange/stream_send.ts
+++ b/packages/gateway/src/exchange/stream_send.ts
@@ -48,6 +48,8 @@
 
 /** Tokens that are granted a few events at a time. */
 export interface StreamGrant {
+  /** Whether no further event is due. */
+  readonly isFull: boolean;
   /** Counts the next event; false when it has to wait. */
   addEvent(): boolean;
   /** Waits until the next event can pass, or the request is over. */
@@ -192,6 +194,10 @@
     const { grant, progress } = this.#options;
     const isNew = event.id === undefined || event.id > progress.lastEventId;
     if (grant === undefined || !isNew || grant.addEvent()) return true;
+    if (grant.isFull) {
+      this.#endBroken("more tokens than the request declares");
+      return false;
+    }
     this.#exchange?.pause();
     void grant.waitForMore().then(() => {
       if (this.#isOver) return;
