--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -195,7 +195,6 @@
       readiness: { host, port: readiness },
       peers: { host, port: peers },
       seeds: [],
-      isFirstStart: true,
       metrics: undefined,
       bounds: {
         configurationMs: 2_500,
--- a/packages/gateway/src/gateway_test.ts
+++ b/packages/gateway/src/gateway_test.ts
@@ -374,7 +374,7 @@
     after.store.put("tokenAccounts", "p", record);
     await after.addTarget("t1");
     const { answer } = await after.startEarly(
-      { isFirstStart: false, seeds: [await after.addSilentPeer()] },
+      { seeds: [await after.addSilentPeer()] },
       (at) => {
         const headers = { id: "t", budget: "p,200,50" };
         return after.ask(at, { path: "/stream/1", headers });
@@ -388,7 +388,7 @@
     await fixture.addGateway("g2");
     fixture.store.isDown = true;
     const seeds = fixture.peerAddresses;
-    await fixture.addGateway("g3", { isFirstStart: false, seeds });
+    await fixture.addGateway("g3", { seeds });
     const answer = await fixture.ask(fixture.ports[2] ?? 0, {
       path: "/safe/1",
     });
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -170,8 +170,6 @@
   readonly peers: Address;
   /** Addresses of a few gateways, which may be stale. */
   readonly seeds: readonly Address[];
-  /** Whether the whole installation starts for the first time. */
-  readonly isFirstStart: boolean;
   readonly metrics: Address | undefined;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/token_budget_test.ts
+++ b/packages/gateway/src/token_budget_test.ts
@@ -61,8 +61,8 @@
     const before = await runTurns(fixture.ports[0] ?? 0, 4);
     await Promise.all(fixture.gateways.map((gateway) => gateway.close()));
     fixture.store.isDown = false;
-    await fixture.addGateway("g1", { isFirstStart: false });
-    await fixture.addGateway("g2", { isFirstStart: false });
+    await fixture.addGateway("g1");
+    await fixture.addGateway("g2");
     const after = await runTurns(fixture.ports[2] ?? 0, 4);
     expect(before).to.be.greaterThan(0);
     expect(before + after).to.be.at.most(BUDGET_TOKENS + TURN_TOKENS);
