Stop the gateways of the tests of turn accounts

Cause: two of these tests take the store away, and their gateways went on entering themselves in it, so that the test process never ended: the whole run's report was there after 3.5 minutes, the process 8 minutes later. With the fix the file's process ends by itself.

--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Ends what the gateways would try for ever. */
+  stop(): void {
+    for (const { parts } of this.#members.values()) parts.group.stop();
+  }
+
   get(id: string): Member {
     const member = this.#members.get(id);
     if (member === undefined) throw new Error(id);
@@ -130,9 +135,20 @@
 
 describe("turn accounts", () => {
   const ids = ["a", "b", "c", "d"];
+  const groups: Group[] = [];
+
+  function buildGroup(vmIds: readonly string[]): Group {
+    const group = new Group(vmIds);
+    groups.push(group);
+    return group;
+  }
+
+  afterEach(() => {
+    for (const group of groups.splice(0)) group.stop();
+  });
 
   it("admit no more than the budget while gateways disagree on the homes", async () => {
-    const group = new Group(ids);
+    const group = buildGroup(ids);
     const first = group.get("a").directory.chooseHomes("p")[0]?.vmId ?? "";
     const outside = ids.filter((id) => id !== first);
     // One gateway can't reach the first home; the others can.
@@ -150,7 +166,7 @@
 
   // Seed 1093214820439 of a day with cuts: callers reached both gateways.
   it("admit no more than the budget at homes that are cut off from each other", async () => {
-    const group = new Group(ids);
+    const group = buildGroup(ids);
     const budgetTokens = 5_600;
     const [first = "", second = ""] = group.get("a").directory
       .chooseHomes("p").map(({ vmId }) => vmId);
@@ -170,7 +186,7 @@
   });
 
   it("admit no more than the budget through two regions", async () => {
-    const group = new Group([...ids, "E", "F"]);
+    const group = buildGroup([...ids, "E", "F"]);
     let tokens = 0;
     for (let index = 0; index < 10; index += 1) {
       const at = index % 2 === 0 ? "a" : "E";
@@ -181,7 +197,7 @@
   });
 
   it("admit no more than the budget when two regions begin at once", async () => {
-    const group = new Group([...ids, "E", "F"]);
+    const group = buildGroup([...ids, "E", "F"]);
     for (let program = 0; program < 20; program += 1) {
       const passed = await Promise.all(
         Array.from({ length: 12 }, (_, index) => {
@@ -197,7 +213,7 @@
   }).timeout(10_000);
 
   it("give back in both regions what a turn didn't use", async () => {
-    const group = new Group([...ids, "E", "F"]);
+    const group = buildGroup([...ids, "E", "F"]);
     let tokens = 0;
     for (let index = 0; index < 10; index += 1) {
       const at = index % 2 === 0 ? "a" : "E";
@@ -208,7 +224,7 @@
   });
 
   it("admit only recorded tokens where another region may have lost accounts", async () => {
-    const group = new Group([...ids, "E", "F"]);
+    const group = buildGroup([...ids, "E", "F"]);
     // Nobody there can ask the holder of the program's shard.
     for (const id of ids) group.cut.add(`E-${id}`).add(`F-${id}`);
     const programId =
@@ -223,7 +239,7 @@
   });
 
   it("admit both turns of a budget that holds two", async () => {
-    const group = new Group(ids);
+    const group = buildGroup(ids);
     const openings = await Promise.all(
       ["x", "y", "z"].map((id) =>
         group.get("a").parts.turns.open(buildTurn(id, 1_120))
@@ -237,7 +253,7 @@
   });
 
   it("refuse what neither a home nor the store can vouch for", async () => {
-    const group = new Group(ids);
+    const group = buildGroup(ids);
     group.store.isDown = true;
     group.cutAll();
     const other =
@@ -250,7 +266,7 @@
   });
 
   it("serve programs within their first allowance while the store is away", async () => {
-    const group = new Group(ids);
+    const group = buildGroup(ids);
     group.store.isDown = true;
     for (let turn = 0; turn < 4; turn += 1) {
       const asked = buildTurn(`t${turn}`, 5_600);
@@ -260,7 +276,7 @@
   });
 
   it("go on with a running turn at another home when its own is gone", async () => {
-    const group = new Group(ids);
+    const group = buildGroup(ids);
     const [first = ""] = group.get("a").directory.chooseHomes("p")
       .map(({ vmId }) => vmId);
     const at = ids.find((id) => id !== first) ?? "";
