--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -344,6 +344,12 @@
     "info",
     "Another gateway handed over accounts.",
   ),
+  FirstAllowanceDecided: defineEvent(
+    938,
+    "FirstAllowanceDecided",
+    "info",
+    "The holder of a program's shard gave its first allowance, or why not.",
+  ),
   LogLinesDropped: defineEvent(
     941,
     "LogLinesDropped",
@@ -398,12 +404,6 @@
     "warn",
     "The stored table of shards can't be read; no first allowance is given.",
   ),
-  FirstAllowanceDecided: defineEvent(
-    938,
-    "FirstAllowanceDecided",
-    "info",
-    "The holder of a program's shard gave its first allowance, or why not.",
-  ),
 } as const;
 
 /** The name of a log event. */
