--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -55,11 +55,6 @@
 export class TokenAccounts {
   readonly #accounts = new Map<string, Account>();
 
-  /** Number of accounts held. */
-  get size(): number {
-    return this.#accounts.size;
-  }
-
   /** Decides on a turn and, when it's admitted, reserves what it's granted. */
   open(turn: TurnRequest, nowMs: number): TurnDecision {
     const account = this.#get(turn.programId, turn.budgetTokens, nowMs);
