End a stream whose turn was closed while an event waits for tokens

Cause: a stream that can't be resumed went on after its caller had left. Its turn was closed by then, so an event that waited for tokens got the answer at once, asked again, and so on without ever leaving the microtask queue.

A closed turn now ends the attempt, a stream is stopped at its target when its caller leaves whether it can be resumed or not, and a grant that isn't enough for an event is asked for again only after a pause.

--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -104,11 +104,15 @@
     return isGranted;
   }
 
-  /** Waits until the next event is granted or the turn is over. */
-  async waitForMore(): Promise<void> {
+  /**
+   * Waits until the next event is granted or the turn is full; false when the
+   * turn was closed before.
+   */
+  async waitForMore(): Promise<boolean> {
     while (!this.#isClosed && !this.isFull && !this.#meter.canAddEvent) {
       await this.#startCall();
     }
+    return !this.#isClosed;
   }
 
   /** Calls homes until one grants tokens or refuses the turn as over budget. */
@@ -146,7 +150,8 @@
 
   async #callForMore(): Promise<void> {
     const kind = await this.callHomes(performance.now() + OPEN_TIMEOUT_MS);
-    if (kind === "admitted" || this.#isClosed) return;
+    const isServed = kind === "admitted" && this.#meter.canAddEvent;
+    if (isServed || this.#isClosed) return;
     await waitFor(RETRY_DELAY_MS);
   }
 
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -235,8 +235,10 @@
   #stop(reason: "timeout" | "disconnected"): void {
     if (this.#stopped !== undefined) return;
     this.#stopped = reason;
-    // A non-repeatable request keeps running after its caller disconnects.
-    if (reason === "timeout" || this.#isRepeatable) this.#running?.cancel();
+    // A request that runs at most once and isn't a stream runs to its end.
+    const isCancelled = reason === "timeout" || this.#isRepeatable ||
+      this.#isStream;
+    if (isCancelled) this.#running?.cancel();
     this.#endWait();
   }
 
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -52,8 +52,8 @@
   readonly isFull: boolean;
   /** Counts the next event; false when it has to wait for a grant. */
   addEvent(): boolean;
-  /** Waits until the next event is granted or the request has ended. */
-  waitForMore(): Promise<void>;
+  /** Waits for the next event's tokens; false when the turn was closed. */
+  waitForMore(): Promise<boolean>;
 }
 
 /** Settings of a streaming attempt. */
@@ -63,7 +63,7 @@
   /** The tokens that may be forwarded, where a budget limits them. */
   readonly grant: StreamGrant | undefined;
   /** Records an event before it's forwarded. */
-  readonly recordEvent: () => void;
+  readonly recordEvent: (event: StreamEvent) => void;
 }
 
 /** Starts a streaming attempt. */
@@ -203,8 +203,13 @@
       return false;
     }
     this.#exchange?.pause();
-    void grant.waitForMore().then(() => {
+    void grant.waitForMore().then((isGranted) => {
       if (this.#hasEnded) return;
+      if (!isGranted) {
+        return this.#endBroken(
+          "the turn was closed before its tokens were granted",
+        );
+      }
       this.#exchange?.resume();
       this.#forwardWaiting();
     });
@@ -222,7 +227,7 @@
       return false;
     }
     this.#openStream();
-    this.#options.recordEvent();
+    this.#options.recordEvent(event);
     progress.lastEventId = expected;
     progress.events += 1;
     if (!caller.sendEvents(event.bytes)) this.#exchange?.pause();
