Keep turns on several disks and put chains together in the gateway

Turns now go to one disk more than may be lost at once before their response ends, and a follower's body is built from the chain.

packages/turns has the store: a checksummed segment log with group commit and shared blocks stored once, retention with ancestors, recovery, copies to new and wiped disks, and the emptying of a disk. packages/channel takes the lines of JSON between processes, which gateways and disks now share.

--- /dev/null
+++ b/packages/channel/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Connections between the system's own processes: lines of JSON over TCP.
+ */
+export * from "./src/peer_channel.ts";
--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -3,7 +3,7 @@
  *
  * The hundreds digit is the area: 1 node, 2 membership and assignment, 3
  * ledger, 4 calls, 5 dispatch and placement, 6 configuration and operators, 7
- * platform, 8 targets, 9 gateway. docs/EVENTS.md is rendered from this table; a
+ * platform, 8 targets, 9 gateway and disks. docs/EVENTS.md is rendered from this table; a
  * test checks that both agree.
  */
 
@@ -404,6 +404,66 @@
     "warn",
     "The stored shard table can't be decoded; no first allowance is granted.",
   ),
+  ChainLoaded: defineEvent(
+    961,
+    "ChainLoaded",
+    "info",
+    "A gateway read the chain of a turn from the disks, or couldn't.",
+  ),
+  TurnKept: defineEvent(
+    962,
+    "TurnKept",
+    "info",
+    "A gateway saved a turn on the disks before its response ended, or couldn't.",
+  ),
+  TurnNotSaved: defineEvent(
+    963,
+    "TurnNotSaved",
+    "warn",
+    "A disk refused to save a turn; the reason.",
+  ),
+  DiskRecovered: defineEvent(
+    964,
+    "DiskRecovered",
+    "info",
+    "A disk's process read its files after a start; what it found.",
+  ),
+  DiskRegistered: defineEvent(
+    965,
+    "DiskRegistered",
+    "info",
+    "A disk was registered, or its entry was replaced.",
+  ),
+  DiskComplete: defineEvent(
+    966,
+    "DiskComplete",
+    "info",
+    "A new or wiped disk has copied what the others hold.",
+  ),
+  TurnsCopied: defineEvent(
+    967,
+    "TurnsCopied",
+    "info",
+    "A disk copied turns of another disk.",
+  ),
+  DiskEmptied: defineEvent(
+    968,
+    "DiskEmptied",
+    "info",
+    "Enough other disks hold the turns of a retiring disk; its entry was removed.",
+  ),
+  DiskFailed: defineEvent(
+    969,
+    "DiskFailed",
+    "warn",
+    "A disk's process couldn't use its files or a page of another disk.",
+  ),
+  DiskForgotten: defineEvent(
+    970,
+    "DiskForgotten",
+    "warn",
+    "The entry of a disk that was silent for long was removed.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -111,6 +111,27 @@
     false,
     "The program's history is longer than the limit.",
   ),
+  TurnUnknown: defineCode(
+    2008,
+    "TurnUnknown",
+    404,
+    false,
+    "The turn that the request continues doesn't exist or is no longer kept.",
+  ),
+  HistoryUnavailable: defineCode(
+    2009,
+    "HistoryUnavailable",
+    503,
+    true,
+    "The turn that the request continues can't be read at present, or too few disks are there to keep a new one.",
+  ),
+  TurnNotKept: defineCode(
+    2010,
+    "TurnNotKept",
+    502,
+    true,
+    "The turn has run, but too few disks confirmed it in time; its stream was cut.",
+  ),
   BudgetExhausted: defineCode(
     3001,
     "BudgetExhausted",
--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -27,6 +27,8 @@
 /** Where the request arrived, and what it needs. */
 export interface PlacementRequest {
   readonly prompt: readonly PromptPart[];
+  /** The target whose cache holds the conversation so far. */
+  readonly previousTargetId?: string | undefined;
   readonly failureDomain: string;
   readonly regions: ReadonlyMap<string, string>;
   /** Targets that already rejected this request. */
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -20,6 +20,7 @@
     timeoutMs: 1_000,
     targetLatencyMs: 100,
     priority: 0,
+    retentionMs: undefined,
     maxTargets: 1,
     services: [{ service: "s", weight: 1 }],
     ...change,
--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -6,6 +6,7 @@
 const LINE_FEED = 0x0a;
 /** Longest buffered event; a longer one means that the stream is malformed. */
 const MAX_EVENT_BYTES = 262_144;
+const DATA_FIELD = "data:";
 const ID_PATTERN = /^id: ?(\d+)\r?$/m;
 
 /** One complete event. */
@@ -46,6 +47,17 @@
   }
 }
 
+/**
+ * Reads the data of an event: the values of its `data` lines, joined by line
+ * feeds.
+ */
+export function readEventData({ bytes }: StreamEvent): Buffer {
+  const values = bytes.toString("latin1").split(/\r?\n/)
+    .filter((line) => line === "data" || line.startsWith("data:"))
+    .map((line) => line.slice(DATA_FIELD.length).replace(/^ /, ""));
+  return Buffer.from(values.join("\n"), "latin1");
+}
+
 /** Finds the end of the event that begins at `start`; 0 if it's incomplete. */
 function findEventEnd(bytes: Buffer, start: number): number {
   for (
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -53,6 +53,11 @@
     return this.#response.headersSent;
   }
 
+  /** Whether a streamed response has begun and not ended. */
+  get hasOpenStream(): boolean {
+    return this.#response.headersSent && !this.#response.writableEnded;
+  }
+
   /** Calls back once if the caller disconnects before the response ends. */
   onDisconnect(handleDisconnect: () => void): void {
     this.#handleDisconnect = handleDisconnect;
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -38,6 +38,9 @@
   readonly route: Route;
   readonly body: Buffer;
   readonly receivedAtMs: number;
+  /** Longest time from the arrival until the final response. */
+  readonly limitMs: number;
+  readonly maxBodyBytes: number;
   readonly configurationVersion: number;
 }
 
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -5,15 +5,20 @@
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import { RESULT_CODES } from "@camphorlock/codes/result_codes";
-import type { PeerRequest } from "@camphorlock/http/exchange";
 import { chooseService } from "../decisions/choose_service.ts";
 import { chooseTarget } from "../decisions/choose_target.ts";
+import {
+  readEventData,
+  type StreamEvent,
+} from "../decisions/event_splitter.ts";
 import { type FailedAttempt, planNextStep } from "../decisions/next_step.ts";
 import {
   recordResponse,
   type TrackedTarget,
 } from "../decisions/target_table.ts";
 import type { TurnGrant } from "../accounts/turn_accounts.ts";
+import type { OpenTurn } from "../turns/open_turn.ts";
+import { saveTurn, type TurnState } from "../turns/turn_state.ts";
 import {
   type RunningAttempt,
   startBuffered,
@@ -28,6 +33,7 @@
   type RequestOutcome,
 } from "./request_end.ts";
 import { startStreaming } from "./stream_attempt.ts";
+import { buildTargetRequest } from "./target_request.ts";
 
 /** Pause before targets that rejected the request are retried. */
 const RETRY_DELAY_MS = 25;
@@ -35,8 +41,6 @@
 const MAX_WAIT_SHARE = 0.4;
 /** Retry-After for callers while targets are full or missing. */
 const RETRY_AFTER_MS = 150;
-/** Attempts have a total time limit, so no silence timeout is needed. */
-const NO_SILENCE_TIMEOUT_MS = 600_000;
 
 type AttemptResult =
   | { readonly kind: "completed" }
@@ -48,6 +52,7 @@
   readonly #dependencies: ExchangeDependencies;
   readonly #accepted: AcceptedRequest;
   readonly #grant: TurnGrant | undefined;
+  readonly #turn: OpenTurn | undefined;
   readonly #service: string;
   readonly #isStream: boolean;
   readonly #isRepeatable: boolean;
@@ -57,24 +62,20 @@
   #stopped: "timeout" | "disconnected" | undefined;
   #endWait: () => void = () => {};
 
-  /** `grant` holds the tokens granted to a turn whose program has a budget. */
   constructor(
     dependencies: ExchangeDependencies,
     accepted: AcceptedRequest,
-    grant?: TurnGrant,
+    { grant, turn }: TurnState = {},
   ) {
     this.#dependencies = dependencies;
     this.#accepted = accepted;
     this.#grant = grant;
-    const { route, fields, receivedAtMs } = accepted;
+    const { route, fields, receivedAtMs, limitMs } = accepted;
     this.#service = chooseService(route, fields.programId ?? fields.requestId);
+    this.#turn = turn;
     this.#isStream = route.kind === "streaming";
     this.#isRepeatable = route.kind === "idempotent" ||
       (this.#isStream && route.isResumable);
-    const limitMs = Math.min(
-      route.timeoutMs,
-      fields.deadlineMs ?? Number.POSITIVE_INFINITY,
-    );
     this.#deadlineAtMs = receivedAtMs + limitMs;
     this.#attempts = new RequestAttempts(fields.resumeAfter);
   }
@@ -83,7 +84,12 @@
   async run(): Promise<void> {
     const timer = setTimeout(() => this.#stop("timeout"), this.#countLeftMs());
     this.#accepted.caller.onDisconnect(() => this.#stop("disconnected"));
-    const outcome = await this.#runAttempts();
+    const outcome = await saveTurn(await this.#runAttempts(), {
+      accepted: this.#accepted,
+      turn: this.#turn,
+      targetId: this.#attempts.targetIds.at(-1) ?? "",
+      deadlineMs: this.#deadlineAtMs,
+    });
     clearTimeout(timer);
     endRequest(this.#dependencies, this.#buildReport(), outcome);
   }
@@ -125,6 +131,7 @@
     return chooseTarget(ready, {
       ...placement,
       prompt: this.#accepted.fields.prompt,
+      previousTargetId: this.#turn?.previousTargetId,
       excluded: this.#attempts.excluded,
       nowMs,
     });
@@ -153,7 +160,13 @@
     const { fields, caller } = this.#accepted;
     const connection = connections.get(entry.target);
     const leftMs = this.#countLeftMs();
-    const request = this.#buildRequest(entry, leftMs);
+    const request = buildTargetRequest(this.#accepted, {
+      codec,
+      targetId: entry.target.id,
+      leftMs,
+      resumeAfter: this.#attempts.progress.lastEventId,
+      body: this.#turn?.targetBody,
+    });
     this.#attempts.recordStart(entry, this.#accepted, metrics);
     const options = { codec, requestId: fields.requestId, timeoutMs: leftMs };
     if (!this.#isStream) return startBuffered(connection, request, options);
@@ -162,28 +175,10 @@
       progress: this.#attempts.progress,
       caller,
       grant: this.#grant,
-      recordEvent: () => this.#recordEvent(entry),
+      recordEvent: (event) => this.#recordEvent(entry, event),
     });
   }
 
-  #buildRequest(entry: TrackedTarget, leftMs: number): PeerRequest {
-    const { caller, fields, body } = this.#accepted;
-    const { method = "GET", url = "/", rawHeaders } = caller.request;
-    const headers = this.#dependencies.codec.encodeTargetHeaders(rawHeaders, {
-      targetId: entry.target.id,
-      leftMs: fields.deadlineMs === undefined ? undefined : leftMs,
-      resumeAfter: this.#attempts.progress.lastEventId,
-    });
-    return {
-      method,
-      path: url,
-      headers,
-      ...(body.length > 0 || method === "POST" ? { body } : {}),
-      silenceTimeoutMs: NO_SILENCE_TIMEOUT_MS,
-      freshConnection: false,
-    };
-  }
-
   #planNextAttempt(
     entry: TrackedTarget,
     failed: FailedAttempt,
@@ -207,8 +202,9 @@
     return next;
   }
 
-  #recordEvent(entry: TrackedTarget): void {
+  #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
     const { progress } = this.#attempts;
+    this.#turn?.addEvent(readEventData(event));
     const { requestId } = this.#accepted.fields;
     entry.recordFirstResponse(requestId, performance.now());
     if (progress.firstEventMs !== undefined) return;
--- a/packages/gateway/src/fake_store_test.ts
+++ b/packages/gateway/src/fake_store_test.ts
@@ -28,7 +28,18 @@
     return object;
   }
 
-  remove(kind: ObjectKind, name: string): void {
+  remove(
+    kind: ObjectKind,
+    name: string,
+  ): Promise<Result<void, StoreFailure>> {
+    return this.#call((): Result<void, StoreFailure> => {
+      this.drop(kind, name);
+      return ok(undefined);
+    });
+  }
+
+  /** Removes an object at once, even while the store is down. */
+  drop(kind: ObjectKind, name: string): void {
     const object = this.#getKind(kind).get(name);
     if (object === undefined) return;
     this.#revision += 1;
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -23,6 +23,8 @@
 import type { Address } from "../ports.ts";
 import type { ConfigurationInForce } from "../store/watched_state.ts";
 import type { TurnAccounts } from "../accounts/turn_accounts.ts";
+import type { OpenTurn } from "../turns/open_turn.ts";
+import type { TurnHistory } from "../turns/turn_history.ts";
 
 /**
  * Longest wait of a request for the first configuration after a start, which
@@ -42,6 +44,7 @@
 /** Dependencies of the server. */
 export interface CallerServerDependencies extends ExchangeDependencies {
   readonly accounts: TurnAccounts;
+  readonly history: TurnHistory;
   getConfiguration(): ConfigurationInForce | undefined;
   /** Waits for the first configuration, for `limitMs` at most. */
   waitForConfiguration(
@@ -176,17 +179,41 @@
           route,
           body: read.body,
           receivedAtMs,
+          limitMs: Math.min(
+            route.timeoutMs,
+            fields.deadlineMs ?? Number.POSITIVE_INFINITY,
+          ),
+          maxBodyBytes: configuration.limits.maxBodyBytes,
           configurationVersion: configuration.version,
         });
     }
   }
 
   async #runRequest(accepted: AcceptedRequest): Promise<void> {
+    const { fields, caller, route } = accepted;
+    if (route.kind !== "streaming" || route.retentionMs === undefined) {
+      return await this.#runWithBudget(accepted);
+    }
+    const opening = await this.#dependencies.history.open(accepted);
+    switch (opening.kind) {
+      case "opened":
+        return await this.#runWithBudget(accepted, opening.turn);
+      case "refused": {
+        const { code, detail } = opening;
+        return this.#refuse(caller, { code, detail, fields });
+      }
+    }
+  }
+
+  async #runWithBudget(
+    accepted: AcceptedRequest,
+    turn?: OpenTurn,
+  ): Promise<void> {
     const { fields, caller } = accepted;
     const { accounts } = this.#dependencies;
     const { budget } = fields;
     if (budget === undefined || accepted.route.kind !== "streaming") {
-      await new RequestRunner(this.#dependencies, accepted).run();
+      await new RequestRunner(this.#dependencies, accepted, { turn }).run();
       return;
     }
     const startedAtMs = performance.now();
@@ -206,8 +233,10 @@
         fields,
       });
     }
-    await new RequestRunner(this.#dependencies, accepted, opening.grant).run();
-    opening.grant.close();
+    const { grant } = opening;
+    await new RequestRunner(this.#dependencies, accepted, { grant, turn })
+      .run();
+    grant.close();
   }
 
   /** Finds the tokens per event; 0 if the configuration doesn't state them. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,12 +28,13 @@
   RequestCodec,
   StoreCodec,
 } from "./ports.ts";
-import { StoreWatcher } from "./store/store_watcher.ts";
+import { StoreWatcher, type WatchListener } from "./store/store_watcher.ts";
+import { buildObjectSource } from "./store/build_object_source.ts";
+import type { ObjectSource, RelayedSource } from "./store/relayed_source.ts";
 import {
-  type ObjectSource,
-  RelayedSource,
-  StoreSource,
-} from "./store/relayed_source.ts";
+  buildTurnComponents,
+  type TurnComponents,
+} from "./turns/turn_components.ts";
 import { WatchedConfiguration, WatchedTargets } from "./store/watched_state.ts";
 
 /** Interval at which due timers run. */
@@ -42,19 +43,11 @@
 const EXPIRY_CHECK_MS = 100;
 /** Interval at which suspected gateways are probed. */
 const PROBE_PEERS_MS = 500;
-/** Longest age of another gateway's cached objects, beyond a watch's wait. */
-const CACHE_AGE_MARGIN_MS = 300;
 /** Interval at which this gateway requests another one's list of peers. */
 const EXCHANGE_PEERS_MS = 2_000;
 const ACCOUNT_CLEANUP_MS = 10_000;
 /** Delay before histograms load; callers of a restarted process come first. */
 const LOAD_METRICS_AFTER_MS = 5_000;
-/**
- * A watch waits at the store for this share of the shorter bound for changes.
- * An unresponsive connection delays a change by the full wait, and the relay to
- * other gateways may take as long again.
- */
-const WATCH_SHARE = 0.25;
 /** Reserved at the end of the grace period to send the last responses. */
 const GRACE_MARGIN_MS = 400;
 
@@ -80,6 +73,8 @@
   readonly #objectSource: RelayedSource;
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
+  readonly #turns: TurnComponents;
+  #isWatchingDisks = false;
   readonly #readinessServer: PlainTextServer;
   readonly #metricsServer: PlainTextServer;
   readonly #bootId = randomUUID();
@@ -92,6 +87,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { settings, store, log, metrics } = options;
+    this.#turns = buildTurnComponents(options);
     const stateDependencies = {
       codec: options.storeCodec,
       log,
@@ -101,28 +97,18 @@
     };
     this.#configuration = new WatchedConfiguration(stateDependencies);
     this.#observedTargets = new WatchedTargets(stateDependencies);
-    const { bounds } = settings;
-    const waitMs = Math.min(bounds.drainMs, bounds.configurationMs) *
-      WATCH_SHARE;
     const source: ObjectSource = {
       list: (kind) => this.#objectSource.list(kind),
       watch: (kind, afterRevision) =>
         this.#objectSource.watch(kind, afterRevision),
     };
-    const watcherOptions = { source, log };
-    const targetWatcher = new StoreWatcher({
-      ...watcherOptions,
-      kind: "targets",
-      objects: this.#observedTargets,
-    });
-    const configurationWatcher = new StoreWatcher({
-      ...watcherOptions,
-      kind: "configuration",
-      objects: this.#configuration,
-    });
+    const createWatcher = (kind: ObjectKind, objects: WatchListener) =>
+      new StoreWatcher({ source, log, kind, objects });
+    const targetWatcher = createWatcher("targets", this.#observedTargets);
     this.#watchers = new Map([
-      ["configuration", configurationWatcher],
+      ["configuration", createWatcher("configuration", this.#configuration)],
       ["targets", targetWatcher],
+      ["turnDisks", createWatcher("turnDisks", this.#turns.disks)],
     ]);
     this.#accounts = buildAccountComponents({
       settings,
@@ -132,12 +118,11 @@
       getSelf: () => this.#buildSelf(),
       findCache: (kind) => this.#watchers.get(kind)?.cache,
     });
-    this.#objectSource = new RelayedSource({
-      store: new StoreSource(store, waitMs),
+    this.#objectSource = buildObjectSource({
+      settings,
+      store,
       directory: this.#accounts.directory,
       links: this.#accounts.links,
-      selfId: settings.vmId,
-      maxAgeMs: waitMs + CACHE_AGE_MARGIN_MS,
     });
     this.#readinessState = new ReadinessState({
       log,
@@ -159,6 +144,7 @@
         regions: settings.regions,
       },
       accounts: this.#accounts.turns,
+      history: this.#turns.history,
       getViewAgeMs: () => targetWatcher.computeAgeMs(performance.now()),
       getConfiguration: () => this.#configuration.inForce,
       waitForConfiguration: (limitMs) =>
@@ -179,9 +165,8 @@
   /** Starts the process; rejects when an address can't be used. */
   async start(): Promise<void> {
     const { settings, log, metrics } = this.#options;
-    for (const watcher of this.#watchers.values()) {
-      this.#startWatcher(watcher);
-    }
+    this.#startWatcher("configuration");
+    this.#startWatcher("targets");
     this.#timers.subscribe(
       LOG_FLUSH_MS,
       () => metrics.add("log_lines_dropped", log.flush()),
@@ -256,6 +241,7 @@
     for (const watcher of this.#watchers.values()) watcher.stop();
     this.#accounts.group.stop();
     this.#accounts.links.close();
+    this.#turns.links.close();
     await this.#connections.close();
     await this.#options.store.close();
     this.#options.log.flush();
@@ -280,18 +266,24 @@
     );
   }
 
-  #startWatcher(watcher: StoreWatcher): void {
+  #startWatcher(kind: ObjectKind): void {
     // A watcher handles failures of the store; any other error is a defect.
-    watcher.run().catch((error: unknown) => {
+    this.#watchers.get(kind)?.run().catch((error: unknown) => {
       throw error;
     });
   }
 
   #applyLimits(): void {
     const inForce = this.#configuration.inForce;
-    if (inForce !== undefined) {
-      this.#callers.setLimits(inForce.configuration.limits);
-    }
+    if (inForce === undefined) return;
+    const { limits, routes } = inForce.configuration;
+    this.#callers.setLimits(limits);
+    const keepsTurns = routes.some(({ retentionMs }) =>
+      retentionMs !== undefined
+    );
+    if (!keepsTurns || this.#isWatchingDisks) return;
+    this.#isWatchingDisks = true;
+    this.#startWatcher("turnDisks");
   }
 }
 
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -35,6 +35,8 @@
         ? undefined
         : { programId, budgetTokens: Number(budget), turnTokens: Number(turn) },
       prompt: [],
+      previousTurnId: headers["previous"] as string | undefined,
+      affinityKey: headers["object"] as string | undefined,
       resumeAfter: 0,
     });
   },
@@ -73,6 +75,7 @@
     priority: 0,
     maxTargets: 1,
     isResumable: false,
+    retentionMs: undefined,
     services: [{ service: "s", weight: 1 }],
   };
   return {
@@ -93,6 +96,13 @@
         kind: "streaming",
         isResumable: true,
       },
+      {
+        ...route,
+        name: "kept",
+        pathPrefix: "/kept/",
+        kind: "streaming",
+        retentionMs: 60_000,
+      },
     ],
     services: new Map([
       ["s", { name: "s", maxConnections: 100, tokensPerEvent: 10 }],
@@ -196,6 +206,7 @@
       peers: { host, port: peers },
       seeds: [],
       metrics: undefined,
+      tolerance: { disks: 1, failureDomains: 0, regions: 0 },
       bounds: {
         configurationMs: 2_500,
         drainMs: 2_500,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -25,6 +25,10 @@
   "first_allowances",
   "turns_over_budget",
   "account_records",
+  "turns_kept",
+  "turns_not_kept",
+  "chains_cached",
+  "chains_loaded",
   "peer_calls",
   "peer_calls_failed",
   "store_calls",
@@ -41,6 +45,8 @@
   "first_event",
   "admission",
   "store_call",
+  "chain_load",
+  "turn_save",
 ] as const;
 
 /** The name of a latency histogram. */
--- a/packages/gateway/src/model/request_fields.ts
+++ b/packages/gateway/src/model/request_fields.ts
@@ -28,6 +28,10 @@
   readonly programLeftMs: number | undefined;
   readonly budget: TokenBudget | undefined;
   readonly prompt: readonly PromptPart[];
+  /** The kept turn that this turn continues. */
+  readonly previousTurnId: string | undefined;
+  /** Names the object that the request is about; the same target is faster. */
+  readonly affinityKey: string | undefined;
   /** Event after which a resumed stream continues; 0 for a new stream. */
   readonly resumeAfter: number;
 }
--- a/packages/gateway/src/model/routing.ts
+++ b/packages/gateway/src/model/routing.ts
@@ -32,6 +32,11 @@
   readonly priority: number;
   /** Maximum number of targets that may run one request. */
   readonly maxTargets: number;
+  /**
+   * How long the turns of this route are kept after their end; undefined where
+   * each turn carries its whole prompt.
+   */
+  readonly retentionMs: number | undefined;
   /** At least one, with positive weights. */
   readonly services: readonly WeightedService[];
 }
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -16,7 +16,7 @@
   PeerChannel,
   readFrames,
   writeFrame,
-} from "./peer_channel.ts";
+} from "@camphorlock/channel";
 import {
   parseEnvelope,
   parseResponse,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -3,6 +3,7 @@
  * implements them for one platform; this package contains no names of that
  * platform.
  */
+import type { LossTolerance } from "@camphorlock/turns";
 import type { Result } from "neverthrow";
 import type { RequestFields } from "./model/request_fields.ts";
 import type { RoutingConfiguration } from "./model/routing.ts";
@@ -54,7 +55,8 @@
   | "retirements"
   | "tokenAccounts"
   | "accountShards"
-  | "gateways";
+  | "gateways"
+  | "turnDisks";
 
 /** Where a watch starts, and how long it waits for a change. */
 export interface WatchOptions {
@@ -88,6 +90,8 @@
     kind: ObjectKind,
     write: StoreWrite,
   ): Promise<Result<StoredObject, StoreFailure>>;
+  /** Removes an object; absent ones count as removed. */
+  remove(kind: ObjectKind, name: string): Promise<Result<void, StoreFailure>>;
   /** Writes the status, which is stored separately from the value. */
   updateStatus(
     kind: ObjectKind,
@@ -173,6 +177,8 @@
   readonly seeds: readonly Address[];
   readonly metrics: Address | undefined;
   readonly bounds: GatewayBounds;
+  /** What may be lost at once without the loss of a kept turn. */
+  readonly tolerance: LossTolerance;
 }
 
 /** A TCP address. */
--- a/packages/gateway/src/store/relayed_source.ts
+++ b/packages/gateway/src/store/relayed_source.ts
@@ -52,12 +52,15 @@
 /** Reads and watches objects at the store. */
 export class StoreSource implements ObjectSource {
   readonly #store: ObjectStore;
-  readonly #waitMs: number;
+  readonly #getWaitMs: (objects: ObjectKind) => number;
 
-  /** A watch waits for a change for `waitMs`. */
-  constructor(store: ObjectStore, waitMs: number) {
+  /** A watch waits for a change for as long as `getWaitMs` says. */
+  constructor(
+    store: ObjectStore,
+    getWaitMs: (objects: ObjectKind) => number,
+  ) {
     this.#store = store;
-    this.#waitMs = waitMs;
+    this.#getWaitMs = getWaitMs;
   }
 
   async list(objects: ObjectKind): SourceResult<StoredList> {
@@ -72,7 +75,7 @@
   ): SourceResult<StoredChanges> {
     const startedAtMs = performance.now();
     const result = await this.#store
-      .watch(objects, { afterRevision, waitMs: this.#waitMs });
+      .watch(objects, { afterRevision, waitMs: this.#getWaitMs(objects) });
     return result.map((value) => ({
       value,
       // A response with a change may have spent a while in transit.
@@ -87,8 +90,8 @@
   readonly directory: PeerDirectory;
   readonly links: Pick<PeerLinks, "call">;
   readonly selfId: string;
-  /** Maximum age at which another gateway's copy is used. */
-  readonly maxAgeMs: number;
+  /** Maximum age at which another gateway's copy of a kind is used. */
+  readonly getMaxAgeMs: (objects: ObjectKind) => number;
 }
 
 /** Reads and watches objects at relays, at the store, or at other gateways. */
@@ -162,9 +165,10 @@
       kind: "list_objects",
       objects,
     });
-    if (response?.listed === undefined || !this.#isRecent(response.ageMs)) {
-      return err(NO_RECENT_COPY);
-    }
+    if (
+      response?.listed === undefined ||
+      !this.#isRecent(objects, response.ageMs)
+    ) return err(NO_RECENT_COPY);
     const confirmedAtMs = startedAtMs - (response.ageMs ?? 0);
     return ok({ value: response.listed, confirmedAtMs });
   }
@@ -179,12 +183,13 @@
       objects,
       afterRevision,
       waitMs: PEER_WAIT_MS,
-      maxAgeMs: this.#dependencies.maxAgeMs,
+      maxAgeMs: this.#dependencies.getMaxAgeMs(objects),
     }, PEER_WAIT_MS + PEER_GRACE_MS);
     if (response?.isHistoryGone) return err({ kind: "history_gone" });
-    if (response?.changes === undefined || !this.#isRecent(response.ageMs)) {
-      return err(NO_RECENT_COPY);
-    }
+    if (
+      response?.changes === undefined ||
+      !this.#isRecent(objects, response.ageMs)
+    ) return err(NO_RECENT_COPY);
     const confirmedAtMs = performance.now() - (response.ageMs ?? 0);
     return ok({ value: response.changes, confirmedAtMs });
   }
@@ -207,7 +212,8 @@
       .slice(0, MAX_FALLBACK_PEERS);
   }
 
-  #isRecent(ageMs: number | undefined): boolean {
-    return ageMs !== undefined && ageMs <= this.#dependencies.maxAgeMs;
+  #isRecent(objects: ObjectKind, ageMs: number | undefined): boolean {
+    return ageMs !== undefined &&
+      ageMs <= this.#dependencies.getMaxAgeMs(objects);
   }
 }
--- a/packages/gateway/src/store/relayed_source_test.ts
+++ b/packages/gateway/src/store/relayed_source_test.ts
@@ -47,7 +47,7 @@
     directory,
     links,
     selfId,
-    maxAgeMs: MAX_AGE_MS,
+    getMaxAgeMs: () => MAX_AGE_MS,
   });
   return { source, called };
 }
--- /dev/null
+++ b/packages/gateway/src/turns/disk_vm.ts
@@ -0,0 +1,102 @@
+/**
+ * Builds the process on a VM with a disk: it keeps turns, and empties its disk
+ * when it's asked to.
+ */
+import { TimerService } from "@camphorlock/scheduler/timers";
+import { type TurnDiskOptions, TurnDiskProcess } from "@camphorlock/turns";
+import type { GatewayLog } from "../log.ts";
+import type { ObjectKind, ObjectStore } from "../ports.ts";
+import {
+  type RetirementCodec,
+  RetirementReporter,
+} from "../retirement/retirement_reporter.ts";
+import { StoreSource } from "../store/relayed_source.ts";
+import { StoreWatcher } from "../store/store_watcher.ts";
+import type { WatchListener } from "../store/store_watcher.ts";
+import { StoredDiskRegistry } from "./stored_disk_registry.ts";
+import { WatchedDisks } from "./watched_disks.ts";
+
+const TICK_MS = 50;
+const LOG_FLUSH_MS = 200;
+/** A VM must be emptied within seconds; a silent watch can last this long. */
+const RETIREMENT_WATCH_MS = 3_000;
+/** The disks of an installation change rarely. */
+const DISK_WATCH_MS = 6_000;
+
+/** Settings and dependencies of the process. */
+export interface DiskVmOptions {
+  readonly vmId: string;
+  readonly store: ObjectStore;
+  readonly log: GatewayLog;
+  readonly retirements: RetirementCodec;
+  /** Undefined when the VM has no data folder. */
+  readonly disk:
+    | Omit<TurnDiskOptions, "registry" | "timers" | "log">
+    | undefined;
+}
+
+/** The process of one VM with a disk. */
+export class DiskVm {
+  readonly #options: DiskVmOptions;
+  readonly #timers = new TimerService();
+  readonly #registry: StoredDiskRegistry;
+  #disk: TurnDiskProcess | undefined;
+  #tickTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: DiskVmOptions) {
+    this.#options = options;
+    this.#registry = new StoredDiskRegistry(options.store);
+  }
+
+  /** Runs until the process ends; rejects when the disk can't be used. */
+  async run(): Promise<void> {
+    const { log, disk } = this.#options;
+    this.#timers.subscribe(LOG_FLUSH_MS, () => log.flush());
+    this.#tickTimer = setInterval(
+      () => this.#timers.runDue(performance.now()),
+      TICK_MS,
+    );
+    if (disk !== undefined) {
+      this.#disk = await TurnDiskProcess.open({
+        ...disk,
+        registry: this.#registry,
+        timers: this.#timers,
+        log,
+      });
+      await this.#disk.start();
+    }
+    await Promise.all([
+      this.#watch("retirements", this.#createReporter()),
+      this.#watch(
+        "turnDisks",
+        new WatchedDisks((disks) => this.#disk?.setDisks(disks)),
+      ),
+    ]);
+  }
+
+  /** Stops at once; what was acknowledged is durable. */
+  close(): void {
+    clearInterval(this.#tickTimer);
+    this.#disk?.close();
+    this.#options.log.flush();
+  }
+
+  #createReporter(): RetirementReporter {
+    const { vmId, store, log, retirements } = this.#options;
+    return new RetirementReporter({
+      vmId,
+      store,
+      log,
+      codec: retirements,
+      disk: this.#disk?.member,
+      listDisks: () => this.#registry.list(),
+    });
+  }
+
+  #watch(kind: ObjectKind, objects: WatchListener): Promise<void> {
+    const { store, log } = this.#options;
+    const waitMs = kind === "turnDisks" ? DISK_WATCH_MS : RETIREMENT_WATCH_MS;
+    const source = new StoreSource(store, () => waitMs);
+    return new StoreWatcher({ source, log, kind, objects }).run();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/turns/open_turn.ts
@@ -0,0 +1,51 @@
+/**
+ * A turn in progress on a route whose turns are kept.
+ */
+import type { KeptTurn, TurnChain } from "@camphorlock/turns";
+import type { AcceptedRequest } from "../exchange/request_end.ts";
+
+const LINE_FEED = Buffer.from("\n");
+
+/** A turn whose chain was put together. */
+export class OpenTurn {
+  /** The body for the target: the chain, then the caller's input. */
+  readonly targetBody: Buffer;
+  /** The target that ran the previous turn; its cache holds the chain. */
+  readonly previousTargetId: string | undefined;
+  readonly #accepted: AcceptedRequest;
+  readonly #save: (turn: KeptTurn, deadlineMs: number) => Promise<boolean>;
+  readonly #output: Buffer[] = [];
+
+  constructor(
+    accepted: AcceptedRequest,
+    { chain, targetBody, keep }: {
+      readonly chain: TurnChain;
+      readonly targetBody: Buffer;
+      readonly keep: (turn: KeptTurn, deadlineMs: number) => Promise<boolean>;
+    },
+  ) {
+    this.#accepted = accepted;
+    this.#save = keep;
+    this.targetBody = targetBody;
+    this.previousTargetId = chain.at(-1)?.targetId;
+  }
+
+  /** Records the data of an event that the caller receives. */
+  addEvent(data: Buffer): void {
+    this.#output.push(data, LINE_FEED);
+  }
+
+  /** Keeps the turn; false if it isn't certain to last. */
+  save(targetId: string, deadlineMs: number): Promise<boolean> {
+    const { fields, body, route } = this.#accepted;
+    return this.#save({
+      id: fields.requestId,
+      parentId: fields.previousTurnId,
+      input: body,
+      output: Buffer.concat(this.#output),
+      targetId,
+      retentionMs: route.retentionMs ?? 0,
+      endedAtMs: performance.now(),
+    }, deadlineMs);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/turns/turn_components.ts
@@ -0,0 +1,47 @@
+/**
+ * Builds the components with which a gateway keeps turns.
+ */
+import { DiskLinks, TurnClient } from "@camphorlock/turns";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { GatewayLog } from "../log.ts";
+import type { GatewaySettings, ObjectStore } from "../ports.ts";
+import { StoredDiskRegistry } from "./stored_disk_registry.ts";
+import { TurnHistory } from "./turn_history.ts";
+import { WatchedDisks } from "./watched_disks.ts";
+
+/** Settings and dependencies of the components. */
+export interface TurnComponentsOptions {
+  readonly settings: Pick<GatewaySettings, "region" | "tolerance">;
+  readonly store: ObjectStore;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** The components. */
+export interface TurnComponents {
+  readonly history: TurnHistory;
+  /** The registered disks, to be watched. */
+  readonly disks: WatchedDisks;
+  readonly links: DiskLinks;
+}
+
+/** Builds the components. */
+export function buildTurnComponents(
+  { settings, store, log, metrics }: TurnComponentsOptions,
+): TurnComponents {
+  const links = new DiskLinks();
+  const disks = new WatchedDisks((listed) => links.removeUnlisted(listed));
+  const registry = new StoredDiskRegistry(store);
+  const client = new TurnClient({
+    caller: links,
+    region: settings.region,
+    tolerance: settings.tolerance,
+    listDisks: () => disks.list(),
+    loadDisks: () => registry.list(),
+  });
+  return {
+    history: new TurnHistory({ client, log, metrics }),
+    disks,
+    links,
+  };
+}
--- /dev/null
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -0,0 +1,148 @@
+/**
+ * Builds the parts that keep turns on one disk and runs them.
+ */
+import { EVENTS } from "@camphorlock/codes/events";
+import type { TimerService } from "@camphorlock/scheduler/timers";
+import { DiskLinks } from "../client/disk_links.ts";
+import { restoreTable } from "../decisions/restore_table.ts";
+import { TurnTable } from "../decisions/turn_table.ts";
+import type { DiskLog } from "../disk_log.ts";
+import {
+  createIdentity,
+  type DiskIdentity,
+  loadIdentity,
+  saveIdentity,
+} from "../files/disk_identity.ts";
+import { type Recovery, restoreSegments } from "../files/restore_segments.ts";
+import { TurnLog } from "../files/turn_log.ts";
+import { readClock } from "../files/turn_records.ts";
+import type { DiskMessage, DiskResponse } from "../messages.ts";
+import type { DiskInfo, LossTolerance } from "../model/turn_disk.ts";
+import { DiskMember, type DiskRegistry } from "./disk_member.ts";
+import { DiskServer } from "./disk_server.ts";
+import { DiskService } from "./disk_service.ts";
+
+const EXPIRY_CHECK_MS = 2_000;
+const MEMBERSHIP_MS = 150;
+
+/** Settings and dependencies of a disk's process. */
+export interface TurnDiskOptions {
+  readonly folder: string;
+  readonly place: Omit<DiskInfo, "diskId" | "isRetiring">;
+  readonly tolerance: LossTolerance;
+  /** Whether the whole system starts for the first time, with empty disks. */
+  readonly isFirstStart: boolean;
+  readonly maxDiskBytes: number;
+  readonly maxTableBytes: number;
+  readonly registry: DiskRegistry;
+  readonly timers: TimerService;
+  readonly log: DiskLog;
+}
+
+/** The process of one disk. */
+export class TurnDiskProcess {
+  readonly member: DiskMember;
+  readonly service: DiskService;
+  readonly #options: TurnDiskOptions;
+  readonly #links: DiskLinks;
+  readonly #server: DiskServer;
+
+  /** Recovers the disk's contents. Rejects when the folder can't be used. */
+  static async open(options: TurnDiskOptions): Promise<TurnDiskProcess> {
+    const { folder, log } = options;
+    const startedAtMs = performance.now();
+    const clock = readClock();
+    const recovery = await restoreSegments(folder, { clock, isSealing: true });
+    const table = new TurnTable();
+    const orphans = restoreTable(
+      table,
+      recovery.segments.flatMap(({ number, turns }) =>
+        turns.map((turn) => ({ turn, segment: number }))
+      ),
+      clock.nowMs,
+    );
+    const damage = [
+      ...recovery.damage,
+      ...orphans.map((id) => `turn ${id} lacks an ancestor`),
+    ];
+    const identity = await openIdentity(options, damage);
+    log.write(EVENTS.DiskRecovered, {
+      disk: identity.diskId,
+      complete: identity.isComplete,
+      turns: table.size,
+      segments: recovery.segments.length,
+      discarded_bytes: recovery.discardedBytes,
+      damage: damage.slice(0, 10),
+      duration_ms: Math.round(performance.now() - startedAtMs),
+    });
+    return new TurnDiskProcess(options, { identity, table, recovery });
+  }
+
+  private constructor(
+    options: TurnDiskOptions,
+    { identity, table, recovery }: {
+      readonly identity: DiskIdentity;
+      readonly table: TurnTable;
+      readonly recovery: Recovery;
+    },
+  ) {
+    this.#options = options;
+    this.#links = new DiskLinks();
+    const files = new TurnLog({
+      folder: options.folder,
+      maxBytes: options.maxDiskBytes,
+      segments: new Map(
+        recovery.segments.map(({ number, bytes }) => [number, bytes]),
+      ),
+    });
+    this.service = new DiskService({ ...options, files }, table);
+    this.member = new DiskMember(
+      { ...options, service: this.service, caller: this.#links },
+      identity,
+    );
+    this.#server = new DiskServer((message) => this.#handleMessage(message));
+  }
+
+  /** Listens and joins the other disks; rejects if the address is in use. */
+  async start(): Promise<void> {
+    const { place, timers } = this.#options;
+    await this.#server.serve(place);
+    timers.subscribe(
+      EXPIRY_CHECK_MS,
+      (nowMs) => void this.service.removeExpired(nowMs),
+    );
+    timers.subscribe(MEMBERSHIP_MS, () => void this.member.runNext());
+    void this.member.runNext();
+  }
+
+  /** Applies the registered disks, as watched. */
+  setDisks(disks: readonly DiskInfo[]): void {
+    this.#links.removeUnlisted(disks);
+    this.member.setDisks(disks);
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#links.close();
+  }
+
+  async #handleMessage(message: DiskMessage): Promise<DiskResponse> {
+    const answer = await this.service.handleMessage(message);
+    const { diskId, isComplete } = this.member;
+    return { diskId, isComplete, answer };
+  }
+}
+
+/** Loads or creates the identity; damage makes a disk incomplete. */
+async function openIdentity(
+  { folder, isFirstStart }: TurnDiskOptions,
+  damage: readonly string[],
+): Promise<DiskIdentity> {
+  const loaded = await loadIdentity(folder);
+  if (loaded !== undefined && damage.length === 0) return loaded;
+  const identity = loaded === undefined
+    ? createIdentity(isFirstStart && damage.length === 0)
+    : { ...loaded, isComplete: false, hasPredecessor: true };
+  await saveIdentity(folder, identity);
+  return identity;
+}
--- /dev/null
+++ b/packages/turns/src/files/segment_files.ts
@@ -0,0 +1,79 @@
+/**
+ * The segment files of a folder: their names, creation, reading and removal.
+ *
+ * Names of files survive a loss of power only once their folder was synced.
+ */
+import { type FileHandle, open, readdir, readFile, rm } from "node:fs/promises";
+import { join } from "node:path";
+import { encodeRecord, FORMAT_VERSION } from "./record_format.ts";
+
+const NAME_PATTERN = /^turns-(\d{10})\.log$/;
+const NUMBER_DIGITS = 10;
+
+/** Builds the path of a segment. */
+export function buildSegmentPath(folder: string, number: number): string {
+  const digits = String(number).padStart(NUMBER_DIGITS, "0");
+  return join(folder, `turns-${digits}.log`);
+}
+
+/** Lists the numbers of a folder's segments in ascending order. */
+export async function listSegments(folder: string): Promise<number[]> {
+  const names = await readdir(folder);
+  return names.flatMap((name) => {
+    const match = NAME_PATTERN.exec(name);
+    return match === null ? [] : [Number(match[1])];
+  }).sort((a, b) => a - b);
+}
+
+/** Reads a segment. */
+export function readSegment(folder: string, number: number): Promise<Buffer> {
+  return readFile(buildSegmentPath(folder, number));
+}
+
+/** Creates a segment whose name survives a loss of power. */
+export async function createSegment(
+  folder: string,
+  number: number,
+): Promise<FileHandle> {
+  const file = await open(buildSegmentPath(folder, number), "wx");
+  await flushFolder(folder);
+  return file;
+}
+
+/** Cuts off an unfinished write and marks the segment as written to its end. */
+export async function endSegment(
+  folder: string,
+  segment: { readonly number: number; readonly readableBytes: number },
+): Promise<void> {
+  const file = await open(buildSegmentPath(folder, segment.number), "r+");
+  try {
+    await file.truncate(segment.readableBytes);
+    const head = segment.readableBytes === 0
+      ? encodeRecord({ kind: "head", version: FORMAT_VERSION })
+      : Buffer.alloc(0);
+    const ending = Buffer.concat([head, encodeRecord({ kind: "seal" })]);
+    await file.write(ending, 0, ending.length, segment.readableBytes);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+}
+
+/** Removes a segment. */
+export async function removeSegment(
+  folder: string,
+  number: number,
+): Promise<void> {
+  await rm(buildSegmentPath(folder, number), { force: true });
+  await flushFolder(folder);
+}
+
+/** Makes the names of a folder's files durable. */
+export async function flushFolder(folder: string): Promise<void> {
+  const handle = await open(folder, "r");
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
--- /dev/null
+++ b/packages/turns/src/files/turn_log.ts
@@ -0,0 +1,202 @@
+/**
+ * The log of one disk: turns appended to segment files, durable before they are
+ * acknowledged.
+ *
+ * All turns that wait while a write is in progress share the next write and its
+ * sync, so that the disk's sync time bounds the delay, not the rate. After a
+ * failed write the segment is cut back to what is durable and a new one begins.
+ */
+import type { FileHandle } from "node:fs/promises";
+import type { KeptTurn } from "../model/kept_turn.ts";
+import { encodeRecord, FORMAT_VERSION } from "./record_format.ts";
+import { createSegment, endSegment, removeSegment } from "./segment_files.ts";
+import { readClock, TurnRecordEncoder } from "./turn_records.ts";
+
+/** A segment that reaches this size is followed by a new one. */
+const SEGMENT_BYTES = 4 * 1_024 * 1_024;
+/** A segment older than this is followed by a new one, so that it can go. */
+const SEGMENT_MS = 20_000;
+/** Content that may wait for the disk before further turns are refused. */
+const MAX_WAITING_BYTES = 8 * 1_024 * 1_024;
+/** Pause after a failed write, in which turns are refused at once. */
+const FAILURE_PAUSE_MS = 300;
+
+/** The result of an append. */
+export type AppendResult =
+  | { readonly kind: "durable"; readonly segment: number }
+  | { readonly kind: "refused"; readonly reason: "full" | "busy" }
+  | { readonly kind: "failed"; readonly detail: string };
+
+/** Options of a log. */
+export interface TurnLogOptions {
+  readonly folder: string;
+  /** Bytes that all segments may take together. */
+  readonly maxBytes: number;
+  /** Sizes of the segments that recovery found, by number. */
+  readonly segments: ReadonlyMap<number, number>;
+}
+
+interface WaitingTurns {
+  readonly turns: readonly KeptTurn[];
+  readonly bytes: number;
+  readonly resolve: (result: AppendResult) => void;
+}
+
+interface CurrentSegment {
+  readonly number: number;
+  readonly file: FileHandle;
+  readonly encoder: TurnRecordEncoder;
+  readonly openedAtMs: number;
+  bytes: number;
+}
+
+/** Appends turns to the segments of a folder. */
+export class TurnLog {
+  readonly #options: TurnLogOptions;
+  /** Sizes by number, the current segment included. */
+  readonly #segments: Map<number, number>;
+  #waiting: WaitingTurns[] = [];
+  #waitingBytes = 0;
+  #isWriting = false;
+  #current: CurrentSegment | undefined;
+  /** The segment of a failed write, which isn't sealed yet. */
+  #unsealed: { readonly number: number; readonly bytes: number } | undefined;
+  #failedUntilMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: TurnLogOptions) {
+    this.#options = options;
+    this.#segments = new Map(options.segments);
+  }
+
+  /** Bytes of all segments. */
+  get bytes(): number {
+    return [...this.#segments.values()].reduce((sum, each) => sum + each, 0);
+  }
+
+  /** The oldest segment that isn't written to any more. */
+  get oldestClosed(): number | undefined {
+    const [oldest] = [...this.#segments.keys()].sort((a, b) => a - b);
+    return oldest === this.#current?.number ? undefined : oldest;
+  }
+
+  /** Appends turns; resolves when they are durable or certainly not kept. */
+  append(turns: readonly KeptTurn[]): Promise<AppendResult> {
+    const bytes = turns.reduce(
+      (sum, { input, output }) => sum + input.length + output.length,
+      0,
+    );
+    if (this.#waitingBytes + bytes > MAX_WAITING_BYTES) {
+      return Promise.resolve({ kind: "refused", reason: "busy" });
+    }
+    if (this.bytes + this.#waitingBytes + bytes > this.#options.maxBytes) {
+      return Promise.resolve({ kind: "refused", reason: "full" });
+    }
+    if (performance.now() < this.#failedUntilMs) {
+      return Promise.resolve({
+        kind: "failed",
+        detail: "the last write failed",
+      });
+    }
+    this.#waitingBytes += bytes;
+    return new Promise((resolve) => {
+      this.#waiting.push({ turns, bytes, resolve });
+      void this.#writeWaiting();
+    });
+  }
+
+  /** Removes a closed segment; rejects when the disk refuses. */
+  async remove(number: number): Promise<void> {
+    await removeSegment(this.#options.folder, number);
+    this.#segments.delete(number);
+  }
+
+  async #writeWaiting(): Promise<void> {
+    if (this.#isWriting) return;
+    this.#isWriting = true;
+    while (this.#waiting.length > 0) {
+      const batch = this.#waiting;
+      this.#waiting = [];
+      const result = await this.#writeBatch(batch);
+      for (const each of batch) {
+        this.#waitingBytes -= each.bytes;
+        each.resolve(result);
+      }
+    }
+    this.#isWriting = false;
+  }
+
+  async #writeBatch(batch: readonly WaitingTurns[]): Promise<AppendResult> {
+    try {
+      const segment = await this.#openSegment();
+      const clock = readClock();
+      const bytes = Buffer.concat(
+        batch.flatMap(({ turns }) =>
+          turns.map((turn) => segment.encoder.encode(turn, clock))
+        ),
+      );
+      await this.#write(segment, bytes);
+      return { kind: "durable", segment: segment.number };
+    } catch (error) {
+      await this.#closeFailedSegment();
+      return { kind: "failed", detail: String(error) };
+    }
+  }
+
+  /** Ends the use of a segment; what was written last is unknown. */
+  async #closeFailedSegment(): Promise<void> {
+    this.#failedUntilMs = performance.now() + FAILURE_PAUSE_MS;
+    if (this.#current === undefined) return;
+    const { number, bytes, file } = this.#current;
+    this.#unsealed = { number, bytes };
+    this.#current = undefined;
+    // The write's failure is reported; a failure to close adds nothing to it.
+    await file.close().catch(() => {});
+  }
+
+  async #openSegment(): Promise<CurrentSegment> {
+    const current = this.#current;
+    if (current !== undefined) {
+      const ageMs = performance.now() - current.openedAtMs;
+      if (current.bytes < SEGMENT_BYTES && ageMs < SEGMENT_MS) return current;
+      await this.#write(current, encodeRecord({ kind: "seal" }));
+      await current.file.close();
+      this.#current = undefined;
+    }
+    if (this.#unsealed !== undefined) {
+      const { number, bytes } = this.#unsealed;
+      await endSegment(this.#options.folder, { number, readableBytes: bytes });
+      this.#unsealed = undefined;
+    }
+    const number = Math.max(0, ...this.#segments.keys()) + 1;
+    this.#segments.set(number, 0);
+    const segment: CurrentSegment = {
+      number,
+      file: await createSegment(this.#options.folder, number),
+      encoder: new TurnRecordEncoder(),
+      openedAtMs: performance.now(),
+      bytes: 0,
+    };
+    this.#current = segment;
+    await this.#write(
+      segment,
+      encodeRecord({ kind: "head", version: FORMAT_VERSION }),
+    );
+    return segment;
+  }
+
+  async #write(segment: CurrentSegment, bytes: Buffer): Promise<void> {
+    let written = 0;
+    while (written < bytes.length) {
+      const result = await segment.file.write(
+        bytes,
+        written,
+        bytes.length - written,
+        segment.bytes + written,
+      );
+      written += result.bytesWritten;
+    }
+    await segment.file.datasync();
+    segment.bytes += bytes.length;
+    this.#segments.set(segment.number, segment.bytes);
+  }
+}
--- a/tools/lint/plugin.ts
+++ b/tools/lint/plugin.ts
@@ -74,7 +74,7 @@
 
 /** Names of the users' platform, which only its adapter may contain. */
 const PLATFORM_NAMES =
-  /^(x-(attempt-id|token-budget|token-count|program-id|session-id|program-deadline-ms|prompt-prefix|deadline-ms|server-signature|not-executed|target-instance|model|hold|pin-ms|kv-backup)|kv-(from|fetch|move|events|list)|writesPerS|readsPerS|pathPrefix|routeType|idleTimeoutMs|morePages|asOf|allowStale|deletionPending)$|\/camphorlock\/(objects|report|readyz)|hold-take/i;
+  /^(x-(attempt-id|token-budget|token-count|program-id|session-id|program-deadline-ms|prompt-prefix|deadline-ms|server-signature|not-executed|target-instance|model|previous-turn|affinity-key|hold|pin-ms|kv-backup)|kv-(from|fetch|move|events|list)|writesPerS|readsPerS|pathPrefix|routeType|idleTimeoutMs|morePages|asOf|allowStale|deletionPending)$|\/camphorlock\/(objects|report|readyz)|hold-take/i;
 
 /** Names of the project that are equal to names of the platform. */
 const ALLOWED_NAMES: readonly string[] = ["pathPrefix", "idleTimeoutMs"];
--- a/tools/lint/verbs.ts
+++ b/tools/lint/verbs.ts
@@ -89,6 +89,8 @@
   "register",
   "reset",
   "schedule",
+  "copy",
+  "restore",
 ];
 
 /** Names that JavaScript or a library prescribes. */
