--- a/packages/turns/mod.ts
+++ b/packages/turns/mod.ts
@@ -5,11 +5,15 @@
 export * from "./src/client/disk_links.ts";
 export * from "./src/client/turn_client.ts";
 export * from "./src/decisions/disk_choice.ts";
+export * from "./src/decisions/restore_table.ts";
+export * from "./src/decisions/turn_table.ts";
 export * from "./src/disk/disk_member.ts";
 export * from "./src/disk/disk_server.ts";
 export * from "./src/disk/disk_service.ts";
 export * from "./src/disk/turn_disk_process.ts";
 export * from "./src/files/check_folder.ts";
+export * from "./src/files/disk_identity.ts";
+export type { AppendResult } from "./src/files/turn_log.ts";
 export * from "./src/messages.ts";
 export * from "./src/model/kept_turn.ts";
 export * from "./src/model/turn_disk.ts";
--- a/packages/turns/src/disk/disk_member.ts
+++ b/packages/turns/src/disk/disk_member.ts
@@ -11,7 +11,7 @@
 import { countRequiredSources } from "../decisions/absence.ts";
 import { hasEnoughCopies } from "../decisions/disk_choice.ts";
 import type { DiskLog } from "../disk_log.ts";
-import { type DiskIdentity, saveIdentity } from "../files/disk_identity.ts";
+import type { DiskIdentity } from "../files/disk_identity.ts";
 import type { DiskInfo, LossTolerance } from "../model/turn_disk.ts";
 import type { DiskService } from "./disk_service.ts";
 import { TurnCopier } from "./turn_copier.ts";
@@ -28,7 +28,6 @@
 
 /** Dependencies of the membership. */
 export interface DiskMemberDependencies {
-  readonly folder: string;
   /** The disk's address and place. */
   readonly place: Omit<DiskInfo, "diskId" | "isRetiring">;
   readonly tolerance: LossTolerance;
@@ -36,6 +35,8 @@
   readonly registry: DiskRegistry;
   readonly caller: DiskCaller;
   readonly log: DiskLog;
+  /** Makes the identity durable. */
+  readonly saveIdentity: (identity: DiskIdentity) => Promise<void>;
 }
 
 /** One disk's membership. */
@@ -123,13 +124,13 @@
   }
 
   async #register(): Promise<void> {
-    const { registry, folder, log } = this.#dependencies;
+    const { registry, saveIdentity, log } = this.#dependencies;
     const listed = await registry.list();
     if (listed === undefined) return;
     const before = listed.find(({ vmId }) => vmId === this.#self.vmId);
     if (before !== undefined && before.diskId !== this.diskId) {
       this.#identity = { ...this.#identity, hasPredecessor: true };
-      await saveIdentity(folder, this.#identity);
+      await saveIdentity(this.#identity);
     }
     const isCurrent = before !== undefined && isSameDisk(before, this.#self);
     if (!isCurrent && !await registry.save(this.#self)) return;
@@ -147,7 +148,7 @@
   }
 
   async #settleCopies(): Promise<void> {
-    const { folder, tolerance, log, service } = this.#dependencies;
+    const { saveIdentity, tolerance, log, service } = this.#dependencies;
     if (!this.#isRegistered) return;
     const { hasPredecessor } = this.#identity;
     const needed = countRequiredSources(this.#others, {
@@ -157,7 +158,7 @@
     const sources = this.#copier.countComplete(this.#others);
     if (sources < needed) return;
     const identity = { ...this.#identity, isComplete: true };
-    await saveIdentity(folder, identity);
+    await saveIdentity(identity);
     this.#identity = identity;
     log.write(EVENTS.DiskComplete, {
       disk: this.diskId,
--- a/packages/turns/src/disk/disk_service.ts
+++ b/packages/turns/src/disk/disk_service.ts
@@ -22,9 +22,15 @@
 /** A closed segment with fewer turns in use is copied forward and removed. */
 const COMPACTION_TURNS = 64;
 
+/** The files that hold the turns' records. */
+export type TurnFiles = Pick<
+  TurnLog,
+  "append" | "remove" | "bytes" | "oldestClosed"
+>;
+
 /** Dependencies of the service. */
 export interface DiskServiceDependencies {
-  readonly files: TurnLog;
+  readonly files: TurnFiles;
   readonly log: DiskLog;
   /** Memory that the turns may take. */
   readonly maxTableBytes: number;
--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -97,7 +97,12 @@
     });
     this.service = new DiskService({ ...options, files }, table);
     this.member = new DiskMember(
-      { ...options, service: this.service, caller: this.#links },
+      {
+        ...options,
+        service: this.service,
+        caller: this.#links,
+        saveIdentity: (saved) => saveIdentity(options.folder, saved),
+      },
       identity,
     );
     this.#server = new DiskServer((message) => this.#handleMessage(message));
