--- a/packages/gateway/src/turns/turn_protocol_test.ts
+++ b/packages/gateway/src/turns/turn_protocol_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
-import { type PlantedFault, TurnSimulation } from "./turn_simulation_test.ts";
+import type { PlantedFault } from "./simulated_disk_test.ts";
+import { TurnSimulation } from "./turn_simulation_test.ts";
 
 /** The environment may set more runs and other seeds. */
 const RUNS = Number(process.env["TURN_RUNS"] ?? 40);
