Keep an allowance that arrives after its account was moved

Cause: a home that acquires an allowance waits for the store. Gateways that found each other again meanwhile moved their accounts; the allowance then found no account and was dropped without a line.

The account is made anew for the allowance. The test failed before with needs_allowance. Ruled out: the disks (every chain was found, all six recovered complete), a lost message between homes (no call failed for this program).

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -129,7 +129,7 @@
       this.#log.writeFirstAllowance(turn, isGranted);
       if (isGranted) {
         const tokens = computeFirstAllowance(budgetTokens);
-        accounts.addAllowance(programId, tokens);
+        this.#addAllowance(turn, tokens);
         return undefined;
       }
     }
@@ -137,7 +137,7 @@
     const result = await this.#records.acquire(request);
     switch (result.kind) {
       case "acquired":
-        accounts.addAllowance(programId, result.tokens);
+        this.#addAllowance(turn, result.tokens);
         return undefined;
       case "exhausted":
         if (!result.isSpent) {
@@ -151,4 +151,12 @@
         return result.detail;
     }
   }
+
+  #addAllowance(
+    { programId, budgetTokens }: TurnRequest,
+    tokens: number,
+  ): void {
+    this.#dependencies.accounts
+      .addAllowance({ programId, budgetTokens, tokens }, performance.now());
+  }
 }
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -41,6 +41,13 @@
   usedAtMs: number;
 }
 
+/** A part of a program's budget that this home may grant. */
+export interface GrantedAllowance {
+  readonly programId: string;
+  readonly budgetTokens: number;
+  readonly tokens: number;
+}
+
 /** An account as log lines show it. */
 export interface AccountView {
   readonly allowedTokens: number;
@@ -116,10 +123,17 @@
     return true;
   }
 
-  /** Adds an allowance that was granted to this home. */
-  addAllowance(programId: string, tokens: number): void {
-    const account = this.#accounts.get(programId);
-    if (account !== undefined) account.allowedTokens += tokens;
+  /**
+   * Adds an allowance that was granted to this home. The account may have moved
+   * to another home meanwhile; the allowance is this home's all the same.
+   */
+  addAllowance(
+    { programId, budgetTokens, tokens }: GrantedAllowance,
+    nowMs: number,
+  ): void {
+    const account = this.#get(programId, budgetTokens, nowMs);
+    account.hasAskedFirst = true;
+    account.allowedTokens += tokens;
   }
 
   /** Records that the program was stopped because its budget is spent. */
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -27,7 +27,7 @@
 function buildAccounts(budgetTokens: number, tokens: number): TokenAccounts {
   const accounts = new TokenAccounts();
   accounts.open(buildTurn("first", budgetTokens), 0);
-  accounts.addAllowance("p", tokens);
+  accounts.addAllowance({ programId: "p", budgetTokens, tokens }, 0);
   return accounts;
 }
 
@@ -39,6 +39,18 @@
     expect(kinds).to.deep.equal(["admitted", "admitted", "over_budget"]);
   });
 
+  // After a loss of all gateways, each found the others again one by one and
+  // moved the accounts of programs whose allowance was still being written.
+  it("keep an allowance that arrives after the account was moved", () => {
+    const accounts = new TokenAccounts();
+    const turn = buildTurn("a", 900);
+    expect(accounts.open(turn, 0).kind).to.equal("needs_allowance");
+    accounts.removeMovable("p");
+    accounts.addAllowance({ ...turn, tokens: 144 }, 0);
+    expect(accounts.open(turn, 0))
+      .to.deep.equal({ kind: "admitted", grantedTokens: 144 });
+  });
+
   it("request an allowance before any tokens are granted", () => {
     expect(new TokenAccounts().open(buildTurn("a", 2_800), 0)).to.deep
       .equal({ kind: "needs_allowance", missingTokens: TURN_TOKENS / 4 });
@@ -54,7 +66,7 @@
       isRunning: true,
     });
     expect(accounts.open(rest, 0).kind).to.equal("needs_allowance");
-    accounts.addAllowance("p", 1_000);
+    accounts.addAllowance({ ...rest, tokens: 1_000 }, 0);
     expect(accounts.open(rest, 0))
       .to.deep.equal({ kind: "admitted", grantedTokens: TURN_TOKENS });
   });
@@ -132,7 +144,10 @@
           const turnId = `t${turn}`;
           const held = granted.get(turnId) ?? 0;
           if (kind === "allow" && accounts.find("p") !== undefined) {
-            accounts.addAllowance("p", tokens);
+            accounts.addAllowance(
+              { programId: "p", budgetTokens: 5_000, tokens },
+              0,
+            );
             allowed += tokens;
           } else if (kind === "close" && granted.delete(turnId)) {
             forwarded += Math.min(held, tokens);
