Take a response without a length for whole after an orderly end

Such responses were always taken for broken; a service that answers like that could not be served at all.

An orderly end now completes them; a reset, a local close or an end inside an event breaks them off. What may be repeated is confirmed by one more attempt, as before; a second one like that is forwarded.

--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -29,6 +29,8 @@
   readonly prompt: readonly PromptPart[];
   /** The target whose cache holds the conversation so far. */
   readonly previousTargetId?: string | undefined;
+  /** Names the object of the request; its last target handles it faster. */
+  readonly affinityKey?: string | undefined;
   readonly failureDomain: string;
   readonly regions: ReadonlyMap<string, string>;
   /** Targets that already rejected this request. */
--- a/packages/gateway/src/decisions/next_step.ts
+++ b/packages/gateway/src/decisions/next_step.ts
@@ -66,6 +66,26 @@
   }
 }
 
+/** A complete response, and what may be done about doubts of it. */
+export interface ReceivedResponse {
+  readonly isRepeatable: boolean;
+  /** Whether the end of the body is marked in the response itself. */
+  readonly isDelimited: boolean;
+  /** Number of attempts so far. */
+  readonly sends: number;
+}
+
+/**
+ * Whether a response without a marked end is confirmed by another attempt: a
+ * target that fails may have cut it, but a service may also respond like that
+ * always, so only one more attempt is made.
+ */
+export function needsConfirmation(
+  { isRepeatable, isDelimited, sends }: ReceivedResponse,
+): boolean {
+  return isRepeatable && !isDelimited && sends < 2;
+}
+
 function planAttempt(history: AttemptHistory): NextStep {
   const isAtTargetLimit = history.liveRunners >= history.maxTargets;
   return { kind: "send", to: isAtTargetLimit ? "runners" : "any" };
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -13,6 +13,14 @@
   | { readonly kind: "too_large" }
   | { readonly kind: "disconnected" };
 
+/** The head of a target's response. */
+export interface ResponseHead {
+  readonly status: number;
+  readonly headers: Record<string, string | string[]>;
+  /** Whether the end of the body is marked in the response itself. */
+  readonly isDelimited: boolean;
+}
+
 /** An error response that the gateway itself produces. */
 export interface ErrorResponse {
   readonly code: ResultCodeDefinition;
@@ -29,6 +37,7 @@
   #handleDisconnect: () => void = () => {};
   #handleDrain: () => void = () => {};
   #isDisconnected = false;
+  #isDelimited = true;
 
   constructor(
     request: IncomingMessage,
@@ -88,25 +97,22 @@
   }
 
   /** Sends a buffered response of a target. */
-  sendResponse(
-    status: number,
-    headers: Record<string, string | string[]>,
-    body: Uint8Array,
-  ): void {
+  sendResponse(head: ResponseHead, body: Uint8Array): void {
     if (this.#isDisconnected) return;
-    this.#setConnectionHeader();
-    const length = hasBody(this.request.method, status)
-      ? { "content-length": String(body.length) }
-      : {};
+    const { status, headers } = head;
+    this.#setFraming(head);
+    const hasLength = head.isDelimited &&
+      hasBody(this.request.method, status);
+    const length = hasLength ? { "content-length": String(body.length) } : {};
     this.#response.writeHead(status, { ...headers, ...length });
     this.#response.end(body);
   }
 
   /** Sends the status line and headers of a streamed response. */
-  openStream(status: number, headers: Record<string, string | string[]>): void {
+  openStream(head: ResponseHead): void {
     if (this.#isDisconnected) return;
-    this.#setConnectionHeader();
-    this.#response.writeHead(status, headers);
+    this.#setFraming(head);
+    this.#response.writeHead(head.status, head.headers);
   }
 
   /** Sends events; false if the buffer is full until `onDrain` calls back. */
@@ -122,6 +128,8 @@
 
   /** Destroys the connection, so that a cut response doesn't look complete. */
   close(): void {
+    // An orderly end would complete a response without a length.
+    if (!this.#isDelimited) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
@@ -141,6 +149,15 @@
     this.#response.end(body);
   }
 
+  /** Marks the end of the body only if the target's response does. */
+  #setFraming({ isDelimited }: ResponseHead): void {
+    this.#isDelimited = isDelimited;
+    this.#setConnectionHeader();
+    if (isDelimited) return;
+    this.#response.setHeader("connection", "close");
+    this.#response.useChunkedEncodingByDefault = false;
+  }
+
   #setConnectionHeader(): void {
     // The rest of an unread body would be parsed as the next request.
     const isUnread = !this.request.complete;
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -3,10 +3,15 @@
  * and updates the counters.
  */
 import { type EventDefinition, EVENTS } from "@camphorlock/codes/events";
-import type { ResultCodeDefinition } from "@camphorlock/codes/result_codes";
+import {
+  RESULT_CODES,
+  type ResultCodeDefinition,
+} from "@camphorlock/codes/result_codes";
+import { isDelimited } from "@camphorlock/http/exchange";
 import type { LogFields } from "@camphorlock/types";
 import type { RequestFields } from "../model/request_fields.ts";
 import type { Route } from "../model/routing.ts";
+import type { TargetResponse } from "./buffered_attempt.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
 import type { RequestAttempts } from "./request_attempts.ts";
@@ -51,6 +56,27 @@
   readonly service: string;
 }
 
+/** Sends a target's complete response, as the target framed it. */
+export function sendResponse(
+  { codec }: Pick<ExchangeDependencies, "codec">,
+  { caller }: Pick<AcceptedRequest, "caller">,
+  { status, headers, body }: TargetResponse,
+): RequestOutcome {
+  if (caller.hasSentHead) {
+    return {
+      kind: "failed",
+      code: RESULT_CODES.TargetBroken,
+      detail: `status ${status} within a stream`,
+    };
+  }
+  caller.sendResponse({
+    status,
+    headers: codec.encodeResponseHeaders(headers),
+    isDelimited: isDelimited(status, headers),
+  }, body);
+  return { kind: "completed", status };
+}
+
 /** Sends the final response, then logs and counts the outcome. */
 export function endRequest(
   dependencies: ExchangeDependencies,
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -5,13 +5,17 @@
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import { RESULT_CODES } from "@camphorlock/codes/result_codes";
+import { isDelimited } from "@camphorlock/http/exchange";
 import { chooseService } from "../decisions/choose_service.ts";
-import { chooseTarget } from "../decisions/choose_target.ts";
 import {
   readEventData,
   type StreamEvent,
 } from "../decisions/event_splitter.ts";
-import { type FailedAttempt, planNextStep } from "../decisions/next_step.ts";
+import {
+  type FailedAttempt,
+  needsConfirmation,
+  planNextStep,
+} from "../decisions/next_step.ts";
 import {
   recordResponse,
   type TrackedTarget,
@@ -25,12 +29,14 @@
   type TargetResponse,
 } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
+import { chooseNextTarget } from "./next_target.ts";
 import { RequestAttempts } from "./request_attempts.ts";
 import {
   type AcceptedRequest,
   endRequest,
   logRequest,
   type RequestOutcome,
+  sendResponse,
 } from "./request_end.ts";
 import { startStreaming } from "./stream_attempt.ts";
 import { buildTargetRequest } from "./target_request.ts";
@@ -95,10 +101,14 @@
   }
 
   async #runAttempts(): Promise<RequestOutcome> {
-    let onlyRunners = false;
+    let onlyRunners: boolean | undefined = false;
     for (;;) {
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
-      const entry = this.#chooseTarget(onlyRunners);
+      const entry = chooseNextTarget(this.#dependencies, {
+        ...this.#buildReport(),
+        previousTargetId: this.#turn?.previousTargetId,
+        onlyRunners,
+      });
       if (entry === undefined) {
         if (!this.#canWait()) return this.#buildRefusal();
         await this.#waitToRetry();
@@ -111,7 +121,10 @@
         case "completed":
           return { kind: "completed", status: 200 };
         case "answered":
-          return this.#sendResponse(result);
+          if (!this.#needsConfirmation(result)) return this.#send(result);
+          onlyRunners = this.#planConfirmation(entry);
+          if (onlyRunners === undefined) return this.#send(result);
+          break;
         default: {
           const next = this.#planNextAttempt(entry, result);
           if (next.kind === "refuse") return this.#buildRefusal();
@@ -122,21 +135,6 @@
     }
   }
 
-  #chooseTarget(onlyRunners: boolean): TrackedTarget | undefined {
-    const { targets, placement } = this.#dependencies;
-    const nowMs = performance.now();
-    const ready = targets.listReady(this.#service, nowMs).filter((entry) =>
-      !onlyRunners || this.#attempts.isPossibleRunner(entry.target.id)
-    );
-    return chooseTarget(ready, {
-      ...placement,
-      prompt: this.#accepted.fields.prompt,
-      previousTargetId: this.#turn?.previousTargetId,
-      excluded: this.#attempts.excluded,
-      nowMs,
-    });
-  }
-
   async #runAttempt(entry: TrackedTarget): Promise<AttemptResult> {
     const attempt = this.#startAttempt(entry);
     this.#running = attempt;
@@ -202,6 +200,25 @@
     return next;
   }
 
+  #needsConfirmation({ status, headers }: TargetResponse): boolean {
+    return needsConfirmation({
+      isRepeatable: this.#isRepeatable,
+      isDelimited: isDelimited(status, headers),
+      sends: this.#attempts.targetIds.length,
+    });
+  }
+
+  /** Plans a second attempt; undefined if there can be none. */
+  #planConfirmation(entry: TrackedTarget): boolean | undefined {
+    const detail = "the response's end isn't marked";
+    const next = this.#planNextAttempt(entry, { kind: "broken", detail });
+    return next.kind === "send" ? next.to === "runners" : undefined;
+  }
+
+  #send(response: TargetResponse): RequestOutcome {
+    return sendResponse(this.#dependencies, this.#accepted, response);
+  }
+
   #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
     const { progress } = this.#attempts;
     this.#turn?.addEvent(readEventData(event));
@@ -266,18 +283,6 @@
     return { kind: "failed", code: RESULT_CODES.TargetBroken, detail };
   }
 
-  #sendResponse(response: TargetResponse): RequestOutcome {
-    const { caller } = this.#accepted;
-    if (caller.hasSentHead) {
-      return this.#buildFailure(`status ${response.status} within a stream`);
-    }
-    const headers = this.#dependencies.codec.encodeResponseHeaders(
-      response.headers,
-    );
-    caller.sendResponse(response.status, headers, response.body);
-    return { kind: "completed", status: response.status };
-  }
-
   #buildReport(): Parameters<typeof endRequest>[1] {
     return {
       accepted: this.#accepted,
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -162,12 +162,6 @@
     if (this.#splitter.bufferedBytes > 0) {
       return { kind: "broken", detail: "the stream ended within an event" };
     }
-    if (!isDelimited(this.#status, this.#headers)) {
-      return {
-        kind: "broken",
-        detail: "the stream has no content-length or transfer-encoding",
-      };
-    }
     this.#openStream();
     return { kind: "completed" };
   }
@@ -237,7 +231,11 @@
   #openStream(): void {
     const { caller, codec } = this.#options;
     if (caller.hasSentHead) return;
-    caller.openStream(this.#status, codec.encodeResponseHeaders(this.#headers));
+    caller.openStream({
+      status: this.#status,
+      headers: codec.encodeResponseHeaders(this.#headers),
+      isDelimited: isDelimited(this.#status, this.#headers),
+    });
   }
 
   #addBuffered(chunk: Uint8Array): void {
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -116,12 +116,6 @@
 
   #buildResponse(end: ExchangeEnd): BufferedResponse {
     if (end.kind !== "ended") return end;
-    if (!isDelimited(this.#status, this.#headers)) {
-      return {
-        kind: "broken",
-        detail: "the response has no content-length or transfer-encoding",
-      };
-    }
     return {
       kind: "answered",
       status: this.#status,
@@ -131,16 +125,6 @@
   }
 }
 
-/**
- * Whether a truncated response can be distinguished from a complete one. A
- * response that ends with its connection looks complete wherever it's cut.
- */
-export function isDelimited(status: number, headers: PeerHeaders): boolean {
-  if (status === 204 || status === 304) return true;
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
 /** Reads the first value of a header. */
 export function getHeader(
   headers: PeerHeaders,
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -26,6 +26,8 @@
   readonly client: Client;
   /** Whether the connection ended with an error rather than a regular close. */
   readonly hasFailed: () => boolean;
+  /** Whether the peer closed its side in an orderly way. */
+  readonly hasPeerEnded: () => boolean;
   reusableAtMs: number;
 }
 
@@ -89,6 +91,7 @@
 
   #open(): PooledConnection {
     let failed = false;
+    let peerEnded = false;
     const client = new UndiciClient(this.#options.baseUrl, {
       connect: (options, report) => {
         const socket = openSocket(
@@ -97,6 +100,7 @@
           report,
         );
         socket.on("error", () => failed = true);
+        socket.on("end", () => peerEnded = true);
       },
       pipelining: 1,
       keepAliveTimeout: this.#options.idleMs,
@@ -105,10 +109,14 @@
       bodyTimeout: 0,
     });
     // A client whose socket has closed reconnects on the next request.
-    client.on("connect", () => failed = false);
+    client.on("connect", () => {
+      failed = false;
+      peerEnded = false;
+    });
     const connection: PooledConnection = {
       client,
       hasFailed: () => failed,
+      hasPeerEnded: () => peerEnded,
       reusableAtMs: 0,
     };
     this.#all.add(connection);
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -3,7 +3,8 @@
  *
  * A request is `not_sent` only if no byte of it was written to a connection.
  * Every other exchange without a complete response is `broken`: the peer may
- * have acted on the request. The HTTP library never retries a request by itself.
+ * have acted on the request. A response without a length is complete once the
+ * peer has closed its side in an orderly way. The HTTP library never retries a request by itself.
  * After a silence timeout, all idle connections to the peer are closed as well.
  */
 import type { Dispatcher } from "undici";
@@ -86,6 +87,7 @@
   start(request: PeerRequest, receiver: ResponseReceiver): Exchange {
     const connection = this.#pool.acquire(request.freshConnection);
     const exchange = new RunningExchange(receiver, {
+      method: request.method,
       silenceTimeoutMs: request.silenceTimeoutMs,
       connection,
       handleSilenceTimeout: () => this.#pool.closeIdle(),
@@ -115,6 +117,7 @@
 }
 
 interface ExchangeHooks {
+  readonly method: string;
   readonly silenceTimeoutMs: number;
   readonly connection: PooledConnection;
   handleSilenceTimeout(): void;
@@ -127,6 +130,8 @@
   readonly #timer: NodeJS.Timeout;
   #controller: Dispatcher.DispatchController | undefined;
   #ended = false;
+  /** Whether the end of the body is marked in the response itself. */
+  #isDelimited = true;
 
   constructor(receiver: ResponseReceiver, hooks: ExchangeHooks) {
     this.#receiver = receiver;
@@ -171,6 +176,8 @@
   ): void {
     if (this.#ended || status < 200) return;
     this.#timer.refresh();
+    this.#isDelimited = this.#hooks.method === "HEAD" ||
+      isDelimited(status, headers);
     this.#receiver.handleHead(status, headers);
   }
 
@@ -185,9 +192,12 @@
 
   onResponseEnd(): void {
     // A response without a length ends with its connection, and the library
-    // doesn't distinguish a reset from such an end.
-    if (this.#hooks.connection.hasFailed()) {
+    // doesn't distinguish a reset or a local close from such an end.
+    const { connection } = this.#hooks;
+    if (connection.hasFailed()) {
       this.#endFailed("the connection was reset");
+    } else if (!this.#isDelimited && !connection.hasPeerEnded()) {
+      this.#endFailed("the connection closed before the peer ended it");
     } else {
       this.#end({ kind: "ended" });
     }
@@ -222,6 +232,16 @@
   }
 }
 
+/**
+ * Whether the end of a response's body is marked in the response itself. One
+ * that isn't looks complete wherever an orderly end cuts it.
+ */
+export function isDelimited(status: number, headers: PeerHeaders): boolean {
+  if (status === 204 || status === 304) return true;
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 function buildDispatchOptions(
   request: PeerRequest,
 ): Dispatcher.DispatchOptions {
