Place a turn where its conversation is cached, and an object at one target

A turn of a kept conversation may come in through another gateway than the one before; only that one knew which target has the conversation in its cache. The kept turn names the target that ran it, and a turn that continues it counts no uncached tokens there. Among equals, requests about one object go to the same target from all gateways, where a target that handled it lately is faster.

--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -7,7 +7,8 @@
  * tokens that the target hasn't cached, the wait behind this gateway's requests
  * there, the extra delay observed there recently, and the network round trip.
  * Gateways break ties in different orders, so that they don't all fill the same
- * target.
+ * target; requests about one object go to the same target from all gateways.
+ * The target of the previous turn has the conversation so far in its cache.
  */
 import { computeHash } from "@camphorlock/scheduler/hash";
 import type { PromptPart } from "../model/request_fields.ts";
@@ -73,7 +74,11 @@
 ): number {
   const { target, running, prefixes } = candidate;
   const queued = Math.max(0, running + 1 - Math.max(1, target.slots));
-  return prefixes.countUncached(request.prompt) / PREFILL_TOKENS_PER_MS +
+  // Another gateway may have sent the conversation so far to this target.
+  const uncached = target.id === request.previousTargetId
+    ? 0
+    : prefixes.countUncached(request.prompt);
+  return uncached / PREFILL_TOKENS_PER_MS +
     running * RUNNING_REQUEST_COST_MS + queued * QUEUED_REQUEST_COST_MS +
     candidate.computeQueueDelayMs(request.nowMs) +
     computeNetworkCostMs(target.failureDomain, request);
@@ -81,9 +86,9 @@
 
 function computeTieBreak(
   candidate: TrackedTarget,
-  { vmId }: PlacementRequest,
+  { vmId, affinityKey }: PlacementRequest,
 ): number {
-  return computeHash(`${vmId}|${candidate.target.id}`);
+  return computeHash(`${affinityKey ?? vmId}|${candidate.target.id}`);
 }
 
 function computeNetworkCostMs(
--- a/packages/gateway/src/decisions/choose_target_test.ts
+++ b/packages/gateway/src/decisions/choose_target_test.ts
@@ -92,3 +92,41 @@
     expect(meanWaitMs).to.be.below(SERVICE_TIME_MS / 4);
   });
 });
+
+describe("the target of a turn or an object", () => {
+  const request: PlacementRequest = {
+    vmId: "g-1",
+    failureDomain: "a",
+    regions: new Map(),
+    excluded: new Set(),
+    prompt: [{ id: "shared-1", tokens: SHARED_TOKENS }],
+    nowMs: 0,
+  };
+
+  it("is the one that ran the previous turn, unless it has long queues", () => {
+    const targets = buildTargets();
+    const previousTargetId = "i-7";
+    expect(chooseTarget(targets, { ...request, previousTargetId })?.target.id)
+      .to.equal("i-7");
+    const previous = targets.find(({ target }) => target.id === "i-7");
+    if (previous !== undefined) previous.running = SLOTS + 1;
+    expect(chooseTarget(targets, { ...request, previousTargetId })?.target.id)
+      .not.to.equal("i-7");
+  });
+
+  it("is the same at all gateways for one object, and differs by object", () => {
+    const chosen = new Set<string>();
+    for (let object = 0; object < 50; object += 1) {
+      const ids = ["g-1", "g-2", "g-3"].map((vmId) =>
+        chooseTarget(buildTargets(), {
+          ...request,
+          vmId,
+          affinityKey: `object ${object}`,
+        })?.target.id ?? ""
+      );
+      expect(new Set(ids).size).to.equal(1);
+      chosen.add(ids[0] ?? "");
+    }
+    expect(chosen.size).to.be.greaterThan(TARGETS / 2);
+  });
+});
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -38,7 +38,7 @@
   type RequestOutcome,
   sendResponse,
 } from "./request_end.ts";
-import { startStreaming } from "./stream_attempt.ts";
+import { startStreaming, type StreamAttemptResult } from "./stream_attempt.ts";
 import { buildTargetRequest } from "./target_request.ts";
 
 /** Pause before targets that rejected the request are retried. */
@@ -48,10 +48,7 @@
 /** Retry-After for callers while targets are full or missing. */
 const RETRY_AFTER_MS = 150;
 
-type AttemptResult =
-  | { readonly kind: "completed" }
-  | TargetResponse
-  | FailedAttempt;
+type AttemptResult = StreamAttemptResult;
 
 /** Runs one accepted request to its final response. */
 export class RequestRunner {
