Trust no response without an id on a reused connection

Other operators reported that a faulty engine wrote an earlier refusal once more on a kept connection, and that a late second copy of an answer reached the next caller. Both could happen here when the copy named no request: a test showed an order run at one target, refused by the copy and run again at another (two runs), and an answer given twice when the copy came 25 ms later, beyond the pause before reuse.

A response on a connection that carried an earlier exchange now counts as broken if it doesn't name its request. On a new connection nothing earlier can come.

The tests of the fixture's targets now echo the id as targets do.

--- a/packages/gateway/src/exchange/buffered_attempt.ts
+++ b/packages/gateway/src/exchange/buffered_attempt.ts
@@ -17,6 +17,8 @@
   readonly status: number;
   readonly headers: ResponseHeaders;
   readonly body: Uint8Array;
+  /** Whether the connection carried an earlier exchange. */
+  readonly isReused: boolean;
 }
 
 /** The result of an attempt. */
@@ -65,12 +67,17 @@
   response: TargetResponse,
   { codec, requestId }: AttemptOptions,
 ): BufferedAttemptResult {
-  const { status, headers } = response;
+  const { status, headers, isReused } = response;
   const decoded = codec.decodeResponse(status, headers);
   if (decoded.requestId !== undefined && decoded.requestId !== requestId) {
     const detail = `response to another request, ${decoded.requestId}`;
     return { kind: "broken", detail };
   }
+  // It may be an earlier response of the connection, sent once more.
+  if (decoded.requestId === undefined && isReused) {
+    const detail = `status ${status} on a reused connection, without an id`;
+    return { kind: "broken", detail };
+  }
   if (decoded.isNotRun) return { kind: "not_run", detail: `status ${status}` };
   if (decoded.impliesNotRun) {
     const detail =
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -172,6 +172,7 @@
       status: this.#status,
       headers: this.#headers,
       body: Buffer.concat(this.#bufferedChunks),
+      isReused: this.#exchange?.isReused ?? false,
     }, this.#options) as TargetResponse | FailedAttempt;
   }
 
--- a/packages/gateway/src/exchange/stream_attempt_test.ts
+++ b/packages/gateway/src/exchange/stream_attempt_test.ts
@@ -24,6 +24,7 @@
     return {
       cancel: () => this.isCancelled = true,
       wasSent: true,
+      isReused: false,
       pause: () => {},
       resume: () => {},
     };
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -40,7 +40,9 @@
       resumeAfter: 0,
     });
   },
-  encodeTargetHeaders: (_rawHeaders, { targetId, leftMs, resumeAfter }) => [
+  encodeTargetHeaders: (rawHeaders, { targetId, leftMs, resumeAfter }) => [
+    "id",
+    rawHeaders[rawHeaders.indexOf("id") + 1] ?? "",
     "target",
     targetId,
     "left",
@@ -132,6 +134,7 @@
     this.id = id;
     this.#server = createServer((request, response) => {
       this.receivedPaths.push(request.url ?? "");
+      response.setHeader("id", request.headers["id"] ?? "");
       this.handle(request, response);
     });
   }
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -17,6 +17,8 @@
     readonly status: number;
     readonly headers: PeerHeaders;
     readonly body: Uint8Array;
+    /** Whether the connection carried an earlier exchange. */
+    readonly isReused: boolean;
   }
   | { readonly kind: "not_sent"; readonly detail: string }
   | { readonly kind: "broken"; readonly detail: string };
@@ -121,6 +123,7 @@
       status: this.#status,
       headers: this.#headers,
       body: Buffer.concat(this.#chunks),
+      isReused: this.#exchange?.isReused ?? false,
     };
   }
 }
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -29,6 +29,8 @@
   /** Whether the peer closed its side in an orderly way. */
   readonly hasPeerEnded: () => boolean;
   reusableAtMs: number;
+  /** Whether the connection carried an earlier exchange. */
+  isReused: boolean;
 }
 
 /** The connections to one peer. */
@@ -57,6 +59,7 @@
   release(connection: PooledConnection): void {
     if (!this.#all.has(connection)) return this.#closeNow(connection);
     connection.reusableAtMs = performance.now() + this.#options.reuseDelayMs;
+    connection.isReused = true;
     this.#idle.push(connection);
   }
 
@@ -118,6 +121,7 @@
       hasFailed: () => failed,
       hasPeerEnded: () => peerEnded,
       reusableAtMs: 0,
+      isReused: false,
     };
     this.#all.add(connection);
     return connection;
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -54,6 +54,8 @@
   cancel(): void;
   /** Whether a byte of the request may have been written. */
   readonly wasSent: boolean;
+  /** Whether the connection carried an earlier exchange. */
+  readonly isReused: boolean;
   /** Stops reading the response until `resume`. */
   pause(): void;
   resume(): void;
@@ -126,6 +128,7 @@
 
 class RunningExchange implements Exchange, Dispatcher.DispatchHandler {
   readonly #receiver: ResponseReceiver;
+  readonly isReused: boolean;
   readonly #hooks: ExchangeHooks;
   readonly #timer: NodeJS.Timeout;
   #controller: Dispatcher.DispatchController | undefined;
@@ -136,6 +139,7 @@
   constructor(receiver: ResponseReceiver, hooks: ExchangeHooks) {
     this.#receiver = receiver;
     this.#hooks = hooks;
+    this.isReused = hooks.connection.isReused;
     this.#timer = setTimeout(
       () => this.#endTimedOut(),
       hooks.silenceTimeoutMs,
