--- a/packages/camphorlock/src/cli/main.ts
+++ b/packages/camphorlock/src/cli/main.ts
@@ -12,6 +12,7 @@
 import { defineScenario } from "./scenario/command.ts";
 import { defineServe } from "./serve/command.ts";
 import { defineShow } from "./show/command.ts";
+import { defineTurns } from "./turns/command.ts";
 import { VERSION } from "./version/version.ts";
 
 const program = new Command("camphorlock")
@@ -27,6 +28,7 @@
 defineDrain(program);
 defineScenario(program);
 defineBench(program);
+defineTurns(program);
 program.command("version")
   .description("prints the version")
   .action(() => console.log(VERSION));
--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -458,12 +458,6 @@
     "warn",
     "A disk's process couldn't use its files or a page of another disk.",
   ),
-  DiskForgotten: defineEvent(
-    970,
-    "DiskForgotten",
-    "warn",
-    "The entry of a disk that was silent for long was removed.",
-  ),
 } as const;
 
 /** The name of a log event. */
