--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -46,6 +46,7 @@
   readonly #options: TurnDiskOptions;
   readonly #links: DiskLinks;
   readonly #server: DiskServer;
+  readonly #files: TurnLog;
 
   /** Recovers the disk's contents. Rejects when the folder can't be used. */
   static async open(options: TurnDiskOptions): Promise<TurnDiskProcess> {
@@ -88,14 +89,17 @@
   ) {
     this.#options = options;
     this.#links = new DiskLinks();
-    const files = new TurnLog({
+    this.#files = new TurnLog({
       folder: options.folder,
       maxBytes: options.maxDiskBytes,
       segments: new Map(
         recovery.segments.map(({ number, bytes }) => [number, bytes]),
       ),
     });
-    this.service = new DiskService({ ...options, files }, table);
+    this.service = new DiskService(
+      { ...options, files: this.#files },
+      table,
+    );
     this.member = new DiskMember(
       {
         ...options,
@@ -129,6 +133,8 @@
   close(): void {
     this.#server.close();
     this.#links.close();
+    // Every acknowledged turn is durable, so a failure to close loses nothing.
+    this.#files.close().catch(() => {});
   }
 
   async #handleMessage(message: DiskMessage): Promise<DiskResponse> {
--- a/packages/turns/src/files/turn_log.ts
+++ b/packages/turns/src/files/turn_log.ts
@@ -104,6 +104,13 @@
     });
   }
 
+  /** Closes the current segment's file; the log isn't used afterwards. */
+  async close(): Promise<void> {
+    const { file } = this.#current ?? {};
+    this.#current = undefined;
+    await file?.close();
+  }
+
   /** Removes a closed segment; rejects when the disk refuses. */
   async remove(number: number): Promise<void> {
     await removeSegment(this.#options.folder, number);
--- a/packages/turns/src/files/turn_log_test.ts
+++ b/packages/turns/src/files/turn_log_test.ts
@@ -37,15 +37,25 @@
 
 describe("the log of a disk", () => {
   let folder: string;
+  let logs: TurnLog[];
 
-  beforeEach(() => folder = mkdtempSync(join(tmpdir(), "turns-")));
-  afterEach(() => rmSync(folder, { recursive: true, force: true }));
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), "turns-"));
+    logs = [];
+  });
+
+  afterEach(async () => {
+    for (const log of logs) await log.close();
+    rmSync(folder, { recursive: true, force: true });
+  });
 
   function openLog(recovery?: Recovery, maxBytes = MAX_BYTES): TurnLog {
     const segments = new Map(
       recovery?.segments.map(({ number, bytes }) => [number, bytes]),
     );
-    return new TurnLog({ folder, maxBytes, segments });
+    const log = new TurnLog({ folder, maxBytes, segments });
+    logs.push(log);
+    return log;
   }
 
   function recover(): Promise<Recovery> {
