--- a/packages/gateway/src/turns/disk_vm.ts
+++ b/packages/gateway/src/turns/disk_vm.ts
@@ -40,6 +40,7 @@
   readonly #options: DiskVmOptions;
   readonly #timers = new TimerService();
   readonly #registry: StoredDiskRegistry;
+  readonly #watchers: StoreWatcher[] = [];
   #disk: TurnDiskProcess | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
 
@@ -77,6 +78,7 @@
   /** Stops at once; what was acknowledged is durable. */
   close(): void {
     clearInterval(this.#tickTimer);
+    for (const watcher of this.#watchers) watcher.stop();
     this.#disk?.close();
     this.#options.log.flush();
   }
@@ -97,6 +99,8 @@
     const { store, log } = this.#options;
     const waitMs = kind === "turnDisks" ? DISK_WATCH_MS : RETIREMENT_WATCH_MS;
     const source = new StoreSource(store, () => waitMs);
-    return new StoreWatcher({ source, log, kind, objects }).run();
+    const watcher = new StoreWatcher({ source, log, kind, objects });
+    this.#watchers.push(watcher);
+    return watcher.run();
   }
 }
