Log what ran at a target that ended, and each request's fingerprint

A request's lines now have a digest of its method, host, path and body; a target that breaks off a request and refuses a new connection gives a line TargetEnded with all that ran there. No decision is changed. The timers of the gateway stand in a module of their own, for room.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -332,6 +332,12 @@
     "info",
     "An attempt got no complete response from its target; the next step.",
   ),
+  TargetEnded: defineEvent(
+    926,
+    "TargetEnded",
+    "warn",
+    "A target broke off requests and refuses connections; what ran there.",
+  ),
   AccountRecorded: defineEvent(
     931,
     "AccountRecorded",
--- /dev/null
+++ b/packages/gateway/src/crashes/crash_observer_test.ts
@@ -0,0 +1,107 @@
+import { createServer, type Server } from "node:net";
+import type { AddressInfo } from "node:net";
+import { expect } from "chai";
+import { GatewayLog } from "../log.ts";
+import { computeFingerprint } from "../model/request_fingerprint.ts";
+import type { Target } from "../model/target.ts";
+import { CrashObserver, type TargetEnd } from "./crash_observer.ts";
+
+const OUTPUT = { write: (_text: string, end: () => void) => end() };
+
+function buildTarget(port: number): Target {
+  return {
+    id: "t1",
+    service: "s",
+    host: "127.0.0.1",
+    port,
+    failureDomain: "a",
+    state: "ready",
+    slots: 4,
+    startedAtMs: 1,
+  };
+}
+
+function listen(server: Server): Promise<number> {
+  return new Promise((resolve) =>
+    server.listen(
+      0,
+      "127.0.0.1",
+      () => resolve((server.address() as AddressInfo).port),
+    )
+  );
+}
+
+describe("the end of a target", () => {
+  let ends: TargetEnd[];
+  let leaving: boolean;
+  let observer: CrashObserver;
+
+  beforeEach(() => {
+    ends = [];
+    leaving = false;
+    observer = new CrashObserver({
+      log: new GatewayLog(OUTPUT, "g1"),
+      isLeaving: () => leaving,
+      onEnd: (end) => ends.push(end),
+    });
+  });
+
+  it("is told from a broken connection", async () => {
+    const server = createServer();
+    const target = buildTarget(await listen(server));
+    observer.recordStart(target, "r1", "f1");
+    expect(await observer.recordBreak(target, "r1")).to.equal(false);
+    expect(ends).to.have.length(0);
+    server.close();
+  });
+
+  it("is reported once, with all that ran there", async () => {
+    const server = createServer();
+    const target = buildTarget(await listen(server));
+    await new Promise((resolve) => server.close(resolve));
+    observer.recordStart(target, "r0", "f0");
+    observer.recordEnd(target, "r0");
+    observer.recordStart(target, "r1", "f1");
+    observer.recordStart(target, "r2", "f2");
+    observer.recordStart(target, "r3", "f2");
+    const results = await Promise.all([
+      observer.recordBreak(target, "r1"),
+      observer.recordBreak(target, "r2"),
+    ]);
+    expect(results).to.deep.equal([true, true]);
+    expect(ends).to.have.length(1);
+    expect(ends[0]?.fingerprints).to.have.members(["f1", "f2"]);
+  });
+
+  it("is nobody's fault when the target leaves as planned", async () => {
+    const server = createServer();
+    const target = buildTarget(await listen(server));
+    await new Promise((resolve) => server.close(resolve));
+    leaving = true;
+    observer.recordStart(target, "r1", "f1");
+    expect(await observer.recordBreak(target, "r1")).to.equal(false);
+    expect(ends).to.have.length(0);
+  });
+});
+
+describe("the fingerprint of a request", () => {
+  const parts = {
+    method: "POST",
+    host: "a.example",
+    url: "/x/1",
+    body: Buffer.from("body"),
+  };
+
+  it("is the same for each attempt and differs with each part", () => {
+    const fingerprint = computeFingerprint(parts);
+    expect(computeFingerprint({ ...parts, host: "A.example" }))
+      .to.equal(fingerprint);
+    const others = [
+      { ...parts, method: "GET" },
+      { ...parts, host: "b.example" },
+      { ...parts, url: "/x/2" },
+      { ...parts, body: Buffer.from("bodies") },
+    ].map(computeFingerprint);
+    expect(new Set([fingerprint, ...others]).size).to.equal(5);
+  });
+});
--- a/packages/gateway/src/decisions/target_table.ts
+++ b/packages/gateway/src/decisions/target_table.ts
@@ -212,7 +212,8 @@
     leavingUntilMs <= nowMs;
 }
 
-function getIncarnation(target: Target): string {
+/** Identifies one incarnation of a target. */
+export function getIncarnation(target: Target): string {
   const { id, host, port, startedAtMs } = target;
   return `${id} ${host}:${port} ${startedAtMs}`;
 }
--- a/packages/gateway/src/exchange/exchange_dependencies.ts
+++ b/packages/gateway/src/exchange/exchange_dependencies.ts
@@ -1,6 +1,7 @@
 /**
  * Dependencies that the exchanges of one process share.
  */
+import type { CrashObserver } from "../crashes/crash_observer.ts";
 import type { TargetTable } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
@@ -13,6 +14,7 @@
   readonly targets: TargetTable;
   readonly connections: TargetConnections;
   readonly permits: TargetPermits;
+  readonly crashes: CrashObserver;
   readonly codec: RequestCodec;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -42,6 +42,8 @@
   readonly fields: RequestFields;
   readonly route: Route;
   readonly body: Buffer;
+  /** Identifies what the request asks for, over all attempts at it. */
+  readonly fingerprint: string;
   readonly receivedAtMs: number;
   /** Longest time from the arrival until the final response. */
   readonly limitMs: number;
@@ -130,6 +132,7 @@
   dependencies.log.write(event, {
     request: request.requestId,
     program: request.programId,
+    fingerprint: accepted.fingerprint,
     route: route.name,
     configuration: configurationVersion,
     service,
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -144,6 +144,7 @@
   }
 
   async #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
+    const { crashes } = this.#dependencies;
     const attempt = startAttempt(this.#dependencies, {
       accepted: this.#accepted,
       attempts: this.#attempts,
@@ -155,13 +156,18 @@
     });
     this.#running = attempt;
     entry.running += 1;
-    entry.recordAttempt(this.#accepted.fields.requestId, performance.now());
+    const { target } = entry;
+    const { fields: { requestId }, fingerprint } = this.#accepted;
+    crashes.recordStart(target, requestId, fingerprint);
+    entry.recordAttempt(requestId, performance.now());
     const stopped = new Promise<FailedAttempt>((resolve) => {
       this.#endWait = () => resolve({ kind: "broken", detail: "stopped" });
     });
     const result = await Promise.race([attempt.result, stopped]);
     entry.running -= 1;
-    const { requestId } = this.#accepted.fields;
+    if (result.kind === "broken" && this.#stopped === undefined) {
+      void crashes.recordBreak(target, requestId);
+    } else crashes.recordEnd(target, requestId);
     entry.recordFirstResponse(requestId, performance.now());
     if (result.kind === "completed" || result.kind === "answered") {
       recordResponse(entry);
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -12,6 +12,7 @@
 import { EVENTS } from "@camphorlock/codes/events";
 import { CallerExchange } from "../exchange/caller_exchange.ts";
 import type { RequestFields } from "../model/request_fields.ts";
+import { computeFingerprint } from "../model/request_fingerprint.ts";
 import type { CallerLimits, Route } from "../model/routing.ts";
 import type { Address } from "../ports.ts";
 import {
@@ -186,6 +187,12 @@
           fields,
           route,
           body: read.body,
+          fingerprint: computeFingerprint({
+            method: request.method,
+            host: request.headers.host,
+            url: request.url,
+            body: read.body,
+          }),
           receivedAtMs,
           limitMs: Math.min(
             route.timeoutMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
   type AccountComponents,
   buildAccountComponents,
 } from "./accounts/account_components.ts";
-import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
+import { CrashObserver } from "./crashes/crash_observer.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
@@ -21,6 +21,7 @@
   ReadinessState,
 } from "./front/readiness_state.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
 import type { GatewayLog } from "./log.ts";
 import type {
@@ -38,20 +39,12 @@
   buildTurnComponents,
   type TurnComponents,
 } from "./turns/turn_components.ts";
-import { CountedStore, LOG_STORE_CALLS_MS } from "./store/counted_store.ts";
+import { CountedStore } from "./store/counted_store.ts";
 import { Watchers } from "./store/watchers.ts";
 import { WatchedConfiguration, WatchedTargets } from "./store/watched_state.ts";
 
 /** Interval at which due timers run. */
 const TICK_MS = 50;
-const LOG_FLUSH_MS = 100;
-const EXPIRY_CHECK_MS = 100;
-const RENEWAL_CHECK_MS = 100;
-/** Interval at which suspected gateways are probed. */
-const PROBE_PEERS_MS = 500;
-/** Interval at which this gateway requests another one's list of peers. */
-const EXCHANGE_PEERS_MS = 2_000;
-const CLEANUP_MS = 10_000;
 /** Delay before histograms load; callers of a restarted process come first. */
 const LOAD_METRICS_AFTER_MS = 5_000;
 /** Reserved at the end of the grace period to send the last responses. */
@@ -74,6 +67,7 @@
   readonly #targets = new TargetTable();
   readonly #connections = new TargetConnections();
   readonly #permits: TargetPermits;
+  readonly #crashes: CrashObserver;
   readonly #timers = new TimerService();
   readonly #configuration: WatchedConfiguration;
   readonly #observedTargets: WatchedTargets;
@@ -138,6 +132,11 @@
       vmId: settings.vmId,
       regions: settings.regions,
     });
+    this.#crashes = new CrashObserver({
+      log,
+      isLeaving: ({ id }) => !this.#targets.isReady(id, performance.now()),
+      onEnd: () => {},
+    });
     this.#objectSource = buildObjectSource({
       settings,
       store,
@@ -158,6 +157,7 @@
       targets: this.#targets,
       connections: this.#connections,
       permits: this.#permits,
+      crashes: this.#crashes,
       codec: options.requestCodec,
       log,
       metrics,
@@ -192,7 +192,16 @@
     const { settings, log } = this.#options;
     this.#watchers.start("configuration");
     this.#watchers.start("targets");
-    this.#subscribeTimers();
+    subscribeTimers(this.#timers, {
+      ...this.#accounts,
+      log,
+      metrics: this.#options.metrics,
+      store: this.#store,
+      targets: this.#observedTargets,
+      watchers: this.#watchers,
+      permits: this.#permits,
+      crashes: this.#crashes,
+    });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
       this.#timers.runDue(performance.now());
@@ -265,25 +274,6 @@
     };
   }
 
-  #subscribeTimers(): void {
-    const { group, shards } = this.#accounts;
-    const { log, metrics } = this.#options;
-    const schedule: readonly [number, (nowMs: number) => void][] = [
-      [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
-      [LOG_STORE_CALLS_MS, () => this.#store.logCounts(log)],
-      [EXPIRY_CHECK_MS, (nowMs) => this.#observedTargets.removeExpired(nowMs)],
-      [RENEWAL_CHECK_MS, (nowMs) => this.#watchers.renewOverdue(nowMs)],
-      [PROBE_PEERS_MS, () => void group.probeSuspected()],
-      [EXCHANGE_PEERS_MS, () => void group.callNextPeer()],
-      [SHARD_CHECK_INTERVAL_MS, () => void shards.check()],
-      [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
-      [CLEANUP_MS, (nowMs) => this.#permits.removeUnused(nowMs)],
-    ];
-    for (const [intervalMs, run] of schedule) {
-      this.#timers.subscribe(intervalMs, run);
-    }
-  }
-
   #applyLimits(): void {
     const inForce = this.#configuration.inForce;
     if (inForce === undefined) return;
--- /dev/null
+++ b/packages/gateway/src/gateway_timers.ts
@@ -0,0 +1,58 @@
+/**
+ * The periodic work of a gateway's components.
+ */
+import type { TimerService } from "@camphorlock/scheduler/timers";
+import type { AccountComponents } from "./accounts/account_components.ts";
+import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
+import type { CrashObserver } from "./crashes/crash_observer.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { TargetPermits } from "./limits/target_permits.ts";
+import type { GatewayLog } from "./log.ts";
+import {
+  type CountedStore,
+  LOG_STORE_CALLS_MS,
+} from "./store/counted_store.ts";
+import type { WatchedTargets } from "./store/watched_state.ts";
+import type { Watchers } from "./store/watchers.ts";
+
+const LOG_FLUSH_MS = 100;
+const EXPIRY_CHECK_MS = 100;
+const RENEWAL_CHECK_MS = 100;
+/** Interval at which suspected gateways are probed. */
+const PROBE_PEERS_MS = 500;
+/** Interval at which this gateway requests another one's list of peers. */
+const EXCHANGE_PEERS_MS = 2_000;
+const CLEANUP_MS = 10_000;
+
+/** The components with periodic work. */
+export interface TimedComponents
+  extends Pick<AccountComponents, "group" | "shards"> {
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+  readonly store: CountedStore;
+  readonly targets: WatchedTargets;
+  readonly watchers: Watchers;
+  readonly permits: TargetPermits;
+  readonly crashes: CrashObserver;
+}
+
+/** Subscribes the periodic work of all components. */
+export function subscribeTimers(
+  timers: TimerService,
+  { group, shards, log, metrics, store, targets, watchers, permits, crashes }:
+    TimedComponents,
+): void {
+  const schedule: readonly [number, (nowMs: number) => void][] = [
+    [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
+    [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
+    [EXPIRY_CHECK_MS, (nowMs) => targets.removeExpired(nowMs)],
+    [RENEWAL_CHECK_MS, (nowMs) => watchers.renewOverdue(nowMs)],
+    [PROBE_PEERS_MS, () => void group.probeSuspected()],
+    [EXCHANGE_PEERS_MS, () => void group.callNextPeer()],
+    [SHARD_CHECK_INTERVAL_MS, () => void shards.check()],
+    [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
+    [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
+    [CLEANUP_MS, (nowMs) => crashes.removeExpired(nowMs)],
+  ];
+  for (const [intervalMs, run] of schedule) timers.subscribe(intervalMs, run);
+}
