Stop sending requests that crash the targets that run them

Cause: a gateway knew a request only by the caller's attempt. Within an attempt it went on to the next target, since targets that had ended don't count against the route's limit, and each further attempt, program and gateway began anew. The class: state of one piece of work that's kept for one attempt at one gateway. Ruled out by the new lines (TargetEnded): ends by load, since what ran at each of them has one fingerprint in common.

Now a request is known by a digest of method, host, path and body. A target that breaks off a request is probed, and if it refuses a connection all that ran there is reported to two gateways that judge the ends of that service's targets. They block what ran at the ends of targets on two addresses if little else did, or at three; the ends that it explains count against nobody else. All gateways are told at once and compare their lists every two seconds. Where the request has completed since, the gateway objects. One attempt goes on after one crash at most, and such a request and others are kept apart. A blocked request is refused at once as not run (4009), with the time at which it's let in.

Simulated with 8, 60 and 430 gateways and four such requests: at most 3 late sends on each of ten seeds, under one innocent request in 500 refused.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -338,6 +338,12 @@
     "warn",
     "A target broke off requests and refuses connections; what ran there.",
   ),
+  RequestBlocked: defineEvent(
+    927,
+    "RequestBlocked",
+    "warn",
+    "A request is blocked since targets ended under it, or is let in again.",
+  ),
   AccountRecorded: defineEvent(
     931,
     "AccountRecorded",
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -216,6 +216,13 @@
     true,
     "No target responded within the route's time limit.",
   ),
+  RequestCrashesTargets: defineCode(
+    4009,
+    "RequestCrashesTargets",
+    503,
+    true,
+    "Targets ended under the same request; it isn't run for some time.",
+  ),
   OwnerUnreachable: defineCode(
     5001,
     "OwnerUnreachable",
--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -9,6 +9,8 @@
 import { PeerLinks } from "../peers/peer_links.ts";
 import type { GatewaySettings, ObjectKind, ObjectStore } from "../ports.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
+import { CrashExchange } from "../crashes/crash_exchange.ts";
+import type { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { AccountHandover } from "./account_handover.ts";
 import { AccountHome } from "./account_home.ts";
 import { ShardTableManager } from "./shard_table_manager.ts";
@@ -22,6 +24,7 @@
   readonly metrics: GatewayMetrics;
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
+  readonly blocked: BlockedRequests;
   /** Finds the cache of watched objects that this gateway relays to peers. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
@@ -31,6 +34,7 @@
   readonly group: PeerGroup;
   readonly shards: ShardTableManager;
   readonly turns: TurnAccounts;
+  readonly crashes: CrashExchange;
 }
 
 /** The components, with the links to the other gateways. */
@@ -64,7 +68,7 @@
   links: Pick<PeerLinks, "call" | "callAddress">,
 ): TokenAccounting {
   const { settings, log, metrics, store, getSelf } = options;
-  const { findCache, answerPermitCall } = options;
+  const { findCache, answerPermitCall, blocked } = options;
   const accounts = new TokenAccounts();
   const shared = { directory, links, accounts, log, self: getSelf() };
   const handover = new AccountHandover(shared);
@@ -77,8 +81,15 @@
     acquireFirstAllowance: (programId) =>
       shards.acquireFirstAllowance(programId),
   });
+  const crashes = new CrashExchange({
+    ...shared,
+    blocked,
+    metrics,
+    vmId: shared.self.vmId,
+  });
   const group = new PeerGroup({
     ...shared,
+    crashes,
     home,
     handover,
     shards,
@@ -90,5 +101,5 @@
   });
   const { joined } = group;
   const turns = new TurnAccounts({ ...shared, home, handover, joined });
-  return { group, shards, turns };
+  return { group, shards, turns, crashes };
 }
--- a/packages/gateway/src/accounts/account_simulation_test.ts
+++ b/packages/gateway/src/accounts/account_simulation_test.ts
@@ -1,3 +1,4 @@
+import { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { err, ok, type Result } from "neverthrow";
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import { encodeShardTable, type ShardTable } from "../decisions/shard_table.ts";
@@ -245,6 +246,7 @@
         metrics: new GatewayMetrics(),
         getSelf: () => info,
         findCache: () => undefined,
+        blocked: new BlockedRequests(),
         answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
       },
       directory,
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import { buildShardTable, encodeShardTable } from "../decisions/shard_table.ts";
 import { FakeStore } from "../fake_store_test.ts";
@@ -100,6 +101,7 @@
         metrics: new GatewayMetrics(),
         getSelf: () => info,
         findCache: () => undefined,
+        blocked: new BlockedRequests(),
         answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
       },
       directory,
--- /dev/null
+++ b/packages/gateway/src/crashes/crash_exchange.ts
@@ -0,0 +1,157 @@
+/**
+ * Brings what all gateways saw of the ends of targets together, and tells all
+ * of them which requests aren't sent any more.
+ *
+ * The ends of a service's targets are judged by the two gateways that rank first
+ * for it, each by itself, so that the loss of one changes nothing. A gateway
+ * that reaches neither judges what it saw itself. A gateway at which a blocked
+ * request has completed since objects, and the block is withdrawn.
+ */
+import { EVENTS } from "@camphorlock/codes/events";
+import type { BlockedRequests } from "../decisions/blocked_requests.ts";
+import { CrashJudge } from "../decisions/crash_judge.ts";
+import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
+import { getIncarnation } from "../decisions/target_table.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { GatewayLog } from "../log.ts";
+import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
+import type { PeerLinks } from "../peers/peer_links.ts";
+import type { TargetEnd } from "./crash_observer.ts";
+
+/** Gateways that judge the ends of one service's targets. */
+const JUDGES = 2;
+/** Attempts to tell a gateway; the exchange of lists reaches it later. */
+const SHARE_ATTEMPTS = 3;
+const SHARE_RETRY_MS = 400;
+/** Blocked requests in one response, the newest ones. */
+const MAX_SHARED = 100;
+
+/** Dependencies of the exchange. */
+export interface CrashExchangeDependencies {
+  readonly blocked: BlockedRequests;
+  readonly directory: PeerDirectory;
+  readonly links: Pick<PeerLinks, "call">;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+  readonly vmId: string;
+}
+
+/** One gateway's part in the judgement of requests that crash targets. */
+export class CrashExchange {
+  readonly #dependencies: CrashExchangeDependencies;
+  readonly #judge = new CrashJudge();
+
+  constructor(dependencies: CrashExchangeDependencies) {
+    this.#dependencies = dependencies;
+  }
+
+  /** Number of blocked requests. */
+  get blockedCount(): number {
+    return this.#dependencies.blocked.size;
+  }
+
+  /** Reports the end of a target that ran requests of this gateway. */
+  async report({ target, fingerprints }: TargetEnd): Promise<void> {
+    const { blocked, directory, links, vmId, metrics } = this.#dependencies;
+    const suspects = fingerprints.filter((each) => !blocked.hasCompleted(each));
+    if (suspects.length === 0) return;
+    metrics.add("target_ends");
+    const report: CrashReport = {
+      service: target.service,
+      incarnation: getIncarnation(target),
+      address: `${target.host}:${target.port}`,
+      fingerprints: suspects,
+      ageMs: 0,
+    };
+    const judges = directory.sortHomes(`crashes|${target.service}`)
+      .slice(0, JUDGES);
+    const reached = await Promise.all(judges.map(async (judge) => {
+      if (judge.vmId === vmId) {
+        this.recordReport(report);
+        return true;
+      }
+      const message = { kind: "report_crash", report } as const;
+      return await links.call(judge, message) !== undefined;
+    }));
+    if (!reached.includes(true)) this.recordReport(report);
+  }
+
+  /** Records a report as one of its judges. */
+  recordReport(report: CrashReport): void {
+    this.#judge.record(report, performance.now());
+  }
+
+  /** Judges the reports so far and lets in what was blocked for long enough. */
+  runDue(nowMs: number): void {
+    const { blocked } = this.#dependencies;
+    for (const fingerprint of blocked.takeExpired(nowMs)) {
+      this.#log(fingerprint, { change: "let_in" });
+    }
+    const found = this.#judge.settle(nowMs);
+    if (found.length > 0) void this.#publish(found);
+  }
+
+  /**
+   * Applies what another gateway blocks; returns the requests that have
+   * completed here since their first crash.
+   */
+  applyBlocked(notices: readonly BlockedRequest[]): string[] {
+    const { blocked } = this.#dependencies;
+    return notices.flatMap((notice) => {
+      const change = blocked.apply(notice, performance.now());
+      if (change !== "none") {
+        this.#log(notice.fingerprint, { ...notice, change });
+      }
+      return change === "contradicted" ? [notice.fingerprint] : [];
+    });
+  }
+
+  /** Builds the list for a gateway that doesn't know as many. */
+  buildUpdate(
+    knownCount: number,
+  ): { readonly blocked?: readonly BlockedRequest[] } {
+    const { blocked } = this.#dependencies;
+    if (knownCount === blocked.size) return {};
+    return { blocked: blocked.list(performance.now()).slice(-MAX_SHARED) };
+  }
+
+  /** Tells all gateways, and withdraws what one of them objects to. */
+  async #publish(found: readonly BlockedRequest[]): Promise<void> {
+    const { directory } = this.#dependencies;
+    const completed = new Set(this.applyBlocked(found));
+    const answers = await Promise.all(
+      directory.list().map((peer) => this.#sendBlocked(peer, found)),
+    );
+    for (const fingerprint of answers.flat()) completed.add(fingerprint);
+    const withdrawn = found.filter(({ fingerprint }) =>
+      completed.has(fingerprint)
+    );
+    if (withdrawn.length === 0) return;
+    const notices = withdrawn.map((each) => ({ ...each, leftMs: 0 }));
+    for (const { fingerprint } of notices) this.#judge.release(fingerprint);
+    this.applyBlocked(notices);
+    await Promise.all(
+      directory.list().map((peer) => this.#sendBlocked(peer, notices)),
+    );
+  }
+
+  async #sendBlocked(
+    peer: PeerInfo,
+    blocked: readonly BlockedRequest[],
+  ): Promise<readonly string[]> {
+    for (let attempt = 1; attempt <= SHARE_ATTEMPTS; attempt += 1) {
+      const message = { kind: "share_blocked", blocked } as const;
+      const response = await this.#dependencies.links.call(peer, message);
+      if (response !== undefined) return response.completed ?? [];
+      await new Promise((resolve) => setTimeout(resolve, SHARE_RETRY_MS));
+    }
+    return [];
+  }
+
+  #log(fingerprint: string, fields: object): void {
+    this.#dependencies.log.write(EVENTS.RequestBlocked, {
+      fingerprint,
+      ...fields,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/decisions/blocked_requests.ts
@@ -0,0 +1,92 @@
+/**
+ * The requests that aren't sent to any target, since they crash them, and those
+ * that completed lately, which can't be among them.
+ *
+ * Both are bounded: what is blocked the longest and what completed the longest
+ * ago is forgotten first, so that a caller that sends ever other requests takes
+ * no memory and costs the others nothing.
+ */
+import { BoundedMap } from "../model/bounded_map.ts";
+import type { BlockedRequest } from "../model/crash_report.ts";
+
+const MAX_BLOCKED = 1_000;
+/** A minute of requests of a busy gateway. */
+const MAX_COMPLETED = 4_096;
+
+/** A blocked request, and until when it's blocked. */
+export interface Block extends Pick<BlockedRequest, "service" | "crashes"> {
+  readonly untilMs: number;
+  readonly firstCrashAtMs: number;
+}
+
+/** How a notice changed what is blocked. */
+export type BlockChange = "none" | "blocked" | "let_in" | "contradicted";
+
+/** The requests that are blocked at one gateway. */
+export class BlockedRequests {
+  readonly #blocks = new BoundedMap<string, Block>(MAX_BLOCKED);
+  readonly #completedAtMs = new BoundedMap<string, number>(MAX_COMPLETED);
+
+  /** Finds the block of a request; undefined if it may be sent. */
+  find(fingerprint: string, nowMs: number): Block | undefined {
+    const block = this.#blocks.get(fingerprint);
+    return block !== undefined && block.untilMs > nowMs ? block : undefined;
+  }
+
+  /** Applies a notice, unless the request has completed here since. */
+  apply(notice: BlockedRequest, nowMs: number): BlockChange {
+    const { fingerprint, service, crashes, leftMs } = notice;
+    const known = this.find(fingerprint, nowMs);
+    if (leftMs <= 0) {
+      this.#blocks.remove(fingerprint);
+      return known === undefined ? "none" : "let_in";
+    }
+    const firstCrashAtMs = nowMs - notice.firstCrashAgeMs;
+    const completedAtMs = this.#completedAtMs.get(fingerprint);
+    if (completedAtMs !== undefined && completedAtMs > firstCrashAtMs) {
+      return "contradicted";
+    }
+    const untilMs = Math.max(nowMs + leftMs, known?.untilMs ?? 0);
+    this.#blocks.set(fingerprint, {
+      service,
+      crashes,
+      untilMs,
+      firstCrashAtMs,
+    });
+    return known === undefined ? "blocked" : "none";
+  }
+
+  /** Records that a target completed a request. */
+  recordCompleted(fingerprint: string, nowMs: number): void {
+    this.#completedAtMs.set(fingerprint, nowMs);
+  }
+
+  /** Number of entries, to find out whether two gateways know the same. */
+  get size(): number {
+    return this.#blocks.size;
+  }
+
+  hasCompleted(fingerprint: string): boolean {
+    return this.#completedAtMs.has(fingerprint);
+  }
+
+  /** Lists what is blocked, for a gateway that doesn't know. */
+  list(nowMs: number): BlockedRequest[] {
+    return this.#blocks.list().flatMap(([fingerprint, block]) => {
+      if (block.untilMs <= nowMs) return [];
+      const { service, crashes, untilMs, firstCrashAtMs } = block;
+      const leftMs = untilMs - nowMs;
+      const firstCrashAgeMs = nowMs - firstCrashAtMs;
+      return [{ fingerprint, service, crashes, leftMs, firstCrashAgeMs }];
+    });
+  }
+
+  /** Removes and returns the requests that are let in again. */
+  takeExpired(nowMs: number): string[] {
+    const expired = this.#blocks.list()
+      .filter(([, { untilMs }]) => untilMs <= nowMs)
+      .map(([fingerprint]) => fingerprint);
+    for (const fingerprint of expired) this.#blocks.remove(fingerprint);
+    return expired;
+  }
+}
--- a/packages/gateway/src/decisions/choose_target_test.ts
+++ b/packages/gateway/src/decisions/choose_target_test.ts
@@ -72,7 +72,6 @@
     const startMs = Math.max(nowMs, slots[0] ?? 0);
     slots[0] = startMs + SERVICE_TIME_MS;
     totalWaitMs += startMs - nowMs;
-    chosen.running += 1;
     chosen.prefixes.record(prompt);
     chosen.recordAttempt(`r-${index}`, nowMs);
     const firstEventAtMs = startMs + FIRST_EVENT_MS;
--- /dev/null
+++ b/packages/gateway/src/decisions/crash_judge_test.ts
@@ -0,0 +1,167 @@
+import { expect } from "chai";
+import { BlockedRequests } from "./blocked_requests.ts";
+import { CrashJudge, FIRST_BLOCK_MS } from "./crash_judge.ts";
+import { createRandom, simulateCrashes } from "./crash_simulation_test.ts";
+
+const COLLECT_MS = 150;
+/** Sends of one request after its third crash and the bound for contact. */
+const MAX_LATE_SENDS = 3;
+/** What the users accept as wrongly ended requests. */
+const MAX_REFUSED_INNOCENTS = 1 / 500;
+
+describe("the judge of requests that crash targets", () => {
+  let judge: CrashJudge;
+  let nowMs: number;
+  let ends: number;
+
+  beforeEach(() => {
+    judge = new CrashJudge();
+    nowMs = 0;
+    ends = 0;
+  });
+
+  /** Reports the end of a target and returns what is blocked for it. */
+  function crash(fingerprints: string[], address?: string): string[] {
+    ends += 1;
+    judge.record({
+      service: "s",
+      incarnation: `i${ends}`,
+      address: address ?? `a${ends}`,
+      fingerprints,
+      ageMs: 0,
+    }, nowMs);
+    nowMs += COLLECT_MS;
+    return judge.settle(nowMs).map(({ fingerprint }) => fingerprint);
+  }
+
+  it("blocks what ran alone at the ends of two targets", () => {
+    expect(crash(["deadly"])).to.deep.equal([]);
+    expect(crash(["deadly"])).to.deep.equal(["deadly"]);
+  });
+
+  it("blocks none of two that were only seen together, until one goes on", () => {
+    expect(crash(["deadly", "innocent"])).to.deep.equal([]);
+    expect(crash(["deadly", "innocent"])).to.deep.equal([]);
+    expect(crash(["deadly"])).to.deep.equal(["deadly"]);
+    expect(crash(["innocent"])).to.deep.equal([]);
+  });
+
+  it("holds the ends that a blocked request explains against nobody else", () => {
+    crash(["deadly", "innocent"]);
+    expect(crash(["deadly"])).to.deep.equal(["deadly"]);
+    expect(crash(["deadly", "innocent"])).to.deep.equal([]);
+    expect(crash(["innocent"])).to.deep.equal([]);
+  });
+
+  it("doesn't blame requests for one VM that keeps ending", () => {
+    for (let round = 0; round < 10; round += 1) {
+      expect(crash(["steady"], "same VM")).to.deep.equal([]);
+    }
+  });
+
+  it("doesn't blame requests for the end of a whole failure domain", () => {
+    for (let each = 0; each < 20; each += 1) {
+      expect(crash([`r${each}`, `s${each}`])).to.deep.equal([]);
+    }
+  });
+
+  it("blocks for longer when it's let in and does it again", () => {
+    crash(["deadly"]);
+    crash(["deadly"]);
+    expect(crash(["deadly"]), "sent before it was blocked").to.deep.equal([]);
+    nowMs += FIRST_BLOCK_MS;
+    ends += 1;
+    judge.record({
+      service: "s",
+      incarnation: `i${ends}`,
+      address: "b",
+      fingerprints: ["deadly", "innocent"],
+      ageMs: 0,
+    }, nowMs);
+    nowMs += COLLECT_MS;
+    const [again] = judge.settle(nowMs);
+    expect(again?.fingerprint).to.equal("deadly");
+    expect(again?.leftMs).to.equal(2 * FIRST_BLOCK_MS);
+  });
+
+  it("starts anew with a request that has completed", () => {
+    crash(["doubted"]);
+    crash(["doubted"]);
+    judge.release("doubted");
+    expect(crash(["doubted"])).to.deep.equal([]);
+  });
+
+  it("counts the reports of several gateways as one end", () => {
+    const report = { service: "s", incarnation: "i", address: "a", ageMs: 0 };
+    judge.record({ ...report, fingerprints: ["f1"] }, nowMs);
+    judge.record({ ...report, fingerprints: ["f1", "f2"] }, nowMs + 20);
+    judge.record({ ...report, fingerprints: ["f3"] }, nowMs + 40);
+    nowMs += COLLECT_MS;
+    expect(judge.settle(nowMs)).to.deep.equal([]);
+  });
+});
+
+describe("the blocked requests of a gateway", () => {
+  const notice = {
+    fingerprint: "f1",
+    service: "s",
+    crashes: 2,
+    leftMs: 1_000,
+    firstCrashAgeMs: 500,
+  };
+
+  it("are let in again after their time or at once", () => {
+    const blocked = new BlockedRequests();
+    expect(blocked.apply(notice, 0)).to.equal("blocked");
+    expect(blocked.apply(notice, 10)).to.equal("none");
+    expect(blocked.find("f1", 500)?.untilMs).to.equal(1_010);
+    expect(blocked.find("f1", 1_010)).to.equal(undefined);
+    expect(blocked.takeExpired(1_010)).to.deep.equal(["f1"]);
+    blocked.apply(notice, 2_000);
+    expect(blocked.apply({ ...notice, leftMs: 0 }, 2_001)).to.equal("let_in");
+    expect(blocked.find("f1", 2_002)).to.equal(undefined);
+  });
+
+  it("don't include what has completed since the first end", () => {
+    const blocked = new BlockedRequests();
+    blocked.recordCompleted("f1", 9_600);
+    expect(blocked.apply(notice, 10_000)).to.equal("contradicted");
+    blocked.recordCompleted("f1", 20_000);
+    expect(blocked.apply(notice, 30_000)).to.equal("blocked");
+  });
+
+  it("stay bounded when a caller sends ever other requests", () => {
+    const blocked = new BlockedRequests();
+    for (let each = 0; each < 20_000; each += 1) {
+      blocked.recordCompleted(`c${each}`, each);
+      blocked.apply({ ...notice, fingerprint: `f${each}`, leftMs: 1e6 }, each);
+    }
+    expect(blocked.size).to.equal(1_000);
+    expect(blocked.find("f19999", 20_000)).to.not.equal(undefined);
+    expect(blocked.hasCompleted("c19999")).to.equal(true);
+    expect(blocked.hasCompleted("c0")).to.equal(false);
+  });
+});
+
+describe("many gateways with a few requests that crash targets", () => {
+  for (const [gateways, targets] of [[8, 6], [60, 31], [430, 600]] as const) {
+    it(`stop them and spare the innocent: ${gateways} gateways`, () => {
+      let refusedInnocents = 0;
+      for (let seed = 1; seed <= 10; seed += 1) {
+        const seen = simulateCrashes({
+          random: createRandom(seed),
+          gateways,
+          targets,
+          deadly: 4,
+          ownEndsPerSecond: 0.5,
+          durationMs: 30_000,
+        });
+        expect(seen.mostLateSends, `seed ${seed}`).to.be.at.most(
+          MAX_LATE_SENDS,
+        );
+        refusedInnocents += seen.refusedInnocents / seen.innocents;
+      }
+      expect(refusedInnocents / 10).to.be.below(MAX_REFUSED_INNOCENTS);
+    });
+  }
+});
--- /dev/null
+++ b/packages/gateway/src/decisions/crash_simulation_test.ts
@@ -0,0 +1,204 @@
+/**
+ * Simulates many gateways and targets in virtual time, with a few requests that
+ * crash what runs them and targets that end by themselves.
+ */
+import { BlockedRequests } from "./blocked_requests.ts";
+import { CrashJudge } from "./crash_judge.ts";
+
+const STEP_MS = 10;
+const RUN_MS = 250;
+const CRASH_AFTER_MS = 90;
+const RESTART_MS = 3_000;
+const JUDGE_INTERVAL_MS = 50;
+const CONTACT_MS = 3_000;
+/** Time until a report arrives, and until all know what is blocked. */
+const MESSAGE_MS = 30;
+const MAX_CRASHES_PER_ATTEMPT = 2;
+const SLOTS = 8;
+/** Share of the slots that innocent requests fill. */
+const LOAD = 0.3;
+const DEADLY_INTERVAL_MS = 500;
+const RETURN_MS = 200;
+
+/** What to simulate. */
+export interface CrashSimulation {
+  readonly random: () => number;
+  readonly gateways: number;
+  readonly targets: number;
+  /** Number of requests that crash what runs them. */
+  readonly deadly: number;
+  readonly ownEndsPerSecond: number;
+  readonly durationMs: number;
+}
+
+/** What was seen. */
+export interface CrashSimulationResult {
+  /** Sends of one request later than the bound after its third crash. */
+  readonly mostLateSends: number;
+  readonly innocents: number;
+  readonly refusedInnocents: number;
+}
+
+interface SimulatedRun {
+  readonly fingerprint: string;
+  readonly gateway: number;
+  readonly endAtMs: number;
+  readonly crashes: number;
+}
+
+interface SimulatedTarget {
+  incarnation: number;
+  upAtMs: number;
+  runs: SimulatedRun[];
+}
+
+/** Creates random numbers from 0 to 1 from a seed. */
+export function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 1_664_525 + 1_013_904_223) % 4_294_967_296;
+    return state / 4_294_967_296;
+  };
+}
+
+/** Runs a simulation. */
+export function simulateCrashes(
+  options: CrashSimulation,
+): CrashSimulationResult {
+  return new Simulation(options).run();
+}
+
+class Simulation {
+  readonly #options: CrashSimulation;
+  readonly #targets: SimulatedTarget[];
+  readonly #judge = new CrashJudge();
+  /** All gateways learn what is blocked at the same time. */
+  readonly #blocked = new BlockedRequests();
+  #pending: { readonly atMs: number; readonly act: () => void }[] = [];
+  readonly #crashesAtMs = new Map<string, number[]>();
+  readonly #lateSends = new Map<string, number>();
+  readonly #refused = new Set<string>();
+  #innocents = 0;
+  #nowMs = 0;
+
+  constructor(options: CrashSimulation) {
+    this.#options = options;
+    this.#targets = Array.from(
+      { length: options.targets },
+      () => ({ incarnation: 1, upAtMs: 0, runs: [] }),
+    );
+  }
+
+  run(): CrashSimulationResult {
+    const { durationMs, deadly, targets, ownEndsPerSecond } = this.#options;
+    const { random } = this.#options;
+    const arrivals = LOAD * SLOTS * targets * STEP_MS / RUN_MS;
+    for (; this.#nowMs < durationMs; this.#nowMs += STEP_MS) {
+      const due = this.#pending.filter(({ atMs }) => atMs <= this.#nowMs);
+      this.#pending = this.#pending.filter(({ atMs }) => atMs > this.#nowMs);
+      for (const { act } of due) act();
+      for (let each = random(); each < arrivals; each += 1) {
+        this.#innocents += 1;
+        this.#send(`innocent-${this.#innocents}`, 0);
+      }
+      for (let each = 0; each < deadly; each += 1) {
+        const isDue = random() < STEP_MS / DEADLY_INTERVAL_MS;
+        if (isDue) this.#send(`deadly-${each}`, 0);
+      }
+      if (random() < ownEndsPerSecond * STEP_MS / 1_000) {
+        this.#end(Math.floor(random() * targets));
+      }
+      this.#targets.forEach((target, index) => this.#runTarget(target, index));
+      if (this.#nowMs % JUDGE_INTERVAL_MS === 0) this.#publish();
+    }
+    return {
+      mostLateSends: Math.max(0, ...this.#lateSends.values()),
+      innocents: this.#innocents,
+      refusedInnocents: this.#refused.size,
+    };
+  }
+
+  #publish(): void {
+    for (const notice of this.#judge.settle(this.#nowMs)) {
+      this.#schedule(MESSAGE_MS, () => {
+        this.#blocked.apply(notice, this.#nowMs);
+      });
+    }
+  }
+
+  #schedule(delayMs: number, act: () => void): void {
+    this.#pending.push({ atMs: this.#nowMs + delayMs, act });
+  }
+
+  #send(fingerprint: string, crashes: number): void {
+    const { random, gateways } = this.#options;
+    if (this.#blocked.find(fingerprint, this.#nowMs) !== undefined) {
+      if (isInnocent(fingerprint)) this.#refused.add(fingerprint);
+      return;
+    }
+    const up = this.#targets.filter(({ upAtMs }) => upAtMs <= this.#nowMs);
+    const [first, second] = [random(), random()]
+      .map((value) => up[Math.floor(value * up.length)]);
+    if (first === undefined || second === undefined) return;
+    // A request that has met an end is sent where the least runs.
+    const target = (crashes > 0 ? up : [first, second])
+      .reduce((a, b) => a.runs.length <= b.runs.length ? a : b);
+    const thirdAtMs = this.#crashesAtMs.get(fingerprint)?.[2];
+    if (thirdAtMs !== undefined && this.#nowMs > thirdAtMs + CONTACT_MS) {
+      const late = this.#lateSends.get(fingerprint) ?? 0;
+      this.#lateSends.set(fingerprint, late + 1);
+    }
+    const runMs = isInnocent(fingerprint) ? RUN_MS : CRASH_AFTER_MS;
+    target.runs.push({
+      fingerprint,
+      gateway: Math.floor(random() * gateways),
+      endAtMs: this.#nowMs + runMs,
+      crashes,
+    });
+  }
+
+  #runTarget(target: SimulatedTarget, index: number): void {
+    const done = target.runs.filter(({ endAtMs }) => endAtMs <= this.#nowMs);
+    const culprit = done.find(({ fingerprint }) => !isInnocent(fingerprint));
+    if (culprit !== undefined) {
+      const atMs = this.#crashesAtMs.get(culprit.fingerprint) ?? [];
+      this.#crashesAtMs.set(culprit.fingerprint, [...atMs, this.#nowMs]);
+      return this.#end(index);
+    }
+    target.runs = target.runs.filter(({ endAtMs }) => endAtMs > this.#nowMs);
+  }
+
+  /** Ends a target: its gateways report, and send what ran there again. */
+  #end(index: number): void {
+    const target = this.#targets[index];
+    if (target === undefined || target.upAtMs > this.#nowMs) return;
+    const { runs, incarnation } = target;
+    target.runs = [];
+    target.incarnation += 1;
+    target.upAtMs = this.#nowMs + RESTART_MS;
+    for (const gateway of new Set(runs.map((run) => run.gateway))) {
+      const fingerprints = runs.filter((run) => run.gateway === gateway)
+        .map(({ fingerprint }) => fingerprint);
+      const delayMs = this.#options.random() * MESSAGE_MS;
+      this.#schedule(delayMs, () =>
+        this.#judge.record({
+          service: "s",
+          incarnation: `${index}-${incarnation}`,
+          address: `${index}`,
+          fingerprints,
+          ageMs: delayMs,
+        }, this.#nowMs));
+    }
+    for (const { fingerprint, crashes } of runs) {
+      const isGivenUp = crashes + 1 >= MAX_CRASHES_PER_ATTEMPT;
+      this.#schedule(
+        isGivenUp ? RETURN_MS : STEP_MS,
+        () => this.#send(fingerprint, isGivenUp ? 0 : crashes + 1),
+      );
+    }
+  }
+}
+
+function isInnocent(fingerprint: string): boolean {
+  return fingerprint.startsWith("innocent");
+}
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -173,6 +173,7 @@
     maxTargets: 1,
     sends: 1,
     liveRunners: 0,
+    crashes: 0,
     mayHaveRun: false,
     leftMs: 500,
   };
--- a/packages/gateway/src/decisions/next_step.ts
+++ b/packages/gateway/src/decisions/next_step.ts
@@ -16,7 +16,9 @@
   /** No byte of the request was written. */
   | { readonly kind: "unreachable"; readonly detail: string }
   /** The request may have run; its response is incomplete. */
-  | { readonly kind: "broken"; readonly detail: string };
+  | { readonly kind: "broken"; readonly detail: string }
+  /** The same, and the target's process has ended. */
+  | { readonly kind: "crashed"; readonly detail: string };
 
 /** The history of a request when an attempt has failed. */
 export interface AttemptHistory {
@@ -26,6 +28,8 @@
   readonly sends: number;
   /** Number of targets that may have run the request and still accept work. */
   readonly liveRunners: number;
+  /** Number of targets that have ended while they ran the request. */
+  readonly crashes: number;
   /** Whether any attempt may have run. */
   readonly mayHaveRun: boolean;
   /** Time left until the request's final response is due. */
@@ -42,6 +46,11 @@
 
 /** Maximum attempts of one request; more hardly help a caller in time. */
 const MAX_ATTEMPTS = 12;
+/**
+ * Targets that may end under one request. Whether it's to blame is known soon
+ * after, and a caller that tries again finds out.
+ */
+const MAX_CRASHES = 2;
 /** Shortest time in which a target can respond. */
 const MIN_REMAINING_MS = 20;
 
@@ -52,13 +61,14 @@
 ): NextStep {
   const { isRepeatable, mayHaveRun } = history;
   const isExhausted = history.leftMs < MIN_REMAINING_MS ||
-    history.sends >= MAX_ATTEMPTS;
+    history.sends >= MAX_ATTEMPTS || history.crashes >= MAX_CRASHES;
   switch (failed.kind) {
     case "not_run":
     case "unreachable":
       if (isExhausted) return { kind: mayHaveRun ? "fail" : "refuse" };
       return planAttempt(history);
     case "broken":
+    case "crashed":
       if (isExhausted || !isRepeatable) return { kind: "fail" };
       return planAttempt(history);
     default:
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -173,6 +173,11 @@
     return home ?? this.#self;
   }
 
+  /** Sorts the gateways that may decide for all on one key, best first. */
+  sortHomes(key: string): PeerInfo[] {
+    return sortByRank(key, this.listAvailable());
+  }
+
   /** Lists all gateways, this one too, that aren't suspected or leaving. */
   listAvailable(): PeerInfo[] {
     const live = [...this.#byVm.values()]
@@ -183,7 +188,7 @@
 
   /** Whether this gateway ranks first among those not suspected or leaving. */
   isTopRanked(key: string): boolean {
-    return sortByRank(key, this.listAvailable())[0]?.vmId === this.#self.vmId;
+    return this.sortHomes(key)[0]?.vmId === this.#self.vmId;
   }
 
   #sortLive(key: string): PeerInfo[] {
--- a/packages/gateway/src/decisions/target_table.ts
+++ b/packages/gateway/src/decisions/target_table.ts
@@ -35,6 +35,8 @@
   target: Target;
   /** Requests of this gateway that run there. */
   running = 0;
+  /** Those of them under which another target has just ended. */
+  suspects = 0;
   consecutiveFailures = 0;
   avoidedUntilMs = 0;
   /** When a lapsed entry expires; infinite while the store lists it. */
@@ -52,10 +54,19 @@
   }
 
   /** Records the start of an attempt at the target. */
-  recordAttempt(requestId: string, nowMs: number): void {
+  recordAttempt(requestId: string, nowMs: number, isSuspect = false): void {
+    this.running += 1;
+    if (isSuspect) this.suspects += 1;
     this.#pendingSinceMs.set(requestId, nowMs);
   }
 
+  /** Records the end of an attempt. */
+  recordAttemptEnd(requestId: string, nowMs: number, isSuspect = false): void {
+    this.running -= 1;
+    if (isSuspect) this.suspects -= 1;
+    this.recordFirstResponse(requestId, nowMs);
+  }
+
   /** Records a request's first response, or that there was none. */
   recordFirstResponse(requestId: string, nowMs: number): void {
     const sinceMs = this.#pendingSinceMs.get(requestId);
--- a/packages/gateway/src/exchange/exchange_dependencies.ts
+++ b/packages/gateway/src/exchange/exchange_dependencies.ts
@@ -1,6 +1,7 @@
 /**
  * Dependencies that the exchanges of one process share.
  */
+import type { BlockedRequests } from "../decisions/blocked_requests.ts";
 import type { CrashObserver } from "../crashes/crash_observer.ts";
 import type { TargetTable } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
@@ -15,6 +16,7 @@
   readonly connections: TargetConnections;
   readonly permits: TargetPermits;
   readonly crashes: CrashObserver;
+  readonly blocked: BlockedRequests;
   readonly codec: RequestCodec;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -32,6 +32,7 @@
     ...placement,
     prompt,
     affinityKey,
+    isSuspect: sends.isSuspect,
     previousTargetId,
     excluded: sends.excluded,
     nowMs,
--- a/packages/gateway/src/exchange/request_attempts.ts
+++ b/packages/gateway/src/exchange/request_attempts.ts
@@ -27,6 +27,8 @@
   /** Targets that rejected the request or were unreachable since the pause. */
   readonly excluded = new Set<string>();
   readonly progress: StreamProgress;
+  /** Number of targets that have ended while they ran the request. */
+  #crashes = 0;
   /** Targets that may have run the request. */
   readonly #possibleRunners = new Set<string>();
 
@@ -40,7 +42,13 @@
 
   /** Whether a target may have run the request. */
   get mayHaveRun(): boolean {
-    return this.#possibleRunners.size > 0 || this.progress.events > 0;
+    return this.#possibleRunners.size > 0 || this.#crashes > 0 ||
+      this.progress.events > 0;
+  }
+
+  /** Whether a target has ended while it ran the request. */
+  get isSuspect(): boolean {
+    return this.#crashes > 0;
   }
 
   isPossibleRunner(targetId: string): boolean {
@@ -83,6 +91,11 @@
         recordFailure(entry, nowMs);
         this.#possibleRunners.add(id);
         break;
+      case "crashed":
+        recordFailure(entry, nowMs);
+        this.excluded.add(id);
+        this.#crashes += 1;
+        break;
     }
   }
 
@@ -96,6 +109,7 @@
       ...limits,
       sends: this.targetIds.length,
       liveRunners: live.length,
+      crashes: this.#crashes,
       mayHaveRun: this.mayHaveRun,
     };
   }
--- a/packages/gateway/src/exchange/request_outcomes.ts
+++ b/packages/gateway/src/exchange/request_outcomes.ts
@@ -2,11 +2,13 @@
  * The outcomes of requests that end without a target's response.
  */
 import { RESULT_CODES } from "@camphorlock/codes/result_codes";
+import type { Block } from "../decisions/blocked_requests.ts";
 import type { TargetTable } from "../decisions/target_table.ts";
 import type { RequestOutcome } from "./request_end.ts";
 
 /** Retry-After for callers while targets are full or missing. */
 const RETRY_AFTER_MS = 150;
+const MS_PER_SECOND = 1_000;
 
 /** Builds the outcome of a request that no target has run. */
 export function buildRefusalOutcome(
@@ -22,6 +24,19 @@
   };
 }
 
+/** Builds the outcome of a request that isn't sent, since it crashes targets. */
+export function buildBlockedOutcome(
+  { crashes, untilMs }: Block,
+  mayHaveRun: boolean,
+): RequestOutcome {
+  const leftMs = Math.ceil(untilMs - performance.now());
+  const detail = `${crashes} targets ended while they ran this request; ` +
+    `it's let in again in ${Math.ceil(leftMs / MS_PER_SECOND)} s`;
+  if (mayHaveRun) return buildFailureOutcome(detail);
+  const code = RESULT_CODES.RequestCrashesTargets;
+  return { kind: "refused", code, detail, retryAfterMs: leftMs };
+}
+
 /** Builds the outcome of a request that a target may have run. */
 export function buildFailureOutcome(detail: string): RequestOutcome {
   return { kind: "failed", code: RESULT_CODES.TargetBroken, detail };
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -36,6 +36,7 @@
 import { startAttempt } from "./start_attempt.ts";
 import type { StreamAttemptResult } from "./stream_attempt.ts";
 import {
+  buildBlockedOutcome,
   buildFailureOutcome,
   buildRefusalOutcome,
   buildTimeoutOutcome,
@@ -104,6 +105,8 @@
     let onlyRunners: boolean | undefined = false;
     for (;;) {
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
+      const blocked = this.#findBlock();
+      if (blocked !== undefined) return blocked;
       const entry = chooseNextTarget(this.#dependencies, {
         ...this.#buildReport(),
         previousTargetId: this.#turn?.previousTargetId,
@@ -144,7 +147,7 @@
   }
 
   async #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
-    const { crashes } = this.#dependencies;
+    const { crashes, blocked } = this.#dependencies;
     const attempt = startAttempt(this.#dependencies, {
       accepted: this.#accepted,
       attempts: this.#attempts,
@@ -155,22 +158,24 @@
       recordEvent: (event) => this.#recordEvent(entry, event),
     });
     this.#running = attempt;
-    entry.running += 1;
+    const { isSuspect } = this.#attempts;
     const { target } = entry;
     const { fields: { requestId }, fingerprint } = this.#accepted;
     crashes.recordStart(target, requestId, fingerprint);
-    entry.recordAttempt(requestId, performance.now());
+    entry.recordAttempt(requestId, performance.now(), isSuspect);
     const stopped = new Promise<FailedAttempt>((resolve) => {
       this.#endWait = () => resolve({ kind: "broken", detail: "stopped" });
     });
     const result = await Promise.race([attempt.result, stopped]);
-    entry.running -= 1;
+    entry.recordAttemptEnd(requestId, performance.now(), isSuspect);
     if (result.kind === "broken" && this.#stopped === undefined) {
-      void crashes.recordBreak(target, requestId);
-    } else crashes.recordEnd(target, requestId);
-    entry.recordFirstResponse(requestId, performance.now());
+      const hasEnded = await crashes.recordBreak(target, requestId);
+      return hasEnded ? { ...result, kind: "crashed" } : result;
+    }
+    crashes.recordEnd(target, requestId);
     if (result.kind === "completed" || result.kind === "answered") {
       recordResponse(entry);
+      blocked.recordCompleted(fingerprint, performance.now());
     }
     return result;
   }
@@ -266,6 +271,14 @@
       : buildRefusalOutcome(targets, this.#service);
   }
 
+  #findBlock(): RequestOutcome | undefined {
+    const { blocked, metrics } = this.#dependencies;
+    const block = blocked.find(this.#accepted.fingerprint, performance.now());
+    if (block === undefined) return undefined;
+    metrics.add("requests_blocked");
+    return buildBlockedOutcome(block, this.#attempts.mayHaveRun);
+  }
+
   #buildReport(): Parameters<typeof endRequest>[1] {
     return {
       accepted: this.#accepted,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   type AccountComponents,
   buildAccountComponents,
 } from "./accounts/account_components.ts";
+import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { CrashObserver } from "./crashes/crash_observer.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
@@ -68,6 +69,7 @@
   readonly #connections = new TargetConnections();
   readonly #permits: TargetPermits;
   readonly #crashes: CrashObserver;
+  readonly #blocked = new BlockedRequests();
   readonly #timers = new TimerService();
   readonly #configuration: WatchedConfiguration;
   readonly #observedTargets: WatchedTargets;
@@ -120,6 +122,7 @@
       log,
       metrics,
       getSelf: () => this.#buildSelf(),
+      blocked: this.#blocked,
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
@@ -135,7 +138,7 @@
     this.#crashes = new CrashObserver({
       log,
       isLeaving: ({ id }) => !this.#targets.isReady(id, performance.now()),
-      onEnd: () => {},
+      onEnd: (end) => void this.#accounts.crashes.report(end),
     });
     this.#objectSource = buildObjectSource({
       settings,
@@ -158,6 +161,7 @@
       connections: this.#connections,
       permits: this.#permits,
       crashes: this.#crashes,
+      blocked: this.#blocked,
       codec: options.requestCodec,
       log,
       metrics,
@@ -200,7 +204,7 @@
       targets: this.#observedTargets,
       watchers: this.#watchers,
       permits: this.#permits,
-      crashes: this.#crashes,
+      observer: this.#crashes,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -21,6 +21,8 @@
   "sends_beyond_target_limit",
   "sends_without_deadline",
   "sends_to_limited_targets",
+  "target_ends",
+  "requests_blocked",
   "permits_denied",
   "turns_admitted",
   "turns_without_allowance",
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -22,26 +22,28 @@
 const PROBE_PEERS_MS = 500;
 /** Interval at which this gateway requests another one's list of peers. */
 const EXCHANGE_PEERS_MS = 2_000;
+const JUDGE_CRASHES_MS = 50;
 const CLEANUP_MS = 10_000;
 
 /** The components with periodic work. */
 export interface TimedComponents
-  extends Pick<AccountComponents, "group" | "shards"> {
+  extends Pick<AccountComponents, "group" | "shards" | "crashes"> {
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly store: CountedStore;
   readonly targets: WatchedTargets;
   readonly watchers: Watchers;
   readonly permits: TargetPermits;
-  readonly crashes: CrashObserver;
+  readonly observer: CrashObserver;
 }
 
 /** Subscribes the periodic work of all components. */
 export function subscribeTimers(
   timers: TimerService,
-  { group, shards, log, metrics, store, targets, watchers, permits, crashes }:
+  { group, shards, crashes, observer, log, metrics, ...components }:
     TimedComponents,
 ): void {
+  const { store, targets, watchers, permits } = components;
   const schedule: readonly [number, (nowMs: number) => void][] = [
     [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
     [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
@@ -52,7 +54,8 @@
     [SHARD_CHECK_INTERVAL_MS, () => void shards.check()],
     [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
-    [CLEANUP_MS, (nowMs) => crashes.removeExpired(nowMs)],
+    [JUDGE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
+    [CLEANUP_MS, (nowMs) => observer.removeExpired(nowMs)],
   ];
   for (const [intervalMs, run] of schedule) timers.subscribe(intervalMs, run);
 }
--- /dev/null
+++ b/packages/gateway/src/model/crash_report.ts
@@ -0,0 +1,27 @@
+/**
+ * What gateways tell each other about requests that crash targets.
+ */
+
+/** The end of one incarnation of a target, as one gateway saw it. */
+export interface CrashReport {
+  readonly service: string;
+  readonly incarnation: string;
+  /** Where the target listened; a VM that keeps failing isn't the requests. */
+  readonly address: string;
+  /** What the gateway had running there. */
+  readonly fingerprints: readonly string[];
+  /** Time since the end. */
+  readonly ageMs: number;
+}
+
+/** A request that isn't sent to any target, since it crashes them. */
+export interface BlockedRequest {
+  readonly fingerprint: string;
+  readonly service: string;
+  /** Targets that ended while they ran it. */
+  readonly crashes: number;
+  /** Time until it's let in again; 0 lets it in now. */
+  readonly leftMs: number;
+  /** Time since the first of those ends. */
+  readonly firstCrashAgeMs: number;
+}
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -20,6 +20,7 @@
   ObjectStore,
   StoredObject,
 } from "../ports.ts";
+import type { CrashExchange } from "../crashes/crash_exchange.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
 import { answerObjectCall } from "../store/object_relay.ts";
 import type { PeerLinks } from "./peer_links.ts";
@@ -54,6 +55,8 @@
     call: PermitCall,
     gatewayId: string,
   ) => Promise<PermitDecision>;
+  /** The requests that crash targets, as the gateways judge them. */
+  readonly crashes: CrashExchange;
   /** Finds the cache of a watched kind, which other gateways watch here. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
@@ -135,8 +138,8 @@
   async handleMessage(
     { from: sender, message }: PeerEnvelope,
   ): Promise<PeerResponse> {
-    const { accounts, home, handover, directory, shards, answerPermitCall } =
-      this.#dependencies;
+    const { accounts, home, handover, directory, shards } = this.#dependencies;
+    const { answerPermitCall, crashes } = this.#dependencies;
     const from = this.#dependencies.getSelf();
     const nowMs = performance.now();
     switch (message.kind) {
@@ -148,6 +151,7 @@
             ? {}
             : { peers: directory.list() }),
           ...(shardUpdate === undefined ? {} : { shards: shardUpdate }),
+          ...crashes.buildUpdate(message.blockedRequests),
         };
       }
       case "open_turn":
@@ -171,6 +175,11 @@
       case "share_shards":
         shards.applyUpdate(message.shards);
         return { from };
+      case "report_crash":
+        crashes.recordReport(message.report);
+        return { from };
+      case "share_blocked":
+        return { from, completed: crashes.applyBlocked(message.blocked) };
       case "take_permit": {
         const permit = await answerPermitCall(message, sender.vmId);
         return { from, permit };
@@ -254,11 +263,12 @@
   }
 
   #buildHello(): PeerMessage {
-    const { directory, shards } = this.#dependencies;
+    const { directory, shards, crashes } = this.#dependencies;
     return {
       kind: "hello",
       known: directory.size,
       shardsRevision: shards.revision,
+      blockedRequests: crashes.blockedCount,
     };
   }
 
@@ -266,6 +276,7 @@
     if (response?.shards !== undefined) {
       this.#dependencies.shards.applyUpdate(response.shards);
     }
+    this.#dependencies.crashes.applyBlocked(response?.blocked ?? []);
     await this.#addPeers(response?.peers?.filter(isPeerInfo) ?? []);
   }
 
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -9,6 +9,7 @@
   TurnResponse,
 } from "../model/token_account.ts";
 import type { EncodedShardTable } from "../decisions/shard_table.ts";
+import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { ObservedLimit } from "../limits/permit_home.ts";
@@ -23,6 +24,8 @@
     readonly known: number;
     /** Revision of the sender's shard table; 0 for none. */
     readonly shardsRevision: number;
+    /** Number of requests that the sender knows to be blocked. */
+    readonly blockedRequests: number;
   }
   /** Requests a turn's tokens from the home gateway of its program. */
   | { readonly kind: "open_turn"; readonly turn: TurnRequest }
@@ -55,6 +58,13 @@
     /** Older state is useless to the sender, so the peer responds at once. */
     readonly maxAgeMs: number;
   }
+  /** Reports the end of a target to a gateway that judges it. */
+  | { readonly kind: "report_crash"; readonly report: CrashReport }
+  /** Tells which requests aren't sent to targets. */
+  | {
+    readonly kind: "share_blocked";
+    readonly blocked: readonly BlockedRequest[];
+  }
   /** Requests a permit for one request to a target that names a limit. */
   | {
     readonly kind: "take_permit";
@@ -108,6 +118,9 @@
   /** Whether the requested changes are no longer retained. */
   readonly isHistoryGone?: boolean;
   readonly permit?: PermitDecision;
+  readonly blocked?: readonly BlockedRequest[];
+  /** Blocked requests that have completed at the responding gateway. */
+  readonly completed?: readonly string[];
   /** Age of the responding gateway's cached objects. */
   readonly ageMs?: number;
   /**
@@ -134,6 +147,8 @@
   "list_objects",
   "watch_objects",
   "take_permit",
+  "report_crash",
+  "share_blocked",
 ];
 
 /** Checks a message. All gateways of an installation run one version. */
