Judge requests that crash targets sooner, and what they are about

Evidence of half a target is enough at two ends, reports are collected for 60 instead of 120 ms, a request that's blocked while it runs is cancelled unless it has had events or mustn't be repeated, and once a second request about a resource meets an end after one was blocked, the resource is, if no gateway has seen a request about it complete since.

--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -25,6 +25,8 @@
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
   readonly blocked: BlockedRequests;
+  /** Called when a request isn't sent to targets any more. */
+  readonly onBlocked: () => void;
   /** Finds the cache of watched objects that this gateway relays to peers. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
@@ -68,7 +70,7 @@
   links: Pick<PeerLinks, "call" | "callAddress">,
 ): TokenAccounting {
   const { settings, log, metrics, store, getSelf } = options;
-  const { findCache, answerPermitCall, blocked } = options;
+  const { findCache, answerPermitCall, blocked, onBlocked } = options;
   const accounts = new TokenAccounts();
   const shared = { directory, links, accounts, log, self: getSelf() };
   const handover = new AccountHandover(shared);
@@ -84,6 +86,7 @@
   const crashes = new CrashExchange({
     ...shared,
     blocked,
+    onBlocked,
     metrics,
     vmId: shared.self.vmId,
   });
--- a/packages/gateway/src/accounts/account_simulation_test.ts
+++ b/packages/gateway/src/accounts/account_simulation_test.ts
@@ -247,6 +247,7 @@
         getSelf: () => info,
         findCache: () => undefined,
         blocked: new BlockedRequests(),
+        onBlocked: () => {},
         answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
       },
       directory,
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -102,6 +102,7 @@
         getSelf: () => info,
         findCache: () => undefined,
         blocked: new BlockedRequests(),
+        onBlocked: () => {},
         answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
       },
       directory,
--- a/packages/gateway/src/crashes/crash_exchange.ts
+++ b/packages/gateway/src/crashes/crash_exchange.ts
@@ -34,6 +34,8 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly vmId: string;
+  /** Called when a request isn't sent to targets any more. */
+  readonly onBlocked: () => void;
 }
 
 /** One gateway's part in the judgement of requests that crash targets. */
@@ -51,16 +53,18 @@
   }
 
   /** Reports the end of a target that ran requests of this gateway. */
-  async report({ target, fingerprints }: TargetEnd): Promise<void> {
+  async report({ target, suspects: running }: TargetEnd): Promise<void> {
     const { blocked, directory, links, vmId, metrics } = this.#dependencies;
-    const suspects = fingerprints.filter((each) => !blocked.hasCompleted(each));
+    const suspects = running.filter(({ request }) =>
+      !blocked.hasCompleted(request)
+    );
     if (suspects.length === 0) return;
     metrics.add("target_ends");
     const report: CrashReport = {
       service: target.service,
       incarnation: getIncarnation(target),
       address: `${target.host}:${target.port}`,
-      fingerprints: suspects,
+      suspects,
       ageMs: 0,
     };
     const judges = directory.sortHomes(`crashes|${target.service}`)
@@ -87,21 +91,27 @@
     for (const fingerprint of blocked.takeExpired(nowMs)) {
       this.#log(fingerprint, { change: "let_in" });
     }
-    const found = this.#judge.settle(nowMs);
-    if (found.length > 0) void this.#publish(found);
+    const { requests, resources } = this.#judge.settle(nowMs);
+    if (requests.length > 0) void this.#publish(requests);
+    if (resources.length > 0) void this.#publishAgreed(resources);
   }
 
   /**
    * Applies what another gateway blocks; returns the requests that have
    * completed here since their first crash.
    */
-  applyBlocked(notices: readonly BlockedRequest[]): string[] {
-    const { blocked } = this.#dependencies;
+  applyBlocked(
+    notices: readonly BlockedRequest[],
+    isProposed = false,
+  ): readonly string[] {
+    const { blocked, onBlocked } = this.#dependencies;
+    if (isProposed) return blocked.listCompleted(notices, performance.now());
     return notices.flatMap((notice) => {
       const change = blocked.apply(notice, performance.now());
       if (change !== "none") {
         this.#log(notice.fingerprint, { ...notice, change });
       }
+      if (change === "blocked") onBlocked();
       return change === "contradicted" ? [notice.fingerprint] : [];
     });
   }
@@ -115,6 +125,24 @@
     return { blocked: blocked.list(performance.now()).slice(-MAX_SHARED) };
   }
 
+  /** Blocks resources, unless a request about one has completed somewhere. */
+  async #publishAgreed(found: readonly BlockedRequest[]): Promise<void> {
+    const { blocked, directory } = this.#dependencies;
+    const nowMs = performance.now();
+    const answers = await Promise.all(
+      directory.list().map((peer) => this.#sendBlocked(peer, found, true)),
+    );
+    const completed = new Set([
+      ...blocked.listCompleted(found, nowMs),
+      ...answers.flat(),
+    ]);
+    for (const fingerprint of completed) this.#judge.release(fingerprint);
+    const agreed = found.filter(({ fingerprint }) =>
+      !completed.has(fingerprint)
+    );
+    if (agreed.length > 0) await this.#publish(agreed);
+  }
+
   /** Tells all gateways, and withdraws what one of them objects to. */
   async #publish(found: readonly BlockedRequest[]): Promise<void> {
     const { directory } = this.#dependencies;
@@ -138,9 +166,10 @@
   async #sendBlocked(
     peer: PeerInfo,
     blocked: readonly BlockedRequest[],
+    isProposed = false,
   ): Promise<readonly string[]> {
     for (let attempt = 1; attempt <= SHARE_ATTEMPTS; attempt += 1) {
-      const message = { kind: "share_blocked", blocked } as const;
+      const message = { kind: "share_blocked", blocked, isProposed } as const;
       const response = await this.#dependencies.links.call(peer, message);
       if (response !== undefined) return response.completed ?? [];
       await new Promise((resolve) => setTimeout(resolve, SHARE_RETRY_MS));
--- a/packages/gateway/src/crashes/crash_observer.ts
+++ b/packages/gateway/src/crashes/crash_observer.ts
@@ -7,6 +7,7 @@
 import { EVENTS } from "@camphorlock/codes/events";
 import { getIncarnation } from "../decisions/target_table.ts";
 import type { GatewayLog } from "../log.ts";
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 import type { Target } from "../model/target.ts";
 import { RunningRequests } from "./running_requests.ts";
 import { TargetProber } from "./target_prober.ts";
@@ -18,7 +19,7 @@
 export interface TargetEnd {
   readonly target: Target;
   /** What ran there, as far as this gateway knows. */
-  readonly fingerprints: readonly string[];
+  readonly suspects: readonly Fingerprint[];
 }
 
 /** Dependencies of the observer. */
@@ -42,7 +43,11 @@
   }
 
   /** Records that a request was sent to a target. */
-  recordStart(target: Target, requestId: string, fingerprint: string): void {
+  recordStart(
+    target: Target,
+    requestId: string,
+    fingerprint: Fingerprint,
+  ): void {
     this.#requests.add(target, requestId, fingerprint);
   }
 
@@ -77,13 +82,13 @@
     if (this.#ended.size > MAX_ENDED && oldest !== undefined) {
       this.#ended.delete(oldest);
     }
-    const fingerprints = this.#requests.listAtEnd(target, performance.now());
+    const suspects = this.#requests.listAtEnd(target, performance.now());
     this.#dependencies.log.write(EVENTS.TargetEnded, {
       target: target.id,
       service: target.service,
       address: `${target.host}:${target.port}`,
-      fingerprints,
+      fingerprints: suspects.map(({ request }) => request),
     });
-    this.#dependencies.onEnd({ target, fingerprints });
+    this.#dependencies.onEnd({ target, suspects });
   }
 }
--- a/packages/gateway/src/crashes/crash_observer_test.ts
+++ b/packages/gateway/src/crashes/crash_observer_test.ts
@@ -2,7 +2,10 @@
 import type { AddressInfo } from "node:net";
 import { expect } from "chai";
 import { GatewayLog } from "../log.ts";
-import { computeFingerprint } from "../model/request_fingerprint.ts";
+import {
+  computeFingerprint,
+  type Fingerprint,
+} from "../model/request_fingerprint.ts";
 import type { Target } from "../model/target.ts";
 import { CrashObserver, type TargetEnd } from "./crash_observer.ts";
 
@@ -21,6 +24,10 @@
   };
 }
 
+function buildFingerprint(request: string): Fingerprint {
+  return { request, resource: "resource" };
+}
+
 function listen(server: Server): Promise<number> {
   return new Promise((resolve) =>
     server.listen(
@@ -49,7 +56,7 @@
   it("is told from a broken connection", async () => {
     const server = createServer();
     const target = buildTarget(await listen(server));
-    observer.recordStart(target, "r1", "f1");
+    observer.recordStart(target, "r1", buildFingerprint("f1"));
     expect(await observer.recordBreak(target, "r1")).to.equal(false);
     expect(ends).to.have.length(0);
     server.close();
@@ -59,18 +66,19 @@
     const server = createServer();
     const target = buildTarget(await listen(server));
     await new Promise((resolve) => server.close(resolve));
-    observer.recordStart(target, "r0", "f0");
+    observer.recordStart(target, "r0", buildFingerprint("f0"));
     observer.recordEnd(target, "r0");
-    observer.recordStart(target, "r1", "f1");
-    observer.recordStart(target, "r2", "f2");
-    observer.recordStart(target, "r3", "f2");
+    observer.recordStart(target, "r1", buildFingerprint("f1"));
+    observer.recordStart(target, "r2", buildFingerprint("f2"));
+    observer.recordStart(target, "r3", buildFingerprint("f2"));
     const results = await Promise.all([
       observer.recordBreak(target, "r1"),
       observer.recordBreak(target, "r2"),
     ]);
     expect(results).to.deep.equal([true, true]);
     expect(ends).to.have.length(1);
-    expect(ends[0]?.fingerprints).to.have.members(["f1", "f2"]);
+    expect(ends[0]?.suspects.map(({ request }) => request))
+      .to.have.members(["f1", "f2"]);
   });
 
   it("is nobody's fault when the target leaves as planned", async () => {
@@ -78,7 +86,7 @@
     const target = buildTarget(await listen(server));
     await new Promise((resolve) => server.close(resolve));
     leaving = true;
-    observer.recordStart(target, "r1", "f1");
+    observer.recordStart(target, "r1", buildFingerprint("f1"));
     expect(await observer.recordBreak(target, "r1")).to.equal(false);
     expect(ends).to.have.length(0);
   });
@@ -93,15 +101,19 @@
   };
 
   it("is the same for each attempt and differs with each part", () => {
-    const fingerprint = computeFingerprint(parts);
+    const { request, resource } = computeFingerprint(parts);
     expect(computeFingerprint({ ...parts, host: "A.example" }))
-      .to.equal(fingerprint);
+      .to.deep.equal({ request, resource });
     const others = [
       { ...parts, method: "GET" },
       { ...parts, host: "b.example" },
       { ...parts, url: "/x/2" },
       { ...parts, body: Buffer.from("bodies") },
-    ].map(computeFingerprint);
-    expect(new Set([fingerprint, ...others]).size).to.equal(5);
+      { ...parts, body: Buffer.from("") },
+    ].map((each) => computeFingerprint(each));
+    const requests = others.map((each) => each.request);
+    expect(new Set([request, resource, ...requests]).size).to.equal(7);
+    const resources = others.map((each) => each.resource);
+    expect(new Set([resource, ...resources]).size).to.equal(4);
   });
 });
--- a/packages/gateway/src/crashes/running_requests.ts
+++ b/packages/gateway/src/crashes/running_requests.ts
@@ -3,6 +3,7 @@
  * those whose connections it has just broken off. When an incarnation has
  * ended, these are the requests that may have ended it.
  */
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 import type { Target } from "../model/target.ts";
 import { getIncarnation } from "../decisions/target_table.ts";
 
@@ -14,8 +15,11 @@
 
 interface RunningAt {
   /** Fingerprints by request. */
-  readonly running: Map<string, string>;
-  readonly broken: { readonly fingerprint: string; readonly atMs: number }[];
+  readonly running: Map<string, Fingerprint>;
+  readonly broken: {
+    readonly fingerprint: Fingerprint;
+    readonly atMs: number;
+  }[];
 }
 
 /** The requests at each incarnation of a target. */
@@ -23,7 +27,7 @@
   readonly #byIncarnation = new Map<string, RunningAt>();
 
   /** Records that a request was sent to a target. */
-  add(target: Target, requestId: string, fingerprint: string): void {
+  add(target: Target, requestId: string, fingerprint: Fingerprint): void {
     const incarnation = getIncarnation(target);
     const at = this.#byIncarnation.get(incarnation) ??
       { running: new Map(), broken: [] };
@@ -48,17 +52,16 @@
     if (isUnused) this.#byIncarnation.delete(incarnation);
   }
 
-  /** Lists what ran at an incarnation when it ended, each fingerprint once. */
-  listAtEnd(target: Target, nowMs: number): string[] {
+  /** Lists what ran at an incarnation when it ended, each request once. */
+  listAtEnd(target: Target, nowMs: number): Fingerprint[] {
     const at = this.#byIncarnation.get(getIncarnation(target));
     if (at === undefined) return [];
     removeOld(at, nowMs);
-    return [
-      ...new Set([
-        ...at.broken.map(({ fingerprint }) => fingerprint),
-        ...at.running.values(),
-      ]),
+    const all = [
+      ...at.broken.map(({ fingerprint }) => fingerprint),
+      ...at.running.values(),
     ];
+    return [...new Map(all.map((each) => [each.request, each])).values()];
   }
 
   /** Forgets what was broken off a while ago. */
--- a/packages/gateway/src/decisions/blocked_requests.ts
+++ b/packages/gateway/src/decisions/blocked_requests.ts
@@ -8,10 +8,11 @@
  */
 import { BoundedMap } from "../model/bounded_map.ts";
 import type { BlockedRequest } from "../model/crash_report.ts";
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 
 const MAX_BLOCKED = 1_000;
 /** A minute of requests of a busy gateway. */
-const MAX_COMPLETED = 4_096;
+const MAX_COMPLETED = 8_192;
 
 /** A blocked request, and until when it's blocked. */
 export interface Block extends Pick<BlockedRequest, "service" | "crashes"> {
@@ -28,24 +29,20 @@
   readonly #completedAtMs = new BoundedMap<string, number>(MAX_COMPLETED);
 
   /** Finds the block of a request; undefined if it may be sent. */
-  find(fingerprint: string, nowMs: number): Block | undefined {
-    const block = this.#blocks.get(fingerprint);
-    return block !== undefined && block.untilMs > nowMs ? block : undefined;
+  find({ request, resource }: Fingerprint, nowMs: number): Block | undefined {
+    return this.#findOne(request, nowMs) ?? this.#findOne(resource, nowMs);
   }
 
   /** Applies a notice, unless the request has completed here since. */
   apply(notice: BlockedRequest, nowMs: number): BlockChange {
     const { fingerprint, service, crashes, leftMs } = notice;
-    const known = this.find(fingerprint, nowMs);
+    const known = this.#findOne(fingerprint, nowMs);
     if (leftMs <= 0) {
       this.#blocks.remove(fingerprint);
       return known === undefined ? "none" : "let_in";
     }
+    if (this.#hasCompletedSince(notice, nowMs)) return "contradicted";
     const firstCrashAtMs = nowMs - notice.firstCrashAgeMs;
-    const completedAtMs = this.#completedAtMs.get(fingerprint);
-    if (completedAtMs !== undefined && completedAtMs > firstCrashAtMs) {
-      return "contradicted";
-    }
     const untilMs = Math.max(nowMs + leftMs, known?.untilMs ?? 0);
     this.#blocks.set(fingerprint, {
       service,
@@ -57,8 +54,18 @@
   }
 
   /** Records that a target completed a request. */
-  recordCompleted(fingerprint: string, nowMs: number): void {
-    this.#completedAtMs.set(fingerprint, nowMs);
+  recordCompleted({ request, resource }: Fingerprint, nowMs: number): void {
+    this.#completedAtMs.set(request, nowMs);
+    this.#completedAtMs.set(resource, nowMs);
+  }
+
+  /** Lists what has completed here since the first crash under it. */
+  listCompleted(
+    notices: readonly BlockedRequest[],
+    nowMs: number,
+  ): readonly string[] {
+    return notices.filter((notice) => this.#hasCompletedSince(notice, nowMs))
+      .map(({ fingerprint }) => fingerprint);
   }
 
   /** Number of entries, to find out whether two gateways know the same. */
@@ -81,6 +88,20 @@
     });
   }
 
+  #findOne(fingerprint: string, nowMs: number): Block | undefined {
+    const block = this.#blocks.get(fingerprint);
+    return block !== undefined && block.untilMs > nowMs ? block : undefined;
+  }
+
+  #hasCompletedSince(
+    { fingerprint, firstCrashAgeMs }: BlockedRequest,
+    nowMs: number,
+  ): boolean {
+    const completedAtMs = this.#completedAtMs.get(fingerprint);
+    return completedAtMs !== undefined &&
+      completedAtMs > nowMs - firstCrashAgeMs;
+  }
+
   /** Removes and returns the requests that are let in again. */
   takeExpired(nowMs: number): string[] {
     const expired = this.#blocks.list()
--- a/packages/gateway/src/decisions/crash_judge.ts
+++ b/packages/gateway/src/decisions/crash_judge.ts
@@ -8,15 +8,18 @@
  *
  * Each end of a target is evidence against everything that ran there, shared
  * equally. A request is blocked once it ran at the ends of targets on two
- * addresses and the evidence amounts to about one whole target, or at three. Of
+ * addresses and the evidence amounts to half a target, or at three ends. Of
  * several candidates only the one that met most ends is blocked, and the ends
- * that a blocked request explains no longer count against the others.
+ * that a blocked request explains no longer count against the others. What is
+ * wrong is often what a request is about: once another one about the same
+ * resource meets an end, the resource is blocked, if none has completed.
  */
 import { BoundedMap } from "../model/bounded_map.ts";
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 
 /** Time in which the reports of all gateways about one end arrive. */
-const COLLECT_MS = 120;
+const COLLECT_MS = 60;
 /** How long evidence counts: far longer than callers repeat a request. */
 const EVIDENCE_MS = 600_000;
 /** How long a request is blocked at first; doubles each further time. */
@@ -26,7 +29,7 @@
 const CERTAIN_CRASHES = 3;
 const LIKELY_CRASHES = 2;
 /** Shares of ends that must add up to block at `LIKELY_CRASHES`. */
-const LIKELY_SHARE = 0.9;
+const LIKELY_SHARE = 0.5;
 /** Ends that are remembered; the oldest are forgotten first. */
 const MAX_CRASHES = 1_000;
 const MAX_BLOCKED = 1_000;
@@ -35,12 +38,25 @@
   readonly service: string;
   readonly address: string;
   readonly atMs: number;
-  readonly fingerprints: Set<string>;
+  /** What ran there, by the request's fingerprint. */
+  readonly suspects: Map<string, Fingerprint>;
   isJudged: boolean;
   /** Whether a blocked request ran there. */
   isExplained: boolean;
 }
 
+/** What is to be blocked. */
+export interface CrashVerdict {
+  readonly requests: readonly BlockedRequest[];
+  /** All requests about these, unless one of them has completed meanwhile. */
+  readonly resources: readonly BlockedRequest[];
+}
+
+interface DeadlyRequest {
+  readonly request: string;
+  readonly firstAtMs: number;
+}
+
 interface PastBlock {
   readonly times: number;
   readonly untilMs: number;
@@ -50,47 +66,54 @@
 export class CrashJudge {
   readonly #byIncarnation = new BoundedMap<string, Crash>(MAX_CRASHES);
   readonly #pastBlocks = new BoundedMap<string, PastBlock>(MAX_BLOCKED);
+  /** The first blocked request about each resource. */
+  readonly #deadlyByResource = new BoundedMap<string, DeadlyRequest>(
+    MAX_BLOCKED,
+  );
 
   /** Records what one gateway saw. */
   record(report: CrashReport, nowMs: number): void {
-    const { incarnation, service, address, fingerprints, ageMs } = report;
+    const { incarnation, service, address, suspects, ageMs } = report;
     const known = this.#byIncarnation.get(incarnation);
     const crash: Crash = known ?? {
       service,
       address,
       atMs: nowMs - ageMs,
-      fingerprints: new Set(),
+      suspects: new Map(),
       isJudged: false,
       isExplained: false,
     };
-    for (const each of fingerprints) crash.fingerprints.add(each);
+    for (const each of suspects) crash.suspects.set(each.request, each);
     if (known === undefined) this.#byIncarnation.set(incarnation, crash);
   }
 
   /** Judges the ends whose reports have arrived; returns what to block. */
-  settle(nowMs: number): BlockedRequest[] {
-    const blocked: BlockedRequest[] = [];
+  settle(nowMs: number): CrashVerdict {
+    const requests: BlockedRequest[] = [];
+    const resources: BlockedRequest[] = [];
     for (const [incarnation, crash] of this.#byIncarnation.list()) {
       const ageMs = nowMs - crash.atMs;
       if (ageMs > EVIDENCE_MS) this.#byIncarnation.remove(incarnation);
       else if (!crash.isJudged && ageMs >= COLLECT_MS) {
         crash.isJudged = true;
-        blocked.push(...this.#settleCrash(crash, nowMs));
+        requests.push(...this.#settleCrash(crash, nowMs));
+        resources.push(...this.#settleResources(crash, nowMs));
       }
     }
-    return blocked;
+    return { requests, resources };
   }
 
   /** Takes back a block, since the request has completed at a target. */
   release(fingerprint: string): void {
     this.#pastBlocks.remove(fingerprint);
-    for (const [, { fingerprints }] of this.#byIncarnation.list()) {
-      fingerprints.delete(fingerprint);
+    this.#deadlyByResource.remove(fingerprint);
+    for (const [, { suspects }] of this.#byIncarnation.list()) {
+      suspects.delete(fingerprint);
     }
   }
 
   #settleCrash(crash: Crash, nowMs: number): BlockedRequest[] {
-    const candidates = [...crash.fingerprints]
+    const candidates = [...crash.suspects.values()]
       .map((fingerprint) => this.#measureEvidence(fingerprint));
     const known = candidates.filter(({ past }) => past !== undefined);
     const culprits = known.length > 0 ? known : chooseCulprits(candidates);
@@ -103,32 +126,58 @@
       .map((each) => this.#buildBlock(each, nowMs));
   }
 
+  /**
+   * Finds the resources about which a second request ran at the end of a
+   * target, after one about it was blocked.
+   */
+  #settleResources(crash: Crash, nowMs: number): BlockedRequest[] {
+    return [...crash.suspects.values()].flatMap(({ request, resource }) => {
+      const first = this.#deadlyByResource.get(resource);
+      const past = this.#pastBlocks.get(resource);
+      if (first === undefined || first.request === request) return [];
+      if (past !== undefined && past.untilMs > nowMs) return [];
+      const untilMs = nowMs + FIRST_BLOCK_MS;
+      this.#pastBlocks.set(resource, { times: 1, untilMs });
+      return [{
+        fingerprint: resource,
+        service: crash.service,
+        crashes: CERTAIN_CRASHES,
+        leftMs: FIRST_BLOCK_MS,
+        firstCrashAgeMs: nowMs - first.firstAtMs,
+      }];
+    });
+  }
+
   /** Adds up the evidence against one request. */
-  #measureEvidence(fingerprint: string): Candidate {
+  #measureEvidence({ request, resource }: Fingerprint): Candidate {
     const all = this.#byIncarnation.list()
       .map(([, crash]) => crash)
-      .filter(({ fingerprints }) => fingerprints.has(fingerprint));
+      .filter(({ suspects }) => suspects.has(request));
     const crashes = all.filter(({ isExplained }) => !isExplained);
     return {
-      fingerprint,
+      request,
+      resource,
       crashes,
       isElsewhere: countAddresses(all) >= LIKELY_CRASHES,
       ends: all.length,
-      share: crashes.reduce((sum, each) => sum + 1 / each.fingerprints.size, 0),
-      past: this.#pastBlocks.get(fingerprint),
+      share: crashes.reduce((sum, each) => sum + 1 / each.suspects.size, 0),
+      past: this.#pastBlocks.get(request),
     };
   }
 
   #buildBlock(
-    { fingerprint, crashes, past }: Candidate,
+    { request, resource, crashes, past }: Candidate,
     nowMs: number,
   ): BlockedRequest {
     const times = (past?.times ?? 0) + 1;
     const leftMs = Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (times - 1));
-    this.#pastBlocks.set(fingerprint, { times, untilMs: nowMs + leftMs });
+    this.#pastBlocks.set(request, { times, untilMs: nowMs + leftMs });
     const firstAtMs = Math.min(...crashes.map(({ atMs }) => atMs));
+    if (!this.#deadlyByResource.has(resource)) {
+      this.#deadlyByResource.set(resource, { request, firstAtMs });
+    }
     return {
-      fingerprint,
+      fingerprint: request,
       service: crashes[0]?.service ?? "",
       crashes: crashes.length,
       leftMs,
@@ -137,8 +186,7 @@
   }
 }
 
-interface Candidate {
-  readonly fingerprint: string;
+interface Candidate extends Fingerprint {
   /** Ends at which it ran and that nothing else explains. */
   readonly crashes: readonly Crash[];
   /** Whether it ran at ends on several addresses. */
--- a/packages/gateway/src/decisions/crash_judge_test.ts
+++ b/packages/gateway/src/decisions/crash_judge_test.ts
@@ -1,9 +1,11 @@
 import { expect } from "chai";
 import { BlockedRequests } from "./blocked_requests.ts";
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 import { CrashJudge, FIRST_BLOCK_MS } from "./crash_judge.ts";
 import { createRandom, simulateCrashes } from "./crash_simulation_test.ts";
 
 const COLLECT_MS = 150;
+const FINGERPRINT: Fingerprint = { request: "f1", resource: "r1" };
 /** Sends of one request after its third crash and the bound for contact. */
 const MAX_LATE_SENDS = 3;
 /** What the users accept as wrongly ended requests. */
@@ -13,6 +15,7 @@
   let judge: CrashJudge;
   let nowMs: number;
   let ends: number;
+  let resources: string[];
 
   beforeEach(() => {
     judge = new CrashJudge();
@@ -21,17 +24,19 @@
   });
 
   /** Reports the end of a target and returns what is blocked for it. */
-  function crash(fingerprints: string[], address?: string): string[] {
+  function crash(requests: string[], address?: string): string[] {
     ends += 1;
     judge.record({
       service: "s",
       incarnation: `i${ends}`,
       address: address ?? `a${ends}`,
-      fingerprints,
+      suspects: requests.map(buildFingerprint),
       ageMs: 0,
     }, nowMs);
     nowMs += COLLECT_MS;
-    return judge.settle(nowMs).map(({ fingerprint }) => fingerprint);
+    const verdict = judge.settle(nowMs);
+    resources = verdict.resources.map(({ fingerprint }) => fingerprint);
+    return verdict.requests.map(({ fingerprint }) => fingerprint);
   }
 
   it("blocks what ran alone at the ends of two targets", () => {
@@ -75,11 +80,11 @@
       service: "s",
       incarnation: `i${ends}`,
       address: "b",
-      fingerprints: ["deadly", "innocent"],
+      suspects: ["deadly", "innocent"].map(buildFingerprint),
       ageMs: 0,
     }, nowMs);
     nowMs += COLLECT_MS;
-    const [again] = judge.settle(nowMs);
+    const [again] = judge.settle(nowMs).requests;
     expect(again?.fingerprint).to.equal("deadly");
     expect(again?.leftMs).to.equal(2 * FIRST_BLOCK_MS);
   });
@@ -91,16 +96,36 @@
     expect(crash(["doubted"])).to.deep.equal([]);
   });
 
+  it("blocks a resource when a second request about it meets an end", () => {
+    crash(["object/1", "other/1"]);
+    expect(crash(["object/1"])).to.deep.equal(["object/1"]);
+    expect(resources).to.deep.equal([]);
+    crash(["other/2", "third/1"]);
+    expect(resources).to.deep.equal([]);
+    crash(["object/2", "other/3"]);
+    expect(resources).to.deep.equal(["about object"]);
+    crash(["object/3"]);
+    expect(resources, "once").to.deep.equal([]);
+  });
+
   it("counts the reports of several gateways as one end", () => {
     const report = { service: "s", incarnation: "i", address: "a", ageMs: 0 };
-    judge.record({ ...report, fingerprints: ["f1"] }, nowMs);
-    judge.record({ ...report, fingerprints: ["f1", "f2"] }, nowMs + 20);
-    judge.record({ ...report, fingerprints: ["f3"] }, nowMs + 40);
+    for (const requests of [["f1"], ["f1", "f2"], ["f3"]]) {
+      const suspects = requests.map(buildFingerprint);
+      judge.record({ ...report, suspects }, nowMs);
+      nowMs += 10;
+    }
     nowMs += COLLECT_MS;
-    expect(judge.settle(nowMs)).to.deep.equal([]);
+    expect(judge.settle(nowMs).requests).to.deep.equal([]);
   });
 });
 
+function buildFingerprint(request: string): Fingerprint {
+  // A request may be named "resource/request".
+  const [resource = ""] = request.split("/");
+  return { request, resource: `about ${resource}` };
+}
+
 describe("the blocked requests of a gateway", () => {
   const notice = {
     fingerprint: "f1",
@@ -114,30 +139,32 @@
     const blocked = new BlockedRequests();
     expect(blocked.apply(notice, 0)).to.equal("blocked");
     expect(blocked.apply(notice, 10)).to.equal("none");
-    expect(blocked.find("f1", 500)?.untilMs).to.equal(1_010);
-    expect(blocked.find("f1", 1_010)).to.equal(undefined);
+    expect(blocked.find(FINGERPRINT, 500)?.untilMs).to.equal(1_010);
+    expect(blocked.find(FINGERPRINT, 1_010)).to.equal(undefined);
     expect(blocked.takeExpired(1_010)).to.deep.equal(["f1"]);
     blocked.apply(notice, 2_000);
     expect(blocked.apply({ ...notice, leftMs: 0 }, 2_001)).to.equal("let_in");
-    expect(blocked.find("f1", 2_002)).to.equal(undefined);
+    expect(blocked.find(FINGERPRINT, 2_002)).to.equal(undefined);
   });
 
   it("don't include what has completed since the first end", () => {
     const blocked = new BlockedRequests();
-    blocked.recordCompleted("f1", 9_600);
+    blocked.recordCompleted(FINGERPRINT, 9_600);
     expect(blocked.apply(notice, 10_000)).to.equal("contradicted");
-    blocked.recordCompleted("f1", 20_000);
+    blocked.recordCompleted(FINGERPRINT, 20_000);
     expect(blocked.apply(notice, 30_000)).to.equal("blocked");
   });
 
   it("stay bounded when a caller sends ever other requests", () => {
     const blocked = new BlockedRequests();
     for (let each = 0; each < 20_000; each += 1) {
-      blocked.recordCompleted(`c${each}`, each);
+      blocked.recordCompleted(buildFingerprint(`c${each}`), each);
       blocked.apply({ ...notice, fingerprint: `f${each}`, leftMs: 1e6 }, each);
     }
     expect(blocked.size).to.equal(1_000);
-    expect(blocked.find("f19999", 20_000)).to.not.equal(undefined);
+    expect(blocked.find(buildFingerprint("f19999"), 20_000)).to.not.equal(
+      undefined,
+    );
     expect(blocked.hasCompleted("c19999")).to.equal(true);
     expect(blocked.hasCompleted("c0")).to.equal(false);
   });
--- a/packages/gateway/src/decisions/crash_simulation_test.ts
+++ b/packages/gateway/src/decisions/crash_simulation_test.ts
@@ -2,6 +2,7 @@
  * Simulates many gateways and targets in virtual time, with a few requests that
  * crash what runs them and targets that end by themselves.
  */
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 import { BlockedRequests } from "./blocked_requests.ts";
 import { CrashJudge } from "./crash_judge.ts";
 
@@ -119,7 +120,7 @@
   }
 
   #publish(): void {
-    for (const notice of this.#judge.settle(this.#nowMs)) {
+    for (const notice of this.#judge.settle(this.#nowMs).requests) {
       this.#schedule(MESSAGE_MS, () => {
         this.#blocked.apply(notice, this.#nowMs);
       });
@@ -132,7 +133,10 @@
 
   #send(fingerprint: string, crashes: number): void {
     const { random, gateways } = this.#options;
-    if (this.#blocked.find(fingerprint, this.#nowMs) !== undefined) {
+    if (
+      this.#blocked.find(buildFingerprint(fingerprint), this.#nowMs) !==
+        undefined
+    ) {
       if (isInnocent(fingerprint)) this.#refused.add(fingerprint);
       return;
     }
@@ -177,15 +181,15 @@
     target.incarnation += 1;
     target.upAtMs = this.#nowMs + RESTART_MS;
     for (const gateway of new Set(runs.map((run) => run.gateway))) {
-      const fingerprints = runs.filter((run) => run.gateway === gateway)
-        .map(({ fingerprint }) => fingerprint);
+      const suspects = runs.filter((run) => run.gateway === gateway)
+        .map(({ fingerprint }) => buildFingerprint(fingerprint));
       const delayMs = this.#options.random() * MESSAGE_MS;
       this.#schedule(delayMs, () =>
         this.#judge.record({
           service: "s",
           incarnation: `${index}-${incarnation}`,
           address: `${index}`,
-          fingerprints,
+          suspects,
           ageMs: delayMs,
         }, this.#nowMs));
     }
@@ -199,6 +203,11 @@
   }
 }
 
+/** Each request is about something else. */
+function buildFingerprint(request: string): Fingerprint {
+  return { request, resource: `about ${request}` };
+}
+
 function isInnocent(fingerprint: string): boolean {
   return fingerprint.startsWith("innocent");
 }
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -9,6 +9,7 @@
 } from "@camphorlock/codes/result_codes";
 import { isDelimited } from "@camphorlock/http/exchange";
 import type { LogFields } from "@camphorlock/types";
+import type { Fingerprint } from "../model/request_fingerprint.ts";
 import type { RequestFields } from "../model/request_fields.ts";
 import type { Route } from "../model/routing.ts";
 import type { TargetResponse } from "./buffered_attempt.ts";
@@ -43,7 +44,7 @@
   readonly route: Route;
   readonly body: Buffer;
   /** Identifies what the request asks for, over all attempts at it. */
-  readonly fingerprint: string;
+  readonly fingerprint: Fingerprint;
   readonly receivedAtMs: number;
   /** Longest time from the arrival until the final response. */
   readonly limitMs: number;
@@ -97,6 +98,9 @@
         status: outcome.status,
       });
     case "refused":
+      if (outcome.code === RESULT_CODES.RequestCrashesTargets) {
+        metrics.add("requests_blocked");
+      }
       caller.sendErrorResponse(outcome);
       metrics.add("requests_refused");
       return logRequest(dependencies, report, {
@@ -132,7 +136,7 @@
   dependencies.log.write(event, {
     request: request.requestId,
     program: request.programId,
-    fingerprint: accepted.fingerprint,
+    fingerprint: accepted.fingerprint.request,
     route: route.name,
     configuration: configurationVersion,
     service,
--- a/packages/gateway/src/exchange/request_outcomes.ts
+++ b/packages/gateway/src/exchange/request_outcomes.ts
@@ -44,7 +44,7 @@
 
 /** Builds the outcome of a request that a target didn't answer in time. */
 export function buildTimeoutOutcome(
-  reason: "timeout" | "process_end" | undefined,
+  reason: "timeout" | "process_end" | "blocked" | undefined,
 ): RequestOutcome {
   return {
     kind: "failed",
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -5,6 +5,7 @@
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import { isDelimited } from "@camphorlock/http/exchange";
+import type { Block } from "../decisions/blocked_requests.ts";
 import { chooseService } from "../decisions/choose_service.ts";
 import {
   readEventData,
@@ -25,6 +26,7 @@
 import type { RunningAttempt, TargetResponse } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
 import { chooseNextTarget } from "./next_target.ts";
+import { RequestClock } from "./request_clock.ts";
 import { RequestAttempts } from "./request_attempts.ts";
 import {
   type AcceptedRequest,
@@ -44,10 +46,7 @@
 
 /** Pause before targets that rejected the request are retried. */
 const RETRY_DELAY_MS = 25;
-/** Share of the request's time limit within which it waits for a target. */
-const MAX_WAIT_SHARE = 0.4;
-
-type StopReason = "timeout" | "disconnected" | "process_end";
+type StopReason = "timeout" | "disconnected" | "process_end" | "blocked";
 
 /** Runs one accepted request to its final response. */
 export class RequestRunner {
@@ -58,7 +57,7 @@
   readonly #service: string;
   readonly #isStream: boolean;
   readonly #isRepeatable: boolean;
-  readonly #deadlineAtMs: number;
+  readonly #clock: RequestClock;
   readonly #attempts: RequestAttempts;
   #running: RunningAttempt<StreamAttemptResult> | undefined;
   #stopped: StopReason | undefined;
@@ -72,25 +71,28 @@
     this.#dependencies = dependencies;
     this.#accepted = accepted;
     this.#grant = grant;
-    const { route, fields, receivedAtMs, limitMs } = accepted;
+    const { route, fields } = accepted;
     this.#service = chooseService(route, fields.programId ?? fields.requestId);
     this.#turn = turn;
     this.#isStream = route.kind === "streaming";
     this.#isRepeatable = route.kind === "idempotent" ||
       (this.#isStream && route.isResumable);
-    this.#deadlineAtMs = receivedAtMs + limitMs;
+    this.#clock = new RequestClock(accepted);
     this.#attempts = new RequestAttempts(fields.resumeAfter);
   }
 
   /** Runs until the final response was sent or the caller disconnected. */
   async run(): Promise<void> {
-    const timer = setTimeout(() => this.#stop("timeout"), this.#countLeftMs());
+    const timer = setTimeout(
+      () => this.#stop("timeout"),
+      this.#clock.countLeftMs(),
+    );
     this.#accepted.caller.onDisconnect(() => this.#stop("disconnected"));
     const outcome = await saveTurn(await this.#runAttempts(), {
       accepted: this.#accepted,
       turn: this.#turn,
       targetId: this.#attempts.targetIds.at(-1) ?? "",
-      deadlineMs: this.#deadlineAtMs,
+      deadlineMs: this.#clock.deadlineAtMs,
     });
     clearTimeout(timer);
     endRequest(this.#dependencies, this.#buildReport(), outcome);
@@ -101,19 +103,27 @@
     this.#stop("process_end");
   }
 
+  /** Ends the request early if it was blocked before it had a response. */
+  stopIfBlocked(): void {
+    if (!this.#isRepeatable || this.#attempts.progress.events > 0) return;
+    if (this.#findBlock() !== undefined) this.#stop("blocked");
+  }
+
   async #runAttempts(): Promise<RequestOutcome> {
     let onlyRunners: boolean | undefined = false;
     for (;;) {
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
-      const blocked = this.#findBlock();
-      if (blocked !== undefined) return blocked;
+      const block = this.#findBlock();
+      if (block !== undefined) {
+        return buildBlockedOutcome(block, this.#attempts.mayHaveRun);
+      }
       const entry = chooseNextTarget(this.#dependencies, {
         ...this.#buildReport(),
         previousTargetId: this.#turn?.previousTargetId,
         onlyRunners,
       });
       if (entry === undefined) {
-        if (!this.#canWait()) return this.#buildRefusal();
+        if (!this.#clock.canWait()) return this.#buildRefusal();
         await this.#waitToRetry();
         this.#attempts.excluded.clear();
         continue;
@@ -152,7 +162,7 @@
       accepted: this.#accepted,
       attempts: this.#attempts,
       entry,
-      leftMs: this.#countLeftMs(),
+      leftMs: this.#clock.countLeftMs(),
       body: this.#turn?.targetBody,
       grant: this.#grant,
       recordEvent: (event) => this.#recordEvent(entry, event),
@@ -189,7 +199,7 @@
     const history = this.#attempts.buildHistory(targets, {
       isRepeatable: this.#isRepeatable,
       maxTargets: this.#accepted.route.maxTargets,
-      leftMs: this.#countLeftMs(),
+      leftMs: this.#clock.countLeftMs(),
     });
     const next = planNextStep(failed, history);
     metrics.add("sends_failed");
@@ -228,16 +238,10 @@
     const { requestId } = this.#accepted.fields;
     entry.recordFirstResponse(requestId, performance.now());
     if (progress.firstEventMs !== undefined) return;
-    progress.firstEventMs = Math.round(this.#countElapsedMs());
+    progress.firstEventMs = Math.round(this.#clock.countElapsedMs());
     this.#dependencies.metrics.record("first_event", progress.firstEventMs);
   }
 
-  #canWait(): boolean {
-    const { receivedAtMs } = this.#accepted;
-    const totalMs = this.#deadlineAtMs - receivedAtMs;
-    return this.#countElapsedMs() < totalMs * MAX_WAIT_SHARE;
-  }
-
   #waitToRetry(): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, RETRY_DELAY_MS);
@@ -260,8 +264,12 @@
 
   #buildStoppedOutcome(): RequestOutcome {
     if (this.#stopped === "disconnected") return { kind: "disconnected" };
-    if (this.#attempts.targetIds.length === 0) return this.#buildRefusal();
-    return buildTimeoutOutcome(this.#stopped);
+    const wasSent = this.#attempts.targetIds.length > 0;
+    const block = this.#findBlock();
+    if (this.#stopped === "blocked" && block !== undefined) {
+      return buildBlockedOutcome(block, wasSent);
+    }
+    return wasSent ? buildTimeoutOutcome(this.#stopped) : this.#buildRefusal();
   }
 
   #buildRefusal(): RequestOutcome {
@@ -271,12 +279,9 @@
       : buildRefusalOutcome(targets, this.#service);
   }
 
-  #findBlock(): RequestOutcome | undefined {
-    const { blocked, metrics } = this.#dependencies;
-    const block = blocked.find(this.#accepted.fingerprint, performance.now());
-    if (block === undefined) return undefined;
-    metrics.add("requests_blocked");
-    return buildBlockedOutcome(block, this.#attempts.mayHaveRun);
+  #findBlock(): Block | undefined {
+    const { blocked } = this.#dependencies;
+    return blocked.find(this.#accepted.fingerprint, performance.now());
   }
 
   #buildReport(): Parameters<typeof endRequest>[1] {
@@ -286,12 +291,4 @@
       service: this.#service,
     };
   }
-
-  #countLeftMs(): number {
-    return Math.max(0, Math.floor(this.#deadlineAtMs - performance.now()));
-  }
-
-  #countElapsedMs(): number {
-    return performance.now() - this.#accepted.receivedAtMs;
-  }
 }
--- a/packages/gateway/src/front/accepted_requests.ts
+++ b/packages/gateway/src/front/accepted_requests.ts
@@ -39,6 +39,11 @@
     for (const runner of this.#runners) runner.stop();
   }
 
+  /** Ends the open requests that have just been blocked. */
+  stopBlocked(): void {
+    for (const runner of this.#runners) runner.stopIfBlocked();
+  }
+
   /** Runs a request to its final response. */
   async run(accepted: AcceptedRequest): Promise<void> {
     const { fields, caller, route, limitMs } = accepted;
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -105,6 +105,11 @@
     this.#accepted.endAll();
   }
 
+  /** Ends the open requests that have just been blocked. */
+  stopBlocked(): void {
+    this.#accepted.stopBlocked();
+  }
+
   /** Closes every connection. */
   close(): void {
     this.#server.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,6 +123,7 @@
       metrics,
       getSelf: () => this.#buildSelf(),
       blocked: this.#blocked,
+      onBlocked: () => this.#callers.stopBlocked(),
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
--- a/packages/gateway/src/model/crash_report.ts
+++ b/packages/gateway/src/model/crash_report.ts
@@ -1,6 +1,7 @@
 /**
  * What gateways tell each other about requests that crash targets.
  */
+import type { Fingerprint } from "./request_fingerprint.ts";
 
 /** The end of one incarnation of a target, as one gateway saw it. */
 export interface CrashReport {
@@ -9,13 +10,14 @@
   /** Where the target listened; a VM that keeps failing isn't the requests. */
   readonly address: string;
   /** What the gateway had running there. */
-  readonly fingerprints: readonly string[];
+  readonly suspects: readonly Fingerprint[];
   /** Time since the end. */
   readonly ageMs: number;
 }
 
-/** A request that isn't sent to any target, since it crashes them. */
+/** A request, or all about one resource, that targets aren't sent any more. */
 export interface BlockedRequest {
+  /** Of the request or of the resource. */
   readonly fingerprint: string;
   readonly service: string;
   /** Targets that ended while they ran it. */
--- a/packages/gateway/src/model/request_fingerprint.ts
+++ b/packages/gateway/src/model/request_fingerprint.ts
@@ -16,14 +16,28 @@
   readonly body: Uint8Array;
 }
 
+/** What identifies a request. */
+export interface Fingerprint {
+  /** Of all parts. */
+  readonly request: string;
+  /** Of all but the body: what the request is about. */
+  readonly resource: string;
+}
+
 /** Computes the fingerprint of a request. */
 export function computeFingerprint(
   { method = "", host = "", url = "", body }: FingerprintParts,
-): string {
-  return createHash("sha256")
-    // No part contains a line break, so that the parts can't be shifted.
-    .update(`${method}\n${host.toLowerCase()}\n${url}\n`)
-    .update(body)
-    .digest("base64url")
-    .slice(0, FINGERPRINT_LENGTH);
+): Fingerprint {
+  // No part contains a line break, so that the parts can't be shifted.
+  const resource = `${method}\n${host.toLowerCase()}\n${url}\n`;
+  return {
+    request: computeDigest([resource, "body\n", body]),
+    resource: computeDigest([resource]),
+  };
+}
+
+function computeDigest(parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash("sha256");
+  for (const part of parts) hash.update(part);
+  return hash.digest("base64url").slice(0, FINGERPRINT_LENGTH);
 }
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -179,7 +179,10 @@
         crashes.recordReport(message.report);
         return { from };
       case "share_blocked":
-        return { from, completed: crashes.applyBlocked(message.blocked) };
+        return {
+          from,
+          completed: crashes.applyBlocked(message.blocked, message.isProposed),
+        };
       case "take_permit": {
         const permit = await answerPermitCall(message, sender.vmId);
         return { from, permit };
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -64,6 +64,8 @@
   | {
     readonly kind: "share_blocked";
     readonly blocked: readonly BlockedRequest[];
+    /** Only asks which of them have completed at the receiver. */
+    readonly isProposed: boolean;
   }
   /** Requests a permit for one request to a target that names a limit. */
   | {
