--- a/packages/gateway/src/crashes/crash_observer_test.ts
+++ b/packages/gateway/src/crashes/crash_observer_test.ts
@@ -19,6 +19,7 @@
     port,
     failureDomain: "a",
     state: "ready",
+    version: "v1",
     slots: 4,
     startedAtMs: 1,
   };
--- a/packages/gateway/src/decisions/choose_target_test.ts
+++ b/packages/gateway/src/decisions/choose_target_test.ts
@@ -37,6 +37,7 @@
       port: 1,
       failureDomain: "a",
       state: "ready",
+      version: "v1",
       slots: SLOTS,
       startedAtMs: 1,
     }));
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -35,6 +35,7 @@
     port: 1,
     failureDomain: "a",
     state: "ready",
+    version: "v1",
     slots: 4,
     startedAtMs: 1,
     ...change,
--- a/packages/gateway/src/exchange/request_attempts.ts
+++ b/packages/gateway/src/exchange/request_attempts.ts
@@ -24,6 +24,8 @@
 export class RequestAttempts {
   /** Ids of the targets, in the order of the attempts. */
   readonly targetIds: string[] = [];
+  /** The software versions of these targets. */
+  readonly versions: (string | undefined)[] = [];
   /** Targets that rejected the request or were unreachable since the pause. */
   readonly excluded = new Set<string>();
   readonly progress: StreamProgress;
@@ -69,6 +71,7 @@
     if (fields.deadlineMs === undefined) metrics.add("sends_without_deadline");
     metrics.add("sends");
     this.targetIds.push(id);
+    this.versions.push(entry.target.version);
     entry.prefixes.record(fields.prompt);
   }
 
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -37,7 +37,8 @@
       prompt: [],
       previousTurnId: headers["previous"] as string | undefined,
       affinityKey: headers["object"] as string | undefined,
-      resumeAfter: 0,
+      resumeAfter: Number(headers["last-event"] ?? 0),
+      resumedRequestId: headers["resumes"] as string | undefined,
     });
   },
   encodeTargetHeaders: (rawHeaders, { targetId, leftMs, resumeAfter }) => [
@@ -132,10 +133,12 @@
   readonly id: string;
   handle: HandleRequest = sendCompleteResponse;
   readonly receivedPaths: string[] = [];
+  readonly version: string;
   readonly #server: Server;
 
-  constructor(id: string) {
+  constructor(id: string, version = "v1") {
     this.id = id;
+    this.version = version;
     this.#server = createServer((request, response) => {
       this.receivedPaths.push(request.url ?? "");
       response.setHeader("id", request.headers["id"] ?? "");
@@ -154,6 +157,7 @@
       port: (this.#server.address() as AddressInfo).port,
       failureDomain: "a",
       state: "ready",
+      version: this.version,
       slots: 4,
       startedAtMs: 1,
     };
@@ -186,8 +190,8 @@
   readonly #agent = new Agent({ keepAlive: true });
   #waitsUntilReady = true;
 
-  async addTarget(id: string): Promise<FakeTarget> {
-    const target = new FakeTarget(id);
+  async addTarget(id: string, version?: string): Promise<FakeTarget> {
+    const target = new FakeTarget(id, version);
     this.#targets.push(target);
     this.store.put("targets", id, await target.start());
     return target;
--- a/packages/gateway/src/model/request_fields.ts
+++ b/packages/gateway/src/model/request_fields.ts
@@ -34,4 +34,6 @@
   readonly affinityKey: string | undefined;
   /** Event after which a resumed stream continues; 0 for a new stream. */
   readonly resumeAfter: number;
+  /** The attempt that began a resumed stream, as the caller names it. */
+  readonly resumedRequestId: string | undefined;
 }
--- a/packages/gateway/src/model/target.ts
+++ b/packages/gateway/src/model/target.ts
@@ -13,6 +13,8 @@
   readonly port: number;
   readonly failureDomain: string;
   readonly state: TargetState;
+  /** Version of the target's software; undefined when it states none. */
+  readonly version: string | undefined;
   /** Number of requests that the target runs concurrently. */
   readonly slots: number;
   /** Start of this incarnation in Unix milliseconds; 0 when not stated. */
--- /dev/null
+++ b/packages/gateway/src/streams/stream_version_test.ts
@@ -0,0 +1,135 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { expect } from "chai";
+import {
+  buildConfiguration,
+  type FakeTarget,
+  GatewayFixture,
+  waitUntil,
+} from "../gateway_fixture_test.ts";
+import type { Target } from "../model/target.ts";
+
+const EVENTS_IN_STREAM = 6;
+const EVENTS_BEFORE_BREAK = 2;
+
+/** Sends the events from the one after the given, and names the version. */
+function sendEvents(
+  version: string,
+  response: ServerResponse,
+  { after, last }: { readonly after: number; readonly last: number },
+): void {
+  for (let id = after + 1; id <= last; id += 1) {
+    response.write(`id: ${id}\ndata: ${version}\n\n`);
+  }
+}
+
+describe("a stream that began at one software version", () => {
+  let fixture: GatewayFixture;
+  let first: FakeTarget;
+  let isBreaking: boolean;
+
+  beforeEach(async () => {
+    fixture = new GatewayFixture();
+    isBreaking = true;
+    fixture.store.put("configuration", "main", buildConfiguration(1));
+    first = await addTarget("t1", "v1");
+  });
+
+  afterEach(() => fixture.stop());
+
+  /** Adds a target that breaks off new streams, and ends resumed ones. */
+  async function addTarget(id: string, version: string): Promise<FakeTarget> {
+    const target = await fixture.addTarget(id, version);
+    target.handle = (request, response) => run(target, request, response);
+    return target;
+  }
+
+  function run(
+    target: FakeTarget,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const after = Number(request.headers["resume-after"]);
+    response.writeHead(200, { signed: target.id });
+    const isBroken = isBreaking && after === 0;
+    const last = isBroken ? EVENTS_BEFORE_BREAK : EVENTS_IN_STREAM;
+    sendEvents(target.version, response, { after, last });
+    if (!isBroken) return void response.end();
+    // The target is gone for good, as after a crash.
+    setTimeout(() => {
+      target.stop();
+      fixture.store.drop("targets", target.id);
+    }, 30);
+  }
+
+  async function waitForTargets(count: number): Promise<void> {
+    await waitUntil(() =>
+      fixture.lines.filter(({ name, change }) =>
+        name === "TargetChanged" && change === "added"
+      ).length >= count * fixture.gateways.length
+    );
+  }
+
+  it("isn't continued at another version in one answer", async () => {
+    await fixture.addGateway("g1");
+    const sent = fixture.sendRequest(fixture.ports[0] ?? 0, {
+      path: "/stream/1",
+    });
+    const other = await addTarget("t2", "v2");
+    const result = await sent;
+    expect(result.text).to.include("data: v1");
+    expect(result.text).to.not.include("data: v2");
+    expect(result.isComplete).to.equal(false);
+    expect(other.receivedPaths).to.deep.equal([]);
+  });
+
+  it("is continued at another target of its version in one answer", async () => {
+    await addTarget("t2", "v1");
+    await fixture.addGateway("g1");
+    const result = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+      path: "/stream/1",
+    });
+    expect(result.isComplete).to.equal(true);
+    expect(result.text.match(/id: \d/g)).to.have.length(EVENTS_IN_STREAM);
+  });
+
+  /** Begins a stream that breaks off; returns the gateway's response. */
+  async function beginStream(): Promise<void> {
+    const begun = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+      path: "/stream/1",
+      headers: { id: "begun" },
+    });
+    expect(begun.isComplete).to.equal(false);
+    expect(begun.text.match(/id: \d/g)).to.have.length(EVENTS_BEFORE_BREAK);
+  }
+
+  function takeUp(
+    headers: Record<string, string>,
+    port = fixture.ports.at(-1) ?? 0,
+  ): ReturnType<GatewayFixture["sendRequest"]> {
+    return fixture.sendRequest(port, {
+      path: "/stream/1",
+      headers: { "last-event": String(EVENTS_BEFORE_BREAK), ...headers },
+    });
+  }
+
+  // Take-ups at other gateways were answered by whatever version was there.
+  it("isn't taken up at another version by any gateway", async () => {
+    await fixture.addGateway("g1");
+    await beginStream();
+    const other = await addTarget("t2", "v2");
+    await fixture.addGateway("g2");
+    await waitForTargets(1);
+    for (const port of fixture.ports) {
+      const result = await takeUp(
+        { id: `again-${port}`, resumes: "begun" },
+        port,
+      );
+      expect(result.status).to.equal(503);
+      expect(result.text).to.not.include("data: v2");
+    }
+    expect(other.receivedPaths).to.deep.equal([]);
+    const { startedAtMs } = fixture.store.get("targets", "t2") as Target;
+    expect(startedAtMs).to.be.above(0);
+    expect(first.receivedPaths).to.have.length(1);
+  });
+});
