Let streams go on only at the software version that began them

Cause: a stream was known by its last event alone. Neither the retry within an answer nor a take-up at another gateway knew what had begun it; versions of entries weren't decoded and the attempt that a caller names wasn't read. The class: state of a piece of work that dies with the gateway that began it, as with requests that crash targets.

Now the gateway that forwards a first event keeps its version, and sends it in the same step to two VMs with disks, which don't end with the gateways. It's found by the request's fingerprint and the attempt's id; a take-up asks four of them. Unknown means no, in contact or not: 503 at once, nothing ran, with a time to return (4010); if no target of that version is ready, 4011, or the answer is cut. A save isn't waited for, so the first event isn't delayed; a save that's lost costs a take-up and joins nothing. A target that started anew under its id, with a late entry, makes the version doubtful, which means no.

Ways weighed: the store (20,000 writes a second at the size to design for), peers (die together), deduction from the one version in service (a view may be late), the disks (a sync for each stream). Facts in memory are a package of their own, facts, with a limit for each group of keys.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -494,6 +494,12 @@
     "info",
     "Enough other disks hold the turns of a retiring disk; its entry was removed.",
   ),
+  KeepersChanged: defineEvent(
+    969,
+    "KeepersChanged",
+    "info",
+    "The list of VMs that keep gateways' facts in memory has changed.",
+  ),
   DiskFailed: defineEvent(
     969,
     "DiskFailed",
--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -223,6 +223,20 @@
     true,
     "Targets ended under the same request; it isn't run for some time.",
   ),
+  StreamUnknown: defineCode(
+    4010,
+    "StreamUnknown",
+    503,
+    true,
+    "The version that began the stream isn't known; nothing was run.",
+  ),
+  StreamVersionGone: defineCode(
+    4011,
+    "StreamVersionGone",
+    503,
+    true,
+    "No target of the version that began the stream is ready.",
+  ),
   OwnerUnreachable: defineCode(
     5001,
     "OwnerUnreachable",
--- /dev/null
+++ b/packages/facts/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Short-lived facts that gateways share through the memory of the VMs with
+ * disks, which don't end together with the gateways.
+ */
+export * from "./src/fact_client.ts";
+export * from "./src/fact_messages.ts";
+export * from "./src/fact_table.ts";
--- a/packages/gateway/src/exchange/exchange_dependencies.ts
+++ b/packages/gateway/src/exchange/exchange_dependencies.ts
@@ -8,6 +8,7 @@
 import type { GatewayLog } from "../log.ts";
 import type { TargetPermits } from "../limits/target_permits.ts";
 import type { RequestCodec } from "../ports.ts";
+import type { StreamVersions } from "../streams/stream_versions.ts";
 import type { TargetConnections } from "./target_connections.ts";
 
 /** Shared dependencies of all exchanges. */
@@ -17,6 +18,7 @@
   readonly permits: TargetPermits;
   readonly crashes: CrashObserver;
   readonly blocked: BlockedRequests;
+  readonly versions: StreamVersions;
   readonly codec: RequestCodec;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -13,6 +13,16 @@
   readonly onlyRunners: boolean;
 }
 
+/** Whether any target may take the request, now or after a wait. */
+export function hasUsableTarget(
+  { targets }: Pick<ExchangeDependencies, "targets">,
+  { sends, service }: RequestReport,
+): boolean {
+  const ready = targets.listReady(service, performance.now());
+  return ready.length === 0 ||
+    sends.start.filterTargets(ready, targets).length > 0;
+}
+
 /** Chooses the next target; undefined if none can take the request now. */
 export function chooseNextTarget(
   { targets, placement, permits }: Pick<
@@ -23,10 +33,12 @@
     NextTargetOptions,
 ): TrackedTarget | undefined {
   const nowMs = performance.now();
-  const ready = targets.listReady(service, nowMs).filter((entry) =>
-    !permits.isPaused(entry.target.id, nowMs) &&
-    (!onlyRunners || sends.isPossibleRunner(entry.target.id))
-  );
+  const ready = sends.start
+    .filterTargets(targets.listReady(service, nowMs), targets)
+    .filter(({ target }) =>
+      !permits.isPaused(target.id, nowMs) &&
+      (!onlyRunners || sends.isPossibleRunner(target.id))
+    );
   const { prompt, affinityKey } = accepted.fields;
   return chooseTarget(ready, {
     ...placement,
--- a/packages/gateway/src/exchange/request_attempts.ts
+++ b/packages/gateway/src/exchange/request_attempts.ts
@@ -10,6 +10,8 @@
   type TrackedTarget,
 } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { StreamVersion } from "../model/stream_version.ts";
+import { StreamStart } from "../streams/stream_start.ts";
 import type { AcceptedRequest } from "./request_end.ts";
 import type { StreamProgress } from "./stream_attempt.ts";
 
@@ -34,7 +36,11 @@
   /** Targets that may have run the request. */
   readonly #possibleRunners = new Set<string>();
 
-  constructor(resumeAfter: number) {
+  /** Where the request's stream began, and so may go on. */
+  readonly start: StreamStart;
+
+  constructor(resumeAfter: number, begun?: StreamVersion) {
+    this.start = new StreamStart(begun);
     this.progress = {
       lastEventId: resumeAfter,
       events: 0,
--- a/packages/gateway/src/exchange/request_outcomes.ts
+++ b/packages/gateway/src/exchange/request_outcomes.ts
@@ -37,6 +37,15 @@
   return { kind: "refused", code, detail, retryAfterMs: leftMs };
 }
 
+/** Builds the outcome of a stream that can't go on at its version. */
+export function buildVersionGoneOutcome(mayHaveRun: boolean): RequestOutcome {
+  const code = RESULT_CODES.StreamVersionGone;
+  const detail = "no target of the version that began the stream is ready";
+  return mayHaveRun
+    ? buildFailureOutcome(detail)
+    : { kind: "refused", code, detail, retryAfterMs: RETRY_AFTER_MS };
+}
+
 /** Builds the outcome of a request that a target may have run. */
 export function buildFailureOutcome(detail: string): RequestOutcome {
   return { kind: "failed", code: RESULT_CODES.TargetBroken, detail };
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -20,12 +20,10 @@
   recordResponse,
   type TrackedTarget,
 } from "../decisions/target_table.ts";
-import type { TurnGrant } from "../accounts/turn_accounts.ts";
-import type { OpenTurn } from "../turns/open_turn.ts";
 import { saveTurn, type TurnState } from "../turns/turn_state.ts";
 import type { RunningAttempt, TargetResponse } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
-import { chooseNextTarget } from "./next_target.ts";
+import { chooseNextTarget, hasUsableTarget } from "./next_target.ts";
 import { RequestClock } from "./request_clock.ts";
 import { RequestAttempts } from "./request_attempts.ts";
 import {
@@ -42,6 +40,7 @@
   buildFailureOutcome,
   buildRefusalOutcome,
   buildTimeoutOutcome,
+  buildVersionGoneOutcome,
 } from "./request_outcomes.ts";
 
 /** Pause before targets that rejected the request are retried. */
@@ -52,8 +51,7 @@
 export class RequestRunner {
   readonly #dependencies: ExchangeDependencies;
   readonly #accepted: AcceptedRequest;
-  readonly #grant: TurnGrant | undefined;
-  readonly #turn: OpenTurn | undefined;
+  readonly #state: TurnState;
   readonly #service: string;
   readonly #isStream: boolean;
   readonly #isRepeatable: boolean;
@@ -66,19 +64,19 @@
   constructor(
     dependencies: ExchangeDependencies,
     accepted: AcceptedRequest,
-    { grant, turn }: TurnState = {},
+    state: TurnState = {},
   ) {
     this.#dependencies = dependencies;
     this.#accepted = accepted;
-    this.#grant = grant;
+    this.#state = state;
     const { route, fields } = accepted;
-    this.#service = chooseService(route, fields.programId ?? fields.requestId);
-    this.#turn = turn;
+    const key = fields.programId ?? fields.requestId;
+    this.#service = chooseService(route, key, state.begun?.service);
     this.#isStream = route.kind === "streaming";
     this.#isRepeatable = route.kind === "idempotent" ||
       (this.#isStream && route.isResumable);
     this.#clock = new RequestClock(accepted);
-    this.#attempts = new RequestAttempts(fields.resumeAfter);
+    this.#attempts = new RequestAttempts(fields.resumeAfter, state.begun);
   }
 
   /** Runs until the final response was sent or the caller disconnected. */
@@ -90,7 +88,7 @@
     this.#accepted.caller.onDisconnect(() => this.#stop("disconnected"));
     const outcome = await saveTurn(await this.#runAttempts(), {
       accepted: this.#accepted,
-      turn: this.#turn,
+      turn: this.#state.turn,
       targetId: this.#attempts.targetIds.at(-1) ?? "",
       deadlineMs: this.#clock.deadlineAtMs,
     });
@@ -119,10 +117,13 @@
       }
       const entry = chooseNextTarget(this.#dependencies, {
         ...this.#buildReport(),
-        previousTargetId: this.#turn?.previousTargetId,
+        previousTargetId: this.#state.turn?.previousTargetId,
         onlyRunners,
       });
       if (entry === undefined) {
+        if (!hasUsableTarget(this.#dependencies, this.#buildReport())) {
+          return buildVersionGoneOutcome(this.#attempts.mayHaveRun);
+        }
         if (!this.#clock.canWait()) return this.#buildRefusal();
         await this.#waitToRetry();
         this.#attempts.excluded.clear();
@@ -163,8 +164,8 @@
       attempts: this.#attempts,
       entry,
       leftMs: this.#clock.countLeftMs(),
-      body: this.#turn?.targetBody,
-      grant: this.#grant,
+      body: this.#state.turn?.targetBody,
+      grant: this.#state.grant,
       recordEvent: (event) => this.#recordEvent(entry, event),
     });
     this.#running = attempt;
@@ -234,9 +235,13 @@
 
   #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
     const { progress } = this.#attempts;
-    this.#turn?.addEvent(readEventData(event));
-    const { requestId } = this.#accepted.fields;
+    this.#state.turn?.addEvent(readEventData(event));
+    const { fields: { requestId }, fingerprint } = this.#accepted;
     entry.recordFirstResponse(requestId, performance.now());
+    const begun = this.#attempts.start.recordFirstEvent(entry.target);
+    if (begun !== undefined) {
+      this.#dependencies.versions.record(fingerprint, requestId, begun);
+    }
     if (progress.firstEventMs !== undefined) return;
     progress.firstEventMs = Math.round(this.#clock.countElapsedMs());
     this.#dependencies.metrics.record("first_event", progress.firstEventMs);
--- a/packages/gateway/src/front/accepted_requests.ts
+++ b/packages/gateway/src/front/accepted_requests.ts
@@ -10,12 +10,18 @@
 import type { AcceptedRequest } from "../exchange/request_end.ts";
 import { RequestRunner } from "../exchange/request_runner.ts";
 import type { Route } from "../model/routing.ts";
+import type { StreamVersion } from "../model/stream_version.ts";
 import type { ConfigurationInForce } from "../store/watched_state.ts";
-import type { OpenTurn } from "../turns/open_turn.ts";
 import type { TurnHistory } from "../turns/turn_history.ts";
 import type { TurnState } from "../turns/turn_state.ts";
 import { type Refusal, refuseRequest } from "./refuse_request.ts";
 
+/**
+ * When a caller may take up a stream whose beginning isn't known yet: what the
+ * gateway that began it saved may still be on its way.
+ */
+const TAKE_UP_RETRY_MS = 100;
+
 /** Dependencies of the requests. */
 export interface AcceptedRequestsDependencies extends ExchangeDependencies {
   readonly accounts: TurnAccounts;
@@ -58,13 +64,23 @@
         retryAfterMs: 0,
       });
     }
-    if (route.kind !== "streaming" || route.retentionMs === undefined) {
-      return await this.#runWithBudget(accepted);
+    if (route.kind !== "streaming") return await this.#run(accepted, {});
+    const begun = await this.#findBeginning(accepted);
+    if (begun === undefined && fields.resumeAfter > 0) {
+      return this.#refuse(caller, {
+        code: "StreamUnknown",
+        detail: `attempt ${fields.resumedRequestId ?? "not named"} isn't known`,
+        fields,
+        retryAfterMs: TAKE_UP_RETRY_MS,
+      });
+    }
+    if (route.retentionMs === undefined) {
+      return await this.#runWithBudget(accepted, { begun });
     }
     const opening = await this.#dependencies.history.open(accepted);
     switch (opening.kind) {
       case "opened":
-        return await this.#runWithBudget(accepted, opening.turn);
+        return await this.#runWithBudget(accepted, { turn: opening.turn });
       case "refused": {
         const { code, detail } = opening;
         return this.#refuse(caller, { code, detail, fields });
@@ -72,16 +88,23 @@
     }
   }
 
+  /** Finds the version that began the stream that a request takes up. */
+  async #findBeginning(
+    { fields, fingerprint }: AcceptedRequest,
+  ): Promise<StreamVersion | undefined> {
+    if (fields.resumeAfter === 0) return undefined;
+    const { versions } = this.#dependencies;
+    return await versions.find(fingerprint, fields.resumedRequestId);
+  }
+
   async #runWithBudget(
     accepted: AcceptedRequest,
-    turn?: OpenTurn,
+    state: TurnState,
   ): Promise<void> {
     const { fields, caller } = accepted;
     const { accounts } = this.#dependencies;
     const { budget } = fields;
-    if (budget === undefined || accepted.route.kind !== "streaming") {
-      return await this.#run(accepted, { turn });
-    }
+    if (budget === undefined) return await this.#run(accepted, state);
     const startedAtMs = performance.now();
     const opening = await accounts.open({
       ...budget,
@@ -100,7 +123,7 @@
       });
     }
     const { grant } = opening;
-    await this.#run(accepted, { grant, turn });
+    await this.#run(accepted, { ...state, grant });
     grant.close();
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,7 @@
   type TurnComponents,
 } from "./turns/turn_components.ts";
 import { CountedStore } from "./store/counted_store.ts";
+import { StreamVersions } from "./streams/stream_versions.ts";
 import { Watchers } from "./store/watchers.ts";
 import { WatchedConfiguration, WatchedTargets } from "./store/watched_state.ts";
 
@@ -163,6 +164,7 @@
       permits: this.#permits,
       crashes: this.#crashes,
       blocked: this.#blocked,
+      versions: new StreamVersions(this.#turns.facts),
       codec: options.requestCodec,
       log,
       metrics,
@@ -206,6 +208,7 @@
       watchers: this.#watchers,
       permits: this.#permits,
       observer: this.#crashes,
+      keepers: this.#turns.keepers,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -5,6 +5,9 @@
 } from "node:http";
 import { Agent, request as startRequest } from "node:http";
 import type { AddressInfo, Server } from "node:net";
+import { mkdtemp } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { err, ok } from "neverthrow";
 import { FakeStore } from "./fake_store_test.ts";
 import { Gateway } from "./gateway.ts";
@@ -13,6 +16,7 @@
 import type { RoutingConfiguration } from "./model/routing.ts";
 import type { Target } from "./model/target.ts";
 import type { GatewaySettings, RequestCodec, StoreCodec } from "./ports.ts";
+import { DiskVm } from "./turns/disk_vm.ts";
 
 export const WAIT_TIMEOUT_MS = 5_000;
 
@@ -187,6 +191,7 @@
   readonly ports: number[] = [];
   readonly peerAddresses: { host: string; port: number }[] = [];
   readonly #targets: FakeTarget[] = [];
+  readonly #keepers: DiskVm[] = [];
   readonly #agent = new Agent({ keepAlive: true });
   #waitsUntilReady = true;
 
@@ -197,6 +202,35 @@
     return target;
   }
 
+  /** Starts the process that keeps facts on a VM with a disk. */
+  async addKeeper(vmId: string): Promise<DiskVm> {
+    const port = await findFreePort();
+    const keeper = new DiskVm({
+      vmId,
+      store: this.store,
+      log: new GatewayLog({ write: (_text, end) => end() }, vmId),
+      retirements: { decodeState: () => "requested", encodeState: () => ({}) },
+      disk: {
+        folder: await mkdtemp(join(tmpdir(), "keeper-")),
+        place: {
+          vmId,
+          host: "127.0.0.1",
+          port,
+          failureDomain: vmId,
+          region: "north",
+        },
+        tolerance: { disks: 1, failureDomains: 0, regions: 0 },
+        isFirstStart: true,
+        maxDiskBytes: 1e6,
+        maxTableBytes: 1e6,
+      },
+    });
+    void keeper.run();
+    this.#keepers.push(keeper);
+    await waitUntil(() => this.store.get("turnDisks", vmId) !== undefined);
+    return keeper;
+  }
+
   async addGateway(
     vmId: string,
     change: Partial<GatewaySettings> = {},
@@ -332,6 +366,7 @@
     this.#agent.destroy();
     await Promise.all(this.gateways.map((gateway) => gateway.close()));
     for (const target of this.#targets) target.stop();
+    for (const keeper of this.#keepers) keeper.close();
   }
 }
 
--- a/packages/gateway/src/streams/stream_version_test.ts
+++ b/packages/gateway/src/streams/stream_version_test.ts
@@ -132,4 +132,82 @@
     expect(startedAtMs).to.be.above(0);
     expect(first.receivedPaths).to.have.length(1);
   });
+
+  describe("with keepers", () => {
+    beforeEach(async () => {
+      await Promise.all(["d1", "d2", "d3"].map((id) => fixture.addKeeper(id)));
+      await fixture.addGateway("g1");
+      await waitForKeepers();
+    });
+
+    /** Waits until every gateway has read the list of keepers. */
+    async function waitForKeepers(): Promise<void> {
+      await waitUntil(() =>
+        fixture.lines.filter(({ name }) => name === "KeepersChanged").length >=
+          fixture.gateways.length
+      );
+    }
+
+    it("is taken up at its version by another gateway", async () => {
+      await beginStream();
+      await addTarget("t2", "v2");
+      const same = await addTarget("t3", "v1");
+      await fixture.gateways[0]?.close();
+      await fixture.addGateway("g2");
+      await waitForKeepers();
+      const result = await takeUp({ id: "again", resumes: "begun" });
+      expect(result.status).to.equal(200);
+      expect(result.isComplete).to.equal(true);
+      expect(result.text).to.include("data: v1");
+      expect(result.text).to.not.include("data: v2");
+      expect(same.receivedPaths).to.have.length(1);
+      // A take-up of a take-up names the attempt that began the stream.
+      const again = await takeUp({ id: "third", resumes: "begun" });
+      expect(again.status).to.equal(200);
+      expect(same.receivedPaths).to.have.length(2);
+    });
+
+    for (
+      const [title, headers] of [
+        ["an unknown attempt", { resumes: "unknown" }],
+        ["a malformed attempt", { resumes: "%%\t" }],
+        ["an attempt at something else", { resumes: "begun" }],
+      ] as const
+    ) {
+      it(`isn't taken up for ${title}`, async () => {
+        await beginStream();
+        const same = await addTarget("t3", "v1");
+        await waitForTargets(2);
+        const isOther = headers.resumes === "begun";
+        const result = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+          path: isOther ? "/stream/2" : "/stream/1",
+          headers: { id: "again", "last-event": "2", ...headers },
+        });
+        expect(result.status).to.equal(503);
+        expect(Number(result.headers["retry-after"])).to.be.above(0);
+        expect(same.receivedPaths).to.deep.equal([]);
+      });
+    }
+
+    it("is taken up without a name when only one version may have begun it", async () => {
+      await beginStream();
+      const same = await addTarget("t3", "v1");
+      await waitForTargets(2);
+      expect((await takeUp({ id: "again" })).status).to.equal(200);
+      expect(same.receivedPaths).to.have.length(1);
+      isBreaking = true;
+      const other = await addTarget("t4", "v2");
+      same.stop();
+      fixture.store.drop("targets", "t3");
+      await waitForTargets(3);
+      const begun = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+        path: "/stream/1",
+        headers: { id: "begun-v2" },
+      });
+      expect(begun.text).to.include("data: v2");
+      const result = await takeUp({ id: "last" });
+      expect(result.status).to.equal(503);
+      expect(other.receivedPaths).to.have.length(1);
+    });
+  });
 });
--- a/packages/gateway/src/turns/turn_components.ts
+++ b/packages/gateway/src/turns/turn_components.ts
@@ -1,7 +1,10 @@
 /**
- * Builds the components with which a gateway keeps turns.
+ * Builds the components with which a gateway uses the VMs with disks: it keeps
+ * turns there, and shares facts.
  */
-import { DiskLinks, TurnClient } from "@camphorlock/turns";
+import { type FactAnswer, FactClient } from "@camphorlock/facts";
+import { type DiskInfo, DiskLinks, TurnClient } from "@camphorlock/turns";
+import { FactKeepers } from "../facts/fact_keepers.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { GatewaySettings, ObjectStore } from "../ports.ts";
@@ -23,6 +26,9 @@
   /** The registered disks, to be watched. */
   readonly disks: WatchedDisks;
   readonly links: DiskLinks;
+  /** The keepers of facts, whose list is to be refreshed. */
+  readonly keepers: FactKeepers;
+  readonly facts: FactClient<DiskInfo>;
 }
 
 /** Builds the components. */
@@ -39,9 +45,19 @@
     listDisks: () => disks.list(),
     loadDisks: () => registry.list(),
   });
+  const keepers = new FactKeepers(() => registry.list(), log);
+  const facts = new FactClient({
+    listKeepers: () => keepers.list(),
+    call: async (keeper, message, timeoutMs) => {
+      const response = await links.call(keeper, message, timeoutMs);
+      return response?.answer as FactAnswer | undefined;
+    },
+  });
   return {
     history: new TurnHistory({ client, log, metrics }),
     disks,
     links,
+    keepers,
+    facts,
   };
 }
--- a/packages/gateway/src/turns/turn_state.ts
+++ b/packages/gateway/src/turns/turn_state.ts
@@ -8,6 +8,7 @@
   AcceptedRequest,
   RequestOutcome,
 } from "../exchange/request_end.ts";
+import type { StreamVersion } from "../model/stream_version.ts";
 import type { OpenTurn } from "./open_turn.ts";
 
 /** The state of a program's turn. */
@@ -16,6 +17,8 @@
   readonly grant?: TurnGrant | undefined;
   /** The turn's chain, where the system keeps the turns. */
   readonly turn?: OpenTurn | undefined;
+  /** The version that began the stream that the turn takes up. */
+  readonly begun?: StreamVersion | undefined;
 }
 
 /** A turn whose response has ended. */
--- a/packages/turns/src/disk/disk_service.ts
+++ b/packages/turns/src/disk/disk_service.ts
@@ -1,8 +1,9 @@
 /**
- * Handles the messages to one disk: saves turns durably, reads chains, and lists
- * turns for disks that copy them.
+ * Handles the messages to one disk: saves turns durably, reads chains, lists
+ * turns for disks that copy them, and keeps facts of gateways in memory.
  */
 import { randomUUID } from "node:crypto";
+import { FactTable } from "@camphorlock/facts";
 import { EVENTS } from "@camphorlock/codes/events";
 import type { DiskLog } from "../disk_log.ts";
 import { TurnTable } from "../decisions/turn_table.ts";
@@ -42,6 +43,7 @@
   readonly #dependencies: DiskServiceDependencies;
   /** Highest sequence number that each reader saved on its own disk. */
   readonly #copiedUntil = new Map<string, number>();
+  readonly #facts = new FactTable();
   readonly #numbering = randomUUID();
   #running = 0;
   #isRetiring = false;
@@ -96,6 +98,17 @@
         }
         return this.#listTurns(message);
       }
+      case "save_fact": {
+        const saved = this.#facts.save(message.fact, nowMs);
+        return saved.isOk()
+          ? { kind: "fact_saved" }
+          : { kind: "invalid", detail: saved.error };
+      }
+      case "find_facts":
+        return {
+          kind: "facts_found",
+          facts: this.#facts.find(String(message.key), nowMs),
+        };
       default:
         return { kind: "invalid", detail: "unknown message kind" };
     }
@@ -126,6 +139,7 @@
   /** Removes expired turns and segments. Never rejects. */
   async removeExpired(nowMs: number): Promise<void> {
     this.table.removeExpired(nowMs);
+    this.#facts.removeExpired(nowMs);
     if (this.#isCompacting) return;
     this.#isCompacting = true;
     try {
--- a/packages/turns/src/messages.ts
+++ b/packages/turns/src/messages.ts
@@ -1,6 +1,7 @@
 /**
  * The messages between gateways and disks, and between disks.
  */
+import type { FactAnswer, FactMessage } from "@camphorlock/facts";
 import { err, ok, type Result } from "neverthrow";
 import type { KeptTurn } from "./model/kept_turn.ts";
 
@@ -38,7 +39,9 @@
     readonly afterSequence: number;
     /** The numbering that the sequence number belongs to. */
     readonly numbering?: string;
-  };
+  }
+  /** Saves or finds what gateways share in memory. */
+  | FactMessage;
 
 /** Why a disk doesn't save a turn. */
 export type SaveRefusal = "retiring" | "full" | "busy" | "disk_failed";
@@ -60,6 +63,7 @@
     /** Changes with each start of the disk's process. */
     readonly numbering: string;
   }
+  | FactAnswer
   | { readonly kind: "invalid"; readonly detail: string };
 
 /** A disk's response. */
