Keep what is blocked where it outlives the gateways

Cause: blocks were in gateways' memory alone. They're facts at the VMs with disks now, found at a start and compared every five seconds, so that a gateway that was cut off, or a keeper that has lost its memory, catches up.

Test: four gateways block a request and are all closed; a fifth refuses it without sending it (failed before: never blocked there).

--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -10,6 +10,7 @@
 import type { GatewaySettings, ObjectKind, ObjectStore } from "../ports.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
 import { CrashExchange } from "../crashes/crash_exchange.ts";
+import type { KeptBlocks } from "../crashes/kept_blocks.ts";
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { AccountHandover } from "./account_handover.ts";
 import { AccountHome } from "./account_home.ts";
@@ -25,6 +26,7 @@
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
   readonly blocked: BlockedRequests;
+  readonly keptBlocks: KeptBlocks;
   /** Called when a request isn't sent to targets any more. */
   readonly onBlocked: () => void;
   /** Finds the cache of watched objects that this gateway relays to peers. */
@@ -70,7 +72,8 @@
   links: Pick<PeerLinks, "call" | "callAddress">,
 ): TokenAccounting {
   const { settings, log, metrics, store, getSelf } = options;
-  const { findCache, answerPermitCall, blocked, onBlocked } = options;
+  const { findCache, answerPermitCall } = options;
+  const { blocked, keptBlocks, onBlocked } = options;
   const accounts = new TokenAccounts();
   const shared = { directory, links, accounts, log, self: getSelf() };
   const handover = new AccountHandover(shared);
@@ -86,6 +89,7 @@
   const crashes = new CrashExchange({
     ...shared,
     blocked,
+    keptBlocks,
     onBlocked,
     metrics,
     vmId: shared.self.vmId,
--- a/packages/gateway/src/accounts/account_simulation_test.ts
+++ b/packages/gateway/src/accounts/account_simulation_test.ts
@@ -1,4 +1,4 @@
-import { BlockedRequests } from "../decisions/blocked_requests.ts";
+import { NO_CRASHES } from "../crashes/no_crashes_test.ts";
 import { err, ok, type Result } from "neverthrow";
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import { encodeShardTable, type ShardTable } from "../decisions/shard_table.ts";
@@ -21,6 +21,7 @@
 import type { VirtualTime } from "./virtual_time_test.ts";
 
 export const BUDGET_TOKENS = 48;
+
 const TURN_TOKENS = 16;
 const EVENT_TOKENS = 4;
 const MAX_TURNS = 40;
@@ -246,8 +247,7 @@
         metrics: new GatewayMetrics(),
         getSelf: () => info,
         findCache: () => undefined,
-        blocked: new BlockedRequests(),
-        onBlocked: () => {},
+        ...NO_CRASHES,
         answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
       },
       directory,
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { BlockedRequests } from "../decisions/blocked_requests.ts";
+import { NO_CRASHES } from "../crashes/no_crashes_test.ts";
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import { buildShardTable, encodeShardTable } from "../decisions/shard_table.ts";
 import { FakeStore } from "../fake_store_test.ts";
@@ -101,8 +101,7 @@
         metrics: new GatewayMetrics(),
         getSelf: () => info,
         findCache: () => undefined,
-        blocked: new BlockedRequests(),
-        onBlocked: () => {},
+        ...NO_CRASHES,
         answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
       },
       directory,
--- a/packages/gateway/src/crashes/crash_exchange.ts
+++ b/packages/gateway/src/crashes/crash_exchange.ts
@@ -16,6 +16,7 @@
 import type { GatewayLog } from "../log.ts";
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
+import { KEPT_BLOCKS_KEY, type KeptBlocks } from "./kept_blocks.ts";
 import type { TargetEnd } from "./crash_observer.ts";
 
 /** Gateways that judge the ends of one service's targets. */
@@ -34,6 +35,7 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly vmId: string;
+  readonly keptBlocks: KeptBlocks;
   /** Called when a request isn't sent to targets any more. */
   readonly onBlocked: () => void;
 }
@@ -116,6 +118,21 @@
     });
   }
 
+  /**
+   * Applies what the keepers know. One gateway saves what they lack, since they
+   * may have started anew. Never rejects.
+   */
+  async compareBlocked(): Promise<void> {
+    const { keptBlocks, blocked, directory } = this.#dependencies;
+    const kept = await keptBlocks.load();
+    this.applyBlocked(kept.filter(({ leftMs }) => leftMs > 0));
+    if (!directory.isTopRanked(KEPT_BLOCKS_KEY)) return;
+    const known = new Set(kept.map(({ fingerprint }) => fingerprint));
+    const missing = blocked.list(performance.now())
+      .filter(({ fingerprint }) => !known.has(fingerprint));
+    keptBlocks.save(missing);
+  }
+
   /** Builds the list for a gateway that doesn't know as many. */
   buildUpdate(
     knownCount: number,
@@ -145,8 +162,9 @@
 
   /** Tells all gateways, and withdraws what one of them objects to. */
   async #publish(found: readonly BlockedRequest[]): Promise<void> {
-    const { directory } = this.#dependencies;
+    const { directory, keptBlocks } = this.#dependencies;
     const completed = new Set(this.applyBlocked(found));
+    keptBlocks.save(found);
     const answers = await Promise.all(
       directory.list().map((peer) => this.#sendBlocked(peer, found)),
     );
@@ -158,6 +176,7 @@
     const notices = withdrawn.map((each) => ({ ...each, leftMs: 0 }));
     for (const { fingerprint } of notices) this.#judge.release(fingerprint);
     this.applyBlocked(notices);
+    keptBlocks.save(notices);
     await Promise.all(
       directory.list().map((peer) => this.#sendBlocked(peer, notices)),
     );
--- a/packages/gateway/src/crashes/deadly_request_test.ts
+++ b/packages/gateway/src/crashes/deadly_request_test.ts
@@ -5,6 +5,7 @@
   type FakeTarget,
   GatewayFixture,
   sendCompleteResponse,
+  waitUntil,
 } from "../gateway_fixture_test.ts";
 
 /** The bound after which gateways in contact know what crashed three targets. */
@@ -88,6 +89,44 @@
     return await Promise.all(running);
   }
 
+  // Gateways that were all killed let each such request crash targets anew.
+  it("isn't sent by gateways that have all started anew", async () => {
+    await Promise.all(["d1", "d2"].map((id) => fixture.addKeeper(id)));
+    await fixture.addGateway("g4");
+    for (const vmId of ["g1", "g2", "g3", "g4"]) {
+      await waitForLine(({ name, vm }) =>
+        name === "KeepersChanged" && vm === vmId
+      );
+    }
+    const port = fixture.ports.at(-1) ?? 0;
+    const send = (id: string, to: number) =>
+      fixture.sendRequest(to, {
+        path: "/stream/deadly",
+        method: "POST",
+        headers: { id },
+        body: "deadly",
+      });
+    await send("first", port);
+    await send("second", port);
+    await waitForLine(({ change }) => change === "blocked");
+    // The keepers have it before all gateways are lost.
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    await Promise.all(fixture.gateways.map((gateway) => gateway.close()));
+    const reached = arrivals.length;
+    await fixture.addGateway("g5");
+    await waitForLine(({ change, vm }) => change === "blocked" && vm === "g5");
+    const refused = await send("third", fixture.ports.at(-1) ?? 0);
+    expect(refused.status).to.equal(503);
+    expect(Number(refused.headers["retry-after"])).to.be.above(60);
+    expect(arrivals).to.have.length(reached);
+  }).timeout(30_000);
+
+  async function waitForLine(
+    check: (line: Record<string, unknown>) => boolean,
+  ): Promise<void> {
+    await waitUntil(() => fixture.lines.some(check));
+  }
+
   // The users' BUDGET: a request under which three targets had ended was sent
   // to targets up to 18 times more.
   it("isn't sent again and again, and costs the others little", async () => {
--- a/packages/gateway/src/facts/fact_keepers.ts
+++ b/packages/gateway/src/facts/fact_keepers.ts
@@ -16,7 +16,7 @@
   readonly #gatewayLog: GatewayLog;
   #keepers: readonly DiskInfo[] = [];
   #dueAtMs = 0;
-  #isLoading = false;
+  #loading: Promise<void> | undefined;
 
   /** `loadDisks` resolves to undefined when the store is away. */
   constructor(
@@ -33,10 +33,14 @@
 
   /** Reads the list again if it's due; resolves when that has ended. */
   async update(nowMs: number): Promise<void> {
-    if (this.#isLoading || nowMs < this.#dueAtMs) return;
-    this.#isLoading = true;
+    if (nowMs >= this.#dueAtMs) {
+      this.#loading ??= this.#load().finally(() => this.#loading = undefined);
+    }
+    await this.#loading;
+  }
+
+  async #load(): Promise<void> {
     const listed = await this.#loadDisks();
-    this.#isLoading = false;
     this.#log(listed ?? this.#keepers);
     const isUsable = listed !== undefined && listed.length > 0;
     if (isUsable) this.#keepers = listed;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   buildAccountComponents,
 } from "./accounts/account_components.ts";
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
+import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import { CrashObserver } from "./crashes/crash_observer.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
@@ -124,6 +125,7 @@
       metrics,
       getSelf: () => this.#buildSelf(),
       blocked: this.#blocked,
+      keptBlocks: new KeptBlocks(this.#turns.facts),
       onBlocked: () => this.#callers.stopBlocked(),
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -24,6 +24,8 @@
 /** Interval at which this gateway requests another one's list of peers. */
 const EXCHANGE_PEERS_MS = 2_000;
 const UPDATE_KEEPERS_MS = 100;
+/** Interval at which a gateway and the keepers compare what is blocked. */
+const COMPARE_BLOCKED_MS = 5_000;
 const JUDGE_CRASHES_MS = 50;
 const CLEANUP_MS = 10_000;
 
@@ -58,6 +60,9 @@
     [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
     [UPDATE_KEEPERS_MS, (nowMs) => void keepers.update(nowMs)],
+    [COMPARE_BLOCKED_MS, (nowMs) => {
+      void keepers.update(nowMs).then(() => crashes.compareBlocked());
+    }],
     [JUDGE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
     [CLEANUP_MS, (nowMs) => observer.removeExpired(nowMs)],
   ];
