--- a/packages/gateway/src/exchange/request_attempts.ts
+++ b/packages/gateway/src/exchange/request_attempts.ts
@@ -33,7 +33,9 @@
   readonly progress: StreamProgress;
   /** Number of targets that have ended while they ran the request. */
   #crashes = 0;
-  /** Targets that may have run the request. */
+  /** Stays true when the targets that may have run it have ended since. */
+  #mayHaveRun = false;
+  /** Targets that may have run the request, and may still. */
   readonly #possibleRunners = new Set<string>();
 
   /** Where the request's stream began, and so may go on. */
@@ -50,8 +52,7 @@
 
   /** Whether a target may have run the request. */
   get mayHaveRun(): boolean {
-    return this.#possibleRunners.size > 0 || this.#crashes > 0 ||
-      this.progress.events > 0;
+    return this.#mayHaveRun || this.progress.events > 0;
   }
 
   /** Whether a target has ended while it ran the request. */
@@ -98,10 +99,12 @@
         break;
       case "broken":
         recordFailure(entry, nowMs);
+        this.#mayHaveRun = true;
         this.#possibleRunners.add(id);
         break;
       case "crashed":
         recordFailure(entry, nowMs);
+        this.#mayHaveRun = true;
         this.excluded.add(id);
         this.#crashes += 1;
         break;
