Remember early ends of blocks, and wait less for silent keepers

Found while reading: a gateway that had missed that a block was taken back told it to the others again for up to ten minutes, and a request that completed left its resource suspected. Both have tests that failed before. A search waits for a keeper that was silent lately only while nothing else is found.

--- a/packages/facts/src/fact_client.ts
+++ b/packages/facts/src/fact_client.ts
@@ -54,10 +54,8 @@
 
   /** Saves a fact; resolves to the number of keepers that confirmed it. */
   async save(fact: Fact): Promise<number> {
-    const nowMs = performance.now();
-    const ranked = this.#sortKeepers(fact.key).filter(({ vmId }) =>
-      (this.#avoidedUntilMs.get(vmId) ?? 0) <= nowMs
-    );
+    const ranked = this.#sortKeepers(fact.key)
+      .filter((keeper) => !this.#isAvoided(keeper));
     const chosen = chooseKeepers(ranked, COPIES);
     const rest = ranked.filter((keeper) => !chosen.includes(keeper));
     const saved = await Promise.all(chosen.map(async (keeper) => {
@@ -77,19 +75,29 @@
     isEnough: (facts: readonly FoundFact[]) => boolean = () => false,
   ): Promise<readonly FoundFact[]> {
     const asked = this.#sortKeepers(key).slice(0, ASKED_KEEPERS);
+    const avoided = asked.filter((keeper) => this.#isAvoided(keeper));
+    const others = asked.filter((keeper) => !avoided.includes(keeper));
     return new Promise((resolve) => {
       const found = new Map<string, FoundFact>();
-      const calls = asked.map(async (keeper) => {
+      const ask = async (keeper: Keeper) => {
         const message = { kind: "find_facts", key } as const;
         const answer = await this.#call(keeper, message);
         if (answer?.kind !== "facts_found") return;
         for (const fact of answer.facts) addNewer(found, fact);
         if (isEnough(answer.facts)) resolve(answer.facts);
-      });
-      void Promise.all(calls).then(() => resolve([...found.values()]));
+      };
+      const calls = avoided.map(ask);
+      void Promise.all(others.map(ask))
+        // A silent keeper is only waited for while nothing else is found.
+        .then(() => found.size > 0 ? undefined : Promise.all(calls))
+        .then(() => resolve([...found.values()]));
     });
   }
 
+  #isAvoided({ vmId }: FactKeeper): boolean {
+    return (this.#avoidedUntilMs.get(vmId) ?? 0) > performance.now();
+  }
+
   async #saveAt(keeper: Keeper, fact: Fact): Promise<boolean> {
     const answer = await this.#call(keeper, { kind: "save_fact", fact });
     return answer?.kind === "fact_saved";
--- a/packages/gateway/src/decisions/blocked_requests.ts
+++ b/packages/gateway/src/decisions/blocked_requests.ts
@@ -26,6 +26,8 @@
 /** The requests that are blocked at one gateway. */
 export class BlockedRequests {
   readonly #blocks = new BoundedMap<string, Block>(MAX_BLOCKED);
+  /** When requests were let in before their time, as they had completed. */
+  readonly #letInAtMs = new BoundedMap<string, number>(MAX_BLOCKED);
   readonly #completedAtMs = new BoundedMap<string, number>(MAX_COMPLETED);
 
   /** Finds the block of a request; undefined if it may be sent. */
@@ -39,10 +41,15 @@
     const known = this.#findOne(fingerprint, nowMs);
     if (leftMs <= 0) {
       this.#blocks.remove(fingerprint);
+      this.#letInAtMs.set(fingerprint, nowMs);
       return known === undefined ? "none" : "let_in";
     }
     if (this.#hasCompletedSince(notice, nowMs)) return "contradicted";
     const firstCrashAtMs = nowMs - notice.firstCrashAgeMs;
+    // A gateway that doesn't know yet that it was let in may still tell it.
+    if (firstCrashAtMs <= (this.#letInAtMs.get(fingerprint) ?? -Infinity)) {
+      return "none";
+    }
     const untilMs = Math.max(nowMs + leftMs, known?.untilMs ?? 0);
     this.#blocks.set(fingerprint, {
       service,
--- a/packages/gateway/src/decisions/crash_judge.ts
+++ b/packages/gateway/src/decisions/crash_judge.ts
@@ -106,7 +106,10 @@
   /** Takes back a block, since the request has completed at a target. */
   release(fingerprint: string): void {
     this.#pastBlocks.remove(fingerprint);
-    this.#deadlyByResource.remove(fingerprint);
+    for (const [resource, { request }] of this.#deadlyByResource.list()) {
+      const isReleased = resource === fingerprint || request === fingerprint;
+      if (isReleased) this.#deadlyByResource.remove(resource);
+    }
     for (const [, { suspects }] of this.#byIncarnation.list()) {
       suspects.delete(fingerprint);
     }
--- a/packages/gateway/src/decisions/crash_judge_test.ts
+++ b/packages/gateway/src/decisions/crash_judge_test.ts
@@ -96,6 +96,14 @@
     expect(crash(["doubted"])).to.deep.equal([]);
   });
 
+  it("blocks no resource for a request that has completed", () => {
+    crash(["object/1"]);
+    expect(crash(["object/1"])).to.deep.equal(["object/1"]);
+    judge.release("object/1");
+    crash(["object/2"]);
+    expect(resources).to.deep.equal([]);
+  });
+
   it("blocks a resource when a second request about it meets an end", () => {
     crash(["object/1", "other/1"]);
     expect(crash(["object/1"])).to.deep.equal(["object/1"]);
@@ -145,6 +153,11 @@
     blocked.apply(notice, 2_000);
     expect(blocked.apply({ ...notice, leftMs: 0 }, 2_001)).to.equal("let_in");
     expect(blocked.find(FINGERPRINT, 2_002)).to.equal(undefined);
+    // A gateway that hasn't heard of that tells it once more.
+    expect(blocked.apply(notice, 2_300)).to.equal("none");
+    expect(blocked.find(FINGERPRINT, 2_301)).to.equal(undefined);
+    // It has met ends since.
+    expect(blocked.apply(notice, 9_000)).to.equal("blocked");
   });
 
   it("don't include what has completed since the first end", () => {
