Bound the memory of facts by bytes, and their life by the route

Measured: 382 bytes a fact, so that the limit of 200,000 keys was 76 MB, more than the heap of the process on a VM with a disk. A group of keys takes 12 MB at most now, and a stream's version lasts four times its route's limit.

--- a/packages/facts/src/fact_table.ts
+++ b/packages/facts/src/fact_table.ts
@@ -7,11 +7,13 @@
  * the limits the oldest are forgotten. Each group of keys has a limit of its
  * own, so that a flood of one kind can't displace the other.
  */
-import { type Fact, type FoundFact, parseFact } from "./fact_messages.ts";
+import { type FoundFact, parseFact } from "./fact_messages.ts";
 import type { Result } from "neverthrow";
 
-/** Keys of each group; about 60 MB of texts at the most. */
-const MAX_KEYS = 200_000;
+/** Memory that the facts of one group may take; a VM with a disk is small. */
+const MAX_GROUP_BYTES = 12 * 1_024 * 1_024;
+/** Memory of a fact besides its texts. */
+const FACT_OVERHEAD_BYTES = 320;
 const MAX_FACTS_PER_KEY = 1_000;
 /** Separates the group of a key from its rest. */
 const GROUP_SEPARATOR = ":";
@@ -22,16 +24,75 @@
   readonly expiresAtMs: number;
 }
 
-/** Facts by key and id, the oldest first. */
-type Group = Map<string, Map<string, KeptFact>>;
+/** Facts by id, the oldest first. */
+type Facts = Map<string, KeptFact>;
+
+/** The facts of a group. */
+class FactGroup {
+  /** The key that was saved the longest ago comes first. */
+  readonly #byKey = new Map<string, Facts>();
+  #bytes = 0;
+  readonly #maxBytes: number;
+
+  constructor(maxBytes: number) {
+    this.#maxBytes = maxBytes;
+  }
+
+  get size(): number {
+    return this.#byKey.size;
+  }
+
+  get(key: string): Facts | undefined {
+    return this.#byKey.get(key);
+  }
+
+  set(key: string, id: string, fact: KeptFact): void {
+    const facts: Facts = this.#byKey.get(key) ?? new Map();
+    this.#removeFact(key, facts, id);
+    facts.set(id, fact);
+    this.#bytes += countBytes(key, id, fact);
+    const [oldest] = facts.keys();
+    if (facts.size > MAX_FACTS_PER_KEY && oldest !== undefined) {
+      this.#removeFact(key, facts, oldest);
+    }
+    this.#byKey.delete(key);
+    this.#byKey.set(key, facts);
+    for (const each of this.#byKey.keys()) {
+      if (this.#bytes <= this.#maxBytes || each === key) break;
+      this.#removeKey(each);
+    }
+  }
+
+  removeExpired(nowMs: number): void {
+    for (const [key, facts] of this.#byKey) {
+      for (const [id, { expiresAtMs }] of facts) {
+        if (expiresAtMs <= nowMs) this.#removeFact(key, facts, id);
+      }
+      if (facts.size === 0) this.#byKey.delete(key);
+    }
+  }
+
+  #removeKey(key: string): void {
+    const facts = this.#byKey.get(key) ?? new Map<string, KeptFact>();
+    for (const id of facts.keys()) this.#removeFact(key, facts, id);
+    this.#byKey.delete(key);
+  }
+
+  #removeFact(key: string, facts: Facts, id: string): void {
+    const fact = facts.get(id);
+    if (fact === undefined) return;
+    facts.delete(id);
+    this.#bytes -= countBytes(key, id, fact);
+  }
+}
 
 /** The facts of one process. */
 export class FactTable {
-  readonly #groups = new Map<string, Group>();
-  readonly #maxKeys: number;
+  readonly #groups = new Map<string, FactGroup>();
+  readonly #maxGroupBytes: number;
 
-  constructor(maxKeys = MAX_KEYS) {
-    this.#maxKeys = maxKeys;
+  constructor(maxGroupBytes = MAX_GROUP_BYTES) {
+    this.#maxGroupBytes = maxGroupBytes;
   }
 
   /** Number of keys. */
@@ -41,7 +102,13 @@
 
   /** Saves a received fact; the error says what is invalid. */
   save(value: unknown, nowMs: number): Result<void, string> {
-    return parseFact(value).map((fact) => this.#add(fact, nowMs));
+    return parseFact(value).map(({ key, id, value: text, lifetimeMs }) =>
+      this.#getGroup(key).set(key, id, {
+        value: text,
+        savedAtMs: nowMs,
+        expiresAtMs: nowMs + lifetimeMs,
+      })
+    );
   }
 
   /** Finds the facts of a key that haven't expired. */
@@ -54,42 +121,20 @@
 
   /** Forgets expired facts. */
   removeExpired(nowMs: number): void {
-    for (const group of this.#groups.values()) {
-      for (const [key, facts] of group) {
-        for (const [id, { expiresAtMs }] of facts) {
-          if (expiresAtMs <= nowMs) facts.delete(id);
-        }
-        if (facts.size === 0) group.delete(key);
-      }
+    for (const [name, group] of this.#groups) {
+      group.removeExpired(nowMs);
+      if (group.size === 0) this.#groups.delete(name);
     }
   }
 
-  #add({ key, id, value, lifetimeMs }: Fact, nowMs: number): void {
-    const group = this.#getGroup(key);
-    const facts = group.get(key) ?? new Map<string, KeptFact>();
-    facts.delete(id);
-    facts.set(id, {
-      value,
-      savedAtMs: nowMs,
-      expiresAtMs: nowMs + lifetimeMs,
-    });
-    removeOldest(facts, MAX_FACTS_PER_KEY);
-    group.delete(key);
-    group.set(key, facts);
-    removeOldest(group, this.#maxKeys);
-  }
-
-  #getGroup(key: string): Group {
+  #getGroup(key: string): FactGroup {
     const [name = ""] = key.split(GROUP_SEPARATOR, 1);
-    const group = this.#groups.get(name) ?? new Map();
+    const group = this.#groups.get(name) ?? new FactGroup(this.#maxGroupBytes);
     this.#groups.set(name, group);
     return group;
   }
 }
 
-function removeOldest<T>(entries: Map<string, T>, most: number): void {
-  for (const key of entries.keys()) {
-    if (entries.size <= most) return;
-    entries.delete(key);
-  }
+function countBytes(key: string, id: string, { value }: KeptFact): number {
+  return FACT_OVERHEAD_BYTES + key.length + id.length + value.length;
 }
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -236,11 +236,11 @@
   #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
     const { progress } = this.#attempts;
     this.#state.turn?.addEvent(readEventData(event));
-    const { fields: { requestId }, fingerprint } = this.#accepted;
+    const { requestId } = this.#accepted.fields;
     entry.recordFirstResponse(requestId, performance.now());
     const begun = this.#attempts.start.recordFirstEvent(entry.target);
     if (begun !== undefined) {
-      this.#dependencies.versions.record(fingerprint, requestId, begun);
+      this.#dependencies.versions.record(this.#accepted, begun);
     }
     if (progress.firstEventMs !== undefined) return;
     progress.firstEventMs = Math.round(this.#clock.countElapsedMs());
--- a/packages/gateway/src/streams/stream_versions.ts
+++ b/packages/gateway/src/streams/stream_versions.ts
@@ -10,12 +10,22 @@
 import type { FactClient, FactKeeper, FoundFact } from "@camphorlock/facts";
 import { BoundedMap } from "../model/bounded_map.ts";
 import type { Fingerprint } from "../model/request_fingerprint.ts";
+import type { RequestFields } from "../model/request_fields.ts";
+import type { Route } from "../model/routing.ts";
 import type { StreamVersion } from "../model/stream_version.ts";
 
 /** Streams of this gateway that it remembers itself. */
 const MAX_OWN_STREAMS = 4_096;
-/** Callers take a stream up within the time of the attempt that began it. */
-const LIFETIME_MS = 60_000;
+/** Callers take a stream up within this many times the route's limit. */
+const TAKE_UP_TIMES = 4;
+const MAX_LIFETIME_MS = 600_000;
+
+/** The attempt that began a stream. */
+export interface BegunAttempt {
+  readonly fingerprint: Fingerprint;
+  readonly fields: Pick<RequestFields, "requestId">;
+  readonly route: Pick<Route, "timeoutMs">;
+}
 
 /** The versions that began streams. */
 export class StreamVersions {
@@ -28,8 +38,7 @@
 
   /** Records the version that began an attempt's stream. Never rejects. */
   record(
-    { request }: Fingerprint,
-    requestId: string,
+    { fingerprint: { request }, fields: { requestId }, route }: BegunAttempt,
     begun: StreamVersion,
   ): void {
     this.#own.set(buildOwnKey(request, requestId), begun);
@@ -37,7 +46,7 @@
       key: buildKey(request),
       id: requestId,
       value: JSON.stringify([begun.service, begun.version]),
-      lifetimeMs: LIFETIME_MS,
+      lifetimeMs: Math.min(route.timeoutMs * TAKE_UP_TIMES, MAX_LIFETIME_MS),
     });
   }
 
