Name the parts that find requests that crash targets in the field's terms

Judges, suspects, culprits and verdicts are attribution, homes, candidates and causes now, as elsewhere in the project.

--- a/packages/gateway/src/crashes/crash_exchange.ts
+++ b/packages/gateway/src/crashes/crash_exchange.ts
@@ -2,14 +2,15 @@
  * Brings what all gateways saw of the ends of targets together, and tells all
  * of them which requests aren't sent any more.
  *
- * The ends of a service's targets are judged by the two gateways that rank first
- * for it, each by itself, so that the loss of one changes nothing. A gateway
- * that reaches neither judges what it saw itself. A gateway at which a blocked
- * request has completed since objects, and the block is withdrawn.
+ * Two homes, the gateways that rank first for a service, attribute the ends of
+ * its targets to requests, each by itself, so that the loss of one changes
+ * nothing. A gateway that reaches neither attributes what it saw itself. One at
+ * which a blocked request has completed since objects, and the block is
+ * withdrawn.
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
-import { CrashJudge } from "../decisions/crash_judge.ts";
+import { CrashAttribution } from "../decisions/crash_attribution.ts";
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
 import { getIncarnation } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
@@ -19,8 +20,8 @@
 import { KEPT_BLOCKS_KEY, type KeptBlocks } from "./kept_blocks.ts";
 import type { TargetEnd } from "./crash_observer.ts";
 
-/** Gateways that judge the ends of one service's targets. */
-const JUDGES = 2;
+/** Gateways that attribute the ends of one service's targets. */
+const HOMES = 2;
 /** Attempts to tell a gateway; the exchange of lists reaches it later. */
 const SHARE_ATTEMPTS = 3;
 const SHARE_RETRY_MS = 400;
@@ -40,10 +41,10 @@
   readonly onBlocked: () => void;
 }
 
-/** One gateway's part in the judgement of requests that crash targets. */
+/** One gateway's part in finding the requests that crash targets. */
 export class CrashExchange {
   readonly #dependencies: CrashExchangeDependencies;
-  readonly #judge = new CrashJudge();
+  readonly #attribution = new CrashAttribution();
 
   constructor(dependencies: CrashExchangeDependencies) {
     this.#dependencies = dependencies;
@@ -55,45 +56,45 @@
   }
 
   /** Reports the end of a target that ran requests of this gateway. */
-  async report({ target, suspects: running }: TargetEnd): Promise<void> {
+  async report({ target, requests: running }: TargetEnd): Promise<void> {
     const { blocked, directory, links, vmId, metrics } = this.#dependencies;
-    const suspects = running.filter(({ request }) =>
+    const requests = running.filter(({ request }) =>
       !blocked.hasCompleted(request)
     );
-    if (suspects.length === 0) return;
+    if (requests.length === 0) return;
     metrics.add("target_ends");
     const report: CrashReport = {
       service: target.service,
       incarnation: getIncarnation(target),
       address: `${target.host}:${target.port}`,
-      suspects,
+      requests,
       ageMs: 0,
     };
-    const judges = directory.sortHomes(`crashes|${target.service}`)
-      .slice(0, JUDGES);
-    const reached = await Promise.all(judges.map(async (judge) => {
-      if (judge.vmId === vmId) {
+    const homes = directory.sortHomes(`crashes|${target.service}`)
+      .slice(0, HOMES);
+    const reached = await Promise.all(homes.map(async (home) => {
+      if (home.vmId === vmId) {
         this.recordReport(report);
         return true;
       }
       const message = { kind: "report_crash", report } as const;
-      return await links.call(judge, message) !== undefined;
+      return await links.call(home, message) !== undefined;
     }));
     if (!reached.includes(true)) this.recordReport(report);
   }
 
-  /** Records a report as one of its judges. */
+  /** Records a report as one of its homes. */
   recordReport(report: CrashReport): void {
-    this.#judge.record(report, performance.now());
+    this.#attribution.record(report, performance.now());
   }
 
-  /** Judges the reports so far and lets in what was blocked for long enough. */
+  /** Attributes what was reported; lets in what was blocked for long enough. */
   runDue(nowMs: number): void {
     const { blocked } = this.#dependencies;
     for (const fingerprint of blocked.takeExpired(nowMs)) {
       this.#log(fingerprint, { change: "let_in" });
     }
-    const { requests, resources } = this.#judge.settle(nowMs);
+    const { requests, resources } = this.#attribution.settle(nowMs);
     if (requests.length > 0) void this.#publish(requests);
     if (resources.length > 0) void this.#publishAgreed(resources);
   }
@@ -153,7 +154,7 @@
       ...blocked.listCompleted(found, nowMs),
       ...answers.flat(),
     ]);
-    for (const fingerprint of completed) this.#judge.release(fingerprint);
+    for (const fingerprint of completed) this.#attribution.release(fingerprint);
     const agreed = found.filter(({ fingerprint }) =>
       !completed.has(fingerprint)
     );
@@ -174,7 +175,9 @@
     );
     if (withdrawn.length === 0) return;
     const notices = withdrawn.map((each) => ({ ...each, leftMs: 0 }));
-    for (const { fingerprint } of notices) this.#judge.release(fingerprint);
+    for (const { fingerprint } of notices) {
+      this.#attribution.release(fingerprint);
+    }
     this.applyBlocked(notices);
     keptBlocks.save(notices);
     await Promise.all(
--- a/packages/gateway/src/crashes/crash_observer.ts
+++ b/packages/gateway/src/crashes/crash_observer.ts
@@ -19,7 +19,7 @@
 export interface TargetEnd {
   readonly target: Target;
   /** What ran there, as far as this gateway knows. */
-  readonly suspects: readonly Fingerprint[];
+  readonly requests: readonly Fingerprint[];
 }
 
 /** Dependencies of the observer. */
@@ -82,13 +82,13 @@
     if (this.#ended.size > MAX_ENDED && oldest !== undefined) {
       this.#ended.delete(oldest);
     }
-    const suspects = this.#requests.listAtEnd(target, performance.now());
+    const requests = this.#requests.listAtEnd(target, performance.now());
     this.#dependencies.log.write(EVENTS.TargetEnded, {
       target: target.id,
       service: target.service,
       address: `${target.host}:${target.port}`,
-      fingerprints: suspects.map(({ request }) => request),
+      fingerprints: requests.map(({ request }) => request),
     });
-    this.#dependencies.onEnd({ target, suspects });
+    this.#dependencies.onEnd({ target, requests });
   }
 }
--- a/packages/gateway/src/crashes/crash_observer_test.ts
+++ b/packages/gateway/src/crashes/crash_observer_test.ts
@@ -78,7 +78,7 @@
     ]);
     expect(results).to.deep.equal([true, true]);
     expect(ends).to.have.length(1);
-    expect(ends[0]?.suspects.map(({ request }) => request))
+    expect(ends[0]?.requests.map(({ request }) => request))
       .to.have.members(["f1", "f2"]);
   });
 
--- a/packages/gateway/src/crashes/deadly_request_test.ts
+++ b/packages/gateway/src/crashes/crashing_request_test.ts
@@ -15,13 +15,13 @@
 const RUN_MS = 20;
 const RESTART_MS = 300;
 const DURATION_MS = 8_000;
-const DEADLY_INTERVAL_MS = 150;
-const INNOCENT_INTERVAL_MS = 40;
+const CRASHING_INTERVAL_MS = 150;
+const HARMLESS_INTERVAL_MS = 40;
 
 describe("a request that crashes each target that runs it", () => {
   let fixture: GatewayFixture;
   let startedTargets: number;
-  /** When the deadly request reached a target. */
+  /** When the crashing request reached a target. */
   let arrivals: number[];
   let crashes: number[];
   let isStopped: boolean;
@@ -54,10 +54,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const isDeadly = request.url === "/stream/deadly";
-    if (isDeadly) arrivals.push(performance.now());
+    const isCrashing = request.url === "/stream/crash";
+    if (isCrashing) arrivals.push(performance.now());
     setTimeout(() => {
-      if (!isDeadly) return sendCompleteResponse(request, response);
+      if (!isCrashing) return sendCompleteResponse(request, response);
       crashes.push(performance.now());
       target.stop();
       setTimeout(() => {
@@ -100,10 +100,10 @@
     const port = fixture.ports.at(-1) ?? 0;
     const send = (id: string, to: number) =>
       fixture.sendRequest(to, {
-        path: "/stream/deadly",
+        path: "/stream/crash",
         method: "POST",
         headers: { id },
-        body: "deadly",
+        body: "crashing",
       });
     await send("first", port);
     await send("second", port);
@@ -129,16 +129,16 @@
   // The users' BUDGET: a request under which three targets had ended was sent
   // to targets up to 18 times more.
   it("isn't sent again and again, and costs the others little", async () => {
-    const [deadly, innocent] = await Promise.all([
-      sendRequests("/stream/deadly", DEADLY_INTERVAL_MS, () => "deadly"),
-      sendRequests("/safe/1", INNOCENT_INTERVAL_MS, (sent) => `turn ${sent}`),
+    const [crashing, harmless] = await Promise.all([
+      sendRequests("/stream/crash", CRASHING_INTERVAL_MS, () => "crashing"),
+      sendRequests("/safe/1", HARMLESS_INTERVAL_MS, (sent) => `turn ${sent}`),
     ]);
     expect(crashes.length).to.be.at.least(1);
     const boundMs = (crashes[2] ?? Number.POSITIVE_INFINITY) + CONTACT_MS;
     const late = arrivals.filter((atMs) => atMs > boundMs);
     expect(late.length).to.be.at.most(MAX_LATE_SENDS);
-    expect(deadly.filter((status) => status === 200)).to.deep.equal([]);
-    const served = innocent.filter((status) => status === 200).length;
-    expect(served / innocent.length).to.be.at.least(0.98);
+    expect(crashing.filter((status) => status === 200)).to.deep.equal([]);
+    const served = harmless.filter((status) => status === 200).length;
+    expect(served / harmless.length).to.be.at.least(0.98);
   }).timeout(30_000);
 });
--- a/packages/gateway/src/crashes/no_crashes_test.ts
+++ b/packages/gateway/src/crashes/no_crashes_test.ts
@@ -1,7 +1,7 @@
 import { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { KeptBlocks } from "./kept_blocks.ts";
 
-/** What a gateway needs to judge crashes, in a test that has none. */
+/** What a gateway needs to attribute crashes, in a test that has none. */
 export const NO_CRASHES = {
   blocked: new BlockedRequests(),
   keptBlocks: new KeptBlocks({
--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -26,7 +26,7 @@
  * Keeps a request whose target has just ended and other requests apart: what
  * runs beside it would be lost with it, and would be suspected with it.
  */
-const SUSPECT_COST_MS = 100;
+const CRASH_CANDIDATE_COST_MS = 100;
 /** Wait for each request ahead while no slot is free. */
 const QUEUED_REQUEST_COST_MS = 40;
 
@@ -40,7 +40,7 @@
   readonly failureDomain: string;
   readonly regions: ReadonlyMap<string, string>;
   /** Whether a target has just ended while it ran this request. */
-  readonly isSuspect?: boolean;
+  readonly isCrashCandidate?: boolean;
   /** Targets that already rejected this request. */
   readonly excluded: ReadonlySet<string>;
   readonly nowMs: number;
@@ -79,8 +79,10 @@
   candidate: TrackedTarget,
   request: PlacementRequest,
 ): number {
-  const { target, running, suspects, prefixes } = candidate;
-  const unwanted = request.isSuspect === true ? running : suspects;
+  const { target, running, crashCandidates, prefixes } = candidate;
+  const unwanted = request.isCrashCandidate === true
+    ? running
+    : crashCandidates;
   const queued = Math.max(0, running + 1 - Math.max(1, target.slots));
   // Another gateway may have sent the conversation so far to this target.
   const uncached = target.id === request.previousTargetId
@@ -89,7 +91,7 @@
   return uncached / PREFILL_TOKENS_PER_MS +
     running * RUNNING_REQUEST_COST_MS + queued * QUEUED_REQUEST_COST_MS +
     candidate.computeQueueDelayMs(request.nowMs) +
-    unwanted * SUSPECT_COST_MS +
+    unwanted * CRASH_CANDIDATE_COST_MS +
     computeNetworkCostMs(target.failureDomain, request);
 }
 
--- a/packages/gateway/src/decisions/crash_judge.ts
+++ b/packages/gateway/src/decisions/crash_attribution.ts
@@ -3,7 +3,7 @@
  *
  * The load: a few requests that crash whatever runs them, sent again and again
  * under other ids through all gateways, each crash taking up to a whole batch of
- * innocent requests with it; beside them targets that end for reasons of their
+ * harmless requests with it; beside them targets that end for reasons of their
  * own, alone, by the failure domain, or over and over on one VM.
  *
  * Each end of a target is evidence against everything that ran there, shared
@@ -39,20 +39,20 @@
   readonly address: string;
   readonly atMs: number;
   /** What ran there, by the request's fingerprint. */
-  readonly suspects: Map<string, Fingerprint>;
-  isJudged: boolean;
+  readonly requests: Map<string, Fingerprint>;
+  isSettled: boolean;
   /** Whether a blocked request ran there. */
   isExplained: boolean;
 }
 
 /** What is to be blocked. */
-export interface CrashVerdict {
+export interface BlockDecision {
   readonly requests: readonly BlockedRequest[];
   /** All requests about these, unless one of them has completed meanwhile. */
   readonly resources: readonly BlockedRequest[];
 }
 
-interface DeadlyRequest {
+interface FirstBlocked {
   readonly request: string;
   readonly firstAtMs: number;
 }
@@ -62,40 +62,40 @@
   readonly untilMs: number;
 }
 
-/** Judges the ends of targets that gateways report. */
-export class CrashJudge {
+/** Attributes the ends of targets that gateways report. */
+export class CrashAttribution {
   readonly #byIncarnation = new BoundedMap<string, Crash>(MAX_CRASHES);
   readonly #pastBlocks = new BoundedMap<string, PastBlock>(MAX_BLOCKED);
   /** The first blocked request about each resource. */
-  readonly #deadlyByResource = new BoundedMap<string, DeadlyRequest>(
+  readonly #firstBlocked = new BoundedMap<string, FirstBlocked>(
     MAX_BLOCKED,
   );
 
   /** Records what one gateway saw. */
   record(report: CrashReport, nowMs: number): void {
-    const { incarnation, service, address, suspects, ageMs } = report;
+    const { incarnation, service, address, requests, ageMs } = report;
     const known = this.#byIncarnation.get(incarnation);
     const crash: Crash = known ?? {
       service,
       address,
       atMs: nowMs - ageMs,
-      suspects: new Map(),
-      isJudged: false,
+      requests: new Map(),
+      isSettled: false,
       isExplained: false,
     };
-    for (const each of suspects) crash.suspects.set(each.request, each);
+    for (const each of requests) crash.requests.set(each.request, each);
     if (known === undefined) this.#byIncarnation.set(incarnation, crash);
   }
 
-  /** Judges the ends whose reports have arrived; returns what to block. */
-  settle(nowMs: number): CrashVerdict {
+  /** Attributes the ends whose reports have arrived; returns what to block. */
+  settle(nowMs: number): BlockDecision {
     const requests: BlockedRequest[] = [];
     const resources: BlockedRequest[] = [];
     for (const [incarnation, crash] of this.#byIncarnation.list()) {
       const ageMs = nowMs - crash.atMs;
       if (ageMs > EVIDENCE_MS) this.#byIncarnation.remove(incarnation);
-      else if (!crash.isJudged && ageMs >= COLLECT_MS) {
-        crash.isJudged = true;
+      else if (!crash.isSettled && ageMs >= COLLECT_MS) {
+        crash.isSettled = true;
         requests.push(...this.#settleCrash(crash, nowMs));
         resources.push(...this.#settleResources(crash, nowMs));
       }
@@ -106,25 +106,25 @@
   /** Takes back a block, since the request has completed at a target. */
   release(fingerprint: string): void {
     this.#pastBlocks.remove(fingerprint);
-    for (const [resource, { request }] of this.#deadlyByResource.list()) {
+    for (const [resource, { request }] of this.#firstBlocked.list()) {
       const isReleased = resource === fingerprint || request === fingerprint;
-      if (isReleased) this.#deadlyByResource.remove(resource);
+      if (isReleased) this.#firstBlocked.remove(resource);
     }
-    for (const [, { suspects }] of this.#byIncarnation.list()) {
-      suspects.delete(fingerprint);
+    for (const [, { requests }] of this.#byIncarnation.list()) {
+      requests.delete(fingerprint);
     }
   }
 
   #settleCrash(crash: Crash, nowMs: number): BlockedRequest[] {
-    const candidates = [...crash.suspects.values()]
+    const candidates = [...crash.requests.values()]
       .map((fingerprint) => this.#measureEvidence(fingerprint));
     const known = candidates.filter(({ past }) => past !== undefined);
-    const culprits = known.length > 0 ? known : chooseCulprits(candidates);
-    for (const { crashes } of culprits) {
+    const causes = known.length > 0 ? known : chooseCauses(candidates);
+    for (const { crashes } of causes) {
       for (const each of crashes) each.isExplained = true;
     }
     // What was sent before the block was known everywhere changes nothing.
-    return culprits
+    return causes
       .filter(({ past }) => past === undefined || past.untilMs <= nowMs)
       .map((each) => this.#buildBlock(each, nowMs));
   }
@@ -134,8 +134,8 @@
    * target, after one about it was blocked.
    */
   #settleResources(crash: Crash, nowMs: number): BlockedRequest[] {
-    return [...crash.suspects.values()].flatMap(({ request, resource }) => {
-      const first = this.#deadlyByResource.get(resource);
+    return [...crash.requests.values()].flatMap(({ request, resource }) => {
+      const first = this.#firstBlocked.get(resource);
       const past = this.#pastBlocks.get(resource);
       if (first === undefined || first.request === request) return [];
       if (past !== undefined && past.untilMs > nowMs) return [];
@@ -155,7 +155,7 @@
   #measureEvidence({ request, resource }: Fingerprint): Candidate {
     const all = this.#byIncarnation.list()
       .map(([, crash]) => crash)
-      .filter(({ suspects }) => suspects.has(request));
+      .filter(({ requests }) => requests.has(request));
     const crashes = all.filter(({ isExplained }) => !isExplained);
     return {
       request,
@@ -163,7 +163,7 @@
       crashes,
       isElsewhere: countAddresses(all) >= LIKELY_CRASHES,
       ends: all.length,
-      share: crashes.reduce((sum, each) => sum + 1 / each.suspects.size, 0),
+      share: crashes.reduce((sum, each) => sum + 1 / each.requests.size, 0),
       past: this.#pastBlocks.get(request),
     };
   }
@@ -176,8 +176,8 @@
     const leftMs = Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (times - 1));
     this.#pastBlocks.set(request, { times, untilMs: nowMs + leftMs });
     const firstAtMs = Math.min(...crashes.map(({ atMs }) => atMs));
-    if (!this.#deadlyByResource.has(resource)) {
-      this.#deadlyByResource.set(resource, { request, firstAtMs });
+    if (!this.#firstBlocked.has(resource)) {
+      this.#firstBlocked.set(resource, { request, firstAtMs });
     }
     return {
       fingerprint: request,
@@ -201,7 +201,7 @@
   readonly past: PastBlock | undefined;
 }
 
-function chooseCulprits(candidates: readonly Candidate[]): Candidate[] {
+function chooseCauses(candidates: readonly Candidate[]): Candidate[] {
   const likely = candidates.filter(({ isElsewhere, crashes }) =>
     isElsewhere && crashes.length >= LIKELY_CRASHES
   );
--- a/packages/gateway/src/decisions/crash_judge_test.ts
+++ b/packages/gateway/src/decisions/crash_attribution_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { BlockedRequests } from "./blocked_requests.ts";
 import type { Fingerprint } from "../model/request_fingerprint.ts";
-import { CrashJudge, FIRST_BLOCK_MS } from "./crash_judge.ts";
+import { CrashAttribution, FIRST_BLOCK_MS } from "./crash_attribution.ts";
 import { createRandom, simulateCrashes } from "./crash_simulation_test.ts";
 
 const COLLECT_MS = 150;
@@ -9,16 +9,16 @@
 /** Sends of one request after its third crash and the bound for contact. */
 const MAX_LATE_SENDS = 3;
 /** What the users accept as wrongly ended requests. */
-const MAX_REFUSED_INNOCENTS = 1 / 500;
+const MAX_REFUSED_HARMLESS = 1 / 500;
 
-describe("the judge of requests that crash targets", () => {
-  let judge: CrashJudge;
+describe("the attribution of crashes to requests", () => {
+  let attribution: CrashAttribution;
   let nowMs: number;
   let ends: number;
   let resources: string[];
 
   beforeEach(() => {
-    judge = new CrashJudge();
+    attribution = new CrashAttribution();
     nowMs = 0;
     ends = 0;
   });
@@ -26,80 +26,80 @@
   /** Reports the end of a target and returns what is blocked for it. */
   function crash(requests: string[], address?: string): string[] {
     ends += 1;
-    judge.record({
+    attribution.record({
       service: "s",
       incarnation: `i${ends}`,
       address: address ?? `a${ends}`,
-      suspects: requests.map(buildFingerprint),
+      requests: requests.map(buildFingerprint),
       ageMs: 0,
     }, nowMs);
     nowMs += COLLECT_MS;
-    const verdict = judge.settle(nowMs);
-    resources = verdict.resources.map(({ fingerprint }) => fingerprint);
-    return verdict.requests.map(({ fingerprint }) => fingerprint);
+    const decision = attribution.settle(nowMs);
+    resources = decision.resources.map(({ fingerprint }) => fingerprint);
+    return decision.requests.map(({ fingerprint }) => fingerprint);
   }
 
   it("blocks what ran alone at the ends of two targets", () => {
-    expect(crash(["deadly"])).to.deep.equal([]);
-    expect(crash(["deadly"])).to.deep.equal(["deadly"]);
+    expect(crash(["crashing"])).to.deep.equal([]);
+    expect(crash(["crashing"])).to.deep.equal(["crashing"]);
   });
 
   it("blocks none of two that were only seen together, until one goes on", () => {
-    expect(crash(["deadly", "innocent"])).to.deep.equal([]);
-    expect(crash(["deadly", "innocent"])).to.deep.equal([]);
-    expect(crash(["deadly"])).to.deep.equal(["deadly"]);
-    expect(crash(["innocent"])).to.deep.equal([]);
+    expect(crash(["crashing", "harmless"])).to.deep.equal([]);
+    expect(crash(["crashing", "harmless"])).to.deep.equal([]);
+    expect(crash(["crashing"])).to.deep.equal(["crashing"]);
+    expect(crash(["harmless"])).to.deep.equal([]);
   });
 
   it("holds the ends that a blocked request explains against nobody else", () => {
-    crash(["deadly", "innocent"]);
-    expect(crash(["deadly"])).to.deep.equal(["deadly"]);
-    expect(crash(["deadly", "innocent"])).to.deep.equal([]);
-    expect(crash(["innocent"])).to.deep.equal([]);
+    crash(["crashing", "harmless"]);
+    expect(crash(["crashing"])).to.deep.equal(["crashing"]);
+    expect(crash(["crashing", "harmless"])).to.deep.equal([]);
+    expect(crash(["harmless"])).to.deep.equal([]);
   });
 
-  it("doesn't blame requests for one VM that keeps ending", () => {
+  it("isn't to a request at one VM that keeps ending", () => {
     for (let round = 0; round < 10; round += 1) {
       expect(crash(["steady"], "same VM")).to.deep.equal([]);
     }
   });
 
-  it("doesn't blame requests for the end of a whole failure domain", () => {
+  it("isn't to a request for the end of a whole failure domain", () => {
     for (let each = 0; each < 20; each += 1) {
       expect(crash([`r${each}`, `s${each}`])).to.deep.equal([]);
     }
   });
 
   it("blocks for longer when it's let in and does it again", () => {
-    crash(["deadly"]);
-    crash(["deadly"]);
-    expect(crash(["deadly"]), "sent before it was blocked").to.deep.equal([]);
+    crash(["crashing"]);
+    crash(["crashing"]);
+    expect(crash(["crashing"]), "sent before it was blocked").to.deep.equal([]);
     nowMs += FIRST_BLOCK_MS;
     ends += 1;
-    judge.record({
+    attribution.record({
       service: "s",
       incarnation: `i${ends}`,
       address: "b",
-      suspects: ["deadly", "innocent"].map(buildFingerprint),
+      requests: ["crashing", "harmless"].map(buildFingerprint),
       ageMs: 0,
     }, nowMs);
     nowMs += COLLECT_MS;
-    const [again] = judge.settle(nowMs).requests;
-    expect(again?.fingerprint).to.equal("deadly");
+    const [again] = attribution.settle(nowMs).requests;
+    expect(again?.fingerprint).to.equal("crashing");
     expect(again?.leftMs).to.equal(2 * FIRST_BLOCK_MS);
   });
 
   it("starts anew with a request that has completed", () => {
     crash(["doubted"]);
     crash(["doubted"]);
-    judge.release("doubted");
+    attribution.release("doubted");
     expect(crash(["doubted"])).to.deep.equal([]);
   });
 
   it("blocks no resource for a request that has completed", () => {
     crash(["object/1"]);
     expect(crash(["object/1"])).to.deep.equal(["object/1"]);
-    judge.release("object/1");
+    attribution.release("object/1");
     crash(["object/2"]);
     expect(resources).to.deep.equal([]);
   });
@@ -118,13 +118,13 @@
 
   it("counts the reports of several gateways as one end", () => {
     const report = { service: "s", incarnation: "i", address: "a", ageMs: 0 };
-    for (const requests of [["f1"], ["f1", "f2"], ["f3"]]) {
-      const suspects = requests.map(buildFingerprint);
-      judge.record({ ...report, suspects }, nowMs);
+    for (const names of [["f1"], ["f1", "f2"], ["f3"]]) {
+      const requests = names.map(buildFingerprint);
+      attribution.record({ ...report, requests }, nowMs);
       nowMs += 10;
     }
     nowMs += COLLECT_MS;
-    expect(judge.settle(nowMs).requests).to.deep.equal([]);
+    expect(attribution.settle(nowMs).requests).to.deep.equal([]);
   });
 });
 
@@ -185,23 +185,23 @@
 
 describe("many gateways with a few requests that crash targets", () => {
   for (const [gateways, targets] of [[8, 6], [60, 31], [430, 600]] as const) {
-    it(`stop them and spare the innocent: ${gateways} gateways`, () => {
-      let refusedInnocents = 0;
+    it(`stop them and spare the harmless: ${gateways} gateways`, () => {
+      let refusedHarmless = 0;
       for (let seed = 1; seed <= 10; seed += 1) {
         const seen = simulateCrashes({
           random: createRandom(seed),
           gateways,
           targets,
-          deadly: 4,
+          crashing: 4,
           ownEndsPerSecond: 0.5,
           durationMs: 30_000,
         });
         expect(seen.mostLateSends, `seed ${seed}`).to.be.at.most(
           MAX_LATE_SENDS,
         );
-        refusedInnocents += seen.refusedInnocents / seen.innocents;
+        refusedHarmless += seen.refusedHarmless / seen.harmless;
       }
-      expect(refusedInnocents / 10).to.be.below(MAX_REFUSED_INNOCENTS);
+      expect(refusedHarmless / 10).to.be.below(MAX_REFUSED_HARMLESS);
     });
   }
 });
--- a/packages/gateway/src/decisions/crash_simulation_test.ts
+++ b/packages/gateway/src/decisions/crash_simulation_test.ts
@@ -4,21 +4,21 @@
  */
 import type { Fingerprint } from "../model/request_fingerprint.ts";
 import { BlockedRequests } from "./blocked_requests.ts";
-import { CrashJudge } from "./crash_judge.ts";
+import { CrashAttribution } from "./crash_attribution.ts";
 
 const STEP_MS = 10;
 const RUN_MS = 250;
 const CRASH_AFTER_MS = 90;
 const RESTART_MS = 3_000;
-const JUDGE_INTERVAL_MS = 50;
+const SETTLE_INTERVAL_MS = 50;
 const CONTACT_MS = 3_000;
 /** Time until a report arrives, and until all know what is blocked. */
 const MESSAGE_MS = 30;
 const MAX_CRASHES_PER_ATTEMPT = 2;
 const SLOTS = 8;
-/** Share of the slots that innocent requests fill. */
+/** Share of the slots that harmless requests fill. */
 const LOAD = 0.3;
-const DEADLY_INTERVAL_MS = 500;
+const CRASHING_INTERVAL_MS = 500;
 const RETURN_MS = 200;
 
 /** What to simulate. */
@@ -27,7 +27,7 @@
   readonly gateways: number;
   readonly targets: number;
   /** Number of requests that crash what runs them. */
-  readonly deadly: number;
+  readonly crashing: number;
   readonly ownEndsPerSecond: number;
   readonly durationMs: number;
 }
@@ -36,8 +36,8 @@
 export interface CrashSimulationResult {
   /** Sends of one request later than the bound after its third crash. */
   readonly mostLateSends: number;
-  readonly innocents: number;
-  readonly refusedInnocents: number;
+  readonly harmless: number;
+  readonly refusedHarmless: number;
 }
 
 interface SimulatedRun {
@@ -72,14 +72,14 @@
 class Simulation {
   readonly #options: CrashSimulation;
   readonly #targets: SimulatedTarget[];
-  readonly #judge = new CrashJudge();
+  readonly #attribution = new CrashAttribution();
   /** All gateways learn what is blocked at the same time. */
   readonly #blocked = new BlockedRequests();
   #pending: { readonly atMs: number; readonly act: () => void }[] = [];
   readonly #crashesAtMs = new Map<string, number[]>();
   readonly #lateSends = new Map<string, number>();
   readonly #refused = new Set<string>();
-  #innocents = 0;
+  #harmless = 0;
   #nowMs = 0;
 
   constructor(options: CrashSimulation) {
@@ -91,7 +91,7 @@
   }
 
   run(): CrashSimulationResult {
-    const { durationMs, deadly, targets, ownEndsPerSecond } = this.#options;
+    const { durationMs, crashing, targets, ownEndsPerSecond } = this.#options;
     const { random } = this.#options;
     const arrivals = LOAD * SLOTS * targets * STEP_MS / RUN_MS;
     for (; this.#nowMs < durationMs; this.#nowMs += STEP_MS) {
@@ -99,28 +99,28 @@
       this.#pending = this.#pending.filter(({ atMs }) => atMs > this.#nowMs);
       for (const { act } of due) act();
       for (let each = random(); each < arrivals; each += 1) {
-        this.#innocents += 1;
-        this.#send(`innocent-${this.#innocents}`, 0);
+        this.#harmless += 1;
+        this.#send(`harmless-${this.#harmless}`, 0);
       }
-      for (let each = 0; each < deadly; each += 1) {
-        const isDue = random() < STEP_MS / DEADLY_INTERVAL_MS;
-        if (isDue) this.#send(`deadly-${each}`, 0);
+      for (let each = 0; each < crashing; each += 1) {
+        const isDue = random() < STEP_MS / CRASHING_INTERVAL_MS;
+        if (isDue) this.#send(`crashing-${each}`, 0);
       }
       if (random() < ownEndsPerSecond * STEP_MS / 1_000) {
         this.#end(Math.floor(random() * targets));
       }
       this.#targets.forEach((target, index) => this.#runTarget(target, index));
-      if (this.#nowMs % JUDGE_INTERVAL_MS === 0) this.#publish();
+      if (this.#nowMs % SETTLE_INTERVAL_MS === 0) this.#publish();
     }
     return {
       mostLateSends: Math.max(0, ...this.#lateSends.values()),
-      innocents: this.#innocents,
-      refusedInnocents: this.#refused.size,
+      harmless: this.#harmless,
+      refusedHarmless: this.#refused.size,
     };
   }
 
   #publish(): void {
-    for (const notice of this.#judge.settle(this.#nowMs).requests) {
+    for (const notice of this.#attribution.settle(this.#nowMs).requests) {
       this.#schedule(MESSAGE_MS, () => {
         this.#blocked.apply(notice, this.#nowMs);
       });
@@ -137,7 +137,7 @@
       this.#blocked.find(buildFingerprint(fingerprint), this.#nowMs) !==
         undefined
     ) {
-      if (isInnocent(fingerprint)) this.#refused.add(fingerprint);
+      if (isHarmless(fingerprint)) this.#refused.add(fingerprint);
       return;
     }
     const up = this.#targets.filter(({ upAtMs }) => upAtMs <= this.#nowMs);
@@ -152,7 +152,7 @@
       const late = this.#lateSends.get(fingerprint) ?? 0;
       this.#lateSends.set(fingerprint, late + 1);
     }
-    const runMs = isInnocent(fingerprint) ? RUN_MS : CRASH_AFTER_MS;
+    const runMs = isHarmless(fingerprint) ? RUN_MS : CRASH_AFTER_MS;
     target.runs.push({
       fingerprint,
       gateway: Math.floor(random() * gateways),
@@ -163,10 +163,10 @@
 
   #runTarget(target: SimulatedTarget, index: number): void {
     const done = target.runs.filter(({ endAtMs }) => endAtMs <= this.#nowMs);
-    const culprit = done.find(({ fingerprint }) => !isInnocent(fingerprint));
-    if (culprit !== undefined) {
-      const atMs = this.#crashesAtMs.get(culprit.fingerprint) ?? [];
-      this.#crashesAtMs.set(culprit.fingerprint, [...atMs, this.#nowMs]);
+    const cause = done.find(({ fingerprint }) => !isHarmless(fingerprint));
+    if (cause !== undefined) {
+      const atMs = this.#crashesAtMs.get(cause.fingerprint) ?? [];
+      this.#crashesAtMs.set(cause.fingerprint, [...atMs, this.#nowMs]);
       return this.#end(index);
     }
     target.runs = target.runs.filter(({ endAtMs }) => endAtMs > this.#nowMs);
@@ -181,15 +181,15 @@
     target.incarnation += 1;
     target.upAtMs = this.#nowMs + RESTART_MS;
     for (const gateway of new Set(runs.map((run) => run.gateway))) {
-      const suspects = runs.filter((run) => run.gateway === gateway)
+      const requests = runs.filter((run) => run.gateway === gateway)
         .map(({ fingerprint }) => buildFingerprint(fingerprint));
       const delayMs = this.#options.random() * MESSAGE_MS;
       this.#schedule(delayMs, () =>
-        this.#judge.record({
+        this.#attribution.record({
           service: "s",
           incarnation: `${index}-${incarnation}`,
           address: `${index}`,
-          suspects,
+          requests,
           ageMs: delayMs,
         }, this.#nowMs));
     }
@@ -208,6 +208,6 @@
   return { request, resource: `about ${request}` };
 }
 
-function isInnocent(fingerprint: string): boolean {
-  return fingerprint.startsWith("innocent");
+function isHarmless(fingerprint: string): boolean {
+  return fingerprint.startsWith("harmless");
 }
--- a/packages/gateway/src/decisions/next_step.ts
+++ b/packages/gateway/src/decisions/next_step.ts
@@ -47,7 +47,7 @@
 /** Maximum attempts of one request; more hardly help a caller in time. */
 const MAX_ATTEMPTS = 12;
 /**
- * Targets that may end under one request. Whether it's to blame is known soon
+ * Targets that may end under one request. Whether it's the cause is known soon
  * after, and a caller that tries again finds out.
  */
 const MAX_CRASHES = 2;
--- a/packages/gateway/src/decisions/target_table.ts
+++ b/packages/gateway/src/decisions/target_table.ts
@@ -36,7 +36,7 @@
   /** Requests of this gateway that run there. */
   running = 0;
   /** Those of them under which another target has just ended. */
-  suspects = 0;
+  crashCandidates = 0;
   consecutiveFailures = 0;
   avoidedUntilMs = 0;
   /** When a lapsed entry expires; infinite while the store lists it. */
@@ -54,16 +54,24 @@
   }
 
   /** Records the start of an attempt at the target. */
-  recordAttempt(requestId: string, nowMs: number, isSuspect = false): void {
+  recordAttempt(
+    requestId: string,
+    nowMs: number,
+    isCrashCandidate = false,
+  ): void {
     this.running += 1;
-    if (isSuspect) this.suspects += 1;
+    if (isCrashCandidate) this.crashCandidates += 1;
     this.#pendingSinceMs.set(requestId, nowMs);
   }
 
   /** Records the end of an attempt. */
-  recordAttemptEnd(requestId: string, nowMs: number, isSuspect = false): void {
+  recordAttemptEnd(
+    requestId: string,
+    nowMs: number,
+    isCrashCandidate = false,
+  ): void {
     this.running -= 1;
-    if (isSuspect) this.suspects -= 1;
+    if (isCrashCandidate) this.crashCandidates -= 1;
     this.recordFirstResponse(requestId, nowMs);
   }
 
--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -44,7 +44,7 @@
     ...placement,
     prompt,
     affinityKey,
-    isSuspect: sends.isSuspect,
+    isCrashCandidate: sends.isCrashCandidate,
     previousTargetId,
     excluded: sends.excluded,
     nowMs,
--- a/packages/gateway/src/exchange/request_attempts.ts
+++ b/packages/gateway/src/exchange/request_attempts.ts
@@ -56,7 +56,7 @@
   }
 
   /** Whether a target has ended while it ran the request. */
-  get isSuspect(): boolean {
+  get isCrashCandidate(): boolean {
     return this.#crashes > 0;
   }
 
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -169,16 +169,16 @@
       recordEvent: (event) => this.#recordEvent(entry, event),
     });
     this.#running = attempt;
-    const { isSuspect } = this.#attempts;
+    const { isCrashCandidate } = this.#attempts;
     const { target } = entry;
     const { fields: { requestId }, fingerprint } = this.#accepted;
     crashes.recordStart(target, requestId, fingerprint);
-    entry.recordAttempt(requestId, performance.now(), isSuspect);
+    entry.recordAttempt(requestId, performance.now(), isCrashCandidate);
     const stopped = new Promise<FailedAttempt>((resolve) => {
       this.#endWait = () => resolve({ kind: "broken", detail: "stopped" });
     });
     const result = await Promise.race([attempt.result, stopped]);
-    entry.recordAttemptEnd(requestId, performance.now(), isSuspect);
+    entry.recordAttemptEnd(requestId, performance.now(), isCrashCandidate);
     if (result.kind === "broken" && this.#stopped === undefined) {
       const hasEnded = await crashes.recordBreak(target, requestId);
       return hasEnded ? { ...result, kind: "crashed" } : result;
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -26,7 +26,7 @@
 const UPDATE_KEEPERS_MS = 100;
 /** Interval at which a gateway and the keepers compare what is blocked. */
 const COMPARE_BLOCKED_MS = 5_000;
-const JUDGE_CRASHES_MS = 50;
+const SETTLE_CRASHES_MS = 50;
 const CLEANUP_MS = 10_000;
 
 /** The components with periodic work. */
@@ -63,7 +63,7 @@
     [COMPARE_BLOCKED_MS, (nowMs) => {
       void keepers.update(nowMs).then(() => crashes.compareBlocked());
     }],
-    [JUDGE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
+    [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
     [CLEANUP_MS, (nowMs) => observer.removeExpired(nowMs)],
   ];
   for (const [intervalMs, run] of schedule) timers.subscribe(intervalMs, run);
--- a/packages/gateway/src/model/crash_report.ts
+++ b/packages/gateway/src/model/crash_report.ts
@@ -10,7 +10,7 @@
   /** Where the target listened; a VM that keeps failing isn't the requests. */
   readonly address: string;
   /** What the gateway had running there. */
-  readonly suspects: readonly Fingerprint[];
+  readonly requests: readonly Fingerprint[];
   /** Time since the end. */
   readonly ageMs: number;
 }
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -55,7 +55,7 @@
     call: PermitCall,
     gatewayId: string,
   ) => Promise<PermitDecision>;
-  /** The requests that crash targets, as the gateways judge them. */
+  /** The requests that crash targets, as the gateways find them. */
   readonly crashes: CrashExchange;
   /** Finds the cache of a watched kind, which other gateways watch here. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -58,7 +58,7 @@
     /** Older state is useless to the sender, so the peer responds at once. */
     readonly maxAgeMs: number;
   }
-  /** Reports the end of a target to a gateway that judges it. */
+  /** Reports the end of a target to a home of its service. */
   | { readonly kind: "report_crash"; readonly report: CrashReport }
   /** Tells which requests aren't sent to targets. */
   | {
