--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -24,7 +24,7 @@
 const RUNNING_REQUEST_COST_MS = 4;
 /**
  * Keeps a request whose target has just ended and other requests apart: what
- * runs beside it would be lost with it, and would be suspected with it.
+ * runs beside it would be lost with it, and couldn't be told from it.
  */
 const CRASH_CANDIDATE_COST_MS = 100;
 /** Wait for each request ahead while no slot is free. */
--- a/packages/gateway/src/decisions/crash_attribution.ts
+++ b/packages/gateway/src/decisions/crash_attribution.ts
@@ -144,13 +144,19 @@
       return [{
         fingerprint: resource,
         service: crash.service,
-        crashes: CERTAIN_CRASHES,
+        crashes: this.#countCrashes(resource),
         leftMs: FIRST_BLOCK_MS,
         firstCrashAgeMs: nowMs - first.firstAtMs,
       }];
     });
   }
 
+  #countCrashes(resource: string): number {
+    return this.#byIncarnation.list().filter(([, { requests }]) =>
+      [...requests.values()].some((each) => each.resource === resource)
+    ).length;
+  }
+
   /** Adds up the evidence against one request. */
   #measureEvidence({ request, resource }: Fingerprint): Candidate {
     const all = this.#byIncarnation.list()
--- a/packages/gateway/src/decisions/crash_attribution_test.ts
+++ b/packages/gateway/src/decisions/crash_attribution_test.ts
@@ -16,6 +16,7 @@
   let nowMs: number;
   let ends: number;
   let resources: string[];
+  let resourceCrashes: number | undefined;
 
   beforeEach(() => {
     attribution = new CrashAttribution();
@@ -36,6 +37,7 @@
     nowMs += COLLECT_MS;
     const decision = attribution.settle(nowMs);
     resources = decision.resources.map(({ fingerprint }) => fingerprint);
+    resourceCrashes = decision.resources[0]?.crashes;
     return decision.requests.map(({ fingerprint }) => fingerprint);
   }
 
@@ -112,6 +114,7 @@
     expect(resources).to.deep.equal([]);
     crash(["object/2", "other/3"]);
     expect(resources).to.deep.equal(["about object"]);
+    expect(resourceCrashes).to.equal(3);
     crash(["object/3"]);
     expect(resources, "once").to.deep.equal([]);
   });
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -45,6 +45,7 @@
 
 /** Pause before targets that rejected the request are retried. */
 const RETRY_DELAY_MS = 25;
+
 type StopReason = "timeout" | "disconnected" | "process_end" | "blocked";
 
 /** Runs one accepted request to its final response. */
