--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -494,18 +494,18 @@
     "info",
     "Enough other disks hold the turns of a retiring disk; its entry was removed.",
   ),
-  KeepersChanged: defineEvent(
-    969,
-    "KeepersChanged",
-    "info",
-    "The list of VMs that keep gateways' facts in memory has changed.",
-  ),
   DiskFailed: defineEvent(
     969,
     "DiskFailed",
     "warn",
     "A disk's process couldn't use its files or a page of another disk.",
   ),
+  KeepersChanged: defineEvent(
+    970,
+    "KeepersChanged",
+    "info",
+    "The list of VMs that keep gateways' facts in memory has changed.",
+  ),
 } as const;
 
 /** The name of a log event. */
