--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -49,6 +49,10 @@
   readonly ports = { frontend: 0, readiness: 0, control: 0, internal: 0 };
   readonly #folder = mkdtempSync(join(tmpdir(), "review-"));
   readonly #block = 20 + Math.floor(Math.random() * 200);
+  #storePort = 0;
+
+  /** The zones, each with a storage machine. */
+  readonly zones = Object.keys(ZONES);
 
   /** Address of the `index`-th stand-in of an engine. */
   buildEngineIp(index: number): string {
@@ -65,8 +69,7 @@
    * zones; resolves once all are ready. Rejects after 15 s without that.
    */
   async start(gateways: number): Promise<void> {
-    const storePort = await this.store.start(this.storeIp);
-    const zones = Object.keys(ZONES);
+    this.#storePort = await this.store.start(this.storeIp);
     for (const key of ["frontend", "readiness", "control"] as const) {
       this.ports[key] = await findPort(`127.${this.#block}.1.1`);
     }
@@ -76,22 +79,12 @@
       this.gateways.push(this.#prepare({
         name: `edge-${index + 1}`,
         machineClass: "edge",
-        zone: zones[index % zones.length] ?? "zone-a",
+        zone: this.zones[index % this.zones.length] ?? "zone-a",
         ip: `127.${this.#block}.1.${index + 1}`,
         run: commands.gateway,
-        storePort,
-      }));
-    }
-    for (const [index, zone] of zones.entries()) {
-      this.disks.push(this.#prepare({
-        name: `storage-${index + 1}`,
-        machineClass: "storage",
-        zone,
-        ip: `127.${this.#block}.2.${index + 1}`,
-        run: commands.storage,
-        storePort,
       }));
     }
+    for (const zone of this.zones) this.addDisk(zone, true);
     for (const machine of [...this.gateways, ...this.disks]) {
       this.startProcess(machine);
     }
@@ -107,6 +100,21 @@
     await waitFor(SETTLE_MS);
   }
 
+  /** Adds a storage machine with an empty disk; its process isn't started. */
+  addDisk(zone: string, isBootstrap: boolean): Machine {
+    const number = this.disks.length + 1;
+    const machine = this.#prepare({
+      name: `storage-${number}`,
+      machineClass: "storage",
+      zone,
+      ip: `127.${this.#block}.2.${number}`,
+      run: readCommands().storage,
+      isBootstrap,
+    });
+    this.disks.push(machine);
+    return machine;
+  }
+
   /** Starts the machine's process. */
   startProcess(machine: Machine): void {
     const [command = "", ...args] = machine.run;
@@ -160,9 +168,9 @@
     readonly zone: string;
     readonly ip: string;
     readonly run: readonly string[];
-    readonly storePort: number;
+    readonly isBootstrap?: boolean;
   }): Machine {
-    const { name, machineClass, zone, ip, run, storePort } = options;
+    const { name, machineClass, zone, ip, run } = options;
     const isEdge = machineClass === "edge";
     const dataDir = join(this.#folder, name);
     if (!isEdge) mkdirSync(dataDir);
@@ -182,7 +190,7 @@
 region = "north"
 internalPorts = [${internal},${internal + 15}]
 seeds = ${JSON.stringify(seeds)}
-bootstrap = true
+bootstrap = ${options.isBootstrap ?? true}
 faultCounted = ${!isEdge}
 ${isEdge ? "" : `dataDir = "${dataDir}"`}
 discovery = "platform"
@@ -228,7 +236,7 @@
 deadlineS = 10
 settleMs = 1000
 [platform]
-address = "${this.storeIp}:${storePort}"
+address = "${this.storeIp}:${this.#storePort}"
 form = "objects"
 writesPerS = 400
 readsPerS = 2000
