review: shared set-up of the cases, and an end of all processes on a signal

The engines of a service and the routes are set up in one place. A script that gets SIGINT or SIGTERM ends what it started.

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -5,12 +5,14 @@
 import type { Socket } from "node:net";
 import { callSystem } from "../standins/client.ts";
 import { waitFor } from "../standins/deployment.ts";
-import { Engine, type EngineRun } from "../standins/engine.ts";
-import { putConfiguration, runCase } from "../standins/run_case.ts";
+import type { EngineRun } from "../standins/engine.ts";
+import { runCase } from "../standins/run_case.ts";
+import { putOrderRoute, startEngines } from "../standins/services.ts";
 
 const SERVICE = "orders";
 const GATEWAYS = 3;
 const ENGINES = 5;
+const DEADLINE_MS = 1_500;
 const SLOTS = 2;
 const WORK_MS = 60;
 const CLIENTS = 12;
@@ -36,22 +38,12 @@
     await waitFor(WORK_MS);
     response.writeHead(200, { "Content-Length": "2" }).end("ok");
   };
-  const engines: Engine[] = [];
-  for (let index = 0; index < ENGINES; index += 1) {
-    const engine = new Engine({
-      name: `orders-${index + 1}`,
-      service: SERVICE,
-      ip: deployment.buildEngineIp(index),
-      zone: ["zone-a", "zone-b", "zone-c"][index % 3] ?? "zone-a",
-      slots: SLOTS,
-      store: deployment.store,
-      recorder,
-      run,
-    });
-    await engine.start();
-    engine.register();
-    engines.push(engine);
-  }
+  const engines = await startEngines({ deployment, recorder }, {
+    service: SERVICE,
+    count: ENGINES,
+    slots: SLOTS,
+    run,
+  });
   for (const engine of engines.slice(0, FAULTY_ENGINES)) {
     const pending = new Map<Socket, string>();
     // Only refusals during the fault count as answers, which keeps the share
@@ -74,10 +66,7 @@
       socket.write(refusal);
     };
   }
-  putConfiguration(deployment, {
-    service: SERVICE,
-    route: { routeType: "non_idempotent", timeoutMs: 1_500, attempts: 1 },
-  });
+  putOrderRoute({ deployment }, { service: SERVICE, timeoutMs: DEADLINE_MS });
   await deployment.start(GATEWAYS);
   let isEnding = false;
   let lastId = 0;
@@ -92,7 +81,7 @@
         path: `/main/order/${lastId}`,
         hostHeader: "shop.example",
         attemptId,
-        deadlineMs: 1_500,
+        deadlineMs: DEADLINE_MS,
         body: `{"order":${lastId}}`,
       }, recorder);
       answers.set(attemptId, status);
--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -4,8 +4,9 @@
  */
 import { callSystem } from "../standins/client.ts";
 import { waitFor } from "../standins/deployment.ts";
-import { buildStreamRun, Engine } from "../standins/engine.ts";
-import { putConfiguration, runCase } from "../standins/run_case.ts";
+import { buildStreamRun } from "../standins/engine.ts";
+import { runCase } from "../standins/run_case.ts";
+import { putStreamRoute, startEngines } from "../standins/services.ts";
 
 const SERVICE = "models";
 /** One of six is within the largest share of `node_kill`, 0.18. */
@@ -22,43 +23,21 @@
 /** `for_s` of `node_kill`. */
 const DOWN_MS = 2_700;
 
-interface SentStream {
-  readonly id: string;
-  readonly gateway: number;
-  readonly startedAtMs: number;
-}
-
 await runCase("review/2", async ({ deployment, recorder, hasTrouble }) => {
-  for (let index = 0; index < ENGINES; index += 1) {
-    const engine = new Engine({
-      name: `model-${index + 1}`,
-      service: SERVICE,
-      ip: deployment.buildEngineIp(index),
-      zone: ["zone-a", "zone-b", "zone-c"][index] ?? "zone-a",
-      slots: SLOTS,
-      store: deployment.store,
-      recorder,
-      run: buildStreamRun({
-        events: EVENTS,
-        gapMs: GAP_MS,
-        isChunked: false,
-      }),
-    });
-    await engine.start();
-    engine.register();
-  }
-  putConfiguration(deployment, {
+  await startEngines({ deployment, recorder }, {
+    service: SERVICE,
+    count: ENGINES,
+    slots: SLOTS,
+    run: buildStreamRun({
+      events: EVENTS,
+      gapMs: GAP_MS,
+      isChunked: false,
+    }),
+  });
+  putStreamRoute({ deployment }, {
     service: SERVICE,
-    route: {
-      routeType: "streaming",
-      timeoutMs: DEADLINE_MS,
-      attempts: 1,
-      resumable: true,
-      sticky: true,
-      retentionS: 60,
-      targetGapMs: 250,
-    },
-    engine: { slots: SLOTS, kvCapacityTokens: 444_000, chunkTokens: 35 },
+    timeoutMs: DEADLINE_MS,
+    slots: SLOTS,
   });
   await deployment.start(GATEWAYS);
   const breaches: string[] = [];
@@ -68,7 +47,7 @@
   let complete = 0;
   let cut = 0;
   let refused = 0;
-  const runStream = async ({ id, gateway }: SentStream) => {
+  const runStream = async (id: string, gateway: number) => {
     const answer = await callSystem({
       host: deployment.gateways[gateway]?.ip ?? "",
       port: deployment.ports.frontend,
@@ -106,8 +85,7 @@
   const runClient = async (gateway: number) => {
     while (!isEnding) {
       lastId += 1;
-      const startedAtMs = performance.now();
-      await runStream({ id: `turn-${lastId}`, gateway, startedAtMs });
+      await runStream(`turn-${lastId}`, gateway);
       // The balancer sends no client to a node that is down.
       while (!isEnding && down.has(gateway)) await waitFor(100);
       await waitFor(100);
--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -4,12 +4,15 @@
  */
 import { callSystem } from "../standins/client.ts";
 import { BOUNDS, waitFor } from "../standins/deployment.ts";
-import { Engine, type EngineRun } from "../standins/engine.ts";
-import { putConfiguration, runCase } from "../standins/run_case.ts";
+import type { Engine, EngineRun } from "../standins/engine.ts";
+import { runCase } from "../standins/run_case.ts";
+import { putOrderRoute, startEngines } from "../standins/services.ts";
 
 const SERVICE = "orders";
 const GATEWAYS = 6;
-const ZONES = ["zone-a", "zone-b", "zone-c"];
+/** One a zone. */
+const ENGINES = 3;
+const DEADLINE_MS = 1_500;
 const SLOTS = 6;
 const WORK_MS = 100;
 /** The engine is back after this time, on its address. */
@@ -27,7 +30,6 @@
   const crashesAtMs: number[] = [];
   const reachedAtMs: number[] = [];
   let lost = 0;
-  const engines: Engine[] = [];
   const restart = async (engine: Engine) => {
     const oldId = engine.id;
     engine.crash();
@@ -48,25 +50,13 @@
     await waitFor(WORK_MS);
     response.writeHead(200, { "Content-Length": "2" }).end("ok");
   };
-  for (const [index, zone] of ZONES.entries()) {
-    const engine = new Engine({
-      name: `orders-${index + 1}`,
-      service: SERVICE,
-      ip: deployment.buildEngineIp(index),
-      zone,
-      slots: SLOTS,
-      store: deployment.store,
-      recorder,
-      run,
-    });
-    await engine.start();
-    engine.register();
-    engines.push(engine);
-  }
-  putConfiguration(deployment, {
+  await startEngines({ deployment, recorder }, {
     service: SERVICE,
-    route: { routeType: "non_idempotent", timeoutMs: 1_500, attempts: 1 },
+    count: ENGINES,
+    slots: SLOTS,
+    run,
   });
+  putOrderRoute({ deployment }, { service: SERVICE, timeoutMs: DEADLINE_MS });
   await deployment.start(GATEWAYS);
   let isEnding = false;
   let lastId = 0;
@@ -81,7 +71,7 @@
         path: `/main/order/${lastId}`,
         hostHeader: "shop.example",
         attemptId: `order-${lastId}`,
-        deadlineMs: 1_500,
+        deadlineMs: DEADLINE_MS,
         body: `{"order":${lastId}}`,
       }, recorder);
       if (status !== 200) lost += 1;
@@ -102,7 +92,7 @@
       path: CRASHING_PATH,
       hostHeader: "shop.example",
       attemptId: `crashing-${repeat + 1}`,
-      deadlineMs: 1_500,
+      deadlineMs: DEADLINE_MS,
       body: '{"order":"crashing"}',
     }, recorder);
     await waitFor(REPEAT_MS);
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -4,8 +4,9 @@
  */
 import { callSystem, type ClientAnswer } from "../standins/client.ts";
 import { waitFor } from "../standins/deployment.ts";
-import { buildStreamRun, Engine } from "../standins/engine.ts";
-import { putConfiguration, runCase } from "../standins/run_case.ts";
+import { buildStreamRun } from "../standins/engine.ts";
+import { runCase } from "../standins/run_case.ts";
+import { putStreamRoute, startEngines } from "../standins/services.ts";
 
 const SERVICE = "models";
 /** One of six is within the largest share of `node_kill`, 0.18. */
@@ -31,32 +32,16 @@
 const MIN_TAKE_UPS = 12;
 
 await runCase("review/5", async ({ deployment, recorder, hasTrouble }) => {
-  for (let index = 0; index < ENGINES; index += 1) {
-    const engine = new Engine({
-      name: `model-${index + 1}`,
-      service: SERVICE,
-      ip: deployment.buildEngineIp(index),
-      zone: ["zone-a", "zone-b", "zone-c"][index % 3] ?? "zone-a",
-      slots: SLOTS,
-      store: deployment.store,
-      recorder,
-      run: buildStreamRun({ events: EVENTS, gapMs: GAP_MS, isChunked: true }),
-    });
-    await engine.start();
-    engine.register();
-  }
-  putConfiguration(deployment, {
+  await startEngines({ deployment, recorder }, {
     service: SERVICE,
-    route: {
-      routeType: "streaming",
-      timeoutMs: DEADLINE_MS,
-      attempts: 1,
-      resumable: true,
-      sticky: true,
-      retentionS: 60,
-      targetGapMs: 250,
-    },
-    engine: { slots: SLOTS, kvCapacityTokens: 444_000, chunkTokens: 35 },
+    count: ENGINES,
+    slots: SLOTS,
+    run: buildStreamRun({ events: EVENTS, gapMs: GAP_MS, isChunked: true }),
+  });
+  putStreamRoute({ deployment }, {
+    service: SERVICE,
+    timeoutMs: DEADLINE_MS,
+    slots: SLOTS,
   });
   const startedAtMs = performance.now();
   await deployment.start(GATEWAYS);
--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -50,6 +50,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "review-"));
   readonly #block = 20 + Math.floor(Math.random() * 200);
   #storePort = 0;
+  #isStopped = false;
 
   /** The zones, each with a storage machine. */
   readonly zones = Object.keys(ZONES);
@@ -115,8 +116,9 @@
     return machine;
   }
 
-  /** Starts the machine's process. */
+  /** Starts the machine's process; does nothing after `stop`. */
   startProcess(machine: Machine): void {
+    if (this.#isStopped) return;
     const [command = "", ...args] = machine.run;
     const child = spawn(command === "node" ? process.execPath : command, args, {
       env: {
@@ -155,6 +157,7 @@
 
   /** Ends every process that was started here, and removes the folder. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     const machines = [...this.gateways, ...this.disks];
     for (const { process: child } of machines) child?.kill("SIGKILL");
     await Promise.all(machines.map(({ ended }) => ended));
--- a/review/standins/engine.ts
+++ b/review/standins/engine.ts
@@ -45,31 +45,20 @@
   version = "v1";
   id = "";
   port = 0;
-  /** Called before a refusal is sent; may write to the connection. */
+  /** Called once a refusal was sent, with its bytes. */
   onRefusal: (socket: Socket, refusal: string) => void = () => {};
-  /** Called when a request has arrived, before anything else. */
+  /** Called when a request has arrived; may write to the connection. */
   onArrival: (socket: Socket) => void = () => {};
   #server: Server | undefined;
   readonly #sockets = new Set<Socket>();
   #running = 0;
   #starts = 0;
   #bornMs = 0;
-  #acceptsSinceMs = 0;
 
   constructor(options: EngineOptions) {
     this.options = options;
   }
 
-  /** Number of requests that run now. */
-  get running(): number {
-    return this.#running;
-  }
-
-  /** Time of the last start, in ms of the steady clock. */
-  get startedAtMs(): number {
-    return this.#acceptsSinceMs;
-  }
-
   /** Starts a new incarnation on the same address; `id` keeps an old one. */
   async start(id?: string): Promise<void> {
     const { name, ip } = this.options;
@@ -95,7 +84,6 @@
       this.port = address.port;
     }
     this.#server = server;
-    this.#acceptsSinceMs = performance.now();
     this.options.recorder.write("engine_started", {
       engine: this.id,
       version: this.version,
--- a/review/standins/run_case.ts
+++ b/review/standins/run_case.ts
@@ -36,6 +36,11 @@
   const hasTrouble = process.env.TROUBLE !== "0";
   const recorder = new Recorder(`${folder}/record.txt`);
   const deployment = new Deployment();
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.on(signal, () => {
+      void deployment.stop().finally(() => process.exit(EXIT_NOT_RUN));
+    });
+  }
   let exitCode = EXIT_NOT_RUN;
   let timer: NodeJS.Timeout | undefined;
   const limit = new Promise<CaseResult>((resolve) => {
@@ -65,41 +70,3 @@
   recorder.save();
   process.exit(exitCode);
 }
-
-/** Writes the operator's configuration with one route of one service. */
-export function putConfiguration(
-  { store }: Deployment,
-  { service, route, engine }: {
-    readonly service: string;
-    readonly route: object;
-    readonly engine?: object;
-  },
-): void {
-  store.put("config", "main", {
-    version: 7,
-    routes: [{
-      name: "r-main",
-      host: "shop.example",
-      pathPrefix: "/main/",
-      targetLatencyMs: 300,
-      priority: 0,
-      service,
-      serverHistory: false,
-      ...route,
-    }],
-    services: [{
-      name: service,
-      healthPath: "/healthz",
-      maxConnections: 180,
-      protocol: "h1",
-      tls: false,
-      ...(engine === undefined ? {} : { engine }),
-    }],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 4_194_304,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  });
-}
