Send no attempt of a request on a connection that it has used

Cause: a faulty target writes an earlier refusal once more when the next request arrives on the connection. Responses were matched by the request's id, which all attempts of a request share, so that the copy was read as the response to the next attempt on that connection, and the order went on to another target.

Evidence: the case's record has the refusals, the repeated one, and both runs of the order 1 ms apart. Ruled out: copies that reach other requests (operator_reports_test.ts passed before), a retry after an attempt that may have run (each further attempt follows a refusal).

The connections that carried a request are remembered with it, and none carries a later attempt. A new one replaces a used one, since full peers limit how many are open; a request has twelve attempts at most. Refusals say in the log whether their connection was new.

--- a/packages/gateway/src/exchange/buffered_attempt.ts
+++ b/packages/gateway/src/exchange/buffered_attempt.ts
@@ -85,7 +85,11 @@
     return { kind: "broken", detail };
   }
   recordStatement(decoded);
-  if (decoded.isNotRun) return { kind: "not_run", detail: `status ${status}` };
+  if (decoded.isNotRun) {
+    const where = isReused ? "reused" : "new";
+    const detail = `status ${status} on a ${where} connection`;
+    return { kind: "not_run", detail };
+  }
   if (decoded.impliesNotRun) {
     const detail =
       `status ${status} implies "not run", but the target doesn't state it`;
--- a/packages/gateway/src/exchange/request_attempts.ts
+++ b/packages/gateway/src/exchange/request_attempts.ts
@@ -2,6 +2,7 @@
  * The attempts of one request: the targets that it was sent to, those that may
  * have run it, and the caller's progress in a stream.
  */
+import { UsedConnections } from "@camphorlock/http/exchange";
 import type { AttemptHistory, FailedAttempt } from "../decisions/next_step.ts";
 import {
   recordFailure,
@@ -30,6 +31,7 @@
   readonly versions: (string | undefined)[] = [];
   /** Targets that rejected the request or were unreachable since the pause. */
   readonly excluded = new Set<string>();
+  readonly connections = new UsedConnections();
   readonly progress: StreamProgress;
   /** Number of targets that have ended while they ran the request. */
   #crashes = 0;
--- a/packages/gateway/src/exchange/start_attempt.ts
+++ b/packages/gateway/src/exchange/start_attempt.ts
@@ -43,6 +43,7 @@
     leftMs,
     resumeAfter: attempts.progress.lastEventId,
     body,
+    usedConnections: attempts.connections,
   });
   attempts.recordStart(entry, accepted, metrics);
   const options: AttemptOptions = {
--- a/packages/gateway/src/exchange/target_request.ts
+++ b/packages/gateway/src/exchange/target_request.ts
@@ -1,7 +1,7 @@
 /**
  * Builds the request that a target receives from the caller's.
  */
-import type { PeerRequest } from "@camphorlock/http/exchange";
+import type { PeerRequest, UsedConnections } from "@camphorlock/http/exchange";
 import type { RequestCodec } from "../ports.ts";
 import type { AcceptedRequest } from "./request_end.ts";
 
@@ -17,12 +17,14 @@
   readonly resumeAfter: number;
   /** Replaces the caller's body where the system keeps the conversation. */
   readonly body: Buffer | undefined;
+  readonly usedConnections: UsedConnections;
 }
 
 /** Builds the request for one target. */
 export function buildTargetRequest(
   { caller, fields, body: callerBody }: AcceptedRequest,
-  { codec, targetId, leftMs, resumeAfter, body }: TargetRequestOptions,
+  { codec, targetId, leftMs, resumeAfter, body, usedConnections }:
+    TargetRequestOptions,
 ): PeerRequest {
   const { method = "GET", url = "/", rawHeaders } = caller.request;
   const sentBody = body ?? callerBody;
@@ -37,5 +39,6 @@
     ...(sentBody.length > 0 || method === "POST" ? { body: sentBody } : {}),
     silenceTimeoutMs: NO_SILENCE_TIMEOUT_MS,
     freshConnection: false,
+    usedConnections,
   };
 }
--- a/packages/gateway/src/operator_reports_test.ts
+++ b/packages/gateway/src/operator_reports_test.ts
@@ -1,12 +1,12 @@
 import { expect } from "chai";
-import { connect, createServer, type Server, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
+import { connect } from "node:net";
 import { monitorEventLoopDelay } from "node:perf_hooks";
 import {
   buildConfiguration,
   type FakeTarget,
   GatewayFixture,
 } from "./gateway_fixture_test.ts";
+import { buildResponse, RawTarget } from "./raw_target_test.ts";
 
 const NS_PER_MS = 1e6;
 const GARBAGE = [
@@ -18,43 +18,6 @@
   `${"x".repeat(100_000)}\n`,
 ];
 
-/** A target whose responses the test writes byte by byte. */
-class RawTarget {
-  requests = 0;
-  handle: (socket: Socket, requestId: string) => void = () => {};
-  readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
-
-  constructor() {
-    this.#server = createServer((socket) => {
-      this.#sockets.add(socket);
-      socket.on("error", () => socket.destroy());
-      socket.on("data", (bytes) => {
-        this.requests += 1;
-        const id = /^id: (.*)\r$/m.exec(bytes.toString())?.[1] ?? "";
-        this.handle(socket, id);
-      });
-    });
-  }
-
-  async start(): Promise<number> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", () => resolve())
-    );
-    return (this.#server.address() as AddressInfo).port;
-  }
-
-  stop(): void {
-    for (const socket of this.#sockets) socket.destroy();
-    this.#server.close();
-  }
-}
-
-function buildResponse(text: string, id: string): string {
-  return `HTTP/1.1 200 OK\r\nsigned: 1\r\nid: ${id}\r\n` +
-    `content-length: ${text.length}\r\n\r\n${text}`;
-}
-
 describe("what other operators reported", () => {
   let fixture: GatewayFixture;
   let raw: RawTarget;
--- a/packages/http/exchange.ts
+++ b/packages/http/exchange.ts
@@ -3,3 +3,4 @@
  */
 export * from "./src/peer_connection.ts";
 export * from "./src/buffered_response.ts";
+export * from "./src/used_connections.ts";
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -8,6 +8,7 @@
 import { connect, type Socket } from "node:net";
 import type { buildConnector, Client } from "undici";
 import UndiciClient from "undici/lib/dispatcher/client.js";
+import type { UsedConnections } from "./used_connections.ts";
 
 /** Settings of a pool. */
 export interface ConnectionPoolOptions {
@@ -43,16 +44,23 @@
     this.#options = options;
   }
 
-  /** Acquires a connection for one exchange; `fresh` requires a new one. */
-  acquire(fresh: boolean): PooledConnection {
+  /**
+   * Acquires a connection for one exchange; `fresh` requires a new one. None of
+   * the `used` ones is acquired, but a new one replaces one of them, since peers
+   * limit how many are open.
+   */
+  acquire(fresh: boolean, used?: UsedConnections): PooledConnection {
     if (fresh) return this.#open();
     const nowMs = performance.now();
     const index = this.#idle.findLastIndex((each) =>
-      each.reusableAtMs <= nowMs
+      each.reusableAtMs <= nowMs && used?.has(each) !== true
     );
-    if (index < 0) return this.#open();
-    const [connection] = this.#idle.splice(index, 1);
-    return connection ?? this.#open();
+    const [connection] = index < 0 ? [] : this.#idle.splice(index, 1);
+    if (connection !== undefined) return connection;
+    const usedAt = this.#idle.findIndex((each) => used?.has(each) === true);
+    const [replaced] = usedAt < 0 ? [] : this.#idle.splice(usedAt, 1);
+    if (replaced !== undefined) this.remove(replaced);
+    return this.#open();
   }
 
   /** Returns a connection to the pool after a complete response. */
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -9,6 +9,7 @@
  */
 import type { Dispatcher } from "undici";
 import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
+import type { UsedConnections } from "./used_connections.ts";
 
 /** Default limit on establishing a connection. */
 const CONNECT_TIMEOUT_MS = 2_000;
@@ -26,6 +27,8 @@
   readonly silenceTimeoutMs: number;
   /** Whether to open a new connection for this request. */
   readonly freshConnection: boolean;
+  /** Connections that must not carry this request; its own is added. */
+  readonly usedConnections?: UsedConnections;
 }
 
 /** Headers of a response, by lower-case name. */
@@ -87,7 +90,9 @@
 
   /** Sends a request and reports the response as it arrives. */
   start(request: PeerRequest, receiver: ResponseReceiver): Exchange {
-    const connection = this.#pool.acquire(request.freshConnection);
+    const { freshConnection, usedConnections } = request;
+    const connection = this.#pool.acquire(freshConnection, usedConnections);
+    usedConnections?.add(connection);
     const exchange = new RunningExchange(receiver, {
       method: request.method,
       silenceTimeoutMs: request.silenceTimeoutMs,
--- a/packages/http/src/peer_connection_test.ts
+++ b/packages/http/src/peer_connection_test.ts
@@ -6,6 +6,7 @@
 } from "node:net";
 import { expect } from "chai";
 import { PeerConnection, type PeerRequest } from "./peer_connection.ts";
+import { UsedConnections } from "./used_connections.ts";
 import {
   type BufferedResponse,
   runBufferedExchange,
@@ -136,6 +137,26 @@
     expect((await run()).kind).to.equal("answered");
   });
 
+  it("opens no more connections for a request that a full peer refuses", async () => {
+    const usedConnections = new UsedConnections();
+    const carriers = new Set<Socket>();
+    handleRequest = (socket) => {
+      carriers.add(socket);
+      socket.write(COMPLETE_RESPONSE);
+    };
+    for (let attempt = 1; attempt <= 12; attempt += 1) {
+      await run({ usedConnections });
+      await new Promise((resolve) => setTimeout(resolve, 5));
+      expect(carriers.size).to.equal(attempt);
+      const open = [...sockets].filter(({ destroyed, readableEnded }) =>
+        !destroyed && !readableEnded
+      );
+      expect(open.length).to.be.at.most(1);
+    }
+    await run();
+    expect(carriers.size).to.equal(12);
+  });
+
   it("reports not_sent if no connection can be established", async () => {
     await new Promise<void>((resolve) => server.close(() => resolve()));
     expect((await run()).kind).to.equal("not_sent");
