Chunk every stream for the caller, however the target frames it

Cause: the framing of the target's response was the caller's. Without a length or chunks only the end of the connection marks the end, and the kernel closes a killed process's connections in an orderly way.

Ruled out: an end by the gateway itself (SIGKILL), and the target's end (whole without the kill). A killed process can't do anything, so the framing has to be one that is incomplete until its end is written.

HTTP/1.0 callers get 505 for streams.

--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -68,6 +68,13 @@
     false,
     "No route matches the request's host and path.",
   ),
+  HttpVersionUnsupported: defineCode(
+    1008,
+    "HttpVersionUnsupported",
+    505,
+    false,
+    "Streams need HTTP/1.1, in which a cut response can be told from a whole one.",
+  ),
   ProgramUnknown: defineCode(
     2001,
     "ProgramUnknown",
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -6,6 +6,11 @@
 import type { ResultCodeDefinition } from "@camphorlock/codes/result_codes";
 
 const MS_PER_SECOND = 1_000;
+/**
+ * Largest body without a marked end: the kernel takes it in one write, so that
+ * the end of this process can't cut it. The default send buffer has 16 KiB.
+ */
+const MAX_UNMARKED_BYTES = 8_192;
 
 /** The result of reading a request body. */
 export type BodyReadResult =
@@ -17,8 +22,6 @@
 export interface ResponseHead {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
-  /** Whether the end of the body is marked in the response itself. */
-  readonly isDelimited: boolean;
 }
 
 /** An error response that the gateway itself produces. */
@@ -37,7 +40,6 @@
   #handleDisconnect: () => void = () => {};
   #handleDrain: () => void = () => {};
   #isDisconnected = false;
-  #isDelimited = true;
 
   constructor(
     request: IncomingMessage,
@@ -57,6 +59,12 @@
     return this.#isDisconnected;
   }
 
+  /** Whether the caller can tell a complete stream from one that was cut. */
+  get canReadChunks(): boolean {
+    const { httpVersionMajor, httpVersionMinor } = this.request;
+    return httpVersionMajor > 1 || httpVersionMinor > 0;
+  }
+
   /** Whether the status line and headers were sent. */
   get hasSentHead(): boolean {
     return this.#response.headersSent;
@@ -96,23 +104,37 @@
     });
   }
 
-  /** Sends a buffered response of a target. */
-  sendResponse(head: ResponseHead, body: Uint8Array): void {
+  /**
+   * Sends a buffered response of a target. A small one whose end the target
+   * didn't mark is sent without a marked end, too: a target that fails may have
+   * cut it by an orderly close.
+   */
+  sendResponse(
+    { status, headers }: ResponseHead,
+    body: Uint8Array,
+    isDelimited: boolean,
+  ): void {
     if (this.#isDisconnected) return;
-    const { status, headers } = head;
-    this.#setFraming(head);
-    const hasLength = head.isDelimited &&
-      hasBody(this.request.method, status);
+    this.#setConnectionHeader();
+    const isMarked = isDelimited || body.length > MAX_UNMARKED_BYTES;
+    if (!isMarked) {
+      this.#response.setHeader("connection", "close");
+      this.#response.useChunkedEncodingByDefault = false;
+    }
+    const hasLength = isMarked && hasBody(this.request.method, status);
     const length = hasLength ? { "content-length": String(body.length) } : {};
     this.#response.writeHead(status, { ...headers, ...length });
     this.#response.end(body);
   }
 
-  /** Sends the status line and headers of a streamed response. */
-  openStream(head: ResponseHead): void {
+  /**
+   * Sends the status line and headers of a streamed response. It's chunked,
+   * however the target frames it: the end of this process must not complete it.
+   */
+  openStream({ status, headers }: ResponseHead): void {
     if (this.#isDisconnected) return;
-    this.#setFraming(head);
-    this.#response.writeHead(head.status, head.headers);
+    this.#setConnectionHeader();
+    this.#response.writeHead(status, headers);
   }
 
   /** Sends events; false if the buffer is full until `onDrain` calls back. */
@@ -128,8 +150,6 @@
 
   /** Destroys the connection, so that a cut response doesn't look complete. */
   close(): void {
-    // An orderly end would complete a response without a length.
-    if (!this.#isDelimited) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
@@ -149,15 +169,6 @@
     this.#response.end(body);
   }
 
-  /** Marks the end of the body only if the target's response does. */
-  #setFraming({ isDelimited }: ResponseHead): void {
-    this.#isDelimited = isDelimited;
-    this.#setConnectionHeader();
-    if (isDelimited) return;
-    this.#response.setHeader("connection", "close");
-    this.#response.useChunkedEncodingByDefault = false;
-  }
-
   #setConnectionHeader(): void {
     // The rest of an unread body would be parsed as the next request.
     const isUnread = !this.request.complete;
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -59,7 +59,7 @@
   readonly service: string;
 }
 
-/** Sends a target's complete response, as the target framed it. */
+/** Sends a target's complete response. */
 export function sendResponse(
   { codec }: Pick<ExchangeDependencies, "codec">,
   { caller }: Pick<AcceptedRequest, "caller">,
@@ -72,11 +72,8 @@
       detail: `status ${status} within a stream`,
     };
   }
-  caller.sendResponse({
-    status,
-    headers: codec.encodeResponseHeaders(headers),
-    isDelimited: isDelimited(status, headers),
-  }, body);
+  const head = { status, headers: codec.encodeResponseHeaders(headers) };
+  caller.sendResponse(head, body, isDelimited(status, headers));
   return { kind: "completed", status };
 }
 
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -6,7 +6,6 @@
 import {
   type Exchange,
   type ExchangeEnd,
-  isDelimited,
   type PeerConnection,
   type PeerHeaders,
   type PeerRequest,
@@ -235,7 +234,6 @@
     caller.openStream({
       status: this.#status,
       headers: codec.encodeResponseHeaders(this.#headers),
-      isDelimited: isDelimited(this.#status, this.#headers),
     });
   }
 
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -173,6 +173,14 @@
         configurationAgeMs: this.#dependencies.getConfigurationAgeMs(),
       });
     }
+    if (route.kind === "streaming" && !caller.canReadChunks) {
+      return refuseRequest(this.#dependencies, caller, {
+        code: "HttpVersionUnsupported",
+        detail: `HTTP/${request.httpVersion} can't mark the end of a stream; ` +
+          "send HTTP/1.1",
+        fields,
+      });
+    }
     const read = await caller.readBody(configuration.limits.maxBodyBytes);
     switch (read.kind) {
       case "disconnected":
