Watch the keepers of facts, and make lost copies anew

Causes: gateways read the list of keepers every 30 s, and nothing ended its life when a keeper was gone; and a fact's copies were made at its save only.

A search that gives up at silent keepers was a third hypothesis: it does where many entries are of lost VMs (facts_test.ts).

Gateways watch the keepers along the tree of gateways, from their start. Keepers read from each other what they should hold whenever another set of them responds. Searches go on past silent keepers, which are passed over for longer each time.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -506,6 +506,12 @@
     "info",
     "The list of VMs that keep gateways' facts in memory has changed.",
   ),
+  FactsCopied: defineEvent(
+    971,
+    "FactsCopied",
+    "info",
+    "A keeper of facts has copied what it lacked, since other keepers respond than before.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/facts/src/fact_client.ts
+++ b/packages/facts/src/fact_client.ts
@@ -5,31 +5,34 @@
  * saved. Each fact has copies in as many failure domains as possible. A save is
  * sent and not waited for; a keeper that doesn't respond is passed over for a
  * while, and the next one gets the copy. A search asks more keepers than have
- * copies, since views of who responds differ.
+ * copies, since views of who responds differ, and the next ones in place of
+ * those that don't respond.
  */
-import { computeHash } from "@camphorlock/scheduler/hash";
 import type {
   Fact,
   FactAnswer,
   FactMessage,
   FoundFact,
 } from "./fact_messages.ts";
+import {
+  chooseKeepers,
+  COPIES,
+  type KeeperPlace,
+  KeeperRanking,
+} from "./keeper_ranking.ts";
 
-/** Copies of each fact. */
-const COPIES = 2;
-/** Keepers that a search asks. */
+/** Keepers of which a search wants responses. */
 const ASKED_KEEPERS = 4;
 /** A round trip between regions leaves most of this time to the keeper. */
 const CALL_TIMEOUT_MS = 120;
-/** How long a keeper that didn't respond gets no copies. */
-const AVOIDANCE_MS = 2_000;
+/** How long a keeper that didn't respond gets no copies; doubles each time. */
+const INITIAL_AVOIDANCE_MS = 2_000;
+const MAX_AVOIDANCE_MS = 60_000;
 
 /** A process that keeps facts. */
-export interface FactKeeper {
-  readonly vmId: string;
+export interface FactKeeper extends KeeperPlace {
   readonly host: string;
   readonly port: number;
-  readonly failureDomain: string;
 }
 
 /** Dependencies of the client. */
@@ -43,10 +46,15 @@
   ) => Promise<FactAnswer | undefined>;
 }
 
+interface Avoidance {
+  readonly durationMs: number;
+  readonly untilMs: number;
+}
+
 /** Saves and finds facts. */
 export class FactClient<Keeper extends FactKeeper> {
   readonly #dependencies: FactClientDependencies<Keeper>;
-  readonly #avoidedUntilMs = new Map<string, number>();
+  readonly #avoided = new Map<string, Avoidance>();
 
   constructor(dependencies: FactClientDependencies<Keeper>) {
     this.#dependencies = dependencies;
@@ -74,28 +82,35 @@
     key: string,
     isEnough: (facts: readonly FoundFact[]) => boolean = () => false,
   ): Promise<readonly FoundFact[]> {
-    const asked = this.#sortKeepers(key).slice(0, ASKED_KEEPERS);
-    const avoided = asked.filter((keeper) => this.#isAvoided(keeper));
-    const others = asked.filter((keeper) => !avoided.includes(keeper));
+    const ranked = this.#sortKeepers(key);
+    const avoided = ranked.filter((keeper) => this.#isAvoided(keeper))
+      .slice(0, ASKED_KEEPERS);
+    const others = ranked.filter((keeper) => !this.#isAvoided(keeper));
     return new Promise((resolve) => {
       const found = new Map<string, FoundFact>();
-      const ask = async (keeper: Keeper) => {
+      const ask = async (keeper: Keeper): Promise<boolean> => {
         const message = { kind: "find_facts", key } as const;
         const answer = await this.#call(keeper, message);
-        if (answer?.kind !== "facts_found") return;
+        if (answer?.kind !== "facts_found") return false;
         for (const fact of answer.facts) addNewer(found, fact);
         if (isEnough(answer.facts)) resolve(answer.facts);
+        return true;
+      };
+      const askNext = async (): Promise<void> => {
+        const keeper = others.shift();
+        if (keeper !== undefined && !await ask(keeper)) await askNext();
       };
       const calls = avoided.map(ask);
-      void Promise.all(others.map(ask))
+      const searches = Array.from({ length: ASKED_KEEPERS }, askNext);
+      void Promise.all(searches)
         // A silent keeper is only waited for while nothing else is found.
         .then(() => found.size > 0 ? undefined : Promise.all(calls))
         .then(() => resolve([...found.values()]));
     });
   }
 
-  #isAvoided({ vmId }: FactKeeper): boolean {
-    return (this.#avoidedUntilMs.get(vmId) ?? 0) > performance.now();
+  #isAvoided({ vmId }: KeeperPlace): boolean {
+    return (this.#avoided.get(vmId)?.untilMs ?? 0) > performance.now();
   }
 
   async #saveAt(keeper: Keeper, fact: Fact): Promise<boolean> {
@@ -109,35 +124,25 @@
   ): Promise<FactAnswer | undefined> {
     const { call } = this.#dependencies;
     const answer = await call(keeper, message, CALL_TIMEOUT_MS);
-    if (answer !== undefined) this.#avoidedUntilMs.delete(keeper.vmId);
-    else {
-      const untilMs = performance.now() + AVOIDANCE_MS;
-      this.#avoidedUntilMs.set(keeper.vmId, untilMs);
-    }
+    if (answer !== undefined) this.#avoided.delete(keeper.vmId);
+    else this.#recordSilence(keeper);
     return answer;
   }
 
-  #sortKeepers(key: string): Keeper[] {
-    return this.#dependencies.listKeepers()
-      .map((keeper) => ({ keeper, rank: computeHash(`${keeper.vmId}|${key}`) }))
-      .sort((left, right) => right.rank - left.rank)
-      .map(({ keeper }) => keeper);
+  #recordSilence(keeper: Keeper): void {
+    // Calls that were in flight together count once.
+    if (this.#isAvoided(keeper)) return;
+    const before = this.#avoided.get(keeper.vmId);
+    const durationMs = before === undefined
+      ? INITIAL_AVOIDANCE_MS
+      : Math.min(MAX_AVOIDANCE_MS, before.durationMs * 2);
+    const untilMs = performance.now() + durationMs;
+    this.#avoided.set(keeper.vmId, { durationMs, untilMs });
   }
-}
 
-/** Chooses the best ranked keepers, in different failure domains if possible. */
-function chooseKeepers<Keeper extends FactKeeper>(
-  ranked: readonly Keeper[],
-  count: number,
-): Keeper[] {
-  const domains = new Set<string>();
-  const apart = ranked.filter(({ failureDomain }) => {
-    const isNew = !domains.has(failureDomain);
-    domains.add(failureDomain);
-    return isNew;
-  });
-  const others = ranked.filter((keeper) => !apart.includes(keeper));
-  return [...apart, ...others].slice(0, count);
+  #sortKeepers(key: string): Keeper[] {
+    return new KeeperRanking(this.#dependencies.listKeepers()).sort(key);
+  }
 }
 
 function addNewer(found: Map<string, FoundFact>, fact: FoundFact): void {
--- a/packages/facts/src/fact_messages.ts
+++ b/packages/facts/src/fact_messages.ts
@@ -2,10 +2,13 @@
  * The messages with which facts are saved and found, and the checks on them.
  */
 import { err, ok, type Result } from "neverthrow";
+import type { KeeperPlace } from "./keeper_ranking.ts";
 
 /** Longest key, id or value. */
 const MAX_TEXT_LENGTH = 512;
 const MAX_LIFETIME_MS = 3_600_000;
+/** Keepers that a message may name; an installation has far fewer. */
+const MAX_MEMBERS = 1_000;
 
 /** Something that a gateway knows and others may ask for. */
 export interface Fact {
@@ -24,15 +27,34 @@
   readonly ageMs: number;
 }
 
+/** A fact that one keeper copies from another. */
+export interface CopiedFact extends Fact {
+  /** Time since it was saved; `lifetimeMs` is what is left. */
+  readonly ageMs: number;
+}
+
 /** A message about facts. */
 export type FactMessage =
   | { readonly kind: "save_fact"; readonly fact: Fact }
-  | { readonly kind: "find_facts"; readonly key: string };
+  | { readonly kind: "find_facts"; readonly key: string }
+  /** Reads a page of what the reader should hold among these members. */
+  | {
+    readonly kind: "list_facts";
+    /** From 0; the pages are read in order. */
+    readonly page: number;
+    readonly members: readonly KeeperPlace[];
+    readonly reader: string;
+  };
 
 /** The response to a message about facts. */
 export type FactAnswer =
   | { readonly kind: "fact_saved" }
-  | { readonly kind: "facts_found"; readonly facts: readonly FoundFact[] };
+  | { readonly kind: "facts_found"; readonly facts: readonly FoundFact[] }
+  | {
+    readonly kind: "facts_listed";
+    readonly facts: readonly CopiedFact[];
+    readonly isEnd: boolean;
+  };
 
 /** Checks a received fact; the error says what is invalid. */
 export function parseFact(value: unknown): Result<Fact, string> {
@@ -49,3 +71,11 @@
   }
   return ok(fact as Fact);
 }
+
+/** Checks the members of a reader's message. */
+export function parseMembers(value: unknown): readonly KeeperPlace[] {
+  if (!Array.isArray(value)) return [];
+  return value.slice(0, MAX_MEMBERS).filter((each) =>
+    typeof each?.vmId === "string" && typeof each.failureDomain === "string"
+  );
+}
--- a/packages/facts/src/fact_table.ts
+++ b/packages/facts/src/fact_table.ts
@@ -7,8 +7,8 @@
  * the limits the oldest are forgotten. Each group of keys has a limit of its
  * own, so that a flood of one kind can't displace the other.
  */
-import { type FoundFact, parseFact } from "./fact_messages.ts";
 import type { Result } from "neverthrow";
+import { type CopiedFact, type FoundFact, parseFact } from "./fact_messages.ts";
 
 /** Memory that the facts of one group may take; a VM with a disk is small. */
 const MAX_GROUP_BYTES = 12 * 1_024 * 1_024;
@@ -46,6 +46,10 @@
     return this.#byKey.get(key);
   }
 
+  listKeys(): IterableIterator<string> {
+    return this.#byKey.keys();
+  }
+
   set(key: string, id: string, fact: KeptFact): void {
     const facts: Facts = this.#byKey.get(key) ?? new Map();
     this.#removeFact(key, facts, id);
@@ -111,6 +115,43 @@
     );
   }
 
+  /**
+   * Adds facts that another keeper holds, unless a later one is known here;
+   * returns how many were added. Those that are invalid are left out.
+   */
+  addCopies(facts: readonly CopiedFact[], nowMs: number): number {
+    return facts.filter((copied) => {
+      const fact = parseFact(copied);
+      if (fact.isErr() || !(copied.ageMs >= 0)) return false;
+      const { key, id, value, lifetimeMs } = fact.value;
+      const group = this.#getGroup(key);
+      const savedAtMs = nowMs - copied.ageMs;
+      const known = group.get(key)?.get(id);
+      if (known !== undefined && known.savedAtMs >= savedAtMs) return false;
+      group.set(key, id, {
+        value,
+        savedAtMs,
+        expiresAtMs: nowMs + lifetimeMs,
+      });
+      return true;
+    }).length;
+  }
+
+  listKeys(): string[] {
+    return [...this.#groups.values()].flatMap((group) => [...group.listKeys()]);
+  }
+
+  /** Lists the facts of a key, as another keeper copies them. */
+  listCopies(key: string, nowMs: number): CopiedFact[] {
+    const facts = this.#getGroup(key).get(key);
+    return [...facts ?? []].flatMap(([id, fact]) => {
+      const { value, savedAtMs, expiresAtMs } = fact;
+      const lifetimeMs = expiresAtMs - nowMs;
+      const ageMs = nowMs - savedAtMs;
+      return lifetimeMs > 0 ? [{ key, id, value, lifetimeMs, ageMs }] : [];
+    });
+  }
+
   /** Finds the facts of a key that haven't expired. */
   find(key: string, nowMs: number): FoundFact[] {
     const facts = this.#getGroup(key).get(key);
--- a/packages/facts/src/facts_test.ts
+++ b/packages/facts/src/facts_test.ts
@@ -108,7 +108,8 @@
       table.save(message.fact, 0);
       return Promise.resolve({ kind: "fact_saved" });
     }
-    const facts = table.find(message.key, 1);
+    const key = message.kind === "find_facts" ? message.key : "";
+    const facts = table.find(key, 1);
     return Promise.resolve({ kind: "facts_found", facts });
   }
 
@@ -142,6 +143,21 @@
     expect(await buildClient().find("a:1")).to.have.length(1);
   });
 
+  it("finds a fact however many other keepers are gone for good", async () => {
+    await client.save(buildFact());
+    const holders = listHolders().map(({ vmId }) => vmId);
+    const gone = Array.from({ length: 30 }, (_, at) => ({
+      vmId: `gone-${at}`,
+      host: "127.0.0.1",
+      port: 1,
+      failureDomain: "d0",
+    }));
+    keepers = [...gone, ...keepers];
+    silent = new Set(gone.map(({ vmId }) => vmId));
+    expect(holders).to.have.length(2);
+    expect(await buildClient().find("a:1")).to.have.length(1);
+  });
+
   it("finds nothing without keepers", async () => {
     keepers = [];
     expect(await client.save(buildFact())).to.equal(0);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,7 +80,6 @@
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
   readonly #turns: TurnComponents;
-  #isWatchingDisks = false;
   readonly #readinessServer: PlainTextServer;
   readonly #metricsServer: PlainTextServer;
   readonly #bootId = randomUUID();
@@ -201,6 +200,7 @@
     const { settings, log } = this.#options;
     this.#watchers.start("configuration");
     this.#watchers.start("targets");
+    this.#watchers.start("turnDisks");
     subscribeTimers(this.#timers, {
       ...this.#accounts,
       log,
@@ -210,7 +210,6 @@
       watchers: this.#watchers,
       permits: this.#permits,
       observer: this.#crashes,
-      keepers: this.#turns.keepers,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
@@ -287,13 +286,6 @@
   #applyLimits(): void {
     const inForce = this.#configuration.inForce;
     if (inForce === undefined) return;
-    const { limits, routes } = inForce.configuration;
-    this.#callers.setLimits(limits);
-    const keepsTurns = routes.some(({ retentionMs }) =>
-      retentionMs !== undefined
-    );
-    if (!keepsTurns || this.#isWatchingDisks) return;
-    this.#isWatchingDisks = true;
-    this.#watchers.start("turnDisks");
+    this.#callers.setLimits(inForce.configuration.limits);
   }
 }
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -5,7 +5,6 @@
 import type { AccountComponents } from "./accounts/account_components.ts";
 import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
 import type { CrashObserver } from "./crashes/crash_observer.ts";
-import type { FactKeepers } from "./facts/fact_keepers.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { TargetPermits } from "./limits/target_permits.ts";
 import type { GatewayLog } from "./log.ts";
@@ -23,7 +22,6 @@
 const PROBE_PEERS_MS = 500;
 /** Interval at which this gateway requests another one's list of peers. */
 const EXCHANGE_PEERS_MS = 2_000;
-const UPDATE_KEEPERS_MS = 100;
 /** Interval at which a gateway and the keepers compare what is blocked. */
 const COMPARE_BLOCKED_MS = 5_000;
 const SETTLE_CRASHES_MS = 50;
@@ -39,7 +37,6 @@
   readonly watchers: Watchers;
   readonly permits: TargetPermits;
   readonly observer: CrashObserver;
-  readonly keepers: FactKeepers;
 }
 
 /** Subscribes the periodic work of all components. */
@@ -48,7 +45,7 @@
   { group, shards, crashes, observer, log, metrics, ...components }:
     TimedComponents,
 ): void {
-  const { store, targets, watchers, permits, keepers } = components;
+  const { store, targets, watchers, permits } = components;
   const schedule: readonly [number, (nowMs: number) => void][] = [
     [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
     [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
@@ -59,10 +56,7 @@
     [SHARD_CHECK_INTERVAL_MS, () => void shards.check()],
     [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
-    [UPDATE_KEEPERS_MS, (nowMs) => void keepers.update(nowMs)],
-    [COMPARE_BLOCKED_MS, (nowMs) => {
-      void keepers.update(nowMs).then(() => crashes.compareBlocked());
-    }],
+    [COMPARE_BLOCKED_MS, () => void crashes.compareBlocked()],
     [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
     [CLEANUP_MS, (nowMs) => observer.removeExpired(nowMs)],
   ];
--- a/packages/gateway/src/turns/turn_components.ts
+++ b/packages/gateway/src/turns/turn_components.ts
@@ -2,9 +2,9 @@
  * Builds the components with which a gateway uses the VMs with disks: it keeps
  * turns there, and shares facts.
  */
+import { EVENTS } from "@camphorlock/codes/events";
 import { type FactAnswer, FactClient } from "@camphorlock/facts";
 import { type DiskInfo, DiskLinks, TurnClient } from "@camphorlock/turns";
-import { FactKeepers } from "../facts/fact_keepers.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { GatewaySettings, ObjectStore } from "../ports.ts";
@@ -23,11 +23,9 @@
 /** The components. */
 export interface TurnComponents {
   readonly history: TurnHistory;
-  /** The registered disks, to be watched. */
+  /** The registered disks, which keep facts, too; to be watched. */
   readonly disks: WatchedDisks;
   readonly links: DiskLinks;
-  /** The keepers of facts, whose list is to be refreshed. */
-  readonly keepers: FactKeepers;
   readonly facts: FactClient<DiskInfo>;
 }
 
@@ -36,7 +34,11 @@
   { settings, store, log, metrics }: TurnComponentsOptions,
 ): TurnComponents {
   const links = new DiskLinks();
-  const disks = new WatchedDisks((listed) => links.removeUnlisted(listed));
+  const disks = new WatchedDisks((listed) => {
+    links.removeUnlisted(listed);
+    const keepers = listed.map(({ vmId }) => vmId).sort();
+    log.write(EVENTS.KeepersChanged, { keepers });
+  });
   const registry = new StoredDiskRegistry(store);
   const client = new TurnClient({
     caller: links,
@@ -45,9 +47,8 @@
     listDisks: () => disks.list(),
     loadDisks: () => registry.list(),
   });
-  const keepers = new FactKeepers(() => registry.list(), log);
   const facts = new FactClient({
-    listKeepers: () => keepers.list(),
+    listKeepers: () => disks.list(),
     call: async (keeper, message, timeoutMs) => {
       const response = await links.call(keeper, message, timeoutMs);
       return response?.answer as FactAnswer | undefined;
@@ -57,7 +58,6 @@
     history: new TurnHistory({ client, log, metrics }),
     disks,
     links,
-    keepers,
     facts,
   };
 }
--- a/packages/turns/src/disk/disk_service.ts
+++ b/packages/turns/src/disk/disk_service.ts
@@ -3,7 +3,7 @@
  * turns for disks that copy them, and keeps facts of gateways in memory.
  */
 import { randomUUID } from "node:crypto";
-import { FactTable } from "@camphorlock/facts";
+import { type CopiedFact, FactPages, FactTable } from "@camphorlock/facts";
 import { EVENTS } from "@camphorlock/codes/events";
 import type { DiskLog } from "../disk_log.ts";
 import { TurnTable } from "../decisions/turn_table.ts";
@@ -44,6 +44,7 @@
   /** Highest sequence number that each reader saved on its own disk. */
   readonly #copiedUntil = new Map<string, number>();
   readonly #facts = new FactTable();
+  readonly #factPages = new FactPages(this.#facts);
   readonly #numbering = randomUUID();
   #running = 0;
   #isRetiring = false;
@@ -109,11 +110,22 @@
           kind: "facts_found",
           facts: this.#facts.find(String(message.key), nowMs),
         };
+      case "list_facts": {
+        const page = this.#factPages.list(message, nowMs);
+        return page.isOk()
+          ? { kind: "facts_listed", ...page.value }
+          : { kind: "invalid", detail: page.error };
+      }
       default:
         return { kind: "invalid", detail: "unknown message kind" };
     }
   }
 
+  /** Adds facts of another disk's process; returns how many were new. */
+  addFacts(facts: readonly CopiedFact[]): number {
+    return this.#facts.addCopies(facts, performance.now());
+  }
+
   /** Saves the end of a chain, the oldest turn first. Never rejects. */
   async save(turns: readonly KeptTurn[]): Promise<DiskAnswer> {
     const missing = turns.filter(({ id }) => !this.table.has(id));
--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -2,6 +2,7 @@
  * Builds the parts that keep turns on one disk and runs them.
  */
 import { EVENTS } from "@camphorlock/codes/events";
+import { type FactAnswer, FactCopier } from "@camphorlock/facts";
 import type { TimerService } from "@camphorlock/scheduler/timers";
 import { DiskLinks } from "../client/disk_links.ts";
 import { restoreTable } from "../decisions/restore_table.ts";
@@ -47,6 +48,7 @@
   readonly #links: DiskLinks;
   readonly #server: DiskServer;
   readonly #files: TurnLog;
+  readonly #facts: FactCopier<DiskInfo>;
 
   /** Recovers the disk's contents. Rejects when the folder can't be used. */
   static async open(options: TurnDiskOptions): Promise<TurnDiskProcess> {
@@ -111,6 +113,7 @@
       },
       identity,
     );
+    this.#facts = this.#createFactCopier();
     this.#server = new DiskServer((message) => this.#handleMessage(message));
   }
 
@@ -123,13 +126,16 @@
       (nowMs) => void this.service.removeExpired(nowMs),
     );
     timers.subscribe(MEMBERSHIP_MS, () => void this.member.runNext());
+    timers.subscribe(MEMBERSHIP_MS, (nowMs) => void this.#facts.runDue(nowMs));
     void this.member.runNext();
   }
 
   /** Applies the registered disks, as watched. */
   setDisks(disks: readonly DiskInfo[]): void {
+    const { place: { vmId } } = this.#options;
     this.#links.removeUnlisted(disks);
     this.member.setDisks(disks);
+    this.#facts.setOthers(disks.filter((disk) => disk.vmId !== vmId));
   }
 
   close(): void {
@@ -139,6 +145,24 @@
     this.#files.close().catch(() => {});
   }
 
+  #createFactCopier(): FactCopier<DiskInfo> {
+    const { place, log } = this.#options;
+    return new FactCopier<DiskInfo>({
+      self: place,
+      probe: async (disk, timeoutMs) => {
+        const hello = { kind: "hello" } as const;
+        return await this.#links.call(disk, hello, timeoutMs) !== undefined;
+      },
+      call: async (disk, message, timeoutMs) => {
+        const response = await this.#links.call(disk, message, timeoutMs);
+        return response?.answer as FactAnswer | undefined;
+      },
+      addCopies: (facts) => this.service.addFacts(facts),
+      recordCopied: ({ sources, facts }) =>
+        log.write(EVENTS.FactsCopied, { sources, facts }),
+    });
+  }
+
   async #handleMessage(message: DiskMessage): Promise<DiskResponse> {
     const answer = await this.service.handleMessage(message);
     const { diskId, isComplete } = this.member;
