Keep a doubted request from the one address where it met all ends

Cause: the attribution blocks what met ends on two addresses, to spare what runs on a VM that ends by itself. Routes prefer the nearest target or have only one, so that a second address never came.

Evidence: one_address_crash_test.ts on, eight TargetEnded lines with the order's fingerprint and no RequestBlocked. Ruled out by these lines: ends that aren't reported, blocks that are withdrawn.

After two ends at one address, no gateway sends the request there for ten seconds. It goes elsewhere, or is refused as not run if there is no other target. A target that lives meanwhile and ends with the request again is its doing. Requests that are doubted together come back one after another, so that innocents complete first.

Failed before: one_address_crash_test.ts, both (8 crashes; 502 for each send), and the new cases of crash_attribution_test.ts.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -342,7 +342,7 @@
     927,
     "RequestBlocked",
     "warn",
-    "A request is blocked since targets ended under it, or is let in again.",
+    "A request is blocked, or kept from one address, since targets ended under it, or is let in again.",
   ),
   AccountRecorded: defineEvent(
     931,
--- a/packages/gateway/src/crashes/crash_exchange.ts
+++ b/packages/gateway/src/crashes/crash_exchange.ts
@@ -12,7 +12,7 @@
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { CrashAttribution } from "../decisions/crash_attribution.ts";
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
-import { getIncarnation } from "../decisions/target_table.ts";
+import { getAddress, getIncarnation } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
@@ -66,7 +66,7 @@
     const report: CrashReport = {
       service: target.service,
       incarnation: getIncarnation(target),
-      address: `${target.host}:${target.port}`,
+      address: getAddress(target),
       requests,
       ageMs: 0,
     };
@@ -94,8 +94,9 @@
     for (const fingerprint of blocked.takeExpired(nowMs)) {
       this.#log(fingerprint, { change: "let_in" });
     }
-    const { requests, resources } = this.#attribution.settle(nowMs);
-    if (requests.length > 0) void this.#publish(requests);
+    const { requests, resources, trials } = this.#attribution.settle(nowMs);
+    const found = [...requests, ...trials];
+    if (found.length > 0) void this.#publish(found);
     if (resources.length > 0) void this.#publishAgreed(resources);
   }
 
@@ -165,7 +166,10 @@
   async #publish(found: readonly BlockedRequest[]): Promise<void> {
     const { directory, keptBlocks } = this.#dependencies;
     const completed = new Set(this.applyBlocked(found));
-    keptBlocks.save(found);
+    // A trial is over before a gateway that starts anew could apply it.
+    keptBlocks.save(
+      found.filter(({ avoidedAddress }) => avoidedAddress === undefined),
+    );
     const answers = await Promise.all(
       directory.list().map((peer) => this.#sendBlocked(peer, found)),
     );
--- a/packages/gateway/src/decisions/blocked_requests.ts
+++ b/packages/gateway/src/decisions/blocked_requests.ts
@@ -20,12 +20,23 @@
   readonly firstCrashAtMs: number;
 }
 
+/** An address that a request isn't sent to. */
+export interface Trial extends Block {
+  readonly address: string;
+}
+
 /** How a notice changed what is blocked. */
-export type BlockChange = "none" | "blocked" | "let_in" | "contradicted";
+export type BlockChange =
+  | "none"
+  | "blocked"
+  | "avoiding"
+  | "let_in"
+  | "contradicted";
 
 /** The requests that are blocked at one gateway. */
 export class BlockedRequests {
   readonly #blocks = new BoundedMap<string, Block>(MAX_BLOCKED);
+  readonly #trials = new BoundedMap<string, Trial>(MAX_BLOCKED);
   /** When requests were let in before their time, as they had completed. */
   readonly #letInAtMs = new BoundedMap<string, number>(MAX_BLOCKED);
   readonly #completedAtMs = new BoundedMap<string, number>(MAX_COMPLETED);
@@ -35,12 +46,19 @@
     return this.#findOne(request, nowMs) ?? this.#findOne(resource, nowMs);
   }
 
+  /** Finds the address that a request avoids; undefined if there is none. */
+  findTrial({ request }: Fingerprint, nowMs: number): Trial | undefined {
+    const trial = this.#trials.get(request);
+    return trial !== undefined && trial.untilMs > nowMs ? trial : undefined;
+  }
+
   /** Applies a notice, unless the request has completed here since. */
   apply(notice: BlockedRequest, nowMs: number): BlockChange {
     const { fingerprint, service, crashes, leftMs } = notice;
     const known = this.#findOne(fingerprint, nowMs);
     if (leftMs <= 0) {
       this.#blocks.remove(fingerprint);
+      this.#trials.remove(fingerprint);
       this.#letInAtMs.set(fingerprint, nowMs);
       return known === undefined ? "none" : "let_in";
     }
@@ -50,6 +68,13 @@
     if (firstCrashAtMs <= (this.#letInAtMs.get(fingerprint) ?? -Infinity)) {
       return "none";
     }
+    const { avoidedAddress: address } = notice;
+    if (address !== undefined) {
+      const untilMs = nowMs + leftMs;
+      const trial = { service, crashes, untilMs, firstCrashAtMs, address };
+      this.#trials.set(fingerprint, trial);
+      return "avoiding";
+    }
     const untilMs = Math.max(nowMs + leftMs, known?.untilMs ?? 0);
     this.#blocks.set(fingerprint, {
       service,
@@ -115,6 +140,9 @@
       .filter(([, { untilMs }]) => untilMs <= nowMs)
       .map(([fingerprint]) => fingerprint);
     for (const fingerprint of expired) this.#blocks.remove(fingerprint);
+    for (const [fingerprint, { untilMs }] of this.#trials.list()) {
+      if (untilMs <= nowMs) this.#trials.remove(fingerprint);
+    }
     return expired;
   }
 }
--- a/packages/gateway/src/decisions/crash_attribution.ts
+++ b/packages/gateway/src/decisions/crash_attribution.ts
@@ -8,13 +8,16 @@
  *
  * Each end of a target is evidence against everything that ran there, shared
  * equally. A request is blocked once it ran at the ends of targets on two
- * addresses and the evidence amounts to half a target, or at three ends. Of
+ * addresses and the evidence amounts to half a target, or at three ends. If all
+ * ends are at one address, it's kept away from there first, and blocked if the
+ * target lives without it and ends with it again (see `address_trials.ts`). Of
  * several candidates only the one that met most ends is blocked, and the ends
  * that a blocked request explains no longer count against the others. What is
  * wrong is often what a request is about: once another one about the same
  * resource meets an end, the resource is blocked, if none has completed.
  */
 import { BoundedMap } from "../model/bounded_map.ts";
+import { AddressTrials, TRIAL_MS, type TrialResult } from "./address_trials.ts";
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
 import type { Fingerprint } from "../model/request_fingerprint.ts";
 
@@ -50,6 +53,8 @@
   readonly requests: readonly BlockedRequest[];
   /** All requests about these, unless one of them has completed meanwhile. */
   readonly resources: readonly BlockedRequest[];
+  /** Requests that aren't sent to one address for a while. */
+  readonly trials: readonly BlockedRequest[];
 }
 
 interface FirstBlocked {
@@ -70,6 +75,7 @@
   readonly #firstBlocked = new BoundedMap<string, FirstBlocked>(
     MAX_BLOCKED,
   );
+  readonly #trials = new AddressTrials();
 
   /** Records what one gateway saw. */
   record(report: CrashReport, nowMs: number): void {
@@ -91,21 +97,25 @@
   settle(nowMs: number): BlockDecision {
     const requests: BlockedRequest[] = [];
     const resources: BlockedRequest[] = [];
+    const trials: BlockedRequest[] = [];
     for (const [incarnation, crash] of this.#byIncarnation.list()) {
       const ageMs = nowMs - crash.atMs;
       if (ageMs > EVIDENCE_MS) this.#byIncarnation.remove(incarnation);
       else if (!crash.isSettled && ageMs >= COLLECT_MS) {
         crash.isSettled = true;
-        requests.push(...this.#settleCrash(crash, nowMs));
+        const causes = this.#settleCrash(crash, nowMs);
+        requests.push(...causes);
+        if (!crash.isExplained) trials.push(...this.#startTrials(crash, nowMs));
         resources.push(...this.#settleResources(crash, nowMs));
       }
     }
-    return { requests, resources };
+    return { requests, resources, trials };
   }
 
   /** Takes back a block, since the request has completed at a target. */
   release(fingerprint: string): void {
     this.#pastBlocks.remove(fingerprint);
+    this.#trials.remove(fingerprint);
     for (const [resource, { request }] of this.#firstBlocked.list()) {
       const isReleased = resource === fingerprint || request === fingerprint;
       if (isReleased) this.#firstBlocked.remove(resource);
@@ -129,6 +139,25 @@
       .map((each) => this.#buildBlock(each, nowMs));
   }
 
+  /** Keeps what may have ended one address several times away from there. */
+  #startTrials(crash: Crash, nowMs: number): BlockedRequest[] {
+    const doubted = [...crash.requests.values()]
+      .map((fingerprint) => this.#measureEvidence(fingerprint))
+      .filter(({ isElsewhere, crashes }) =>
+        !isElsewhere && crashes.length >= LIKELY_CRASHES
+      );
+    const durations = this.#trials.start(
+      doubted.map(({ request }) => request),
+      crash,
+      nowMs,
+    );
+    return doubted.map((candidate) => ({
+      ...buildNotice(candidate, nowMs),
+      leftMs: durations.get(candidate.request) ?? TRIAL_MS,
+      avoidedAddress: crash.address,
+    }));
+  }
+
   /**
    * Finds the resources about which a second request ran at the end of a
    * target, after one about it was blocked.
@@ -159,39 +188,31 @@
 
   /** Adds up the evidence against one request. */
   #measureEvidence({ request, resource }: Fingerprint): Candidate {
-    const all = this.#byIncarnation.list()
-      .map(([, crash]) => crash)
-      .filter(({ requests }) => requests.has(request));
+    const everywhere = this.#byIncarnation.list().map(([, crash]) => crash);
+    const all = everywhere.filter(({ requests }) => requests.has(request));
     const crashes = all.filter(({ isExplained }) => !isExplained);
     return {
       request,
       resource,
       crashes,
       isElsewhere: countAddresses(all) >= LIKELY_CRASHES,
+      trial: this.#trials.findResult(request, everywhere),
       ends: all.length,
       share: crashes.reduce((sum, each) => sum + 1 / each.requests.size, 0),
       past: this.#pastBlocks.get(request),
     };
   }
 
-  #buildBlock(
-    { request, resource, crashes, past }: Candidate,
-    nowMs: number,
-  ): BlockedRequest {
+  #buildBlock(candidate: Candidate, nowMs: number): BlockedRequest {
+    const { request, resource, past } = candidate;
     const times = (past?.times ?? 0) + 1;
     const leftMs = Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (times - 1));
     this.#pastBlocks.set(request, { times, untilMs: nowMs + leftMs });
-    const firstAtMs = Math.min(...crashes.map(({ atMs }) => atMs));
     if (!this.#firstBlocked.has(resource)) {
+      const firstAtMs = findFirstAtMs(candidate);
       this.#firstBlocked.set(resource, { request, firstAtMs });
     }
-    return {
-      fingerprint: request,
-      service: crashes[0]?.service ?? "",
-      crashes: crashes.length,
-      leftMs,
-      firstCrashAgeMs: nowMs - firstAtMs,
-    };
+    return { ...buildNotice(candidate, nowMs), leftMs };
   }
 }
 
@@ -200,6 +221,8 @@
   readonly crashes: readonly Crash[];
   /** Whether it ran at ends on several addresses. */
   readonly isElsewhere: boolean;
+  /** What trials of its only address say. */
+  readonly trial: TrialResult;
   /** All ends at which it ran. */
   readonly ends: number;
   readonly share: number;
@@ -208,6 +231,8 @@
 }
 
 function chooseCauses(candidates: readonly Candidate[]): Candidate[] {
+  const tried = candidates.filter(({ trial }) => trial === "certain");
+  if (tried.length > 0) return tried;
   const likely = candidates.filter(({ isElsewhere, crashes }) =>
     isElsewhere && crashes.length >= LIKELY_CRASHES
   );
@@ -220,7 +245,26 @@
   const [leader] = leaders;
   const isLikely = leaders.length === 1 && leader !== undefined &&
     leader.share >= LIKELY_SHARE;
-  return isLikely ? [leader] : [];
+  if (isLikely) return [leader];
+  const alone = candidates.filter(({ trial }) => trial === "likely");
+  return alone.length === 1 ? alone : [];
+}
+
+function buildNotice(
+  candidate: Candidate,
+  nowMs: number,
+): Omit<BlockedRequest, "leftMs"> {
+  const { request, crashes } = candidate;
+  return {
+    fingerprint: request,
+    service: crashes[0]?.service ?? "",
+    crashes: crashes.length,
+    firstCrashAgeMs: nowMs - findFirstAtMs(candidate),
+  };
+}
+
+function findFirstAtMs({ crashes }: Candidate): number {
+  return Math.min(...crashes.map(({ atMs }) => atMs));
 }
 
 function countAddresses(crashes: readonly Crash[]): number {
--- a/packages/gateway/src/decisions/crash_attribution_test.ts
+++ b/packages/gateway/src/decisions/crash_attribution_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { BlockedRequests } from "./blocked_requests.ts";
 import type { Fingerprint } from "../model/request_fingerprint.ts";
+import { TRIAL_MS } from "./address_trials.ts";
 import { CrashAttribution, FIRST_BLOCK_MS } from "./crash_attribution.ts";
 import { createRandom, simulateCrashes } from "./crash_simulation_test.ts";
 
@@ -16,6 +17,7 @@
   let nowMs: number;
   let ends: number;
   let resources: string[];
+  let trials: string[];
   let resourceCrashes: number | undefined;
 
   beforeEach(() => {
@@ -37,6 +39,9 @@
     nowMs += COLLECT_MS;
     const decision = attribution.settle(nowMs);
     resources = decision.resources.map(({ fingerprint }) => fingerprint);
+    trials = decision.trials.map(({ fingerprint, avoidedAddress }) =>
+      `${fingerprint} avoids ${avoidedAddress}`
+    );
     resourceCrashes = decision.resources[0]?.crashes;
     return decision.requests.map(({ fingerprint }) => fingerprint);
   }
@@ -66,6 +71,50 @@
     }
   });
 
+  // A service with one target a failure domain never gives a second address.
+  it("is to what ends one VM three times, which lives without it", () => {
+    expect(crash(["crashing"], "a")).to.deep.equal([]);
+    expect(trials).to.deep.equal([]);
+    nowMs += 5_000;
+    expect(crash(["crashing"], "a")).to.deep.equal([]);
+    expect(trials).to.deep.equal(["crashing avoids a"]);
+    nowMs += TRIAL_MS;
+    expect(crash(["crashing", "harmless"], "a")).to.deep.equal(["crashing"]);
+  });
+
+  it("takes several trials at a VM that ends without it, too", () => {
+    for (let round = 1; round <= 3; round += 1) {
+      expect(crash(["steady"], "a"), `end ${round}`).to.deep.equal([]);
+      nowMs += TRIAL_MS / 2;
+      expect(crash(["another"], "a")).to.deep.equal([]);
+      attribution.release("another");
+      nowMs += TRIAL_MS;
+    }
+    expect(crash(["steady"], "a")).to.deep.equal(["steady"]);
+  });
+
+  it("is to each of two that end the same VM by turns", () => {
+    for (const request of ["first", "first", "second", "second"]) {
+      expect(crash([request], "a")).to.deep.equal([]);
+      nowMs += 1_000;
+    }
+    nowMs += TRIAL_MS;
+    expect(crash(["first"], "a")).to.deep.equal(["first"]);
+    expect(crash(["second"], "a")).to.deep.equal(["second"]);
+  });
+
+  it("is after one more trial if the request ran during the first", () => {
+    crash(["crashing"], "a");
+    crash(["crashing"], "a");
+    nowMs += TRIAL_MS / 2;
+    expect(crash(["crashing"], "a")).to.deep.equal([]);
+    expect(trials).to.deep.equal(["crashing avoids a"]);
+    nowMs += TRIAL_MS / 2 + 1_000;
+    expect(crash(["crashing"], "a")).to.deep.equal([]);
+    nowMs += TRIAL_MS;
+    expect(crash(["crashing"], "a")).to.deep.equal(["crashing"]);
+  });
+
   it("isn't to a request for the end of a whole failure domain", () => {
     for (let each = 0; each < 20; each += 1) {
       expect(crash([`r${each}`, `s${each}`])).to.deep.equal([]);
@@ -171,6 +220,20 @@
     expect(blocked.apply(notice, 30_000)).to.equal("blocked");
   });
 
+  it("avoid an address for a while, unless they have completed since", () => {
+    const blocked = new BlockedRequests();
+    const trial = { ...notice, avoidedAddress: "a" };
+    expect(blocked.apply(trial, 0)).to.equal("avoiding");
+    expect(blocked.find(FINGERPRINT, 10)).to.equal(undefined);
+    expect(blocked.findTrial(FINGERPRINT, 10)?.address).to.equal("a");
+    expect(blocked.findTrial(FINGERPRINT, 1_000)).to.equal(undefined);
+    blocked.apply(trial, 2_000);
+    blocked.apply({ ...trial, leftMs: 0 }, 2_100);
+    expect(blocked.findTrial(FINGERPRINT, 2_200)).to.equal(undefined);
+    blocked.recordCompleted(FINGERPRINT, 5_000);
+    expect(blocked.apply(trial, 5_100)).to.equal("contradicted");
+  });
+
   it("stay bounded when a caller sends ever other requests", () => {
     const blocked = new BlockedRequests();
     for (let each = 0; each < 20_000; each += 1) {
@@ -207,4 +270,52 @@
       expect(refusedHarmless / 10).to.be.below(MAX_REFUSED_HARMLESS);
     });
   }
+
+  // A request that goes to one target only was never told from a target that
+  // ends by itself.
+  for (
+    const [gateways, targets, ownEndsPerSecond, crashingIntervalMs] of [
+      [8, 1, 0.05, 500],
+      [8, 3, 0.2, 4_000],
+      [60, 1, 0.05, 2_000],
+      [430, 3, 0.1, 500],
+    ] as const
+  ) {
+    it(`stop those at one of ${targets} targets: ${gateways} gateways`, () => {
+      let refusedHarmless = 0;
+      for (let seed = 1; seed <= 100; seed += 1) {
+        const seen = simulateCrashes({
+          random: createRandom(seed),
+          gateways,
+          targets,
+          crashing: 2,
+          ownEndsPerSecond,
+          crashingIntervalMs,
+          isSticky: true,
+          durationMs: 90_000,
+        });
+        expect(seen.mostLateSends, `seed ${seed}`).to.be.at.most(
+          MAX_LATE_SENDS,
+        );
+        refusedHarmless += seen.refusedHarmless / seen.harmless;
+      }
+      expect(refusedHarmless / 100).to.be.below(MAX_REFUSED_HARMLESS);
+    });
+  }
+
+  it("refuse nothing at a target that only ends by itself", () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const seen = simulateCrashes({
+        random: createRandom(seed),
+        gateways: 8,
+        targets: 1,
+        crashing: 0,
+        ownEndsPerSecond: 0.3,
+        isSticky: true,
+        durationMs: 90_000,
+      });
+      expect(seen.refusedHarmless / seen.harmless, `seed ${seed}`)
+        .to.be.below(MAX_REFUSED_HARMLESS);
+    }
+  });
 });
--- a/packages/gateway/src/decisions/crash_simulation_test.ts
+++ b/packages/gateway/src/decisions/crash_simulation_test.ts
@@ -2,6 +2,7 @@
  * Simulates many gateways and targets in virtual time, with a few requests that
  * crash what runs them and targets that end by themselves.
  */
+import { computeHash } from "@camphorlock/scheduler/hash";
 import type { Fingerprint } from "../model/request_fingerprint.ts";
 import { BlockedRequests } from "./blocked_requests.ts";
 import { CrashAttribution } from "./crash_attribution.ts";
@@ -30,6 +31,10 @@
   readonly crashing: number;
   readonly ownEndsPerSecond: number;
   readonly durationMs: number;
+  /** Whether each request goes to the same target while that's up. */
+  readonly isSticky?: boolean;
+  /** Pause between two attempts at one that crashes targets. */
+  readonly crashingIntervalMs?: number;
 }
 
 /** What was seen. */
@@ -38,6 +43,8 @@
   readonly mostLateSends: number;
   readonly harmless: number;
   readonly refusedHarmless: number;
+  /** Targets that requests have ended. */
+  readonly crashes: number;
 }
 
 interface SimulatedRun {
@@ -92,7 +99,7 @@
 
   run(): CrashSimulationResult {
     const { durationMs, crashing, targets, ownEndsPerSecond } = this.#options;
-    const { random } = this.#options;
+    const { random, crashingIntervalMs = CRASHING_INTERVAL_MS } = this.#options;
     const arrivals = LOAD * SLOTS * targets * STEP_MS / RUN_MS;
     for (; this.#nowMs < durationMs; this.#nowMs += STEP_MS) {
       const due = this.#pending.filter(({ atMs }) => atMs <= this.#nowMs);
@@ -103,7 +110,7 @@
         this.#send(`harmless-${this.#harmless}`, 0);
       }
       for (let each = 0; each < crashing; each += 1) {
-        const isDue = random() < STEP_MS / CRASHING_INTERVAL_MS;
+        const isDue = random() < STEP_MS / crashingIntervalMs;
         if (isDue) this.#send(`crashing-${each}`, 0);
       }
       if (random() < ownEndsPerSecond * STEP_MS / 1_000) {
@@ -116,11 +123,14 @@
       mostLateSends: Math.max(0, ...this.#lateSends.values()),
       harmless: this.#harmless,
       refusedHarmless: this.#refused.size,
+      crashes: [...this.#crashesAtMs.values()]
+        .reduce((sum, each) => sum + each.length, 0),
     };
   }
 
   #publish(): void {
-    for (const notice of this.#attribution.settle(this.#nowMs).requests) {
+    const { requests, trials } = this.#attribution.settle(this.#nowMs);
+    for (const notice of [...requests, ...trials]) {
       this.#schedule(MESSAGE_MS, () => {
         this.#blocked.apply(notice, this.#nowMs);
       });
@@ -140,13 +150,14 @@
       if (isHarmless(fingerprint)) this.#refused.add(fingerprint);
       return;
     }
-    const up = this.#targets.filter(({ upAtMs }) => upAtMs <= this.#nowMs);
-    const [first, second] = [random(), random()]
-      .map((value) => up[Math.floor(value * up.length)]);
-    if (first === undefined || second === undefined) return;
-    // A request that has met an end is sent where the least runs.
-    const target = (crashes > 0 ? up : [first, second])
-      .reduce((a, b) => a.runs.length <= b.runs.length ? a : b);
+    const target = this.#chooseTarget(fingerprint, crashes);
+    if (target === undefined) {
+      if (!isHarmless(fingerprint) || this.#options.isSticky !== true) return;
+      return this.#schedule(
+        RETURN_MS,
+        () => this.#send(fingerprint, crashes),
+      );
+    }
     const thirdAtMs = this.#crashesAtMs.get(fingerprint)?.[2];
     if (thirdAtMs !== undefined && this.#nowMs > thirdAtMs + CONTACT_MS) {
       const late = this.#lateSends.get(fingerprint) ?? 0;
@@ -161,6 +172,32 @@
     });
   }
 
+  #chooseTarget(
+    fingerprint: string,
+    crashes: number,
+  ): SimulatedTarget | undefined {
+    const { random, isSticky } = this.#options;
+    const trial = this.#blocked.findTrial(
+      buildFingerprint(fingerprint),
+      this.#nowMs,
+    );
+    const up = this.#targets.filter(({ upAtMs }, index) =>
+      upAtMs <= this.#nowMs && trial?.address !== `${index}`
+    );
+    if (isSticky === true) {
+      const index = computeHash(fingerprint) % this.#targets.length;
+      const preferred = this.#targets[index];
+      const free = up.filter(({ runs }) => runs.length < SLOTS);
+      return free.find((each) => each === preferred) ?? free[0];
+    }
+    const [first, second] = [random(), random()]
+      .map((value) => up[Math.floor(value * up.length)]);
+    if (first === undefined || second === undefined) return undefined;
+    // A request that has met an end is sent where the least runs.
+    return (crashes > 0 ? up : [first, second])
+      .reduce((a, b) => a.runs.length <= b.runs.length ? a : b);
+  }
+
   #runTarget(target: SimulatedTarget, index: number): void {
     const done = target.runs.filter(({ endAtMs }) => endAtMs <= this.#nowMs);
     const cause = done.find(({ fingerprint }) => !isHarmless(fingerprint));
--- a/packages/gateway/src/decisions/target_table.ts
+++ b/packages/gateway/src/decisions/target_table.ts
@@ -231,10 +231,15 @@
     leavingUntilMs <= nowMs;
 }
 
+/** Gets where a target listens. */
+export function getAddress({ host, port }: Target): string {
+  return `${host}:${port}`;
+}
+
 /** Identifies one incarnation of a target. */
 export function getIncarnation(target: Target): string {
-  const { id, host, port, startedAtMs } = target;
-  return `${id} ${host}:${port} ${startedAtMs}`;
+  const { id, startedAtMs } = target;
+  return `${id} ${getAddress(target)} ${startedAtMs}`;
 }
 
 function isNewIncarnation(before: Target, after: Target): boolean {
--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -2,7 +2,7 @@
  * Chooses the target of a request's next attempt.
  */
 import { chooseTarget } from "../decisions/choose_target.ts";
-import type { TrackedTarget } from "../decisions/target_table.ts";
+import { getAddress, type TrackedTarget } from "../decisions/target_table.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
 import type { RequestReport } from "./request_end.ts";
 
@@ -11,6 +11,8 @@
   readonly previousTargetId: string | undefined;
   /** Whether only targets may be chosen that may already run the request. */
   readonly onlyRunners: boolean;
+  /** Targets there may have been ended by the request. */
+  readonly avoidedAddress: string | undefined;
 }
 
 /** Whether any target may take the request, now or after a wait. */
@@ -29,14 +31,15 @@
     ExchangeDependencies,
     "targets" | "placement" | "permits"
   >,
-  { accepted, sends, service, previousTargetId, onlyRunners }:
-    NextTargetOptions,
+  options: NextTargetOptions,
 ): TrackedTarget | undefined {
+  const { accepted, sends, service, previousTargetId, onlyRunners } = options;
   const nowMs = performance.now();
   const ready = sends.start
     .filterTargets(targets.listReady(service, nowMs), targets)
     .filter(({ target }) =>
       !permits.isPaused(target.id, nowMs) &&
+      getAddress(target) !== options.avoidedAddress &&
       (!onlyRunners || sends.isPossibleRunner(target.id))
     );
   const { prompt, affinityKey } = accepted.fields;
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -5,7 +5,6 @@
  */
 import { EVENTS } from "@camphorlock/codes/events";
 import { isDelimited } from "@camphorlock/http/exchange";
-import type { Block } from "../decisions/blocked_requests.ts";
 import { chooseService } from "../decisions/choose_service.ts";
 import {
   readEventData,
@@ -24,6 +23,7 @@
 import type { RunningAttempt, TargetResponse } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
 import { chooseNextTarget, hasUsableTarget } from "./next_target.ts";
+import { RequestBlocks } from "./request_blocks.ts";
 import { RequestClock } from "./request_clock.ts";
 import { RequestAttempts } from "./request_attempts.ts";
 import {
@@ -58,6 +58,7 @@
   readonly #isRepeatable: boolean;
   readonly #clock: RequestClock;
   readonly #attempts: RequestAttempts;
+  readonly #blocks: RequestBlocks;
   #running: RunningAttempt<StreamAttemptResult> | undefined;
   #stopped: StopReason | undefined;
   #endWait: () => void = () => {};
@@ -78,6 +79,8 @@
       (this.#isStream && route.isResumable);
     this.#clock = new RequestClock(accepted);
     this.#attempts = new RequestAttempts(fields.resumeAfter, state.begun);
+    const { fingerprint } = accepted;
+    this.#blocks = new RequestBlocks(dependencies, fingerprint, this.#service);
   }
 
   /** Runs until the final response was sent or the caller disconnected. */
@@ -105,14 +108,14 @@
   /** Ends the request early if it was blocked before it had a response. */
   stopIfBlocked(): void {
     if (!this.#isRepeatable || this.#attempts.progress.events > 0) return;
-    if (this.#findBlock() !== undefined) this.#stop("blocked");
+    if (this.#blocks.find() !== undefined) this.#stop("blocked");
   }
 
   async #runAttempts(): Promise<RequestOutcome> {
     let onlyRunners: boolean | undefined = false;
     for (;;) {
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
-      const block = this.#findBlock();
+      const block = this.#blocks.find() ?? this.#blocks.findLastTrial();
       if (block !== undefined) {
         return buildBlockedOutcome(block, this.#attempts.mayHaveRun);
       }
@@ -120,6 +123,7 @@
         ...this.#buildReport(),
         previousTargetId: this.#state.turn?.previousTargetId,
         onlyRunners,
+        avoidedAddress: this.#blocks.findTrial()?.address,
       });
       if (entry === undefined) {
         if (!hasUsableTarget(this.#dependencies, this.#buildReport())) {
@@ -271,7 +275,7 @@
   #buildStoppedOutcome(): RequestOutcome {
     if (this.#stopped === "disconnected") return { kind: "disconnected" };
     const wasSent = this.#attempts.targetIds.length > 0;
-    const block = this.#findBlock();
+    const block = this.#blocks.find();
     if (this.#stopped === "blocked" && block !== undefined) {
       return buildBlockedOutcome(block, wasSent);
     }
@@ -285,11 +289,6 @@
       : buildRefusalOutcome(targets, this.#service);
   }
 
-  #findBlock(): Block | undefined {
-    const { blocked } = this.#dependencies;
-    return blocked.find(this.#accepted.fingerprint, performance.now());
-  }
-
   #buildReport(): Parameters<typeof endRequest>[1] {
     return {
       accepted: this.#accepted,
--- a/packages/gateway/src/model/crash_report.ts
+++ b/packages/gateway/src/model/crash_report.ts
@@ -26,4 +26,6 @@
   readonly leftMs: number;
   /** Time since the first of those ends. */
   readonly firstCrashAgeMs: number;
+  /** If present, only targets at this address aren't sent the request. */
+  readonly avoidedAddress?: string;
 }
