Wait for addresses that a former process still holds

Cause: an address in use failed the start, and nothing tried again.

A start waits for its addresses for as long as a former process may hold them, and says so (AddressInUse). The metrics aren't needed to serve callers: without their address the gateway goes on. A start that never gets its addresses ends as before.

--- a/packages/channel/mod.ts
+++ b/packages/channel/mod.ts
@@ -2,3 +2,4 @@
  * Connections between the system's own processes: lines of JSON over TCP.
  */
 export * from "./src/peer_channel.ts";
+export * from "./src/serve_when_free.ts";
--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -200,6 +200,12 @@
     "info",
     "The gateway is listening; its address and failure domain.",
   ),
+  AddressInUse: defineEvent(
+    928,
+    "AddressInUse",
+    "warn",
+    "An address is still held by another process; the start waits for it.",
+  ),
   GatewayReady: defineEvent(
     902,
     "GatewayReady",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { TargetTable } from "./decisions/target_table.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
+import { AddressWaiter } from "./front/address_waiter.ts";
 import { CallerServer } from "./front/caller_server.ts";
 import { PlainTextServer } from "./front/plain_text_server.ts";
 import {
@@ -195,7 +196,10 @@
     );
   }
 
-  /** Starts the process; rejects when an address can't be used. */
+  /**
+   * Starts the process; rejects when an address can't be used, also not after
+   * the time that a former process has to end.
+   */
   async start(): Promise<void> {
     const { settings, log } = this.#options;
     this.#watchers.start("configuration");
@@ -215,13 +219,14 @@
       this.#readinessState.recordTick(TICK_MS);
       this.#timers.runDue(performance.now());
     }, TICK_MS);
-    await this.#accounts.links.serve(settings.peers);
+    const addresses = new AddressWaiter(settings, log);
+    await addresses.serve(() => this.#accounts.links.serve(settings.peers));
     void this.#accounts.group.open().then(() => this.#hasJoined = true);
-    await this.#callers.serve(settings.callers);
-    await this.#readinessServer.serve(settings.readiness);
-    if (settings.metrics !== undefined) {
-      await this.#metricsServer.serve(settings.metrics);
-    }
+    await addresses.serve(() => this.#callers.serve(settings.callers));
+    await addresses.serve(() =>
+      this.#readinessServer.serve(settings.readiness)
+    );
+    void addresses.serveMetrics(this.#metricsServer, settings.metrics);
     this.#metricsTimer = setTimeout(
       () => void this.#options.metrics.load(),
       LOAD_METRICS_AFTER_MS,
--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -1,6 +1,7 @@
 /**
  * Builds the parts that keep turns on one disk and runs them.
  */
+import { serveWhenFree } from "@camphorlock/channel";
 import { EVENTS } from "@camphorlock/codes/events";
 import { type FactAnswer, FactCopier } from "@camphorlock/facts";
 import type { TimerService } from "@camphorlock/scheduler/timers";
@@ -24,6 +25,8 @@
 import { DiskService } from "./disk_service.ts";
 
 const EXPIRY_CHECK_MS = 2_000;
+/** A former process ends at once when it's stopped. */
+const ADDRESS_WAIT_MS = 2_000;
 const MEMBERSHIP_MS = 150;
 
 /** Settings and dependencies of a disk's process. */
@@ -117,10 +120,13 @@
     this.#server = new DiskServer((message) => this.#handleMessage(message));
   }
 
-  /** Listens and joins the other disks; rejects if the address is in use. */
+  /** Listens and joins the other disks; rejects if the address stays in use. */
   async start(): Promise<void> {
-    const { place, timers } = this.#options;
-    await this.#server.serve(place);
+    const { place, timers, log } = this.#options;
+    await serveWhenFree(() => this.#server.serve(place), {
+      limitMs: ADDRESS_WAIT_MS,
+      reportWait: (detail) => log.write(EVENTS.AddressInUse, { detail }),
+    });
     timers.subscribe(
       EXPIRY_CHECK_MS,
       (nowMs) => void this.service.removeExpired(nowMs),
