Let a gateway be ready before there are targets

What was seen: with a store that has a configuration and no target, no gateway ever became ready (shared probe list). A start that waits for the gateways before it starts the targets never ends.

Cause: readiness asked for one target at least, as a sign that the list had been read.

It asks for the list itself now. A gateway that knows that there is no target refuses with the time to return, as any gateway would.

Failed before: readiness_test.ts, "needs no target".

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -156,7 +156,8 @@
       log,
       isStopping: () => this.#isStopping,
       hasInitialState: () =>
-        this.#hasJoined && this.#targets.size > 0 &&
+        this.#hasJoined &&
+        Number.isFinite(this.#watchers.computeAgeMs("targets")) &&
         this.#configuration.inForce !== undefined,
       countTargets: () => this.#targets.size,
     });
--- /dev/null
+++ b/packages/gateway/src/readiness_test.ts
@@ -0,0 +1,40 @@
+import { expect } from "chai";
+import { buildConfiguration, GatewayFixture } from "./gateway_fixture_test.ts";
+
+describe("the readiness of a gateway", () => {
+  let fixture: GatewayFixture;
+
+  beforeEach(() => {
+    fixture = new GatewayFixture();
+    fixture.store.put("configuration", "main", buildConfiguration(1));
+  });
+
+  afterEach(() => fixture.stop());
+
+  // Without a target no gateway ever became ready, so that a deployment whose
+  // targets are started after its gateways never started.
+  it("needs no target, only the word of the store that there is none", async () => {
+    // Waits until the gateway is ready.
+    await fixture.addGateway("g1");
+    const refused = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+      path: "/safe/1",
+    });
+    expect(refused.status).to.equal(503);
+    await fixture.addTarget("t1");
+    let status = 503;
+    while (status !== 200) {
+      ({ status } = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+        path: "/safe/1",
+      }));
+    }
+  }).timeout(10_000);
+
+  it("isn't given while the targets aren't known", async () => {
+    fixture.store.isDown = true;
+    const { answer } = await fixture.startUnready({}, async () => {
+      await new Promise((resolve) => setTimeout(resolve, 500));
+      return fixture.lines.filter(({ name }) => name === "GatewayReady");
+    });
+    expect(answer).to.deep.equal([]);
+  });
+});
