Bound the bytes that all exchanges of a gateway hold together

Cause: each body had a limit, all bodies together had none; and a caller that doesn't read was waited for without end.

A request whose body doesn't fit is refused as not run before the body is read (6005), one whose body isn't complete in the request's time gets 408 (1009). A response that doesn't fit waits on its connection. Responses are written piece by piece, and a caller that takes none for 10 s is given up. A refused upload is read to its end for a second, so that the caller gets the refusal rather than a reset.

--- a/packages/codes/src/result_codes.ts
+++ b/packages/codes/src/result_codes.ts
@@ -75,6 +75,13 @@
     false,
     "Streams need HTTP/1.1, in which a cut response can be told from a whole one.",
   ),
+  BodyTooSlow: defineCode(
+    1009,
+    "BodyTooSlow",
+    408,
+    true,
+    "The request body wasn't complete within the request's time.",
+  ),
   ProgramUnknown: defineCode(
     2001,
     "ProgramUnknown",
@@ -314,6 +321,13 @@
     true,
     "The gateway stops before the request could end; it wasn't run.",
   ),
+  GatewayMemoryFull: defineCode(
+    6005,
+    "GatewayMemoryFull",
+    503,
+    true,
+    "The gateway holds as many bytes of other requests as it may.",
+  ),
   StatementInvalid: defineCode(
     7001,
     "StatementInvalid",
--- a/packages/gateway/src/exchange/buffered_attempt.ts
+++ b/packages/gateway/src/exchange/buffered_attempt.ts
@@ -5,6 +5,7 @@
  */
 import type { PeerConnection, PeerRequest } from "@camphorlock/http/exchange";
 import { startBufferedExchange } from "@camphorlock/http/exchange";
+import type { ByteShare } from "../decisions/byte_budget.ts";
 import type { FailedAttempt } from "../decisions/next_step.ts";
 import type {
   DecodedResponse,
@@ -39,6 +40,8 @@
   readonly codec: RequestCodec;
   readonly requestId: string;
   readonly timeoutMs: number;
+  /** What the process holds for the exchange. */
+  readonly share: ByteShare;
   /** Records what the target states of itself in a response to the request. */
   readonly recordStatement: (decoded: DecodedResponse) => void;
 }
@@ -52,6 +55,8 @@
   const exchange = startBufferedExchange(connection, request, {
     totalTimeoutMs: options.timeoutMs,
     maxBytes: MAX_RESPONSE_BYTES,
+    reserve: (bytes, handleReserved) =>
+      options.share.wait(bytes, handleReserved),
   });
   return {
     cancel: () => exchange.cancel(),
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -4,6 +4,9 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResultCodeDefinition } from "@camphorlock/codes/result_codes";
+import type { ByteShare } from "../decisions/byte_budget.ts";
+import { RequestBody } from "./request_body.ts";
+import { endAfterRequest, writeBody } from "./response_writer.ts";
 
 const MS_PER_SECOND = 1_000;
 /**
@@ -16,8 +19,17 @@
 export type BodyReadResult =
   | { readonly kind: "complete"; readonly body: Buffer }
   | { readonly kind: "too_large" }
+  /** The process holds too much else. */
+  | { readonly kind: "no_memory" }
+  | { readonly kind: "too_slow" }
   | { readonly kind: "disconnected" };
 
+/** How a request body is read. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  readonly timeoutMs: number;
+}
+
 /** The head of a target's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -34,6 +46,8 @@
 /** One request of a caller and its response. */
 export class CallerExchange {
   readonly request: IncomingMessage;
+  /** What the process holds for this exchange. */
+  readonly share: ByteShare;
   readonly #response: ServerResponse;
   /** Whether the connection closes after the response. */
   readonly #isClosing: () => boolean;
@@ -44,9 +58,13 @@
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    isClosing: () => boolean,
+    { share, isClosing }: {
+      readonly share: ByteShare;
+      readonly isClosing: () => boolean;
+    },
   ) {
     this.request = request;
+    this.share = share;
     this.#response = response;
     this.#isClosing = isClosing;
     response.on("close", () => this.#recordDisconnect());
@@ -86,22 +104,16 @@
     this.#handleDrain = handleDrain;
   }
 
-  /** Reads the complete body, up to `maxBytes`. */
-  readBody(maxBytes: number): Promise<BodyReadResult> {
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      this.request.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > maxBytes) resolve({ kind: "too_large" });
-        else chunks.push(chunk);
-      });
-      this.request.on(
-        "end",
-        () => resolve({ kind: "complete", body: Buffer.concat(chunks) }),
-      );
-      this.request.on("close", () => resolve({ kind: "disconnected" }));
+  /** Reads the complete body, as far as the process may hold it. */
+  async readBody({ maxBytes, timeoutMs }: BodyLimits): Promise<BodyReadResult> {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<BodyReadResult>((resolve) => {
+      timer = setTimeout(() => resolve({ kind: "too_slow" }), timeoutMs);
     });
+    const body = new RequestBody(this.request, this.share);
+    const result = await Promise.race([body.read(maxBytes), timeout]);
+    clearTimeout(timer);
+    return result;
   }
 
   /**
@@ -124,7 +136,7 @@
     const hasLength = isMarked && hasBody(this.request.method, status);
     const length = hasLength ? { "content-length": String(body.length) } : {};
     this.#response.writeHead(status, { ...headers, ...length });
-    this.#response.end(body);
+    writeBody(this.#response, body);
   }
 
   /**
@@ -166,7 +178,8 @@
         "retry-after": String(error.retryAfterMs / MS_PER_SECOND),
       }),
     });
-    this.#response.end(body);
+    if (this.request.complete) this.#response.end(body);
+    else endAfterRequest(this.#response, this.request, body);
   }
 
   #setConnectionHeader(): void {
--- /dev/null
+++ b/packages/gateway/src/exchange/response_writer.ts
@@ -0,0 +1,49 @@
+/**
+ * Writes bodies to callers that may read slowly, not at all, or that still send
+ * their own.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** Bytes that are written at once; progress is seen between two pieces. */
+const PIECE_BYTES = 262_144;
+/** A caller that takes no piece for this long has stopped reading. */
+const STALL_MS = 10_000;
+/** How long the rest of a refused request is read, so that it ends in order. */
+const LINGER_MS = 1_000;
+
+/** Writes a body piece by piece, and destroys the connection if that stalls. */
+export function writeBody(response: ServerResponse, body: Uint8Array): void {
+  if (body.length <= PIECE_BYTES) {
+    response.end(body);
+    return;
+  }
+  let offset = 0;
+  const timer = setTimeout(() => response.destroy(), STALL_MS);
+  response.once("close", () => clearTimeout(timer));
+  const writeNext = (): void => {
+    if (response.destroyed) return;
+    timer.refresh();
+    const piece = body.subarray(offset, offset + PIECE_BYTES);
+    offset += piece.length;
+    if (offset < body.length) response.write(piece, writeNext);
+    else response.end(piece);
+  };
+  writeNext();
+}
+
+/**
+ * Writes a complete response to a request whose body isn't read, and closes the
+ * connection once the caller has sent the rest: a close before that resets it,
+ * and the caller may lose the response.
+ */
+export function endAfterRequest(
+  response: ServerResponse,
+  request: IncomingMessage,
+  body: string,
+): void {
+  response.write(body);
+  const timer = setTimeout(() => response.end(), LINGER_MS);
+  response.once("close", () => clearTimeout(timer));
+  request.once("end", () => response.end());
+  request.resume();
+}
--- a/packages/gateway/src/exchange/start_attempt.ts
+++ b/packages/gateway/src/exchange/start_attempt.ts
@@ -50,6 +50,7 @@
     codec,
     requestId: fields.requestId,
     timeoutMs: leftMs,
+    share: caller.share,
     recordStatement: (response) =>
       recordStatement(dependencies, entry.target, response),
   };
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -241,6 +241,8 @@
     this.#bufferedBytes += chunk.length;
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
       this.#endBroken("the response exceeds the size limit");
+    } else if (!this.#options.share.reserve(chunk.length)) {
+      this.#endBroken("the process holds too much to read the response");
     } else this.#bufferedChunks.push(chunk);
   }
 
--- a/packages/gateway/src/exchange/stream_attempt_test.ts
+++ b/packages/gateway/src/exchange/stream_attempt_test.ts
@@ -1,3 +1,4 @@
+import { ByteBudget } from "../decisions/byte_budget.ts";
 import { expect } from "chai";
 import type {
   Exchange,
@@ -43,6 +44,7 @@
       encodeResponseHeaders: () => ({}),
     } as unknown as StreamAttemptOptions["codec"],
     requestId: "r1",
+    share: new ByteBudget(1_000_000).open(),
     timeoutMs: 5_000,
     progress: { lastEventId: 0, events: 0, firstEventMs: undefined },
     caller: {
--- /dev/null
+++ b/packages/gateway/src/front/body_refusal.ts
@@ -0,0 +1,35 @@
+/**
+ * The refusals of requests whose body isn't read to its end.
+ */
+import { checkNever } from "@camphorlock/types";
+import type { BodyReadResult } from "../exchange/caller_exchange.ts";
+import type { Refusal } from "./refuse_request.ts";
+
+/** Why a body isn't read to its end, though the caller is there. */
+export type UnreadBody = Exclude<
+  BodyReadResult["kind"],
+  "complete" | "disconnected"
+>;
+
+/** Builds the refusal of a request whose body isn't read. */
+export function buildBodyRefusal(
+  kind: UnreadBody,
+  maxBytes: number,
+): Refusal {
+  switch (kind) {
+    case "too_large":
+      return { code: "BodyTooLarge", detail: `body exceeds ${maxBytes} bytes` };
+    case "no_memory":
+      return {
+        code: "GatewayMemoryFull",
+        detail: "other requests hold the memory for bodies; try again",
+      };
+    case "too_slow":
+      return {
+        code: "BodyTooSlow",
+        detail: "the body wasn't complete within the request's time",
+      };
+    default:
+      return checkNever(kind);
+  }
+}
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -10,7 +10,12 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
-import { CallerExchange } from "../exchange/caller_exchange.ts";
+import type { ByteBudget } from "../decisions/byte_budget.ts";
+import {
+  type BodyLimits,
+  type BodyReadResult,
+  CallerExchange,
+} from "../exchange/caller_exchange.ts";
 import type { RequestFields } from "../model/request_fields.ts";
 import { computeFingerprint } from "../model/request_fingerprint.ts";
 import type { CallerLimits, Route } from "../model/routing.ts";
@@ -19,6 +24,7 @@
   AcceptedRequests,
   type AcceptedRequestsDependencies,
 } from "./accepted_requests.ts";
+import { buildBodyRefusal } from "./body_refusal.ts";
 import { refuseRequest } from "./refuse_request.ts";
 import type { ConfigurationInForce } from "../store/watched_state.ts";
 
@@ -27,6 +33,8 @@
  * takes one or two calls to the store or another gateway.
  */
 const CONFIGURATION_WAIT_MS = 250;
+/** Events of one stream that wait at its target's and its caller's sockets. */
+const STREAM_BYTES = 32_768;
 /** How often Node.js checks connections against their time limits. */
 const CHECK_INTERVAL_MS = 500;
 /**
@@ -37,6 +45,8 @@
 
 /** Dependencies of the server. */
 export interface CallerServerDependencies extends AcceptedRequestsDependencies {
+  /** The bytes that the process may hold for its exchanges. */
+  readonly bytes: ByteBudget;
   /** Time since the configuration was last confirmed to be the latest. */
   getConfigurationAgeMs(): number;
   /** Waits for the first configuration, for `limitMs` at most. */
@@ -120,11 +130,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const caller = new CallerExchange(
-      request,
-      response,
-      () => this.#dependencies.isDrainingConnections(),
-    );
+    const share = this.#dependencies.bytes.open();
+    const closed = new Promise((resolve) => response.once("close", resolve));
+    const caller = new CallerExchange(request, response, {
+      share,
+      isClosing: () => this.#dependencies.isDrainingConnections(),
+    });
     this.#openRequests += 1;
     try {
       await this.#serve(caller, performance.now());
@@ -137,6 +148,8 @@
       caller.close();
     } finally {
       this.#openRequests -= 1;
+      // The response is held until the caller has taken it.
+      void closed.then(() => share.close());
     }
   }
 
@@ -181,40 +194,51 @@
         fields,
       });
     }
-    const read = await caller.readBody(configuration.limits.maxBodyBytes);
-    switch (read.kind) {
-      case "disconnected":
-        return this.#logDisconnect(fields, route);
-      case "too_large": {
-        const detail =
-          `body exceeds ${configuration.limits.maxBodyBytes} bytes`;
-        return refuseRequest(this.#dependencies, caller, {
-          code: "BodyTooLarge",
-          detail,
-          fields,
-        });
-      }
-      case "complete":
-        return await this.#accepted.run({
-          caller,
-          fields,
-          route,
-          body: read.body,
-          fingerprint: computeFingerprint({
-            method: request.method,
-            host: request.headers.host,
-            url: request.url,
-            body: read.body,
-          }),
-          receivedAtMs,
-          limitMs: Math.min(
-            route.timeoutMs,
-            fields.deadlineMs ?? Number.POSITIVE_INFINITY,
-          ),
-          maxBodyBytes: configuration.limits.maxBodyBytes,
-          configurationVersion: configuration.version,
-        });
+    const limitMs = Math.min(
+      route.timeoutMs,
+      fields.deadlineMs ?? Number.POSITIVE_INFINITY,
+    );
+    const { limits, version } = configuration;
+    const read = await this.#readBody(caller, route, {
+      maxBytes: limits.maxBodyBytes,
+      timeoutMs: limitMs - (performance.now() - receivedAtMs),
+    });
+    if (read.kind === "disconnected") return this.#logDisconnect(fields, route);
+    if (read.kind !== "complete") {
+      return refuseRequest(this.#dependencies, caller, {
+        ...buildBodyRefusal(read.kind, limits.maxBodyBytes),
+        fields,
+      });
+    }
+    const { body } = read;
+    return await this.#accepted.run({
+      caller,
+      fields,
+      route,
+      body,
+      fingerprint: computeFingerprint({
+        method: request.method,
+        host: request.headers.host,
+        url: request.url,
+        body,
+      }),
+      receivedAtMs,
+      limitMs,
+      maxBodyBytes: limits.maxBodyBytes,
+      configurationVersion: version,
+    });
+  }
+
+  /** Reads the body; streams also need memory for events that wait. */
+  #readBody(
+    caller: CallerExchange,
+    { kind }: Route,
+    limits: BodyLimits,
+  ): Promise<BodyReadResult> {
+    if (kind === "streaming" && !caller.share.reserve(STREAM_BYTES)) {
+      return Promise.resolve({ kind: "no_memory" });
     }
+    return caller.readBody(limits);
   }
 
   #logDisconnect(fields: RequestFields, route: Route): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
   type AccountComponents,
   buildAccountComponents,
 } from "./accounts/account_components.ts";
+import { createByteBudget } from "./decisions/byte_budget.ts";
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import { CrashObserver } from "./crashes/crash_observer.ts";
@@ -162,6 +163,7 @@
       countTargets: () => this.#targets.size,
     });
     this.#callers = new CallerServer({
+      bytes: createByteBudget(settings.memoryBytes),
       targets: this.#targets,
       connections: this.#connections,
       permits: this.#permits,
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -252,6 +252,7 @@
       seeds: [],
       metrics: undefined,
       tolerance: { disks: 1, failureDomains: 0, regions: 0 },
+      memoryBytes: 200_000_000,
       bounds: {
         configurationMs: 2_500,
         drainMs: 2_500,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -188,6 +188,8 @@
   readonly bounds: GatewayBounds;
   /** What may be lost at once without the loss of a kept turn. */
   readonly tolerance: LossTolerance;
+  /** Memory that the process may use before the platform ends it. */
+  readonly memoryBytes: number;
 }
 
 /** A TCP address. */
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -28,6 +28,8 @@
   /** Longest time until the response is complete. */
   readonly totalTimeoutMs: number;
   readonly maxBytes: number;
+  /** Calls back once so many bytes may be held; absent if all may. */
+  readonly reserve?: (bytes: number, handleReserved: () => void) => void;
 }
 
 /** A running exchange with a buffered response. */
@@ -66,6 +68,7 @@
   #exchange: Exchange | undefined;
   #timer: NodeJS.Timeout | undefined;
   #bytes = 0;
+  #reservedBytes = 0;
   #status = 0;
   #headers: PeerHeaders = {};
 
@@ -94,15 +97,37 @@
   handleHead(status: number, headers: PeerHeaders): void {
     this.#status = status;
     this.#headers = headers;
+    const length = Number(getHeader(headers, "content-length") ?? 0);
+    if (length > this.#limits.maxBytes) {
+      return this.#endEarly("the response exceeds the size limit");
+    }
+    if (length === 0) return;
+    this.#reservedBytes = length;
+    this.#reserve(length);
   }
 
   handleData(chunk: Uint8Array): void {
     this.#bytes += chunk.length;
     if (this.#bytes > this.#limits.maxBytes) {
-      this.#endEarly("the response exceeds the size limit");
-    } else {
-      this.#chunks.push(chunk);
+      return this.#endEarly("the response exceeds the size limit");
     }
+    this.#chunks.push(chunk);
+    if (this.#bytes <= this.#reservedBytes) return;
+    // The chunks are copied into one body at the end.
+    this.#reservedBytes = this.#bytes;
+    this.#reserve(chunk.length * 2);
+  }
+
+  /** Stops reading until the bytes may be held. */
+  #reserve(bytes: number): void {
+    const { reserve } = this.#limits;
+    if (reserve === undefined) return;
+    let isReserved = false;
+    reserve(bytes, () => {
+      isReserved = true;
+      this.#exchange?.resume();
+    });
+    if (!isReserved) this.#exchange?.pause();
   }
 
   handleEnd(end: ExchangeEnd): void {
