Close responses that are framing without end

What was seen: a target that sends interim responses or a chunk's extension without end was read as fast as it sent until the time of the route was over (shared probe, 24 calls: 119 and 652 MB read, the callers left before the gateway ended them).

Cause: the limits of the HTTP library bound a head and its fields, and ours the body; interim responses reset the former, and an extension is neither.

Responses of a known length are read into one buffer, reserved before, since chunks and their copy were held together.

Failed before: endless_response_test.ts, "of interim responses is closed after a few of them" and the same of a chunk's extension (504 instead of 502).

--- a/packages/gateway/src/endless_response_test.ts
+++ b/packages/gateway/src/endless_response_test.ts
@@ -17,6 +17,8 @@
 /** Memory that an entry VM of 178 MB has left beside an idle gateway. */
 const MAX_GROWTH_BYTES = 96 * 1_024 * 1_024;
 const REQUESTS = 6;
+/** What the kernel's buffers may take beside what the gateway reads. */
+const MAX_WRITTEN_BYTES = 16 * 1_024 * 1_024;
 
 /** The first bytes of a response, and the pieces that follow without end. */
 interface EndlessResponse {
@@ -26,6 +28,10 @@
 
 const FILLER = "x".repeat(PIECE_BYTES);
 
+const EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n".repeat(
+  400,
+);
+
 function buildChunk(text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
@@ -36,6 +42,12 @@
   "one header": { first: `${HEAD}h: `, piece: () => FILLER },
   "a body": { first: CHUNKED, piece: () => buildChunk(FILLER) },
   "an event": { first: CHUNKED, piece: () => buildChunk(FILLER) },
+  "interim responses": { first: EARLY_HINTS, piece: () => EARLY_HINTS },
+  "a chunk's extension": { first: `${CHUNKED}1;`, piece: () => FILLER },
+  "trailers": {
+    first: `${CHUNKED}0\r\n`,
+    piece: (number) => `t${number}: x\r\n`,
+  },
   "events": {
     first: CHUNKED,
     piece: (number) => buildChunk(`id: ${number}\ndata: x\n\n`),
@@ -46,9 +58,11 @@
   let fixture: GatewayFixture;
   let server: Server;
   let response: EndlessResponse;
+  let writtenBytes: number;
   const sockets = new Set<Socket>();
 
   beforeEach(async () => {
+    writtenBytes = 0;
     fixture = new GatewayFixture();
     fixture.store.put("configuration", "main", buildConfiguration(1));
     server = createServer((socket) => {
@@ -56,6 +70,7 @@
       socket.on("close", () => sockets.delete(socket));
       socket.on("error", () => socket.destroy());
       socket.once("data", () => sendEndlessly(socket, response));
+      socket.on("close", () => writtenBytes += socket.bytesWritten);
     });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", () => resolve())
@@ -123,6 +138,24 @@
     }
   }
 
+  // Bytes that carry nothing were read as fast as they came, until the time of
+  // the route was over.
+  for (
+    const name of ["interim responses", "a chunk's extension", "one header"]
+  ) {
+    it(`of ${name} is closed after a few of them`, async () => {
+      response = CASES[name] as EndlessResponse;
+      const startedAtMs = performance.now();
+      const { status } = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+        path: "/once/1",
+      });
+      expect(status).to.equal(502);
+      expect(performance.now() - startedAtMs).to.be.below(400);
+      await waitUntil(() => sockets.size === 0);
+      expect(writtenBytes).to.be.below(MAX_WRITTEN_BYTES);
+    });
+  }
+
   it("of events is forwarded only up to the tokens that the turn declares", async () => {
     response = CASES["events"] as EndlessResponse;
     const { text } = await fixture.sendRequest(fixture.ports[0] ?? 0, {
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -9,6 +9,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { serveAt } from "@camphorlock/channel";
 import { EVENTS } from "@camphorlock/codes/events";
 import type { ByteBudget } from "../decisions/byte_budget.ts";
 import {
@@ -87,10 +88,7 @@
 
   /** Starts to listen; rejects if the address can't be used. */
   serve({ host, port }: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: 1_024 }, () => resolve());
-    });
+    return serveAt(this.#server, { host, port, backlog: 1_024 });
   }
 
   /** Applies the limits of a configuration, to idle connections as well. */
--- a/packages/gateway/src/front/plain_text_server.ts
+++ b/packages/gateway/src/front/plain_text_server.ts
@@ -3,6 +3,7 @@
  * metrics.
  */
 import { createServer, type Server } from "node:http";
+import { serveAt } from "@camphorlock/channel";
 import type { Address } from "../ports.ts";
 
 /** Responds to every request with the current status and text. */
@@ -20,10 +21,7 @@
 
   /** Starts to listen; rejects if the address can't be used. */
   serve({ host, port }: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port }, () => resolve());
-    });
+    return serveAt(this.#server, { host, port });
   }
 
   close(): void {
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -15,6 +15,7 @@
   type Frame,
   PeerChannel,
   readFrames,
+  serveAt,
   writeFrame,
 } from "@camphorlock/channel";
 import {
@@ -64,10 +65,7 @@
 
   /** Listens; rejects when the address can't be used. */
   serve({ host, port }: Address): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port }, () => resolve());
-    });
+    return serveAt(this.#server, { host, port });
   }
 
   /** Sends a message; undefined when the peer doesn't respond in time. */
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -68,7 +68,8 @@
   #exchange: Exchange | undefined;
   #timer: NodeJS.Timeout | undefined;
   #bytes = 0;
-  #reservedBytes = 0;
+  /** Allocated at once where the length is known. */
+  #buffer: Uint8Array | undefined;
   #status = 0;
   #headers: PeerHeaders = {};
 
@@ -102,29 +103,32 @@
       return this.#endEarly("the response exceeds the size limit");
     }
     if (length === 0) return;
-    this.#reservedBytes = length;
-    this.#reserve(length);
+    this.#reserve(length, () => this.#buffer = Buffer.allocUnsafe(length));
   }
 
   handleData(chunk: Uint8Array): void {
+    const offset = this.#bytes;
     this.#bytes += chunk.length;
     if (this.#bytes > this.#limits.maxBytes) {
       return this.#endEarly("the response exceeds the size limit");
     }
+    if (this.#buffer !== undefined) {
+      this.#buffer.set(chunk, offset);
+      return;
+    }
     this.#chunks.push(chunk);
-    if (this.#bytes <= this.#reservedBytes) return;
     // The chunks are copied into one body at the end.
-    this.#reservedBytes = this.#bytes;
-    this.#reserve(chunk.length * 2);
+    this.#reserve(chunk.length * 2, () => {});
   }
 
   /** Stops reading until the bytes may be held. */
-  #reserve(bytes: number): void {
+  #reserve(bytes: number, handleReserved: () => void): void {
     const { reserve } = this.#limits;
-    if (reserve === undefined) return;
+    if (reserve === undefined) return handleReserved();
     let isReserved = false;
     reserve(bytes, () => {
       isReserved = true;
+      handleReserved();
       this.#exchange?.resume();
     });
     if (!isReserved) this.#exchange?.pause();
@@ -147,7 +151,8 @@
       kind: "answered",
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#chunks),
+      body: this.#buffer?.subarray(0, this.#bytes) ??
+        Buffer.concat(this.#chunks),
       isReused: this.#exchange?.isReused ?? false,
     };
   }
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -29,6 +29,10 @@
   readonly hasFailed: () => boolean;
   /** Whether the peer closed its side in an orderly way. */
   readonly hasPeerEnded: () => boolean;
+  /** Bytes that the peer has sent on the connection. */
+  readonly countBytesRead: () => number;
+  /** Called whenever bytes have arrived, before they're parsed. */
+  handleBytes: (() => void) | undefined;
   reusableAtMs: number;
   /** Whether the connection carried an earlier exchange. */
   isReused: boolean;
@@ -103,6 +107,7 @@
   #open(): PooledConnection {
     let failed = false;
     let peerEnded = false;
+    let current: Socket | undefined;
     const client = new UndiciClient(this.#options.baseUrl, {
       connect: (options, report) => {
         const socket = openSocket(
@@ -110,6 +115,8 @@
           this.#options.connectTimeoutMs,
           report,
         );
+        current = socket;
+        socket.on("readable", () => connection.handleBytes?.());
         socket.on("error", () => failed = true);
         socket.on("end", () => peerEnded = true);
       },
@@ -128,6 +135,8 @@
       client,
       hasFailed: () => failed,
       hasPeerEnded: () => peerEnded,
+      countBytesRead: () => current?.bytesRead ?? 0,
+      handleBytes: undefined,
       reusableAtMs: 0,
       isReused: false,
     };
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -9,6 +9,7 @@
  */
 import type { Dispatcher } from "undici";
 import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
+import { isDelimited, isFramingExcessive } from "./response_framing.ts";
 import type { UsedConnections } from "./used_connections.ts";
 
 /** Default limit on establishing a connection. */
@@ -140,6 +141,9 @@
   #ended = false;
   /** Whether the end of the body is marked in the response itself. */
   #isDelimited = true;
+  /** Bytes that earlier responses have taken on the connection. */
+  #earlierBytes = 0;
+  #bodyBytes = 0;
 
   constructor(receiver: ResponseReceiver, hooks: ExchangeHooks) {
     this.#receiver = receiver;
@@ -175,7 +179,11 @@
     this.#controller = controller;
     if (this.#ended || isRepeat) {
       controller.abort(new Error("a request is sent at most once"));
+      return;
     }
+    const { connection } = this.#hooks;
+    this.#earlierBytes = connection.countBytesRead();
+    connection.handleBytes = () => this.#checkFraming();
   }
 
   onResponseStart(
@@ -196,6 +204,7 @@
   ): void {
     if (this.#ended) return;
     this.#timer.refresh();
+    this.#bodyBytes += chunk.length;
     this.#receiver.handleData(chunk);
   }
 
@@ -216,6 +225,14 @@
     this.#endFailed(error.message);
   }
 
+  /** Ends a response that is all framing. */
+  #checkFraming(): void {
+    const bytes = this.#hooks.connection.countBytesRead() - this.#earlierBytes;
+    if (this.#ended || !isFramingExcessive(bytes, this.#bodyBytes)) return;
+    this.#endFailed(`${bytes} bytes, of which the body has ${this.#bodyBytes}`);
+    this.#controller?.abort(new Error("too much framing"));
+  }
+
   #endTimedOut(): void {
     if (this.#ended) return;
     this.#hooks.handleSilenceTimeout();
@@ -237,20 +254,11 @@
   #close(isReusable: boolean): void {
     this.#ended = true;
     clearTimeout(this.#timer);
+    this.#hooks.connection.handleBytes = undefined;
     this.#hooks.handleClose(isReusable);
   }
 }
 
-/**
- * Whether the end of a response's body is marked in the response itself. One
- * that isn't looks complete wherever an orderly end cuts it.
- */
-export function isDelimited(status: number, headers: PeerHeaders): boolean {
-  if (status === 204 || status === 304) return true;
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
 function buildDispatchOptions(
   request: PeerRequest,
 ): Dispatcher.DispatchOptions {
--- a/packages/turns/src/disk/disk_server.ts
+++ b/packages/turns/src/disk/disk_server.ts
@@ -2,7 +2,12 @@
  * Listens for the messages of gateways and other disks.
  */
 import { createServer, type Server, type Socket } from "node:net";
-import { type Frame, readFrames, writeFrame } from "@camphorlock/channel";
+import {
+  type Frame,
+  readFrames,
+  serveAt,
+  writeFrame,
+} from "@camphorlock/channel";
 import type { DiskMessage, DiskResponse } from "../messages.ts";
 
 /** Builds the response to a message. Must not reject. */
@@ -27,10 +32,7 @@
   serve(
     { host, port }: { readonly host: string; readonly port: number },
   ): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port }, () => resolve());
-    });
+    return serveAt(this.#server, { host, port });
   }
 
   close(): void {
