Rely on a target's stated version only where its process is known to be the one

Cause: the version of the target that is to go on was taken from its entry, which is late after a restart, by whatever gateway, however old its view. Only the target that had begun the stream was doubted.

One mark for all four uses of a version, beginning, going on, taking up and recording: a stream that has begun goes on only at a target that states the start that its entry names (asked once a second at most, for all streams). One that can't be asked is relied on while the view is recent and no gateway has seen its process end; ends are told to all gateways. A version is recorded for other gateways only if its target's entry can be relied on.

Ruled out: connections opened before the doubt as a proof (171 gateways rarely have one), a wait for the entry after each break (resets of connections would stop all streams), versions in the responses (there are none).

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -350,6 +350,12 @@
     "warn",
     "A request is blocked, or kept from one address, since targets ended under it, or is let in again.",
   ),
+  TargetDoubted: defineEvent(
+    929,
+    "TargetDoubted",
+    "info",
+    "No stream goes on at a target, since it may have started again with another version than its entry states.",
+  ),
   AccountRecorded: defineEvent(
     931,
     "AccountRecorded",
--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -9,6 +9,7 @@
 import { PeerLinks } from "../peers/peer_links.ts";
 import type { GatewaySettings, ObjectKind, ObjectStore } from "../ports.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
+import type { EndedTargets } from "../decisions/ended_targets.ts";
 import { CrashExchange } from "../crashes/crash_exchange.ts";
 import type { KeptBlocks } from "../crashes/kept_blocks.ts";
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
@@ -29,6 +30,7 @@
   readonly keptBlocks: KeptBlocks;
   /** Called when a request isn't sent to targets any more. */
   readonly onBlocked: () => void;
+  readonly ended: EndedTargets;
   /** Finds the cache of watched objects that this gateway relays to peers. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
@@ -73,7 +75,7 @@
 ): TokenAccounting {
   const { settings, log, metrics, store, getSelf } = options;
   const { findCache, answerPermitCall } = options;
-  const { blocked, keptBlocks, onBlocked } = options;
+  const { blocked, keptBlocks, onBlocked, ended } = options;
   const accounts = new TokenAccounts();
   const shared = { directory, links, accounts, log, self: getSelf() };
   const handover = new AccountHandover(shared);
@@ -91,12 +93,14 @@
     blocked,
     keptBlocks,
     onBlocked,
+    ended,
     metrics,
     vmId: shared.self.vmId,
   });
   const group = new PeerGroup({
     ...shared,
     crashes,
+    ended,
     home,
     handover,
     shards,
--- a/packages/gateway/src/crashes/crash_exchange.ts
+++ b/packages/gateway/src/crashes/crash_exchange.ts
@@ -12,6 +12,7 @@
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { CrashAttribution } from "../decisions/crash_attribution.ts";
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
+import type { EndedTargets } from "../decisions/ended_targets.ts";
 import { getAddress, getIncarnation } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
@@ -37,6 +38,7 @@
   readonly metrics: GatewayMetrics;
   readonly vmId: string;
   readonly keptBlocks: KeptBlocks;
+  readonly ended: EndedTargets;
   /** Called when a request isn't sent to targets any more. */
   readonly onBlocked: () => void;
 }
@@ -61,7 +63,6 @@
     const requests = running.filter(({ request }) =>
       !blocked.hasCompleted(request)
     );
-    if (requests.length === 0) return;
     metrics.add("target_ends");
     const report: CrashReport = {
       service: target.service,
@@ -85,7 +86,15 @@
 
   /** Records a report as one of its homes. */
   recordReport(report: CrashReport): void {
-    this.#attribution.record(report, performance.now());
+    const { ended, directory, links } = this.#dependencies;
+    const isNew = this.#attribution.record(report, performance.now());
+    ended.record(report.incarnation);
+    if (!isNew) return;
+    const { incarnation } = report;
+    for (const peer of directory.list()) {
+      // A gateway that isn't told asks the target itself.
+      void links.call(peer, { kind: "share_end", incarnation });
+    }
   }
 
   /** Attributes what was reported; lets in what was blocked for long enough. */
--- a/packages/gateway/src/crashes/no_crashes_test.ts
+++ b/packages/gateway/src/crashes/no_crashes_test.ts
@@ -1,3 +1,4 @@
+import { EndedTargets } from "../decisions/ended_targets.ts";
 import { BlockedRequests } from "../decisions/blocked_requests.ts";
 import { KeptBlocks } from "./kept_blocks.ts";
 
@@ -8,5 +9,6 @@
     save: () => Promise.resolve(0),
     find: () => Promise.resolve([]),
   }),
+  ended: new EndedTargets(),
   onBlocked: () => {},
 };
--- a/packages/gateway/src/decisions/crash_attribution.ts
+++ b/packages/gateway/src/decisions/crash_attribution.ts
@@ -77,8 +77,8 @@
   );
   readonly #trials = new AddressTrials();
 
-  /** Records what one gateway saw. */
-  record(report: CrashReport, nowMs: number): void {
+  /** Records what one gateway saw; whether it's the first to report the end. */
+  record(report: CrashReport, nowMs: number): boolean {
     const { incarnation, service, address, requests, ageMs } = report;
     const known = this.#byIncarnation.get(incarnation);
     const crash: Crash = known ?? {
@@ -91,6 +91,7 @@
     };
     for (const each of requests) crash.requests.set(each.request, each);
     if (known === undefined) this.#byIncarnation.set(incarnation, crash);
+    return known === undefined;
   }
 
   /** Attributes the ends whose reports have arrived; returns what to block. */
--- a/packages/gateway/src/exchange/exchange_dependencies.ts
+++ b/packages/gateway/src/exchange/exchange_dependencies.ts
@@ -9,6 +9,7 @@
 import type { TargetPermits } from "../limits/target_permits.ts";
 import type { RequestCodec } from "../ports.ts";
 import type { StreamVersions } from "../streams/stream_versions.ts";
+import type { TargetVerifier } from "../streams/target_verifier.ts";
 import type { TargetConnections } from "./target_connections.ts";
 
 /** Shared dependencies of all exchanges. */
@@ -19,6 +20,7 @@
   readonly crashes: CrashObserver;
   readonly blocked: BlockedRequests;
   readonly versions: StreamVersions;
+  readonly verifier: TargetVerifier;
   readonly codec: RequestCodec;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -4,6 +4,7 @@
 import { chooseTarget } from "../decisions/choose_target.ts";
 import { getAddress, type TrackedTarget } from "../decisions/target_table.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
+import type { RequestAttempts } from "./request_attempts.ts";
 import type { RequestReport } from "./request_end.ts";
 
 /** What the choice depends on. */
@@ -53,3 +54,24 @@
     nowMs,
   });
 }
+
+/**
+ * Acquires a target for an attempt: a stream that has begun may go on there, and
+ * a target with a limit permits the request. False if another one has to be
+ * chosen. Never rejects.
+ */
+export async function acquireTarget(
+  { verifier, permits, targets }: Pick<
+    ExchangeDependencies,
+    "verifier" | "permits" | "targets"
+  >,
+  { start, excluded }: RequestAttempts,
+  { target }: TrackedTarget,
+): Promise<boolean> {
+  if (start.hasBegun && !await verifier.confirm(target)) {
+    excluded.add(target.id);
+    return false;
+  }
+  return await permits.acquire(target) &&
+    targets.isReady(target.id, performance.now());
+}
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -19,10 +19,15 @@
   recordResponse,
   type TrackedTarget,
 } from "../decisions/target_table.ts";
+import { recordBeginning } from "../streams/record_beginning.ts";
 import { saveTurn, type TurnState } from "../turns/turn_state.ts";
 import type { RunningAttempt, TargetResponse } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
-import { chooseNextTarget, hasUsableTarget } from "./next_target.ts";
+import {
+  acquireTarget,
+  chooseNextTarget,
+  hasUsableTarget,
+} from "./next_target.ts";
 import { RequestBlocks } from "./request_blocks.ts";
 import { RequestClock } from "./request_clock.ts";
 import { RequestAttempts } from "./request_attempts.ts";
@@ -134,16 +139,22 @@
         this.#attempts.excluded.clear();
         continue;
       }
-      if (!await this.#acquirePermit(entry)) continue;
+      const isAcquired = await acquireTarget(
+        this.#dependencies,
+        this.#attempts,
+        entry,
+      );
+      if (!isAcquired || this.#stopped !== undefined) continue;
       const result = await this.#runAttempt(entry);
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
       switch (result.kind) {
         case "completed":
           return { kind: "completed", status: 200 };
         case "answered":
-          if (!this.#needsConfirmation(result)) return this.#send(result);
-          onlyRunners = this.#planConfirmation(entry);
-          if (onlyRunners === undefined) return this.#send(result);
+          onlyRunners = this.#planConfirmation(entry, result);
+          if (onlyRunners === undefined) {
+            return sendResponse(this.#dependencies, this.#accepted, result);
+          }
           break;
         default: {
           const next = this.#planNextAttempt(entry, result);
@@ -155,13 +166,6 @@
     }
   }
 
-  /** Acquires a permit; false if another target has to be chosen. */
-  async #acquirePermit({ target }: TrackedTarget): Promise<boolean> {
-    const { permits, targets } = this.#dependencies;
-    return await permits.acquire(target) && this.#stopped === undefined &&
-      targets.isReady(target.id, performance.now());
-  }
-
   async #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
     const { crashes, blocked } = this.#dependencies;
     const attempt = startAttempt(this.#dependencies, {
@@ -219,34 +223,31 @@
     return next;
   }
 
-  #needsConfirmation({ status, headers }: TargetResponse): boolean {
-    return needsConfirmation({
+  /** Plans a second attempt; undefined if none is needed, or possible. */
+  #planConfirmation(
+    entry: TrackedTarget,
+    { status, headers }: TargetResponse,
+  ): boolean | undefined {
+    const isNeeded = needsConfirmation({
       isRepeatable: this.#isRepeatable,
       isDelimited: isDelimited(status, headers),
       sends: this.#attempts.targetIds.length,
     });
-  }
-
-  /** Plans a second attempt; undefined if there can be none. */
-  #planConfirmation(entry: TrackedTarget): boolean | undefined {
+    if (!isNeeded) return undefined;
     const detail = "the response's end isn't marked";
     const next = this.#planNextAttempt(entry, { kind: "broken", detail });
     return next.kind === "send" ? next.to === "runners" : undefined;
   }
 
-  #send(response: TargetResponse): RequestOutcome {
-    return sendResponse(this.#dependencies, this.#accepted, response);
-  }
-
   #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
     const { progress } = this.#attempts;
     this.#state.turn?.addEvent(readEventData(event));
     const { requestId } = this.#accepted.fields;
     entry.recordFirstResponse(requestId, performance.now());
-    const begun = this.#attempts.start.recordFirstEvent(entry.target);
-    if (begun !== undefined) {
-      this.#dependencies.versions.record(this.#accepted, begun);
-    }
+    recordBeginning(this.#dependencies, this.#accepted, {
+      start: this.#attempts.start,
+      target: entry.target,
+    });
     if (progress.firstEventMs !== undefined) return;
     progress.firstEventMs = Math.round(this.#clock.countElapsedMs());
     this.#dependencies.metrics.record("first_event", progress.firstEventMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,15 +15,16 @@
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import { CrashObserver } from "./crashes/crash_observer.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
+import { EndedTargets } from "./decisions/ended_targets.ts";
 import { TargetTable } from "./decisions/target_table.ts";
 import { TargetConnections } from "./exchange/target_connections.ts";
 import { AddressWaiter } from "./front/address_waiter.ts";
 import { CallerServer } from "./front/caller_server.ts";
-import { PlainTextServer } from "./front/plain_text_server.ts";
 import {
   BALANCER_REMOVAL_MS,
   ReadinessState,
 } from "./front/readiness_state.ts";
+import { StatusServers } from "./front/status_servers.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
@@ -44,6 +45,7 @@
   type TurnComponents,
 } from "./turns/turn_components.ts";
 import { CountedStore } from "./store/counted_store.ts";
+import { TargetVerifier } from "./streams/target_verifier.ts";
 import { StreamVersions } from "./streams/stream_versions.ts";
 import { Watchers } from "./store/watchers.ts";
 import { WatchedConfiguration, WatchedTargets } from "./store/watched_state.ts";
@@ -74,6 +76,7 @@
   readonly #permits: TargetPermits;
   readonly #crashes: CrashObserver;
   readonly #blocked = new BlockedRequests();
+  readonly #ended = new EndedTargets();
   readonly #timers = new TimerService();
   readonly #configuration: WatchedConfiguration;
   readonly #observedTargets: WatchedTargets;
@@ -82,8 +85,7 @@
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
   readonly #turns: TurnComponents;
-  readonly #readinessServer: PlainTextServer;
-  readonly #metricsServer: PlainTextServer;
+  readonly #statusServers: StatusServers;
   readonly #bootId = randomUUID();
   #tickTimer: NodeJS.Timeout | undefined;
   #metricsTimer: NodeJS.Timeout | undefined;
@@ -127,6 +129,7 @@
       getSelf: () => this.#buildSelf(),
       blocked: this.#blocked,
       keptBlocks: new KeptBlocks(this.#turns.facts),
+      ended: this.#ended,
       onBlocked: () => this.#callers.stopBlocked(),
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
@@ -170,6 +173,14 @@
       crashes: this.#crashes,
       blocked: this.#blocked,
       versions: new StreamVersions(this.#turns.facts),
+      verifier: new TargetVerifier({
+        connections: this.#connections,
+        codec: options.requestCodec,
+        ended: this.#ended,
+        log,
+        getViewAgeMs: () => this.#watchers.computeAgeMs("targets"),
+        renewalMs: computeRenewalMs(settings),
+      }),
       codec: options.requestCodec,
       log,
       metrics,
@@ -188,15 +199,7 @@
       countStopLeftMs: () => this.#stopAtMs - performance.now(),
       isDrainingConnections: () => this.#readinessState.isDrainingConnections,
     });
-    this.#metricsServer = new PlainTextServer(() => ({
-      status: 200,
-      text: metrics.render(),
-    }));
-    this.#readinessServer = new PlainTextServer(() =>
-      this.#readinessState.isReady
-        ? { status: 200, text: "ready\n" }
-        : { status: 503, text: "not ready\n" }
-    );
+    this.#statusServers = new StatusServers(metrics, this.#readinessState);
   }
 
   /**
@@ -226,10 +229,7 @@
     await addresses.serve(() => this.#accounts.links.serve(settings.peers));
     void this.#accounts.group.open().then(() => this.#hasJoined = true);
     await addresses.serve(() => this.#callers.serve(settings.callers));
-    await addresses.serve(() =>
-      this.#readinessServer.serve(settings.readiness)
-    );
-    void addresses.serveMetrics(this.#metricsServer, settings.metrics);
+    await this.#statusServers.serve(settings, addresses);
     this.#metricsTimer = setTimeout(
       () => void this.#options.metrics.load(),
       LOAD_METRICS_AFTER_MS,
@@ -269,8 +269,7 @@
     clearInterval(this.#tickTimer);
     clearTimeout(this.#metricsTimer);
     this.#callers.close();
-    this.#readinessServer.close();
-    this.#metricsServer.close();
+    this.#statusServers.close();
     this.#watchers.stop();
     this.#accounts.group.stop();
     this.#accounts.links.close();
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -20,6 +20,9 @@
 
 export const WAIT_TIMEOUT_MS = 5_000;
 
+/** Where targets of the tests say when they started. */
+export const IDENTITY_PATH = "/identity";
+
 /** A wire format of the tests' own: headers under plain names. */
 const CODEC: RequestCodec = {
   decodeRequest: (headers) => {
@@ -66,6 +69,11 @@
       : Number(headers["limit"]),
   }),
   encodeResponseHeaders: (headers) => ({ signed: String(headers["signed"]) }),
+  identityPath: IDENTITY_PATH,
+  decodeIdentity: (body) => {
+    const match = /^started (\d+)$/.exec(Buffer.from(body).toString());
+    return match === null ? undefined : Number(match[1]);
+  },
 };
 
 const STORE_CODEC: StoreCodec = {
@@ -138,27 +146,48 @@
   handle: HandleRequest = sendCompleteResponse;
   readonly receivedPaths: string[] = [];
   readonly version: string;
-  readonly #server: Server;
+  /** What it says of its start; its entry names 1. */
+  identity = "started 1";
+  #server: Server;
+  #port = 0;
 
   constructor(id: string, version = "v1") {
     this.id = id;
     this.version = version;
-    this.#server = createServer((request, response) => {
+    this.#server = this.#createServer();
+  }
+
+  #createServer(): Server {
+    return createServer((request, response) => {
+      if (request.url === IDENTITY_PATH) {
+        response.end(this.identity);
+        return;
+      }
       this.receivedPaths.push(request.url ?? "");
       response.setHeader("id", request.headers["id"] ?? "");
       this.handle(request, response);
     });
   }
 
+  /** Starts again at its address, after `stop`. */
+  async restart(): Promise<void> {
+    const server = this.#createServer();
+    this.#server = server;
+    await new Promise<void>((resolve) =>
+      server.listen(this.#port, "127.0.0.1", () => resolve())
+    );
+  }
+
   async start(): Promise<Target> {
     await new Promise<void>((resolve) =>
       this.#server.listen(0, "127.0.0.1", () => resolve())
     );
+    this.#port = (this.#server.address() as AddressInfo).port;
     return {
       id: this.id,
       service: "s",
       host: "127.0.0.1",
-      port: (this.#server.address() as AddressInfo).port,
+      port: this.#port,
       failureDomain: "a",
       state: "ready",
       version: this.version,
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -2,6 +2,7 @@
  * The group of gateways: discovers the others through the store and the seeds,
  * handles their messages, and reacts when one joins, fails or leaves.
  */
+import type { EndedTargets } from "../decisions/ended_targets.ts";
 import { EVENTS } from "@camphorlock/codes/events";
 import type { AccountHandover } from "../accounts/account_handover.ts";
 import type { AccountHome } from "../accounts/account_home.ts";
@@ -57,6 +58,7 @@
   ) => Promise<PermitDecision>;
   /** The requests that crash targets, as the gateways find them. */
   readonly crashes: CrashExchange;
+  readonly ended: EndedTargets;
   /** Finds the cache of a watched kind, which other gateways watch here. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
 }
@@ -139,7 +141,7 @@
     { from: sender, message }: PeerEnvelope,
   ): Promise<PeerResponse> {
     const { accounts, home, handover, directory, shards } = this.#dependencies;
-    const { answerPermitCall, crashes } = this.#dependencies;
+    const { answerPermitCall, crashes, ended } = this.#dependencies;
     const from = this.#dependencies.getSelf();
     const nowMs = performance.now();
     switch (message.kind) {
@@ -178,6 +180,9 @@
       case "report_crash":
         crashes.recordReport(message.report);
         return { from };
+      case "share_end":
+        ended.record(String(message.incarnation));
+        return { from };
       case "share_blocked":
         return {
           from,
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -60,6 +60,8 @@
   }
   /** Reports the end of a target to a home of its service. */
   | { readonly kind: "report_crash"; readonly report: CrashReport }
+  /** Tells that an incarnation of a target has ended. */
+  | { readonly kind: "share_end"; readonly incarnation: string }
   /** Tells which requests aren't sent to targets. */
   | {
     readonly kind: "share_blocked";
@@ -151,6 +153,7 @@
   "take_permit",
   "report_crash",
   "share_blocked",
+  "share_end",
 ];
 
 /** Checks a message. All gateways of an installation run one version. */
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -145,6 +145,10 @@
     values: TargetHeaderValues,
   ): string[];
   decodeResponse(status: number, headers: ResponseHeaders): DecodedResponse;
+  /** Path at which a target says of itself when it started. */
+  readonly identityPath: string;
+  /** Decodes the start, as in the target's entry; undefined if it isn't one. */
+  decodeIdentity(body: Uint8Array): number | undefined;
   /** Selects the headers of a response that the caller receives. */
   encodeResponseHeaders(
     headers: ResponseHeaders,
--- a/packages/gateway/src/streams/stream_start.ts
+++ b/packages/gateway/src/streams/stream_start.ts
@@ -30,12 +30,24 @@
     this.#hasBegun = begun !== undefined;
   }
 
-  /** Records the first event; returns the version that sent it, if known. */
-  recordFirstEvent(target: Target): StreamVersion | undefined {
-    if (this.#hasBegun) return undefined;
+  /** Whether an event has been sent, in this answer or an earlier one. */
+  get hasBegun(): boolean {
+    return this.#hasBegun;
+  }
+
+  /**
+   * Records the first event. The version of its target isn't known yet; until it
+   * is, the stream goes on at the same process only.
+   */
+  recordFirstEvent(target: Target): void {
     this.#hasBegun = true;
-    this.#begun = findVersion(target);
     this.#from = { target, atMs: Date.now() };
+  }
+
+  /** Records that the entry of the first event's target can be relied on. */
+  recordVersion(): StreamVersion | undefined {
+    if (this.#from === undefined) return undefined;
+    this.#begun = findVersion(this.#from.target);
     return this.#begun;
   }
 
--- a/packages/gateway/src/streams/stream_start_test.ts
+++ b/packages/gateway/src/streams/stream_start_test.ts
@@ -42,14 +42,18 @@
 
   it("is at the version of its first event, whatever sends the others", () => {
     const start = new StreamStart();
-    expect(start.recordFirstEvent(first)?.version).to.equal("v1");
-    start.recordFirstEvent(buildTarget({ id: "t3", version: "v2" }));
+    start.recordFirstEvent(first);
+    // The entry of its target may be late.
+    expect(listIds(start)).to.deep.equal(["t1"]);
+    expect(start.recordVersion()?.version).to.equal("v1");
+    expect(start.hasBegun).to.equal(true);
     expect(listIds(start)).to.deep.equal(["t1", "t2"]);
   });
 
   it("is at the version that a caller's attempt began", () => {
     const start = new StreamStart({ service: "s", version: "v2" });
-    expect(start.recordFirstEvent(first)).to.equal(undefined);
+    expect(start.hasBegun).to.equal(true);
+    expect(start.recordVersion()).to.equal(undefined);
     expect(listIds(start)).to.deep.equal(["t3"]);
   });
 
@@ -57,12 +61,14 @@
     const start = new StreamStart();
     const unknown = buildTarget({ id: "t4", version: undefined });
     start.recordFirstEvent(table.find("t4")?.target ?? unknown);
+    expect(start.recordVersion()).to.equal(undefined);
     expect(listIds(start)).to.deep.equal(["t4"]);
   });
 
   it("is nowhere if the target had started again with another version", () => {
     const start = new StreamStart();
     start.recordFirstEvent(first);
+    start.recordVersion();
     table.set({ ...first, version: "v2", startedAtMs: Date.now() - 100 });
     expect(listIds(start)).to.deep.equal([]);
   });
@@ -70,6 +76,7 @@
   it("is as before if the target starts again later", () => {
     const start = new StreamStart();
     start.recordFirstEvent(first);
+    start.recordVersion();
     table.set({ ...first, version: "v2", startedAtMs: Date.now() + 60_000 });
     expect(listIds(start)).to.deep.equal(["t2"]);
   });
--- a/packages/gateway/src/streams/stream_version_test.ts
+++ b/packages/gateway/src/streams/stream_version_test.ts
@@ -82,6 +82,59 @@
     expect(other.receivedPaths).to.deep.equal([]);
   });
 
+  /** Adds a target that refuses new streams, and goes on with others as v2. */
+  async function addLateTarget(): Promise<FakeTarget> {
+    const late = await fixture.addTarget("t2", "v1");
+    late.handle = (request, response) => {
+      if (Number(request.headers["resume-after"]) === 0) {
+        response.writeHead(503, { "not-run": "1" });
+        return void response.end();
+      }
+      response.writeHead(200, { signed: "t2" });
+      response.end("id: 3\ndata: v2\n\n");
+    };
+    return late;
+  }
+
+  // The entry of a target that starts again under its id is late.
+  it("isn't continued at a target that states another start than its entry", async () => {
+    const late = await addLateTarget();
+    late.identity = "started 2";
+    await fixture.addGateway("g1");
+    const result = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+      path: "/stream/1",
+    });
+    expect(result.text).to.include("data: v1");
+    expect(result.text).to.not.include("data: v2");
+    expect(result.isComplete).to.equal(false);
+  });
+
+  it("isn't continued at a target that another gateway saw end", async () => {
+    const late = await addLateTarget();
+    late.identity = "nothing about a start";
+    const { handle } = late;
+    await fixture.addGateway("g1");
+    await fixture.addGateway("g2", { seeds: fixture.peerAddresses });
+    await waitForTargets(2);
+    late.handle = () => late.stop();
+    first.handle = (_request, response) => {
+      response.writeHead(503, { "not-run": "1" });
+      response.end();
+    };
+    await fixture.sendRequest(fixture.ports[1] ?? 0, { path: "/once/1" });
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    late.handle = handle;
+    await late.restart();
+    first.handle = (request, response) => run(first, request, response);
+    const result = await fixture.sendRequest(fixture.ports[0] ?? 0, {
+      path: "/stream/1",
+    });
+    expect(result.text).to.include("data: v1");
+    expect(result.text).to.not.include("data: v2");
+    const ended = fixture.lines.filter(({ name }) => name === "TargetEnded");
+    expect(ended.map(({ vm }) => vm)).to.include("g2");
+  });
+
   it("is continued at another target of its version in one answer", async () => {
     await addTarget("t2", "v1");
     await fixture.addGateway("g1");
