--- a/packages/gateway/src/exchange/request_body.ts
+++ b/packages/gateway/src/exchange/request_body.ts
@@ -17,6 +17,7 @@
   /** Allocated at once where the length is known. */
   #buffer: Buffer | undefined;
   #bytes = 0;
+  #isRefused = false;
 
   constructor(request: IncomingMessage, share: ByteShare) {
     this.#request = request;
@@ -51,6 +52,8 @@
   }
 
   #addChunk(chunk: Buffer, maxBytes: number): BodyReadResult | undefined {
+    // The rest is only read so that the connection ends in order.
+    if (this.#isRefused) return undefined;
     const offset = this.#bytes;
     this.#bytes += chunk.length;
     if (this.#bytes > maxBytes) return { kind: "too_large" };
@@ -59,6 +62,7 @@
       return undefined;
     }
     if (!this.#share.reserve(chunk.length * COPIES_OF_CHUNKS)) {
+      this.#isRefused = true;
       this.#chunks.length = 0;
       return { kind: "no_memory" };
     }
--- a/packages/gateway/src/turns/turn_components.ts
+++ b/packages/gateway/src/turns/turn_components.ts
@@ -34,9 +34,12 @@
   { settings, store, log, metrics }: TurnComponentsOptions,
 ): TurnComponents {
   const links = new DiskLinks();
+  let known = "";
   const disks = new WatchedDisks((listed) => {
     links.removeUnlisted(listed);
     const keepers = listed.map(({ vmId }) => vmId).sort();
+    if (keepers.join() === known) return;
+    known = keepers.join();
     log.write(EVENTS.KeepersChanged, { keepers });
   });
   const registry = new StoredDiskRegistry(store);
