Keep facts on the disks, beside the memory of their keepers

Cause: the keepers of facts had them in memory alone.

Each keeper writes its facts to a file in its folder, ten times a second at most, and reads them at its start. No save waits for the disk.

--- a/packages/facts/src/fact_copier_test.ts
+++ b/packages/facts/src/fact_copier_test.ts
@@ -51,7 +51,7 @@
               ? this.#answer(other.vmId, message)
               : undefined,
           ),
-        addCopies: (facts) => table.addCopies(facts, this.nowMs),
+        addCopies: (facts) => table.addCopies(facts, this.nowMs).length,
         recordCopied: () => keeper.copies += 1,
         readWallClock: () => this.nowMs,
       }),
@@ -245,11 +245,11 @@
     const fact = { key: "a:1", id: "x", value: "new", lifetimeMs: 1_000 };
     table.save(fact, 100);
     const copy = { ...fact, value: "old", ageMs: 50 };
-    expect(table.addCopies([copy], 110)).to.equal(0);
+    expect(table.addCopies([copy], 110)).to.have.length(0);
     expect(table.find("a:1", 110)[0]?.value).to.equal("new");
     const invalid = [null, {}, { ...copy, ageMs: -1 }, { ...copy, key: 1 }];
-    expect(table.addCopies(invalid as never, 110)).to.equal(0);
-    expect(table.addCopies([{ ...copy, id: "y" }], 110)).to.equal(1);
+    expect(table.addCopies(invalid as never, 110)).to.have.length(0);
+    expect(table.addCopies([{ ...copy, id: "y" }], 110)).to.have.length(1);
     expect(table.find("a:1", 110).find(({ id }) => id === "y")?.ageMs)
       .to.equal(50);
   });
--- a/packages/facts/src/fact_table.ts
+++ b/packages/facts/src/fact_table.ts
@@ -117,9 +117,9 @@
 
   /**
    * Adds facts that another keeper holds, unless a later one is known here;
-   * returns how many were added. Those that are invalid are left out.
+   * returns those that were added. What is invalid is left out.
    */
-  addCopies(facts: readonly CopiedFact[], nowMs: number): number {
+  addCopies(facts: readonly CopiedFact[], nowMs: number): CopiedFact[] {
     return facts.filter((copied) => {
       const fact = parseFact(copied);
       if (fact.isErr() || !(copied.ageMs >= 0)) return false;
@@ -134,7 +134,12 @@
         expiresAtMs: nowMs + lifetimeMs,
       });
       return true;
-    }).length;
+    });
+  }
+
+  /** Lists all facts, as another keeper copies them. */
+  listAll(nowMs: number): CopiedFact[] {
+    return this.listKeys().flatMap((key) => this.listCopies(key, nowMs));
   }
 
   listKeys(): string[] {
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -232,15 +232,18 @@
   }
 
   /** Starts the process that keeps facts on a VM with a disk. */
-  async addKeeper(vmId: string): Promise<DiskVm> {
-    const port = await findFreePort();
+  async addKeeper(
+    vmId: string,
+    place: { readonly folder?: string; readonly port?: number } = {},
+  ): Promise<DiskVm> {
+    const port = place.port ?? await findFreePort();
     const keeper = new DiskVm({
       vmId,
       store: this.store,
       log: new GatewayLog({ write: (_text, end) => end() }, vmId),
       retirements: { decodeState: () => "requested", encodeState: () => ({}) },
       disk: {
-        folder: await mkdtemp(join(tmpdir(), "keeper-")),
+        folder: place.folder ?? await mkdtemp(join(tmpdir(), "keeper-")),
         place: {
           vmId,
           host: "127.0.0.1",
@@ -412,7 +415,8 @@
   throw new Error("the condition didn't hold in time");
 }
 
-async function findFreePort(): Promise<number> {
+/** Finds a port that nothing listens at. */
+export async function findFreePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve())
--- a/packages/gateway/src/streams/replaced_keepers_test.ts
+++ b/packages/gateway/src/streams/replaced_keepers_test.ts
@@ -1,8 +1,12 @@
+import { mkdtemp } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { expect } from "chai";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
   buildConfiguration,
   type FakeTarget,
+  findFreePort,
   GatewayFixture,
   waitUntil,
 } from "../gateway_fixture_test.ts";
@@ -90,11 +94,11 @@
     await fixture.gateways[0]?.close();
   }
 
-  async function takeUp(): Promise<number> {
+  async function takeUp(keeperCount = 6): Promise<number> {
     const other = await fixture.addTarget("t2", "v1");
     other.handle = sendStream;
     await fixture.addGateway("g2");
-    await waitForKeepers("g2", 6);
+    await waitForKeepers("g2", keeperCount);
     const result = await fixture.sendRequest(fixture.ports[1] ?? 0, {
       path: "/stream/1",
       headers: {
@@ -117,4 +121,29 @@
     await replaceKeepers();
     expect(await takeUp()).to.equal(200);
   }).timeout(20_000);
+
+  // Everything that knew of the stream lost its memory at the same moment.
+  it("is taken up if all processes were lost, but not the disks", async () => {
+    const places = await Promise.all(["e1", "e2", "e3"].map(async (vmId) => ({
+      vmId,
+      folder: await mkdtemp(join(tmpdir(), "keeper-")),
+      port: await findFreePort(),
+    })));
+    for (const keeper of keepers) keeper.close();
+    for (const vmId of ["d1", "d2", "d3"]) {
+      fixture.store.drop("turnDisks", vmId);
+    }
+    const stored = await Promise.all(
+      places.map((place) => fixture.addKeeper(place.vmId, place)),
+    );
+    await waitForKeepers("g1", 3);
+    await beginStream();
+    // A write and a sync may take this long.
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    for (const keeper of stored) keeper.close();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    for (const place of places) await fixture.addKeeper(place.vmId, place);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    expect(await takeUp(3)).to.equal(200);
+  }).timeout(20_000);
 });
--- a/packages/turns/src/disk/disk_service.ts
+++ b/packages/turns/src/disk/disk_service.ts
@@ -33,6 +33,8 @@
 export interface DiskServiceDependencies {
   readonly files: TurnFiles;
   readonly log: DiskLog;
+  /** Told of each fact that is new here. */
+  readonly recordFact?: (fact: CopiedFact) => void;
   /** Memory that the turns may take. */
   readonly maxTableBytes: number;
 }
@@ -101,9 +103,9 @@
       }
       case "save_fact": {
         const saved = this.#facts.save(message.fact, nowMs);
-        return saved.isOk()
-          ? { kind: "fact_saved" }
-          : { kind: "invalid", detail: saved.error };
+        if (saved.isErr()) return { kind: "invalid", detail: saved.error };
+        this.#dependencies.recordFact?.({ ...message.fact, ageMs: 0 });
+        return { kind: "fact_saved" };
       }
       case "find_facts":
         return {
@@ -123,7 +125,14 @@
 
   /** Adds facts of another disk's process; returns how many were new. */
   addFacts(facts: readonly CopiedFact[]): number {
-    return this.#facts.addCopies(facts, performance.now());
+    const added = this.#facts.addCopies(facts, performance.now());
+    for (const fact of added) this.#dependencies.recordFact?.(fact);
+    return added.length;
+  }
+
+  /** Lists all facts that are known here. */
+  listFacts(): readonly CopiedFact[] {
+    return this.#facts.listAll(performance.now());
   }
 
   /** Saves the end of a chain, the oldest turn first. Never rejects. */
--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -15,6 +15,7 @@
   loadIdentity,
   saveIdentity,
 } from "../files/disk_identity.ts";
+import { type FactLog, openFactLog } from "../files/fact_log.ts";
 import { type Recovery, restoreSegments } from "../files/restore_segments.ts";
 import { TurnLog } from "../files/turn_log.ts";
 import { readClock } from "../files/turn_records.ts";
@@ -25,6 +26,8 @@
 import { DiskService } from "./disk_service.ts";
 
 const EXPIRY_CHECK_MS = 2_000;
+/** Facts that a loss of power may take; few are asked for so soon. */
+const SYNC_FACTS_MS = 100;
 /** A former process ends at once when it's stopped. */
 const ADDRESS_WAIT_MS = 2_000;
 const MEMBERSHIP_MS = 150;
@@ -52,6 +55,8 @@
   readonly #server: DiskServer;
   readonly #files: TurnLog;
   readonly #facts: FactCopier<DiskInfo>;
+  /** Absent until the facts of the disk are loaded. */
+  #factLog: FactLog | undefined;
 
   /** Recovers the disk's contents. Rejects when the folder can't be used. */
   static async open(options: TurnDiskOptions): Promise<TurnDiskProcess> {
@@ -81,7 +86,9 @@
       damage: damage.slice(0, 10),
       duration_ms: Math.round(performance.now() - startedAtMs),
     });
-    return new TurnDiskProcess(options, { identity, table, recovery });
+    const disk = new TurnDiskProcess(options, { identity, table, recovery });
+    await disk.#openFacts();
+    return disk;
   }
 
   private constructor(
@@ -103,10 +110,11 @@
       recordMarkFailure: (detail) =>
         options.log.write(EVENTS.DiskFailed, { detail: `mark: ${detail}` }),
     });
-    this.service = new DiskService(
-      { ...options, files: this.#files },
-      table,
-    );
+    this.service = new DiskService({
+      ...options,
+      files: this.#files,
+      recordFact: (fact) => this.#factLog?.append(fact),
+    }, table);
     this.member = new DiskMember(
       {
         ...options,
@@ -133,6 +141,7 @@
     );
     timers.subscribe(MEMBERSHIP_MS, () => void this.member.runNext());
     timers.subscribe(MEMBERSHIP_MS, (nowMs) => void this.#facts.runDue(nowMs));
+    timers.subscribe(SYNC_FACTS_MS, () => void this.#factLog?.flush());
     void this.member.runNext();
   }
 
@@ -149,6 +158,20 @@
     this.#links.close();
     // Every acknowledged turn is durable, so a failure to close loses nothing.
     this.#files.close().catch(() => {});
+    void this.#factLog?.close();
+  }
+
+  /** Loads the facts that the disk has, and writes further ones there. */
+  async #openFacts(): Promise<void> {
+    const { folder, log } = this.#options;
+    const opened = await openFactLog({
+      folder,
+      listFacts: () => this.service.listFacts(),
+      reportFailure: (detail) =>
+        log.write(EVENTS.DiskFailed, { detail: `facts: ${detail}` }),
+    });
+    this.service.addFacts(opened.facts);
+    this.#factLog = opened.log;
   }
 
   #createFactCopier(): FactCopier<DiskInfo> {
