Tell a reset that arrives together with data from an orderly end

Cause: where data and a reset arrive before a connection is read again, the event loop reports the data and then an end, not the error. A response that ends with its connection was taken for whole. On a busy machine both arrive together.

A connection that was reset has no peer any more; one that ended in order has. So an end counts as the peer's only if the peer's address can still be asked for.

Failed before: peer_connection_test.ts, "after data and a reset at once" (answered instead of broken, each time).

--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -118,7 +118,9 @@
         current = socket;
         socket.on("readable", () => connection.handleBytes?.());
         socket.on("error", () => failed = true);
-        socket.on("end", () => peerEnded = true);
+        // Data and a reset that arrive together are reported as an end; only a
+        // connection that wasn't reset still has a peer.
+        socket.on("end", () => peerEnded = socket.remoteAddress !== undefined);
       },
       pipelining: 1,
       keepAliveTimeout: this.#options.idleMs,
--- a/packages/http/src/peer_connection_test.ts
+++ b/packages/http/src/peer_connection_test.ts
@@ -103,6 +103,22 @@
     expect((await run()).kind).to.equal("broken");
   });
 
+  // The event loop reports data and a reset that arrive together as data and an
+  // orderly end.
+  it("reports a response without a length as broken after data and a reset at once", async () => {
+    handleRequest = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\npart", () => {
+        socket.resetAndDestroy();
+        // Both arrive before the connection is read again.
+        const endMs = performance.now() + 30;
+        while (performance.now() < endMs);
+      });
+    };
+    for (let each = 0; each < 5; each += 1) {
+      expect((await run()).kind).to.equal("broken");
+    }
+  });
+
   it("aborts a response that is too large or never ends", async () => {
     handleRequest = (socket) =>
       socket.write(
