--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -200,12 +200,6 @@
     "info",
     "The gateway is listening; its address and failure domain.",
   ),
-  AddressInUse: defineEvent(
-    928,
-    "AddressInUse",
-    "warn",
-    "An address is still held by another process; the start waits for it.",
-  ),
   GatewayReady: defineEvent(
     902,
     "GatewayReady",
@@ -350,6 +344,12 @@
     "warn",
     "A request is blocked, or kept from one address, since targets ended under it, or is let in again.",
   ),
+  AddressInUse: defineEvent(
+    928,
+    "AddressInUse",
+    "warn",
+    "An address is still held by another process; the start waits for it.",
+  ),
   TargetDoubted: defineEvent(
     929,
     "TargetDoubted",
