--- a/packages/facts/mod.ts
+++ b/packages/facts/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Short-lived facts that gateways share through the memory of the VMs with
+ * Short-lived facts that gateways share through the processes on the VMs with
  * disks, which don't end together with the gateways.
  */
 export * from "./src/fact_client.ts";
--- a/packages/facts/src/keeper_ranking.ts
+++ b/packages/facts/src/keeper_ranking.ts
@@ -6,14 +6,12 @@
  * A keeper ranks all keys that it holds for each other one that starts, so a
  * rank costs a few operations on two hashes.
  */
-import { computeHash } from "@camphorlock/scheduler/hash";
+import { computeHash, mixHash } from "@camphorlock/scheduler/hash";
 
 /** Copies of each fact. */
 export const COPIES = 2;
 /** Spreads the bits of a key's hash; an odd number near 2^32 / phi. */
 const KEY_FACTOR = 0x9e3779b1;
-const MIX_FIRST = 0x85ebca6b;
-const MIX_SECOND = 0xc2b2ae35;
 
 /** What the place of a fact depends on. */
 export interface KeeperPlace {
@@ -83,10 +81,5 @@
 }
 
 function computeRank(keeperHash: number, keyHash: number): number {
-  let rank = keeperHash ^ Math.imul(keyHash, KEY_FACTOR);
-  rank ^= rank >>> 16;
-  rank = Math.imul(rank, MIX_FIRST);
-  rank ^= rank >>> 13;
-  rank = Math.imul(rank, MIX_SECOND);
-  return (rank ^ (rank >>> 16)) >>> 0;
+  return mixHash(keeperHash ^ Math.imul(keyHash, KEY_FACTOR));
 }
--- a/packages/scheduler/src/hash.ts
+++ b/packages/scheduler/src/hash.ts
@@ -15,11 +15,16 @@
     hash ^= text.charCodeAt(index);
     hash = Math.imul(hash, FNV_PRIME);
   }
-  hash ^= hash >>> 16;
-  hash = Math.imul(hash, MIX_FIRST);
-  hash ^= hash >>> 13;
-  hash = Math.imul(hash, MIX_SECOND);
-  return (hash ^ (hash >>> 16)) >>> 0;
+  return mixHash(hash);
+}
+
+/** Spreads the bits of a 32-bit hash. */
+export function mixHash(hash: number): number {
+  let mixed = hash ^ (hash >>> 16);
+  mixed = Math.imul(mixed, MIX_FIRST);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, MIX_SECOND);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
 }
 
 /** Computes a hash of a string as a fraction from 0 (inclusive) to 1 (exclusive). */
--- a/packages/turns/src/disk/disk_service.ts
+++ b/packages/turns/src/disk/disk_service.ts
@@ -1,6 +1,6 @@
 /**
  * Handles the messages to one disk: saves turns durably, reads chains, lists
- * turns for disks that copy them, and keeps facts of gateways in memory.
+ * turns for disks that copy them, and keeps facts of gateways.
  */
 import { randomUUID } from "node:crypto";
 import { type CopiedFact, FactPages, FactTable } from "@camphorlock/facts";
