Take a copy of a known fact for the same, however long its way was

Found while reading the diff: the age of a fact is measured where it's copied from, so that after its way the copy seemed later than the fact. Each copy of all facts after a change of keepers was saved and written to the disk anew, and made it last longer by its way. fact_copier_test.ts, 'aren't new where the same fact is known', failed before. The function that mixes hash bits gets a name that the lint rule takes.

--- a/packages/facts/src/fact_copier_test.ts
+++ b/packages/facts/src/fact_copier_test.ts
@@ -240,6 +240,18 @@
     expect(read(2).isErr()).to.equal(true);
   });
 
+  // The way of a copy made it look later than the fact itself, so that each copy
+  // of all was written anew.
+  it("aren't new where the same fact is known, however long their way was", () => {
+    const table = new FactTable();
+    const fact = { key: "a:1", id: "x", value: "v", lifetimeMs: 5_000 };
+    table.save(fact, 0);
+    const copy = { ...fact, lifetimeMs: 4_000, ageMs: 1_000 };
+    expect(table.addCopies([copy], 1_300)).to.have.length(0);
+    const renewed = { ...fact, lifetimeMs: 60_000, ageMs: 0 };
+    expect(table.addCopies([renewed], 1_300)).to.have.length(1);
+  });
+
   it("don't replace a later fact, and leave out what is no fact", () => {
     const table = new FactTable();
     const fact = { key: "a:1", id: "x", value: "new", lifetimeMs: 1_000 };
--- a/packages/facts/src/fact_table.ts
+++ b/packages/facts/src/fact_table.ts
@@ -15,6 +15,8 @@
 /** Memory of a fact besides its texts. */
 const FACT_OVERHEAD_BYTES = 320;
 const MAX_FACTS_PER_KEY = 1_000;
+/** How much later than the fact itself a copy may seem, for its way here. */
+const MAX_TRANSIT_MS = 2_000;
 /** Separates the group of a key from its rest. */
 const GROUP_SEPARATOR = ":";
 
@@ -126,13 +128,15 @@
       const { key, id, value, lifetimeMs } = fact.value;
       const group = this.#getGroup(key);
       const savedAtMs = nowMs - copied.ageMs;
+      const expiresAtMs = nowMs + lifetimeMs;
       const known = group.get(key)?.get(id);
-      if (known !== undefined && known.savedAtMs >= savedAtMs) return false;
-      group.set(key, id, {
-        value,
-        savedAtMs,
-        expiresAtMs: nowMs + lifetimeMs,
-      });
+      if (known !== undefined) {
+        const isLater = known.savedAtMs < savedAtMs;
+        const isSame = known.value === value &&
+          expiresAtMs <= known.expiresAtMs + MAX_TRANSIT_MS;
+        if (!isLater || isSame) return false;
+      }
+      group.set(key, id, { value, savedAtMs, expiresAtMs });
       return true;
     });
   }
--- a/packages/facts/src/keeper_ranking.ts
+++ b/packages/facts/src/keeper_ranking.ts
@@ -6,7 +6,7 @@
  * A keeper ranks all keys that it holds for each other one that starts, so a
  * rank costs a few operations on two hashes.
  */
-import { computeHash, mixHash } from "@camphorlock/scheduler/hash";
+import { computeHash, computeMixedHash } from "@camphorlock/scheduler/hash";
 
 /** Copies of each fact. */
 export const COPIES = 2;
@@ -81,5 +81,5 @@
 }
 
 function computeRank(keeperHash: number, keyHash: number): number {
-  return mixHash(keeperHash ^ Math.imul(keyHash, KEY_FACTOR));
+  return computeMixedHash(keeperHash ^ Math.imul(keyHash, KEY_FACTOR));
 }
--- a/packages/scheduler/src/hash.ts
+++ b/packages/scheduler/src/hash.ts
@@ -15,11 +15,11 @@
     hash ^= text.charCodeAt(index);
     hash = Math.imul(hash, FNV_PRIME);
   }
-  return mixHash(hash);
+  return computeMixedHash(hash);
 }
 
 /** Spreads the bits of a 32-bit hash. */
-export function mixHash(hash: number): number {
+export function computeMixedHash(hash: number): number {
   let mixed = hash ^ (hash >>> 16);
   mixed = Math.imul(mixed, MIX_FIRST);
   mixed ^= mixed >>> 13;
