Be ready before there is a configuration

What users saw: a system that didn't start, as far as our probes show. Cause: readiness waited for the first configuration. Operators, and tests with real processes, write it once the gateways are ready, so both waited forever. A configuration that can't be used, and a store that can't be read, still leave the gateway unready.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -162,7 +162,7 @@
       hasInitialState: () =>
         this.#hasJoined &&
         Number.isFinite(this.#watchers.computeAgeMs("targets")) &&
-        this.#configuration.inForce !== undefined,
+        this.#configuration.isKnown,
       countTargets: () => this.#targets.size,
     });
     this.#callers = new CallerServer({
--- a/packages/gateway/src/store/watched_state.ts
+++ b/packages/gateway/src/store/watched_state.ts
@@ -37,6 +37,7 @@
 export class WatchedConfiguration implements WatchListener {
   readonly #dependencies: WatchedStateDependencies;
   #inForce: ConfigurationInForce | undefined;
+  #isAbsent = false;
   /** Resolvers of the calls that wait for the first configuration. */
   readonly #resolvers = new Set<() => void>();
 
@@ -48,6 +49,11 @@
     return this.#inForce;
   }
 
+  /** Whether the configuration is known, or that there is none yet. */
+  get isKnown(): boolean {
+    return this.#inForce !== undefined || this.#isAbsent;
+  }
+
   /** Waits for the first configuration, for `limitMs` at most. */
   async waitForFirst(
     limitMs: number,
@@ -61,6 +67,7 @@
   }
 
   setAll(objects: readonly StoredObject[], origin: WatchOrigin): void {
+    this.#isAbsent = objects.length === 0;
     for (const object of objects) this.#apply(object, origin);
   }
 
@@ -70,6 +77,7 @@
 
   #apply(object: StoredObject, { source, ageMs }: WatchOrigin): void {
     const { codec, log, onConfiguration } = this.#dependencies;
+    this.#isAbsent = false;
     const decoded = codec.decodeConfiguration(object);
     if (decoded.isErr()) {
       log.write(EVENTS.ConfigurationUnusable, {
