Let a test of damaged files wait for the mark that it depends on

The test failed once here in a plain run, and in 5 of 64 runs eight at a time: "expected 2 damages to be 1". The mark of what was synced is saved after a turn is acknowledged. Until the second file's mark is saved, the first file's proves the same damage a second time, so that two lines are right. The test now waits for the second mark and still expects exactly one line: 0 of 64 failed.

--- a/packages/turns/src/files/turn_log_test.ts
+++ b/packages/turns/src/files/turn_log_test.ts
@@ -69,8 +69,8 @@
   }
 
   /** Waits for the mark, which is saved after the turns were acknowledged. */
-  async function waitForMark(): Promise<void> {
-    while (await loadMark(folder) === undefined) {
+  async function waitForMark(segment = 1): Promise<void> {
+    while (((await loadMark(folder))?.segment ?? 0) < segment) {
       await new Promise((resolve) => setTimeout(resolve, 5));
     }
   }
@@ -230,6 +230,8 @@
     await openLog().append([buildTurn("t1")]);
     const first = getLastPath();
     await openLog(await recover()).append([buildTurn("t2")]);
+    // A mark of the first file would be a second proof of the damage.
+    await waitForMark(2);
     const bytes = readFileSync(first);
     bytes[30] = (bytes[30] ?? 0) ^ 1;
     writeFileSync(first, bytes);
