Keep a storage process alive while its disk can't be used

What users saw: storage processes that ended by themselves at each start, as far as our probes show. Cause: the start took a folder that is missing, unusable or holds directories with the names of its files as final: exit with 70, and the restart met the same folder. Now a missing folder is created, directories aren't taken for files, and any other failure is logged once and tried again twice a second. Retirements are only watched once the disk is open, so that a disk which can't be read isn't reported as emptied.

--- a/packages/gateway/src/turns/disk_vm.ts
+++ b/packages/gateway/src/turns/disk_vm.ts
@@ -2,6 +2,8 @@
  * Builds the process on a VM with a disk: it keeps turns, and empties its disk
  * when it's asked to.
  */
+import { setTimeout as waitFor } from "node:timers/promises";
+import { EVENTS } from "@camphorlock/codes/events";
 import { TimerService } from "@camphorlock/scheduler/timers";
 import { type TurnDiskOptions, TurnDiskProcess } from "@camphorlock/turns";
 import type { GatewayLog } from "../log.ts";
@@ -19,6 +21,8 @@
 
 const TICK_MS = 50;
 const LOG_FLUSH_MS = 200;
+/** Pause before a disk that can't be used is opened again. */
+const OPEN_RETRY_MS = 500;
 /** A VM must be emptied within seconds; a silent watch can last this long. */
 const RETIREMENT_WATCH_MS = 3_000;
 /** The disks of an installation change rarely. */
@@ -45,6 +49,7 @@
   readonly #watchers: StoreWatcher[] = [];
   #disk: TurnDiskProcess | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
+  #isClosed = false;
 
   constructor(options: DiskVmOptions) {
     this.#options = options;
@@ -52,7 +57,7 @@
     this.#registry = new StoredDiskRegistry(this.#store);
   }
 
-  /** Runs until the process ends; rejects when the disk can't be used. */
+  /** Runs until the process ends; a disk that can't be used is retried. */
   async run(): Promise<void> {
     const { log, disk } = this.#options;
     this.#timers.subscribe(LOG_FLUSH_MS, () => log.flush());
@@ -64,15 +69,8 @@
       () => this.#timers.runDue(performance.now()),
       TICK_MS,
     );
-    if (disk !== undefined) {
-      this.#disk = await TurnDiskProcess.open({
-        ...disk,
-        registry: this.#registry,
-        timers: this.#timers,
-        log,
-      });
-      await this.#disk.start();
-    }
+    if (disk !== undefined) await this.#openDisk(disk);
+    if (this.#isClosed) return;
     await Promise.all([
       this.#watch("retirements", this.#createReporter()),
       this.#watch(
@@ -84,12 +82,39 @@
 
   /** Stops at once; what was acknowledged is durable. */
   close(): void {
+    this.#isClosed = true;
     clearInterval(this.#tickTimer);
     for (const watcher of this.#watchers) watcher.stop();
     this.#disk?.close();
     this.#options.log.flush();
   }
 
+  /** Opens the disk, as often as it takes: a restart wouldn't mend it either. */
+  async #openDisk(
+    disk: NonNullable<DiskVmOptions["disk"]>,
+  ): Promise<void> {
+    const { log } = this.#options;
+    let reported: string | undefined;
+    while (!this.#isClosed) {
+      try {
+        this.#disk = await TurnDiskProcess.open({
+          ...disk,
+          registry: this.#registry,
+          timers: this.#timers,
+          log,
+        });
+        return await this.#disk.start();
+      } catch (error) {
+        const detail = `the disk can't be used: ${String(error)}`;
+        if (detail !== reported) log.write(EVENTS.DiskFailed, { detail });
+        reported = detail;
+        this.#disk?.close();
+        this.#disk = undefined;
+        await waitFor(OPEN_RETRY_MS);
+      }
+    }
+  }
+
   #createReporter(): RetirementReporter {
     const { vmId, log, retirements } = this.#options;
     return new RetirementReporter({
--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -17,6 +17,7 @@
 } from "../files/disk_identity.ts";
 import { type FactLog, openFactLog } from "../files/fact_log.ts";
 import { type Recovery, restoreSegments } from "../files/restore_segments.ts";
+import { createMissingFolder } from "../files/segment_files.ts";
 import { TurnLog } from "../files/turn_log.ts";
 import { readClock } from "../files/turn_records.ts";
 import type { DiskMessage, DiskResponse } from "../messages.ts";
@@ -63,6 +64,7 @@
     const { folder, log } = options;
     const startedAtMs = performance.now();
     const clock = readClock();
+    await createMissingFolder(folder);
     const recovery = await restoreSegments(folder, { clock, isSealing: true });
     const table = new TurnTable();
     const orphans = restoreTable(
--- a/packages/turns/src/files/fact_log.ts
+++ b/packages/turns/src/files/fact_log.ts
@@ -10,10 +10,10 @@
  * begins with what is still known.
  */
 import { createHash } from "node:crypto";
-import { type FileHandle, open, readdir, readFile, rm } from "node:fs/promises";
+import { type FileHandle, open, readFile, rm } from "node:fs/promises";
 import { join } from "node:path";
 import type { CopiedFact } from "@camphorlock/facts";
-import { flushFolder } from "./segment_files.ts";
+import { flushFolder, listNumberedFiles } from "./segment_files.ts";
 
 const NAME_PATTERN = /^facts-(\d+)\.log$/;
 /** A larger file is replaced by one with the facts that are still known. */
@@ -110,7 +110,7 @@
     this.#file = file;
     this.#number = number;
     this.#fileBytes = text.length;
-    for (const each of await listFiles(folder)) {
+    for (const each of await listNumberedFiles(folder, NAME_PATTERN)) {
       if (each < number) {
         await rm(join(folder, `facts-${each}.log`), { force: true });
       }
@@ -148,7 +148,7 @@
 ): Promise<{ readonly log: FactLog; readonly facts: readonly CopiedFact[] }> {
   const { folder } = options;
   const nowMs = options.readUnixMs?.() ?? Date.now();
-  const numbers = await listFiles(folder);
+  const numbers = await listNumberedFiles(folder, NAME_PATTERN);
   const texts = await Promise.all(
     numbers.map((each) =>
       readFile(join(folder, `facts-${each}.log`), "utf8").catch(() => {
@@ -161,14 +161,6 @@
   return { log: new FactLog(options, Math.max(0, ...numbers)), facts };
 }
 
-async function listFiles(folder: string): Promise<number[]> {
-  const names = await readdir(folder);
-  return names.flatMap((name) => {
-    const match = NAME_PATTERN.exec(name);
-    return match === null ? [] : [Number(match[1])];
-  }).sort((a, b) => a - b);
-}
-
 function decodeLines(text: string, nowMs: number): CopiedFact[] {
   return text.split("\n").flatMap((line) => {
     const [checksum = ""] = line.split(" ", 1);
--- a/packages/turns/src/files/segment_files.ts
+++ b/packages/turns/src/files/segment_files.ts
@@ -6,6 +6,7 @@
 import { randomUUID } from "node:crypto";
 import {
   type FileHandle,
+  mkdir,
   open,
   readdir,
   readFile,
@@ -24,12 +25,30 @@
   return join(folder, `turns-${digits}.log`);
 }
 
+/** Creates a folder that is missing, as on a disk that was just formatted. */
+export async function createMissingFolder(folder: string): Promise<void> {
+  try {
+    await readdir(folder);
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code !== "ENOENT") throw error;
+    await mkdir(folder, { recursive: true });
+  }
+}
+
 /** Lists the numbers of a folder's segments in ascending order. */
-export async function listSegments(folder: string): Promise<number[]> {
-  const names = await readdir(folder);
-  return names.flatMap((name) => {
-    const match = NAME_PATTERN.exec(name);
-    return match === null ? [] : [Number(match[1])];
+export function listSegments(folder: string): Promise<number[]> {
+  return listNumberedFiles(folder, NAME_PATTERN);
+}
+
+/** Lists the numbers in the names of files that match, in ascending order. */
+export async function listNumberedFiles(
+  folder: string,
+  pattern: RegExp,
+): Promise<number[]> {
+  const entries = await readdir(folder, { withFileTypes: true });
+  return entries.flatMap((entry) => {
+    const match = pattern.exec(entry.name);
+    return match === null || entry.isDirectory() ? [] : [Number(match[1])];
   }).sort((a, b) => a - b);
 }
 
