Wait for an address that the VM doesn't have yet

What users saw: processes that ended by themselves at a start, as far as our probes show. Cause: only an address in use was waited for; one that the VM's network hasn't got yet ended a gateway with 70 at once. The wait has the limit of the other one.

--- a/packages/channel/src/serve_when_free.ts
+++ b/packages/channel/src/serve_when_free.ts
@@ -1,5 +1,6 @@
 /**
- * Listens at an address that another process may still hold.
+ * Listens at an address that another process may still hold, or that the VM is
+ * only about to get.
  *
  * A process may be started while the former one still finishes its requests;
  * both have the same addresses. A start that failed at once would be repeated,
@@ -7,13 +8,13 @@
  */
 import { setTimeout as waitFor } from "node:timers/promises";
 
-const ADDRESS_IN_USE = "EADDRINUSE";
+const WAITED_FOR = ["EADDRINUSE", "EADDRNOTAVAIL"];
 const RETRY_MS = 100;
 
 /** How long to wait for the address. */
 export interface ServeLimits {
   readonly limitMs: number;
-  /** Called once if the address is in use. */
+  /** Called once if the address isn't free. */
   readonly reportWait: (detail: string) => void;
 }
 
@@ -30,8 +31,8 @@
     try {
       return await serve();
     } catch (error) {
-      const isInUse = (error as NodeJS.ErrnoException).code === ADDRESS_IN_USE;
-      if (!isInUse || performance.now() > endMs) throw error;
+      const { code = "" } = error as NodeJS.ErrnoException;
+      if (!WAITED_FOR.includes(code) || performance.now() > endMs) throw error;
       if (attempt === 1) reportWait(String(error));
       await waitFor(RETRY_MS);
     }
