Reach targets through other gateways while a gateway's own links are lost

Cause: a gateway's own link was its only way to a target, and the loss of all links looked like that of one target after another. The same view took a refused connection for the end of a target's process, reported it, and made all gateways doubt sound targets. Ruled out: readiness alone, since the balancer uses all gateways of a zone once fewer than half are ready; whole requests at another gateway, since budgets, permits and versions would be decided at two places. Why this works: the connection is relayed, nothing else moves. A connection that hasn't carried the request is replaced without a loss; what was sent is handled as after any broken connection. The relay marks the target's orderly end itself, and refuses beyond its share of the process's bytes. A target has ended only if another gateway's connections are refused, too.

--- a/packages/channel/src/peer_channel.ts
+++ b/packages/channel/src/peer_channel.ts
@@ -134,17 +134,24 @@
   }
 }
 
-/** Reads frames from a connection; closes it on an invalid frame. */
+/**
+ * Reads frames from a connection; closes it on an invalid frame. Returns a
+ * function that ends the reading, for what follows on the connection instead.
+ */
 export function readFrames(
   socket: Socket,
   handleFrame: (frame: Frame) => void,
-): void {
+): () => void {
   const lines = split(parseFrame, { maxLength: MAX_LINE_BYTES });
   lines.on("data", handleFrame);
   lines.on("error", () => socket.destroy());
   // The `close` event, which follows, handles the end of the connection.
   socket.on("error", () => {});
   socket.pipe(lines);
+  return () => {
+    socket.unpipe(lines);
+    lines.destroy();
+  };
 }
 
 /** Writes a frame; frames of one event loop iteration leave together. */
--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -524,6 +524,24 @@
     "info",
     "A keeper of facts has copied what it lacked, since other keepers respond than before.",
   ),
+  PathsChanged: defineEvent(
+    973,
+    "PathsChanged",
+    "warn",
+    "The gateway reaches targets directly again, or counts as cut off from them.",
+  ),
+  RelaysChanged: defineEvent(
+    974,
+    "RelaysChanged",
+    "warn",
+    "Another gateway connects this one to targets, or none does any more.",
+  ),
+  PathRefused: defineEvent(
+    975,
+    "PathRefused",
+    "info",
+    "The gateway couldn't connect another one to a target; the first of a series.",
+  ),
   SignalIgnored: defineEvent(
     972,
     "SignalIgnored",
--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -13,6 +13,7 @@
 import { CrashExchange } from "../crashes/crash_exchange.ts";
 import type { KeptBlocks } from "../crashes/kept_blocks.ts";
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
+import type { PathRelay } from "../paths/path_relay.ts";
 import { AccountHandover } from "./account_handover.ts";
 import { AccountHome } from "./account_home.ts";
 import { ShardTableManager } from "./shard_table_manager.ts";
@@ -26,6 +27,7 @@
   readonly metrics: GatewayMetrics;
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
+  readonly relay: PathRelay;
   readonly blocked: BlockedRequests;
   readonly keptBlocks: KeptBlocks;
   /** Called when a request isn't sent to targets any more. */
@@ -60,6 +62,7 @@
     log,
     metrics,
     getSelf,
+    relay: options.relay,
     handleMessage: (envelope) => accounting.group.handleMessage(envelope),
     onChange: (peer, change) => accounting.group.handleChange(peer, change),
   });
@@ -69,7 +72,7 @@
 
 /** Builds the components that account for tokens, on the given links. */
 export function buildTokenAccounting(
-  options: AccountComponentsOptions,
+  options: Omit<AccountComponentsOptions, "relay">,
   directory: PeerDirectory,
   links: Pick<PeerLinks, "call" | "callAddress">,
 ): TokenAccounting {
--- a/packages/gateway/src/crashes/crash_observer.ts
+++ b/packages/gateway/src/crashes/crash_observer.ts
@@ -10,7 +10,10 @@
 import type { Fingerprint } from "../model/request_fingerprint.ts";
 import type { Target } from "../model/target.ts";
 import { RunningRequests } from "./running_requests.ts";
-import { TargetProber } from "./target_prober.ts";
+import {
+  TargetProber,
+  type TargetProberDependencies,
+} from "./target_prober.ts";
 
 /** Ended incarnations that are remembered, so that each is logged once. */
 const MAX_ENDED = 1_000;
@@ -23,7 +26,7 @@
 }
 
 /** Dependencies of the observer. */
-export interface CrashObserverDependencies {
+export interface CrashObserverDependencies extends TargetProberDependencies {
   readonly log: GatewayLog;
   /** Whether a target is known to leave as planned. */
   readonly isLeaving: (target: Target) => boolean;
@@ -35,11 +38,12 @@
 export class CrashObserver {
   readonly #dependencies: CrashObserverDependencies;
   readonly #requests = new RunningRequests();
-  readonly #prober = new TargetProber();
+  readonly #prober: TargetProber;
   readonly #ended = new Set<string>();
 
   constructor(dependencies: CrashObserverDependencies) {
     this.#dependencies = dependencies;
+    this.#prober = new TargetProber(dependencies);
   }
 
   /** Records that a request was sent to a target. */
--- a/packages/gateway/src/crashes/crash_observer_test.ts
+++ b/packages/gateway/src/crashes/crash_observer_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:net";
 import type { AddressInfo } from "node:net";
+import { openDirectly } from "@camphorlock/http/exchange";
 import { expect } from "chai";
 import { GatewayLog } from "../log.ts";
 import {
@@ -43,12 +44,16 @@
   let ends: TargetEnd[];
   let leaving: boolean;
   let observer: CrashObserver;
+  let isConfirmed: boolean;
 
   beforeEach(() => {
     ends = [];
+    isConfirmed = true;
     leaving = false;
     observer = new CrashObserver({
       log: new GatewayLog(OUTPUT, "g1"),
+      openSocket: openDirectly,
+      confirmRefusal: () => Promise.resolve(isConfirmed),
       isLeaving: () => leaving,
       onEnd: (end) => ends.push(end),
     });
@@ -82,6 +87,18 @@
       .to.have.members(["f1", "f2"]);
   });
 
+  // A gateway that had lost its links took each refused connection for the end
+  // of a target, and all gateways doubted sound targets.
+  it("needs another gateway that is refused, too", async () => {
+    const server = createServer();
+    const target = buildTarget(await listen(server));
+    await new Promise((resolve) => server.close(resolve));
+    isConfirmed = false;
+    observer.recordStart(target, "r1", buildFingerprint("f1"));
+    expect(await observer.recordBreak(target, "r1")).to.equal(false);
+    expect(ends).to.have.length(0);
+  });
+
   it("is nobody's fault when the target leaves as planned", async () => {
     const server = createServer();
     const target = buildTarget(await listen(server));
--- a/packages/gateway/src/decisions/target_table.ts
+++ b/packages/gateway/src/decisions/target_table.ts
@@ -176,6 +176,16 @@
     return lapsed.map(({ target }) => ({ target, change: "removed" }));
   }
 
+  /** Lists all targets. */
+  listAll(): Target[] {
+    return [...this.#byId.values()].map(({ target }) => target);
+  }
+
+  /** Forgets failures that had another reason than the targets. */
+  resetFailures(): void {
+    for (const tracked of this.#byId.values()) recordResponse(tracked);
+  }
+
   /** Lists the ids of all targets. */
   listIds(): string[] {
     return [...this.#byId.keys()];
--- a/packages/gateway/src/exchange/exchange_dependencies.ts
+++ b/packages/gateway/src/exchange/exchange_dependencies.ts
@@ -3,6 +3,7 @@
  */
 import type { BlockedRequests } from "../decisions/blocked_requests.ts";
 import type { CrashObserver } from "../crashes/crash_observer.ts";
+import type { PathComponents } from "../paths/path_components.ts";
 import type { TargetTable } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
@@ -16,6 +17,7 @@
 export interface ExchangeDependencies {
   readonly targets: TargetTable;
   readonly connections: TargetConnections;
+  readonly ways: Pick<PathComponents, "monitor" | "paths">;
   readonly permits: TargetPermits;
   readonly crashes: CrashObserver;
   readonly blocked: BlockedRequests;
--- a/packages/gateway/src/exchange/record_statement.ts
+++ b/packages/gateway/src/exchange/record_statement.ts
@@ -9,9 +9,9 @@
 
 /** Records a target's statements. */
 export function recordStatement(
-  { permits, targets, log }: Pick<
+  { permits, targets, ways, log }: Pick<
     ExchangeDependencies,
-    "permits" | "targets" | "log"
+    "permits" | "targets" | "ways" | "log"
   >,
   target: Target,
   response: DecodedResponse,
@@ -20,6 +20,7 @@
   if (!response.isLeaving) return;
   const changed = targets.recordLeaving(target, performance.now());
   if (changed === undefined) return;
+  ways.paths.reportLeaving(target);
   log.write(EVENTS.TargetChanged, {
     target: target.id,
     service: target.service,
--- a/packages/gateway/src/exchange/request_outcomes.ts
+++ b/packages/gateway/src/exchange/request_outcomes.ts
@@ -24,6 +24,16 @@
   };
 }
 
+/** Builds the outcome of a request while no target can be reached. */
+export function buildCutOffOutcome(mayHaveRun: boolean): RequestOutcome {
+  const code = RESULT_CODES.NoTarget;
+  const detail = "this gateway reaches no target, nor one that does";
+  return mayHaveRun
+    ? buildFailureOutcome(detail)
+    // Another gateway may serve the caller at once.
+    : { kind: "refused", code, detail, retryAfterMs: 0 };
+}
+
 /** Builds the outcome of a request that isn't sent, since it crashes targets. */
 export function buildBlockedOutcome(
   { crashes, untilMs }: Block,
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -15,13 +15,11 @@
   needsConfirmation,
   planNextStep,
 } from "../decisions/next_step.ts";
-import {
-  recordResponse,
-  type TrackedTarget,
-} from "../decisions/target_table.ts";
+import type { TrackedTarget } from "../decisions/target_table.ts";
 import { recordBeginning } from "../streams/record_beginning.ts";
 import { saveTurn, type TurnState } from "../turns/turn_state.ts";
-import type { RunningAttempt, TargetResponse } from "./buffered_attempt.ts";
+import { AttemptRunner } from "./attempt_runner.ts";
+import type { TargetResponse } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
 import {
   acquireTarget,
@@ -38,10 +36,10 @@
   type RequestOutcome,
   sendResponse,
 } from "./request_end.ts";
-import { startAttempt } from "./start_attempt.ts";
 import type { StreamAttemptResult } from "./stream_attempt.ts";
 import {
   buildBlockedOutcome,
+  buildCutOffOutcome,
   buildFailureOutcome,
   buildRefusalOutcome,
   buildTimeoutOutcome,
@@ -64,7 +62,7 @@
   readonly #clock: RequestClock;
   readonly #attempts: RequestAttempts;
   readonly #blocks: RequestBlocks;
-  #running: RunningAttempt<StreamAttemptResult> | undefined;
+  readonly #runner: AttemptRunner;
   #stopped: StopReason | undefined;
   #endWait: () => void = () => {};
 
@@ -85,6 +83,7 @@
     this.#clock = new RequestClock(accepted);
     this.#attempts = new RequestAttempts(fields.resumeAfter, state.begun);
     const { fingerprint } = accepted;
+    this.#runner = new AttemptRunner(dependencies);
     this.#blocks = new RequestBlocks(dependencies, fingerprint, this.#service);
   }
 
@@ -116,6 +115,12 @@
     if (this.#blocks.find() !== undefined) this.#stop("blocked");
   }
 
+  /** Repeats the running attempt elsewhere, if its answer can't arrive. */
+  resumeElsewhere(): void {
+    if (!this.#isRepeatable || !this.#runner.isDirect) return;
+    this.#runner.stop({ isCancelled: true });
+  }
+
   async #runAttempts(): Promise<RequestOutcome> {
     let onlyRunners: boolean | undefined = false;
     for (;;) {
@@ -124,6 +129,9 @@
       if (block !== undefined) {
         return buildBlockedOutcome(block, this.#attempts.mayHaveRun);
       }
+      if (!this.#dependencies.ways.paths.canReachTargets) {
+        return buildCutOffOutcome(this.#attempts.mayHaveRun);
+      }
       const entry = chooseNextTarget(this.#dependencies, {
         ...this.#buildReport(),
         previousTargetId: this.#state.turn?.previousTargetId,
@@ -166,9 +174,8 @@
     }
   }
 
-  async #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
-    const { crashes, blocked } = this.#dependencies;
-    const attempt = startAttempt(this.#dependencies, {
+  #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
+    return this.#runner.run({
       accepted: this.#accepted,
       attempts: this.#attempts,
       entry,
@@ -176,28 +183,7 @@
       body: this.#state.turn?.targetBody,
       grant: this.#state.grant,
       recordEvent: (event) => this.#recordEvent(entry, event),
-    });
-    this.#running = attempt;
-    const { isCrashCandidate } = this.#attempts;
-    const { target } = entry;
-    const { fields: { requestId }, fingerprint } = this.#accepted;
-    crashes.recordStart(target, requestId, fingerprint);
-    entry.recordAttempt(requestId, performance.now(), isCrashCandidate);
-    const stopped = new Promise<FailedAttempt>((resolve) => {
-      this.#endWait = () => resolve({ kind: "broken", detail: "stopped" });
-    });
-    const result = await Promise.race([attempt.result, stopped]);
-    entry.recordAttemptEnd(requestId, performance.now(), isCrashCandidate);
-    if (result.kind === "broken" && this.#stopped === undefined) {
-      const hasEnded = await crashes.recordBreak(target, requestId);
-      return hasEnded ? { ...result, kind: "crashed" } : result;
-    }
-    crashes.recordEnd(target, requestId);
-    if (result.kind === "completed" || result.kind === "answered") {
-      recordResponse(entry);
-      blocked.recordCompleted(fingerprint, performance.now());
-    }
-    return result;
+    }, () => this.#stopped !== undefined);
   }
 
   #planNextAttempt(
@@ -269,7 +255,7 @@
     // A request that runs at most once and isn't a stream runs to its end.
     const isCancelled = reason !== "disconnected" || this.#isRepeatable ||
       this.#isStream;
-    if (isCancelled) this.#running?.cancel();
+    this.#runner.stop({ isCancelled });
     this.#endWait();
   }
 
--- a/packages/gateway/src/exchange/target_connections.ts
+++ b/packages/gateway/src/exchange/target_connections.ts
@@ -1,7 +1,7 @@
 /**
  * The connections to all targets, opened at their first use.
  */
-import { PeerConnection } from "@camphorlock/http/exchange";
+import { type OpenedSocket, PeerConnection } from "@camphorlock/http/exchange";
 import type { Target } from "../model/target.ts";
 
 /** Longest wait for a connection; far above the latency between regions. */
@@ -17,28 +17,52 @@
 interface OpenTarget {
   readonly baseUrl: string;
   readonly connection: PeerConnection;
+  /** The latest entry, which may name a later start at the same address. */
+  target: Target;
 }
 
+/** Opens a connection to a target; rejects if there's none in time. */
+export type TargetOpener = (
+  target: Target,
+  timeoutMs: number,
+) => Promise<OpenedSocket>;
+
 /** The connections to all targets, by target id. */
 export class TargetConnections {
   readonly #open = new Map<string, OpenTarget>();
+  readonly #openTarget: TargetOpener;
+
+  constructor(openTarget: TargetOpener) {
+    this.#openTarget = openTarget;
+  }
 
   /** Gets the connections of one incarnation of a target. */
   get(target: Target): PeerConnection {
     const baseUrl = `http://${target.host}:${target.port}`;
     const open = this.#open.get(target.id);
-    if (open?.baseUrl === baseUrl) return open.connection;
+    if (open?.baseUrl === baseUrl) {
+      open.target = target;
+      return open.connection;
+    }
     if (open !== undefined) this.remove(target.id);
     const connection = new PeerConnection({
       baseUrl,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       idleMs: IDLE_MS,
       reuseDelayMs: REUSE_DELAY_MS,
+      openSocket: (_address, timeoutMs) =>
+        this.#openTarget(added.target, timeoutMs),
     });
-    this.#open.set(target.id, { baseUrl, connection });
+    const added: OpenTarget = { baseUrl, connection, target };
+    this.#open.set(target.id, added);
     return connection;
   }
 
+  /** Closes the connections without an exchange. */
+  closeIdle(): void {
+    for (const { connection } of this.#open.values()) connection.closeIdle();
+  }
+
   /** Closes a target's connections once their exchanges have ended. */
   remove(targetId: string): void {
     const open = this.#open.get(targetId);
--- a/packages/gateway/src/front/accepted_requests.ts
+++ b/packages/gateway/src/front/accepted_requests.ts
@@ -45,6 +45,11 @@
     for (const runner of this.#runners) runner.stop();
   }
 
+  /** Repeats what may be repeated after the links to the targets were lost. */
+  resumeElsewhere(): void {
+    for (const runner of this.#runners) runner.resumeElsewhere();
+  }
+
   /** Ends the open requests that have just been blocked. */
   stopBlocked(): void {
     for (const runner of this.#runners) runner.stopIfBlocked();
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -113,6 +113,11 @@
     this.#accepted.endAll();
   }
 
+  /** Repeats what may be repeated of the requests that have no answer. */
+  resumeElsewhere(): void {
+    this.#accepted.resumeElsewhere();
+  }
+
   /** Ends the open requests that have just been blocked. */
   stopBlocked(): void {
     this.#accepted.stopBlocked();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { setTimeout as waitFor } from "node:timers/promises";
 import { EVENTS } from "@camphorlock/codes/events";
+import type { SocketOpener } from "@camphorlock/http/exchange";
 import { TimerService } from "@camphorlock/scheduler/timers";
 import {
   type AccountComponents,
@@ -13,11 +14,9 @@
 import { createByteBudget } from "./decisions/byte_budget.ts";
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
-import { CrashObserver } from "./crashes/crash_observer.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { EndedTargets } from "./decisions/ended_targets.ts";
 import { TargetTable } from "./decisions/target_table.ts";
-import { TargetConnections } from "./exchange/target_connections.ts";
 import { AddressWaiter } from "./front/address_waiter.ts";
 import { CallerServer } from "./front/caller_server.ts";
 import {
@@ -26,6 +25,10 @@
 } from "./front/readiness_state.ts";
 import { StatusServers } from "./front/status_servers.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import {
+  buildPathComponents,
+  type PathComponents,
+} from "./paths/path_components.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
 import type { GatewayLog } from "./log.ts";
@@ -45,10 +48,13 @@
   type TurnComponents,
 } from "./turns/turn_components.ts";
 import { CountedStore } from "./store/counted_store.ts";
-import { TargetVerifier } from "./streams/target_verifier.ts";
 import { StreamVersions } from "./streams/stream_versions.ts";
 import { Watchers } from "./store/watchers.ts";
-import { WatchedConfiguration, WatchedTargets } from "./store/watched_state.ts";
+import {
+  type ConfigurationInForce,
+  WatchedConfiguration,
+  WatchedTargets,
+} from "./store/watched_state.ts";
 
 /** Interval at which due timers run. */
 const TICK_MS = 50;
@@ -65,6 +71,8 @@
   readonly storeCodec: StoreCodec;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  /** Opens the direct connections to targets; tests pass another one. */
+  readonly openSocket?: SocketOpener;
 }
 
 /** One gateway process. */
@@ -72,9 +80,8 @@
   readonly #options: GatewayOptions;
   readonly #store: CountedStore;
   readonly #targets = new TargetTable();
-  readonly #connections = new TargetConnections();
+  readonly #ways: PathComponents;
   readonly #permits: TargetPermits;
-  readonly #crashes: CrashObserver;
   readonly #blocked = new BlockedRequests();
   readonly #ended = new EndedTargets();
   readonly #timers = new TimerService();
@@ -99,13 +106,29 @@
     const options = this.#options = { ...given, store };
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
+    const getViewAgeMs = () => this.#watchers.computeAgeMs("targets");
+    const bytes = createByteBudget(settings.memoryBytes);
+    this.#ways = buildPathComponents({
+      ...options,
+      bytes,
+      targets: this.#targets,
+      getPeers: () => this.#accounts,
+      getSelf: () => this.#buildSelf(),
+      isStopping: () => this.#isStopping,
+      ended: this.#ended,
+      getViewAgeMs,
+      onCutOff: () => this.#callers.resumeElsewhere(),
+      onEnd: (end) => void this.#accounts.crashes.report(end),
+    });
+    const { paths, connections, verifier, observer } = this.#ways;
     const stateDependencies = {
       codec: options.storeCodec,
       log,
       targets: this.#targets,
-      onConfiguration: () => this.#applyLimits(),
+      onConfiguration: ({ configuration }: ConfigurationInForce) =>
+        this.#callers.setLimits(configuration.limits),
       onTargetRemoved: (id: string) => {
-        this.#connections.remove(id);
+        connections.remove(id);
         this.#permits.remove(id);
       },
     };
@@ -122,10 +145,7 @@
       renewalMs: computeRenewalMs(settings),
     });
     this.#accounts = buildAccountComponents({
-      settings,
-      store,
-      log,
-      metrics,
+      ...options,
       getSelf: () => this.#buildSelf(),
       blocked: this.#blocked,
       keptBlocks: new KeptBlocks(this.#turns.facts),
@@ -134,25 +154,19 @@
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
+      relay: this.#ways.relay,
     });
     this.#permits = new TargetPermits({
+      ...this.#accounts,
       log,
-      directory: this.#accounts.directory,
-      links: this.#accounts.links,
       metrics,
       vmId: settings.vmId,
       regions: settings.regions,
     });
-    this.#crashes = new CrashObserver({
-      log,
-      isLeaving: ({ id }) => !this.#targets.isReady(id, performance.now()),
-      onEnd: (end) => void this.#accounts.crashes.report(end),
-    });
     this.#objectSource = buildObjectSource({
+      ...this.#accounts,
       settings,
       store,
-      directory: this.#accounts.directory,
-      links: this.#accounts.links,
       log,
       metrics,
     });
@@ -161,26 +175,20 @@
       isStopping: () => this.#isStopping,
       hasInitialState: () =>
         this.#hasJoined &&
-        Number.isFinite(this.#watchers.computeAgeMs("targets")) &&
-        this.#configuration.isKnown,
+        Number.isFinite(getViewAgeMs()) &&
+        this.#configuration.isKnown && paths.canReachTargets,
       countTargets: () => this.#targets.size,
     });
     this.#callers = new CallerServer({
-      bytes: createByteBudget(settings.memoryBytes),
+      bytes,
+      ways: this.#ways,
       targets: this.#targets,
-      connections: this.#connections,
+      connections,
       permits: this.#permits,
-      crashes: this.#crashes,
+      crashes: observer,
       blocked: this.#blocked,
       versions: new StreamVersions(this.#turns.facts),
-      verifier: new TargetVerifier({
-        connections: this.#connections,
-        codec: options.requestCodec,
-        ended: this.#ended,
-        log,
-        getViewAgeMs: () => this.#watchers.computeAgeMs("targets"),
-        renewalMs: computeRenewalMs(settings),
-      }),
+      verifier,
       codec: options.requestCodec,
       log,
       metrics,
@@ -191,7 +199,7 @@
       },
       accounts: this.#accounts.turns,
       history: this.#turns.history,
-      getViewAgeMs: () => this.#watchers.computeAgeMs("targets"),
+      getViewAgeMs,
       getConfiguration: () => this.#configuration.inForce,
       getConfigurationAgeMs: () => this.#watchers.computeAgeMs("configuration"),
       waitForConfiguration: (limitMs) =>
@@ -219,7 +227,7 @@
       targets: this.#observedTargets,
       watchers: this.#watchers,
       permits: this.#permits,
-      observer: this.#crashes,
+      ways: this.#ways,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
@@ -253,7 +261,7 @@
     await waitFor(BALANCER_REMOVAL_MS);
     this.#callers.stopListening();
     while (
-      this.#callers.openRequests > 0 &&
+      this.#callers.openRequests + this.#ways.relay.openConnections > 0 &&
       performance.now() < this.#stopAtMs
     ) {
       await waitFor(TICK_MS);
@@ -274,7 +282,7 @@
     this.#accounts.group.stop();
     this.#accounts.links.close();
     this.#turns.links.close();
-    await this.#connections.close();
+    await this.#ways.connections.close();
     await this.#store.close();
     this.#options.log.flush();
   }
@@ -289,10 +297,4 @@
       isLeaving: this.#isStopping,
     };
   }
-
-  #applyLimits(): void {
-    const inForce = this.#configuration.inForce;
-    if (inForce === undefined) return;
-    this.#callers.setLimits(inForce.configuration.limits);
-  }
 }
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -8,6 +8,7 @@
 import { mkdtemp } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import type { SocketOpener } from "@camphorlock/http/exchange";
 import { err, ok } from "neverthrow";
 import { FakeStore } from "./fake_store_test.ts";
 import { Gateway } from "./gateway.ts";
@@ -265,7 +266,9 @@
 
   async addGateway(
     vmId: string,
-    change: Partial<GatewaySettings> = {},
+    { openSocket, ...change }: Partial<GatewaySettings> & {
+      readonly openSocket?: SocketOpener;
+    } = {},
   ): Promise<Gateway> {
     const [callers, readiness, peers] = await Promise.all([
       findFreePort(),
@@ -294,6 +297,7 @@
     };
     const gateway = new Gateway({
       settings,
+      ...openSocket === undefined ? {} : { openSocket },
       store: this.store,
       requestCodec: CODEC,
       storeCodec: STORE_CODEC,
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -4,7 +4,6 @@
 import type { TimerService } from "@camphorlock/scheduler/timers";
 import type { AccountComponents } from "./accounts/account_components.ts";
 import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
-import type { CrashObserver } from "./crashes/crash_observer.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { TargetPermits } from "./limits/target_permits.ts";
 import type { GatewayLog } from "./log.ts";
@@ -12,6 +11,7 @@
   type CountedStore,
   LOG_STORE_CALLS_MS,
 } from "./store/counted_store.ts";
+import type { PathComponents } from "./paths/path_components.ts";
 import type { WatchedTargets } from "./store/watched_state.ts";
 import type { Watchers } from "./store/watchers.ts";
 
@@ -25,6 +25,7 @@
 /** Interval at which a gateway and the keepers compare what is blocked. */
 const COMPARE_BLOCKED_MS = 5_000;
 const SETTLE_CRASHES_MS = 50;
+const CHECK_PATHS_MS = 100;
 const CLEANUP_MS = 10_000;
 
 /** The components with periodic work. */
@@ -36,13 +37,13 @@
   readonly targets: WatchedTargets;
   readonly watchers: Watchers;
   readonly permits: TargetPermits;
-  readonly observer: CrashObserver;
+  readonly ways: Pick<PathComponents, "observer" | "paths">;
 }
 
 /** Subscribes the periodic work of all components. */
 export function subscribeTimers(
   timers: TimerService,
-  { group, shards, crashes, observer, log, metrics, ...components }:
+  { group, shards, crashes, ways, log, metrics, ...components }:
     TimedComponents,
 ): void {
   const { store, targets, watchers, permits } = components;
@@ -57,8 +58,9 @@
     [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
     [COMPARE_BLOCKED_MS, () => void crashes.compareBlocked()],
+    [CHECK_PATHS_MS, (nowMs) => ways.paths.runDue(nowMs)],
     [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
-    [CLEANUP_MS, (nowMs) => observer.removeExpired(nowMs)],
+    [CLEANUP_MS, (nowMs) => ways.observer.removeExpired(nowMs)],
   ];
   for (const [intervalMs, run] of schedule) timers.subscribe(intervalMs, run);
 }
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -10,6 +10,8 @@
 } from "../decisions/peer_directory.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
+import type { LeavingNotice } from "../paths/path_messages.ts";
+import type { PathRelay } from "../paths/path_relay.ts";
 import type { Address } from "../ports.ts";
 import {
   type Frame,
@@ -43,10 +45,19 @@
   /** Builds this gateway's entry, which goes with each message. */
   readonly getSelf: () => PeerInfo;
   readonly handleMessage: (envelope: PeerEnvelope) => Promise<PeerResponse>;
+  /** Handles what other gateways ask and tell about ways to targets. */
+  readonly relay: Pick<PathRelay, "serve" | "recordLeaving">;
   /** Called on each change of the directory. */
   readonly onChange: (peer: PeerInfo, change: PeerChange | "lost") => void;
 }
 
+/** A connection that another gateway opened. */
+interface AcceptedConnection {
+  readonly socket: Socket;
+  /** Ends the reading of messages there. */
+  readonly stopReading: () => void;
+}
+
 /** The links to all other gateways. */
 export class PeerLinks {
   readonly #dependencies: PeerLinksDependencies;
@@ -59,7 +70,10 @@
     this.#server = createServer({ noDelay: true }, (socket) => {
       this.#acceptedSockets.add(socket);
       socket.on("close", () => this.#acceptedSockets.delete(socket));
-      readFrames(socket, (frame) => void this.#handleFrame(socket, frame));
+      const stopReading = readFrames(
+        socket,
+        (frame) => void this.#handleFrame({ socket, stopReading }, frame),
+      );
     });
   }
 
@@ -95,7 +109,8 @@
     const { getSelf, log } = this.#dependencies;
     const envelope: PeerEnvelope = { from: getSelf(), message };
     const transferMs = isObjectCall(message) ? OBJECT_TRANSFER_MS : 0;
-    const channel = this.#getChannel(address, message);
+    const objects = isObjectCall(message) ? message.objects : "";
+    const channel = this.#getChannel(address, objects);
     const body = await channel.call(envelope, timeoutMs, transferMs);
     this.#dependencies.metrics.add("peer_calls");
     if (body === undefined) {
@@ -111,13 +126,22 @@
     return response.value;
   }
 
+  /** Sends a notice; the peer acts on it or finds out itself. */
+  notify({ host, port }: PeerInfo, message: LeavingNotice): void {
+    const envelope = { from: this.#dependencies.getSelf(), message };
+    void this.#getChannel({ host, port }).call(envelope, CALL_TIMEOUT_MS);
+  }
+
   close(): void {
     this.#server.close();
     for (const socket of this.#acceptedSockets) socket.destroy();
     for (const channel of this.#channels.values()) channel.close();
   }
 
-  async #handleFrame(socket: Socket, { id, body }: Frame): Promise<void> {
+  async #handleFrame(
+    { socket, stopReading }: AcceptedConnection,
+    { id, body }: Frame,
+  ): Promise<void> {
     const envelope = parseEnvelope(body);
     if (envelope.isErr()) {
       const detail = envelope.error;
@@ -126,8 +150,22 @@
       return;
     }
     this.#recordContact(envelope.value.from);
-    const response = await this.#dependencies.handleMessage(envelope.value);
-    writeFrame(socket, { id, body: response });
+    const { from, message } = envelope.value;
+    const { relay, getSelf, handleMessage } = this.#dependencies;
+    switch (message.kind) {
+      case "open_path":
+        stopReading();
+        return await relay.serve(socket, message, (path) => {
+          writeFrame(socket, { id, body: { from: getSelf(), path } });
+        });
+      case "share_leaving":
+        relay.recordLeaving(message);
+        return writeFrame(socket, { id, body: { from: getSelf() } });
+      default: {
+        const response = await handleMessage({ from, message });
+        writeFrame(socket, { id, body: response });
+      }
+    }
   }
 
   #recordContact(info: PeerInfo): void {
@@ -144,8 +182,7 @@
    * Each kind of objects has a channel of its own, so that neither turns nor
    * changes of targets wait behind a large configuration.
    */
-  #getChannel({ host, port }: Address, message: PeerMessage): PeerChannel {
-    const objects = isObjectCall(message) ? message.objects : "";
+  #getChannel({ host, port }: Address, objects = ""): PeerChannel {
     const key = `${host}:${port} ${objects}`;
     const existing = this.#channels.get(key);
     if (existing !== undefined) return existing;
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -12,6 +12,7 @@
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
+import type { PathMessage } from "../paths/path_messages.ts";
 import type { ObservedLimit } from "../limits/permit_home.ts";
 import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
@@ -135,12 +136,15 @@
 }
 
 /** A message with its sender. */
-export interface PeerEnvelope {
+export interface PeerEnvelope<Message = PeerMessage> {
   readonly from: PeerInfo;
-  readonly message: PeerMessage;
+  readonly message: Message;
 }
 
-const MESSAGE_KINDS: readonly PeerMessage["kind"][] = [
+/** What arrives from other gateways. */
+export type ReceivedEnvelope = PeerEnvelope<PeerMessage | PathMessage>;
+
+const MESSAGE_KINDS: readonly (PeerMessage | PathMessage)["kind"][] = [
   "hello",
   "open_turn",
   "close_turn",
@@ -154,17 +158,21 @@
   "report_crash",
   "share_blocked",
   "share_end",
+  "share_leaving",
+  "open_path",
 ];
 
 /** Checks a message. All gateways of an installation run one version. */
-export function parseEnvelope(body: unknown): Result<PeerEnvelope, string> {
-  const envelope = body as Partial<PeerEnvelope> | null | undefined;
+export function parseEnvelope(
+  body: unknown,
+): Result<ReceivedEnvelope, string> {
+  const envelope = body as Partial<ReceivedEnvelope> | null | undefined;
   const kind = envelope?.message?.kind;
   if (!isPeerInfo(envelope?.from)) return err("invalid message sender");
   if (kind === undefined || !MESSAGE_KINDS.includes(kind)) {
     return err(`unknown message kind: ${String(kind)}`);
   }
-  return ok(envelope as PeerEnvelope);
+  return ok(envelope as ReceivedEnvelope);
 }
 
 /** Checks a response. */
--- a/packages/gateway/src/streams/target_verifier_test.ts
+++ b/packages/gateway/src/streams/target_verifier_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { EndedTargets } from "../decisions/ended_targets.ts";
+import { openDirectly } from "@camphorlock/http/exchange";
 import { getIncarnation } from "../decisions/target_table.ts";
 import { TargetConnections } from "../exchange/target_connections.ts";
 import { FakeTarget, IDENTITY_PATH } from "../gateway_fixture_test.ts";
@@ -22,7 +23,7 @@
     target = await fake.start();
     ended = new EndedTargets();
     viewAgeMs = 100;
-    connections = new TargetConnections();
+    connections = new TargetConnections(openDirectly);
     verifier = new TargetVerifier({
       connections,
       codec: {
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -5,9 +5,10 @@
  * that a peer sends after a complete response then arrive on an idle connection
  * and end it, instead of being read as the start of the next response.
  */
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { buildConnector, Client } from "undici";
 import UndiciClient from "undici/lib/dispatcher/client.js";
+import type { OpenedSocket, SocketOpener } from "./open_socket.ts";
 import type { UsedConnections } from "./used_connections.ts";
 
 /** Settings of a pool. */
@@ -20,6 +21,7 @@
   readonly idleMs: number;
   /** Shortest time between a response and the next use of its connection. */
   readonly reuseDelayMs: number;
+  readonly openSocket: SocketOpener;
 }
 
 /** One connection, opened when the first request is sent on it. */
@@ -31,6 +33,8 @@
   readonly hasPeerEnded: () => boolean;
   /** Bytes that the peer has sent on the connection. */
   readonly countBytesRead: () => number;
+  /** Whether another exchange may use the connection. */
+  readonly isUsable: () => boolean;
   /** Called whenever bytes have arrived, before they're parsed. */
   handleBytes: (() => void) | undefined;
   reusableAtMs: number;
@@ -55,6 +59,7 @@
    */
   acquire(fresh: boolean, used?: UsedConnections): PooledConnection {
     if (fresh) return this.#open();
+    this.#removeUnusable();
     const nowMs = performance.now();
     const index = this.#idle.findLastIndex((each) =>
       each.reusableAtMs <= nowMs && used?.has(each) !== true
@@ -70,6 +75,7 @@
   /** Returns a connection to the pool after a complete response. */
   release(connection: PooledConnection): void {
     if (!this.#all.has(connection)) return this.#closeNow(connection);
+    if (!connection.isUsable()) return this.remove(connection);
     connection.reusableAtMs = performance.now() + this.#options.reuseDelayMs;
     connection.isReused = true;
     this.#idle.push(connection);
@@ -104,23 +110,27 @@
     await Promise.allSettled(all.map(({ client }) => client.destroy()));
   }
 
+  #removeUnusable(): void {
+    const unusable = this.#idle.filter((each) => !each.isUsable());
+    if (unusable.length === 0) return;
+    this.#idle = this.#idle.filter((each) => !unusable.includes(each));
+    for (const connection of unusable) this.remove(connection);
+  }
+
   #open(): PooledConnection {
     let failed = false;
-    let peerEnded = false;
-    let current: Socket | undefined;
+    let current: OpenedSocket | undefined;
     const client = new UndiciClient(this.#options.baseUrl, {
       connect: (options, report) => {
-        const socket = openSocket(
-          { host: options.hostname, port: Number(options.port) },
-          this.#options.connectTimeoutMs,
-          report,
-        );
-        current = socket;
-        socket.on("readable", () => connection.handleBytes?.());
-        socket.on("error", () => failed = true);
-        // Data and a reset that arrive together are reported as an end; only a
-        // connection that wasn't reset still has a peer.
-        socket.on("end", () => peerEnded = socket.remoteAddress !== undefined);
+        void this.#connect(options, report).then((opened) => {
+          if (opened === undefined) return;
+          current = opened;
+          failed = false;
+          opened.socket.on("readable", () => connection.handleBytes?.());
+          opened.socket.on("error", () => failed = true);
+          // A stream that reaches the peer otherwise has what is used of it.
+          report(null, opened.socket as Socket);
+        });
       },
       pipelining: 1,
       keepAliveTimeout: this.#options.idleMs,
@@ -128,16 +138,12 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    // A client whose socket has closed reconnects on the next request.
-    client.on("connect", () => {
-      failed = false;
-      peerEnded = false;
-    });
     const connection: PooledConnection = {
       client,
       hasFailed: () => failed,
-      hasPeerEnded: () => peerEnded,
-      countBytesRead: () => current?.bytesRead ?? 0,
+      hasPeerEnded: () => current?.hasPeerEnded() ?? false,
+      countBytesRead: () => current?.countBytesRead() ?? 0,
+      isUsable: () => current?.isUsable() ?? true,
       handleBytes: undefined,
       reusableAtMs: 0,
       isReused: false,
@@ -146,37 +152,26 @@
     return connection;
   }
 
+  /** Opens the socket; undefined after its failure was reported. */
+  async #connect(
+    { hostname, port }: buildConnector.Options,
+    report: buildConnector.Callback,
+  ): Promise<OpenedSocket | undefined> {
+    const { openSocket, connectTimeoutMs } = this.#options;
+    const address = { host: hostname, port: Number(port) };
+    try {
+      return await openSocket(address, connectTimeoutMs);
+    } catch (error) {
+      report(error instanceof Error ? error : new Error(String(error)), null);
+      return undefined;
+    }
+  }
+
   #closeNow(connection: PooledConnection): void {
     connection.client.destroy().catch(handleLastError);
   }
 }
 
-function openSocket(
-  address: { readonly host: string; readonly port: number },
-  timeoutMs: number,
-  report: buildConnector.Callback,
-): Socket {
-  const socket = connect({ ...address, noDelay: true });
-  const timer = setTimeout(
-    () =>
-      socket.destroy(
-        new Error(`no connection established within ${timeoutMs} ms`),
-      ),
-    timeoutMs,
-  );
-  const handleFailure = (error: Error) => {
-    clearTimeout(timer);
-    report(error, null);
-  };
-  socket.once("error", handleFailure);
-  socket.once("connect", () => {
-    clearTimeout(timer);
-    socket.off("error", handleFailure);
-    report(null, socket);
-  });
-  return socket;
-}
-
 function handleLastError(): void {
   // The connection is being discarded, so its last error is irrelevant.
 }
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -9,6 +9,7 @@
  */
 import type { Dispatcher } from "undici";
 import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
+import { openDirectly, type SocketOpener } from "./open_socket.ts";
 import { isDelimited, isFramingExcessive } from "./response_framing.ts";
 import type { UsedConnections } from "./used_connections.ts";
 
@@ -74,6 +75,8 @@
   readonly idleMs?: number;
   /** Shortest time between a response and the next use of its connection. */
   readonly reuseDelayMs?: number;
+  /** Opens the connections; directly if absent. */
+  readonly openSocket?: SocketOpener;
 }
 
 /** The connections to one peer. */
@@ -86,6 +89,7 @@
       connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
       idleMs: options.idleMs ?? KEEP_ALIVE_MS,
       reuseDelayMs: options.reuseDelayMs ?? 0,
+      openSocket: options.openSocket ?? openDirectly,
     });
   }
 
@@ -113,6 +117,11 @@
     return exchange;
   }
 
+  /** Closes the connections without an exchange. */
+  closeIdle(): void {
+    this.#pool.closeIdle();
+  }
+
   /** Accepts no new requests and closes once running exchanges have ended. */
   async closeWhenIdle(): Promise<void> {
     await this.#pool.closeWhenIdle();
--- a/tools/lint/verbs.ts
+++ b/tools/lint/verbs.ts
@@ -99,6 +99,10 @@
   "toString",
   "toJSON",
   "then",
+  "_read",
+  "_write",
+  "_final",
+  "_destroy",
 ];
 
 /** Whether a function may have the name. */
