Relay only while the process keeps up, and record what relays see

From reading the change anew: a relay recorded failures past the part that acts on them, so that it could count as cut off without giving its connections up; it took further work beyond what it kept up with; one slow target had three others probed. A gateway that isn't ready refuses to relay now, silence alone has one target probed, and asking a gateway that is away costs 120 ms.

--- a/packages/gateway/src/decisions/path_monitor.ts
+++ b/packages/gateway/src/decisions/path_monitor.ts
@@ -112,7 +112,8 @@
     if (unreached.length === 0 && !this.#isSilent(nowMs)) return [];
     this.#nextProbeMs = nowMs + DOUBT_PROBE_MS;
     const others = addresses.filter((each) => !unreached.includes(each));
-    return this.#takeNext(others, MIN_UNREACHED);
+    // Silence alone is mostly that of a slow target.
+    return this.#takeNext(others, unreached.length === 0 ? 1 : MIN_UNREACHED);
   }
 
   #isSilent(nowMs: number): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,7 +71,7 @@
   readonly storeCodec: StoreCodec;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  /** Opens the direct connections to targets; tests pass another one. */
+  /** Opens direct connections to targets; tests pass another one. */
   readonly openSocket?: SocketOpener;
 }
 
@@ -115,6 +115,7 @@
       getPeers: () => this.#accounts,
       getSelf: () => this.#buildSelf(),
       isStopping: () => this.#isStopping,
+      isReady: () => this.#readinessState.isReady,
       ended: this.#ended,
       getViewAgeMs,
       onCutOff: () => this.#callers.resumeElsewhere(),
@@ -174,8 +175,7 @@
       log,
       isStopping: () => this.#isStopping,
       hasInitialState: () =>
-        this.#hasJoined &&
-        Number.isFinite(getViewAgeMs()) &&
+        this.#hasJoined && Number.isFinite(getViewAgeMs()) &&
         this.#configuration.isKnown && paths.canReachTargets,
       countTargets: () => this.#targets.size,
     });
--- a/packages/gateway/src/paths/cut_off_gateway_test.ts
+++ b/packages/gateway/src/paths/cut_off_gateway_test.ts
@@ -206,6 +206,7 @@
   it("tells the gateway that relays which targets leave", async () => {
     links.set("refuse");
     await send("/safe/c");
+    await waitUntil(() => listLines("PathsChanged").length > 0);
     for (const target of targets) {
       target.handle = (request, response) => {
         response.setHeader("leaving", "1");
@@ -226,6 +227,7 @@
   it("loses nothing when the gateway that relays is stopped as planned", async () => {
     links.set("refuse");
     await send("/safe/c");
+    await waitUntil(() => listLines("PathsChanged").length > 0);
     for (const target of targets) {
       target.handle = (request, response) => {
         setTimeout(() => sendCompleteResponse(request, response), 1_500);
--- a/packages/gateway/src/paths/path_components.ts
+++ b/packages/gateway/src/paths/path_components.ts
@@ -38,6 +38,7 @@
   };
   readonly getSelf: () => PeerInfo;
   readonly isStopping: () => boolean;
+  readonly isReady: () => boolean;
   /** Called when the direct connections are lost, after they were given up. */
   readonly onCutOff: () => void;
   /** Called when a target has ended with requests of this gateway. */
@@ -94,6 +95,6 @@
     isLeaving: ({ id }) => !targets.isReady(id, performance.now()),
     confirmRefusal: (target) => paths.confirmRefusal(target),
   });
-  const relay = new PathRelay(shared);
+  const relay = new PathRelay({ ...shared, paths });
   return { monitor, paths, relay, connections, verifier, observer };
 }
--- a/packages/gateway/src/paths/path_relay.ts
+++ b/packages/gateway/src/paths/path_relay.ts
@@ -8,14 +8,15 @@
  */
 import type { Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
-import type { OpenedSocket, SocketOpener } from "@camphorlock/http/exchange";
+import type { OpenedSocket } from "@camphorlock/http/exchange";
 import type { ByteBudget } from "../decisions/byte_budget.ts";
 import type { PathMonitor } from "../decisions/path_monitor.ts";
 import type { RelayChoice } from "../decisions/relay_choice.ts";
-import { getAddress, type TargetTable } from "../decisions/target_table.ts";
+import type { TargetTable } from "../decisions/target_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { LeavingNotice, PathAnswer, PathCall } from "./path_messages.ts";
+import { isRefusal, type TargetPaths } from "./target_paths.ts";
 import { encodeBlockLength } from "./relayed_connection.ts";
 
 /** Longest wait for a target; far above the latency between regions. */
@@ -33,10 +34,12 @@
   readonly monitor: PathMonitor;
   readonly choice: RelayChoice;
   readonly targets: TargetTable;
-  readonly openSocket: SocketOpener;
+  readonly paths: Pick<TargetPaths, "openDirectly">;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly isStopping: () => boolean;
+  /** Whether the process keeps up with what it has accepted. */
+  readonly isReady: () => boolean;
 }
 
 /** The relayed connections of one gateway. */
@@ -64,6 +67,7 @@
     call: PathCall,
     send: (answer: PathAnswer) => void,
   ): Promise<void> {
+    const { monitor } = this.#dependencies;
     const refusal = this.#findRefusal(call);
     if (refusal !== undefined) return this.#refuse(near, refusal, send);
     const share = this.#dependencies.bytes.open();
@@ -82,6 +86,7 @@
     this.#dependencies.metrics.add("paths_relayed");
     near.setTimeout(IDLE_MS, () => near.destroy());
     send({ kind: "open", relayed: this.#open });
+    far.socket.on("data", () => monitor.recordContact(performance.now()));
     connectSockets(near, far);
   }
 
@@ -96,10 +101,12 @@
   #findRefusal(
     { targetId, startedAtMs }: PathCall,
   ): PathAnswer | undefined {
-    const { monitor, targets, isStopping } = this.#dependencies;
+    const { monitor, targets, isStopping, isReady } = this.#dependencies;
     if (isStopping()) return this.#buildUnavailable("leaving");
     if (monitor.state === "cut_off") return this.#buildUnavailable("cut_off");
-    if (this.#open >= MAX_CONNECTIONS) return this.#buildUnavailable("busy");
+    if (this.#open >= MAX_CONNECTIONS || !isReady()) {
+      return this.#buildUnavailable("busy");
+    }
     const found = targets.find(targetId);
     return found?.target.startedAtMs === startedAtMs &&
         targets.isReady(targetId, performance.now())
@@ -108,22 +115,15 @@
   }
 
   async #connect({ targetId }: PathCall): Promise<OpenedSocket | PathAnswer> {
-    const { targets, monitor, openSocket } = this.#dependencies;
+    const { targets, monitor, paths } = this.#dependencies;
     const target = targets.find(targetId)?.target;
     if (target === undefined) return { kind: "target_unusable" };
-    const address = getAddress(target);
-    try {
-      const far = await openSocket(target, CONNECT_TIMEOUT_MS);
-      monitor.recordConnected(address, performance.now());
-      return far;
-    } catch (error) {
-      monitor.recordUnreached(address, performance.now(), targets.size);
-      if (monitor.state === "cut_off") return this.#buildUnavailable("cut_off");
-      const { code } = error as NodeJS.ErrnoException;
-      return code === "ECONNREFUSED"
-        ? { kind: "target_refuses" }
-        : { kind: "target_silent" };
-    }
+    const far = await paths.openDirectly(target, CONNECT_TIMEOUT_MS);
+    if ("socket" in far) return far;
+    if (monitor.state === "cut_off") return this.#buildUnavailable("cut_off");
+    return isRefusal(far.error)
+      ? { kind: "target_refuses" }
+      : { kind: "target_silent" };
   }
 
   #buildUnavailable(reason: "cut_off" | "busy" | "leaving"): PathAnswer {
--- a/packages/gateway/src/paths/path_relay_test.ts
+++ b/packages/gateway/src/paths/path_relay_test.ts
@@ -14,6 +14,7 @@
 import { isPathCall, type PathAnswer } from "./path_messages.ts";
 import { PathRelay } from "./path_relay.ts";
 import { RelayClient, type RelayResult } from "./relay_client.ts";
+import { TargetPaths } from "./target_paths.ts";
 
 const BUDGET_BYTES = 10 * 32_768;
 
@@ -29,9 +30,11 @@
   let targetSockets: Socket[];
   let relaySockets: Socket[];
   let isStopping: boolean;
+  let isReady: boolean;
 
   beforeEach(async () => {
     isStopping = false;
+    isReady = true;
     targetSockets = [];
     relaySockets = [];
     targetServer = createServer((socket) => {
@@ -54,16 +57,29 @@
     targets = new TargetTable();
     targets.set(target);
     const metrics = new GatewayMetrics();
+    const log = new GatewayLog({ write: (_text, end) => end() }, "g2");
     const choice = new RelayChoice({ vmId: "g2", region: "north" });
     relay = new PathRelay({
       bytes: budget,
       monitor,
       choice,
       targets,
-      openSocket: openDirectly,
-      log: new GatewayLog({ write: (_text, end) => end() }, "g2"),
+      paths: new TargetPaths({
+        monitor,
+        targets,
+        log,
+        metrics,
+        openSocket: openDirectly,
+        relays: {
+          open: () => Promise.resolve({ kind: "no_relay", others: 0 }),
+          reportLeaving: () => {},
+        },
+        onCutOff: () => {},
+      }),
+      log,
       metrics,
       isStopping: () => isStopping,
+      isReady: () => isReady,
     });
     relayServer = createServer((socket) => {
       relaySockets.push(socket);
@@ -164,7 +180,7 @@
     expect(budget.usedBytes).to.equal(0);
   });
 
-  it("refuses while it's cut off itself, and while it stops", async () => {
+  it("refuses while it's cut off itself, stops, or doesn't keep up", async () => {
     for (const address of ["a:1", "b:1", "c:1"]) {
       monitor.recordUnreached(address, performance.now(), 3);
     }
@@ -173,6 +189,10 @@
     await new Promise((resolve) => setTimeout(resolve, 1_100));
     isStopping = true;
     expect((await client.open(target)).kind).to.equal("no_relay");
+    isStopping = false;
+    await new Promise((resolve) => setTimeout(resolve, 1_100));
+    isReady = false;
+    expect((await client.open(target)).kind).to.equal("no_relay");
   });
 
   it("connects to registered targets only, of the named start", async () => {
--- a/packages/gateway/src/paths/relay_client.ts
+++ b/packages/gateway/src/paths/relay_client.ts
@@ -17,7 +17,9 @@
 
 /** Gateways that are asked for one connection, one after another. */
 const MAX_TRIES = 6;
-/** Longest wait for one of them, which may wait for the target itself. */
+/** Longest wait for a connection to one of them. */
+const CONNECT_TIMEOUT_MS = 120;
+/** Longest wait for its answer, for which it may wait for the target itself. */
 const TRY_TIMEOUT_MS = 400;
 /** Longest wait for all of them. */
 const TOTAL_TIMEOUT_MS = 800;
@@ -154,6 +156,10 @@
       }
     };
     const timer = setTimeout(handleClose, TRY_TIMEOUT_MS);
+    setTimeout(
+      () => setImmediate(() => socket.connecting && handleClose()),
+      CONNECT_TIMEOUT_MS,
+    );
     socket.on("data", handleData);
     socket.on("close", handleClose);
     // The `close` event follows.
--- a/packages/gateway/src/paths/target_paths.ts
+++ b/packages/gateway/src/paths/target_paths.ts
@@ -36,6 +36,11 @@
   readonly onCutOff: () => void;
 }
 
+/** Why a direct connection wasn't opened. */
+export interface FailedOpening {
+  readonly error: Error;
+}
+
 /** The ways to all targets. */
 export class TargetPaths {
   readonly #dependencies: TargetPathsDependencies;
@@ -63,9 +68,11 @@
   /** Opens a connection; rejects if there's none within `timeoutMs`. */
   async open(target: Target, timeoutMs: number): Promise<OpenedSocket> {
     if (!this.isDirect(target)) return await this.#openRelayed(target);
-    const direct = this.#openDirectly(target, timeoutMs);
+    const direct = this.openDirectly(target, timeoutMs);
     const first = await Promise.race([direct, waitToTryRelay()]);
-    if (first !== undefined && "socket" in first) return first;
+    if (first !== undefined && "socket" in first) {
+      return this.#watchContact(first);
+    }
     const relayed = await this.#callRelays(target);
     if (relayed.kind === "open") {
       // A direct connection that comes late isn't needed any more.
@@ -73,10 +80,39 @@
       return this.#buildRelayed(target, relayed.opened);
     }
     const opened = await direct;
-    if ("socket" in opened) return opened;
+    if ("socket" in opened) return this.#watchContact(opened);
     throw opened.error;
   }
 
+  /** Opens a direct connection, and records what that shows. Never rejects. */
+  async openDirectly(
+    target: Target,
+    timeoutMs: number,
+  ): Promise<OpenedSocket | FailedOpening> {
+    const { monitor, openSocket, targets } = this.#dependencies;
+    const address = getAddress(target);
+    const generation = this.#generation;
+    try {
+      const opened = await openSocket(target, timeoutMs);
+      if (monitor.recordConnected(address, performance.now())) {
+        this.#recordState(address);
+      }
+      return { ...opened, isUsable: () => generation === this.#generation };
+    } catch (caught) {
+      const error = caught instanceof Error
+        ? caught
+        : new Error(String(caught));
+      const nowMs = performance.now();
+      if (monitor.recordUnreached(address, nowMs, targets.size)) {
+        this.#generation += 1;
+        this.#hasRelay = true;
+        this.#recordState(error.message);
+        this.#dependencies.onCutOff();
+      }
+      return { error };
+    }
+  }
+
   /**
    * Whether a target that refuses this gateway's connections refuses another
    * one's, too, so that its process has ended.
@@ -124,7 +160,7 @@
   }
 
   async #probe(target: Target): Promise<void> {
-    const opened = await this.#openDirectly(target, PROBE_TIMEOUT_MS);
+    const opened = await this.openDirectly(target, PROBE_TIMEOUT_MS);
     if ("socket" in opened) opened.socket.destroy();
   }
 
@@ -148,6 +184,16 @@
     throw new Error(`no connection through another gateway: ${result.kind}`);
   }
 
+  /** Records whatever arrives on a direct connection. */
+  #watchContact(opened: OpenedSocket): OpenedSocket {
+    const { monitor } = this.#dependencies;
+    opened.socket.on(
+      "readable",
+      () => monitor.recordContact(performance.now()),
+    );
+    return opened;
+  }
+
   /** A relayed connection isn't used again once there's a shorter way. */
   #buildRelayed(target: Target, opened: OpenedSocket): OpenedSocket {
     return {
@@ -168,39 +214,6 @@
     return result;
   }
 
-  /** Opens a direct connection, and records what that shows. */
-  async #openDirectly(
-    target: Target,
-    timeoutMs: number,
-  ): Promise<OpenedSocket | { readonly error: Error; readonly code: string }> {
-    const { monitor, openSocket, targets } = this.#dependencies;
-    const address = getAddress(target);
-    const generation = this.#generation;
-    try {
-      const opened = await openSocket(target, timeoutMs);
-      if (monitor.recordConnected(address, performance.now())) {
-        this.#recordState(address);
-      }
-      opened.socket.on(
-        "readable",
-        () => monitor.recordContact(performance.now()),
-      );
-      return { ...opened, isUsable: () => generation === this.#generation };
-    } catch (caught) {
-      const error = caught instanceof Error
-        ? caught
-        : new Error(String(caught));
-      const nowMs = performance.now();
-      if (monitor.recordUnreached(address, nowMs, targets.size)) {
-        this.#generation += 1;
-        this.#hasRelay = true;
-        this.#recordState(error.message);
-        this.#dependencies.onCutOff();
-      }
-      return { error, code: (error as NodeJS.ErrnoException).code ?? "" };
-    }
-  }
-
   #recordState(detail: string): void {
     const { monitor, log } = this.#dependencies;
     log.write(EVENTS.PathsChanged, {
@@ -218,6 +231,11 @@
 
 function waitToTryRelay(): Promise<undefined> {
   return new Promise((resolve) =>
-    setTimeout(() => resolve(undefined), TRY_RELAY_AFTER_MS)
+    // After a pause of this process, a connection may be established and its
+    // event still due.
+    setTimeout(
+      () => setImmediate(() => resolve(undefined)),
+      TRY_RELAY_AFTER_MS,
+    )
   );
 }
