Keep quiet relayed connections, and list targets only when a probe is due

From reading the change: a relayed call without a byte for 30 s was cut, which would end a slow call on a route that allows more; lost gateways are found by keep-alive instead. Ten times a second the addresses of all targets were listed, 12,000 at the size to design for, although nothing was in doubt.

--- a/packages/gateway/src/decisions/path_monitor.ts
+++ b/packages/gateway/src/decisions/path_monitor.ts
@@ -101,15 +101,21 @@
     return true;
   }
 
+  /** Whether it has to be found out now which targets are reached. */
+  needsProbe(nowMs: number): boolean {
+    if (nowMs < this.#nextProbeMs) return false;
+    return this.#state === "cut_off" || this.#isSilent(nowMs) ||
+      this.unreached.length > 0;
+  }
+
   /** Plans which of the targets' addresses to connect to now, to find out. */
   planProbes(addresses: readonly string[], nowMs: number): string[] {
-    if (nowMs < this.#nextProbeMs || addresses.length === 0) return [];
+    if (!this.needsProbe(nowMs)) return [];
     if (this.#state === "cut_off") {
       this.#nextProbeMs = nowMs + CUT_OFF_PROBE_MS;
       return this.#takeNext(addresses, 1);
     }
     const unreached = this.unreached;
-    if (unreached.length === 0 && !this.#isSilent(nowMs)) return [];
     this.#nextProbeMs = nowMs + DOUBT_PROBE_MS;
     const others = addresses.filter((each) => !unreached.includes(each));
     // Silence alone is mostly that of a slow target.
--- a/packages/gateway/src/paths/path_relay.ts
+++ b/packages/gateway/src/paths/path_relay.ts
@@ -25,8 +25,10 @@
 const CONNECTION_BYTES = 32_768;
 /** Connections beyond which others are refused; each takes two descriptors. */
 const MAX_CONNECTIONS = 512;
-/** A connection without any byte for this long has been forgotten. */
-const IDLE_MS = 30_000;
+/** Longer than any request waits for its first byte. */
+const IDLE_MS = 600_000;
+/** Finds gateways that were lost without closing their connections. */
+const KEEP_ALIVE_MS = 5_000;
 
 /** Dependencies of the relay. */
 export interface PathRelayDependencies {
@@ -85,6 +87,7 @@
     this.#wasRefused = false;
     this.#dependencies.metrics.add("paths_relayed");
     near.setTimeout(IDLE_MS, () => near.destroy());
+    near.setKeepAlive(true, KEEP_ALIVE_MS);
     send({ kind: "open", relayed: this.#open });
     far.socket.on("data", () => monitor.recordContact(performance.now()));
     connectSockets(near, far);
--- a/packages/gateway/src/paths/target_paths.ts
+++ b/packages/gateway/src/paths/target_paths.ts
@@ -143,20 +143,22 @@
 
   /** Finds out which ways work, while that isn't known. */
   runDue(nowMs: number): void {
+    if (this.#dependencies.monitor.needsProbe(nowMs)) this.#probeTargets(nowMs);
+    if (this.canReachTargets || this.#isSearching) return;
+    if (nowMs < this.#nextSearchMs) return;
+    this.#nextSearchMs = nowMs + SEARCH_MS;
+    void this.#probeRelays();
+  }
+
+  #probeTargets(nowMs: number): void {
     const { monitor, targets } = this.#dependencies;
-    const all = targets.listAll();
-    const byAddress = new Map(all.map((each) => [getAddress(each), each]));
+    const byAddress = new Map(
+      targets.listAll().map((each) => [getAddress(each), each]),
+    );
     for (const address of monitor.planProbes([...byAddress.keys()], nowMs)) {
       const target = byAddress.get(address);
       if (target !== undefined) void this.#probe(target);
     }
-    const [any] = all;
-    if (monitor.state === "direct" || this.#hasRelay || any === undefined) {
-      return;
-    }
-    if (nowMs < this.#nextSearchMs || this.#isSearching) return;
-    this.#nextSearchMs = nowMs + SEARCH_MS;
-    void this.#probeRelays(all);
   }
 
   async #probe(target: Target): Promise<void> {
@@ -165,10 +167,10 @@
   }
 
   /** Looks for a gateway that relays, without a caller who waits for it. */
-  async #probeRelays(targets: readonly Target[]): Promise<void> {
+  async #probeRelays(): Promise<void> {
     this.#isSearching = true;
-    const at = Math.floor(Math.random() * targets.length);
-    const target = targets[at];
+    const targets = this.#dependencies.targets.listAll();
+    const target = targets[Math.floor(Math.random() * targets.length)];
     const result = target === undefined
       ? undefined
       : await this.#callRelays(target);
