--- a/packages/gateway/src/paths/path_relay.ts
+++ b/packages/gateway/src/paths/path_relay.ts
@@ -3,8 +3,8 @@
  * this one reaches. It passes bytes on and decides nothing about requests.
  *
  * The load: a few gateways relay for most of the installation, beside their own
- * callers. What relays may hold is a part of the process's bytes, so that they
- * can't take the callers' part.
+ * callers. What a relayed connection holds comes out of the process's bytes, as
+ * the callers' requests do, and their number has a limit.
  */
 import type { Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
