--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -11,4 +11,5 @@
 export * from "./src/model/request_fields.ts";
 export * from "./src/model/routing.ts";
 export * from "./src/model/target.ts";
+export * from "./src/model/tenant.ts";
 export * from "./src/turns/disk_vm.ts";
--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -12,6 +12,10 @@
  */
 import { computeHash } from "@camphorlock/scheduler/hash";
 import type { PromptPart } from "../model/request_fields.ts";
+import type {
+  PlacementChoice,
+  WorkEstimate,
+} from "../placement/work_estimate.ts";
 import type { TrackedTarget } from "./target_table.ts";
 
 /** Prompt tokens that an engine prefills per ms; engines vary little. */
@@ -48,6 +52,15 @@
   readonly vmId: string;
 }
 
+/** Chooses a target and estimates the cost of the request there. */
+export function placeRequest(
+  targets: readonly TrackedTarget[],
+  request: PlacementRequest,
+): PlacementChoice | undefined {
+  const entry = chooseTarget(targets, request);
+  return entry && { entry, estimate: estimateWork(entry, request) };
+}
+
 /** Chooses among targets that accept work; undefined if all are excluded. */
 export function chooseTarget(
   targets: readonly TrackedTarget[],
@@ -79,20 +92,37 @@
   candidate: TrackedTarget,
   request: PlacementRequest,
 ): number {
-  const { target, running, crashCandidates, prefixes } = candidate;
+  const { running, crashCandidates } = candidate;
   const unwanted = request.isCrashCandidate === true
     ? running
     : crashCandidates;
+  return estimateWork(candidate, request).totalMs +
+    unwanted * CRASH_CANDIDATE_COST_MS;
+}
+
+function estimateWork(
+  candidate: TrackedTarget,
+  request: PlacementRequest,
+): WorkEstimate {
+  const { target, running, prefixes } = candidate;
   const queued = Math.max(0, running + 1 - Math.max(1, target.slots));
   // Another gateway may have sent the conversation so far to this target.
   const uncached = target.id === request.previousTargetId
     ? 0
     : prefixes.countUncached(request.prompt);
-  return uncached / PREFILL_TOKENS_PER_MS +
-    running * RUNNING_REQUEST_COST_MS + queued * QUEUED_REQUEST_COST_MS +
-    candidate.computeQueueDelayMs(request.nowMs) +
-    unwanted * CRASH_CANDIDATE_COST_MS +
-    computeNetworkCostMs(target.failureDomain, request);
+  const waitMs = running * RUNNING_REQUEST_COST_MS +
+    queued * QUEUED_REQUEST_COST_MS +
+    candidate.computeQueueDelayMs(request.nowMs);
+  const readMs = uncached / PREFILL_TOKENS_PER_MS;
+  const networkMs = computeNetworkCostMs(target.failureDomain, request);
+  return {
+    waitMs,
+    readMs,
+    runMs: 0,
+    networkMs,
+    totalMs: waitMs + readMs + networkMs,
+    tokens: 0,
+  };
 }
 
 function computeTieBreak(
--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -20,6 +20,7 @@
     timeoutMs: 1_000,
     targetLatencyMs: 100,
     priority: 0,
+    isPublic: false,
     retentionMs: undefined,
     maxTargets: 1,
     services: [{ service: "s", weight: 1 }],
@@ -56,6 +57,7 @@
       headerTimeoutMs: 1,
       idleTimeoutMs: 1,
     },
+    tenants: undefined,
   };
   const table = new RouteTable(configuration);
 
--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -1,8 +1,9 @@
 /**
  * Chooses the target of a request's next attempt.
  */
-import { chooseTarget } from "../decisions/choose_target.ts";
+import { placeRequest } from "../decisions/choose_target.ts";
 import { getAddress, type TrackedTarget } from "../decisions/target_table.ts";
+import type { PlacementChoice } from "../placement/work_estimate.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
 import type { RequestAttempts } from "./request_attempts.ts";
 import type { RequestReport } from "./request_end.ts";
@@ -33,7 +34,7 @@
     "targets" | "placement" | "permits"
   >,
   options: NextTargetOptions,
-): TrackedTarget | undefined {
+): PlacementChoice | undefined {
   const { accepted, sends, service, previousTargetId, onlyRunners } = options;
   const nowMs = performance.now();
   const ready = sends.start
@@ -44,7 +45,7 @@
       (!onlyRunners || sends.isPossibleRunner(target.id))
     );
   const { prompt, affinityKey } = accepted.fields;
-  return chooseTarget(ready, {
+  return placeRequest(ready, {
     ...placement,
     prompt,
     affinityKey,
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -12,6 +12,7 @@
 import type { Fingerprint } from "../model/request_fingerprint.ts";
 import type { RequestFields } from "../model/request_fields.ts";
 import type { Route } from "../model/routing.ts";
+import type { Tenant } from "../model/tenant.ts";
 import type { TargetResponse } from "./buffered_attempt.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
@@ -42,6 +43,8 @@
   readonly caller: CallerExchange;
   readonly fields: RequestFields;
   readonly route: Route;
+  /** Undefined where callers need no key. */
+  readonly tenant: Tenant | undefined;
   readonly body: Buffer;
   /** Identifies what the request asks for, over all attempts at it. */
   readonly fingerprint: Fingerprint;
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -132,13 +132,13 @@
       if (!this.#dependencies.ways.paths.canReachTargets) {
         return buildCutOffOutcome(this.#attempts.mayHaveRun);
       }
-      const entry = chooseNextTarget(this.#dependencies, {
+      const choice = chooseNextTarget(this.#dependencies, {
         ...this.#buildReport(),
         previousTargetId: this.#state.turn?.previousTargetId,
         onlyRunners,
         avoidedAddress: this.#blocks.findTrial()?.address,
       });
-      if (entry === undefined) {
+      if (choice === undefined) {
         if (!hasUsableTarget(this.#dependencies, this.#buildReport())) {
           return buildVersionGoneOutcome(this.#attempts.mayHaveRun);
         }
@@ -147,6 +147,7 @@
         this.#attempts.excluded.clear();
         continue;
       }
+      const { entry } = choice;
       const isAcquired = await acquireTarget(
         this.#dependencies,
         this.#attempts,
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -218,6 +218,7 @@
       caller,
       fields,
       route,
+      tenant: undefined,
       body,
       fingerprint: computeFingerprint({
         method: request.method,
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -38,11 +38,16 @@
       requestId: id,
       deadlineMs: Number(headers["deadline"] ?? 5_000),
       programId,
+      sessionId: undefined,
+      key: headers["key"] as string | undefined,
       programLeftMs: undefined,
       budget: budget === undefined || programId === undefined
         ? undefined
         : { programId, budgetTokens: Number(budget), turnTokens: Number(turn) },
       prompt: [],
+      promptTokens: undefined,
+      maxOutputTokens: undefined,
+      outputHint: undefined,
       previousTurnId: headers["previous"] as string | undefined,
       affinityKey: headers["object"] as string | undefined,
       resumeAfter: Number(headers["last-event"] ?? 0),
@@ -93,6 +98,7 @@
     timeoutMs: 600,
     targetLatencyMs: 100,
     priority: 0,
+    isPublic: false,
     maxTargets: 1,
     isResumable: false,
     retentionMs: undefined,
@@ -125,7 +131,12 @@
       },
     ],
     services: new Map([
-      ["s", { name: "s", maxConnections: 100, tokensPerEvent: 10 }],
+      ["s", {
+        name: "s",
+        maxConnections: 100,
+        tokensPerEvent: 10,
+        memoryTokens: undefined,
+      }],
     ]),
     limits: {
       maxHeaderBytes: 16_384,
@@ -133,6 +144,7 @@
       headerTimeoutMs: 1_000,
       idleTimeoutMs: 2_000,
     },
+    tenants: undefined,
   };
 }
 
@@ -288,10 +300,13 @@
       metrics: undefined,
       tolerance: { disks: 1, failureDomains: 0, regions: 0 },
       memoryBytes: 200_000_000,
+      maxDescriptors: 4_000,
+      quota: undefined,
       bounds: {
         configurationMs: 2_500,
         drainMs: 2_500,
         graceMs: 4_000,
+        revocationMs: undefined,
       },
       ...change,
     };
--- a/packages/gateway/src/model/request_fields.ts
+++ b/packages/gateway/src/model/request_fields.ts
@@ -24,10 +24,20 @@
   /** How long the caller waits, from the moment it sent the request. */
   readonly deadlineMs: number | undefined;
   readonly programId: string | undefined;
+  /** Names the line of turns within the program. */
+  readonly sessionId: string | undefined;
+  /** The caller's key; it never reaches a target where tenants have keys. */
+  readonly key: string | undefined;
   /** Time left until the program's objective. */
   readonly programLeftMs: number | undefined;
   readonly budget: TokenBudget | undefined;
   readonly prompt: readonly PromptPart[];
+  /** Tokens of the whole prompt, as the caller counts them. */
+  readonly promptTokens: number | undefined;
+  /** Maximum tokens that the request generates. */
+  readonly maxOutputTokens: number | undefined;
+  /** The caller's estimate of the generated tokens, often far off. */
+  readonly outputHint: number | undefined;
   /** The kept turn that this turn continues. */
   readonly previousTurnId: string | undefined;
   /** Names the object that the request is about; the same target is faster. */
--- a/packages/gateway/src/model/routing.ts
+++ b/packages/gateway/src/model/routing.ts
@@ -2,6 +2,7 @@
  * The routes, services and limits of the configuration in force, as the gateway
  * uses them.
  */
+import type { TenantEntry } from "./tenant.ts";
 
 /**
  * Whether requests of a route may be repeated. A `non_idempotent` request runs
@@ -30,6 +31,8 @@
   readonly targetLatencyMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether requests need no key where tenants are configured. */
+  readonly isPublic: boolean;
   /** Maximum number of targets that may run one request. */
   readonly maxTargets: number;
   /**
@@ -48,6 +51,8 @@
   readonly maxConnections: number;
   /** Tokens that one event of a stream represents; 0 for plain services. */
   readonly tokensPerEvent: number;
+  /** Tokens that the memory of each target holds; undefined if not stated. */
+  readonly memoryTokens: number | undefined;
 }
 
 /** Limits on the size and duration of callers' requests. */
@@ -64,4 +69,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   readonly limits: CallerLimits;
+  /** Undefined where callers need no keys. */
+  readonly tenants: readonly TenantEntry[] | undefined;
 }
--- a/packages/gateway/src/planned_stop_test.ts
+++ b/packages/gateway/src/planned_stop_test.ts
@@ -26,7 +26,12 @@
     setTimeouts(1, ROUTE_TIMEOUT_MS);
     target = await fixture.addTarget("t1");
     await fixture.addGateway("g1", {
-      bounds: { configurationMs: 2_500, drainMs: 2_500, graceMs: GRACE_MS },
+      bounds: {
+        configurationMs: 2_500,
+        drainMs: 2_500,
+        graceMs: GRACE_MS,
+        revocationMs: undefined,
+      },
     });
     port = fixture.ports[0] ?? 0;
   });
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -173,6 +173,21 @@
   readonly drainMs: number;
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: number;
+  /**
+   * Time after which a key that was taken away must not be accepted anywhere,
+   * whatever a gateway knows; undefined where that isn't asked for.
+   */
+  readonly revocationMs: number | undefined;
+}
+
+/** How far a tenant's requests may exceed its quota, over all gateways. */
+export interface QuotaBounds {
+  /** Any span of this length counts. */
+  readonly windowMs: number;
+  /** Share by which the requests of a window may exceed the quota. */
+  readonly overrun: number;
+  /** Requests of a window beyond that. */
+  readonly slack: number;
 }
 
 /** Settings of a gateway process, fixed at its start. */
@@ -194,6 +209,10 @@
   readonly tolerance: LossTolerance;
   /** Memory that the process may use before the platform ends it. */
   readonly memoryBytes: number;
+  /** File descriptors that the process may use for sockets. */
+  readonly maxDescriptors: number;
+  /** Undefined where no quota has to hold. */
+  readonly quota: QuotaBounds | undefined;
 }
 
 /** A TCP address. */
--- a/packages/gateway/src/store/watch_simulation_test.ts
+++ b/packages/gateway/src/store/watch_simulation_test.ts
@@ -151,7 +151,12 @@
     const store = this.#store.connect(info.vmId);
     const settings = {
       vmId: info.vmId,
-      bounds: { configurationMs: boundMs, drainMs: boundMs, graceMs: 0 },
+      bounds: {
+        configurationMs: boundMs,
+        drainMs: boundMs,
+        graceMs: 0,
+        revocationMs: undefined,
+      },
     };
     const source = buildObjectSource({
       settings,
