--- a/packages/gateway/src/decisions/choose_target.ts
+++ b/packages/gateway/src/decisions/choose_target.ts
@@ -58,7 +58,7 @@
   request: PlacementRequest,
 ): PlacementChoice | undefined {
   const entry = chooseTarget(targets, request);
-  return entry && { entry, estimate: estimateWork(entry, request) };
+  return entry && { entry, estimate: computeEstimate(entry, request) };
 }
 
 /** Chooses among targets that accept work; undefined if all are excluded. */
@@ -96,11 +96,11 @@
   const unwanted = request.isCrashCandidate === true
     ? running
     : crashCandidates;
-  return estimateWork(candidate, request).totalMs +
+  return computeEstimate(candidate, request).totalMs +
     unwanted * CRASH_CANDIDATE_COST_MS;
 }
 
-function estimateWork(
+function computeEstimate(
   candidate: TrackedTarget,
   request: PlacementRequest,
 ): WorkEstimate {
