Hold reads of the store back while its calls fail

A breaker lets one read through at a time after two failures, sooner at the two gateways of a region that the others copy from. Writes and reads of token accounts pass.

--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./src/gateway.ts";
 export * from "./src/gateway_metrics.ts";
+export * from "./src/gateway_options.ts";
 export * from "./src/log.ts";
 export * from "./src/ports.ts";
 export * from "./src/retirement/retirement_reporter.ts";
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -152,6 +152,11 @@
     return relays;
   }
 
+  /** Finds this gateway's own rank as a relay in its region; 0 is the best. */
+  findRelayRank(): number {
+    return this.sortRelays().findIndex(({ vmId }) => vmId === this.#self.vmId);
+  }
+
   /** Sorts the region's gateways by their rank as relays, best first. */
   sortRelays(): PeerInfo[] {
     return this.#sortLive("relay");
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,6 @@
 import { randomUUID } from "node:crypto";
 import { setTimeout as waitFor } from "node:timers/promises";
 import { EVENTS } from "@camphorlock/codes/events";
-import type { SocketOpener } from "@camphorlock/http/exchange";
 import { TimerService } from "@camphorlock/scheduler/timers";
 import {
   type AccountComponents,
@@ -24,20 +23,13 @@
   ReadinessState,
 } from "./front/readiness_state.ts";
 import { StatusServers } from "./front/status_servers.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewayOptions } from "./gateway_options.ts";
 import {
   buildPathComponents,
   type PathComponents,
 } from "./paths/path_components.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
-import type { GatewayLog } from "./log.ts";
-import type {
-  GatewaySettings,
-  ObjectStore,
-  RequestCodec,
-  StoreCodec,
-} from "./ports.ts";
 import {
   buildObjectSource,
   computeRenewalMs,
@@ -47,7 +39,10 @@
   buildTurnComponents,
   type TurnComponents,
 } from "./turns/turn_components.ts";
-import { CountedStore } from "./store/counted_store.ts";
+import {
+  buildGatewayStores,
+  type GatewayStores,
+} from "./store/guarded_store.ts";
 import { StreamVersions } from "./streams/stream_versions.ts";
 import { Watchers } from "./store/watchers.ts";
 import {
@@ -63,22 +58,10 @@
 /** Reserved at the end of the grace period to send the last responses. */
 const GRACE_MARGIN_MS = 400;
 
-/** Settings and dependencies of a gateway. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly store: ObjectStore;
-  readonly requestCodec: RequestCodec;
-  readonly storeCodec: StoreCodec;
-  readonly log: GatewayLog;
-  readonly metrics: GatewayMetrics;
-  /** Opens direct connections to targets; tests pass another one. */
-  readonly openSocket?: SocketOpener;
-}
-
 /** One gateway process. */
 export class Gateway {
   readonly #options: GatewayOptions;
-  readonly #store: CountedStore;
+  readonly #stores: GatewayStores;
   readonly #targets = new TargetTable();
   readonly #ways: PathComponents;
   readonly #permits: TargetPermits;
@@ -102,7 +85,11 @@
   #hasJoined = false;
 
   constructor(given: GatewayOptions) {
-    const store = this.#store = new CountedStore(given.store);
+    this.#stores = buildGatewayStores(
+      given.store,
+      () => this.#accounts.directory.findRelayRank(),
+    );
+    const { guarded: store } = this.#stores;
     const options = this.#options = { ...given, store };
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
@@ -223,7 +210,7 @@
       ...this.#accounts,
       log,
       metrics: this.#options.metrics,
-      store: this.#store,
+      store: this.#stores.counted,
       targets: this.#observedTargets,
       watchers: this.#watchers,
       permits: this.#permits,
@@ -238,10 +225,8 @@
     void this.#accounts.group.open().then(() => this.#hasJoined = true);
     await addresses.serve(() => this.#callers.serve(settings.callers));
     await this.#statusServers.serve(settings, addresses);
-    this.#metricsTimer = setTimeout(
-      () => void this.#options.metrics.load(),
-      LOAD_METRICS_AFTER_MS,
-    );
+    const loadMetrics = () => void this.#options.metrics.load();
+    this.#metricsTimer = setTimeout(loadMetrics, LOAD_METRICS_AFTER_MS);
     log.write(EVENTS.GatewayStarted, {
       address: `${settings.callers.host}:${settings.callers.port}`,
       failure_domain: settings.failureDomain,
@@ -283,7 +268,7 @@
     this.#accounts.links.close();
     this.#turns.links.close();
     await this.#ways.connections.close();
-    await this.#store.close();
+    await this.#stores.guarded.close();
     this.#options.log.flush();
   }
 
