Send gateways only the kinds of messages that their builds know

Builds run side by side while VMs are replaced, and a build of version 1 closes the connection on a kind that it doesn't know, which ends every call in flight there. Entries state the protocol version; homes can be chosen among the gateways that know a kind; an unknown kind is answered with an error and leaves the connection open. take_credits is the first new kind; nothing sends it yet.

--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -27,6 +27,7 @@
   readonly metrics: GatewayMetrics;
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
+  readonly answerCreditCall: PeerGroupDependencies["answerCreditCall"];
   readonly relay: PathRelay;
   readonly blocked: BlockedRequests;
   readonly keptBlocks: KeptBlocks;
@@ -77,7 +78,7 @@
   links: Pick<PeerLinks, "call" | "callAddress">,
 ): TokenAccounting {
   const { settings, log, metrics, store, getSelf } = options;
-  const { findCache, answerPermitCall } = options;
+  const { findCache, answerPermitCall, answerCreditCall } = options;
   const { blocked, keptBlocks, onBlocked, ended } = options;
   const accounts = new TokenAccounts();
   const shared = { directory, links, accounts, log, self: getSelf() };
@@ -112,6 +113,7 @@
     getSelf,
     findCache,
     answerPermitCall,
+    answerCreditCall,
   });
   const { joined } = group;
   const turns = new TurnAccounts({ ...shared, home, handover, joined });
--- a/packages/gateway/src/accounts/account_simulation_test.ts
+++ b/packages/gateway/src/accounts/account_simulation_test.ts
@@ -4,7 +4,7 @@
 import { encodeShardTable, type ShardTable } from "../decisions/shard_table.ts";
 import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
-import { buildPeer } from "../peer_fixture_test.ts";
+import { buildPeer, NO_LIMITS } from "../peer_fixture_test.ts";
 import type { PeerMessage, PeerResponse } from "../peers/peer_messages.ts";
 import type {
   ObjectKind,
@@ -248,7 +248,7 @@
         getSelf: () => info,
         findCache: () => undefined,
         ...NO_CRASHES,
-        answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
+        ...NO_LIMITS,
       },
       directory,
       {
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -5,7 +5,7 @@
 import { FakeStore } from "../fake_store_test.ts";
 import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
-import { buildPeer } from "../peer_fixture_test.ts";
+import { buildPeer, NO_LIMITS } from "../peer_fixture_test.ts";
 import type { PeerMessage, PeerResponse } from "../peers/peer_messages.ts";
 import {
   buildTokenAccounting,
@@ -102,7 +102,7 @@
         getSelf: () => info,
         findCache: () => undefined,
         ...NO_CRASHES,
-        answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
+        ...NO_LIMITS,
       },
       directory,
       {
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -6,6 +6,10 @@
  * that the turns of the program are mostly counted at one home.
  */
 import { computeHash } from "@camphorlock/scheduler/hash";
+import {
+  filterReceivers,
+  type MessageKind,
+} from "../peers/protocol_version.ts";
 
 /** Homes that are called for a turn, one after another. */
 const HOME_COUNT = 2;
@@ -23,6 +27,14 @@
   /** Changes with each start of the process. */
   readonly bootId: string;
   readonly isLeaving: boolean;
+  /** Version of the messages that its build knows; absent in version 1. */
+  readonly protocol?: number;
+}
+
+/** Which gateways may be chosen. */
+export interface HomeFilter {
+  /** Only gateways whose builds know this kind of message. */
+  readonly kind?: MessageKind;
 }
 
 /** How an update about a peer changed the directory. */
@@ -166,24 +178,31 @@
    * Chooses the gateway that decides for all gateways on one key: one of the
    * given region, or of any region while that one has none.
    */
-  chooseHomeIn(region: string | undefined, key: string): PeerInfo {
-    const available = this.listAvailable();
+  chooseHomeIn(
+    region: string | undefined,
+    key: string,
+    filter: HomeFilter = {},
+  ): PeerInfo {
+    const available = this.listAvailable(filter);
     const near = available.filter((peer) => peer.region === region);
     const [home] = sortByRank(key, near.length > 0 ? near : available);
     return home ?? this.#self;
   }
 
   /** Sorts the gateways that may decide for all on one key, best first. */
-  sortHomes(key: string): PeerInfo[] {
-    return sortByRank(key, this.listAvailable());
+  sortHomes(key: string, filter: HomeFilter = {}): PeerInfo[] {
+    return sortByRank(key, this.listAvailable(filter));
   }
 
   /** Lists all gateways, this one too, that aren't suspected or leaving. */
-  listAvailable(): PeerInfo[] {
+  listAvailable({ kind }: HomeFilter = {}): PeerInfo[] {
     const live = [...this.#byVm.values()]
       .filter(({ info, isSuspected }) => !isSuspected && !info.isLeaving)
       .map(({ info }) => info);
-    return this.#isLeaving ? live : [...live, this.#self];
+    return filterReceivers(
+      this.#isLeaving ? live : [...live, this.#self],
+      kind,
+    );
   }
 
   /** Whether this gateway ranks first among those not suspected or leaving. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
+import { buildEntry } from "./peers/gateway_entry.ts";
 import { EndedTargets } from "./decisions/ended_targets.ts";
 import { TargetTable } from "./decisions/target_table.ts";
 import { AddressWaiter } from "./front/address_waiter.ts";
@@ -155,6 +156,7 @@
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
+      answerCreditCall: () => Promise.resolve(undefined),
       relay: this.#ways.relay,
     });
     this.#permits = new TargetPermits({
@@ -288,13 +290,9 @@
   }
 
   #buildSelf(): PeerInfo {
-    const { settings } = this.#options;
-    return {
-      vmId: settings.vmId,
-      ...settings.peers,
-      region: settings.region,
+    return buildEntry(this.#options.settings, {
       bootId: this.#bootId,
       isLeaving: this.#isStopping,
-    };
+    });
   }
 }
--- a/packages/gateway/src/peer_fixture_test.ts
+++ b/packages/gateway/src/peer_fixture_test.ts
@@ -1,4 +1,14 @@
 import type { PeerInfo } from "./decisions/peer_directory.ts";
+import type { PeerGroupDependencies } from "./peers/peer_group.ts";
+
+/** Answers of gateways without limited targets and quotas. */
+export const NO_LIMITS: Pick<
+  PeerGroupDependencies,
+  "answerPermitCall" | "answerCreditCall"
+> = {
+  answerPermitCall: () => Promise.resolve({ kind: "unlimited" }),
+  answerCreditCall: () => Promise.resolve(undefined),
+};
 
 /** Builds a gateway's entry in the directories of its peers. */
 export function buildPeer(
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -15,18 +15,16 @@
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
-import type {
-  Address,
-  ObjectKind,
-  ObjectStore,
-  StoredObject,
-} from "../ports.ts";
+import type { Address, ObjectKind, ObjectStore } from "../ports.ts";
 import type { CrashExchange } from "../crashes/crash_exchange.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
 import { answerObjectCall } from "../store/object_relay.ts";
+import { decodeEntries, writeEntry } from "./gateway_entry.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { MovedAccount } from "../model/token_account.ts";
 import {
+  type CreditCall,
+  type CreditDecision,
   isPeerInfo,
   type PeerEnvelope,
   type PeerMessage,
@@ -56,6 +54,11 @@
     call: PermitCall,
     gatewayId: string,
   ) => Promise<PermitDecision>;
+  /** Decides on another gateway's request for credits, if it may. */
+  readonly answerCreditCall: (
+    call: CreditCall,
+    gatewayId: string,
+  ) => Promise<CreditDecision | undefined>;
   /** The requests that crash targets, as the gateways find them. */
   readonly crashes: CrashExchange;
   readonly ended: EndedTargets;
@@ -141,7 +144,8 @@
     { from: sender, message }: PeerEnvelope,
   ): Promise<PeerResponse> {
     const { accounts, home, handover, directory, shards } = this.#dependencies;
-    const { answerPermitCall, crashes, ended } = this.#dependencies;
+    const { answerPermitCall, answerCreditCall, crashes, ended } =
+      this.#dependencies;
     const from = this.#dependencies.getSelf();
     const nowMs = performance.now();
     switch (message.kind) {
@@ -192,6 +196,13 @@
         const permit = await answerPermitCall(message, sender.vmId);
         return { from, permit };
       }
+      case "take_credits": {
+        const credits = await answerCreditCall(message, sender.vmId);
+        return {
+          from,
+          ...(credits === undefined ? { error: "no decision" } : { credits }),
+        };
+      }
       case "list_objects":
       case "watch_objects": {
         const cache = this.#dependencies.findCache(message.objects);
@@ -218,11 +229,11 @@
    * start together at least one finds the other.
    */
   async #registerSelf(): Promise<void> {
-    const { store } = this.#dependencies;
-    const isRegistered = await this.#writeEntry();
+    const { store, log, getSelf } = this.#dependencies;
+    const isRegistered = await writeEntry(store, getSelf());
     const listed = isRegistered ? await store.list("gateways") : undefined;
     if (listed?.isOk()) {
-      await this.#addPeers(this.#decodeEntries(listed.value.objects));
+      await this.#addPeers(decodeEntries(listed.value.objects, log));
       return;
     }
     setTimeout(() => {
@@ -230,25 +241,6 @@
     }, REGISTER_RETRY_MS);
   }
 
-  #decodeEntries(objects: readonly StoredObject[]): PeerInfo[] {
-    return objects.flatMap(({ name, value }) => {
-      if (isPeerInfo(value)) return [value];
-      const detail = `the entry ${name} is no gateway's`;
-      this.#dependencies.log.write(EVENTS.ObjectUnreadable, { detail });
-      return [];
-    });
-  }
-
-  async #writeEntry(): Promise<boolean> {
-    const { store, getSelf } = this.#dependencies;
-    const self = getSelf();
-    const write = { name: self.vmId, value: self };
-    const created = await store.create("gateways", write);
-    if (created.isOk()) return true;
-    if (created.error.kind !== "conflict") return false;
-    return (await store.update("gateways", write)).isOk();
-  }
-
   /**
    * Adds newly discovered gateways and says hello to those of this region.
    * Gateways of other regions are called when needed, and in rotation.
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -20,6 +20,7 @@
   serveAt,
   writeFrame,
 } from "@camphorlock/channel";
+import { canReceive } from "./protocol_version.ts";
 import {
   isObjectCall,
   parseEnvelope,
@@ -82,12 +83,16 @@
     return serveAt(this.#server, { host, port });
   }
 
-  /** Sends a message; undefined when the peer doesn't respond in time. */
+  /**
+   * Sends a message; undefined when the peer doesn't respond in time, or when
+   * its build doesn't know the kind.
+   */
   async call(
     peer: PeerInfo,
     message: PeerMessage,
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<PeerResponse | undefined> {
+    if (!canReceive(peer, message.kind)) return undefined;
     const response = await this.callAddress(peer, message, timeoutMs);
     if (response !== undefined) return response;
     const cached = this.#dependencies.directory.find(peer.vmId);
@@ -142,16 +147,23 @@
     { socket, stopReading }: AcceptedConnection,
     { id, body }: Frame,
   ): Promise<void> {
-    const envelope = parseEnvelope(body);
-    if (envelope.isErr()) {
-      const detail = envelope.error;
-      this.#dependencies.log.write(EVENTS.PeerMessageUnreadable, { detail });
+    const { relay, getSelf, handleMessage, log } = this.#dependencies;
+    const parsed = parseEnvelope(body);
+    if (parsed.isErr()) {
+      log.write(EVENTS.PeerMessageUnreadable, { detail: parsed.error });
       socket.destroy();
       return;
     }
-    this.#recordContact(envelope.value.from);
-    const { from, message } = envelope.value;
-    const { relay, getSelf, handleMessage } = this.#dependencies;
+    if (parsed.value.kind === "unknown") {
+      const { from: peer, detail } = parsed.value;
+      this.#recordContact(peer);
+      log.write(EVENTS.PeerMessageUnreadable, { detail, peer: peer.vmId });
+      // Other calls share the connection, so it stays open.
+      const response = { from: getSelf(), error: detail };
+      return writeFrame(socket, { id, body: response });
+    }
+    const { from, message } = parsed.value.envelope;
+    this.#recordContact(from);
     switch (message.kind) {
       case "open_path":
         stopReading();
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -11,8 +11,10 @@
 import type { EncodedShardTable } from "../decisions/shard_table.ts";
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
+import type { Quota } from "../model/tenant.ts";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { PathMessage } from "../paths/path_messages.ts";
+import { isKnownKind } from "./protocol_version.ts";
 import type { ObservedLimit } from "../limits/permit_home.ts";
 import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
@@ -79,8 +81,38 @@
     readonly observed: ObservedLimit;
     /** Whether the sender passes on another gateway's call. */
     readonly isForwarded: boolean;
+  }
+  /** Requests credits of a tenant's quota from the gateway that decides. */
+  | {
+    readonly kind: "take_credits";
+    readonly tenant: string;
+    /** The quota in the sender's configuration, and that one's version. */
+    readonly quota: Quota;
+    readonly configurationVersion: number;
+    readonly credits: number;
+    /** Whether the sender passes on another gateway's call. */
+    readonly isForwarded: boolean;
   };
 
+/** A request for credits. */
+export type CreditCall = Extract<
+  PeerMessage,
+  { readonly kind: "take_credits" }
+>;
+
+/** The decision on a request for credits. */
+export type CreditDecision =
+  /** Fewer credits than requested: the rest may be requested in `retryMs`. */
+  | {
+    readonly kind: "granted";
+    readonly credits: number;
+    readonly retryMs: number;
+  }
+  /** The home has just taken over and may not decide for `retryMs`. */
+  | { readonly kind: "unsettled"; readonly retryMs: number }
+  /** The tenant has no quota any more. */
+  | { readonly kind: "unlimited" };
+
 /** A request for a permit. */
 export type PermitCall = Extract<
   PeerMessage,
@@ -111,6 +143,8 @@
 export interface PeerResponse {
   /** The responding gateway. */
   readonly from: PeerInfo;
+  /** Why the message wasn't handled; the other fields are absent then. */
+  readonly error?: string;
   readonly peers?: readonly PeerInfo[];
   readonly turn?: TurnResponse;
   readonly shards?: ShardTableUpdate;
@@ -123,6 +157,7 @@
   /** Whether the requested changes are no longer retained. */
   readonly isHistoryGone?: boolean;
   readonly permit?: PermitDecision;
+  readonly credits?: CreditDecision;
   readonly blocked?: readonly BlockedRequest[];
   /** Blocked requests that have completed at the responding gateway. */
   readonly completed?: readonly string[];
@@ -144,35 +179,26 @@
 /** What arrives from other gateways. */
 export type ReceivedEnvelope = PeerEnvelope<PeerMessage | PathMessage>;
 
-const MESSAGE_KINDS: readonly (PeerMessage | PathMessage)["kind"][] = [
-  "hello",
-  "open_turn",
-  "close_turn",
-  "move_accounts",
-  "grant_first",
-  "take_shards",
-  "share_shards",
-  "list_objects",
-  "watch_objects",
-  "take_permit",
-  "report_crash",
-  "share_blocked",
-  "share_end",
-  "share_leaving",
-  "open_path",
-];
+/** A received message: one to handle, or of a kind that this build lacks. */
+export type ParsedEnvelope =
+  | { readonly kind: "known"; readonly envelope: ReceivedEnvelope }
+  | {
+    readonly kind: "unknown";
+    readonly from: PeerInfo;
+    readonly detail: string;
+  };
 
-/** Checks a message. All gateways of an installation run one version. */
-export function parseEnvelope(
-  body: unknown,
-): Result<ReceivedEnvelope, string> {
+/** Checks a message, whose sender may run another version. */
+export function parseEnvelope(body: unknown): Result<ParsedEnvelope, string> {
   const envelope = body as Partial<ReceivedEnvelope> | null | undefined;
   const kind = envelope?.message?.kind;
-  if (!isPeerInfo(envelope?.from)) return err("invalid message sender");
-  if (kind === undefined || !MESSAGE_KINDS.includes(kind)) {
-    return err(`unknown message kind: ${String(kind)}`);
+  const from = envelope?.from;
+  if (!isPeerInfo(from)) return err("invalid message sender");
+  if (isKnownKind(kind)) {
+    return ok({ kind: "known", envelope: envelope as ReceivedEnvelope });
   }
-  return ok(envelope as ReceivedEnvelope);
+  const detail = `unknown message kind: ${String(kind)}`;
+  return ok({ kind: "unknown", from, detail });
 }
 
 /** Checks a response. */
@@ -187,5 +213,6 @@
   const info = value as Partial<PeerInfo> | null | undefined;
   return typeof info?.vmId === "string" && isPeerAddress(info) &&
     typeof info.bootId === "string" &&
-    typeof info.region === "string";
+    typeof info.region === "string" &&
+    (info.protocol === undefined || Number.isInteger(info.protocol));
 }
