Find out which build runs before the first new kind on a connection

After a rollback an entry names a version that the process at its address doesn't have. A message of the first version goes first on each new connection, so that an old build never gets a kind that makes it close the connection.

--- a/packages/channel/src/peer_channel.ts
+++ b/packages/channel/src/peer_channel.ts
@@ -48,6 +48,7 @@
   readonly #pendingCalls = new Map<number, PendingCall>();
   #socket: Socket | undefined;
   #lastId = 0;
+  #connections = 0;
   /** When the last complete frame arrived. */
   #lastFrameAtMs = 0;
   /** When the last bytes arrived. */
@@ -57,6 +58,11 @@
     this.#address = address;
   }
 
+  /** Number of the open connection; undefined while there is none. */
+  get connectionId(): number | undefined {
+    return this.#socket === undefined ? undefined : this.#connections;
+  }
+
   /**
    * Sends a message; resolves to undefined if no response arrives within
    * `timeoutMs`, or `transferMs` later while bytes keep arriving.
@@ -92,6 +98,7 @@
   }
 
   #openConnection(): Socket {
+    this.#connections += 1;
     const socket = connect({ ...this.#address, noDelay: true });
     const timer = setTimeout(
       () => this.#closeConnection(socket),
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -20,7 +20,7 @@
   serveAt,
   writeFrame,
 } from "@camphorlock/channel";
-import { canReceive } from "./protocol_version.ts";
+import { canReceive, isKindOfFirstVersion } from "./protocol_version.ts";
 import {
   isObjectCall,
   parseEnvelope,
@@ -63,6 +63,8 @@
 export class PeerLinks {
   readonly #dependencies: PeerLinksDependencies;
   readonly #channels = new Map<string, PeerChannel>();
+  /** The connection on which each channel's peer has last responded. */
+  readonly #greeted = new WeakMap<PeerChannel, number>();
   readonly #server: Server;
   readonly #acceptedSockets = new Set<Socket>();
 
@@ -93,7 +95,10 @@
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<PeerResponse | undefined> {
     if (!canReceive(peer, message.kind)) return undefined;
-    const response = await this.callAddress(peer, message, timeoutMs);
+    const isGreeted = await this.#confirmKind(peer, message, timeoutMs);
+    const response = isGreeted
+      ? await this.callAddress(peer, message, timeoutMs)
+      : undefined;
     if (response !== undefined) return response;
     const cached = this.#dependencies.directory.find(peer.vmId);
     if (cached?.bootId === peer.bootId) {
@@ -116,7 +121,9 @@
     const transferMs = isObjectCall(message) ? OBJECT_TRANSFER_MS : 0;
     const objects = isObjectCall(message) ? message.objects : "";
     const channel = this.#getChannel(address, objects);
-    const body = await channel.call(envelope, timeoutMs, transferMs);
+    const called = channel.call(envelope, timeoutMs, transferMs);
+    const { connectionId } = channel;
+    const body = await called;
     this.#dependencies.metrics.add("peer_calls");
     if (body === undefined) {
       this.#dependencies.metrics.add("peer_calls_failed");
@@ -128,9 +135,38 @@
       return undefined;
     }
     this.#recordContact(response.value.from);
+    if (channel.connectionId === connectionId && connectionId !== undefined) {
+      this.#greeted.set(channel, connectionId);
+    }
     return response.value;
   }
 
+  /**
+   * Makes sure that a message is of a kind that the process at the other end of
+   * the connection knows: another build may have been started at the address
+   * since its entry arrived. Returns false if it doesn't respond or know it.
+   */
+  async #confirmKind(
+    peer: PeerInfo,
+    { kind }: PeerMessage,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    if (isKindOfFirstVersion(kind)) return true;
+    const channel = this.#getChannel(peer);
+    const { connectionId } = channel;
+    const isGreeted = connectionId !== undefined &&
+      this.#greeted.get(channel) === connectionId;
+    if (isGreeted) return true;
+    const response = await this.callAddress(peer, {
+      kind: "hello",
+      known: this.#dependencies.directory.size,
+      // The receiver has nothing newer to send.
+      shardsRevision: Number.MAX_SAFE_INTEGER,
+      blockedRequests: 0,
+    }, timeoutMs);
+    return response !== undefined && canReceive(response.from, kind);
+  }
+
   /** Sends a notice; the peer acts on it or finds out itself. */
   notify({ host, port }: PeerInfo, message: LeavingNotice): void {
     const envelope = { from: this.#dependencies.getSelf(), message };
--- a/packages/gateway/src/peers/protocol_version.ts
+++ b/packages/gateway/src/peers/protocol_version.ts
@@ -56,6 +56,11 @@
   return protocol >= (VERSION_BY_KIND.get(kind) ?? Number.POSITIVE_INFINITY);
 }
 
+/** Whether every build knows a kind. */
+export function isKindOfFirstVersion(kind: MessageKind): boolean {
+  return VERSION_BY_KIND.get(kind) === FIRST_VERSION;
+}
+
 /** Filters the gateways whose builds know a kind; all if none is named. */
 export function filterReceivers(
   peers: readonly PeerInfo[],
