--- a/packages/gateway/src/limits/target_permits.ts
+++ b/packages/gateway/src/limits/target_permits.ts
@@ -3,26 +3,27 @@
  * the other gateways' requests for them.
  *
  * The permit home of a target is the gateway of the target's region that ranks
- * first for it. A gateway with another view of the group may ask a gateway that
- * isn't the home in its own view; that one passes the call on, once, and so
- * finds out whether the home still responds.
+ * first for it.
  */
 import { checkNever } from "@camphorlock/types";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
-import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
+import type { PeerDirectory } from "../decisions/peer_directory.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { Target } from "../model/target.ts";
+import { HomeCalls } from "../peers/home_calls.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
 import type { PermitCall } from "../peers/peer_messages.ts";
 import type { DecodedResponse } from "../ports.ts";
 import { NamedLimits } from "./named_limits.ts";
 import { PermitHome } from "./permit_home.ts";
 
-/** A call that is passed on must end before the call that it serves. */
-const FORWARD_TIMEOUT_MS = 70;
 /** Pause after a call for a permit without a decision. */
 const NO_DECISION_RETRY_MS = 100;
+const NO_DECISION: PermitDecision = {
+  kind: "denied",
+  retryMs: NO_DECISION_RETRY_MS,
+};
 
 type TargetKey = Pick<Target, "id" | "failureDomain">;
 
@@ -42,12 +43,23 @@
   readonly #dependencies: TargetPermitsDependencies;
   readonly #limits: NamedLimits;
   readonly #home = new PermitHome();
+  readonly #calls: HomeCalls<PermitCall, PermitDecision>;
   /** Until when no permit is requested for a target. */
   readonly #pausedUntilMs = new Map<string, number>();
 
   constructor(dependencies: TargetPermitsDependencies) {
     this.#dependencies = dependencies;
     this.#limits = new NamedLimits(dependencies.log);
+    const { directory, regions } = dependencies;
+    this.#calls = new HomeCalls({
+      ...dependencies,
+      attempts: 1,
+      chooseHome: ({ targetId, failureDomain }) =>
+        directory.chooseHomeIn(regions.get(failureDomain), targetId),
+      decide: (call, gatewayId) =>
+        this.#home.take({ ...call, gatewayId }, performance.now()),
+      findDecision: ({ permit }) => permit,
+    });
   }
 
   /** Whether a target's limit leaves nothing for this gateway at present. */
@@ -106,14 +118,7 @@
 
   /** Answers a call of another gateway, or of this one as the home. */
   async answer(call: PermitCall, gatewayId: string): Promise<PermitDecision> {
-    const home = this.#chooseHome(call);
-    if (home.vmId === this.#dependencies.vmId) {
-      return this.#home.take({ ...call, gatewayId }, performance.now());
-    }
-    if (call.isForwarded) {
-      return { kind: "denied", retryMs: NO_DECISION_RETRY_MS };
-    }
-    return await this.#forward(home, call);
+    return await this.#calls.answer(call, gatewayId) ?? NO_DECISION;
   }
 
   /** Forgets the limit of a target that is gone or names none any more. */
@@ -127,23 +132,6 @@
   }
 
   async #callHome(call: PermitCall): Promise<PermitDecision> {
-    const { links, vmId } = this.#dependencies;
-    const home = this.#chooseHome(call);
-    if (home.vmId === vmId) return await this.answer(call, vmId);
-    const response = await links.call(home, call);
-    return response?.permit ??
-      { kind: "denied", retryMs: NO_DECISION_RETRY_MS };
-  }
-
-  async #forward(home: PeerInfo, call: PermitCall): Promise<PermitDecision> {
-    const response = await this.#dependencies.links
-      .call(home, { ...call, isForwarded: true }, FORWARD_TIMEOUT_MS);
-    return response?.permit ??
-      { kind: "denied", retryMs: NO_DECISION_RETRY_MS };
-  }
-
-  #chooseHome({ targetId, failureDomain }: PermitCall): PeerInfo {
-    const { directory, regions } = this.#dependencies;
-    return directory.chooseHomeIn(regions.get(failureDomain), targetId);
+    return await this.#calls.call(call) ?? NO_DECISION;
   }
 }
