Keep the tenants' quotas over all gateways

A tenant's home grants credits from a token bucket; gateways use them within a short life. Gateways that are cut off, suspended or new would each grant the whole quota, so a home grants the part of it that matches its part of the group, and only a few credits until it's sure that no other gateway grants.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -548,6 +548,18 @@
     "info",
     "The gateway couldn't connect another one to a target; the first of a series.",
   ),
+  QuotaHomeChanged: defineEvent(
+    985,
+    "QuotaHomeChanged",
+    "info",
+    "The gateway decides on a tenant's quota after another one may have done so.",
+  ),
+  QuotaShareChanged: defineEvent(
+    986,
+    "QuotaShareChanged",
+    "warn",
+    "The gateway is in contact with another part of the group, and grants that part of the quotas.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -57,13 +57,25 @@
   readonly #self: PeerInfo;
   readonly #byVm = new Map<string, TrackedPeer>();
   #isLeaving = false;
+  #revision = 0;
 
   constructor(self: PeerInfo) {
     this.#self = self;
   }
 
+  /** Changes whenever another choice of homes may result. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Records an update that a gateway sent about itself. */
   set(info: PeerInfo): PeerChange {
+    const change = this.#set(info);
+    if (change !== "none") this.#revision += 1;
+    return change;
+  }
+
+  #set(info: PeerInfo): PeerChange {
     if (info.vmId === this.#self.vmId) return "none";
     const tracked = this.#byVm.get(info.vmId);
     this.#byVm.set(info.vmId, { info, isSuspected: false, suspectedAtMs: 0 });
@@ -79,6 +91,7 @@
       return false;
     }
     this.#byVm.set(info.vmId, { info, isSuspected: false, suspectedAtMs: 0 });
+    this.#revision += 1;
     return true;
   }
 
@@ -88,12 +101,14 @@
     if (tracked === undefined || tracked.isSuspected) return false;
     tracked.isSuspected = true;
     tracked.suspectedAtMs = nowMs;
+    this.#revision += 1;
     return true;
   }
 
   /** Records that this gateway is leaving; others take over its roles. */
   setLeaving(): void {
     this.#isLeaving = true;
+    this.#revision += 1;
   }
 
   /**
@@ -128,6 +143,26 @@
     return this.#byVm.size;
   }
 
+  /**
+   * Counts the gateways of the group, with this one and without those that
+   * leave or became suspected before `silentSinceMs`; and those of them that
+   * aren't suspected.
+   */
+  countMembers(
+    silentSinceMs: number,
+  ): { readonly members: number; readonly reachable: number } {
+    let members = 1;
+    let reachable = 1;
+    for (const { info, isSuspected, suspectedAtMs } of this.#byVm.values()) {
+      if (info.isLeaving || (isSuspected && suspectedAtMs < silentSinceMs)) {
+        continue;
+      }
+      members += 1;
+      if (!isSuspected) reachable += 1;
+    }
+    return { members, reachable };
+  }
+
   /** Lists every other gateway. */
   list(): PeerInfo[] {
     return [...this.#byVm.values()].map(({ info }) => info);
@@ -222,9 +257,14 @@
   }
 }
 
+/** Computes the rank of a gateway for a key; the highest is the first home. */
+export function computeRank(vmId: string, key: string): number {
+  return computeHash(`${vmId}|${key}`);
+}
+
 function sortByRank(key: string, peers: readonly PeerInfo[]): PeerInfo[] {
   return peers
-    .map((peer) => ({ peer, rank: computeHash(`${peer.vmId}|${key}`) }))
+    .map((peer) => ({ peer, rank: computeRank(peer.vmId, key) }))
     .sort((left, right) => right.rank - left.rank)
     .map(({ peer }) => peer);
 }
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -16,6 +16,7 @@
 import type { TargetResponse } from "./buffered_attempt.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
+import type { RequestCredit } from "./request_credit.ts";
 import type { RequestAttempts } from "./request_attempts.ts";
 
 /** How a request ended. */
@@ -45,6 +46,8 @@
   readonly route: Route;
   /** Undefined where callers need no key. */
   readonly tenant: Tenant | undefined;
+  /** Absent where the tenant has no quota, and before it was taken. */
+  readonly credit?: RequestCredit;
   readonly body: Buffer;
   /** Identifies what the request asks for, over all attempts at it. */
   readonly fingerprint: Fingerprint;
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -27,6 +27,7 @@
   hasUsableTarget,
 } from "./next_target.ts";
 import { RequestBlocks } from "./request_blocks.ts";
+import { confirmCredit } from "./request_credit.ts";
 import { RequestClock } from "./request_clock.ts";
 import { RequestAttempts } from "./request_attempts.ts";
 import {
@@ -147,6 +148,8 @@
         this.#attempts.excluded.clear();
         continue;
       }
+      const refusal = await confirmCredit(this.#accepted);
+      if (refusal !== undefined) return refusal;
       const { entry } = choice;
       const isAcquired = await acquireTarget(
         this.#dependencies,
--- a/packages/gateway/src/exchange/start_attempt.ts
+++ b/packages/gateway/src/exchange/start_attempt.ts
@@ -45,6 +45,7 @@
     body,
     usedConnections: attempts.connections,
   });
+  accepted.credit?.recordSent();
   attempts.recordStart(entry, accepted, metrics);
   const options: AttemptOptions = {
     codec,
--- a/packages/gateway/src/front/accepted_requests.ts
+++ b/packages/gateway/src/front/accepted_requests.ts
@@ -13,6 +13,7 @@
 import type { StreamVersion } from "../model/stream_version.ts";
 import type { ConfigurationInForce } from "../store/watched_state.ts";
 import type { TurnHistory } from "../turns/turn_history.ts";
+import type { RequestQuotas } from "../quotas/request_quotas.ts";
 import type { TurnState } from "../turns/turn_state.ts";
 import { type Refusal, refuseRequest } from "./refuse_request.ts";
 
@@ -26,6 +27,7 @@
 export interface AcceptedRequestsDependencies extends ExchangeDependencies {
   readonly accounts: TurnAccounts;
   readonly history: TurnHistory;
+  readonly quotas: Pick<RequestQuotas, "acquire">;
   getConfiguration(): ConfigurationInForce | undefined;
   /** Time until the process ends; infinite unless it's being stopped. */
   countStopLeftMs(): number;
@@ -57,7 +59,7 @@
 
   /** Runs a request to its final response. */
   async run(accepted: AcceptedRequest): Promise<void> {
-    const { fields, caller, route, limitMs } = accepted;
+    const { fields, caller, limitMs } = accepted;
     const leftMs = this.#dependencies.countStopLeftMs();
     if (limitMs > leftMs) {
       const detail = `${Math.round(leftMs)} ms until the process ends`;
@@ -69,6 +71,21 @@
         retryAfterMs: 0,
       });
     }
+    const admission = await this.#dependencies.quotas.acquire(accepted);
+    if (admission.kind === "refused") {
+      return this.#refuse(caller, { ...admission.refusal, fields });
+    }
+    const { credit } = admission;
+    if (credit === undefined) return await this.#runAdmitted(accepted);
+    try {
+      await this.#runAdmitted({ ...accepted, credit });
+    } finally {
+      credit.release();
+    }
+  }
+
+  async #runAdmitted(accepted: AcceptedRequest): Promise<void> {
+    const { fields, caller, route } = accepted;
     if (route.kind !== "streaming") return await this.#run(accepted, {});
     const begun = await this.#findBeginning(accepted);
     if (begun === undefined && fields.resumeAfter > 0) {
--- a/packages/gateway/src/front/refuse_request.ts
+++ b/packages/gateway/src/front/refuse_request.ts
@@ -33,7 +33,8 @@
   const code = RESULT_CODES[reason.code];
   const { detail, fields } = reason;
   metrics.add("requests_refused");
-  const isTemporary = code.httpStatus === 503;
+  const isTemporary = code.httpStatus === 503 ||
+    reason.retryAfterMs !== undefined;
   caller.sendErrorResponse({
     code,
     detail,
@@ -46,6 +47,7 @@
     program: fields?.programId,
     code: code.code,
     detail,
+    retry_after_ms: reason.retryAfterMs,
     ...(reason.configurationAgeMs === undefined
       ? {}
       : { configuration_age_ms: Math.round(reason.configurationAgeMs) }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,6 @@
 import { randomUUID } from "node:crypto";
 import { setTimeout as waitFor } from "node:timers/promises";
 import { EVENTS } from "@camphorlock/codes/events";
-import type { SocketOpener } from "@camphorlock/http/exchange";
 import { TimerService } from "@camphorlock/scheduler/timers";
 import {
   type AccountComponents,
@@ -25,20 +24,17 @@
   ReadinessState,
 } from "./front/readiness_state.ts";
 import { StatusServers } from "./front/status_servers.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
 import {
   buildPathComponents,
   type PathComponents,
 } from "./paths/path_components.ts";
+import type { GatewayOptions } from "./gateway_options.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
-import type { GatewayLog } from "./log.ts";
-import type {
-  GatewaySettings,
-  ObjectStore,
-  RequestCodec,
-  StoreCodec,
-} from "./ports.ts";
+import {
+  buildQuotaComponents,
+  type QuotaComponents,
+} from "./quotas/quota_components.ts";
 import {
   buildObjectSource,
   computeRenewalMs,
@@ -64,18 +60,6 @@
 /** Reserved at the end of the grace period to send the last responses. */
 const GRACE_MARGIN_MS = 400;
 
-/** Settings and dependencies of a gateway. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly store: ObjectStore;
-  readonly requestCodec: RequestCodec;
-  readonly storeCodec: StoreCodec;
-  readonly log: GatewayLog;
-  readonly metrics: GatewayMetrics;
-  /** Opens direct connections to targets; tests pass another one. */
-  readonly openSocket?: SocketOpener;
-}
-
 /** One gateway process. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -83,6 +67,7 @@
   readonly #targets = new TargetTable();
   readonly #ways: PathComponents;
   readonly #permits: TargetPermits;
+  readonly #quotas: QuotaComponents;
   readonly #blocked = new BlockedRequests();
   readonly #ended = new EndedTargets();
   readonly #timers = new TimerService();
@@ -156,7 +141,8 @@
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
-      answerCreditCall: () => Promise.resolve(undefined),
+      answerCreditCall: (call, gatewayId) =>
+        this.#quotas.answer(call, gatewayId),
       relay: this.#ways.relay,
     });
     this.#permits = new TargetPermits({
@@ -166,6 +152,12 @@
       vmId: settings.vmId,
       regions: settings.regions,
     });
+    this.#quotas = buildQuotaComponents({
+      ...options,
+      ...this.#accounts,
+      probe: (peers) => this.#accounts.group.probe(peers),
+      getConfiguration: () => this.#configuration.inForce?.configuration,
+    });
     this.#objectSource = buildObjectSource({
       ...this.#accounts,
       settings,
@@ -201,6 +193,7 @@
       },
       accounts: this.#accounts.turns,
       history: this.#turns.history,
+      quotas: this.#quotas.requests,
       getViewAgeMs,
       getConfiguration: () => this.#configuration.inForce,
       getConfigurationAgeMs: () => this.#watchers.computeAgeMs("configuration"),
@@ -229,6 +222,7 @@
       targets: this.#observedTargets,
       watchers: this.#watchers,
       permits: this.#permits,
+      quotas: this.#quotas,
       ways: this.#ways,
     });
     this.#tickTimer = setInterval(() => {
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -7,6 +7,8 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { TargetPermits } from "./limits/target_permits.ts";
 import type { GatewayLog } from "./log.ts";
+import { PROBE_TICK_MS } from "./quotas/group_prober.ts";
+import type { QuotaComponents } from "./quotas/quota_components.ts";
 import {
   type CountedStore,
   LOG_STORE_CALLS_MS,
@@ -37,6 +39,7 @@
   readonly targets: WatchedTargets;
   readonly watchers: Watchers;
   readonly permits: TargetPermits;
+  readonly quotas: Pick<QuotaComponents, "runDue" | "removeUnused">;
   readonly ways: Pick<PathComponents, "observer" | "paths">;
 }
 
@@ -46,7 +49,7 @@
   { group, shards, crashes, ways, log, metrics, ...components }:
     TimedComponents,
 ): void {
-  const { store, targets, watchers, permits } = components;
+  const { store, targets, watchers, permits, quotas } = components;
   const schedule: readonly [number, (nowMs: number) => void][] = [
     [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
     [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
@@ -57,6 +60,8 @@
     [SHARD_CHECK_INTERVAL_MS, () => void shards.check()],
     [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
+    [PROBE_TICK_MS, () => quotas.runDue()],
+    [CLEANUP_MS, () => quotas.removeUnused()],
     [COMPARE_BLOCKED_MS, () => void crashes.compareBlocked()],
     [CHECK_PATHS_MS, (nowMs) => ways.paths.runDue(nowMs)],
     [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -111,6 +111,11 @@
     if (peer !== undefined) await this.#sendHello([peer]);
   }
 
+  /** Says hello to gateways; records whether they respond. */
+  async probe(peers: readonly PeerInfo[]): Promise<void> {
+    await this.#sendHello(peers);
+  }
+
   /**
    * Probes suspected gateways: all of this region and one of the others, in
    * rotation.
