--- a/packages/gateway/src/decisions/peer_directory.ts
+++ b/packages/gateway/src/decisions/peer_directory.ts
@@ -6,6 +6,10 @@
  * that the turns of the program are mostly counted at one home.
  */
 import { computeHash } from "@camphorlock/scheduler/hash";
+import {
+  filterReceivers,
+  type MessageKind,
+} from "../peers/protocol_version.ts";
 
 /** Homes that are called for a turn, one after another. */
 const HOME_COUNT = 2;
@@ -23,6 +27,14 @@
   /** Changes with each start of the process. */
   readonly bootId: string;
   readonly isLeaving: boolean;
+  /** Version of the messages that its build knows; absent in version 1. */
+  readonly protocol?: number;
+}
+
+/** Which gateways may be chosen. */
+export interface HomeFilter {
+  /** Only gateways whose builds know this kind of message. */
+  readonly kind?: MessageKind;
 }
 
 /** How an update about a peer changed the directory. */
@@ -45,13 +57,25 @@
   readonly #self: PeerInfo;
   readonly #byVm = new Map<string, TrackedPeer>();
   #isLeaving = false;
+  #revision = 0;
 
   constructor(self: PeerInfo) {
     this.#self = self;
   }
 
+  /** Changes whenever another choice of homes may result. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Records an update that a gateway sent about itself. */
   set(info: PeerInfo): PeerChange {
+    const change = this.#set(info);
+    if (change !== "none") this.#revision += 1;
+    return change;
+  }
+
+  #set(info: PeerInfo): PeerChange {
     if (info.vmId === this.#self.vmId) return "none";
     const tracked = this.#byVm.get(info.vmId);
     this.#byVm.set(info.vmId, { info, isSuspected: false, suspectedAtMs: 0 });
@@ -67,6 +91,7 @@
       return false;
     }
     this.#byVm.set(info.vmId, { info, isSuspected: false, suspectedAtMs: 0 });
+    this.#revision += 1;
     return true;
   }
 
@@ -76,12 +101,14 @@
     if (tracked === undefined || tracked.isSuspected) return false;
     tracked.isSuspected = true;
     tracked.suspectedAtMs = nowMs;
+    this.#revision += 1;
     return true;
   }
 
   /** Records that this gateway is leaving; others take over its roles. */
   setLeaving(): void {
     this.#isLeaving = true;
+    this.#revision += 1;
   }
 
   /**
@@ -116,6 +143,26 @@
     return this.#byVm.size;
   }
 
+  /**
+   * Counts the gateways of the group, with this one and without those that
+   * leave or became suspected before `silentSinceMs`; and those of them that
+   * aren't suspected.
+   */
+  countMembers(
+    silentSinceMs: number,
+  ): { readonly members: number; readonly reachable: number } {
+    let members = 1;
+    let reachable = 1;
+    for (const { info, isSuspected, suspectedAtMs } of this.#byVm.values()) {
+      if (info.isLeaving || (isSuspected && suspectedAtMs < silentSinceMs)) {
+        continue;
+      }
+      members += 1;
+      if (!isSuspected) reachable += 1;
+    }
+    return { members, reachable };
+  }
+
   /** Lists every other gateway. */
   list(): PeerInfo[] {
     return [...this.#byVm.values()].map(({ info }) => info);
@@ -171,24 +218,31 @@
    * Chooses the gateway that decides for all gateways on one key: one of the
    * given region, or of any region while that one has none.
    */
-  chooseHomeIn(region: string | undefined, key: string): PeerInfo {
-    const available = this.listAvailable();
+  chooseHomeIn(
+    region: string | undefined,
+    key: string,
+    filter: HomeFilter = {},
+  ): PeerInfo {
+    const available = this.listAvailable(filter);
     const near = available.filter((peer) => peer.region === region);
     const [home] = sortByRank(key, near.length > 0 ? near : available);
     return home ?? this.#self;
   }
 
   /** Sorts the gateways that may decide for all on one key, best first. */
-  sortHomes(key: string): PeerInfo[] {
-    return sortByRank(key, this.listAvailable());
+  sortHomes(key: string, filter: HomeFilter = {}): PeerInfo[] {
+    return sortByRank(key, this.listAvailable(filter));
   }
 
   /** Lists all gateways, this one too, that aren't suspected or leaving. */
-  listAvailable(): PeerInfo[] {
+  listAvailable({ kind }: HomeFilter = {}): PeerInfo[] {
     const live = [...this.#byVm.values()]
       .filter(({ info, isSuspected }) => !isSuspected && !info.isLeaving)
       .map(({ info }) => info);
-    return this.#isLeaving ? live : [...live, this.#self];
+    return filterReceivers(
+      this.#isLeaving ? live : [...live, this.#self],
+      kind,
+    );
   }
 
   /** Whether this gateway ranks first among those not suspected or leaving. */
@@ -208,9 +262,14 @@
   }
 }
 
+/** Computes the rank of a gateway for a key; the highest is the first home. */
+export function computeRank(vmId: string, key: string): number {
+  return computeHash(`${vmId}|${key}`);
+}
+
 function sortByRank(key: string, peers: readonly PeerInfo[]): PeerInfo[] {
   return peers
-    .map((peer) => ({ peer, rank: computeHash(`${peer.vmId}|${key}`) }))
+    .map((peer) => ({ peer, rank: computeRank(peer.vmId, key) }))
     .sort((left, right) => right.rank - left.rank)
     .map(({ peer }) => peer);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
+import { buildEntry } from "./peers/gateway_entry.ts";
 import { EndedTargets } from "./decisions/ended_targets.ts";
 import { TargetTable } from "./decisions/target_table.ts";
 import { AddressWaiter } from "./front/address_waiter.ts";
@@ -23,13 +24,17 @@
   ReadinessState,
 } from "./front/readiness_state.ts";
 import { StatusServers } from "./front/status_servers.ts";
-import type { GatewayOptions } from "./gateway_options.ts";
 import {
   buildPathComponents,
   type PathComponents,
 } from "./paths/path_components.ts";
+import type { GatewayOptions } from "./gateway_options.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
+import {
+  buildQuotaComponents,
+  type QuotaComponents,
+} from "./quotas/quota_components.ts";
 import {
   buildObjectSource,
   computeRenewalMs,
@@ -65,6 +70,7 @@
   readonly #targets = new TargetTable();
   readonly #ways: PathComponents;
   readonly #permits: TargetPermits;
+  readonly #quotas: QuotaComponents;
   readonly #blocked = new BlockedRequests();
   readonly #ended = new EndedTargets();
   readonly #timers = new TimerService();
@@ -142,6 +148,8 @@
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
+      answerCreditCall: (call, gatewayId) =>
+        this.#quotas.answer(call, gatewayId),
       relay: this.#ways.relay,
     });
     this.#permits = new TargetPermits({
@@ -151,6 +159,12 @@
       vmId: settings.vmId,
       regions: settings.regions,
     });
+    this.#quotas = buildQuotaComponents({
+      ...options,
+      ...this.#accounts,
+      probe: (peers) => this.#accounts.group.probe(peers),
+      getConfiguration: () => this.#configuration.inForce?.configuration,
+    });
     this.#objectSource = buildObjectSource({
       ...this.#accounts,
       settings,
@@ -186,6 +200,7 @@
       },
       accounts: this.#accounts.turns,
       history: this.#turns.history,
+      quotas: this.#quotas.requests,
       getViewAgeMs,
       getConfiguration: () => this.#configuration.inForce,
       getConfigurationAgeMs: () => this.#watchers.computeAgeMs("configuration"),
@@ -214,6 +229,7 @@
       targets: this.#observedTargets,
       watchers: this.#watchers,
       permits: this.#permits,
+      quotas: this.#quotas,
       ways: this.#ways,
     });
     this.#tickTimer = setInterval(() => {
@@ -273,13 +289,9 @@
   }
 
   #buildSelf(): PeerInfo {
-    const { settings } = this.#options;
-    return {
-      vmId: settings.vmId,
-      ...settings.peers,
-      region: settings.region,
+    return buildEntry(this.#options.settings, {
       bootId: this.#bootId,
       isLeaving: this.#isStopping,
-    };
+    });
   }
 }
--- a/packages/gateway/src/gateway_options.ts
+++ b/packages/gateway/src/gateway_options.ts
@@ -1,5 +1,5 @@
 /**
- * What a gateway is built from.
+ * What a gateway process is built from.
  */
 import type { SocketOpener } from "@camphorlock/http/exchange";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -20,6 +20,7 @@
   serveAt,
   writeFrame,
 } from "@camphorlock/channel";
+import { canReceive, isKindOfFirstVersion } from "./protocol_version.ts";
 import {
   isObjectCall,
   parseEnvelope,
@@ -62,6 +63,8 @@
 export class PeerLinks {
   readonly #dependencies: PeerLinksDependencies;
   readonly #channels = new Map<string, PeerChannel>();
+  /** The connection on which each channel's peer has last responded. */
+  readonly #greeted = new WeakMap<PeerChannel, number>();
   readonly #server: Server;
   readonly #acceptedSockets = new Set<Socket>();
 
@@ -82,13 +85,20 @@
     return serveAt(this.#server, { host, port });
   }
 
-  /** Sends a message; undefined when the peer doesn't respond in time. */
+  /**
+   * Sends a message; undefined when the peer doesn't respond in time, or when
+   * its build doesn't know the kind.
+   */
   async call(
     peer: PeerInfo,
     message: PeerMessage,
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<PeerResponse | undefined> {
-    const response = await this.callAddress(peer, message, timeoutMs);
+    if (!canReceive(peer, message.kind)) return undefined;
+    const isGreeted = await this.#confirmKind(peer, message, timeoutMs);
+    const response = isGreeted
+      ? await this.callAddress(peer, message, timeoutMs)
+      : undefined;
     if (response !== undefined) return response;
     const cached = this.#dependencies.directory.find(peer.vmId);
     if (cached?.bootId === peer.bootId) {
@@ -111,7 +121,9 @@
     const transferMs = isObjectCall(message) ? OBJECT_TRANSFER_MS : 0;
     const objects = isObjectCall(message) ? message.objects : "";
     const channel = this.#getChannel(address, objects);
-    const body = await channel.call(envelope, timeoutMs, transferMs);
+    const called = channel.call(envelope, timeoutMs, transferMs);
+    const { connectionId } = channel;
+    const body = await called;
     this.#dependencies.metrics.add("peer_calls");
     if (body === undefined) {
       this.#dependencies.metrics.add("peer_calls_failed");
@@ -123,9 +135,38 @@
       return undefined;
     }
     this.#recordContact(response.value.from);
+    if (channel.connectionId === connectionId && connectionId !== undefined) {
+      this.#greeted.set(channel, connectionId);
+    }
     return response.value;
   }
 
+  /**
+   * Makes sure that a message is of a kind that the process at the other end of
+   * the connection knows: another build may have been started at the address
+   * since its entry arrived. Returns false if it doesn't respond or know it.
+   */
+  async #confirmKind(
+    peer: PeerInfo,
+    { kind }: PeerMessage,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    if (isKindOfFirstVersion(kind)) return true;
+    const channel = this.#getChannel(peer);
+    const { connectionId } = channel;
+    const isGreeted = connectionId !== undefined &&
+      this.#greeted.get(channel) === connectionId;
+    if (isGreeted) return true;
+    const response = await this.callAddress(peer, {
+      kind: "hello",
+      known: this.#dependencies.directory.size,
+      // The receiver has nothing newer to send.
+      shardsRevision: Number.MAX_SAFE_INTEGER,
+      blockedRequests: 0,
+    }, timeoutMs);
+    return response !== undefined && canReceive(response.from, kind);
+  }
+
   /** Sends a notice; the peer acts on it or finds out itself. */
   notify({ host, port }: PeerInfo, message: LeavingNotice): void {
     const envelope = { from: this.#dependencies.getSelf(), message };
@@ -142,16 +183,23 @@
     { socket, stopReading }: AcceptedConnection,
     { id, body }: Frame,
   ): Promise<void> {
-    const envelope = parseEnvelope(body);
-    if (envelope.isErr()) {
-      const detail = envelope.error;
-      this.#dependencies.log.write(EVENTS.PeerMessageUnreadable, { detail });
+    const { relay, getSelf, handleMessage, log } = this.#dependencies;
+    const parsed = parseEnvelope(body);
+    if (parsed.isErr()) {
+      log.write(EVENTS.PeerMessageUnreadable, { detail: parsed.error });
       socket.destroy();
       return;
     }
-    this.#recordContact(envelope.value.from);
-    const { from, message } = envelope.value;
-    const { relay, getSelf, handleMessage } = this.#dependencies;
+    if (parsed.value.kind === "unknown") {
+      const { from: peer, detail } = parsed.value;
+      this.#recordContact(peer);
+      log.write(EVENTS.PeerMessageUnreadable, { detail, peer: peer.vmId });
+      // Other calls share the connection, so it stays open.
+      const response = { from: getSelf(), error: detail };
+      return writeFrame(socket, { id, body: response });
+    }
+    const { from, message } = parsed.value.envelope;
+    this.#recordContact(from);
     switch (message.kind) {
       case "open_path":
         stopReading();
