Copy bytes that arrive in pieces into one buffer that grows

Responses of targets, the output of kept turns and incomplete events were kept as lists of pieces, which take a hundred times their bytes where the pieces are small; an event that arrived byte by byte was copied anew for each byte. Log lines were bounded by their number alone, though a caller's ids may fill a head.

--- a/packages/gateway/src/decisions/decisions_test.ts
+++ b/packages/gateway/src/decisions/decisions_test.ts
@@ -227,6 +227,21 @@
       expect(splitter.bufferedBytes).to.equal("id: 3\nda".length);
     }
   });
+
+  // Each piece copied the event anew, 31 GB in all for 250,000 single bytes.
+  it("takes a long event byte by byte without copying it each time", () => {
+    const splitter = new EventSplitter();
+    const byte = Buffer.from("x");
+    let events = 0;
+    for (let at = 0; at < 250_000; at += 1) {
+      events += splitter.append(byte).length;
+    }
+    expect(events).to.equal(0);
+    const [first, second] = splitter.append(Buffer.from("\n\nid: 2\n\nrest"));
+    expect(first?.bytes.length).to.equal(250_002);
+    expect(second?.id).to.equal(2);
+    expect(splitter.bufferedBytes).to.equal(4);
+  });
 });
 
 describe("peer directory", () => {
--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -1,11 +1,18 @@
 /**
  * Splits the bytes of an event stream into complete events, so that a caller
  * never receives part of an event whose remainder was lost.
+ *
+ * The load: events of any size that arrive in pieces of any size. Each byte is
+ * searched and copied a bounded number of times, also where a long event arrives
+ * byte by byte.
  */
+import { GrowingBuffer } from "@camphorlock/http/exchange";
 
 const LINE_FEED = 0x0a;
 /** Longest buffered event; a longer one means that the stream is malformed. */
 const MAX_EVENT_BYTES = 262_144;
+/** Longest mark of an event's end. */
+const MAX_END_BYTES = 3;
 const DATA_FIELD = "data:";
 const ID_PATTERN = /^id: ?(\d+)\r?$/m;
 
@@ -18,7 +25,7 @@
 
 /** Splits one stream. */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+  readonly #remainder = new GrowingBuffer();
 
   /** Number of buffered bytes of an incomplete event. */
   get bufferedBytes(): number {
@@ -32,17 +39,24 @@
 
   /** Adds bytes and returns the events that they complete. */
   append(chunk: Uint8Array): StreamEvent[] {
-    const bytes = this.#remainder.length === 0
-      ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
-      : Buffer.concat([this.#remainder, chunk]);
+    const searchedBytes = this.#remainder.length;
+    if (searchedBytes > 0) this.#remainder.append(chunk);
+    const bytes = searchedBytes > 0
+      ? this.#remainder.view()
+      : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
     const events: StreamEvent[] = [];
     let start = 0;
-    for (let end = findEventEnd(bytes, 0); end > 0;) {
+    const searchAt = Math.max(0, searchedBytes - MAX_END_BYTES + 1);
+    for (let end = findEventEnd(bytes, searchAt); end > 0;) {
       events.push(createEvent(bytes.subarray(start, end)));
       start = end;
       end = findEventEnd(bytes, start);
     }
-    this.#remainder = Buffer.from(bytes.subarray(start));
+    // Otherwise the remainder has all bytes.
+    if (start > 0 || searchedBytes === 0) {
+      this.#remainder.reset();
+      this.#remainder.append(bytes.subarray(start));
+    }
     return events;
   }
 }
@@ -58,7 +72,7 @@
   return Buffer.from(values.join("\n"), "latin1");
 }
 
-/** Finds the end of the event that begins at `start`; 0 if it's incomplete. */
+/** Finds the first end of an event from `start` on; 0 if there is none. */
 function findEventEnd(bytes: Buffer, start: number): number {
   for (
     let at = bytes.indexOf(LINE_FEED, start);
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -6,6 +6,7 @@
 import {
   type Exchange,
   type ExchangeEnd,
+  GrowingBuffer,
   type PeerConnection,
   type PeerHeaders,
   type PeerRequest,
@@ -81,8 +82,8 @@
   readonly result: Promise<StreamAttemptResult>;
   readonly #options: StreamAttemptOptions;
   readonly #splitter = new EventSplitter();
-  readonly #bufferedChunks: Uint8Array[] = [];
-  #bufferedBytes = 0;
+  /** The body of a response that isn't a stream. */
+  readonly #buffered = new GrowingBuffer(MAX_BUFFERED_BYTES);
   #resolve: (result: StreamAttemptResult) => void = () => {};
   #exchange: Exchange | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -170,7 +171,7 @@
       kind: "answered",
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#bufferedChunks),
+      body: this.#buffered.view(),
       isReused: this.#exchange?.isReused ?? false,
     }, this.#options) as TargetResponse | FailedAttempt;
   }
@@ -238,12 +239,12 @@
   }
 
   #addBuffered(chunk: Uint8Array): void {
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+    const growth = this.#buffered.computeGrowth(chunk.length);
+    if (this.#buffered.length + chunk.length > MAX_BUFFERED_BYTES) {
       this.#endBroken("the response exceeds the size limit");
-    } else if (!this.#options.share.reserve(chunk.length)) {
+    } else if (!this.#options.share.reserve(growth)) {
       this.#endBroken("the process holds too much to read the response");
-    } else this.#bufferedChunks.push(chunk);
+    } else this.#buffered.append(chunk);
   }
 
   #endBroken(detail: string): void {
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -11,6 +11,13 @@
 
 /** Maximum number of buffered lines. */
 const MAX_BUFFERED_LINES = 2_000;
+/**
+ * Maximum characters of the buffered lines, a kilobyte a line: 2,000 lines with
+ * ids of callers as long as a head may be would take 32 MB.
+ */
+const MAX_BUFFERED_CHARS = 2_000_000;
+/** Longer values, for instance a caller's id that fills its head, are cut. */
+const MAX_VALUE_CHARS = 2_000;
 
 /** The destination of log lines: standard output, or a list in tests. */
 export interface LogOutput {
@@ -23,6 +30,7 @@
   readonly #output: LogOutput;
   readonly #vmId: string;
   #lines: string[] = [];
+  #bufferedChars = 0;
   #dropped = 0;
   #isWriting = false;
 
@@ -33,11 +41,16 @@
 
   /** Buffers a line, or drops it when the buffer is full. */
   write(event: EventDefinition, fields: LogFields): void {
-    if (this.#lines.length >= MAX_BUFFERED_LINES) {
+    if (
+      this.#lines.length >= MAX_BUFFERED_LINES ||
+      this.#bufferedChars >= MAX_BUFFERED_CHARS
+    ) {
       this.#dropped += 1;
       return;
     }
-    this.#lines.push(this.#format(event, fields));
+    const line = this.#format(event, fields);
+    this.#bufferedChars += line.length;
+    this.#lines.push(line);
   }
 
   /**
@@ -55,6 +68,7 @@
     if (this.#lines.length === 0) return dropped;
     const text = this.#lines.join("");
     this.#lines = [];
+    this.#bufferedChars = 0;
     this.#isWriting = true;
     this.#output.write(text, () => this.#isWriting = false);
     return dropped;
@@ -68,6 +82,13 @@
       name: event.name,
       vm: this.#vmId,
       ...fields,
-    }) + "\n";
+    }, cutLongValue) + "\n";
+  }
+}
+
+function cutLongValue(_key: string, value: unknown): unknown {
+  if (typeof value !== "string" || value.length <= MAX_VALUE_CHARS) {
+    return value;
   }
+  return `${value.slice(0, MAX_VALUE_CHARS)}...`;
 }
--- a/packages/gateway/src/log_test.ts
+++ b/packages/gateway/src/log_test.ts
@@ -27,4 +27,26 @@
       lines: 500,
     });
   });
+
+  // Without it, 2,000 lines with ids of 16,000 characters are held at once.
+  it("bounds the characters of its lines, and cuts long values", () => {
+    const texts: string[] = [];
+    const log = new GatewayLog({
+      write: (text, done) => {
+        texts.push(text);
+        done();
+      },
+    }, "g1");
+    const program = "p".repeat(16_000);
+    for (let line = 0; line < 2_000; line += 1) {
+      log.write(EVENTS.RequestRefused, { program });
+    }
+    expect(log.flush()).to.be.above(0);
+    expect(texts[0]?.length).to.be.below(2_100_000);
+    const [line = ""] = texts[0]?.split("\n") ?? [];
+    expect(JSON.parse(line).program).to.equal(`${"p".repeat(2_000)}...`);
+    log.write(EVENTS.RequestRefused, { program: "short" });
+    log.flush();
+    expect(JSON.parse(texts[1] ?? "").program).to.equal("short");
+  });
 });
--- a/packages/gateway/src/turns/open_turn.ts
+++ b/packages/gateway/src/turns/open_turn.ts
@@ -1,6 +1,7 @@
 /**
  * A turn in progress on a route whose turns are kept.
  */
+import { GrowingBuffer } from "@camphorlock/http/exchange";
 import type { KeptTurn, TurnChain } from "@camphorlock/turns";
 import type { AcceptedRequest } from "../exchange/request_end.ts";
 
@@ -14,7 +15,7 @@
   readonly previousTargetId: string | undefined;
   readonly #accepted: AcceptedRequest;
   readonly #save: (turn: KeptTurn, deadlineMs: number) => Promise<boolean>;
-  readonly #output: Buffer[] = [];
+  readonly #output = new GrowingBuffer();
 
   constructor(
     accepted: AcceptedRequest,
@@ -32,7 +33,8 @@
 
   /** Records the data of an event that the caller receives. */
   addEvent(data: Buffer): void {
-    this.#output.push(data, LINE_FEED);
+    this.#output.append(data);
+    this.#output.append(LINE_FEED);
   }
 
   /** Keeps the turn; false if it isn't certain to last. */
@@ -42,7 +44,7 @@
       id: fields.requestId,
       parentId: fields.previousTurnId,
       input: body,
-      output: Buffer.concat(this.#output),
+      output: this.#output.view(),
       targetId,
       retentionMs: route.retentionMs ?? 0,
       endedAtMs: performance.now(),
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -1,6 +1,7 @@
 /**
  * Exchanges whose response is buffered completely before it's used.
  */
+import { GrowingBuffer } from "./growing_buffer.ts";
 import type {
   Exchange,
   ExchangeEnd,
@@ -63,7 +64,8 @@
   implements ResponseReceiver, RunningBufferedExchange {
   readonly answer: Promise<BufferedResponse>;
   readonly #limits: BufferedResponseLimits;
-  readonly #chunks: Uint8Array[] = [];
+  /** Takes what arrives where the length isn't known, or no memory is free. */
+  readonly #received: GrowingBuffer;
   #resolve: (response: BufferedResponse) => void = () => {};
   #exchange: Exchange | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -75,6 +77,7 @@
 
   constructor(limits: BufferedResponseLimits) {
     this.#limits = limits;
+    this.#received = new GrowingBuffer(limits.maxBytes);
     this.answer = new Promise((resolve) => {
       this.#resolve = resolve;
     });
@@ -103,7 +106,10 @@
       return this.#endEarly("the response exceeds the size limit");
     }
     if (length === 0) return;
-    this.#reserve(length, () => this.#buffer = Buffer.allocUnsafe(length));
+    this.#reserve(length, () => {
+      // What arrived during the wait is kept where it is.
+      if (this.#bytes === 0) this.#buffer = Buffer.allocUnsafe(length);
+    });
   }
 
   handleData(chunk: Uint8Array): void {
@@ -116,9 +122,9 @@
       this.#buffer.set(chunk, offset);
       return;
     }
-    this.#chunks.push(chunk);
-    // The chunks are copied into one body at the end.
-    this.#reserve(chunk.length * 2, () => {});
+    const growth = this.#received.computeGrowth(chunk.length);
+    this.#received.append(chunk);
+    if (growth > 0) this.#reserve(growth, () => {});
   }
 
   /** Stops reading until the bytes may be held. */
@@ -152,7 +158,7 @@
       status: this.#status,
       headers: this.#headers,
       body: this.#buffer?.subarray(0, this.#bytes) ??
-        Buffer.concat(this.#chunks),
+        this.#received.view(),
       isReused: this.#exchange?.isReused ?? false,
     };
   }
