Make the age of a watched copy an upper bound

A watch without changes counted as age 0, however long its response took or the VM was suspended; the age began after a list had been applied; and a relay read its copy's age after the changes, so that a confirmation in between made them look younger. Each made a copy pass for younger than it is, which matters once a removed key has to lapse by that age. Copies of older builds are still used, but their age isn't trusted where it must be a bound.

--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -128,6 +128,11 @@
   readonly completed?: readonly string[];
   /** Age of the responding gateway's cached objects. */
   readonly ageMs?: number;
+  /**
+   * Whether the age is an upper bound. Older builds leave it out: they count a
+   * watch without changes as age 0, however long its response took.
+   */
+  readonly isAgeBound?: boolean;
   /**
    * How long the responding gateway waited for a change, by its steady clock.
    * The rest of the call's time was spent on the way, or suspended.
--- a/packages/gateway/src/store/build_object_source.ts
+++ b/packages/gateway/src/store/build_object_source.ts
@@ -67,9 +67,16 @@
       kind === "turnDisks"
         ? DISK_WATCH_MS + DISK_AGE_MARGIN_MS
         : computeRenewalMs(settings),
+    needsAgeBound: (kind) =>
+      kind === "configuration" && settings.bounds.revocationMs !== undefined,
   });
 }
 
 function findShorterBound({ bounds }: ObjectSourceOptions["settings"]): number {
-  return Math.min(bounds.drainMs, bounds.configurationMs);
+  const { drainMs, configurationMs, revocationMs } = bounds;
+  return Math.min(
+    drainMs,
+    configurationMs,
+    revocationMs ?? Number.POSITIVE_INFINITY,
+  );
 }
--- a/packages/gateway/src/store/object_cache.ts
+++ b/packages/gateway/src/store/object_cache.ts
@@ -108,16 +108,25 @@
   }
 
   /**
-   * Returns the last change of each object after a revision: as soon as there
-   * is one, or with none when the objects were confirmed or the wait ends.
-   * Undefined when changes are no longer retained.
+   * Waits until there are changes after a revision, the objects were confirmed,
+   * or the wait ends; then lists the changes. Undefined when changes are no
+   * longer retained.
    */
   async waitForChanges(
     afterRevision: number,
     waitMs: number,
   ): Promise<StoredChanges | undefined> {
-    if (!this.#isRetained(afterRevision)) return undefined;
-    if (!this.#hasChange(afterRevision)) await this.#wait(waitMs);
+    const canWait = this.#isRetained(afterRevision) &&
+      !this.#hasChange(afterRevision);
+    if (canWait) await this.#wait(waitMs);
+    return this.listChanges(afterRevision);
+  }
+
+  /**
+   * Lists the last change of each object after a revision; undefined when
+   * changes are no longer retained.
+   */
+  listChanges(afterRevision: number): StoredChanges | undefined {
     if (!this.#isRetained(afterRevision)) return undefined;
     const changes = [...this.#lastChanges.values()]
       .filter(({ revision }) => revision > afterRevision)
--- a/packages/gateway/src/store/object_relay.ts
+++ b/packages/gateway/src/store/object_relay.ts
@@ -14,7 +14,7 @@
     case "list_objects": {
       const listed = cache?.list();
       if (cache === undefined || listed === undefined) return {};
-      return { listed, ageMs: cache.computeAgeMs() };
+      return { listed, ageMs: cache.computeAgeMs(), isAgeBound: true };
     }
     case "watch_objects": {
       const { afterRevision, maxAgeMs } = call;
@@ -22,12 +22,16 @@
       const isRecent = cache !== undefined &&
         cache.computeAgeMs() <= maxAgeMs;
       const waitMs = isRecent ? call.waitMs : 0;
-      const changes = await cache?.waitForChanges(afterRevision, waitMs);
-      if (cache === undefined || changes === undefined) {
+      await cache?.waitForChanges(afterRevision, waitMs);
+      // Both at one moment: a confirmation that comes between them would be of
+      // a later revision than the changes, and make them look younger.
+      const changes = cache?.listChanges(afterRevision);
+      const ageMs = cache?.computeAgeMs();
+      if (changes === undefined || ageMs === undefined) {
         return { isHistoryGone: true };
       }
       const heldMs = performance.now() - receivedAtMs;
-      return { changes, ageMs: cache.computeAgeMs(), heldMs };
+      return { changes, ageMs, isAgeBound: true, heldMs };
     }
   }
 }
--- a/packages/gateway/src/store/object_source.ts
+++ b/packages/gateway/src/store/object_source.ts
@@ -36,6 +36,12 @@
   ): SourceResult<StoredChanges>;
 }
 
+/**
+ * The store's timer may end a wait a little before the caller's clock says so,
+ * since timers round to milliseconds.
+ */
+const TIMER_TOLERANCE_MS = 2;
+
 /** Reads and watches objects at the store. */
 export class StoreSource implements ObjectSource {
   readonly #store: ObjectStore;
@@ -61,13 +67,35 @@
     afterRevision: number,
   ): SourceResult<StoredChanges> {
     const call = new Stopwatch();
-    const result = await this.#store
-      .watch(objects, { afterRevision, waitMs: this.#getWaitMs(objects) });
+    const waitMs = Math.floor(this.#getWaitMs(objects));
+    const result = await this.#store.watch(objects, { afterRevision, waitMs });
+    const { elapsedMs } = call;
     return result.map((value) => ({
       value,
-      // A response with a change may have spent a while in transit.
-      ageMs: value.changes.length > 0 ? call.elapsedMs : 0,
+      ageMs: computeWatchAgeMs({
+        hasChanges: value.changes.length > 0,
+        elapsedMs,
+        waitMs,
+      }),
       source: STORE,
     }));
   }
 }
+
+/**
+ * Computes the upper bound on the age of a watch's response. The store answers
+ * without changes once the wait is over; the rest of the time the response may
+ * have been on its way, or this VM suspended. Any other response may have been
+ * written right after the call.
+ */
+function computeWatchAgeMs(
+  { hasChanges, elapsedMs, waitMs }: {
+    readonly hasChanges: boolean;
+    readonly elapsedMs: number;
+    readonly waitMs: number;
+  },
+): number {
+  const waitedMs = waitMs - TIMER_TOLERANCE_MS;
+  const isEarly = hasChanges || waitedMs <= 0 || elapsedMs < waitedMs;
+  return isEarly ? elapsedMs : elapsedMs - waitedMs;
+}
--- a/packages/gateway/src/store/relayed_source.ts
+++ b/packages/gateway/src/store/relayed_source.ts
@@ -14,6 +14,7 @@
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
+import type { PeerResponse } from "../peers/peer_messages.ts";
 import type {
   ObjectKind,
   StoredChanges,
@@ -60,6 +61,8 @@
   readonly getPeerWaitMs: (objects: ObjectKind) => number;
   /** Maximum age at which another gateway's copy of a kind is used. */
   readonly getMaxAgeMs: (objects: ObjectKind) => number;
+  /** Whether the age of a kind has to be an upper bound; never if absent. */
+  readonly needsAgeBound?: (objects: ObjectKind) => boolean;
 }
 
 /** Reads and watches objects at relays, at the store, or at other gateways. */
@@ -179,7 +182,7 @@
     const isUsable = value !== undefined && value.revision >= minRevision &&
       this.#isRecent(objects, response.ageMs);
     return isUsable
-      ? ok({ value, ageMs, source: peer.vmId })
+      ? ok(this.#buildConfirmed(value, { objects, peer, response, ageMs }))
       : err(NO_RECENT_COPY);
   }
 
@@ -207,10 +210,29 @@
     const isUsable = value !== undefined &&
       (value.changes.length > 0 || this.#isRecent(objects, ageMs));
     return isUsable
-      ? ok({ value, ageMs, source: peer.vmId })
+      ? ok(this.#buildConfirmed(value, { objects, peer, response, ageMs }))
       : err(NO_RECENT_COPY);
   }
 
+  /** An older build's copy is used, but says nothing of its own age. */
+  #buildConfirmed<T>(
+    value: T,
+    { objects, peer, response, ageMs }: {
+      readonly objects: ObjectKind;
+      readonly peer: PeerInfo;
+      readonly response: PeerResponse;
+      readonly ageMs: number;
+    },
+  ): Confirmed<T> {
+    const isTrusted = response.isAgeBound === true ||
+      this.#dependencies.needsAgeBound?.(objects) !== true;
+    return {
+      value,
+      ageMs: isTrusted ? ageMs : Number.POSITIVE_INFINITY,
+      source: peer.vmId,
+    };
+  }
+
   /** Lists the gateways to call when the store fails. */
   #listFallbackPeers(alreadyCalled: readonly PeerInfo[]): PeerInfo[] {
     const { directory, selfId } = this.#dependencies;
--- a/packages/gateway/src/store/relayed_source_test.ts
+++ b/packages/gateway/src/store/relayed_source_test.ts
@@ -20,7 +20,12 @@
 function buildSource(
   ageByPeer: Readonly<Record<string, number>>,
   isStoreRefusing: boolean,
-  { onCall, heldMs }: { onCall?: () => void; heldMs?: number } = {},
+  { onCall, heldMs, ...bound }: {
+    onCall?: () => void;
+    heldMs?: number;
+    isAgeBound?: boolean;
+    needsAgeBound?: boolean;
+  } = {},
 ) {
   const selfId = SORTED.at(-1) ?? "";
   const directory = new PeerDirectory(buildPeer(selfId));
@@ -54,6 +59,7 @@
           listed: { objects: [], revision: 9 },
           ageMs,
           ...(heldMs === undefined ? {} : { heldMs }),
+          ...(bound.isAgeBound === true ? { isAgeBound: true } : {}),
         },
       );
     },
@@ -67,6 +73,7 @@
     selfId,
     getPeerWaitMs: () => MAX_AGE_MS,
     getMaxAgeMs: () => MAX_AGE_MS,
+    needsAgeBound: () => bound.needsAgeBound === true,
   });
   return { source, called };
 }
@@ -118,6 +125,29 @@
     }
   });
 
+  // The build before counts a watch without changes as age 0, however long the
+  // response took, so that its copy may hide the removal of a key.
+  it("takes an older build's copy, but not its age where that must hold", async () => {
+    const ages = { [second]: 5 };
+    for (const isAgeBound of [false, true]) {
+      const strict = buildSource(ages, false, {
+        isAgeBound,
+        needsAgeBound: true,
+      });
+      const age = isAgeBound ? 5 : Number.POSITIVE_INFINITY;
+      for (const call of ["watch", "list"] as const) {
+        const result = (await strict.source[call]("configuration", 1))
+          ._unsafeUnwrap();
+        expect(result.source).to.equal(second);
+        if (isAgeBound) expect(result.ageMs).to.be.within(age, age + 100);
+        else expect(result.ageMs).to.equal(age);
+      }
+    }
+    const { source } = buildSource(ages, false);
+    expect((await source.watch("configuration", 1))._unsafeUnwrap().ageMs)
+      .to.be.within(5, 105);
+  });
+
   it("accepts no list that is older than what it knows", async () => {
     const { source, called } = buildSource({ [second]: 5, [first]: 5 }, false);
     const listed = await source.list("targets", 10);
--- a/packages/gateway/src/store/store_watcher.ts
+++ b/packages/gateway/src/store/store_watcher.ts
@@ -19,6 +19,7 @@
 } from "../ports.ts";
 import type { Confirmed, ObjectSource, SourceResult } from "./object_source.ts";
 import { ObjectCache } from "./object_cache.ts";
+import { Stopwatch } from "./stopwatch.ts";
 
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
@@ -127,14 +128,16 @@
   }
 
   #applyList(list: Confirmed<StoredList>): void {
-    const { value, ageMs } = list;
+    const { value } = list;
+    const age = new Stopwatch(list.ageMs);
     const wasUnreachable = this.#isUnreachable;
     this.#recordSuccess();
     // A renewal may have overtaken this list.
     if (value.revision < this.cache.revision) return;
     const origin = buildOrigin(list, wasUnreachable);
     this.#dependencies.objects.setAll(value.objects, origin);
-    this.cache.setAll(value, ageMs);
+    // Decoding a large configuration takes a while, which counts.
+    this.cache.setAll(value, age.elapsedMs);
   }
 
   async #watchChanges(): Promise<void> {
@@ -149,7 +152,8 @@
   }
 
   #applyChanges(changes: Confirmed<StoredChanges>): void {
-    const { value, ageMs } = changes;
+    const { value } = changes;
+    const age = new Stopwatch(changes.ageMs);
     // A renewal may have overtaken this response.
     if (value.revision < this.cache.revision) return;
     const origin = buildOrigin(changes, false);
@@ -157,7 +161,7 @@
       if (this.cache.isSuperseded(change)) continue;
       this.#dependencies.objects.applyChange(change, origin);
     }
-    this.cache.applyChanges(value, ageMs);
+    this.cache.applyChanges(value, age.elapsedMs);
   }
 
   #recordSuccess(): void {
--- a/packages/gateway/src/store/store_watcher_test.ts
+++ b/packages/gateway/src/store/store_watcher_test.ts
@@ -96,6 +96,29 @@
     expect(lost).to.have.length(1);
   });
 
+  // Applying a list of 100,000 keys takes a while, and the VM may be suspended
+  // meanwhile: a copy that began its age afterwards looked younger.
+  it("counts the time in which a list is applied into its age", async () => {
+    const watcher = new StoreWatcher({
+      source: {
+        list: () => listAt(5),
+        watch: () => new Promise(() => {}),
+      },
+      log,
+      kind: "configuration",
+      objects: {
+        setAll: () => {
+          time.advance(150);
+          time.suspend(9_000);
+        },
+        applyChange: () => {},
+      },
+    });
+    void watcher.run();
+    for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
+    expect(watcher.computeAgeMs()).to.equal(9_150);
+  });
+
   it("ignores an older list", async () => {
     const { watcher, unreachable } = await startWatcher(() => listAt(4));
     time.advance(AFTER_MS);
