Let requests take turns in a queue instead of polling for a target

Requests for which no target was free polled every 25 ms in no order, and priorities were never read. A queue per service now decides by class, tenant and program which request goes next, refuses at once what can't be answered in its time, and spreads the callers that it refuses. Configurations without tenants, priorities or engine memory keep the former waits and codes.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -548,6 +548,12 @@
     "info",
     "The gateway couldn't connect another one to a target; the first of a series.",
   ),
+  RequestQueued: defineEvent(
+    990,
+    "RequestQueued",
+    "info",
+    "A request has waited in the queue of its service and goes to a target.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -87,7 +87,9 @@
       switch (decision.kind) {
         case "admitted":
           this.#log.writeAdmitted(turn, decision.grantedTokens);
-          return decision;
+          return accounts.hasOtherTurns(turn.programId, turn.turnId)
+            ? { ...decision, hasEarlierTurns: true }
+            : decision;
         case "over_budget":
           this.#log.writeOverBudget(turn);
           void this.#records.saveSpent(turn.programId, turn.budgetTokens);
--- a/packages/gateway/src/accounts/turn_accounts.ts
+++ b/packages/gateway/src/accounts/turn_accounts.ts
@@ -80,6 +80,7 @@
   readonly #homes: HomeGrant[] = [];
   #pendingCall: Promise<unknown> | undefined;
   #isClosed = false;
+  #hasBegun = false;
 
   constructor(dependencies: TurnAccountsDependencies, turn: NewTurn) {
     this.#dependencies = dependencies;
@@ -87,6 +88,11 @@
     this.#meter = new TokenMeter(turn);
   }
 
+  /** Whether a home has seen an earlier turn of the program. */
+  get hasBegun(): boolean {
+    return this.#hasBegun;
+  }
+
   /** Tokens forwarded to the caller. */
   get passedTokens(): number {
     return this.#meter.passedTokens;
@@ -191,6 +197,7 @@
 
   #addGrant(homeGrant: HomeGrant, response: TurnResponse): void {
     if (response.kind !== "admitted" || this.#isClosed) return;
+    if (response.hasEarlierTurns === true) this.#hasBegun = true;
     const tokens = response.grantedTokens - homeGrant.grantedTokens;
     if (tokens <= 0) return;
     homeGrant.grantedTokens += tokens;
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -99,6 +99,13 @@
     return { kind: "admitted", grantedTokens: tokens };
   }
 
+  /** Whether a program has had a turn here besides this one. */
+  hasOtherTurns(programId: string, turnId: string): boolean {
+    const turns = this.#accounts.get(programId)?.turns;
+    if (turns === undefined) return false;
+    return turns.size > (turns.has(turnId) ? 1 : 0);
+  }
+
   /**
    * Ends a turn that forwarded some of its tokens. A turn that isn't open yet
    * is recorded as ended, since its caller has abandoned it.
--- a/packages/gateway/src/exchange/exchange_dependencies.ts
+++ b/packages/gateway/src/exchange/exchange_dependencies.ts
@@ -9,6 +9,7 @@
 import type { GatewayLog } from "../log.ts";
 import type { TargetPermits } from "../limits/target_permits.ts";
 import type { RequestCodec } from "../ports.ts";
+import type { WorkQueue } from "../queue/work_queue.ts";
 import type { StreamVersions } from "../streams/stream_versions.ts";
 import type { TargetVerifier } from "../streams/target_verifier.ts";
 import type { TargetConnections } from "./target_connections.ts";
@@ -19,6 +20,7 @@
   readonly connections: TargetConnections;
   readonly ways: Pick<PathComponents, "monitor" | "paths">;
   readonly permits: TargetPermits;
+  readonly queue: WorkQueue;
   readonly crashes: CrashObserver;
   readonly blocked: BlockedRequests;
   readonly versions: StreamVersions;
--- a/packages/gateway/src/exchange/request_clock.ts
+++ b/packages/gateway/src/exchange/request_clock.ts
@@ -33,8 +33,8 @@
     return performance.now() - this.#receivedAtMs;
   }
 
-  /** Whether the request may still wait for a target. */
-  canWait(): boolean {
-    return this.countElapsedMs() < this.#limitMs * MAX_WAIT_SHARE;
+  /** Until when the request waits for a target, where nothing asks for order. */
+  get waitUntilMs(): number {
+    return this.#receivedAtMs + this.#limitMs * MAX_WAIT_SHARE;
   }
 }
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -28,6 +28,8 @@
     readonly code: ResultCodeDefinition;
     readonly detail: string;
     readonly retryAfterMs: number;
+    /** What the decision was made by, for the log. */
+    readonly inputs?: LogFields;
   }
   /** A target may have run the request. */
   | {
@@ -108,6 +110,7 @@
         code: outcome.code.code,
         detail: outcome.detail,
         retry_after_ms: outcome.retryAfterMs,
+        ...outcome.inputs,
       });
     case "failed":
       if (caller.hasSentHead) caller.close();
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -21,14 +21,11 @@
 import { AttemptRunner } from "./attempt_runner.ts";
 import type { TargetResponse } from "./buffered_attempt.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
-import {
-  acquireTarget,
-  chooseNextTarget,
-  hasUsableTarget,
-} from "./next_target.ts";
+import { acquireTarget } from "./next_target.ts";
 import { RequestBlocks } from "./request_blocks.ts";
 import { RequestClock } from "./request_clock.ts";
 import { RequestAttempts } from "./request_attempts.ts";
+import { TargetTurns } from "./target_turns.ts";
 import {
   type AcceptedRequest,
   endRequest,
@@ -46,9 +43,6 @@
   buildVersionGoneOutcome,
 } from "./request_outcomes.ts";
 
-/** Pause before targets that rejected the request are retried. */
-const RETRY_DELAY_MS = 25;
-
 type StopReason = "timeout" | "disconnected" | "process_end" | "blocked";
 
 /** Runs one accepted request to its final response. */
@@ -64,7 +58,7 @@
   readonly #blocks: RequestBlocks;
   readonly #runner: AttemptRunner;
   #stopped: StopReason | undefined;
-  #endWait: () => void = () => {};
+  readonly #turns: TargetTurns;
 
   constructor(
     dependencies: ExchangeDependencies,
@@ -85,6 +79,12 @@
     const { fingerprint } = accepted;
     this.#runner = new AttemptRunner(dependencies);
     this.#blocks = new RequestBlocks(dependencies, fingerprint, this.#service);
+    this.#turns = new TargetTurns(dependencies, {
+      report: this.#buildReport(),
+      state,
+      clock: this.#clock,
+      blocks: this.#blocks,
+    });
   }
 
   /** Runs until the final response was sent or the caller disconnected. */
@@ -122,7 +122,6 @@
   }
 
   async #runAttempts(): Promise<RequestOutcome> {
-    let onlyRunners: boolean | undefined = false;
     for (;;) {
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
       const block = this.#blocks.find() ?? this.#blocks.findLastTrial();
@@ -132,22 +131,14 @@
       if (!this.#dependencies.ways.paths.canReachTargets) {
         return buildCutOffOutcome(this.#attempts.mayHaveRun);
       }
-      const choice = chooseNextTarget(this.#dependencies, {
-        ...this.#buildReport(),
-        previousTargetId: this.#state.turn?.previousTargetId,
-        onlyRunners,
-        avoidedAddress: this.#blocks.findTrial()?.address,
-      });
-      if (choice === undefined) {
-        if (!hasUsableTarget(this.#dependencies, this.#buildReport())) {
-          return buildVersionGoneOutcome(this.#attempts.mayHaveRun);
-        }
-        if (!this.#clock.canWait()) return this.#buildRefusal();
-        await this.#waitToRetry();
-        this.#attempts.excluded.clear();
-        continue;
+      const turn = await this.#turns.take();
+      if (turn.kind === "recheck") continue;
+      if (turn.kind === "refused") return turn.outcome;
+      if (turn.kind === "expired") return this.#buildRefusal();
+      if (turn.kind === "version_gone") {
+        return buildVersionGoneOutcome(this.#attempts.mayHaveRun);
       }
-      const { entry } = choice;
+      const { entry } = turn.choice;
       const isAcquired = await acquireTarget(
         this.#dependencies,
         this.#attempts,
@@ -160,8 +151,7 @@
         case "completed":
           return { kind: "completed", status: 200 };
         case "answered":
-          onlyRunners = this.#planConfirmation(entry, result);
-          if (onlyRunners === undefined) {
+          if (!this.#planConfirmation(entry, result)) {
             return sendResponse(this.#dependencies, this.#accepted, result);
           }
           break;
@@ -169,14 +159,14 @@
           const next = this.#planNextAttempt(entry, result);
           if (next.kind === "refuse") return this.#buildRefusal();
           if (next.kind === "fail") return buildFailureOutcome(result.detail);
-          onlyRunners = next.to === "runners";
+          this.#turns.onlyRunners = next.to === "runners";
         }
       }
     }
   }
 
-  #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
-    return this.#runner.run({
+  async #runAttempt(entry: TrackedTarget): Promise<StreamAttemptResult> {
+    const result = await this.#runner.run({
       accepted: this.#accepted,
       attempts: this.#attempts,
       entry,
@@ -185,6 +175,9 @@
       grant: this.#state.grant,
       recordEvent: (event) => this.#recordEvent(entry, event),
     }, () => this.#stopped !== undefined);
+    const hadRoom = result.kind !== "not_run" && result.kind !== "unreachable";
+    if (hadRoom) this.#dependencies.queue.recordRoom(this.#service);
+    return result;
   }
 
   #planNextAttempt(
@@ -210,20 +203,22 @@
     return next;
   }
 
-  /** Plans a second attempt; undefined if none is needed, or possible. */
+  /** Plans a second attempt; false if none is needed, or possible. */
   #planConfirmation(
     entry: TrackedTarget,
     { status, headers }: TargetResponse,
-  ): boolean | undefined {
+  ): boolean {
     const isNeeded = needsConfirmation({
       isRepeatable: this.#isRepeatable,
       isDelimited: isDelimited(status, headers),
       sends: this.#attempts.targetIds.length,
     });
-    if (!isNeeded) return undefined;
+    if (!isNeeded) return false;
     const detail = "the response's end isn't marked";
     const next = this.#planNextAttempt(entry, { kind: "broken", detail });
-    return next.kind === "send" ? next.to === "runners" : undefined;
+    if (next.kind !== "send") return false;
+    this.#turns.onlyRunners = next.to === "runners";
+    return true;
   }
 
   #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
@@ -240,16 +235,6 @@
     this.#dependencies.metrics.record("first_event", progress.firstEventMs);
   }
 
-  #waitToRetry(): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, RETRY_DELAY_MS);
-      this.#endWait = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-  }
-
   #stop(reason: StopReason): void {
     if (this.#stopped !== undefined) return;
     this.#stopped = reason;
@@ -257,7 +242,7 @@
     const isCancelled = reason !== "disconnected" || this.#isRepeatable ||
       this.#isStream;
     this.#runner.stop({ isCancelled });
-    this.#endWait();
+    this.#turns.stop();
   }
 
   #buildStoppedOutcome(): RequestOutcome {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,6 @@
 import { randomUUID } from "node:crypto";
 import { setTimeout as waitFor } from "node:timers/promises";
 import { EVENTS } from "@camphorlock/codes/events";
-import type { SocketOpener } from "@camphorlock/http/exchange";
 import { TimerService } from "@camphorlock/scheduler/timers";
 import {
   type AccountComponents,
@@ -24,20 +23,13 @@
   ReadinessState,
 } from "./front/readiness_state.ts";
 import { StatusServers } from "./front/status_servers.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewayOptions } from "./gateway_options.ts";
 import {
   buildPathComponents,
   type PathComponents,
 } from "./paths/path_components.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
-import type { GatewayLog } from "./log.ts";
-import type {
-  GatewaySettings,
-  ObjectStore,
-  RequestCodec,
-  StoreCodec,
-} from "./ports.ts";
 import {
   buildObjectSource,
   computeRenewalMs,
@@ -47,6 +39,7 @@
   buildTurnComponents,
   type TurnComponents,
 } from "./turns/turn_components.ts";
+import { WorkQueue } from "./queue/work_queue.ts";
 import { CountedStore } from "./store/counted_store.ts";
 import { StreamVersions } from "./streams/stream_versions.ts";
 import { Watchers } from "./store/watchers.ts";
@@ -63,18 +56,6 @@
 /** Reserved at the end of the grace period to send the last responses. */
 const GRACE_MARGIN_MS = 400;
 
-/** Settings and dependencies of a gateway. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly store: ObjectStore;
-  readonly requestCodec: RequestCodec;
-  readonly storeCodec: StoreCodec;
-  readonly log: GatewayLog;
-  readonly metrics: GatewayMetrics;
-  /** Opens direct connections to targets; tests pass another one. */
-  readonly openSocket?: SocketOpener;
-}
-
 /** One gateway process. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -179,8 +160,14 @@
         this.#configuration.isKnown && paths.canReachTargets,
       countTargets: () => this.#targets.size,
     });
+    const queue = new WorkQueue({
+      vmId: settings.vmId,
+      metrics,
+      findConfiguration: () => this.#configuration.inForce?.configuration,
+    });
     this.#callers = new CallerServer({
       bytes,
+      queue,
       ways: this.#ways,
       targets: this.#targets,
       connections,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -24,6 +24,10 @@
   "target_ends",
   "requests_blocked",
   "permits_denied",
+  "requests_queued",
+  "queue_refusals_full",
+  "queue_refusals_late",
+  "queue_promotions",
   "turns_admitted",
   "turns_without_allowance",
   "first_allowances",
@@ -57,6 +61,7 @@
   "store_call",
   "chain_load",
   "turn_save",
+  "queue_wait",
 ] as const;
 
 /** The name of a latency histogram. */
--- a/packages/gateway/src/model/token_account.ts
+++ b/packages/gateway/src/model/token_account.ts
@@ -29,7 +29,13 @@
 
 /** A home's response to a turn's request. */
 export type TurnResponse =
-  | Exclude<TurnDecision, { kind: "needs_allowance" }>
+  | Exclude<TurnDecision, { kind: "admitted" | "needs_allowance" }>
+  | {
+    readonly kind: "admitted";
+    readonly grantedTokens: number;
+    /** Whether the home has seen another turn; absent from old builds. */
+    readonly hasEarlierTurns?: boolean;
+  }
   /** The home waits for the store; the caller has to repeat the request. */
   | { readonly kind: "pending" }
   /** The remaining budget can't be determined at present. */
--- /dev/null
+++ b/packages/gateway/src/queue/queue_rules.ts
@@ -0,0 +1,118 @@
+/**
+ * When a request waits in the queue rather than at a target, when it can't be
+ * answered in time any more, and when a refused caller returns.
+ *
+ * A target's queue is first in, first out. What waits there delays every later
+ * request, so a less urgent class may add less to it. The allowance is never
+ * zero: 70 gateways see the same free place, and a short queue at each target
+ * keeps it busy while they decide.
+ */
+import type { WorkEstimate } from "../placement/work_estimate.ts";
+
+/** Shortest time in which a target can respond. */
+const MIN_RESPONSE_MS = 20;
+/**
+ * Share of the time left that is kept for the work itself. Estimates of the
+ * output are often far off, so that they alone refuse nobody.
+ */
+const MAX_WORK_SHARE = 0.5;
+/** Share of their remaining time for which callers honour a retry time. */
+const HONOURED_SHARE = 1 / 3;
+/** Share of the honoured time before which no refused caller returns. */
+const MIN_RETURN_SHARE = 0.5;
+/** Share of its time in which a request moves up to the most urgent class. */
+const AGEING_SHARE = 2 / 3;
+/** Work beyond this share of the objective is long. */
+const LONG_WORK_SHARE = 0.5;
+
+/** The class of a request. */
+export interface RequestClass {
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  /** Number of classes of the service. */
+  readonly classes: number;
+  readonly targetLatencyMs: number;
+}
+
+/** Computes the wait at a target that a request may use. */
+export function computeMaxBacklogMs(
+  { rank, classes, targetLatencyMs }: RequestClass,
+): number {
+  const steps = Math.max(1, classes - rank);
+  return targetLatencyMs * steps / Math.max(1, classes, steps);
+}
+
+/** Computes after which time a waiting request moves up by a class. */
+export function computePromotionMs(leftMs: number, rank: number): number {
+  // From any class, it reaches the most urgent one in the same share of its
+  // time; earlier, the classes would be equal in a long crest.
+  return rank === 0 ? Number.POSITIVE_INFINITY : leftMs * AGEING_SHARE / rank;
+}
+
+/** Computes the work that a request adds to a target. */
+export function computeWorkMs(estimate: WorkEstimate | undefined): number {
+  // Never zero, so that requests count where nothing is known of their work.
+  return 1 + (estimate === undefined ? 0 : estimate.readMs + estimate.runMs);
+}
+
+/** Whether a request's work is long for its objective. */
+export function isLongWork(
+  estimate: WorkEstimate | undefined,
+  targetLatencyMs: number,
+): boolean {
+  return estimate !== undefined &&
+    estimate.runMs > targetLatencyMs * LONG_WORK_SHARE;
+}
+
+/** Computes how long before its end a request has to go at the latest. */
+export function computeReservedMs(
+  estimate: WorkEstimate | undefined,
+  leftMs: number,
+): number {
+  const workMs = estimate === undefined
+    ? 0
+    : estimate.totalMs - estimate.waitMs;
+  return Math.max(MIN_RESPONSE_MS, Math.min(workMs, leftMs * MAX_WORK_SHARE));
+}
+
+/** What is expected of a request that would wait. */
+export interface ExpectedStart {
+  readonly estimate: WorkEstimate | undefined;
+  readonly maxBacklogMs: number;
+  /** Time until the requests before it have gone. */
+  readonly aheadMs: number;
+  /** Time left until the request can no longer be answered. */
+  readonly leftMs: number;
+}
+
+/** Computes how long a request is expected to wait in the queue. */
+export function computeQueueWaitMs(
+  { estimate, maxBacklogMs, aheadMs }: ExpectedStart,
+): number {
+  const excessMs = (estimate?.waitMs ?? 0) - maxBacklogMs;
+  return Math.max(0, aheadMs, excessMs);
+}
+
+/** Whether a request can be answered in the time that it has. */
+export function canFinish(start: ExpectedStart): boolean {
+  const { estimate, maxBacklogMs, leftMs } = start;
+  const targetWaitMs = Math.min(estimate?.waitMs ?? 0, maxBacklogMs);
+  return computeQueueWaitMs(start) + targetWaitMs +
+      computeReservedMs(estimate, leftMs) <= leftMs;
+}
+
+/** The times between which a refused caller returns. */
+export interface ReturnBounds {
+  readonly leastRetryMs: number;
+  readonly mostRetryMs: number;
+}
+
+/** Computes between which times a refused caller should return. */
+export function computeReturnBounds(
+  roomInMs: number,
+  leftMs: number,
+): ReturnBounds {
+  const mostRetryMs = Math.max(1, leftMs * HONOURED_SHARE);
+  const leastRetryMs = Math.min(roomInMs, mostRetryMs * MIN_RETURN_SHARE);
+  return { leastRetryMs, mostRetryMs };
+}
--- a/packages/scheduler/src/admission/retry_after_schedule.ts
+++ b/packages/scheduler/src/admission/retry_after_schedule.ts
@@ -18,6 +18,11 @@
   readonly returnShare: number;
   readonly leastRetryMs: number;
   readonly mostRetryMs: number;
+  /**
+   * What callers get for whom no time is free before `mostRetryMs`: the latest
+   * time (the default), or any one, so that they don't return together.
+   */
+  readonly overflow?: "latest" | "spread";
 }
 
 /** The retry times that one node has assigned to refused callers. */
@@ -44,8 +49,12 @@
     const { returnShare, leastRetryMs, mostRetryMs } = bounds;
     const intervalMs = 1_000 / (this.#rate * returnShare);
     const latestMs = nowMs + mostRetryMs;
-    this.#nextRetryAtMs = Math.max(this.#nextRetryAtMs, nowMs + leastRetryMs) +
+    const nextMs = Math.max(this.#nextRetryAtMs, nowMs + leastRetryMs) +
       intervalMs;
+    if (nextMs > latestMs && bounds.overflow === "spread") {
+      return Math.round(this.#random.takeBetween(leastRetryMs, mostRetryMs));
+    }
+    this.#nextRetryAtMs = nextMs;
     if (this.#nextRetryAtMs > latestMs) this.#nextRetryAtMs = latestMs;
     const jitter = this.#random.takeBetween(1 - JITTER_SHARE, 1);
     return Math.round((this.#nextRetryAtMs - nowMs) * jitter);
