Decode the services of a configuration that came from another gateway

The fixture's codec passed on the map of services as the object that peers send, which no codec of the platform does; the queue reads that map.

--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -86,11 +86,20 @@
   decodeConfiguration: ({ value }) =>
     value === "unreadable"
       ? err("unreadable")
-      : ok(value as RoutingConfiguration),
+      : ok(decodeServices(value as RoutingConfiguration)),
   decodeTarget: ({ value }) =>
     value === "unreadable" ? err("unreadable") : ok(value as Target),
 };
 
+/** Restores the map of services, which gateways send as an object. */
+function decodeServices(value: RoutingConfiguration): RoutingConfiguration {
+  const { services: given } = value;
+  return {
+    ...value,
+    services: new Map(given.entries?.() ?? Object.entries(given)),
+  };
+}
+
 /** Builds a configuration with one route of each kind. */
 export function buildConfiguration(version: number): RoutingConfiguration {
   const route = {
