--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -560,6 +560,12 @@
     "warn",
     "The gateway is in contact with another part of the group, and grants that part of the quotas.",
   ),
+  RequestQueued: defineEvent(
+    990,
+    "RequestQueued",
+    "info",
+    "A request has waited in the queue of its service and goes to a target.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
   buildGatewayStores,
   type GatewayStores,
 } from "./store/guarded_store.ts";
+import { WorkQueue } from "./queue/work_queue.ts";
 import { StreamVersions } from "./streams/stream_versions.ts";
 import { Watchers } from "./store/watchers.ts";
 import {
@@ -180,8 +181,14 @@
         this.#configuration.isKnown && paths.canReachTargets,
       countTargets: () => this.#targets.size,
     });
+    const queue = new WorkQueue({
+      vmId: settings.vmId,
+      metrics,
+      findConfiguration: () => this.#configuration.inForce?.configuration,
+    });
     this.#callers = new CallerServer({
       bytes,
+      queue,
       ways: this.#ways,
       targets: this.#targets,
       connections,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -34,6 +34,10 @@
   "quota_denied",
   "quota_undecided",
   "quota_takeovers",
+  "requests_queued",
+  "queue_refusals_full",
+  "queue_refusals_late",
+  "queue_promotions",
   "turns_admitted",
   "turns_without_allowance",
   "first_allowances",
@@ -67,6 +71,7 @@
   "store_call",
   "chain_load",
   "turn_save",
+  "queue_wait",
 ] as const;
 
 /** The name of a latency histogram. */
