Rank targets while nothing was learned, and keep candidates by index

A service whose last target was removed and returned got a new index with the revision of the old one, so that a gateway chose the earlier incarnation. The test's copy of a configuration from another gateway had no map of services.

--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -83,10 +83,15 @@
 };
 
 const STORE_CODEC: StoreCodec = {
-  decodeConfiguration: ({ value }) =>
-    value === "unreadable"
-      ? err("unreadable")
-      : ok(value as RoutingConfiguration),
+  decodeConfiguration: ({ value }) => {
+    if (value === "unreadable") return err("unreadable");
+    const configuration = value as RoutingConfiguration;
+    // A copy from another gateway, as JSON, has no map.
+    const isCopy = !(configuration.services instanceof Map);
+    return ok(
+      isCopy ? { ...configuration, services: new Map() } : configuration,
+    );
+  },
   decodeTarget: ({ value }) =>
     value === "unreadable" ? err("unreadable") : ok(value as Target),
 };
--- a/packages/gateway/src/placement/candidates.ts
+++ b/packages/gateway/src/placement/candidates.ts
@@ -22,7 +22,6 @@
 
 /** What the candidates of one request depend on. */
 export interface CandidateOptions {
-  readonly service: string;
   readonly previousTargetId: string | undefined;
   /** Targets that rank first for the request's shared parts or object. */
   readonly ranked: readonly TrackedTarget[];
@@ -35,7 +34,8 @@
 /** Lists the candidates of requests at one gateway. */
 export class Candidates {
   readonly #location: Location & { readonly vmId: string };
-  readonly #used = new Map<string, UsedTargets>();
+  /** By index: a service without targets gets a new one when they return. */
+  readonly #used = new WeakMap<TargetIndex<TrackedTarget>, UsedTargets>();
 
   constructor(location: Location & { readonly vmId: string }) {
     this.#location = location;
@@ -47,7 +47,7 @@
     options: CandidateOptions,
   ): TrackedTarget[] {
     const { previousTargetId, ranked, isSampled, nowMs, takeRandom } = options;
-    const used = this.listUsed(index, options.service);
+    const used = this.listUsed(index);
     const listed = new Set(ranked);
     const previous = used.find(({ target }) => target.id === previousTargetId);
     if (previous !== undefined) listed.add(previous);
@@ -63,14 +63,11 @@
   }
 
   /** Lists the targets of a service that this gateway uses. */
-  listUsed(
-    index: TargetIndex<TrackedTarget>,
-    service: string,
-  ): readonly TrackedTarget[] {
-    const known = this.#used.get(service);
+  listUsed(index: TargetIndex<TrackedTarget>): readonly TrackedTarget[] {
+    const known = this.#used.get(index);
     if (known?.revision === index.revision) return known.entries;
     const entries = this.#chooseUsed(index);
-    this.#used.set(service, { revision: index.revision, entries });
+    this.#used.set(index, { revision: index.revision, entries });
     return entries;
   }
 
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -133,7 +133,8 @@
       excluded,
       nowMs,
       work: this.#inputs.build({ fields, ...request }, service),
-      takeRandom: this.#takeRandom,
+      // Until then all targets look alike, and each gateway prefers others.
+      ...this.model.isKnown(service) ? { takeRandom: this.#takeRandom } : {},
     };
   }
 
@@ -169,7 +170,6 @@
     const index = this.#options.targets.findIndex(service);
     if (index === undefined) return [];
     return this.candidates.list(index, {
-      service,
       previousTargetId,
       ranked,
       isSampled: Number.isFinite(this.#load.computeAgeMs(nowMs)),
