--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,7 @@
 import type { GatewayOptions } from "./gateway_options.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
+import { Placement } from "./placement/placement.ts";
 import {
   buildQuotaComponents,
   type QuotaComponents,
@@ -82,6 +83,7 @@
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
   readonly #turns: TurnComponents;
+  readonly #placement: Placement;
   readonly #statusServers: StatusServers;
   readonly #bootId = randomUUID();
   #tickTimer: NodeJS.Timeout | undefined;
@@ -125,6 +127,7 @@
       onTargetRemoved: (id: string) => {
         connections.remove(id);
         this.#permits.remove(id);
+        this.#placement.model.removeTarget(id);
       },
     };
     this.#configuration = new WatchedConfiguration(stateDependencies);
@@ -186,6 +189,11 @@
       metrics,
       findConfiguration: () => this.#configuration.inForce?.configuration,
     });
+    this.#placement = new Placement({
+      ...settings,
+      targets: this.#targets,
+      findService: (name) => this.#configuration.findService(name),
+    });
     this.#callers = new CallerServer({
       bytes,
       queue,
@@ -200,11 +208,7 @@
       codec: options.requestCodec,
       log,
       metrics,
-      placement: {
-        vmId: settings.vmId,
-        failureDomain: settings.failureDomain,
-        regions: settings.regions,
-      },
+      placement: this.#placement,
       accounts: this.#accounts.turns,
       history: this.#turns.history,
       quotas: this.#quotas.requests,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -38,6 +38,8 @@
   "queue_refusals_full",
   "queue_refusals_late",
   "queue_promotions",
+  "choices_with_view",
+  "choices_without_view",
   "turns_admitted",
   "turns_without_allowance",
   "first_allowances",
