Keep turns for the tenant that made them

A turn that names another tenant's turn read that one's conversation. It gets the 404 of a turn that doesn't exist. The tenant stands after the target's id, a field that disks of the build before pass on unread; a field of its own would be lost in each copy that they make.

--- a/packages/gateway/src/turns/kept_turns_test.ts
+++ b/packages/gateway/src/turns/kept_turns_test.ts
@@ -97,12 +97,20 @@
   function sendTurn(
     id: string,
     body: string,
-    { previous, gateway = 0 }: { previous?: string; gateway?: number } = {},
+    { previous, gateway = 0, key }: {
+      previous?: string;
+      gateway?: number;
+      key?: string;
+    } = {},
   ): ReturnType<GatewayFixture["sendRequest"]> {
     return fixture.sendRequest(fixture.ports[gateway] ?? 0, {
       path: "/kept/1",
       method: "POST",
-      headers: { id, ...(previous === undefined ? {} : { previous }) },
+      headers: {
+        id,
+        ...(previous === undefined ? {} : { previous }),
+        ...(key === undefined ? {} : { key }),
+      },
       body,
     });
   }
@@ -185,6 +193,49 @@
     expect(received[1]).to.equal(`first.${findOutput(6)}second.`);
   });
 
+  // A tenant that names another's turn would read that one's conversation.
+  it("are unknown to another tenant, from memory and from the disks", async () => {
+    const tenants = ["red", "blue"].map((name) => ({
+      name,
+      keys: [`key-${name}`],
+      priority: undefined,
+      quota: undefined,
+    }));
+    fixture.store.put("configuration", "main", {
+      ...buildConfiguration(2),
+      tenants,
+    });
+    await startWith(3);
+    const [red, blue] = ["key-red", "key-blue"];
+    expect((await sendTurn("a", "first.", { key: red })).status).to.equal(200);
+    const texts: string[] = [];
+    // g1 has the chain in memory, g2 loads it from the disks.
+    for (const gateway of [0, 1]) {
+      const denied = await sendTurn(`b${gateway}`, "x", {
+        previous: "a",
+        gateway,
+        key: blue,
+      });
+      const absent = await sendTurn(`c${gateway}`, "x", {
+        previous: "nothing",
+        gateway,
+        key: blue,
+      });
+      expect([denied.status, absent.status]).to.deep.equal([404, 404]);
+      texts.push(denied.text, absent.text.replace("nothing", "a"));
+    }
+    // Neither answer tells whether the turn exists.
+    expect(new Set(texts).size).to.equal(1);
+    expect(received).to.deep.equal(["first."]);
+    const own = await sendTurn("d", "second.", {
+      previous: "a",
+      gateway: 1,
+      key: red,
+    });
+    expect(own.status).to.equal(200);
+    expect(received[1]).to.equal(`first.${findOutput(6)}second.`);
+  });
+
   it("are refused beyond the largest body", async () => {
     await startWith(3);
     await sendTurn("a", "x".repeat(900));
--- a/packages/gateway/src/turns/open_turn.ts
+++ b/packages/gateway/src/turns/open_turn.ts
@@ -37,13 +37,14 @@
 
   /** Keeps the turn; false if it isn't certain to last. */
   save(targetId: string, deadlineMs: number): Promise<boolean> {
-    const { fields, body, route } = this.#accepted;
+    const { fields, body, route, tenant } = this.#accepted;
     return this.#save({
       id: fields.requestId,
       parentId: fields.previousTurnId,
       input: body,
       output: Buffer.concat(this.#output),
       targetId,
+      ...(tenant === undefined ? {} : { tenant: tenant.name }),
       retentionMs: route.retentionMs ?? 0,
       endedAtMs: performance.now(),
     }, deadlineMs);
--- a/packages/gateway/src/turns/turn_history.ts
+++ b/packages/gateway/src/turns/turn_history.ts
@@ -6,6 +6,7 @@
 import type { ResultCodeName } from "@camphorlock/codes/result_codes";
 import {
   buildTargetBody,
+  canContinueChain,
   type KeptTurn,
   type TurnChain,
   type TurnClient,
@@ -68,6 +69,11 @@
       : await this.#loadChain(previousTurnId, accepted);
     if (loaded.kind === "refused") return loaded;
     const { chain } = loaded;
+    if (!canContinueChain(chain, accepted.tenant?.name)) {
+      this.#dependencies.metrics.add("chains_denied");
+      // The same answer as for a turn that doesn't exist.
+      return refuseUnknown(previousTurnId);
+    }
     const targetBody = buildTargetBody(chain, body);
     const maxBytes = Math.min(MAX_CHAIN_BYTES, maxBodyBytes);
     if (targetBody.length > maxBytes) {
@@ -115,7 +121,7 @@
         this.#cache.add(loaded.chain);
         return { kind: "loaded", chain: loaded.chain };
       case "absent":
-        return refuse("TurnUnknown", `no turn ${turnId} is kept`);
+        return refuseUnknown(turnId);
       case "unknown":
         return refuse("HistoryUnavailable", loaded.detail);
     }
@@ -149,6 +155,10 @@
   }
 }
 
+function refuseUnknown(turnId: string | undefined): HistoryRefusal {
+  return refuse("TurnUnknown", `no turn ${turnId} is kept`);
+}
+
 function refuse(code: ResultCodeName, detail: string): HistoryRefusal {
   return { kind: "refused", code, detail };
 }
--- a/packages/turns/mod.ts
+++ b/packages/turns/mod.ts
@@ -20,3 +20,4 @@
 export * from "./src/messages.ts";
 export * from "./src/model/kept_turn.ts";
 export * from "./src/model/turn_disk.ts";
+export { canContinueChain } from "./src/model/turn_owner.ts";
--- a/packages/turns/src/files/record_format.ts
+++ b/packages/turns/src/files/record_format.ts
@@ -52,6 +52,7 @@
     /** The rest of the input. */
     readonly rest: Buffer;
     readonly output: Buffer;
+    /** Names the turn's tenant, too; see `encodeRunner`. */
     readonly targetId: string;
     readonly retentionMs: number;
     /** End of the turn in Unix milliseconds. */
--- a/packages/turns/src/files/turn_records.ts
+++ b/packages/turns/src/files/turn_records.ts
@@ -5,6 +5,7 @@
  * the first turn of a chain is cut into blocks, each of which a file holds once.
  */
 import type { KeptTurn } from "../model/kept_turn.ts";
+import { decodeRunner, encodeRunner } from "../model/turn_owner.ts";
 import {
   computeBlockHash,
   encodeRecord,
@@ -29,7 +30,7 @@
       }
       return hash;
     });
-    const { id, parentId, output, targetId, retentionMs, endedAtMs } = turn;
+    const { id, parentId, output, retentionMs, endedAtMs } = turn;
     encoded.push(encodeRecord({
       kind: "turn",
       id,
@@ -37,7 +38,7 @@
       blocks: hashes,
       rest,
       output,
-      targetId,
+      targetId: encodeRunner(turn),
       retentionMs,
       endedAtUnixMs: Math.round(clock.unixMs - (clock.nowMs - endedAtMs)),
     }));
@@ -80,7 +81,7 @@
       parentId: record.parentId ?? undefined,
       input: Buffer.concat([...blocks as Buffer[], record.rest]),
       output: Buffer.from(record.output),
-      targetId: record.targetId,
+      ...decodeRunner(record.targetId),
       retentionMs: record.retentionMs,
       endedAtMs: clock.nowMs - ageMs,
     });
--- a/packages/turns/src/messages.ts
+++ b/packages/turns/src/messages.ts
@@ -4,6 +4,7 @@
 import type { FactAnswer, FactMessage } from "@camphorlock/facts";
 import { err, ok, type Result } from "neverthrow";
 import type { KeptTurn } from "./model/kept_turn.ts";
+import { decodeRunner, encodeRunner } from "./model/turn_owner.ts";
 
 const ID_PATTERN = /^[\w.-]{1,128}$/;
 
@@ -15,6 +16,7 @@
   readonly input: string;
   /** Base64. */
   readonly output: string;
+  /** Names the turn's tenant, too; see `encodeRunner`. */
   readonly targetId: string;
   readonly retentionMs: number;
   /** Time since the end of the turn. */
@@ -76,13 +78,13 @@
 
 /** Encodes a turn. */
 export function encodeTurn(turn: KeptTurn, nowMs: number): EncodedTurn {
-  const { id, parentId, targetId, retentionMs, endedAtMs } = turn;
+  const { id, parentId, retentionMs, endedAtMs } = turn;
   return {
     id,
     ...(parentId === undefined ? {} : { parentId }),
     input: turn.input.toString("base64"),
     output: turn.output.toString("base64"),
-    targetId,
+    targetId: encodeRunner(turn),
     retentionMs,
     ageMs: Math.max(0, Math.round(nowMs - endedAtMs)),
   };
@@ -110,7 +112,7 @@
     parentId,
     input: Buffer.from(input, "base64"),
     output: Buffer.from(output, "base64"),
-    targetId: typeof targetId === "string" ? targetId : "",
+    ...decodeRunner(typeof targetId === "string" ? targetId : ""),
     retentionMs: turn.retentionMs,
     endedAtMs: nowMs - turn.ageMs,
   });
--- a/packages/turns/src/model/kept_turn.ts
+++ b/packages/turns/src/model/kept_turn.ts
@@ -5,8 +5,10 @@
  * are equal and may be read from anywhere.
  */
 
-/** One turn that has ended. */
-export interface KeptTurn {
+import type { TurnRunner } from "./turn_owner.ts";
+
+/** One turn that has ended. The target's id is empty if it's unknown. */
+export interface KeptTurn extends TurnRunner {
   readonly id: string;
   /** The turn that this one continues; undefined at the start of a chain. */
   readonly parentId: string | undefined;
@@ -14,8 +16,6 @@
   readonly input: Buffer;
   /** The data of each event of the response, each followed by a line feed. */
   readonly output: Buffer;
-  /** The target that ran the turn; empty if unknown. */
-  readonly targetId: string;
   /** How long the turn must be kept after its end. */
   readonly retentionMs: number;
   /** End of the turn on this process's monotonic clock. */
