--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -13,6 +13,7 @@
 import type { RequestFields } from "../model/request_fields.ts";
 import type { Route } from "../model/routing.ts";
 import type { Tenant } from "../model/tenant.ts";
+import type { KeyAdmission } from "../tenants/tenant_keys.ts";
 import type { TargetResponse } from "./buffered_attempt.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import { formatChoice } from "../placement/format_choice.ts";
@@ -29,7 +30,8 @@
     readonly kind: "refused";
     readonly code: ResultCodeDefinition;
     readonly detail: string;
-    readonly retryAfterMs: number;
+    /** Undefined where a retry gives the same answer. */
+    readonly retryAfterMs: number | undefined;
     /** What the decision was made by, for the log. */
     readonly inputs?: LogFields;
   }
@@ -49,6 +51,8 @@
   readonly route: Route;
   /** Undefined where callers need no key. */
   readonly tenant: Tenant | undefined;
+  /** The decision on the request's key. */
+  readonly admission: KeyAdmission;
   /** Absent where the tenant has no quota, and before it was taken. */
   readonly credit?: RequestCredit;
   readonly body: Buffer;
@@ -143,6 +147,7 @@
   dependencies.log.write(event, {
     request: request.requestId,
     program: request.programId,
+    tenant: accepted.tenant?.name,
     fingerprint: accepted.fingerprint.request,
     route: route.name,
     configuration: configurationVersion,
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -39,6 +39,7 @@
   buildBlockedOutcome,
   buildCutOffOutcome,
   buildFailureOutcome,
+  buildKeyOutcome,
   buildRefusalOutcome,
   buildTimeoutOutcome,
   buildVersionGoneOutcome,
@@ -139,8 +140,8 @@
       if (turn.kind === "version_gone") {
         return buildVersionGoneOutcome(this.#attempts.mayHaveRun);
       }
-      const refusal = await confirmCredit(this.#accepted);
-      if (refusal !== undefined) return refusal;
+      const quotaOutcome = await confirmCredit(this.#accepted);
+      if (quotaOutcome !== undefined) return quotaOutcome;
       const { entry } = turn.choice;
       const isAcquired = await acquireTarget(
         this.#dependencies,
@@ -148,6 +149,10 @@
         entry,
       );
       if (!isAcquired || this.#stopped !== undefined) continue;
+      const refusal = this.#attempts.mayHaveRun
+        ? undefined
+        : this.#accepted.admission.confirm();
+      if (refusal !== undefined) return buildKeyOutcome(refusal);
       const result = await this.#runAttempt(entry);
       if (this.#stopped !== undefined) return this.#buildStoppedOutcome();
       switch (result.kind) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,10 +36,7 @@
   buildQuotaComponents,
   type QuotaComponents,
 } from "./quotas/quota_components.ts";
-import {
-  buildObjectSource,
-  computeRenewalMs,
-} from "./store/build_object_source.ts";
+import { buildObjectSource } from "./store/build_object_source.ts";
 import type { RelayedSource } from "./store/relayed_source.ts";
 import {
   buildTurnComponents,
@@ -51,12 +48,12 @@
 } from "./store/guarded_store.ts";
 import { WorkQueue } from "./queue/work_queue.ts";
 import { StreamVersions } from "./streams/stream_versions.ts";
-import { Watchers } from "./store/watchers.ts";
 import {
-  type ConfigurationInForce,
-  WatchedConfiguration,
-  WatchedTargets,
-} from "./store/watched_state.ts";
+  buildWatchComponents,
+  type WatchComponents,
+} from "./store/watch_components.ts";
+import { buildTenantKeys } from "./tenants/build_tenant_keys.ts";
+import type { TenantKeys } from "./tenants/tenant_keys.ts";
 
 /** Interval at which due timers run. */
 const TICK_MS = 50;
@@ -76,9 +73,8 @@
   readonly #blocked = new BlockedRequests();
   readonly #ended = new EndedTargets();
   readonly #timers = new TimerService();
-  readonly #configuration: WatchedConfiguration;
-  readonly #observedTargets: WatchedTargets;
-  readonly #watchers: Watchers;
+  readonly #watched: WatchComponents;
+  readonly #keys: TenantKeys;
   readonly #objectSource: RelayedSource;
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
@@ -102,7 +98,7 @@
     const options = this.#options = { ...given, store };
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
-    const getViewAgeMs = () => this.#watchers.computeAgeMs("targets");
+    const getViewAgeMs = () => this.#watched.watchers.computeAgeMs("targets");
     const bytes = createByteBudget(settings.memoryBytes);
     this.#ways = buildPathComponents({
       ...options,
@@ -118,30 +114,20 @@
       onEnd: (end) => void this.#accounts.crashes.report(end),
     });
     const { paths, connections, verifier, observer } = this.#ways;
-    const stateDependencies = {
-      codec: options.storeCodec,
-      log,
+    this.#watched = buildWatchComponents({
+      ...options,
       targets: this.#targets,
-      onConfiguration: ({ configuration }: ConfigurationInForce) =>
+      disks: this.#turns.disks,
+      getSource: () => this.#objectSource,
+      onConfiguration: ({ configuration }) =>
         this.#callers.setLimits(configuration.limits),
-      onTargetRemoved: (id: string) => {
+      onTargetRemoved: (id) => {
         connections.remove(id);
         this.#permits.remove(id);
         this.#placement.model.removeTarget(id);
       },
-    };
-    this.#configuration = new WatchedConfiguration(stateDependencies);
-    this.#observedTargets = new WatchedTargets(stateDependencies);
-    this.#watchers = new Watchers({
-      log,
-      getSource: () => this.#objectSource,
-      listeners: {
-        configuration: this.#configuration,
-        targets: this.#observedTargets,
-        turnDisks: this.#turns.disks,
-      },
-      renewalMs: computeRenewalMs(settings),
     });
+    this.#keys = buildTenantKeys(options, this.#watched.configuration);
     this.#accounts = buildAccountComponents({
       ...options,
       getSelf: () => this.#buildSelf(),
@@ -149,7 +135,7 @@
       keptBlocks: new KeptBlocks(this.#turns.facts),
       ended: this.#ended,
       onBlocked: () => this.#callers.stopBlocked(),
-      findCache: (kind) => this.#watchers.findCache(kind),
+      findCache: (kind) => this.#watched.watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
       answerCreditCall: (call, gatewayId) =>
@@ -167,7 +153,8 @@
       ...options,
       ...this.#accounts,
       probe: (peers) => this.#accounts.group.probe(peers),
-      getConfiguration: () => this.#configuration.inForce?.configuration,
+      getConfiguration: () =>
+        this.#watched.configuration.inForce?.configuration,
     });
     this.#objectSource = buildObjectSource({
       ...this.#accounts,
@@ -181,18 +168,20 @@
       isStopping: () => this.#isStopping,
       hasInitialState: () =>
         this.#hasJoined && Number.isFinite(getViewAgeMs()) &&
-        this.#configuration.isKnown && paths.canReachTargets,
+        this.#watched.configuration.isKnown && paths.canReachTargets,
+      hasLostKeys: () => this.#keys.hasLapsed,
       countTargets: () => this.#targets.size,
     });
     const queue = new WorkQueue({
       vmId: settings.vmId,
       metrics,
-      findConfiguration: () => this.#configuration.inForce?.configuration,
+      findConfiguration: () =>
+        this.#watched.configuration.inForce?.configuration,
     });
     this.#placement = new Placement({
       ...settings,
       targets: this.#targets,
-      findService: (name) => this.#configuration.findService(name),
+      findService: (name) => this.#watched.configuration.findService(name),
     });
     this.#callers = new CallerServer({
       bytes,
@@ -212,11 +201,13 @@
       accounts: this.#accounts.turns,
       history: this.#turns.history,
       quotas: this.#quotas.requests,
+      keys: this.#keys,
       getViewAgeMs,
-      getConfiguration: () => this.#configuration.inForce,
-      getConfigurationAgeMs: () => this.#watchers.computeAgeMs("configuration"),
+      getConfiguration: () => this.#watched.configuration.inForce,
+      getConfigurationAgeMs: () =>
+        this.#watched.watchers.computeAgeMs("configuration"),
       waitForConfiguration: (limitMs) =>
-        this.#configuration.waitForFirst(limitMs),
+        this.#watched.configuration.waitForFirst(limitMs),
       countStopLeftMs: () => this.#stopAtMs - performance.now(),
       isDrainingConnections: () => this.#readinessState.isDrainingConnections,
     });
@@ -229,18 +220,19 @@
    */
   async start(): Promise<void> {
     const { settings, log } = this.#options;
-    this.#watchers.start("configuration");
-    this.#watchers.start("targets");
-    this.#watchers.start("turnDisks");
+    this.#watched.watchers.start("configuration");
+    this.#watched.watchers.start("targets");
+    this.#watched.watchers.start("turnDisks");
     subscribeTimers(this.#timers, {
       ...this.#accounts,
       log,
       metrics: this.#options.metrics,
       store: this.#stores.counted,
-      targets: this.#observedTargets,
-      watchers: this.#watchers,
+      targets: this.#watched.targets,
+      watchers: this.#watched.watchers,
       permits: this.#permits,
       quotas: this.#quotas,
+      keys: this.#keys,
       ways: this.#ways,
     });
     this.#tickTimer = setInterval(() => {
@@ -290,7 +282,7 @@
     clearTimeout(this.#metricsTimer);
     this.#callers.close();
     this.#statusServers.close();
-    this.#watchers.stop();
+    this.#watched.watchers.stop();
     this.#accounts.group.stop();
     this.#accounts.links.close();
     this.#turns.links.close();
