--- a/packages/gateway/src/peers/old_build_test.ts
+++ b/packages/gateway/src/peers/old_build_test.ts
@@ -1,16 +1,11 @@
 import { expect } from "chai";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
-import { PeerChannel, readFrames, writeFrame } from "@camphorlock/channel";
-import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
+import { PeerChannel } from "@camphorlock/channel";
+import { PeerDirectory } from "../decisions/peer_directory.ts";
 import { findFreePort } from "../gateway_fixture_test.ts";
 import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
 import { buildPeer } from "../peer_fixture_test.ts";
+import { OldBuild } from "./old_build_fixture_test.ts";
 import { PeerLinks } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import { PROTOCOL_VERSION } from "./protocol_version.ts";
@@ -32,39 +27,6 @@
   isForwarded: false,
 };
 
-/** Answers as a build of version 1, which closes on unknown kinds. */
-class OldBuild {
-  readonly received: string[] = [];
-  info: PeerInfo = buildPeer("old", { bootId: "old" });
-  closed = 0;
-  readonly #sockets = new Set<Socket>();
-  readonly #server: Server = createServer((socket) => {
-    this.#sockets.add(socket);
-    readFrames(socket, ({ id, body }) => {
-      const { kind } = (body as { message: { kind: string } }).message;
-      this.received.push(kind);
-      if (kind === "hello") {
-        return writeFrame(socket, { id, body: { from: this.info } });
-      }
-      this.closed += 1;
-      socket.destroy();
-    });
-  });
-
-  async start(): Promise<void> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", () => resolve())
-    );
-    const { port } = this.#server.address() as AddressInfo;
-    this.info = { ...this.info, port };
-  }
-
-  stop(): void {
-    for (const socket of this.#sockets) socket.destroy();
-    this.#server.close();
-  }
-}
-
 describe("a gateway beside an old build", () => {
   let old: OldBuild;
   let links: PeerLinks;
