--- a/packages/gateway/src/exchange/queue_turn.ts
+++ b/packages/gateway/src/exchange/queue_turn.ts
@@ -11,7 +11,11 @@
   QueueView,
   TargetSearch,
 } from "../queue/queued_request.ts";
-import { computeWorkMs, isLongWork } from "../queue/queue_rules.ts";
+import {
+  computeReservedMs,
+  computeWorkMs,
+  isLongWork,
+} from "../queue/queue_rules.ts";
 import { computeRank } from "../queue/service_classes.ts";
 import type { TurnState } from "../turns/turn_state.ts";
 import type { ExchangeDependencies } from "./exchange_dependencies.ts";
@@ -134,6 +138,7 @@
       dueAtMs: Math.min(programEndMs, clock.deadlineAtMs),
       targetLatencyMs: route.targetLatencyMs,
       deadlineAtMs: clock.deadlineAtMs,
+      lateAtMs: this.#computeLateAtMs(choice),
       latestStartMs: isOrdered
         ? clock.deadlineAtMs - MIN_RESPONSE_MS
         : clock.waitUntilMs,
@@ -143,6 +148,23 @@
     };
   }
 
+  /**
+   * Computes when the request can no longer start and earn anything in full. A
+   * turn is one of several: its program's end counts, and it's late by a little
+   * if its own objective is missed.
+   */
+  #computeLateAtMs(choice: PlacementChoice | undefined): number {
+    const { report: { accepted }, clock } = this.#options;
+    const { fields: { programLeftMs }, route, receivedAtMs } = accepted;
+    const workMs = computeReservedMs(choice?.estimate, clock.countLeftMs());
+    if (programLeftMs !== undefined) {
+      return receivedAtMs + programLeftMs - workMs;
+    }
+    return route.kind === "streaming"
+      ? clock.deadlineAtMs
+      : receivedAtMs + Math.max(0, route.targetLatencyMs - workMs);
+  }
+
   #hasBegun(): boolean {
     const { report: { accepted: { fields } }, state } = this.#options;
     const { programId, previousTurnId, resumeAfter } = fields;
--- a/packages/gateway/src/fake_store_test.ts
+++ b/packages/gateway/src/fake_store_test.ts
@@ -10,6 +10,7 @@
   StoreWrite,
   WatchOptions,
 } from "./ports.ts";
+import type { RoutingConfiguration } from "./model/routing.ts";
 
 /** A store in memory that can be made to fail. */
 export class FakeStore implements ObjectStore {
@@ -155,3 +156,12 @@
     for (const endWait of waiters) endWait();
   }
 }
+
+/** Restores the map of services, which gateways send each other as an object. */
+export function decodeServices(
+  value: RoutingConfiguration,
+): RoutingConfiguration {
+  const { services } = value;
+  const entries = services instanceof Map ? services : Object.entries(services);
+  return { ...value, services: new Map(entries) };
+}
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import type { SocketOpener } from "@camphorlock/http/exchange";
 import { err, ok } from "neverthrow";
-import { FakeStore } from "./fake_store_test.ts";
+import { decodeServices, FakeStore } from "./fake_store_test.ts";
 import { Gateway } from "./gateway.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { GatewayLog } from "./log.ts";
@@ -91,15 +91,6 @@
     value === "unreadable" ? err("unreadable") : ok(value as Target),
 };
 
-/** Restores the map of services, which gateways send as an object. */
-function decodeServices(value: RoutingConfiguration): RoutingConfiguration {
-  const { services: given } = value;
-  return {
-    ...value,
-    services: new Map(given.entries?.() ?? Object.entries(given)),
-  };
-}
-
 /** Builds a configuration with one route of each kind. */
 export function buildConfiguration(version: number): RoutingConfiguration {
   const route = {
--- a/packages/gateway/src/queue/due_times.ts
+++ b/packages/gateway/src/queue/due_times.ts
@@ -1,5 +1,6 @@
 /**
- * When waiting requests move up by a class, and when their wait ends.
+ * When waiting requests move up by a class, miss their objectives, and end their
+ * wait.
  */
 import { IndexedHeap } from "./indexed_heap.ts";
 
@@ -7,7 +8,7 @@
 export interface DueTime<T> {
   readonly request: T;
   readonly atMs: number;
-  readonly kind: "promote" | "expire";
+  readonly kind: "promote" | "late" | "expire";
 }
 
 /** The due times of the waiting requests. */
--- a/packages/gateway/src/queue/queue_rules.ts
+++ b/packages/gateway/src/queue/queue_rules.ts
@@ -39,7 +39,7 @@
   { rank, classes, targetLatencyMs }: RequestClass,
 ): number {
   const steps = Math.max(1, classes - rank);
-  return targetLatencyMs * steps / Math.max(1, classes, steps);
+  return targetLatencyMs * steps / Math.max(classes, steps);
 }
 
 /** Computes after which time a waiting request moves up by a class. */
--- a/packages/gateway/src/queue/queued_request.ts
+++ b/packages/gateway/src/queue/queued_request.ts
@@ -17,6 +17,8 @@
   readonly classes: number;
   /** Whether the configuration asks for an order. */
   readonly isOrdered: boolean;
+  /** When it can no longer start and meet its objective. */
+  readonly lateAtMs: number;
   /** When the request can no longer be answered. */
   readonly deadlineAtMs: number;
   /** When it has to go where nothing else is known of its work. */
--- a/packages/gateway/src/queue/service_queue.ts
+++ b/packages/gateway/src/queue/service_queue.ts
@@ -246,7 +246,8 @@
   #addWaiting(request: T, nowMs: number): void {
     this.#flows.get(request).recordWaiting(1, nowMs);
     this.#order.add(request, { nowMs });
-    const { rank, deadlineAtMs, latestStartMs } = request;
+    const { rank, deadlineAtMs, latestStartMs, lateAtMs } = request;
+    this.#due.add({ request, atMs: lateAtMs, kind: "late" });
     this.#due.add({ request, atMs: latestStartMs, kind: "expire" });
     const everyMs = computePromotionMs(deadlineAtMs - nowMs, rank);
     for (let moves = 1; moves <= rank; moves += 1) {
@@ -261,6 +262,10 @@
       const due = this.#due.takeDue(nowMs);
       if (due === undefined) return settled;
       const { request, kind } = due;
+      if (kind === "late") {
+        this.#order.setLate(request, nowMs);
+        continue;
+      }
       if (kind === "promote") {
         this.#promotions += 1;
         this.#order.updateRank(request, nowMs);
--- a/packages/gateway/src/queue/waiting_order.ts
+++ b/packages/gateway/src/queue/waiting_order.ts
@@ -2,13 +2,17 @@
  * The order of a service's waiting requests over all classes.
  *
  * The most urgent class goes first, unless far less of another class was served
- * than of all requests together. A request that ages moves up by a class.
+ * than of all requests together. A request that ages moves up by a class. One
+ * that can't meet its objective any more goes after all that can: in a crest,
+ * the earliest deadline first would serve every request too late.
  */
 import { ClassOrder, type OrderedRequest } from "./class_order.ts";
 import { ServedShare } from "./served_share.ts";
 
 /** The waiting requests of one service. */
-export class WaitingOrder<T extends OrderedRequest> {
+export class WaitingOrder<
+  T extends OrderedRequest & { readonly classes: number },
+> {
   readonly #classes: ClassOrder[] = [];
   /** The present rank of each waiting request. */
   readonly #ranks = new Map<OrderedRequest, number>();
@@ -22,7 +26,10 @@
     return this.#ranks.has(request);
   }
 
-  /** Gets the rank of a request, as far as it has moved up. */
+  /**
+   * Gets the rank of a request, as far as it has moved up; the number of classes
+   * is added for one that is late.
+   */
   getRank(request: T): number {
     return this.#ranks.get(request) ?? request.rank;
   }
@@ -61,11 +68,18 @@
     return this.#getClass(rank).remove(request);
   }
 
-  /** Moves a request up by a class. */
+  /** Moves a request up by a class, among those that are late if it is. */
   updateRank(request: T, nowMs: number): void {
     const rank = this.getRank(request);
-    if (rank === 0 || !this.remove(request)) return;
-    this.add(request, { rank: rank - 1, nowMs });
+    if (rank === 0 || rank === request.classes) return;
+    if (this.remove(request)) this.add(request, { rank: rank - 1, nowMs });
+  }
+
+  /** Moves a request behind all that can still meet their objectives. */
+  setLate(request: T, nowMs: number): void {
+    const rank = this.getRank(request);
+    if (rank >= request.classes || !this.remove(request)) return;
+    this.add(request, { rank: rank + request.classes, nowMs });
   }
 
   /** Finds the request that goes next. */
