--- a/packages/gateway/src/codec_fixture_test.ts
+++ b/packages/gateway/src/codec_fixture_test.ts
@@ -1,4 +1,5 @@
 import { err, ok } from "neverthrow";
+import { decodeServices } from "./fake_store_test.ts";
 import type { RoutingConfiguration } from "./model/routing.ts";
 import type { Target } from "./model/target.ts";
 import type { RequestCodec, StoreCodec, TargetCredentials } from "./ports.ts";
@@ -83,15 +84,6 @@
   });
 }
 
-/** Restores the map of services, which gateways send as an object. */
-function decodeServices(value: RoutingConfiguration): RoutingConfiguration {
-  const { services: given } = value;
-  return {
-    ...value,
-    services: new Map(given.entries?.() ?? Object.entries(given)),
-  };
-}
-
 /** Stored values are what they are decoded to. */
 export const FIXTURE_STORE_CODEC: StoreCodec = {
   decodeConfiguration: ({ value }) =>
