Exchange the load of targets between gateways

A gateway sees one or two of a hundred requests at a target, and so could neither tell a full target from an idle one nor know which shared prompt parts are cached where.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -548,6 +548,12 @@
     "info",
     "The gateway couldn't connect another one to a target; the first of a series.",
   ),
+  LoadCollectorChanged: defineEvent(
+    994,
+    "LoadCollectorChanged",
+    "info",
+    "Another gateway collects the load of the targets for this one's region.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -27,6 +27,8 @@
   readonly metrics: GatewayMetrics;
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
+  /** Absent where gateways exchange no load. */
+  readonly answerLoadReport?: PeerGroupDependencies["answerLoadReport"];
   readonly relay: PathRelay;
   readonly blocked: BlockedRequests;
   readonly keptBlocks: KeptBlocks;
@@ -112,6 +114,7 @@
     getSelf,
     findCache,
     answerPermitCall,
+    answerLoadReport: options.answerLoadReport ?? (() => undefined),
   });
   const { joined } = group;
   const turns = new TurnAccounts({ ...shared, home, handover, joined });
--- a/packages/gateway/src/decisions/held_work.ts
+++ b/packages/gateway/src/decisions/held_work.ts
@@ -46,6 +46,8 @@
   readonly #running = new Map<string, MutableWork>();
   readonly #parts = new Map<string, HeldPart>();
   #ownTokens = 0;
+  #sentTokens = 0;
+  #sentParts = new Map<string, number>();
 
   /** Tokens that the requests hold of their own. */
   get ownTokens(): number {
@@ -74,7 +76,17 @@
       const part = this.#parts.get(id) ?? { tokens, holders: 0 };
       part.holders += 1;
       this.#parts.set(id, part);
+      this.#sentParts.set(id, tokens);
     }
+    this.#sentTokens += work.ownTokens;
+  }
+
+  /** Takes what was sent to the target since the last call. */
+  takeSent(): { readonly tokens: number; readonly parts: Map<string, number> } {
+    const sent = { tokens: this.#sentTokens, parts: this.#sentParts };
+    this.#sentTokens = 0;
+    this.#sentParts = new Map();
+    return sent;
   }
 
   /** Records an event of a stream. */
--- a/packages/gateway/src/decisions/prefix_tracker.ts
+++ b/packages/gateway/src/decisions/prefix_tracker.ts
@@ -25,22 +25,23 @@
   }
 
   /**
-   * Counts the prompt tokens that the target probably hasn't cached. `cached`
-   * are the shared parts that it has by the load view, where there is one: a
-   * gateway can't know from its own requests when others displaced a part.
+   * Counts the prompt tokens that the target probably hasn't cached.
+   * `firstUncachedShared` is the first shared part that it hasn't by the load
+   * view, or -1, where there is a view: a gateway can't know from its own
+   * requests when others displaced a part.
    */
   countUncached(
     prompt: readonly PromptPart[],
-    cached?: ReadonlyMap<string, number>,
+    firstUncachedShared?: number,
   ): number {
-    const last = prompt.length - 1;
-    const firstUncached = prompt.findIndex(({ id }, index) =>
-      cached === undefined || index === last
-        ? !this.#parts.has(id)
-        : !cached.has(id)
-    );
-    if (firstUncached < 0) return 0;
-    return prompt.slice(firstUncached)
-      .reduce((sum, { tokens }) => sum + tokens, 0);
+    const first = firstUncachedShared === undefined
+      ? prompt.findIndex(({ id }) => !this.#parts.has(id))
+      : firstUncachedShared >= 0
+      ? firstUncachedShared
+      : prompt.findIndex(({ id }, index) =>
+        index === prompt.length - 1 && !this.#parts.has(id)
+      );
+    if (first < 0) return 0;
+    return prompt.slice(first).reduce((sum, { tokens }) => sum + tokens, 0);
   }
 }
--- a/packages/gateway/src/exchange/attempt_runner.ts
+++ b/packages/gateway/src/exchange/attempt_runner.ts
@@ -35,7 +35,6 @@
     const { entry, attempts: { isCrashCandidate, choice }, accepted } = start;
     const { target } = entry;
     const work = choice?.entry === entry ? choice.work : undefined;
-    placement.recordStart(accepted, target.service, performance.now());
     const { fields: { requestId }, fingerprint } = accepted;
     this.#isDirect = ways.paths.isDirect(target);
     const attempt = startAttempt(this.#dependencies, start);
@@ -45,6 +44,7 @@
       isCrashCandidate,
       ...work === undefined ? {} : { work },
     });
+    placement.recordStart(accepted, entry, performance.now());
     ways.monitor.recordStart(attempt, performance.now());
     const stopped = new Promise<FailedAttempt>((resolve) => {
       this.#endWait = () => resolve({ kind: "broken", detail: "stopped" });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,7 +30,10 @@
 } from "./paths/path_components.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
-import { Placement } from "./placement/placement.ts";
+import {
+  buildLoadComponents,
+  type LoadComponents,
+} from "./load/load_components.ts";
 import {
   buildObjectSource,
   computeRenewalMs,
@@ -73,7 +76,7 @@
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
   readonly #turns: TurnComponents;
-  readonly #placement: Placement;
+  readonly #load: LoadComponents;
   readonly #statusServers: StatusServers;
   readonly #bootId = randomUUID();
   #tickTimer: NodeJS.Timeout | undefined;
@@ -113,7 +116,7 @@
       onTargetRemoved: (id: string) => {
         connections.remove(id);
         this.#permits.remove(id);
-        this.#placement.model.removeTarget(id);
+        this.#load.placement.model.removeTarget(id);
       },
     };
     this.#configuration = new WatchedConfiguration(stateDependencies);
@@ -138,6 +141,8 @@
       findCache: (kind) => this.#watchers.findCache(kind),
       answerPermitCall: (call, gatewayId) =>
         this.#permits.answer(call, gatewayId),
+      answerLoadReport: (report, from) =>
+        this.#load.exchange.answer(report, from),
       relay: this.#ways.relay,
     });
     this.#permits = new TargetPermits({
@@ -162,8 +167,9 @@
         this.#configuration.isKnown && paths.canReachTargets,
       countTargets: () => this.#targets.size,
     });
-    this.#placement = new Placement({
-      ...settings,
+    this.#load = buildLoadComponents({
+      ...options,
+      ...this.#accounts,
       targets: this.#targets,
       findService: (name) => this.#configuration.findService(name),
     });
@@ -180,7 +186,7 @@
       codec: options.requestCodec,
       log,
       metrics,
-      placement: this.#placement,
+      placement: this.#load.placement,
       accounts: this.#accounts.turns,
       history: this.#turns.history,
       getViewAgeMs,
@@ -212,6 +218,7 @@
       watchers: this.#watchers,
       permits: this.#permits,
       ways: this.#ways,
+      load: this.#load.exchange,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -15,6 +15,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { GatewayLog } from "./log.ts";
 import type { RoutingConfiguration } from "./model/routing.ts";
+import { restoreServices } from "./peer_fixture_test.ts";
 import type { Target } from "./model/target.ts";
 import type { GatewaySettings, RequestCodec, StoreCodec } from "./ports.ts";
 import { DiskVm } from "./turns/disk_vm.ts";
@@ -83,15 +84,10 @@
 };
 
 const STORE_CODEC: StoreCodec = {
-  decodeConfiguration: ({ value }) => {
-    if (value === "unreadable") return err("unreadable");
-    const configuration = value as RoutingConfiguration;
-    // A copy from another gateway, as JSON, has no map.
-    const isCopy = !(configuration.services instanceof Map);
-    return ok(
-      isCopy ? { ...configuration, services: new Map() } : configuration,
-    );
-  },
+  decodeConfiguration: ({ value }) =>
+    value === "unreadable"
+      ? err("unreadable")
+      : ok(restoreServices(value as RoutingConfiguration)),
   decodeTarget: ({ value }) =>
     value === "unreadable" ? err("unreadable") : ok(value as Target),
 };
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -26,6 +26,8 @@
   "permits_denied",
   "choices_with_view",
   "choices_without_view",
+  "load_reports",
+  "load_reports_failed",
   "turns_admitted",
   "turns_without_allowance",
   "first_allowances",
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -6,6 +6,7 @@
 import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { TargetPermits } from "./limits/target_permits.ts";
+import { type LoadExchange, REPORT_INTERVAL_MS } from "./load/load_exchange.ts";
 import type { GatewayLog } from "./log.ts";
 import {
   type CountedStore,
@@ -37,6 +38,7 @@
   readonly targets: WatchedTargets;
   readonly watchers: Watchers;
   readonly permits: TargetPermits;
+  readonly load: LoadExchange;
   readonly ways: Pick<PathComponents, "observer" | "paths">;
 }
 
@@ -46,7 +48,7 @@
   { group, shards, crashes, ways, log, metrics, ...components }:
     TimedComponents,
 ): void {
-  const { store, targets, watchers, permits } = components;
+  const { store, targets, watchers, permits, load } = components;
   const schedule: readonly [number, (nowMs: number) => void][] = [
     [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
     [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
@@ -57,6 +59,8 @@
     [SHARD_CHECK_INTERVAL_MS, () => void shards.check()],
     [CLEANUP_MS, (nowMs) => group.removeUnused(nowMs)],
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
+    [REPORT_INTERVAL_MS, (nowMs) => load.runDue(nowMs)],
+    [CLEANUP_MS, (nowMs) => load.removeUnused(nowMs)],
     [COMPARE_BLOCKED_MS, () => void crashes.compareBlocked()],
     [CHECK_PATHS_MS, (nowMs) => ways.paths.runDue(nowMs)],
     [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
--- a/packages/gateway/src/peer_fixture_test.ts
+++ b/packages/gateway/src/peer_fixture_test.ts
@@ -1,3 +1,4 @@
+import type { RoutingConfiguration } from "./model/routing.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 
 /** Builds a gateway's entry in the directories of its peers. */
@@ -15,3 +16,13 @@
     ...change,
   };
 }
+
+/** Restores the map that a copy from another gateway, as JSON, doesn't have. */
+export function restoreServices(
+  configuration: RoutingConfiguration,
+): RoutingConfiguration {
+  const { services } = configuration;
+  return services instanceof Map
+    ? configuration
+    : { ...configuration, services: new Map() };
+}
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -12,6 +12,7 @@
   PeerDirectory,
   PeerInfo,
 } from "../decisions/peer_directory.ts";
+import type { LoadExchange } from "../load/load_exchange.ts";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
@@ -24,8 +25,8 @@
 import type { CrashExchange } from "../crashes/crash_exchange.ts";
 import type { ObjectCache } from "../store/object_cache.ts";
 import { answerObjectCall } from "../store/object_relay.ts";
+import { logReceived } from "./log_received.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import type { MovedAccount } from "../model/token_account.ts";
 import {
   isPeerInfo,
   type PeerEnvelope,
@@ -36,8 +37,6 @@
 
 /** Pause before this gateway's entry is written again after a failure. */
 const REGISTER_RETRY_MS = 400;
-/** Maximum number of programs that one log line names. */
-const MAX_LOGGED_PROGRAMS = 20;
 
 /** Dependencies of the group. */
 export interface PeerGroupDependencies {
@@ -56,6 +55,8 @@
     call: PermitCall,
     gatewayId: string,
   ) => Promise<PermitDecision>;
+  /** Records a report of load; answers with the others' load. */
+  readonly answerLoadReport: LoadExchange["answer"];
   /** The requests that crash targets, as the gateways find them. */
   readonly crashes: CrashExchange;
   readonly ended: EndedTargets;
@@ -166,7 +167,7 @@
       }
       case "move_accounts":
         for (const moved of message.accounts) accounts.addMoved(moved, nowMs);
-        this.#logReceived(sender, message.accounts);
+        logReceived(this.#dependencies.log, sender, message.accounts);
         return { from };
       case "grant_first": {
         const isGiven = shards.grantFirst(message.programId) === undefined;
@@ -192,6 +193,10 @@
         const permit = await answerPermitCall(message, sender.vmId);
         return { from, permit };
       }
+      case "report_load": {
+        const load = this.#dependencies.answerLoadReport(message, sender);
+        return load === undefined ? { from } : { from, load };
+      }
       case "list_objects":
       case "watch_objects": {
         const cache = this.#dependencies.findCache(message.objects);
@@ -287,14 +292,4 @@
     this.#dependencies.crashes.applyBlocked(response?.blocked ?? []);
     await this.#addPeers(response?.peers?.filter(isPeerInfo) ?? []);
   }
-
-  #logReceived(sender: PeerInfo, moved: readonly MovedAccount[]): void {
-    this.#dependencies.log.write(EVENTS.AccountsReceived, {
-      peer: sender.vmId,
-      accounts: moved.length,
-      allowed_tokens: moved.reduce((sum, each) => sum + each.allowedTokens, 0),
-      programs: moved.slice(0, MAX_LOGGED_PROGRAMS)
-        .map(({ programId }) => programId),
-    });
-  }
 }
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -13,6 +13,7 @@
 import type { PeerInfo } from "../decisions/peer_directory.ts";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { PathMessage } from "../paths/path_messages.ts";
+import type { LoadAnswer, LoadReport } from "../load/load_messages.ts";
 import type { ObservedLimit } from "../limits/permit_home.ts";
 import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
@@ -79,7 +80,9 @@
     readonly observed: ObservedLimit;
     /** Whether the sender passes on another gateway's call. */
     readonly isForwarded: boolean;
-  };
+  }
+  /** Reports the load of targets to a collector. */
+  | LoadReport;
 
 /** A request for a permit. */
 export type PermitCall = Extract<
@@ -123,6 +126,8 @@
   /** Whether the requested changes are no longer retained. */
   readonly isHistoryGone?: boolean;
   readonly permit?: PermitDecision;
+  /** The others' load, in answer to a report. */
+  readonly load?: LoadAnswer;
   readonly blocked?: readonly BlockedRequest[];
   /** Blocked requests that have completed at the responding gateway. */
   readonly completed?: readonly string[];
@@ -158,6 +163,7 @@
   "report_crash",
   "share_blocked",
   "share_end",
+  "report_load",
   "share_leaving",
   "open_path",
 ];
--- a/packages/gateway/src/placement/compute_estimate.ts
+++ b/packages/gateway/src/placement/compute_estimate.ts
@@ -117,14 +117,19 @@
 
 /** Counts the prompt tokens that the target probably hasn't cached. */
 export function countUncached(
-  { target, prefixes }: TrackedTarget,
+  { target, prefixes, held }: TrackedTarget,
   { prompt, previousTargetId }: EstimatedRequest,
   load: TargetLoad | undefined,
 ): number {
   // Another gateway may have sent the conversation so far to this target.
   if (target.id === previousTargetId) return 0;
   if (load === undefined) return prefixes.countUncached(prompt);
-  return prefixes.countUncached(prompt, load.cachedParts);
+  // The view doesn't have what this gateway has just sent.
+  const shared = prompt.findIndex(({ id }, index) =>
+    index < prompt.length - 1 && !load.cachedParts.has(id) &&
+    !held.parts.has(id)
+  );
+  return prefixes.countUncached(prompt, shared);
 }
 
 /** Computes the time of the generation or call at average speed. */
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -27,13 +27,18 @@
 
 /** Targets that rank first for an object's requests. */
 const OBJECT_TARGETS = 4;
+/** After its last request, a service's targets are in use this long. */
+const SERVICE_USE_MS = 10_000;
 
 /** The gateway's location, and where placement finds what it decides by. */
 export interface PlacementOptions extends Location {
   readonly vmId: string;
   readonly targets: TargetTable;
   readonly findService: (name: string) => Service | undefined;
+  readonly model?: WorkModel;
   readonly load?: LoadSource;
+  /** Called when an attempt starts at a target. */
+  readonly onStart?: (entry: TrackedTarget, nowMs: number) => void;
   readonly takeRandom?: () => number;
 }
 
@@ -58,7 +63,7 @@
 
 /** Chooses targets and learns what requests cost there. */
 export class Placement {
-  readonly model = new WorkModel();
+  readonly model: WorkModel;
   readonly learner: AttemptLearner;
   readonly candidates: Candidates;
   readonly #options: PlacementOptions;
@@ -66,10 +71,13 @@
   readonly #inputs: WorkInputBuilder;
   readonly #takeRandom: () => number;
   readonly #demand = new PartDemand();
+  /** When a target of each service was last chosen. */
+  readonly #usedAtMs = new Map<string, number>();
 
   constructor(options: PlacementOptions) {
     this.#options = options;
     this.#load = options.load ?? NO_LOAD;
+    this.model = options.model ?? new WorkModel();
     this.#takeRandom = options.takeRandom ?? Math.random;
     this.candidates = new Candidates(options);
     const { model } = this;
@@ -87,6 +95,7 @@
     limits: PlacementLimits,
     nowMs: number,
   ): RecordedChoice | undefined {
+    this.#usedAtMs.set(limits.service, nowMs);
     const built = this.#buildRequest(request, limits, nowMs);
     const ranked = this.#listRanked(request, limits.service, nowMs);
     const candidates = (limits.only ?? this.#listCandidates(built, {
@@ -109,10 +118,28 @@
     };
   }
 
-  /** Records that an attempt starts: the demand for its shared part. */
-  recordStart({ fields }: PlacedRequest, service: string, nowMs: number): void {
+  /** Records that an attempt starts. */
+  recordStart(
+    { fields }: Pick<PlacedRequest, "fields">,
+    entry: TrackedTarget,
+    nowMs: number,
+  ): void {
     const [part] = listShared(fields.prompt);
+    const { service } = entry.target;
     if (part !== undefined) this.#demand.record(service, part.id, nowMs);
+    this.#options.onStart?.(entry, nowMs);
+  }
+
+  /** Lists the ids of the targets among which this gateway chooses. */
+  listUsedTargets(nowMs: number): string[] {
+    return [...this.#usedAtMs].flatMap(([service, atMs]) => {
+      const index = this.#options.targets.findIndex(service);
+      if (index !== undefined && nowMs - atMs < SERVICE_USE_MS) {
+        return this.candidates.listUsed(index).map(({ target }) => target.id);
+      }
+      this.#usedAtMs.delete(service);
+      return [];
+    });
   }
 
   #buildRequest(
