--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -578,6 +578,12 @@
     "info",
     "A request has waited in the queue of its service and goes to a target.",
   ),
+  LoadCollectorChanged: defineEvent(
+    994,
+    "LoadCollectorChanged",
+    "info",
+    "Another gateway collects the load of the targets for this one's region.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -28,6 +28,8 @@
   readonly getSelf: () => PeerInfo;
   readonly answerPermitCall: PeerGroupDependencies["answerPermitCall"];
   readonly answerCreditCall: PeerGroupDependencies["answerCreditCall"];
+  /** Absent where gateways exchange no load. */
+  readonly answerLoadReport?: PeerGroupDependencies["answerLoadReport"];
   readonly relay: PathRelay;
   readonly blocked: BlockedRequests;
   readonly keptBlocks: KeptBlocks;
@@ -114,6 +116,7 @@
     findCache,
     answerPermitCall,
     answerCreditCall,
+    answerLoadReport: options.answerLoadReport ?? (() => undefined),
   });
   const { joined } = group;
   const turns = new TurnAccounts({ ...shared, home, handover, joined });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,10 @@
 import type { GatewayOptions } from "./gateway_options.ts";
 import { subscribeTimers } from "./gateway_timers.ts";
 import { TargetPermits } from "./limits/target_permits.ts";
-import { Placement } from "./placement/placement.ts";
+import {
+  buildLoadComponents,
+  type LoadComponents,
+} from "./load/load_components.ts";
 import {
   buildQuotaComponents,
   type QuotaComponents,
@@ -79,7 +82,7 @@
   readonly #accounts: AccountComponents;
   readonly #callers: CallerServer;
   readonly #turns: TurnComponents;
-  readonly #placement: Placement;
+  readonly #load: LoadComponents;
   readonly #statusServers: StatusServers;
   readonly #bootId = randomUUID();
   #tickTimer: NodeJS.Timeout | undefined;
@@ -124,7 +127,7 @@
       onTargetRemoved: (id) => {
         connections.remove(id);
         this.#permits.remove(id);
-        this.#placement.model.removeTarget(id);
+        this.#load.placement.model.removeTarget(id);
       },
     });
     this.#keys = buildTenantKeys(options, this.#watched.configuration);
@@ -140,6 +143,8 @@
         this.#permits.answer(call, gatewayId),
       answerCreditCall: (call, gatewayId) =>
         this.#quotas.answer(call, gatewayId),
+      answerLoadReport: (report, from) =>
+        this.#load.exchange.answer(report, from),
       relay: this.#ways.relay,
     });
     this.#permits = new TargetPermits({
@@ -178,8 +183,9 @@
       findConfiguration: () =>
         this.#watched.configuration.inForce?.configuration,
     });
-    this.#placement = new Placement({
-      ...settings,
+    this.#load = buildLoadComponents({
+      ...options,
+      ...this.#accounts,
       targets: this.#targets,
       findService: (name) => this.#watched.configuration.findService(name),
     });
@@ -197,7 +203,7 @@
       codec: options.requestCodec,
       log,
       metrics,
-      placement: this.#placement,
+      placement: this.#load.placement,
       accounts: this.#accounts.turns,
       history: this.#turns.history,
       quotas: this.#quotas.requests,
@@ -234,6 +240,7 @@
       quotas: this.#quotas,
       keys: this.#keys,
       ways: this.#ways,
+      load: this.#load.exchange,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -40,6 +40,8 @@
   "queue_promotions",
   "choices_with_view",
   "choices_without_view",
+  "load_reports",
+  "load_reports_failed",
   "turns_admitted",
   "turns_without_allowance",
   "first_allowances",
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -6,6 +6,7 @@
 import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { TargetPermits } from "./limits/target_permits.ts";
+import { type LoadExchange, REPORT_INTERVAL_MS } from "./load/load_exchange.ts";
 import type { GatewayLog } from "./log.ts";
 import { PROBE_TICK_MS } from "./quotas/group_prober.ts";
 import type { QuotaComponents } from "./quotas/quota_components.ts";
@@ -43,6 +44,7 @@
   readonly permits: TargetPermits;
   readonly quotas: Pick<QuotaComponents, "runDue" | "removeUnused">;
   readonly keys: TenantKeys;
+  readonly load: LoadExchange;
   readonly ways: Pick<PathComponents, "observer" | "paths">;
 }
 
@@ -52,7 +54,7 @@
   { group, shards, crashes, ways, log, metrics, ...components }:
     TimedComponents,
 ): void {
-  const { store, targets, watchers, permits, quotas, keys } = components;
+  const { store, targets, watchers, permits, load, quotas, keys } = components;
   const schedule: readonly [number, (nowMs: number) => void][] = [
     [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
     [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
@@ -66,6 +68,8 @@
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
     [PROBE_TICK_MS, () => quotas.runDue()],
     [CLEANUP_MS, () => quotas.removeUnused()],
+    [REPORT_INTERVAL_MS, (nowMs) => load.runDue(nowMs)],
+    [CLEANUP_MS, (nowMs) => load.removeUnused(nowMs)],
     [COMPARE_BLOCKED_MS, () => void crashes.compareBlocked()],
     [CHECK_PATHS_MS, (nowMs) => ways.paths.runDue(nowMs)],
     [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -12,6 +12,7 @@
   PeerDirectory,
   PeerInfo,
 } from "../decisions/peer_directory.ts";
+import type { LoadExchange } from "../load/load_exchange.ts";
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayLog } from "../log.ts";
@@ -20,8 +21,8 @@
 import type { ObjectCache } from "../store/object_cache.ts";
 import { answerObjectCall } from "../store/object_relay.ts";
 import { decodeEntries, writeEntry } from "./gateway_entry.ts";
+import { logReceived } from "./log_received.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import type { MovedAccount } from "../model/token_account.ts";
 import {
   type CreditCall,
   type CreditDecision,
@@ -34,8 +35,6 @@
 
 /** Pause before this gateway's entry is written again after a failure. */
 const REGISTER_RETRY_MS = 400;
-/** Maximum number of programs that one log line names. */
-const MAX_LOGGED_PROGRAMS = 20;
 
 /** Dependencies of the group. */
 export interface PeerGroupDependencies {
@@ -59,6 +58,8 @@
     call: CreditCall,
     gatewayId: string,
   ) => Promise<CreditDecision | undefined>;
+  /** Records a report of load; answers with the others' load. */
+  readonly answerLoadReport: LoadExchange["answer"];
   /** The requests that crash targets, as the gateways find them. */
   readonly crashes: CrashExchange;
   readonly ended: EndedTargets;
@@ -175,7 +176,7 @@
       }
       case "move_accounts":
         for (const moved of message.accounts) accounts.addMoved(moved, nowMs);
-        this.#logReceived(sender, message.accounts);
+        logReceived(this.#dependencies.log, sender, message.accounts);
         return { from };
       case "grant_first": {
         const isGiven = shards.grantFirst(message.programId) === undefined;
@@ -208,6 +209,10 @@
           ...(credits === undefined ? { error: "no decision" } : { credits }),
         };
       }
+      case "report_load": {
+        const load = this.#dependencies.answerLoadReport(message, sender);
+        return load === undefined ? { from } : { from, load };
+      }
       case "list_objects":
       case "watch_objects": {
         const cache = this.#dependencies.findCache(message.objects);
@@ -284,14 +289,4 @@
     this.#dependencies.crashes.applyBlocked(response?.blocked ?? []);
     await this.#addPeers(response?.peers?.filter(isPeerInfo) ?? []);
   }
-
-  #logReceived(sender: PeerInfo, moved: readonly MovedAccount[]): void {
-    this.#dependencies.log.write(EVENTS.AccountsReceived, {
-      peer: sender.vmId,
-      accounts: moved.length,
-      allowed_tokens: moved.reduce((sum, each) => sum + each.allowedTokens, 0),
-      programs: moved.slice(0, MAX_LOGGED_PROGRAMS)
-        .map(({ programId }) => programId),
-    });
-  }
 }
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -15,6 +15,7 @@
 import type { PermitDecision } from "../decisions/permit_bucket.ts";
 import type { PathMessage } from "../paths/path_messages.ts";
 import { isKnownKind } from "./protocol_version.ts";
+import type { LoadAnswer, LoadReport } from "../load/load_messages.ts";
 import type { ObservedLimit } from "../limits/permit_home.ts";
 import type { ObjectKind, StoredChanges, StoredList } from "../ports.ts";
 
@@ -92,7 +93,9 @@
     readonly credits: number;
     /** Whether the sender passes on another gateway's call. */
     readonly isForwarded: boolean;
-  };
+  }
+  /** Reports the load of targets to a collector. */
+  | LoadReport;
 
 /** A request for credits. */
 export type CreditCall = Extract<
@@ -158,6 +161,8 @@
   readonly isHistoryGone?: boolean;
   readonly permit?: PermitDecision;
   readonly credits?: CreditDecision;
+  /** The others' load, in answer to a report. */
+  readonly load?: LoadAnswer;
   readonly blocked?: readonly BlockedRequest[];
   /** Blocked requests that have completed at the responding gateway. */
   readonly completed?: readonly string[];
--- a/packages/gateway/src/peers/protocol_version.ts
+++ b/packages/gateway/src/peers/protocol_version.ts
@@ -34,6 +34,7 @@
   ["share_leaving", 1],
   ["open_path", 1],
   ["take_credits", 2],
+  ["report_load", 2],
 ] as const satisfies readonly (readonly [SentKind, number])[];
 
 type SentKind = (PeerMessage | PathMessage)["kind"];
