--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -190,6 +190,7 @@
       findService: (name) => this.#watched.configuration.findService(name),
     });
     this.#callers = new CallerServer({
+      ...this.#watched.access,
       bytes,
       queue,
       ways: this.#ways,
@@ -209,11 +210,6 @@
       quotas: this.#quotas.requests,
       keys: this.#keys,
       getViewAgeMs,
-      getConfiguration: () => this.#watched.configuration.inForce,
-      getConfigurationAgeMs: () =>
-        this.#watched.watchers.computeAgeMs("configuration"),
-      waitForConfiguration: (limitMs) =>
-        this.#watched.configuration.waitForFirst(limitMs),
       countStopLeftMs: () => this.#stopAtMs - performance.now(),
       isDrainingConnections: () => this.#readinessState.isDrainingConnections,
     });
@@ -226,16 +222,13 @@
    */
   async start(): Promise<void> {
     const { settings, log } = this.#options;
-    this.#watched.watchers.start("configuration");
-    this.#watched.watchers.start("targets");
-    this.#watched.watchers.start("turnDisks");
+    this.#watched.watchers.startAll();
     subscribeTimers(this.#timers, {
       ...this.#accounts,
       log,
       metrics: this.#options.metrics,
       store: this.#stores.counted,
-      targets: this.#watched.targets,
-      watchers: this.#watched.watchers,
+      ...this.#watched,
       permits: this.#permits,
       quotas: this.#quotas,
       keys: this.#keys,
--- a/packages/gateway/src/store/watch_components.ts
+++ b/packages/gateway/src/store/watch_components.ts
@@ -30,8 +30,20 @@
   readonly onTargetRemoved: (targetId: string) => void;
 }
 
+/** How requests use the configuration in force. */
+export interface ConfigurationAccess {
+  getConfiguration(): ConfigurationInForce | undefined;
+  /** Time since the configuration was last confirmed to be the latest. */
+  getConfigurationAgeMs(): number;
+  /** Waits for the first configuration, for `limitMs` at most. */
+  waitForConfiguration(
+    limitMs: number,
+  ): Promise<ConfigurationInForce | undefined>;
+}
+
 /** The components. */
 export interface WatchComponents {
+  readonly access: ConfigurationAccess;
   readonly configuration: WatchedConfiguration;
   readonly targets: WatchedTargets;
   readonly watchers: Watchers;
@@ -55,5 +67,10 @@
     renewalMs: computeRenewalMs(settings),
     needsAgeBound: (kind) => needsAgeBound(settings, kind),
   });
-  return { configuration, targets, watchers };
+  const access: ConfigurationAccess = {
+    getConfiguration: () => configuration.inForce,
+    getConfigurationAgeMs: () => watchers.computeAgeMs("configuration"),
+    waitForConfiguration: (limitMs) => configuration.waitForFirst(limitMs),
+  };
+  return { access, configuration, targets, watchers };
 }
--- a/packages/gateway/src/store/watchers.ts
+++ b/packages/gateway/src/store/watchers.ts
@@ -13,11 +13,14 @@
 
 const RESTART_DELAY_MS = 500;
 
+const WATCHED_KINDS = [
+  "configuration",
+  "targets",
+  "turnDisks",
+] as const satisfies readonly ObjectKind[];
+
 /** The kinds that a gateway follows. */
-export type WatchedKind = Extract<
-  ObjectKind,
-  "configuration" | "targets" | "turnDisks"
->;
+export type WatchedKind = typeof WATCHED_KINDS[number];
 
 /** The dependencies of the watchers. */
 export interface WatchersDependencies {
@@ -69,13 +72,17 @@
     ]);
   }
 
-  /** Starts to watch one kind. */
-  start(kind: WatchedKind): void {
+  /** Starts to watch every kind. */
+  startAll(): void {
+    for (const kind of WATCHED_KINDS) this.#start(kind);
+  }
+
+  #start(kind: WatchedKind): void {
     // A watcher handles failures of the store; any other error is a defect,
     // after which the gateway must not keep a state that nothing updates.
     this.#byKind.get(kind)?.run().catch((error: unknown) => {
       this.#log.write(EVENTS.UnexpectedError, { kind, detail: String(error) });
-      setTimeout(() => this.start(kind), RESTART_DELAY_MS);
+      setTimeout(() => this.#start(kind), RESTART_DELAY_MS);
     });
   }
 
