Take no unfinished upload's end, and no status outside HTTP, for a response

Seen with a raw target: a 200 without a length that ends in an orderly way while 16 MB of its request are still being written reached callers as complete, on direct and on relayed connections, for requests that run once, repeatable ones and streams; so did statuses 600 and 999, on kept turns as well.

A transfer coding other than chunked was taken for a marked end, so that a response cut by an orderly close looked complete, too.

--- a/packages/gateway/src/paths/path_relay.ts
+++ b/packages/gateway/src/paths/path_relay.ts
@@ -161,7 +161,9 @@
   });
   near.on("drain", () => socket.resume());
   socket.on("end", () => {
-    if (far.hasPeerEnded()) near.end(encodeBlockLength(0));
+    // Bytes that wait here for the target are unsent as well.
+    const isOrderly = far.hasPeerEnded() && near.readableLength === 0;
+    if (isOrderly) near.end(encodeBlockLength(0));
     else near.destroy();
   });
   socket.on("error", () => near.destroy());
--- a/packages/gateway/src/paths/relayed_connection.ts
+++ b/packages/gateway/src/paths/relayed_connection.ts
@@ -24,6 +24,8 @@
   readonly #socket: Socket;
   #bytesRead = 0;
   #hasPeerEnded = false;
+  /** Whether bytes for the target waited here when it ended its side. */
+  #hadUnsent = false;
   #lengthBytes: Buffer = Buffer.alloc(0);
   /** Bytes of the current block that haven't arrived. */
   #blockLeft = 0;
@@ -43,8 +45,9 @@
     return this.#bytesRead;
   }
 
+  /** Whether the target ended its side in an orderly way, all sent to it. */
   get hasPeerEnded(): boolean {
-    return this.#hasPeerEnded;
+    return this.#hasPeerEnded && !this.#hadUnsent;
   }
 
   override _read(): void {
@@ -97,6 +100,7 @@
 
   #endReading(): void {
     this.#hasPeerEnded = true;
+    this.#hadUnsent = this.writableLength + this.#socket.writableLength > 0;
     this.push(null);
   }
 }
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -29,7 +29,7 @@
   readonly client: Client;
   /** Whether the connection ended with an error rather than a regular close. */
   readonly hasFailed: () => boolean;
-  /** Whether the peer closed its side in an orderly way. */
+  /** Whether the peer closed its side in an orderly way, all sent. */
   readonly hasPeerEnded: () => boolean;
   /** Bytes that the peer has sent on the connection. */
   readonly countBytesRead: () => number;
--- a/packages/http/src/open_socket.ts
+++ b/packages/http/src/open_socket.ts
@@ -14,7 +14,11 @@
 /** An established connection. */
 export interface OpenedSocket {
   readonly socket: Duplex;
-  /** Whether the peer closed its side in an orderly way. */
+  /**
+   * Whether the peer closed its side in an orderly way, once all that was
+   * written to it had been sent. A peer that ends before it was sent a whole
+   * request has failed, or is about to reset the connection.
+   */
   readonly hasPeerEnded: () => boolean;
   /** Bytes that the peer has sent. */
   readonly countBytesRead: () => number;
@@ -51,7 +55,9 @@
     });
     // Data and a reset that arrive together are reported as an end; only a
     // connection that wasn't reset still has a peer.
-    socket.on("end", () => hasPeerEnded = socket.remoteAddress !== undefined);
+    socket.on("end", () =>
+      hasPeerEnded = socket.remoteAddress !== undefined &&
+        socket.writableLength === 0);
     socket.once("connect", () => {
       clearTimeout(timer);
       resolve({
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -4,13 +4,19 @@
  * A request is `not_sent` only if no byte of it was written to a connection.
  * Every other exchange without a complete response is `broken`: the peer may
  * have acted on the request. A response without a length is complete once the
- * peer has closed its side in an orderly way. The HTTP library never retries a request by itself.
+ * peer has closed its side in an orderly way, after the whole request was
+ * written. A status outside 100 to 599 is no response. The HTTP library never
+ * retries a request by itself.
  * After a silence timeout, all idle connections to the peer are closed as well.
  */
 import type { Dispatcher } from "undici";
 import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
 import { openDirectly, type SocketOpener } from "./open_socket.ts";
-import { isDelimited, isFramingExcessive } from "./response_framing.ts";
+import {
+  isDelimited,
+  isFramingExcessive,
+  isStatus,
+} from "./response_framing.ts";
 import type { UsedConnections } from "./used_connections.ts";
 
 /** Default limit on establishing a connection. */
@@ -111,7 +117,7 @@
     try {
       connection.client.dispatch(buildDispatchOptions(request), exchange);
     } catch (error) {
-      const failure = buildError(error);
+      const failure = error instanceof Error ? error : new Error(String(error));
       queueMicrotask(() => exchange.onResponseError(undefined, failure));
     }
     return exchange;
@@ -200,7 +206,14 @@
     status: number,
     headers: PeerHeaders,
   ): void {
-    if (this.#ended || status < 200) return;
+    if (this.#ended) return;
+    if (!isStatus(status)) {
+      this.#endFailed(`status ${status} is none of HTTP`);
+      this.#controller?.abort(new Error("no status of HTTP"));
+      return;
+    }
+    // Announces a response that follows.
+    if (status < 200) return;
     this.#timer.refresh();
     this.#isDelimited = this.#hooks.method === "HEAD" ||
       isDelimited(status, headers);
@@ -282,10 +295,6 @@
   };
 }
 
-function buildError(error: unknown): Error {
-  return error instanceof Error ? error : new Error(String(error));
-}
-
 function isList(headers: PeerRequest["headers"]): headers is readonly string[] {
   return Array.isArray(headers);
 }
--- a/packages/http/src/peer_connection_test.ts
+++ b/packages/http/src/peer_connection_test.ts
@@ -69,6 +69,24 @@
       .to.equal("ok");
   });
 
+  // The HTTP library reports such a status like any other one.
+  for (const status of ["000", "099", "600", "999"]) {
+    it(`takes status ${status} for no response`, async () => {
+      handleRequest = (socket) =>
+        socket.write(`HTTP/1.1 ${status} X\r\ncontent-length: 2\r\n\r\nok`);
+      expect((await run()).kind).to.equal("broken");
+    });
+  }
+
+  it("takes statuses of 100 to 199 for announcements, and 599 for a response", async () => {
+    handleRequest = (socket) =>
+      socket.write(
+        "HTTP/1.1 103 Early Hints\r\n\r\n" +
+          "HTTP/1.1 599 X\r\ncontent-length: 2\r\n\r\nok",
+      );
+    expect(await run()).to.include({ kind: "answered", status: 599 });
+  });
+
   for (const freshConnection of [true, false]) {
     const where = freshConnection ? "a new" : "a reused";
     it(`sends once on ${where} connection that is reset`, async () => {
--- a/packages/http/src/response_framing.ts
+++ b/packages/http/src/response_framing.ts
@@ -1,6 +1,6 @@
 /**
- * What frames the body of a response: whether its end is marked, and how much
- * there may be beside it.
+ * What frames a response: its status, whether the end of its body is marked,
+ * and how much there may be beside the body.
  */
 import type { PeerHeaders } from "./peer_connection.ts";
 
@@ -11,14 +11,26 @@
 const MAX_FRAMING_BYTES = 262_144;
 /** Framing of the smallest chunks, for each byte of the body. */
 const FRAMING_PER_BODY_BYTE = 8;
+/** Other statuses aren't of HTTP, and nobody can say what they mean. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
+/** Whether a number is a status of HTTP. */
+export function isStatus(status: number): boolean {
+  return status >= MIN_STATUS && status <= MAX_STATUS;
+}
+
 /**
  * Whether the end of a response's body is marked in the response itself. One
- * that isn't looks complete wherever an orderly end cuts it.
+ * that isn't looks complete wherever an orderly end cuts it. Of the codings of
+ * a transfer only chunks have an end, and only as the last one.
  */
 export function isDelimited(status: number, headers: PeerHeaders): boolean {
   if (status === 204 || status === 304) return true;
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
+  if (headers["content-length"] !== undefined) return true;
+  const coding = headers["transfer-encoding"];
+  const codings = Array.isArray(coding) ? coding.join() : coding ?? "";
+  return /(^|[,\s])chunked\s*$/i.test(codings);
 }
 
 /** Whether a response has too many bytes that aren't part of its body. */
