--- a/packages/gateway/src/exchange/queue_turn.ts
+++ b/packages/gateway/src/exchange/queue_turn.ts
@@ -12,6 +12,7 @@
   TargetSearch,
 } from "../queue/queued_request.ts";
 import {
+  computeLateAfterMs,
   computeReservedMs,
   computeWorkMs,
   isLongWork,
@@ -154,7 +155,8 @@
    * if its own objective is missed.
    */
   #computeLateAtMs(choice: PlacementChoice | undefined): number {
-    const { report: { accepted }, clock } = this.#options;
+    const { queue } = this.#dependencies;
+    const { report: { accepted, service }, clock } = this.#options;
     const { fields: { programLeftMs }, route, receivedAtMs } = accepted;
     const workMs = computeReservedMs(choice?.estimate, clock.countLeftMs());
     if (programLeftMs !== undefined) {
@@ -162,7 +164,10 @@
     }
     return route.kind === "streaming"
       ? clock.deadlineAtMs
-      : receivedAtMs + Math.max(0, route.targetLatencyMs - workMs);
+      : receivedAtMs + computeLateAfterMs({
+        classes: queue.getClasses(service).priorities.length,
+        targetLatencyMs: route.targetLatencyMs,
+      }, workMs);
   }
 
   #hasBegun(): boolean {
--- a/packages/gateway/src/queue/queue_rules.ts
+++ b/packages/gateway/src/queue/queue_rules.ts
@@ -42,6 +42,31 @@
   return targetLatencyMs * steps / Math.max(classes, steps);
 }
 
+/**
+ * Computes the wait at a target up to which all classes together should fill
+ * it: less than any class may use, since the view is old.
+ */
+export function computeIntendedBacklogMs(
+  { classes, targetLatencyMs }: Omit<RequestClass, "rank">,
+): number {
+  return targetLatencyMs / (Math.max(1, classes) + 1);
+}
+
+/**
+ * Computes how long a request may wait in the queue and still meet its
+ * objective, since it waits at the target as well.
+ */
+export function computeLateAfterMs(
+  request: Omit<RequestClass, "rank">,
+  workMs: number,
+): number {
+  const { targetLatencyMs } = request;
+  return Math.max(
+    0,
+    targetLatencyMs - workMs - computeIntendedBacklogMs(request),
+  );
+}
+
 /** Computes after which time a waiting request moves up by a class. */
 export function computePromotionMs(leftMs: number, rank: number): number {
   // From any class, it reaches the most urgent one in the same share of its
--- a/packages/gateway/src/queue/service_queue.ts
+++ b/packages/gateway/src/queue/service_queue.ts
@@ -10,10 +10,12 @@
 import { type PresentChoice, QueueForecast } from "./queue_forecast.ts";
 import {
   canFinish,
+  computeIntendedBacklogMs,
   computePromotionMs,
   computeReservedMs,
 } from "./queue_rules.ts";
 import type { QueueDecision, QueuedRequest } from "./queued_request.ts";
+import { ReleaseGate } from "./release_gate.ts";
 import { SetAside } from "./set_aside.ts";
 import { WaitingOrder } from "./waiting_order.ts";
 
@@ -22,24 +24,11 @@
  * have 2,212 descriptors, of which 200 are reserved.
  */
 export const MAX_WAITING = 2_000;
-/** Longest time between two steps while requests wait. */
-const MAX_STEP_MS = 25;
-/** Shortest one; a wait at a target is known no better. */
-const MIN_STEP_MS = 2;
 /**
  * Requests for which a step searches a target. What holds back four in order
  * most likely holds back the others.
  */
 const MAX_SEARCHES = 4;
-/**
- * Time without a release after which one request goes although the wait at its
- * target seems too long, if this gateway has none there: the estimate may be
- * out of date, and nothing else would renew it.
- */
-const PROBE_AFTER_MS = 200;
-/** Share of the waiting requests that go to full targets in 25 ms. */
-const FULL_PROBE_SHARE = 0.25;
-
 /** A decision on a request. */
 export interface SettledRequest<T extends QueuedRequest> {
   readonly request: T;
@@ -54,9 +43,7 @@
   readonly #setAside = new SetAside<T>();
   readonly #flows: ClassFlows;
   readonly #forecast: QueueForecast<T>;
-  #lastReleaseMs = Number.NEGATIVE_INFINITY;
-  #nextFullProbeMs = 0;
-  #nextStepMs = MAX_STEP_MS;
+  readonly #gate = new ReleaseGate();
   #promotions = 0;
 
   constructor(
@@ -80,7 +67,7 @@
 
   /** Time until the next step; infinite while none waits. */
   countNextStepMs(): number {
-    return this.size === 0 ? Number.POSITIVE_INFINITY : this.#nextStepMs;
+    return this.size === 0 ? Number.POSITIVE_INFINITY : this.#gate.stepMs;
   }
 
   /** Records a request's arrival. */
@@ -102,10 +89,7 @@
     choice: PlacementChoice | undefined,
     nowMs: number,
   ): SettledRequest<T>[] {
-    if (this.size === 0) {
-      // The time since an earlier release says nothing of the targets now.
-      this.#lastReleaseMs = Math.max(this.#lastReleaseMs, nowMs - MAX_STEP_MS);
-    }
+    if (this.size === 0) this.#gate.recordFirst(nowMs);
     if (choice !== undefined && this.#order.size === 0) {
       if (this.#canGo(request, choice, nowMs)) {
         return [this.#release(request, { choice, nowMs })];
@@ -134,7 +118,7 @@
    * sees it at its target.
    */
   runStep(nowMs: number): SettledRequest<T>[] {
-    this.#nextStepMs = MAX_STEP_MS;
+    this.#gate.startStep();
     const settled = this.#settleDue(nowMs);
     for (const { request, rank } of this.#setAside.takeDue(nowMs)) {
       this.#order.add(request, { rank, nowMs });
@@ -178,21 +162,14 @@
 
   #canGo(request: T, choice: PlacementChoice, nowMs: number): boolean {
     const expected = this.#forecast.computeNext(request, { choice, nowMs });
-    if (isRefusable(request) && !canFinish(expected)) return false;
-    const { entry, estimate: { waitMs } } = choice;
-    const excessMs = waitMs - expected.maxBacklogMs;
-    if (excessMs > 0) {
-      const stepMs = Math.max(MIN_STEP_MS, excessMs);
-      this.#nextStepMs = Math.min(this.#nextStepMs, stepMs);
-      return nowMs - this.#lastReleaseMs >= PROBE_AFTER_MS &&
-        entry.running === 0;
-    }
-    // A target is avoided only if every target has rejected a request lately.
-    if (entry.avoidedUntilMs <= nowMs || this.size === 0) return true;
-    if (nowMs < this.#nextFullProbeMs) return false;
-    this.#nextFullProbeMs = nowMs +
-      MAX_STEP_MS / Math.ceil(this.size * FULL_PROBE_SHARE);
-    return true;
+    const isBound = isRefusable(request);
+    if (isBound && !canFinish(expected)) return false;
+    return this.#gate.canGo({
+      choice,
+      maxBacklogMs: expected.maxBacklogMs,
+      intendedMs: isBound ? computeIntendedBacklogMs(request) : undefined,
+      waiting: this.size,
+    }, nowMs);
   }
 
   #release(
@@ -204,7 +181,7 @@
     const view = this.#forecast.buildView(request, { ...present, waiting });
     this.#flows.get(request).recordRelease(nowMs);
     this.remove(request, nowMs);
-    this.#lastReleaseMs = nowMs;
+    this.#gate.recordRelease(nowMs);
     this.#order.recordServed(request, nowMs);
     return { request, decision: { kind: "go", choice, view } };
   }
