Report load with the gateway's metrics, not with their address

The settings have an address of the same name, which replaced the counters and let each report end in an error. Differences of up to 2 ms between targets also count as equal now, as the jitter of one call.

--- a/packages/gateway/src/load/load_components.ts
+++ b/packages/gateway/src/load/load_components.ts
@@ -51,7 +51,8 @@
   });
   const exchange = new LoadExchange({
     ...shared,
-    ...settings,
+    vmId: settings.vmId,
+    region: settings.region,
     reporter,
     view,
     listUsed: (nowMs) => placement.listUsedTargets(nowMs),
--- a/packages/gateway/src/placement/choose_target.ts
+++ b/packages/gateway/src/placement/choose_target.ts
@@ -32,6 +32,8 @@
  * same view don't all choose the same target.
  */
 const EQUAL_COST_SHARE = 0.03;
+/** Shorter differences are within the jitter of one call. */
+const EQUAL_COST_MS = 2;
 /**
  * Share of a read that doesn't count where the requests of a shared part are to
  * meet: the read serves the ones that follow.
@@ -82,7 +84,8 @@
   const bestMs = Math.min(...candidates.map(({ costMs }) => costMs));
   const { takeRandom, affinityKey } = request;
   const canBeRandom = takeRandom !== undefined && affinityKey === undefined;
-  const limitMs = canBeRandom ? bestMs * (1 + EQUAL_COST_SHARE) : bestMs;
+  const equalMs = Math.max(bestMs * EQUAL_COST_SHARE, EQUAL_COST_MS);
+  const limitMs = canBeRandom ? bestMs + equalMs : bestMs;
   const equal = candidates.filter(({ costMs }) => costMs <= limitMs)
     .map(({ candidate }) => candidate);
   if (canBeRandom) return equal[Math.floor(takeRandom() * equal.length)];
