Weigh single samples of short calls by the process's own jitter

A target whose first call met a pause of this process looked four times slower and got no more requests while others were idle, so that the end of its named limit wasn't noticed (target_limit_test).

--- a/packages/gateway/src/placement/choose_target.ts
+++ b/packages/gateway/src/placement/choose_target.ts
@@ -32,8 +32,8 @@
  * same view don't all choose the same target.
  */
 const EQUAL_COST_SHARE = 0.03;
-/** Shorter differences are within the jitter of one call. */
-const EQUAL_COST_MS = 2;
+/** Shorter differences are within the jitter of one call; no caller notices. */
+const EQUAL_COST_MS = 5;
 /**
  * Share of a read that doesn't count where the requests of a shared part are to
  * meet: the read serves the ones that follow.
--- a/packages/gateway/src/placement/work_model.ts
+++ b/packages/gateway/src/placement/work_model.ts
@@ -33,6 +33,11 @@
  * work: a target at half the speed shows in its second sample.
  */
 const AVERAGE_SPEED_SAMPLES = 0.7;
+/**
+ * Least weight of the average speed: a pause of this process, which may take as
+ * long, must not make a target of short calls look slow.
+ */
+const MIN_AVERAGE_MS = 20;
 /** What one sample of a target may say at most of its time. */
 const MAX_TAKEN_FACTOR = 6;
 /** How a failure counts against the time of typical work. */
@@ -192,7 +197,10 @@
     others?: SpeedSums,
   ): number {
     const own = this.#speeds.get(targetId)?.computeSums(nowMs);
-    const averageMs = this.computeTypicalMs(service) * AVERAGE_SPEED_SAMPLES;
+    const averageMs = Math.max(
+      this.computeTypicalMs(service) * AVERAGE_SPEED_SAMPLES,
+      MIN_AVERAGE_MS,
+    );
     const expectedMs = (own?.above ?? 0) + (others?.expectedMs ?? 0);
     const takenMs = (own?.below ?? 0) + (others?.takenMs ?? 0);
     const speed = (expectedMs + averageMs) / (takenMs + averageMs);
