--- a/packages/gateway/src/exchange/queue_turn.ts
+++ b/packages/gateway/src/exchange/queue_turn.ts
@@ -217,7 +217,8 @@
   const { targetWaitMs, maxBacklogMs } = view;
   return {
     queue_wait_ms: Math.round(waitedMs),
-    class: view.rank,
+    class: view.rank % Math.max(1, view.classes),
+    late: view.rank >= view.classes ? true : undefined,
     classes: view.classes,
     position: view.position,
     waiting: view.waiting,
--- a/packages/gateway/src/queue/class_flow.ts
+++ b/packages/gateway/src/queue/class_flow.ts
@@ -4,7 +4,7 @@
  */
 import type { RandomSource } from "@camphorlock/scheduler/random";
 import { RetryAfterSchedule } from "@camphorlock/scheduler/retry_after";
-import { computeReturnBounds } from "./queue_rules.ts";
+import { computeReturnBounds, type RefusedRequest } from "./queue_rules.ts";
 import { ReleaseRate } from "./release_rate.ts";
 
 /** Part of the admission rate that is left to callers who return. */
@@ -40,14 +40,11 @@
 
   /** Takes the time after which a refused caller should return. */
   takeRetryAfterMs(
-    { roomInMs, leftMs }: {
-      readonly roomInMs: number;
-      readonly leftMs: number;
-    },
+    refused: RefusedRequest,
     nowMs: number,
   ): number {
     return this.#retries.takeRetryAfterMs({
-      ...computeReturnBounds(roomInMs, leftMs),
+      ...computeReturnBounds(refused),
       returnShare: RETURN_SHARE,
       overflow: "spread",
     }, nowMs);
--- a/packages/gateway/src/queue/class_order.ts
+++ b/packages/gateway/src/queue/class_order.ts
@@ -31,25 +31,29 @@
   readonly dueAtMs: number;
 }
 
-interface TenantState {
-  readonly name: string;
+/** What is kept of a tenant while none of its requests waits. */
+interface TenantRecord {
   /** Work received, in the virtual time of the class. */
   receivedMs: number;
+  readonly share: ServedShare;
+}
+
+interface WaitingTenant {
+  readonly name: string;
+  readonly record: TenantRecord;
   /** Key in the order of tenants; changes only while it isn't in it. */
   startMs: number;
   /** Breaks ties between tenants by arrival. */
-  sequence: number;
-  readonly share: ServedShare;
-  readonly waiting: OrderedItems<OrderedRequest>;
+  readonly sequence: number;
+  readonly requests: OrderedItems<OrderedRequest>;
 }
 
 /** The waiting requests of one class, in order. */
 export class ClassOrder {
   readonly share = new ServedShare();
-  readonly #states = new BoundedMap<string, TenantState>(MAX_TENANTS);
-  /** Tenants with waiting requests. */
-  readonly #active = new Map<string, TenantState>();
-  readonly #order = new OrderedItems<TenantState>(compareTenants);
+  readonly #records = new BoundedMap<string, TenantRecord>(MAX_TENANTS);
+  readonly #waiting = new Map<string, WaitingTenant>();
+  readonly #order = new OrderedItems<WaitingTenant>(compareTenants);
   #virtualMs = 0;
   #size = 0;
 
@@ -58,23 +62,32 @@
   }
 
   get first(): OrderedRequest | undefined {
-    return this.#order.first?.waiting.first;
+    return this.#order.first?.requests.first;
   }
 
   get last(): OrderedRequest | undefined {
-    return this.#order.last?.waiting.last;
+    return this.#order.last?.requests.last;
+  }
+
+  /** Lists the first requests of the first tenants, or of the only one. */
+  listFirst(count: number): OrderedRequest[] {
+    const tenants = this.#order.listFirst(count);
+    const [first] = tenants;
+    if (first === undefined) return [];
+    if (tenants.length === 1) return first.requests.listFirst(count);
+    return tenants.flatMap(({ requests }) => requests.listFirst(1));
   }
 
   /** Counts the requests that are expected to go before a request. */
   countBefore({ tenant }: OrderedRequest): number {
-    const own = this.#active.get(tenant)?.waiting.size ?? 0;
-    const interleaved = (own + 1) * this.#active.size;
+    const own = this.#waiting.get(tenant)?.requests.size ?? 0;
+    const interleaved = (own + 1) * this.#waiting.size;
     return Math.min(this.#size, Math.max(own, interleaved - 1));
   }
 
   recordOffered(tenant: string, nowMs: number): void {
     this.share.recordOffered(nowMs);
-    this.#getState(tenant).share.recordOffered(nowMs);
+    this.#getRecord(tenant).share.recordOffered(nowMs);
   }
 
   /**
@@ -82,74 +95,77 @@
    * owes nothing for work that it received before.
    */
   add(request: OrderedRequest, nowMs: number): void {
-    const state = this.#getState(request.tenant);
-    if (state.waiting.size === 0) {
-      const isStarved = state.share.isStarved(this.share, nowMs);
-      if (isStarved) state.receivedMs = this.#virtualMs;
-      state.startMs = Math.max(this.#virtualMs, state.receivedMs);
-      state.sequence = request.sequence;
-      this.#active.set(state.name, state);
-    } else {
-      this.#order.remove(state);
-    }
-    state.waiting.add(request);
-    this.#order.add(state);
     this.#size += 1;
+    const known = this.#waiting.get(request.tenant);
+    if (known !== undefined) return known.requests.add(request);
+    const tenant = this.#createWaiting(request, nowMs);
+    tenant.requests.add(request);
+    this.#waiting.set(tenant.name, tenant);
+    this.#order.add(tenant);
   }
 
   /** Removes a waiting request; false if it isn't here. */
   remove(request: OrderedRequest): boolean {
-    const state = this.#active.get(request.tenant);
-    if (state === undefined || !state.waiting.remove(request)) return false;
+    const tenant = this.#waiting.get(request.tenant);
+    if (tenant === undefined || !tenant.requests.remove(request)) return false;
     this.#size -= 1;
-    if (state.waiting.size > 0) return true;
-    this.#order.remove(state);
-    this.#active.delete(state.name);
+    if (tenant.requests.size > 0) return true;
+    this.#order.remove(tenant);
+    this.#waiting.delete(tenant.name);
     return true;
   }
 
   /** Records the work of a request that goes to a target. */
   recordServed({ tenant, workMs }: OrderedRequest, nowMs: number): void {
-    const state = this.#getState(tenant);
-    const isWaiting = state.waiting.size > 0;
-    if (isWaiting) this.#order.remove(state);
-    const startMs = Math.max(this.#virtualMs, state.receivedMs);
-    state.receivedMs = startMs + workMs;
+    const record = this.#getRecord(tenant);
+    const waiting = this.#waiting.get(tenant);
+    if (waiting !== undefined) this.#order.remove(waiting);
+    const startMs = Math.max(this.#virtualMs, record.receivedMs);
+    record.receivedMs = startMs + workMs;
     const leastMs = this.#order.first?.startMs ?? Number.POSITIVE_INFINITY;
     this.#virtualMs = Math.max(this.#virtualMs, Math.min(startMs, leastMs));
-    if (isWaiting) {
-      state.startMs = Math.max(this.#virtualMs, state.receivedMs);
-      this.#order.add(state);
+    if (waiting !== undefined) {
+      waiting.startMs = Math.max(this.#virtualMs, record.receivedMs);
+      this.#order.add(waiting);
     }
     this.share.recordServed(nowMs);
-    state.share.recordServed(nowMs);
+    record.share.recordServed(nowMs);
   }
 
   /** Takes back the work of a request that its target rejected. */
   recordRejected({ tenant, workMs }: OrderedRequest, nowMs: number): void {
-    const state = this.#getState(tenant);
-    state.receivedMs -= workMs;
+    const record = this.#getRecord(tenant);
+    record.receivedMs -= workMs;
     this.share.recordServed(nowMs, -1);
-    state.share.recordServed(nowMs, -1);
+    record.share.recordServed(nowMs, -1);
   }
 
-  #getState(name: string): TenantState {
-    const known = this.#active.get(name) ?? this.#states.get(name);
-    if (known !== undefined) return known;
-    const state: TenantState = {
+  #createWaiting(
+    { tenant: name, sequence }: OrderedRequest,
+    nowMs: number,
+  ): WaitingTenant {
+    const record = this.#getRecord(name);
+    const isStarved = record.share.isStarved(this.share, nowMs);
+    if (isStarved) record.receivedMs = this.#virtualMs;
+    return {
       name,
-      receivedMs: this.#virtualMs,
-      startMs: 0,
-      sequence: 0,
-      share: new ServedShare(),
-      waiting: new OrderedItems(compareRequests),
+      record,
+      startMs: Math.max(this.#virtualMs, record.receivedMs),
+      sequence,
+      requests: new OrderedItems(compareRequests),
     };
-    this.#states.set(name, state);
-    return state;
+  }
+
+  #getRecord(name: string): TenantRecord {
+    const known = this.#waiting.get(name)?.record ?? this.#records.get(name);
+    if (known !== undefined) return known;
+    const record = { receivedMs: this.#virtualMs, share: new ServedShare() };
+    this.#records.set(name, record);
+    return record;
   }
 }
 
-function compareTenants(left: TenantState, right: TenantState): number {
+function compareTenants(left: WaitingTenant, right: WaitingTenant): number {
   return left.startMs - right.startMs || left.sequence - right.sequence;
 }
 
--- a/packages/gateway/src/queue/indexed_heap.ts
+++ b/packages/gateway/src/queue/indexed_heap.ts
@@ -1,8 +1,11 @@
 /**
- * A binary heap from which any item can be removed, in logarithmic time. The
+ * A heap from which any item can be removed, in logarithmic time. The
  * order of an item must not change while the heap holds it.
  */
 
+/** Four children halve the depth, and with it the positions to keep. */
+const CHILDREN = 4;
+
 /** Negative if `left` comes before `right`. */
 export type Compare<T> = (left: T, right: T) => number;
 
@@ -29,6 +32,23 @@
     return this.#positions.has(item);
   }
 
+  /** Lists the first items in order; for small counts. */
+  listFirst(count: number): T[] {
+    const found: T[] = [];
+    const open = this.#items.length > 0 ? [0] : [];
+    while (open.length > 0 && found.length < count) {
+      open.sort((left, right) =>
+        this.#compare(this.#items[left] as T, this.#items[right] as T)
+      );
+      const [position = 0] = open.splice(0, 1);
+      found.push(this.#items[position] as T);
+      const start = CHILDREN * position + 1;
+      const end = Math.min(start + CHILDREN, this.#items.length);
+      for (let child = start; child < end; child += 1) open.push(child);
+    }
+    return found;
+  }
+
   add(item: T): void {
     if (this.has(item)) return;
     this.#items.push(item);
@@ -50,7 +70,7 @@
   #placeUp(start: number, item: T): void {
     let position = start;
     while (position > 0) {
-      const parentAt = (position - 1) >> 1;
+      const parentAt = Math.floor((position - 1) / CHILDREN);
       const parent = this.#items[parentAt] as T;
       if (this.#compare(item, parent) >= 0) break;
       this.#set(position, parent);
@@ -73,16 +93,15 @@
   }
 
   #findFirstChild(position: number): number | undefined {
-    const left = 2 * position + 1;
-    const right = left + 1;
-    const count = this.#items.length;
-    if (left >= count) return undefined;
-    if (right >= count) return left;
-    const isRightFirst = this.#compare(
-      this.#items[right] as T,
-      this.#items[left] as T,
-    ) < 0;
-    return isRightFirst ? right : left;
+    const start = CHILDREN * position + 1;
+    const end = Math.min(start + CHILDREN, this.#items.length);
+    if (start >= end) return undefined;
+    let first = start;
+    for (let child = start + 1; child < end; child += 1) {
+      const item = this.#items[child] as T;
+      if (this.#compare(item, this.#items[first] as T) < 0) first = child;
+    }
+    return first;
   }
 
   #set(position: number, item: T): void {
@@ -113,6 +132,10 @@
     return this.#descending.first;
   }
 
+  listFirst(count: number): T[] {
+    return this.#ascending.listFirst(count);
+  }
+
   add(item: T): void {
     this.#ascending.add(item);
     this.#descending.add(item);
--- a/packages/gateway/src/queue/queue_rules.ts
+++ b/packages/gateway/src/queue/queue_rules.ts
@@ -132,12 +132,28 @@
   readonly mostRetryMs: number;
 }
 
-/** Computes between which times a refused caller should return. */
+/** The refused request. */
+export interface RefusedRequest extends Omit<RequestClass, "targetLatencyMs"> {
+  /** Expected time until the request would have had its turn. */
+  readonly roomInMs: number;
+  readonly leftMs: number;
+}
+
+/**
+ * Computes between which times a refused caller should return. Each class has
+ * its part of the time that callers honour, so that they return in the order of
+ * the queue also if room comes later.
+ */
 export function computeReturnBounds(
-  roomInMs: number,
-  leftMs: number,
+  { rank, classes, roomInMs, leftMs }: RefusedRequest,
 ): ReturnBounds {
-  const mostRetryMs = Math.max(1, leftMs * HONOURED_SHARE);
-  const leastRetryMs = Math.min(roomInMs, mostRetryMs * MIN_RETURN_SHARE);
-  return { leastRetryMs, mostRetryMs };
+  const honouredMs = Math.max(1, leftMs * HONOURED_SHARE);
+  const parts = Math.max(1, classes);
+  const part = Math.min(rank, parts - 1);
+  const spreadMs = honouredMs * (1 - MIN_RETURN_SHARE);
+  const earliestMs = honouredMs * MIN_RETURN_SHARE + spreadMs * part / parts;
+  return {
+    leastRetryMs: Math.min(roomInMs, earliestMs),
+    mostRetryMs: earliestMs + spreadMs / parts,
+  };
 }
--- a/packages/gateway/src/queue/queued_request.ts
+++ b/packages/gateway/src/queue/queued_request.ts
@@ -33,7 +33,10 @@
 
 /** What a decision was made by, for the log. */
 export interface QueueView {
-  /** The class, as far as the request has moved up. */
+  /**
+   * The class, as far as the request has moved up; the number of classes is
+   * added for one that is late.
+   */
   readonly rank: number;
   readonly classes: number;
   /** Requests of the class that are expected to go before it. */
--- a/packages/gateway/src/queue/release_gate.ts
+++ b/packages/gateway/src/queue/release_gate.ts
@@ -35,15 +35,27 @@
   #lastReleaseMs = Number.NEGATIVE_INFINITY;
   #nextFullProbeMs = 0;
   #stepMs = MAX_STEP_MS;
+  #isShut = false;
 
   /** Time until the next step, as far as the requests that asked need it. */
   get stepMs(): number {
     return this.#stepMs;
   }
 
+  /** Whether what held back one request in this step holds back all. */
+  get isShut(): boolean {
+    return this.#isShut;
+  }
+
   /** Begins a step. */
   startStep(): void {
     this.#stepMs = MAX_STEP_MS;
+    this.#isShut = false;
+  }
+
+  /** Records that no target can take any request in this step. */
+  close(): void {
+    this.#isShut = true;
   }
 
   /** Records that a queue begins to fill. */
@@ -70,8 +82,12 @@
         entry.running === 0;
     }
     const paceMs = intendedMs === undefined ? 0 : this.#pace.countWaitMs();
-    if (paceMs > 0) this.#addStep(paceMs);
-    return paceMs === 0 && this.#canProbe(request, nowMs);
+    if (paceMs > 0) {
+      this.#addStep(paceMs);
+      this.#isShut = true;
+      return false;
+    }
+    return this.#canProbe(request, nowMs);
   }
 
   /**
--- a/packages/gateway/src/queue/service_queue.ts
+++ b/packages/gateway/src/queue/service_queue.ts
@@ -123,20 +123,10 @@
     for (const { request, rank } of this.#setAside.takeDue(nowMs)) {
       this.#order.add(request, { rank, nowMs });
     }
-    const held = new Map<T, number>();
-    for (let searches = 0; searches < MAX_SEARCHES; searches += 1) {
-      const request = this.#order.findFirst(nowMs);
-      if (request === undefined) break;
+    for (const request of this.#order.listFirst(MAX_SEARCHES, nowMs)) {
       const found = this.#settleFirst(request, nowMs);
       if (found !== undefined) settled.push(found);
-      if (found?.decision.kind === "go") break;
-      if (found !== undefined) continue;
-      held.set(request, this.#order.getRank(request));
-      this.#order.remove(request);
-    }
-    for (const [request, rank] of held) {
-      if (this.#setAside.has(request)) continue;
-      this.#order.add(request, { rank, nowMs });
+      if (found?.decision.kind === "go" || this.#gate.isShut) break;
     }
     return settled;
   }
@@ -153,13 +143,18 @@
     }
     const refused = this.#refuseLate(request, { choice: search, nowMs });
     if (refused !== undefined) return refused;
-    if (search === undefined && request.isConstrained()) {
-      const rank = this.#order.getRank(request);
-      this.#setAside.add(request, { rank, nowMs });
-    }
+    if (search !== undefined) return undefined;
+    if (!request.isConstrained()) this.#gate.close();
+    else this.#addAside(request, nowMs);
     return undefined;
   }
 
+  #addAside(request: T, nowMs: number): void {
+    const rank = this.#order.getRank(request);
+    this.#order.remove(request);
+    this.#setAside.add(request, { rank, nowMs });
+  }
+
   #canGo(request: T, choice: PlacementChoice, nowMs: number): boolean {
     const expected = this.#forecast.computeNext(request, { choice, nowMs });
     const isBound = isRefusable(request);
@@ -213,6 +208,8 @@
     const view = this.#forecast.buildView(request, { ...present, waiting });
     this.remove(request, present.nowMs);
     const retryAfterMs = this.#flows.get(request).takeRetryAfterMs({
+      rank: request.rank,
+      classes: request.classes,
       roomInMs: view.queueWaitMs,
       leftMs: view.leftMs,
     }, present.nowMs);
@@ -224,13 +221,15 @@
     this.#flows.get(request).recordWaiting(1, nowMs);
     this.#order.add(request, { nowMs });
     const { rank, deadlineAtMs, latestStartMs, lateAtMs } = request;
-    this.#due.add({ request, atMs: lateAtMs, kind: "late" });
-    this.#due.add({ request, atMs: latestStartMs, kind: "expire" });
     const everyMs = computePromotionMs(deadlineAtMs - nowMs, rank);
-    for (let moves = 1; moves <= rank; moves += 1) {
-      const atMs = nowMs + moves * everyMs;
-      this.#due.add({ request, atMs, kind: "promote" });
-    }
+    this.#due.set(request, [
+      { atMs: lateAtMs, kind: "late" },
+      { atMs: latestStartMs, kind: "expire" },
+      ...Array.from({ length: rank }, (_, moves) => ({
+        atMs: nowMs + (moves + 1) * everyMs,
+        kind: "promote" as const,
+      })),
+    ]);
   }
 
   #settleDue(nowMs: number): SettledRequest<T>[] {
--- a/packages/gateway/src/queue/waiting_order.ts
+++ b/packages/gateway/src/queue/waiting_order.ts
@@ -82,13 +82,18 @@
     this.add(request, { rank: rank + request.classes, nowMs });
   }
 
-  /** Finds the request that goes next. */
-  findFirst(nowMs: number): T | undefined {
+  /** Lists the requests that go next. */
+  listFirst(count: number, nowMs: number): T[] {
     const waiting = this.#classes.filter(({ size }) => size > 0);
     const starved = waiting.find(({ share }) =>
       share.isStarved(this.#all, nowMs)
     );
-    return (starved ?? waiting[0])?.first as T | undefined;
+    const first: T[] = [];
+    for (const each of new Set([starved ?? waiting[0], ...waiting])) {
+      if (each === undefined || first.length >= count) break;
+      first.push(...each.listFirst(count - first.length) as T[]);
+    }
+    return first;
   }
 
   /** Whether far less of the request's class was served than of all. */
--- a/packages/gateway/src/queue/work_queue.ts
+++ b/packages/gateway/src/queue/work_queue.ts
@@ -13,6 +13,7 @@
 import type { RoutingConfiguration } from "../model/routing.ts";
 import type { PlacementChoice } from "../placement/work_estimate.ts";
 import type { QueueDecision, QueuedRequest } from "./queued_request.ts";
+import { MAX_STEP_MS } from "./release_gate.ts";
 import {
   computeClasses,
   NO_CLASSES,
@@ -197,10 +198,8 @@
     state.timer = undefined;
     const nextMs = state.queue.countNextStepMs();
     if (!Number.isFinite(nextMs)) return;
-    const jitter = 1 - this.#random.takeFloat() * STEP_JITTER;
-    state.timer = setTimeout(
-      () => this.#runStep(state),
-      Math.ceil(nextMs * jitter),
-    );
+    const jitter = 1 + this.#random.takeFloat() * STEP_JITTER;
+    const delayMs = Math.min(MAX_STEP_MS, Math.ceil(nextMs * jitter));
+    state.timer = setTimeout(() => this.#runStep(state), delayMs);
   }
 }
