Bound callers' connections and running requests by a table

Callers could take every descriptor, so that none was left for targets, and one connection could send any number of requests without waiting. The table bounds both from the process's memory and descriptors, and closes the connection that has waited longest without a complete request.

--- /dev/null
+++ b/packages/gateway/src/decisions/connection_table.ts
@@ -0,0 +1,148 @@
+/**
+ * Bounds the connections of callers and the requests that run for them.
+ *
+ * The load: many more connections than the process has descriptors or memory
+ * for, most of which never send a complete request, or leave early. Beyond the
+ * bound, the connection that has waited longest without a complete request is
+ * closed, so that an ordinary caller, whose request is complete after a few
+ * round trips, still gets in. Each step takes constant time.
+ */
+
+/**
+ * Share of the descriptors for callers. Each running request may need another
+ * one for its target; the rest is for gateways, the store and files.
+ */
+const CALLERS_SHARE = 0.45;
+/** Share of the memory for connections without a complete request. */
+const MEMORY_SHARE = 0.2;
+/**
+ * What such a connection may hold: 65 to 72 KB were measured for one whose head
+ * is 1,900 lines of a few characters.
+ */
+const CONNECTION_BYTES = 65_536;
+/** Connections beyond the running ones, on which others are refused. */
+const SPARE_SHARE = 0.125;
+const MIN_CONNECTIONS = 16;
+/**
+ * Requests that a connection may send before the first is answered. Each is
+ * held and run at once; common clients send one, few more than ten.
+ */
+const MAX_UNANSWERED = 32;
+
+/** The bounds of one process. */
+export interface ConnectionBounds {
+  readonly maxConnections: number;
+  /** Requests that run at the same time, which leaves connections for others. */
+  readonly maxRunning: number;
+}
+
+/** Computes the bounds from what the process may use. */
+export function computeConnectionBounds(
+  { memoryBytes, maxDescriptors }: {
+    readonly memoryBytes: number;
+    readonly maxDescriptors: number;
+  },
+): ConnectionBounds {
+  const maxConnections = Math.max(
+    MIN_CONNECTIONS,
+    Math.floor(Math.min(
+      maxDescriptors * CALLERS_SHARE,
+      memoryBytes * MEMORY_SHARE / CONNECTION_BYTES,
+    )),
+  );
+  const spare = Math.ceil(maxConnections * SPARE_SHARE);
+  return { maxConnections, maxRunning: maxConnections - spare };
+}
+
+interface ConnectionEntry {
+  /** Requests whose response hasn't ended. */
+  unanswered: number;
+  running: number;
+}
+
+/** The connections of one listener. */
+export class ConnectionTable<Connection extends object> {
+  readonly #bounds: ConnectionBounds;
+  readonly #entries = new Map<Connection, ConnectionEntry>();
+  /** Those without a running request, the longest wait first. */
+  readonly #waiting = new Set<Connection>();
+  #running = 0;
+
+  constructor(bounds: ConnectionBounds) {
+    this.#bounds = bounds;
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Whether another request may run. */
+  get canRun(): boolean {
+    return this.#running < this.#bounds.maxRunning;
+  }
+
+  /** Lists the open connections. */
+  list(): Iterable<Connection> {
+    return this.#entries.keys();
+  }
+
+  /** Adds a connection; returns the one to close for it, if there are too many. */
+  add(connection: Connection): Connection | undefined {
+    this.#entries.set(connection, { unanswered: 0, running: 0 });
+    this.#waiting.add(connection);
+    if (this.#entries.size <= this.#bounds.maxConnections) return undefined;
+    // The new one itself, if all others run requests.
+    const longest = this.#waiting.values().next().value;
+    if (longest !== undefined) this.remove(longest);
+    return longest;
+  }
+
+  /** Removes a closed connection; its requests may still run. */
+  remove(connection: Connection): void {
+    this.#entries.delete(connection);
+    this.#waiting.delete(connection);
+  }
+
+  /**
+   * Counts a request whose head arrived; false if its connection is closed or
+   * sent too many without waiting for responses.
+   */
+  openRequest(connection: Connection): boolean {
+    const entry = this.#entries.get(connection);
+    if (entry === undefined || entry.unanswered >= MAX_UNANSWERED) return false;
+    entry.unanswered += 1;
+    if (entry.unanswered === 1) this.#renewWait(connection);
+    return true;
+  }
+
+  /** Counts the end of a response. */
+  closeRequest(connection: Connection): void {
+    const entry = this.#entries.get(connection);
+    if (entry !== undefined) entry.unanswered -= 1;
+  }
+
+  /** Counts a complete request as running; false if too many run. */
+  startRun(connection: Connection): boolean {
+    if (!this.canRun) return false;
+    this.#running += 1;
+    const entry = this.#entries.get(connection);
+    if (entry !== undefined) {
+      entry.running += 1;
+      this.#waiting.delete(connection);
+    }
+    return true;
+  }
+
+  /** Counts the end of a run, after which the caller has to read its response. */
+  endRun(connection: Connection): void {
+    this.#running -= 1;
+    const entry = this.#entries.get(connection);
+    if (entry === undefined) return;
+    entry.running -= 1;
+    if (entry.running === 0) this.#waiting.add(connection);
+  }
+
+  #renewWait(connection: Connection): void {
+    if (this.#waiting.delete(connection)) this.#waiting.add(connection);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/decisions/connection_table_test.ts
@@ -0,0 +1,105 @@
+import { expect } from "chai";
+import {
+  computeConnectionBounds,
+  ConnectionTable,
+} from "./connection_table.ts";
+
+interface Connection {
+  readonly name: string;
+}
+
+function build(name: string | number): Connection {
+  return { name: `${name}` };
+}
+
+// Callers took every descriptor, so that none was left for targets.
+describe("the table of callers' connections", () => {
+  let table: ConnectionTable<Connection>;
+
+  beforeEach(() => {
+    table = new ConnectionTable({ maxConnections: 4, maxRunning: 3 });
+  });
+
+  it("closes the one that has waited longest without a complete request", () => {
+    const [first, second, third, fourth] = ["1", "2", "3", "4"].map((name) => {
+      const connection = build(name);
+      expect(table.add(connection)).to.equal(undefined);
+      return connection;
+    }) as [Connection, Connection, Connection, Connection];
+    expect(table.startRun(first)).to.equal(true);
+    expect(table.openRequest(second)).to.equal(true);
+    expect(table.add(build(5))).to.equal(third);
+    expect(table.add(build(6))).to.equal(fourth);
+    table.endRun(first);
+    expect(table.add(build(7))).to.equal(second);
+    expect(table.size).to.equal(4);
+  });
+
+  it("lets an ordinary caller in, whatever the others do", () => {
+    for (let at = 0; at < 5_000; at += 1) {
+      table.add(build(at));
+      if (at % 100 !== 0) continue;
+      const ordinary = build("ordinary");
+      table.add(ordinary);
+      expect(table.openRequest(ordinary)).to.equal(true);
+      expect(table.startRun(ordinary)).to.equal(true);
+      table.add(build(`${at} later`));
+      table.endRun(ordinary);
+      table.closeRequest(ordinary);
+      expect([...table.list()]).to.include(ordinary);
+    }
+    expect(table.size).to.equal(4);
+  });
+
+  it("keeps connections on which requests beyond the bound are refused", () => {
+    for (let at = 0; at < 3; at += 1) {
+      const connection = build(at);
+      table.add(connection);
+      expect(table.startRun(connection)).to.equal(true);
+    }
+    const refused = build("refused");
+    expect(table.add(refused)).to.equal(undefined);
+    expect(table.canRun).to.equal(false);
+    expect(table.startRun(refused)).to.equal(false);
+    expect(table.add(build("next"))).to.equal(refused);
+  });
+
+  it("counts requests that run after their caller has left", () => {
+    const left = [build(1), build(2), build(3)];
+    for (const connection of left) {
+      table.add(connection);
+      table.startRun(connection);
+      table.remove(connection);
+    }
+    expect(table.canRun).to.equal(false);
+    for (const connection of left) table.endRun(connection);
+    expect(table.canRun).to.equal(true);
+    expect(table.size).to.equal(0);
+  });
+
+  it("bounds the requests that a connection sends without waiting", () => {
+    const connection = build(1);
+    table.add(connection);
+    for (let at = 0; at < 32; at += 1) {
+      expect(table.openRequest(connection)).to.equal(true);
+    }
+    expect(table.openRequest(connection)).to.equal(false);
+    table.closeRequest(connection);
+    expect(table.openRequest(connection)).to.equal(true);
+    expect(table.openRequest(build("unknown"))).to.equal(false);
+  });
+
+  it("leaves descriptors for targets, and memory for requests", () => {
+    const bounds = computeConnectionBounds({
+      memoryBytes: 178_000_000,
+      maxDescriptors: 3_900,
+    });
+    expect(bounds).to.deep.equal({ maxConnections: 543, maxRunning: 475 });
+    const few = computeConnectionBounds({
+      memoryBytes: 602_000_000,
+      maxDescriptors: 200,
+    });
+    expect(few).to.deep.equal({ maxConnections: 90, maxRunning: 78 });
+    expect(few.maxConnections + few.maxRunning).to.be.below(200);
+  });
+});
