Hold callers within the process's memory and descriptors

A body in chunks of one byte was kept as a buffer for each chunk and ended the process; it's copied as it arrives, and what is allocated is reserved. Heads are reserved, too. An exchange that waits for its caller, for the rest of a body or until a response is read, is evicted when another one needs the bytes: bodies that stopped short held them until their route's timeout.

Callers' connections are bounded by the table, also those of the probes and the metrics. A response to a caller that has left is read to its end and dropped; before, its target's connection was paused until the timeout. The bytes of pipelined requests are released when their connection closes: a response that waits for an earlier one doesn't report that.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -548,6 +548,12 @@
     "info",
     "The gateway couldn't connect another one to a target; the first of a series.",
   ),
+  ConnectionsClosed: defineEvent(
+    976,
+    "ConnectionsClosed",
+    "warn",
+    "Connections were closed since there were too many, or one sent too many requests without waiting; at most one line a second.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/exchange/buffered_attempt.ts
+++ b/packages/gateway/src/exchange/buffered_attempt.ts
@@ -57,7 +57,10 @@
     maxBytes: MAX_RESPONSE_BYTES,
     reserve: (bytes, handleReserved) =>
       options.share.wait(bytes, handleReserved),
+    // The caller has left; the request still runs to its end.
+    isDropping: () => options.share.isClosed,
   });
+  options.share.onClose(() => exchange.resume());
   return {
     cancel: () => exchange.cancel(),
     result: exchange.answer.then((response) => {
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResultCodeDefinition } from "@camphorlock/codes/result_codes";
 import type { ByteShare } from "../decisions/byte_budget.ts";
+import type { CallerWaits } from "../decisions/caller_waits.ts";
 import { RequestBody } from "./request_body.ts";
 import { endAfterRequest, writeBody } from "./response_writer.ts";
 
@@ -41,6 +42,8 @@
   readonly code: ResultCodeDefinition;
   readonly detail: string;
   readonly retryAfterMs?: number;
+  /** Whether the rest of the request isn't awaited, since it holds too much. */
+  readonly isImmediate?: boolean;
 }
 
 /** One request of a caller and its response. */
@@ -49,6 +52,7 @@
   /** What the process holds for this exchange. */
   readonly share: ByteShare;
   readonly #response: ServerResponse;
+  readonly #waits: CallerWaits;
   /** Whether the connection closes after the response. */
   readonly #isClosing: () => boolean;
   #handleDisconnect: () => void = () => {};
@@ -58,19 +62,21 @@
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    { share, isClosing }: {
+    { share, waits, isClosing }: {
       readonly share: ByteShare;
+      readonly waits: CallerWaits;
       readonly isClosing: () => boolean;
     },
   ) {
     this.request = request;
     this.share = share;
+    this.#waits = waits;
     this.#response = response;
     this.#isClosing = isClosing;
-    response.on("close", () => this.#recordDisconnect());
+    response.on("close", () => this.recordClose());
     response.on("drain", () => this.#handleDrain());
-    response.on("error", () => this.#recordDisconnect());
-    request.on("error", () => this.#recordDisconnect());
+    response.on("error", () => this.recordClose());
+    request.on("error", () => this.recordClose());
   }
 
   get isDisconnected(): boolean {
@@ -106,12 +112,11 @@
 
   /** Reads the complete body, as far as the process may hold it. */
   async readBody({ maxBytes, timeoutMs }: BodyLimits): Promise<BodyReadResult> {
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<BodyReadResult>((resolve) => {
-      timer = setTimeout(() => resolve({ kind: "too_slow" }), timeoutMs);
-    });
-    const body = new RequestBody(this.request, this.share);
-    const result = await Promise.race([body.read(maxBytes), timeout]);
+    const { share } = this;
+    const body = new RequestBody(this.request, { share, waits: this.#waits });
+    const timer = setTimeout(() => body.end({ kind: "too_slow" }), timeoutMs);
+    body.start(maxBytes);
+    const result = await body.result;
     clearTimeout(timer);
     return result;
   }
@@ -136,7 +141,10 @@
     const hasLength = isMarked && hasBody(this.request.method, status);
     const length = hasLength ? { "content-length": String(body.length) } : {};
     this.#response.writeHead(status, { ...headers, ...length });
-    writeBody(this.#response, body);
+    writeBody(this.#response, body, {
+      share: this.share,
+      waits: this.#waits,
+    });
   }
 
   /**
@@ -178,7 +186,8 @@
         "retry-after": String(error.retryAfterMs / MS_PER_SECOND),
       }),
     });
-    if (this.request.complete) this.#response.end(body);
+    const isAtOnce = this.request.complete || error.isImmediate === true;
+    if (isAtOnce) this.#response.end(body);
     else endAfterRequest(this.#response, this.request, body);
   }
 
@@ -190,7 +199,8 @@
     }
   }
 
-  #recordDisconnect(): void {
+  /** Records that the connection closed, or that the response has ended. */
+  recordClose(): void {
     if (this.#isDisconnected || this.#response.writableFinished) return;
     this.#isDisconnected = true;
     this.#handleDisconnect();
--- a/packages/gateway/src/exchange/request_body.ts
+++ b/packages/gateway/src/exchange/request_body.ts
@@ -1,77 +1,96 @@
 /**
  * Reads the body of a caller's request into memory, as far as the process may
- * hold it.
+ * hold it, and as long as no other exchange needs what a slow one holds.
  */
 import type { IncomingMessage } from "node:http";
+import { GrowingBuffer } from "@camphorlock/http/exchange";
 import type { ByteShare } from "../decisions/byte_budget.ts";
+import type { CallerWait, CallerWaits } from "../decisions/caller_waits.ts";
 import type { BodyReadResult } from "./caller_exchange.ts";
 
-/** Chunks are copied into one buffer at the end, beside which they exist. */
-const COPIES_OF_CHUNKS = 2;
+/** What the reading of a body uses. */
+export interface RequestBodyOptions {
+  readonly share: ByteShare;
+  readonly waits: CallerWaits;
+}
 
 /** The body of one request. */
 export class RequestBody {
   readonly #request: IncomingMessage;
-  readonly #share: ByteShare;
-  readonly #chunks: Buffer[] = [];
-  /** Allocated at once where the length is known. */
-  #buffer: Buffer | undefined;
-  #bytes = 0;
-  #isRefused = false;
+  readonly #options: RequestBodyOptions;
+  readonly result: Promise<BodyReadResult>;
+  #resolve: (result: BodyReadResult) => void = () => {};
+  #content = new GrowingBuffer();
+  #maxBytes = 0;
+  #declaredBytes: number | undefined;
+  #reservedBytes = 0;
+  #wait: CallerWait | undefined;
+  #hasEnded = false;
 
-  constructor(request: IncomingMessage, share: ByteShare) {
+  constructor(request: IncomingMessage, options: RequestBodyOptions) {
     this.#request = request;
-    this.#share = share;
+    this.#options = options;
+    this.result = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
   }
 
-  /** Reads the body; never rejects. */
-  read(maxBytes: number): Promise<BodyReadResult> {
-    const { headers } = this.#request;
-    const length = headers["content-length"];
+  /** Reads the body until `result`, which never rejects. */
+  start(maxBytes: number): void {
+    const length = this.#request.headers["content-length"];
+    this.#maxBytes = maxBytes;
     if (length !== undefined) {
-      const declaredBytes = Number(length);
-      if (declaredBytes > maxBytes) {
-        return Promise.resolve({ kind: "too_large" });
-      }
-      if (!this.#share.reserve(declaredBytes)) {
-        return Promise.resolve({ kind: "no_memory" });
-      }
-      this.#buffer = Buffer.allocUnsafe(declaredBytes);
+      const declaredBytes = this.#declaredBytes = Number(length);
+      if (declaredBytes > maxBytes) return this.end({ kind: "too_large" });
+      if (!this.#reserve(declaredBytes)) return this.end({ kind: "no_memory" });
     }
-    return new Promise((resolve) => {
-      this.#request.on("data", (chunk: Buffer) => {
-        const refusal = this.#addChunk(chunk, maxBytes);
-        if (refusal !== undefined) resolve(refusal);
-      });
-      this.#request.on(
-        "end",
-        () => resolve({ kind: "complete", body: this.#getBody() }),
-      );
-      this.#request.on("close", () => resolve({ kind: "disconnected" }));
+    this.#content = new GrowingBuffer({
+      firstBytes: this.#declaredBytes,
+      maxBytes,
     });
+    this.#wait = this.#options.waits.open(
+      performance.now(),
+      () => this.end({ kind: "no_memory" }),
+    );
+    this.#request.on("data", (chunk: Buffer) => this.#addChunk(chunk));
+    this.#request.on(
+      "end",
+      () => this.end({ kind: "complete", body: this.#content.view() }),
+    );
+    this.#request.on("close", () => this.end({ kind: "disconnected" }));
   }
 
-  #addChunk(chunk: Buffer, maxBytes: number): BodyReadResult | undefined {
+  /** Ends the reading; what isn't complete is dropped. */
+  end(result: BodyReadResult): void {
     // The rest is only read so that the connection ends in order.
-    if (this.#isRefused) return undefined;
-    const offset = this.#bytes;
-    this.#bytes += chunk.length;
-    if (this.#bytes > maxBytes) return { kind: "too_large" };
-    if (this.#buffer !== undefined) {
-      chunk.copy(this.#buffer, offset);
-      return undefined;
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.#wait?.end();
+    if (result.kind !== "complete") {
+      this.#content.reset();
+      this.#options.share.release(this.#reservedBytes);
     }
-    if (!this.#share.reserve(chunk.length * COPIES_OF_CHUNKS)) {
-      this.#isRefused = true;
-      this.#chunks.length = 0;
-      return { kind: "no_memory" };
+    this.#resolve(result);
+  }
+
+  #addChunk(chunk: Buffer): void {
+    if (this.#hasEnded) return;
+    if (this.#content.length + chunk.length > this.#maxBytes) {
+      return this.end({ kind: "too_large" });
     }
-    this.#chunks.push(chunk);
-    return undefined;
+    this.#wait?.recordProgress(chunk.length, performance.now());
+    const growth = this.#declaredBytes === undefined
+      ? this.#content.computeGrowth(chunk.length)
+      : 0;
+    if (!this.#reserve(growth)) return this.end({ kind: "no_memory" });
+    // It may have been evicted for its own bytes.
+    if (this.#hasEnded) this.#options.share.release(growth);
+    else this.#content.append(chunk);
   }
 
-  #getBody(): Buffer {
-    return this.#buffer?.subarray(0, this.#bytes) ??
-      Buffer.concat(this.#chunks);
+  #reserve(bytes: number): boolean {
+    if (bytes > 0 && !this.#options.share.reserve(bytes)) return false;
+    this.#reservedBytes += bytes;
+    return true;
   }
 }
--- a/packages/gateway/src/exchange/response_writer.ts
+++ b/packages/gateway/src/exchange/response_writer.ts
@@ -3,6 +3,8 @@
  * their own.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ByteShare } from "../decisions/byte_budget.ts";
+import type { CallerWaits } from "../decisions/caller_waits.ts";
 
 /** Bytes that are written at once; progress is seen between two pieces. */
 const PIECE_BYTES = 262_144;
@@ -11,18 +13,40 @@
 /** How long the rest of a refused request is read, so that it ends in order. */
 const LINGER_MS = 1_000;
 
-/** Writes a body piece by piece, and destroys the connection if that stalls. */
-export function writeBody(response: ServerResponse, body: Uint8Array): void {
-  if (body.length <= PIECE_BYTES) {
-    response.end(body);
+/** What the writing of a body uses. */
+export interface WriteOptions {
+  readonly share: ByteShare;
+  readonly waits: CallerWaits;
+}
+
+/**
+ * Writes a body piece by piece, and destroys the connection if that stalls, or
+ * if others need the memory and the caller doesn't read.
+ */
+export function writeBody(
+  response: ServerResponse,
+  body: Uint8Array,
+  { share, waits }: WriteOptions,
+): void {
+  if (response.socket === null) {
+    // An earlier response of the connection hasn't ended.
+    response.once("socket", () => writeBody(response, body, { share, waits }));
     return;
   }
-  let offset = 0;
   const timer = setTimeout(() => response.destroy(), STALL_MS);
-  response.once("close", () => clearTimeout(timer));
+  const wait = waits.open(performance.now(), () => {
+    response.destroy();
+    share.close();
+  });
+  response.once("close", () => {
+    clearTimeout(timer);
+    wait.end();
+  });
+  let offset = 0;
   const writeNext = (): void => {
     if (response.destroyed) return;
     timer.refresh();
+    if (offset > 0) wait.recordProgress(PIECE_BYTES, performance.now());
     const piece = body.subarray(offset, offset + PIECE_BYTES);
     offset += piece.length;
     if (offset < body.length) response.write(piece, writeNext);
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -83,7 +83,9 @@
   readonly #options: StreamAttemptOptions;
   readonly #splitter = new EventSplitter();
   /** The body of a response that isn't a stream. */
-  readonly #buffered = new GrowingBuffer(MAX_BUFFERED_BYTES);
+  readonly #buffered = new GrowingBuffer({
+    maxBytes: MAX_BUFFERED_BYTES,
+  });
   #resolve: (result: StreamAttemptResult) => void = () => {};
   #exchange: Exchange | undefined;
   #timer: NodeJS.Timeout | undefined;
--- a/packages/gateway/src/front/body_refusal.ts
+++ b/packages/gateway/src/front/body_refusal.ts
@@ -2,6 +2,7 @@
  * The refusals of requests whose body isn't read to its end.
  */
 import { checkNever } from "@camphorlock/types";
+import { SMALL_BYTES } from "../decisions/byte_budget.ts";
 import type { BodyReadResult } from "../exchange/caller_exchange.ts";
 import type { Refusal } from "./refuse_request.ts";
 
@@ -11,10 +12,17 @@
   "complete" | "disconnected"
 >;
 
+/** A request whose body isn't read. */
+export interface UnreadRequest {
+  /** What its head holds in memory. */
+  readonly headBytes: number;
+  readonly maxBytes?: number;
+}
+
 /** Builds the refusal of a request whose body isn't read. */
 export function buildBodyRefusal(
   kind: UnreadBody,
-  maxBytes: number,
+  { headBytes, maxBytes }: UnreadRequest,
 ): Refusal {
   switch (kind) {
     case "too_large":
@@ -23,6 +31,7 @@
       return {
         code: "GatewayMemoryFull",
         detail: "other requests hold the memory for bodies; try again",
+        isImmediate: headBytes > SMALL_BYTES,
       };
     case "too_slow":
       return {
--- /dev/null
+++ b/packages/gateway/src/front/caller_connections.ts
@@ -0,0 +1,119 @@
+/**
+ * Keeps the connections of a listener within their bounds, and closes those that
+ * have to go.
+ */
+import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { EVENTS } from "@camphorlock/codes/events";
+import {
+  type ConnectionBounds,
+  ConnectionTable,
+} from "../decisions/connection_table.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { GatewayLog } from "../log.ts";
+
+/** A crowd causes thousands of closures a second. */
+const LOG_INTERVAL_MS = 1_000;
+
+/** Dependencies of the connections. */
+export interface CallerConnectionsDependencies {
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** The connections of one listener. */
+export class CallerConnections {
+  readonly #dependencies: CallerConnectionsDependencies;
+  readonly #table: ConnectionTable<Socket>;
+  /** Called when a connection closes, for each response that hasn't ended. */
+  readonly #unanswered = new Map<Socket, Set<() => void>>();
+  #closed = 0;
+  #loggedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    dependencies: CallerConnectionsDependencies,
+    bounds: ConnectionBounds,
+  ) {
+    this.#dependencies = dependencies;
+    this.#table = new ConnectionTable(bounds);
+  }
+
+  /** Whether another request may run. */
+  get canRun(): boolean {
+    return this.#table.canRun;
+  }
+
+  /** Lists the open connections. */
+  list(): Iterable<Socket> {
+    return this.#table.list();
+  }
+
+  /** Adds a connection, and closes another one if there are too many. */
+  add(socket: Socket): void {
+    const unanswered = new Set<() => void>();
+    this.#unanswered.set(socket, unanswered);
+    socket.on("close", () => {
+      this.#table.remove(socket);
+      this.#unanswered.delete(socket);
+      for (const handleClosed of unanswered) handleClosed();
+    });
+    const excess = this.#table.add(socket);
+    if (excess !== undefined) {
+      this.#close(excess, "too many connections; the longest wait");
+    }
+  }
+
+  /**
+   * Counts a request whose head arrived. Resolves once its response or its
+   * connection has closed; undefined if it isn't to be read, since its
+   * connection is closed.
+   */
+  openRequest(
+    socket: Socket,
+    response: ServerResponse,
+  ): Promise<void> | undefined {
+    const unanswered = this.#unanswered.get(socket);
+    if (socket.destroyed || unanswered === undefined) return undefined;
+    if (!this.#table.openRequest(socket)) {
+      this.#close(socket, "too many requests without waiting for responses");
+      return undefined;
+    }
+    return new Promise((resolve) => {
+      const handleClosed = () => {
+        if (!unanswered.delete(handleClosed)) return;
+        this.#table.closeRequest(socket);
+        resolve();
+      };
+      // A response that waits for an earlier one doesn't report the close of
+      // its connection.
+      unanswered.add(handleClosed);
+      response.once("close", handleClosed);
+    });
+  }
+
+  /** Runs a complete request; false if too many run. */
+  async run(socket: Socket, run: () => Promise<void>): Promise<boolean> {
+    if (!this.#table.startRun(socket)) return false;
+    try {
+      await run();
+    } finally {
+      this.#table.endRun(socket);
+    }
+    return true;
+  }
+
+  #close(socket: Socket, reason: string): void {
+    socket.destroy();
+    const { metrics, log } = this.#dependencies;
+    metrics.add("connections_closed");
+    this.#closed += 1;
+    const nowMs = performance.now();
+    if (nowMs - this.#loggedAtMs < LOG_INTERVAL_MS) return;
+    this.#loggedAtMs = nowMs;
+    log.write(EVENTS.ConnectionsClosed, {
+      reason,
+      address: `${socket.localAddress}:${socket.localPort}`,
+      closed: this.#closed,
+    });
+  }
+}
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -11,12 +11,13 @@
 import type { Socket } from "node:net";
 import { serveAt } from "@camphorlock/channel";
 import { EVENTS } from "@camphorlock/codes/events";
-import type { ByteBudget } from "../decisions/byte_budget.ts";
+import { measureHead } from "../decisions/head_bytes.ts";
 import {
   type BodyLimits,
   type BodyReadResult,
   CallerExchange,
 } from "../exchange/caller_exchange.ts";
+import type { AcceptedRequest } from "../exchange/request_end.ts";
 import type { RequestFields } from "../model/request_fields.ts";
 import { computeFingerprint } from "../model/request_fingerprint.ts";
 import type { CallerLimits, Route } from "../model/routing.ts";
@@ -26,7 +27,9 @@
   type AcceptedRequestsDependencies,
 } from "./accepted_requests.ts";
 import { buildBodyRefusal } from "./body_refusal.ts";
-import { refuseRequest } from "./refuse_request.ts";
+import type { ClientLimits } from "./client_limits.ts";
+import { CallerConnections } from "./caller_connections.ts";
+import { type Refusal, refuseRequest } from "./refuse_request.ts";
 import type { ConfigurationInForce } from "../store/watched_state.ts";
 
 /**
@@ -45,9 +48,8 @@
 const IDLE_MARGIN_MS = 1_000;
 
 /** Dependencies of the server. */
-export interface CallerServerDependencies extends AcceptedRequestsDependencies {
-  /** The bytes that the process may hold for its exchanges. */
-  readonly bytes: ByteBudget;
+export interface CallerServerDependencies
+  extends AcceptedRequestsDependencies, ClientLimits {
   /** Time since the configuration was last confirmed to be the latest. */
   getConfigurationAgeMs(): number;
   /** Waits for the first configuration, for `limitMs` at most. */
@@ -62,23 +64,27 @@
 export class CallerServer {
   readonly #dependencies: CallerServerDependencies;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #connections: CallerConnections;
   readonly #accepted: AcceptedRequests;
   #openRequests = 0;
 
   constructor(dependencies: CallerServerDependencies) {
     this.#dependencies = dependencies;
     this.#accepted = new AcceptedRequests(dependencies);
+    this.#connections = new CallerConnections(
+      dependencies,
+      dependencies.connectionBounds,
+    );
     this.#server = createServer({
       keepAlive: true,
       noDelay: true,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
       requestTimeout: 0,
     }, (request, response) => this.#handle(request, response));
-    this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-    });
+    this.#server.on(
+      "connection",
+      (socket: Socket) => this.#connections.add(socket),
+    );
   }
 
   /** Number of requests without a final response. */
@@ -95,7 +101,7 @@
   setLimits(limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-    for (const socket of this.#sockets) {
+    for (const socket of this.#connections.list()) {
       if (socket.timeout !== undefined && socket.timeout > 0) {
         socket.setTimeout(limits.idleTimeoutMs + IDLE_MARGIN_MS);
       }
@@ -133,12 +139,16 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const { socket } = request;
+    const closed = this.#connections.openRequest(socket, response);
+    if (closed === undefined) return;
     const share = this.#dependencies.bytes.open();
-    const closed = new Promise((resolve) => response.once("close", resolve));
     const caller = new CallerExchange(request, response, {
       share,
+      waits: this.#dependencies.waits,
       isClosing: () => this.#dependencies.isDrainingConnections(),
     });
+    void closed.then(() => caller.recordClose());
     this.#openRequests += 1;
     try {
       await this.#serve(caller, performance.now());
@@ -157,13 +167,18 @@
   }
 
   async #serve(caller: CallerExchange, receivedAtMs: number): Promise<void> {
+    if (!this.#connections.canRun) return this.#refuseRun(caller);
+    const headBytes = measureHead(caller.request.rawHeaders);
+    if (!caller.share.reserve(headBytes)) {
+      return this.#refuse(caller, buildBodyRefusal("no_memory", { headBytes }));
+    }
     const current = await this.#dependencies.waitForConfiguration(
       CONFIGURATION_WAIT_MS,
     );
     const { request } = caller;
     const decoded = this.#dependencies.codec.decodeRequest(request.headers);
     if (decoded.isErr()) {
-      return refuseRequest(this.#dependencies, caller, {
+      return this.#refuse(caller, {
         code: "HeaderInvalid",
         detail: decoded.error,
       });
@@ -171,7 +186,7 @@
     const fields = decoded.value;
     if (current === undefined) {
       const detail = "no configuration received yet";
-      return refuseRequest(this.#dependencies, caller, {
+      return this.#refuse(caller, {
         code: "ConfigurationMissing",
         detail,
         fields,
@@ -182,7 +197,7 @@
     if (route === undefined) {
       const detail =
         `no route in configuration version ${configuration.version}`;
-      return refuseRequest(this.#dependencies, caller, {
+      return this.#refuse(caller, {
         code: "RouteUnknown",
         detail,
         fields,
@@ -190,7 +205,7 @@
       });
     }
     if (route.kind === "streaming" && !caller.canReadChunks) {
-      return refuseRequest(this.#dependencies, caller, {
+      return this.#refuse(caller, {
         code: "HttpVersionUnsupported",
         detail: `HTTP/${request.httpVersion} can't mark the end of a stream; ` +
           "send HTTP/1.1",
@@ -208,13 +223,12 @@
     });
     if (read.kind === "disconnected") return this.#logDisconnect(fields, route);
     if (read.kind !== "complete") {
-      return refuseRequest(this.#dependencies, caller, {
-        ...buildBodyRefusal(read.kind, limits.maxBodyBytes),
-        fields,
-      });
+      const { maxBodyBytes: maxBytes } = limits;
+      const refusal = buildBodyRefusal(read.kind, { headBytes, maxBytes });
+      return this.#refuse(caller, { ...refusal, fields });
     }
     const { body } = read;
-    return await this.#accepted.run({
+    await this.#run({
       caller,
       fields,
       route,
@@ -233,6 +247,24 @@
     });
   }
 
+  async #run(accepted: AcceptedRequest): Promise<void> {
+    const { caller, fields } = accepted;
+    const isRun = await this.#connections.run(
+      caller.request.socket,
+      () => this.#accepted.run(accepted),
+    );
+    if (!isRun) this.#refuseRun(caller, fields);
+  }
+
+  #refuseRun(caller: CallerExchange, fields?: RequestFields): void {
+    const detail = "as many requests run as the process may have connections";
+    this.#refuse(caller, { code: "ConnectionLimit", detail, fields });
+  }
+
+  #refuse(caller: CallerExchange, reason: Refusal): void {
+    refuseRequest(this.#dependencies, caller, reason);
+  }
+
   /** Reads the body; streams also need memory for events that wait. */
   #readBody(
     caller: CallerExchange,
--- /dev/null
+++ b/packages/gateway/src/front/client_limits.ts
@@ -0,0 +1,31 @@
+/**
+ * Builds what holds the clients of one process within its memory and
+ * descriptors.
+ */
+import { type ByteBudget, createByteBudget } from "../decisions/byte_budget.ts";
+import { CallerWaits } from "../decisions/caller_waits.ts";
+import {
+  computeConnectionBounds,
+  type ConnectionBounds,
+} from "../decisions/connection_table.ts";
+import type { GatewaySettings } from "../ports.ts";
+
+/** The limits of one process. */
+export interface ClientLimits {
+  /** The bytes that the process may hold for its exchanges. */
+  readonly bytes: ByteBudget;
+  /** The exchanges that may be evicted for others. */
+  readonly waits: CallerWaits;
+  readonly connectionBounds: ConnectionBounds;
+}
+
+/** Builds the limits from the settings. */
+export function buildClientLimits(settings: GatewaySettings): ClientLimits {
+  const waits = new CallerWaits();
+  const evict = () => waits.evictLongest(performance.now());
+  return {
+    bytes: createByteBudget(settings.memoryBytes, evict),
+    waits,
+    connectionBounds: computeConnectionBounds(settings),
+  };
+}
--- a/packages/gateway/src/front/plain_text_server.ts
+++ b/packages/gateway/src/front/plain_text_server.ts
@@ -3,20 +3,38 @@
  * metrics.
  */
 import { createServer, type Server } from "node:http";
+import type { Socket } from "node:net";
 import { serveAt } from "@camphorlock/channel";
 import type { Address } from "../ports.ts";
+import {
+  CallerConnections,
+  type CallerConnectionsDependencies,
+} from "./caller_connections.ts";
+
+/** A probe or a scrape needs one connection, and each has a few senders. */
+const BOUNDS = { maxConnections: 32, maxRunning: 0 };
 
 /** Responds to every request with the current status and text. */
 export class PlainTextServer {
   readonly #server: Server;
 
-  constructor(getResponse: () => { status: number; text: string }) {
+  constructor(
+    dependencies: CallerConnectionsDependencies,
+    getResponse: () => { status: number; text: string },
+  ) {
+    const connections = new CallerConnections(dependencies, BOUNDS);
     this.#server = createServer((request, response) => {
+      const { socket } = request;
+      if (connections.openRequest(socket, response) === undefined) return;
       request.resume();
       const { status, text } = getResponse();
       response.writeHead(status, { "content-type": "text/plain" });
       response.end(text);
     });
+    this.#server.on(
+      "connection",
+      (socket: Socket) => connections.add(socket),
+    );
   }
 
   /** Starts to listen; rejects if the address can't be used. */
--- a/packages/gateway/src/front/refuse_request.ts
+++ b/packages/gateway/src/front/refuse_request.ts
@@ -17,9 +17,11 @@
 export interface Refusal {
   readonly code: ResultCodeName;
   readonly detail: string;
-  readonly fields?: RequestFields;
+  readonly fields?: RequestFields | undefined;
   /** When the caller may return, if the refusal is temporary. */
   readonly retryAfterMs?: number;
+  /** Whether the rest of the request isn't awaited, since it holds too much. */
+  readonly isImmediate?: boolean;
   /** Time since the configuration that refuses was last confirmed. */
   readonly configurationAgeMs?: number;
 }
@@ -37,6 +39,7 @@
   caller.sendErrorResponse({
     code,
     detail,
+    isImmediate: reason.isImmediate === true,
     ...(isTemporary
       ? { retryAfterMs: reason.retryAfterMs ?? RETRY_AFTER_MS }
       : {}),
--- a/packages/gateway/src/front/status_servers.ts
+++ b/packages/gateway/src/front/status_servers.ts
@@ -2,7 +2,7 @@
  * The servers that tell others about this gateway: the load balancer's probes of
  * readiness, and the metrics.
  */
-import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { CallerConnectionsDependencies } from "./caller_connections.ts";
 import type { GatewaySettings } from "../ports.ts";
 import type { AddressWaiter } from "./address_waiter.ts";
 import { PlainTextServer } from "./plain_text_server.ts";
@@ -13,15 +13,21 @@
   readonly #readiness: PlainTextServer;
   readonly #metrics: PlainTextServer;
 
-  constructor(metrics: GatewayMetrics, readiness: ReadinessState) {
-    this.#metrics = new PlainTextServer(() => ({
+  constructor(
+    dependencies: CallerConnectionsDependencies,
+    readiness: ReadinessState,
+  ) {
+    const { metrics } = dependencies;
+    this.#metrics = new PlainTextServer(dependencies, () => ({
       status: 200,
       text: metrics.render(),
     }));
-    this.#readiness = new PlainTextServer(() =>
-      readiness.isReady
-        ? { status: 200, text: "ready\n" }
-        : { status: 503, text: "not ready\n" }
+    this.#readiness = new PlainTextServer(
+      dependencies,
+      () =>
+        readiness.isReady
+          ? { status: 200, text: "ready\n" }
+          : { status: 503, text: "not ready\n" },
     );
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,6 @@
   type AccountComponents,
   buildAccountComponents,
 } from "./accounts/account_components.ts";
-import { createByteBudget } from "./decisions/byte_budget.ts";
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
@@ -19,6 +18,7 @@
 import { TargetTable } from "./decisions/target_table.ts";
 import { AddressWaiter } from "./front/address_waiter.ts";
 import { CallerServer } from "./front/caller_server.ts";
+import { buildClientLimits, type ClientLimits } from "./front/client_limits.ts";
 import {
   BALANCER_REMOVAL_MS,
   ReadinessState,
@@ -81,6 +81,7 @@
   readonly #store: CountedStore;
   readonly #targets = new TargetTable();
   readonly #ways: PathComponents;
+  readonly #limits: ClientLimits;
   readonly #permits: TargetPermits;
   readonly #blocked = new BlockedRequests();
   readonly #ended = new EndedTargets();
@@ -107,10 +108,10 @@
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
     const getViewAgeMs = () => this.#watchers.computeAgeMs("targets");
-    const bytes = createByteBudget(settings.memoryBytes);
+    const limits = this.#limits = buildClientLimits(settings);
     this.#ways = buildPathComponents({
       ...options,
-      bytes,
+      ...limits,
       targets: this.#targets,
       getPeers: () => this.#accounts,
       getSelf: () => this.#buildSelf(),
@@ -164,13 +165,7 @@
       vmId: settings.vmId,
       regions: settings.regions,
     });
-    this.#objectSource = buildObjectSource({
-      ...this.#accounts,
-      settings,
-      store,
-      log,
-      metrics,
-    });
+    this.#objectSource = buildObjectSource({ ...this.#accounts, ...options });
     this.#readinessState = new ReadinessState({
       log,
       isStopping: () => this.#isStopping,
@@ -180,7 +175,7 @@
       countTargets: () => this.#targets.size,
     });
     this.#callers = new CallerServer({
-      bytes,
+      ...limits,
       ways: this.#ways,
       targets: this.#targets,
       connections,
@@ -207,7 +202,7 @@
       countStopLeftMs: () => this.#stopAtMs - performance.now(),
       isDrainingConnections: () => this.#readinessState.isDrainingConnections,
     });
-    this.#statusServers = new StatusServers(metrics, this.#readinessState);
+    this.#statusServers = new StatusServers(options, this.#readinessState);
   }
 
   /**
@@ -228,6 +223,7 @@
       watchers: this.#watchers,
       permits: this.#permits,
       ways: this.#ways,
+      bytes: this.#limits.bytes,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -44,6 +44,7 @@
   "store_calls_failed",
   "sources_skipped",
   "log_lines_dropped",
+  "connections_closed",
 ] as const;
 
 /** The name of a counter. */
--- a/packages/gateway/src/gateway_timers.ts
+++ b/packages/gateway/src/gateway_timers.ts
@@ -4,6 +4,7 @@
 import type { TimerService } from "@camphorlock/scheduler/timers";
 import type { AccountComponents } from "./accounts/account_components.ts";
 import { SHARD_CHECK_INTERVAL_MS } from "./accounts/shard_table_manager.ts";
+import type { ByteBudget } from "./decisions/byte_budget.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { TargetPermits } from "./limits/target_permits.ts";
 import type { GatewayLog } from "./log.ts";
@@ -26,6 +27,8 @@
 const COMPARE_BLOCKED_MS = 5_000;
 const SETTLE_CRASHES_MS = 50;
 const CHECK_PATHS_MS = 100;
+/** Interval at which exchanges that wait for bytes look for one to evict. */
+const RESUME_WAITING_MS = 50;
 const CLEANUP_MS = 10_000;
 
 /** The components with periodic work. */
@@ -38,6 +41,7 @@
   readonly watchers: Watchers;
   readonly permits: TargetPermits;
   readonly ways: Pick<PathComponents, "observer" | "paths">;
+  readonly bytes: ByteBudget;
 }
 
 /** Subscribes the periodic work of all components. */
@@ -46,7 +50,7 @@
   { group, shards, crashes, ways, log, metrics, ...components }:
     TimedComponents,
 ): void {
-  const { store, targets, watchers, permits } = components;
+  const { store, targets, watchers, permits, bytes } = components;
   const schedule: readonly [number, (nowMs: number) => void][] = [
     [LOG_FLUSH_MS, () => metrics.add("log_lines_dropped", log.flush())],
     [LOG_STORE_CALLS_MS, () => store.logCounts(log)],
@@ -59,6 +63,7 @@
     [CLEANUP_MS, (nowMs) => permits.removeUnused(nowMs)],
     [COMPARE_BLOCKED_MS, () => void crashes.compareBlocked()],
     [CHECK_PATHS_MS, (nowMs) => ways.paths.runDue(nowMs)],
+    [RESUME_WAITING_MS, () => bytes.resumeWaiting()],
     [SETTLE_CRASHES_MS, (nowMs) => crashes.runDue(nowMs)],
     [CLEANUP_MS, (nowMs) => ways.observer.removeExpired(nowMs)],
   ];
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -82,11 +82,11 @@
       name: event.name,
       vm: this.#vmId,
       ...fields,
-    }, cutLongValue) + "\n";
+    }, formatValue) + "\n";
   }
 }
 
-function cutLongValue(_key: string, value: unknown): unknown {
+function formatValue(_key: string, value: unknown): unknown {
   if (typeof value !== "string" || value.length <= MAX_VALUE_CHARS) {
     return value;
   }
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -31,6 +31,8 @@
   readonly maxBytes: number;
   /** Calls back once so many bytes may be held; absent if all may. */
   readonly reserve?: (bytes: number, handleReserved: () => void) => void;
+  /** Whether nobody needs the body any more, so that it's read and dropped. */
+  readonly isDropping?: () => boolean;
 }
 
 /** A running exchange with a buffered response. */
@@ -38,6 +40,8 @@
   /** Never rejects; never settles once cancelled. */
   readonly answer: Promise<BufferedResponse>;
   cancel(): void;
+  /** Reads on, once the body is to be dropped. */
+  resume(): void;
 }
 
 /** Runs a request until its response is complete. Never rejects. */
@@ -77,7 +81,7 @@
 
   constructor(limits: BufferedResponseLimits) {
     this.#limits = limits;
-    this.#received = new GrowingBuffer(limits.maxBytes);
+    this.#received = new GrowingBuffer({ maxBytes: limits.maxBytes });
     this.answer = new Promise((resolve) => {
       this.#resolve = resolve;
     });
@@ -98,6 +102,10 @@
     this.#exchange?.cancel();
   }
 
+  resume(): void {
+    this.#exchange?.resume();
+  }
+
   handleHead(status: number, headers: PeerHeaders): void {
     this.#status = status;
     this.#headers = headers;
@@ -105,7 +113,7 @@
     if (length > this.#limits.maxBytes) {
       return this.#endEarly("the response exceeds the size limit");
     }
-    if (length === 0) return;
+    if (length === 0 || this.#limits.isDropping?.() === true) return;
     this.#reserve(length, () => {
       // What arrived during the wait is kept where it is.
       if (this.#bytes === 0) this.#buffer = Buffer.allocUnsafe(length);
@@ -113,6 +121,7 @@
   }
 
   handleData(chunk: Uint8Array): void {
+    if (this.#limits.isDropping?.() === true) return this.#resetBody();
     const offset = this.#bytes;
     this.#bytes += chunk.length;
     if (this.#bytes > this.#limits.maxBytes) {
@@ -127,6 +136,12 @@
     if (growth > 0) this.#reserve(growth, () => {});
   }
 
+  #resetBody(): void {
+    this.#received.reset();
+    this.#buffer = undefined;
+    this.#exchange?.resume();
+  }
+
   /** Stops reading until the bytes may be held. */
   #reserve(bytes: number, handleReserved: () => void): void {
     const { reserve } = this.#limits;
--- a/packages/http/src/growing_buffer.ts
+++ b/packages/http/src/growing_buffer.ts
@@ -10,15 +10,24 @@
 const FIRST_BYTES = 4_096;
 const NOTHING = Buffer.alloc(0);
 
+/** Sizes of a buffer. */
+export interface GrowingBufferOptions {
+  /** The first allocation, where the length is known. */
+  readonly firstBytes?: number | undefined;
+  /** More is allocated only for bytes beyond it. */
+  readonly maxBytes?: number;
+}
+
 /** Bytes in one buffer that grows. */
 export class GrowingBuffer {
+  readonly #firstBytes: number;
   readonly #maxBytes: number;
   #buffer: Buffer = NOTHING;
   #length = 0;
 
-  /** Allocates up to `maxBytes`, and more only for bytes beyond them. */
-  constructor(maxBytes: number = Number.POSITIVE_INFINITY) {
-    this.#maxBytes = maxBytes;
+  constructor({ firstBytes, maxBytes }: GrowingBufferOptions = {}) {
+    this.#firstBytes = firstBytes ?? FIRST_BYTES;
+    this.#maxBytes = maxBytes ?? Number.POSITIVE_INFINITY;
   }
 
   get length(): number {
@@ -34,7 +43,7 @@
   computeGrowth(bytes: number): number {
     const neededBytes = this.#length + bytes;
     if (neededBytes <= this.capacity) return 0;
-    const doubledBytes = Math.max(FIRST_BYTES, this.capacity * 2);
+    const doubledBytes = Math.max(this.#firstBytes, this.capacity * 2);
     const wantedBytes = Math.min(doubledBytes, this.#maxBytes);
     return Math.max(neededBytes, wantedBytes) - this.capacity;
   }
--- a/packages/http/src/growing_buffer_test.ts
+++ b/packages/http/src/growing_buffer_test.ts
@@ -13,7 +13,7 @@
   });
 
   it("says before how much it grows, and allocates no more than the maximum", () => {
-    const buffer = new GrowingBuffer(10_000);
+    const buffer = new GrowingBuffer({ maxBytes: 10_000 });
     let reserved = 0;
     for (let at = 0; at < 10; at += 1) {
       reserved += buffer.computeGrowth(1_000);
