Reserve what a growing body may hold beside its former buffer

While a body grows, its former buffer exists until it's collected. Bodies in chunks are reserved twice as before, and half is released when they're complete.

--- a/packages/gateway/src/exchange/request_body.ts
+++ b/packages/gateway/src/exchange/request_body.ts
@@ -8,6 +8,9 @@
 import type { CallerWait, CallerWaits } from "../decisions/caller_waits.ts";
 import type { BodyReadResult } from "./caller_exchange.ts";
 
+/** A buffer that grows exists beside the former one until that is collected. */
+const COPIES_WHILE_GROWING = 2;
+
 /** What the reading of a body uses. */
 export interface RequestBodyOptions {
   readonly share: ByteShare;
@@ -55,7 +58,7 @@
     this.#request.on("data", (chunk: Buffer) => this.#addChunk(chunk));
     this.#request.on(
       "end",
-      () => this.end({ kind: "complete", body: this.#content.view() }),
+      () => this.#endComplete(),
     );
     this.#request.on("close", () => this.end({ kind: "disconnected" }));
   }
@@ -73,6 +76,13 @@
     this.#resolve(result);
   }
 
+  #endComplete(): void {
+    if (this.#hasEnded) return;
+    const heldBytes = this.#declaredBytes ?? this.#content.capacity;
+    this.#options.share.release(this.#reservedBytes - heldBytes);
+    this.end({ kind: "complete", body: this.#content.view() });
+  }
+
   #addChunk(chunk: Buffer): void {
     if (this.#hasEnded) return;
     if (this.#content.length + chunk.length > this.#maxBytes) {
@@ -80,7 +90,7 @@
     }
     this.#wait?.recordProgress(chunk.length, performance.now());
     const growth = this.#declaredBytes === undefined
-      ? this.#content.computeGrowth(chunk.length)
+      ? this.#content.computeGrowth(chunk.length) * COPIES_WHILE_GROWING
       : 0;
     if (!this.#reserve(growth)) return this.end({ kind: "no_memory" });
     // It may have been evicted for its own bytes.
