--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,6 @@
   type AccountComponents,
   buildAccountComponents,
 } from "./accounts/account_components.ts";
-import { createByteBudget } from "./decisions/byte_budget.ts";
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
 import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
@@ -19,6 +18,7 @@
 import { TargetTable } from "./decisions/target_table.ts";
 import { AddressWaiter } from "./front/address_waiter.ts";
 import { CallerServer } from "./front/caller_server.ts";
+import { buildClientLimits, type ClientLimits } from "./front/client_limits.ts";
 import {
   BALANCER_REMOVAL_MS,
   ReadinessState,
@@ -71,6 +71,7 @@
   readonly #stores: GatewayStores;
   readonly #targets = new TargetTable();
   readonly #ways: PathComponents;
+  readonly #limits: ClientLimits;
   readonly #permits: TargetPermits;
   readonly #quotas: QuotaComponents;
   readonly #blocked = new BlockedRequests();
@@ -102,10 +103,10 @@
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
     const getViewAgeMs = () => this.#watched.watchers.computeAgeMs("targets");
-    const bytes = createByteBudget(settings.memoryBytes);
+    const limits = this.#limits = buildClientLimits(settings);
     this.#ways = buildPathComponents({
       ...options,
-      bytes,
+      ...limits,
       targets: this.#targets,
       getPeers: () => this.#accounts,
       getSelf: () => this.#buildSelf(),
@@ -161,13 +162,7 @@
       getConfiguration: () =>
         this.#watched.configuration.inForce?.configuration,
     });
-    this.#objectSource = buildObjectSource({
-      ...this.#accounts,
-      settings,
-      store,
-      log,
-      metrics,
-    });
+    this.#objectSource = buildObjectSource({ ...this.#accounts, ...options });
     this.#readinessState = new ReadinessState({
       log,
       isStopping: () => this.#isStopping,
@@ -191,7 +186,7 @@
     });
     this.#callers = new CallerServer({
       ...this.#watched.access,
-      bytes,
+      ...limits,
       queue,
       ways: this.#ways,
       targets: this.#targets,
@@ -213,7 +208,7 @@
       countStopLeftMs: () => this.#stopAtMs - performance.now(),
       isDrainingConnections: () => this.#readinessState.isDrainingConnections,
     });
-    this.#statusServers = new StatusServers(metrics, this.#readinessState);
+    this.#statusServers = new StatusServers(options, this.#readinessState);
   }
 
   /**
@@ -234,6 +229,7 @@
       keys: this.#keys,
       ways: this.#ways,
       load: this.#load.exchange,
+      bytes: this.#limits.bytes,
     });
     this.#tickTimer = setInterval(() => {
       this.#readinessState.recordTick(TICK_MS);
