--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -2,6 +2,7 @@
  * The gateway: the proxy process between callers and targets on every entry VM.
  */
 export * from "./src/gateway.ts";
+export * from "./src/gateway_options.ts";
 export * from "./src/gateway_metrics.ts";
 export * from "./src/log.ts";
 export * from "./src/ports.ts";
--- a/packages/gateway/src/quotas/home_standing.ts
+++ b/packages/gateway/src/quotas/home_standing.ts
@@ -69,12 +69,7 @@
   record(view: GroupView, nowMs: number): boolean {
     if (nowMs - this.#recordedAtMs > MAX_PAUSE_MS) this.#startedAtMs = nowMs;
     this.#recordedAtMs = nowMs;
-    for (const vmId of this.#candidates) {
-      if (view.candidates.has(vmId)) continue;
-      const isAnnounced = view.isLeaving(vmId);
-      this.#departures.set(vmId, { atMs: nowMs, isAnnounced });
-    }
-    this.#candidates = view.candidates;
+    this.#recordCandidates(view, nowMs);
     this.#removeOld(nowMs);
     const share = Math.min(1, view.reachable / Math.max(1, view.members));
     if (this.#shares.at(-1)?.share === share) return false;
@@ -118,6 +113,20 @@
     return share;
   }
 
+  /** Compares all gateways, but only after a change. */
+  #recordCandidates(
+    { candidates, isLeaving }: GroupView,
+    nowMs: number,
+  ): void {
+    if (candidates === this.#candidates) return;
+    for (const vmId of this.#candidates) {
+      if (candidates.has(vmId)) continue;
+      const isAnnounced = isLeaving(vmId);
+      this.#departures.set(vmId, { atMs: nowMs, isAnnounced });
+    }
+    this.#candidates = candidates;
+  }
+
   #removeOld(nowMs: number): void {
     for (const [vmId, { atMs }] of this.#departures) {
       if (nowMs - atMs > this.#windowMs) this.#departures.delete(vmId);
--- a/packages/gateway/src/quotas/quota_installation_test.ts
+++ b/packages/gateway/src/quotas/quota_installation_test.ts
@@ -99,6 +99,8 @@
   probes = 0;
   /** Part of the messages that get lost. */
   lossRate = 0;
+  /** Until then no target takes requests, which wait at the gateways. */
+  targetsFullUntilMs = 0;
   readonly #time: VirtualTime;
   readonly #random: RandomSource;
   readonly #members = new Map<string, Member>();
@@ -260,6 +262,7 @@
       return this.#countRefusal(counts, admission.refusal.code);
     }
     await waitFor(member.random.takeFloat() * MAX_QUEUE_MS);
+    await waitFor(Math.max(0, this.targetsFullUntilMs - this.#time.nowMs));
     await this.#waitWhileSuspended(member);
     const refusal = await admission.credit?.confirm();
     if (refusal !== undefined) return this.#countRefusal(counts, refusal.code);
--- a/packages/gateway/src/quotas/quota_simulation_test.ts
+++ b/packages/gateway/src/quotas/quota_simulation_test.ts
@@ -189,6 +189,15 @@
     checkWindows();
   }).timeout(120_000);
 
+  it("hold when requests that waited for targets are sent at once", async () => {
+    // Guards against credits of several seconds that are used in one window.
+    offerHot(20_000);
+    await installation.run(6_000);
+    installation.targetsFullUntilMs = time.nowMs + 4_000;
+    await installation.run(14_000);
+    checkWindows();
+  }).timeout(120_000);
+
   it("hold one window after all gateways know a lower limit", async () => {
     // Guards against a home that goes on with a former, higher limit, and
     // against gateways that bring it back.
