--- a/packages/gateway/src/queue/due_times.ts
+++ b/packages/gateway/src/queue/due_times.ts
@@ -4,37 +4,41 @@
  */
 import { IndexedHeap } from "./indexed_heap.ts";
 
-/** What happens to a request at a time. */
-export interface DueTime {
-  readonly atMs: number;
+/** The times of one request; infinite if something never happens. */
+export interface RequestTimes {
+  lateAtMs: number;
+  expireAtMs: number;
+  promoteAtMs: number;
+  /** Time between two moves. */
+  readonly promoteEveryMs: number;
+}
+
+/** What has come due. */
+export interface DueRequest<T> {
+  readonly request: T;
   readonly kind: "promote" | "late" | "expire";
 }
 
-interface Agenda<T> {
+interface Agenda<T> extends RequestTimes {
   readonly request: T;
-  /** In order; never empty while the agenda is in the order. */
-  times: DueTime[];
+  /** Key in the order; changes only while it isn't in it. */
+  nextMs: number;
 }
 
 /** The due times of the waiting requests. */
 export class DueTimes<T> {
   readonly #order = new IndexedHeap<Agenda<T>>((left, right) =>
-    getNextMs(left) - getNextMs(right)
+    left.nextMs - right.nextMs
   );
   readonly #byRequest = new Map<T, Agenda<T>>();
 
-  /** Sets all due times of a request. */
-  set(request: T, times: readonly DueTime[]): void {
-    this.remove(request);
-    const finite = times.filter(({ atMs }) => Number.isFinite(atMs));
-    if (finite.length === 0) return;
-    const sorted = finite.sort((left, right) => left.atMs - right.atMs);
-    const agenda = { request, times: sorted };
+  add(request: T, times: RequestTimes): void {
+    const agenda = { ...times, request, nextMs: 0 };
     this.#byRequest.set(request, agenda);
-    this.#order.add(agenda);
+    this.#addNext(agenda);
   }
 
-  /** Removes all due times of a request. */
+  /** Removes a request. */
   remove(request: T): void {
     const agenda = this.#byRequest.get(request);
     if (agenda === undefined) return;
@@ -44,26 +48,40 @@
 
   /** Sets the end of a request's wait, if that's earlier than before. */
   updateExpiry(request: T, atMs: number): void {
-    const times = this.#byRequest.get(request)?.times ?? [];
-    const before = times.find(({ kind }) => kind === "expire");
-    if (before !== undefined && before.atMs <= atMs) return;
-    const others = times.filter((each) => each !== before);
-    this.set(request, [...others, { atMs, kind: "expire" }]);
+    const agenda = this.#byRequest.get(request);
+    if (agenda === undefined || agenda.expireAtMs <= atMs) return;
+    this.#order.remove(agenda);
+    agenda.expireAtMs = atMs;
+    this.#addNext(agenda);
   }
 
   /** Takes the next time that has come. */
-  takeDue(
-    nowMs: number,
-  ): { readonly request: T; readonly kind: DueTime["kind"] } | undefined {
+  takeDue(nowMs: number): DueRequest<T> | undefined {
     const agenda = this.#order.first;
-    if (agenda === undefined) return undefined;
-    const [due, ...others] = agenda.times;
-    if (due === undefined || due.atMs > nowMs) return undefined;
-    this.set(agenda.request, others);
-    return { request: agenda.request, kind: due.kind };
+    if (agenda === undefined || agenda.nextMs > nowMs) return undefined;
+    this.#order.remove(agenda);
+    const kind = takeNext(agenda);
+    this.#addNext(agenda);
+    return { request: agenda.request, kind };
+  }
+
+  #addNext(agenda: Agenda<T>): void {
+    const { lateAtMs, expireAtMs, promoteAtMs } = agenda;
+    agenda.nextMs = Math.min(lateAtMs, expireAtMs, promoteAtMs);
+    if (Number.isFinite(agenda.nextMs)) this.#order.add(agenda);
   }
 }
 
-function getNextMs<T>({ times }: Agenda<T>): number {
-  return times[0]?.atMs ?? Number.POSITIVE_INFINITY;
+function takeNext(times: Agenda<unknown>): DueRequest<unknown>["kind"] {
+  const { nextMs } = times;
+  if (nextMs === times.expireAtMs) {
+    times.expireAtMs = Number.POSITIVE_INFINITY;
+    return "expire";
+  }
+  if (nextMs === times.lateAtMs) {
+    times.lateAtMs = Number.POSITIVE_INFINITY;
+    return "late";
+  }
+  times.promoteAtMs += times.promoteEveryMs;
+  return "promote";
 }
--- a/packages/gateway/src/queue/service_queue.ts
+++ b/packages/gateway/src/queue/service_queue.ts
@@ -222,14 +222,12 @@
     this.#order.add(request, { nowMs });
     const { rank, deadlineAtMs, latestStartMs, lateAtMs } = request;
     const everyMs = computePromotionMs(deadlineAtMs - nowMs, rank);
-    this.#due.set(request, [
-      { atMs: lateAtMs, kind: "late" },
-      { atMs: latestStartMs, kind: "expire" },
-      ...Array.from({ length: rank }, (_, moves) => ({
-        atMs: nowMs + (moves + 1) * everyMs,
-        kind: "promote" as const,
-      })),
-    ]);
+    this.#due.add(request, {
+      lateAtMs,
+      expireAtMs: latestStartMs,
+      promoteAtMs: nowMs + everyMs,
+      promoteEveryMs: everyMs,
+    });
   }
 
   #settleDue(nowMs: number): SettledRequest<T>[] {
@@ -243,8 +241,7 @@
         continue;
       }
       if (kind === "promote") {
-        this.#promotions += 1;
-        this.#order.updateRank(request, nowMs);
+        if (this.#order.updateRank(request, nowMs)) this.#promotions += 1;
         continue;
       }
       settled.push(this.#settleExpired(request, nowMs));
--- a/packages/gateway/src/queue/waiting_order.ts
+++ b/packages/gateway/src/queue/waiting_order.ts
@@ -68,11 +68,16 @@
     return this.#getClass(rank).remove(request);
   }
 
-  /** Moves a request up by a class, among those that are late if it is. */
-  updateRank(request: T, nowMs: number): void {
+  /**
+   * Moves a request up by a class, among those that are late if it is; false if
+   * it's in the first one or doesn't wait here.
+   */
+  updateRank(request: T, nowMs: number): boolean {
     const rank = this.getRank(request);
-    if (rank === 0 || rank === request.classes) return;
-    if (this.remove(request)) this.add(request, { rank: rank - 1, nowMs });
+    if (rank === 0 || rank === request.classes) return false;
+    if (!this.remove(request)) return false;
+    this.add(request, { rank: rank - 1, nowMs });
+    return true;
   }
 
   /** Moves a request behind all that can still meet their objectives. */
