--- a/packages/gateway/src/decisions/tracked_target.ts
+++ b/packages/gateway/src/decisions/tracked_target.ts
@@ -29,6 +29,8 @@
   running = 0;
   /** Those of them under which another target has just ended. */
   crashCandidates = 0;
+  /** When this gateway last sent a request there. */
+  lastSentAtMs = Number.NEGATIVE_INFINITY;
   consecutiveFailures = 0;
   avoidedUntilMs = 0;
   /** When a lapsed entry expires; infinite while the store lists it. */
@@ -54,6 +56,7 @@
     { isCrashCandidate, work }: AttemptOptions = {},
   ): void {
     this.running += 1;
+    this.lastSentAtMs = nowMs;
     if (isCrashCandidate === true) this.crashCandidates += 1;
     this.#pendingSinceMs.set(requestId, nowMs);
     if (work !== undefined) this.held.add(requestId, work, nowMs);
--- a/packages/gateway/src/load/load_messages.ts
+++ b/packages/gateway/src/load/load_messages.ts
@@ -17,9 +17,10 @@
   ownTokens: number,
   /** Prompt and output tokens sent there since the last report. */
   sentTokens: number,
-  /** Samples of speed since the last report: expected ms and taken ms. */
-  expectedMs: number,
-  takenMs: number,
+  /** Samples of speed since the last report: their weights, times 100. */
+  samples: number,
+  /** The times taken, in hundredths of the expected ones. */
+  taken: number,
   /** Shared parts that were sent since the last report or are held. */
   parts: readonly PartReport[],
 ];
@@ -33,8 +34,8 @@
   running: number,
   remainingMs: number,
   ownTokens: number,
-  expectedMs: number,
-  takenMs: number,
+  samples: number,
+  taken: number,
   parts: readonly PartReport[],
 ];
 
--- a/packages/gateway/src/load/load_reporter.ts
+++ b/packages/gateway/src/load/load_reporter.ts
@@ -36,7 +36,7 @@
     return [...this.#active.values()].map((entry) => {
       const { target: { id }, running, held } = entry;
       if (running === 0) this.#active.delete(id);
-      const { expectedMs = 0, takenMs = 0 } = speeds.get(id) ?? {};
+      const { samples = 0, taken = 0 } = speeds.get(id) ?? {};
       const sent = held.takeSent();
       const parts: PartReport[] = [];
       for (const [part, { tokens }] of held.parts) {
@@ -50,8 +50,8 @@
         Math.round(held.computeRemainingMs(nowMs)),
         held.ownTokens,
         sent.tokens,
-        Math.round(expectedMs),
-        Math.round(takenMs),
+        Math.round(samples * 100),
+        Math.round(taken * 100),
         parts,
       ];
     });
--- a/packages/gateway/src/load/load_view.ts
+++ b/packages/gateway/src/load/load_view.ts
@@ -17,7 +17,7 @@
     this.#madeAtMs = sentAtMs - Math.max(0, ageMs);
     this.#byTarget = new Map(targets.map((sum) => {
       const [id, running, remainingMs, ownTokens] = sum;
-      const [, , , , expectedMs, takenMs, parts] = sum;
+      const [, , , , samples, taken, parts] = sum;
       const held = parts.filter((part) => part[2] === 1);
       return [id, {
         running,
@@ -25,7 +25,7 @@
         ownTokens,
         cachedParts: new Map(parts.map(([part, tokens]) => [part, tokens])),
         heldParts: new Set(held.map(([part]) => part)),
-        speeds: { expectedMs, takenMs },
+        speeds: { samples: samples / 100, taken: taken / 100 },
       }];
     }));
   }
@@ -48,5 +48,5 @@
   ownTokens: 0,
   cachedParts: new Map(),
   heldParts: new Set(),
-  speeds: { expectedMs: 0, takenMs: 0 },
+  speeds: { samples: 0, taken: 0 },
 };
--- a/packages/gateway/src/load/target_sums.ts
+++ b/packages/gateway/src/load/target_sums.ts
@@ -46,10 +46,10 @@
 
   /** Adds a report with its news. */
   add(report: TargetReport, nowMs: number): void {
-    const [, , , , sentTokens, expectedMs, takenMs, parts] = report;
+    const [, , , , sentTokens, samples, taken, parts] = report;
     this.#addState(report, 1);
     this.#sentTokens += sentTokens;
-    if (takenMs > 0) this.#speeds.add(expectedMs, takenMs, nowMs);
+    if (taken > 0) this.#speeds.add(samples, taken, nowMs);
     for (const part of parts) this.#addPart(part, nowMs);
   }
 
--- a/packages/gateway/src/placement/attempt_learner.ts
+++ b/packages/gateway/src/placement/attempt_learner.ts
@@ -89,7 +89,7 @@
     });
     if (work.waitMs === 0) {
       const firstMs = model.computeGenerationMs(service, tokensPerEvent) /
-        model.computeSpeed(targetId, service, nowMs);
+        model.computeSpeed(targetId, nowMs);
       const takenMs = firstEventAtMs - startedAtMs - firstMs -
         computeNetworkMs(failureDomain, this.#location);
       const tokens = work.uncachedTokens;
--- a/packages/gateway/src/placement/call_durations.ts
+++ b/packages/gateway/src/placement/call_durations.ts
@@ -5,18 +5,20 @@
 /** Samples kept; about a minute of one gateway's calls of a route. */
 const KEPT_SAMPLES = 64;
 const LATE_QUANTILE = 0.9;
+/** Weight of a sample in the mean: the slow first calls soon don't count. */
+const SAMPLE_WEIGHT = 0.1;
 
 /** The durations of one route's calls. */
 export class CallDurations {
   readonly #samplesMs: number[] = [];
   #next = 0;
-  #sumMs = 0;
+  #count = 0;
+  #meanMs: number | undefined;
   #lateMs: number | undefined;
 
   /** Mean in ms; undefined before the first sample. */
   get meanMs(): number | undefined {
-    const count = this.#samplesMs.length;
-    return count === 0 ? undefined : this.#sumMs / count;
+    return this.#meanMs;
   }
 
   /** The 90th percentile in ms; undefined before the first sample. */
@@ -30,7 +32,10 @@
 
   /** Records a call's duration; replaces the oldest sample. */
   record(durationMs: number): void {
-    this.#sumMs += durationMs - (this.#samplesMs[this.#next] ?? 0);
+    this.#count += 1;
+    const weight = Math.max(SAMPLE_WEIGHT, 1 / this.#count);
+    const meanMs = this.#meanMs ?? durationMs;
+    this.#meanMs = meanMs + (durationMs - meanMs) * weight;
     this.#samplesMs[this.#next] = durationMs;
     this.#next = (this.#next + 1) % KEPT_SAMPLES;
     this.#lateMs = undefined;
--- a/packages/gateway/src/placement/choose_target.ts
+++ b/packages/gateway/src/placement/choose_target.ts
@@ -32,6 +32,8 @@
  * same view don't all choose the same target.
  */
 const EQUAL_COST_SHARE = 0.03;
+/** The same for short requests: below a round trip between domains. */
+const EQUAL_COST_MS = 2;
 /**
  * Share of a read that doesn't count where the requests of a shared part are to
  * meet: the read serves the ones that follow.
@@ -82,13 +84,29 @@
   const bestMs = Math.min(...candidates.map(({ costMs }) => costMs));
   const { takeRandom, affinityKey } = request;
   const canBeRandom = takeRandom !== undefined && affinityKey === undefined;
-  const limitMs = canBeRandom ? bestMs * (1 + EQUAL_COST_SHARE) : bestMs;
+  const limitMs = canBeRandom
+    ? bestMs * (1 + EQUAL_COST_SHARE) + EQUAL_COST_MS
+    : bestMs;
   const equal = candidates.filter(({ costMs }) => costMs <= limitMs)
     .map(({ candidate }) => candidate);
-  if (canBeRandom) return equal[Math.floor(takeRandom() * equal.length)];
+  if (canBeRandom) return chooseInTurn(equal, takeRandom);
   return chooseByRank(equal, request);
 }
 
+/**
+ * Chooses the target that this gateway has left out longest. The order differs
+ * from gateway to gateway as much as a random one, and spreads the requests of
+ * each more evenly.
+ */
+function chooseInTurn(
+  equal: readonly TrackedTarget[],
+  takeRandom: () => number,
+): TrackedTarget | undefined {
+  const sinceMs = Math.min(...equal.map(({ lastSentAtMs }) => lastSentAtMs));
+  const first = equal.filter(({ lastSentAtMs }) => lastSentAtMs === sinceMs);
+  return first[Math.floor(takeRandom() * first.length)];
+}
+
 function chooseByRank(
   equal: readonly TrackedTarget[],
   request: PlacementRequest,
--- a/packages/gateway/src/placement/compute_estimate.ts
+++ b/packages/gateway/src/placement/compute_estimate.ts
@@ -67,7 +67,7 @@
     return { waitMs, readMs, runMs: 0, networkMs, totalMs, tokens };
   }
   const { model, key } = work;
-  const speed = model.computeSpeed(target.id, key.service, nowMs, load?.speeds);
+  const speed = model.computeSpeed(target.id, nowMs, load?.speeds);
   const running = candidate.running + (load?.running ?? 0);
   const waitMs = load === undefined
     ? computeOwnWaitMs(candidate, work, nowMs) / speed +
--- a/packages/gateway/src/placement/work_model.ts
+++ b/packages/gateway/src/placement/work_model.ts
@@ -29,16 +29,18 @@
 /** A slow target gets its full share again within some of these. */
 const SPEED_HALF_LIFE_MS = 8_000;
 /**
- * Weight of the average speed beside a target's samples, in samples of typical
- * work: a target at half the speed shows in its second sample.
+ * Weight of the average speed beside a target's samples: a target at half the
+ * speed shows in its second sample.
  */
 const AVERAGE_SPEED_SAMPLES = 0.7;
+/** Weight of a plain call's sample: calls of one route differ by themselves. */
+const CALL_WEIGHT = 0.3;
 /** What one sample of a target may say at most of its time. */
 const MAX_TAKEN_FACTOR = 6;
 /** How a failure counts against the time of typical work. */
 const FAILURE_FACTOR = 4;
-const MIN_SPEED = 0.1;
-const MAX_SPEED = 3;
+const MIN_SPEED = 0.15;
+const MAX_SPEED = 1.5;
 /** Typical work while nothing is known of a service. */
 const INITIAL_WORK_MS = 50;
 /** Services, routes and targets that are tracked at most. */
@@ -55,10 +57,12 @@
   readonly tokens: number;
 }
 
-/** Expected work and the time that it took, at one target. */
+/** Samples of one target's speed. */
 export interface SpeedSums {
-  readonly expectedMs: number;
-  readonly takenMs: number;
+  /** Sum of the samples' weights. */
+  readonly samples: number;
+  /** Sum of the times taken, each in parts of the expected time. */
+  readonly taken: number;
 }
 
 interface ServiceRates {
@@ -92,7 +96,7 @@
     const { tokens } = sample;
     if (tokens < MIN_PREFILL_SAMPLE_TOKENS) return;
     const takenMs = sample.takenMs *
-      this.computeSpeed(targetId, service, nowMs);
+      this.computeSpeed(targetId, nowMs);
     const expectedMs = this.computeReadMs(service, tokens);
     if (takenMs < expectedMs / CACHED_READ_FACTOR) return;
     const countedMs = Math.min(takenMs, expectedMs * MAX_READ_FACTOR);
@@ -124,9 +128,13 @@
   ): void {
     const { durations } = this.#getRoute(key);
     const expectedMs = durations.meanMs ?? takenMs;
-    const speed = this.computeSpeed(key.targetId, key.service, nowMs);
+    const speed = this.computeSpeed(key.targetId, nowMs);
     durations.record(takenMs * speed);
-    this.#recordSpeed(key.targetId, { expectedMs, takenMs }, nowMs);
+    this.#recordSpeed(key.targetId, {
+      expectedMs,
+      takenMs,
+      weight: CALL_WEIGHT,
+    }, nowMs);
   }
 
   /** Records the whole expected work of a request, as typical of its service. */
@@ -185,17 +193,12 @@
    * Computes a target's speed against the average of its service, from this
    * gateway's samples and those of others.
    */
-  computeSpeed(
-    targetId: string,
-    service: string,
-    nowMs: number,
-    others?: SpeedSums,
-  ): number {
+  computeSpeed(targetId: string, nowMs: number, others?: SpeedSums): number {
     const own = this.#speeds.get(targetId)?.computeSums(nowMs);
-    const averageMs = this.computeTypicalMs(service) * AVERAGE_SPEED_SAMPLES;
-    const expectedMs = (own?.above ?? 0) + (others?.expectedMs ?? 0);
-    const takenMs = (own?.below ?? 0) + (others?.takenMs ?? 0);
-    const speed = (expectedMs + averageMs) / (takenMs + averageMs);
+    const samples = (own?.above ?? 0) + (others?.samples ?? 0);
+    const taken = (own?.below ?? 0) + (others?.taken ?? 0);
+    const speed = (samples + AVERAGE_SPEED_SAMPLES) /
+      (taken + AVERAGE_SPEED_SAMPLES);
     return Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed));
   }
 
@@ -212,20 +215,32 @@
     this.#unreported.remove(targetId);
   }
 
+  /**
+   * Records a sample of a target's speed. Every sample weighs the same however
+   * long the request was, or one slow start would outweigh all that follows.
+   */
   #recordSpeed(
     targetId: string,
-    { expectedMs, ...sample }: SpeedSums,
+    { expectedMs, takenMs, weight = 1 }: {
+      readonly expectedMs: number;
+      readonly takenMs: number;
+      readonly weight?: number;
+    },
     nowMs: number,
   ): void {
-    const takenMs = Math.min(sample.takenMs, expectedMs * MAX_TAKEN_FACTOR);
+    if (expectedMs <= 0) return;
+    const factor = Math.min(
+      MAX_TAKEN_FACTOR,
+      Math.max(1 / MAX_TAKEN_FACTOR, takenMs / expectedMs),
+    );
     const speeds = this.#speeds.get(targetId) ??
       new DecayedRatio(SPEED_HALF_LIFE_MS);
-    speeds.add(expectedMs, takenMs, nowMs);
+    speeds.add(weight, weight * factor, nowMs);
     this.#speeds.set(targetId, speeds);
     const before = this.#unreported.get(targetId);
     this.#unreported.set(targetId, {
-      expectedMs: (before?.expectedMs ?? 0) + expectedMs,
-      takenMs: (before?.takenMs ?? 0) + takenMs,
+      samples: (before?.samples ?? 0) + weight,
+      taken: (before?.taken ?? 0) + weight * factor,
     });
   }
 
