Weigh the load view by its age, and compare few targets

A view is some hundred ms old, about as long as a request runs. Costs now use the number of requests that is likely by now, count the delay of those that come after, and a choice compares two near targets first.

--- a/packages/gateway/src/load/load_collector_test.ts
+++ b/packages/gateway/src/load/load_collector_test.ts
@@ -86,7 +86,7 @@
 describe("the view of the targets' load", () => {
   // An old view sends requests to targets that others have filled since.
   it("isn't used once it's too old, with the time on the way", () => {
-    const view = new LoadView();
+    const view = new LoadView(() => ({ service: "s", slots: 4 }));
     expect(view.find("t1", 0)).to.equal(undefined);
     view.set({
       targets: [["t1", 3, 300, 4_500, 0, 0, [["p", SHARED, 1]]]],
--- a/packages/gateway/src/load/load_components.ts
+++ b/packages/gateway/src/load/load_components.ts
@@ -39,7 +39,7 @@
   { settings, targets, findService, ...shared }: LoadComponentsOptions,
 ): LoadComponents {
   const model = new WorkModel();
-  const view = new LoadView();
+  const view = new LoadView((id) => targets.find(id)?.target);
   const reporter = new LoadReporter(model);
   const placement = new Placement({
     ...settings,
--- a/packages/gateway/src/placement/candidates.ts
+++ b/packages/gateway/src/placement/candidates.ts
@@ -13,10 +13,14 @@
 const DOMAIN_TARGETS = 24;
 const REGION_TARGETS = 16;
 /** Targets that are drawn for one request where others' load is known. */
-const DRAWN_TARGETS = 6;
+const DRAWN_NEAR = 2;
+const DRAWN_MEETING = 1;
+const DRAWN_OTHERS = 1;
 
 interface UsedTargets {
   readonly revision: number;
+  /** Those of the gateway's region. */
+  readonly near: readonly TrackedTarget[];
   readonly entries: readonly TrackedTarget[];
 }
 
@@ -48,27 +52,54 @@
   ): TrackedTarget[] {
     const { previousTargetId, ranked, isSampled, nowMs, takeRandom } = options;
     const used = this.listUsed(index);
-    const listed = new Set(ranked);
+    const listed = new Set<TrackedTarget>();
     const previous = used.find(({ target }) => target.id === previousTargetId);
     if (previous !== undefined) listed.add(previous);
-    if (!isSampled || used.length <= DRAWN_TARGETS) {
-      for (const entry of used) listed.add(entry);
-    } else {
-      for (let drawn = 0; drawn < DRAWN_TARGETS; drawn += 1) {
-        const entry = used[Math.floor(takeRandom() * used.length)];
-        if (entry !== undefined) listed.add(entry);
-      }
-    }
+    const drawn = isSampled
+      ? chooseSome(this.#getUsed(index).near, DRAWN_NEAR, takeRandom)
+      : used;
+    for (const entry of [...ranked, ...drawn]) listed.add(entry);
     return [...listed].filter((entry) => canTakeWork(entry, nowMs));
   }
 
+  /** Draws some of all targets in use, for a request that finds none near. */
+  chooseOthers(
+    index: TargetIndex<TrackedTarget>,
+    { nowMs, takeRandom }: Pick<CandidateOptions, "nowMs" | "takeRandom">,
+  ): TrackedTarget[] {
+    return chooseSome(this.listUsed(index), DRAWN_OTHERS, takeRandom)
+      .filter((entry) => canTakeWork(entry, nowMs));
+  }
+
+  /** Draws some of the targets at which the requests of a part meet. */
+  chooseMeeting(
+    ranked: readonly TrackedTarget[],
+    { nowMs, takeRandom }: Pick<CandidateOptions, "nowMs" | "takeRandom">,
+  ): TrackedTarget[] {
+    return chooseSome(
+      ranked.filter((entry) => canTakeWork(entry, nowMs)),
+      DRAWN_MEETING,
+      takeRandom,
+    );
+  }
+
   /** Lists the targets of a service that this gateway uses. */
   listUsed(index: TargetIndex<TrackedTarget>): readonly TrackedTarget[] {
+    return this.#getUsed(index).entries;
+  }
+
+  #getUsed(index: TargetIndex<TrackedTarget>): UsedTargets {
     const known = this.#used.get(index);
-    if (known?.revision === index.revision) return known.entries;
+    if (known?.revision === index.revision) return known;
+    const { regions, failureDomain } = this.#location;
+    const region = regions.get(failureDomain);
     const entries = this.#chooseUsed(index);
-    this.#used.set(index, { revision: index.revision, entries });
-    return entries;
+    const near = entries.filter(({ target }) =>
+      regions.get(target.failureDomain) === region
+    );
+    const used = { revision: index.revision, near, entries };
+    this.#used.set(index, used);
+    return used;
   }
 
   #chooseUsed(index: TargetIndex<TrackedTarget>): readonly TrackedTarget[] {
@@ -92,6 +123,18 @@
   }
 }
 
+/** Draws some entries, with or without a repetition. */
+function chooseSome<Entry>(
+  entries: readonly Entry[],
+  count: number,
+  takeRandom: () => number,
+): Entry[] {
+  return Array.from(
+    { length: count },
+    () => entries[Math.floor(takeRandom() * entries.length)],
+  ).filter((entry) => entry !== undefined);
+}
+
 /** Lists entries at even distances, which differ from gateway to gateway. */
 function listSpread<Entry>(
   entries: readonly Entry[],
--- a/packages/gateway/src/placement/choose_target.ts
+++ b/packages/gateway/src/placement/choose_target.ts
@@ -15,6 +15,7 @@
 import type { TrackedTarget } from "../decisions/target_table.ts";
 import {
   canHold,
+  computeCrowdingMs,
   computeEstimate,
   type EstimatedRequest,
 } from "./compute_estimate.ts";
@@ -31,14 +32,17 @@
  * Costs that differ by less than this count as equal, so that gateways with the
  * same view don't all choose the same target.
  */
-const EQUAL_COST_SHARE = 0.03;
+const EQUAL_COST_SHARE = 0.2;
 /** The same for short requests: below a round trip between domains. */
 const EQUAL_COST_MS = 2;
+/** What it may cost to keep the requests about one object at one target. */
+const OBJECT_COST_SHARE = 0.25;
+const OBJECT_COST_MS = 4;
 /**
  * Share of a read that doesn't count where the requests of a shared part are to
  * meet: the read serves the ones that follow.
  */
-const MEETING_SHARE = 0.7;
+const MEETING_SHARE = 0.5;
 
 /** Where the request arrived, and what it needs. */
 export interface PlacementRequest extends EstimatedRequest {
@@ -50,7 +54,10 @@
   readonly excluded: ReadonlySet<string>;
   /** The VM of the gateway that chooses. */
   readonly vmId: string;
-  /** Targets at which the requests of the prompt's shared parts meet. */
+  /**
+   * Targets at which the requests of the prompt's shared parts or about the
+   * object meet, the first ones preferred.
+   */
   readonly meetingTargets?: ReadonlySet<string>;
   /** A random number from 0 to 1; without it, ties are broken by rank. */
   readonly takeRandom?: () => number;
@@ -82,14 +89,22 @@
       costMs: computeCostMs(candidate, request),
     }));
   const bestMs = Math.min(...candidates.map(({ costMs }) => costMs));
-  const { takeRandom, affinityKey } = request;
-  const canBeRandom = takeRandom !== undefined && affinityKey === undefined;
-  const limitMs = canBeRandom
-    ? bestMs * (1 + EQUAL_COST_SHARE) + EQUAL_COST_MS
-    : bestMs;
+  const { takeRandom, affinityKey, meetingTargets } = request;
+  const isObject = affinityKey !== undefined;
+  if (takeRandom === undefined) {
+    const equal = candidates.filter(({ costMs }) => costMs === bestMs);
+    return chooseByRank(equal.map(({ candidate }) => candidate), request);
+  }
+  const limitMs = isObject
+    ? bestMs * (1 + OBJECT_COST_SHARE) + OBJECT_COST_MS
+    : bestMs * (1 + EQUAL_COST_SHARE) + EQUAL_COST_MS;
   const equal = candidates.filter(({ costMs }) => costMs <= limitMs)
     .map(({ candidate }) => candidate);
-  if (canBeRandom) return chooseInTurn(equal, takeRandom);
+  if (!isObject) return chooseInTurn(equal, takeRandom);
+  for (const id of meetingTargets ?? []) {
+    const first = equal.find(({ target }) => target.id === id);
+    if (first !== undefined) return first;
+  }
   return chooseByRank(equal, request);
 }
 
@@ -135,7 +150,8 @@
   const { totalMs, runMs, readMs } = computeEstimate(candidate, request);
   const firstMs = runMs === 0 ? 0 : totalMs - runMs;
   const meetsMs = request.meetingTargets?.has(target.id) === true ? readMs : 0;
-  return totalMs + firstMs * FIRST_EVENT_WEIGHT - meetsMs * MEETING_SHARE +
+  return totalMs + computeCrowdingMs(candidate, request) +
+    firstMs * FIRST_EVENT_WEIGHT - meetsMs * MEETING_SHARE +
     unwanted * CRASH_CANDIDATE_COST_MS;
 }
 
--- a/packages/gateway/src/placement/compute_estimate.ts
+++ b/packages/gateway/src/placement/compute_estimate.ts
@@ -20,6 +20,16 @@
 const QUEUED_REQUEST_COST_MS = 40;
 /** Share of its memory that a target's requests may hold. */
 const MAX_MEMORY_SHARE = 0.9;
+const CROWDING_WEIGHT = 0.7;
+/** Until a request arrives, others choose by the same view. */
+const DECISION_LEAD_MS = 100;
+/**
+ * Without a view, the speeds of targets count less: all gateways would overfill
+ * the fast ones, and none would see it.
+ */
+const BLIND_SPEED_EXPONENT = 0.5;
+/** Spread of the number of requests beside that of random arrivals. */
+const SPREAD_FACTOR = 0.8;
 
 /** Where a request arrived. */
 export interface Location {
@@ -67,12 +77,15 @@
     return { waitMs, readMs, runMs: 0, networkMs, totalMs, tokens };
   }
   const { model, key } = work;
-  const speed = model.computeSpeed(target.id, nowMs, load?.speeds);
-  const running = candidate.running + (load?.running ?? 0);
+  const known = model.computeSpeed(target.id, nowMs, load?.speeds);
+  const speed = load === undefined ? known ** BLIND_SPEED_EXPONENT : known;
+  const typicalMs = model.computeTypicalMs(key.service);
+  const others = load === undefined ? 0 : computeOthers(load, typicalMs);
+  const running = candidate.running + others;
   const waitMs = load === undefined
     ? computeOwnWaitMs(candidate, work, nowMs) / speed +
       candidate.computeQueueDelayMs(nowMs)
-    : computeWaitMs(candidate, load, nowMs) / speed +
+    : computeWaitMs(candidate, load, { typicalMs, others, nowMs }) / speed +
       candidate.computeSilenceMs(nowMs);
   const readMs = model.computeReadMs(key.service, uncached) / speed;
   const runMs = computeRunMs(work) / speed +
@@ -87,6 +100,27 @@
   };
 }
 
+/**
+ * Computes by how much a request delays those that come after it: while no slot
+ * is free, by about its own time. Without it, the fast targets of a busy service
+ * would be overfilled until their wait makes up for the slowness of the others.
+ */
+export function computeCrowdingMs(
+  { target, running }: TrackedTarget,
+  { work, nowMs }: EstimatedRequest,
+): number {
+  const load = work?.load.find(target.id, nowMs);
+  if (work === undefined || load === undefined) return 0;
+  const { model, key } = work;
+  const typicalMs = model.computeTypicalMs(key.service);
+  const slots = Math.max(1, target.slots);
+  const count = running + computeOthers(load, typicalMs) + 1;
+  const excess = (count - slots) / computeSpread(load, typicalMs);
+  const speed = model.computeSpeed(target.id, nowMs, load.speeds);
+  return CROWDING_WEIGHT * typicalMs / speed * count / slots /
+    (1 + Math.exp(-excess));
+}
+
 /** Whether the target's memory holds the request beside the others there. */
 export function canHold(
   { target, held }: TrackedTarget,
@@ -132,6 +166,20 @@
   return prefixes.countUncached(prompt, shared);
 }
 
+/** Whether the target probably has all parts that requests may share. */
+export function hasShared(
+  { target, prefixes, held }: TrackedTarget,
+  { prompt, work, nowMs }: EstimatedRequest,
+): boolean {
+  const load = work?.load.find(target.id, nowMs);
+  if (load === undefined) {
+    return prefixes.countUncached(listShared(prompt)) === 0;
+  }
+  return listShared(prompt).every(({ id }) =>
+    load.cachedParts.has(id) || held.parts.has(id)
+  );
+}
+
 /** Computes the time of the generation or call at average speed. */
 export function computeRunMs(
   { model, key, isStream, lengths }: WorkInputs,
@@ -162,18 +210,50 @@
     : CROSS_REGION_COST_MS;
 }
 
-/** Waits behind all requests there, as far as no slot is free. */
+/** Share of the requests of a view that still run. */
+function computeKept({ ageMs }: TargetLoad, typicalMs: number): number {
+  return Math.exp(-(ageMs + DECISION_LEAD_MS) / typicalMs);
+}
+
+/** Spread of the number of requests that are likely to run by now. */
+function computeSpread(load: TargetLoad, typicalMs: number): number {
+  const changed = 1 - computeKept(load, typicalMs);
+  const running = load.running + load.typicalRunning;
+  return SPREAD_FACTOR * Math.sqrt(changed * running + 0.1);
+}
+
+/** Requests of others that are likely to run at a target by now. */
+function computeOthers(load: TargetLoad, typicalMs: number): number {
+  const kept = computeKept(load, typicalMs);
+  return load.running * kept + load.typicalRunning * (1 - kept);
+}
+
+/**
+ * Waits behind all requests there, as far as no slot is free. What the view says
+ * is past: in the meantime some of the requests have ended, and others came that
+ * more or less follow the mean. So the wait is the expected one over the numbers
+ * that are likely now, and no target looks idle to all gateways at once.
+ */
 function computeWaitMs(
   { target, running, held }: TrackedTarget,
   load: TargetLoad,
-  nowMs: number,
+  { typicalMs, others, nowMs }: {
+    typicalMs: number;
+    others: number;
+    nowMs: number;
+  },
 ): number {
   const slots = Math.max(1, target.slots);
+  const spread = computeSpread(load, typicalMs);
+  const excess = (running + others + 1 - slots) / spread;
+  const queued = excess > 20
+    ? excess * spread
+    : spread * Math.log1p(Math.exp(excess));
   const count = running + load.running;
-  const queued = Math.max(0, count + 1 - slots);
-  if (queued === 0) return 0;
-  const meanMs = (held.computeRemainingMs(nowMs) + load.remainingMs) / count;
-  return queued * meanMs / slots;
+  const meanMs = count === 0
+    ? typicalMs
+    : (held.computeRemainingMs(nowMs) + load.remainingMs) / count;
+  return queued * Math.max(meanMs, typicalMs * 0.3) / slots;
 }
 
 /** Waits behind this gateway's requests; the others' are unknown. */
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -12,9 +12,11 @@
 import { Candidates } from "./candidates.ts";
 import { type PlacementRequest, placeRequest } from "./choose_target.ts";
 import {
+  computeCrowdingMs,
   computeRunMs,
   countOwnTokens,
   countUncached,
+  hasShared,
   listShared,
   type Location,
   type WorkInputs,
@@ -27,6 +29,8 @@
 
 /** Targets that rank first for an object's requests. */
 const OBJECT_TARGETS = 4;
+/** Above it, targets farther away are compared, too. */
+const GOOD_ENOUGH_MS = 50;
 /** After its last request, a service's targets are in use this long. */
 const SERVICE_USE_MS = 10_000;
 
@@ -98,17 +102,23 @@
     this.#usedAtMs.set(limits.service, nowMs);
     const built = this.#buildRequest(request, limits, nowMs);
     const ranked = this.#listRanked(request, limits.service, nowMs);
-    const candidates = (limits.only ?? this.#listCandidates(built, {
-      ...limits,
-      ranked,
-    })).filter(({ target }) =>
+    const isUsable = ({ target }: TrackedTarget) =>
       !limits.isPaused(target.id) &&
-      getAddress(target) !== limits.avoidedAddress
-    );
-    const choice = placeRequest(candidates, {
+      getAddress(target) !== limits.avoidedAddress;
+    const asked = {
       ...built,
       meetingTargets: new Set(ranked.map(({ target }) => target.id)),
-    });
+    };
+    let candidates = (limits.only ?? this.#listCandidates(built, {
+      ...limits,
+      ranked,
+    })).filter(isUsable);
+    let choice = placeRequest(candidates, asked);
+    if (limits.only === undefined && this.#needsOthers(choice, asked)) {
+      const others = this.#chooseOthers(limits.service, nowMs).filter(isUsable);
+      candidates = [...new Set([...candidates, ...others])];
+      choice = placeRequest(candidates, asked);
+    }
     if (choice === undefined) return undefined;
     return {
       ...choice,
@@ -187,8 +197,13 @@
     return index.listRanked(part.id, count);
   }
 
+  /**
+   * Lists the candidates. Where the load is known, targets at which a shared
+   * part's requests meet are added only while others lack the part: if all
+   * targets have room for it, there's no need to meet.
+   */
   #listCandidates(
-    { previousTargetId, nowMs }: PlacementRequest,
+    request: PlacementRequest,
     { service, ranked }: {
       readonly service: string;
       readonly ranked: readonly TrackedTarget[];
@@ -196,13 +211,44 @@
   ): TrackedTarget[] {
     const index = this.#options.targets.findIndex(service);
     if (index === undefined) return [];
-    return this.candidates.list(index, {
+    const { previousTargetId, nowMs, affinityKey } = request;
+    const isSampled = Number.isFinite(this.#load.computeAgeMs(nowMs));
+    const takeRandom = this.#takeRandom;
+    const isMeeting = isSampled && affinityKey === undefined;
+    const listed = this.candidates.list(index, {
       previousTargetId,
-      ranked,
-      isSampled: Number.isFinite(this.#load.computeAgeMs(nowMs)),
+      ranked: isMeeting ? [] : ranked,
+      isSampled,
       nowMs,
-      takeRandom: this.#takeRandom,
+      takeRandom,
     });
+    if (!isMeeting || listed.every((entry) => hasShared(entry, request))) {
+      return listed;
+    }
+    const met = this.candidates.chooseMeeting(ranked, { nowMs, takeRandom });
+    return [...new Set([...listed, ...met])];
+  }
+
+  /** Whether the best of the near targets is so busy or slow that others pay. */
+  #needsOthers(
+    choice: PlacementChoice | undefined,
+    { work, nowMs }: PlacementRequest & { readonly work: WorkInputs },
+  ): boolean {
+    if (!Number.isFinite(this.#load.computeAgeMs(nowMs))) return false;
+    if (choice === undefined) return true;
+    const { entry, estimate: { waitMs, runMs, networkMs } } = choice;
+    const request = { ...this.#options, prompt: [], work, nowMs };
+    const lateMs = waitMs + networkMs + computeCrowdingMs(entry, request) +
+      Math.max(0, runMs - this.model.computeTypicalMs(work.key.service));
+    return lateMs > GOOD_ENOUGH_MS;
+  }
+
+  /** Draws targets from all; from more while nothing near is usable. */
+  #chooseOthers(service: string, nowMs: number): TrackedTarget[] {
+    const index = this.#options.targets.findIndex(service);
+    if (index === undefined) return [];
+    const takeRandom = this.#takeRandom;
+    return this.candidates.chooseOthers(index, { nowMs, takeRandom });
   }
 
   #buildWork(
--- a/packages/gateway/src/placement/simulated_gateways_test.ts
+++ b/packages/gateway/src/placement/simulated_gateways_test.ts
@@ -1,5 +1,6 @@
 import { computeHash } from "@camphorlock/scheduler/hash";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { AttemptWork } from "../decisions/held_work.ts";
 import { TargetTable, type TrackedTarget } from "../decisions/target_table.ts";
 import { LoadCollector } from "../load/load_collector.ts";
 import { LoadReporter } from "../load/load_reporter.ts";
@@ -143,7 +144,7 @@
         startedAtMs: 1,
       });
     }
-    const view = new LoadView();
+    const view = new LoadView((id) => table.find(id)?.target);
     const vmId = `g${index}`;
     const domain = index % DOMAINS;
     const placement: Placement = new Placement({
@@ -253,8 +254,11 @@
     const entry = this.#choose(gateway, request, requestId);
     if (entry === undefined) {
       // Waits, as a request does that no target can take.
-      this.#schedule.add(sentAtMs + 25, () =>
-        this.#place(gateway, request, { requestId, outputTokens, callMs }));
+      this.#schedule.add(
+        sentAtMs + 25,
+        () =>
+          this.#place(gateway, request, { requestId, outputTokens, callMs }),
+      );
       this.#durations.push({ atMs: sentAtMs, ms: 25 });
       return;
     }
@@ -321,7 +325,7 @@
     entry.recordAttempt(
       requestId,
       nowMs,
-      "work" in choice ? { work: choice.work } : {},
+      "work" in choice ? { work: choice.work as AttemptWork } : {},
     );
     entry.prefixes.record(prompt);
     return entry;
--- a/packages/gateway/src/placement/target_load.ts
+++ b/packages/gateway/src/placement/target_load.ts
@@ -7,6 +7,10 @@
 export interface TargetLoad {
   /** Requests that run or wait there. */
   readonly running: number;
+  /** Requests at a target of as many slots that has its share of the load. */
+  readonly typicalRunning: number;
+  /** Age of this knowledge in ms. */
+  readonly ageMs: number;
   /** Work that they still need, in ms at average speed. */
   readonly remainingMs: number;
   /** Tokens that they hold of their own. */
