--- a/packages/gateway/src/placement/candidates.ts
+++ b/packages/gateway/src/placement/candidates.ts
@@ -13,16 +13,21 @@
 const DOMAIN_TARGETS = 24;
 const REGION_TARGETS = 16;
 /** Targets that are drawn for one request where others' load is known. */
-const DRAWN_TARGETS = 6;
+const DRAWN_NEAR = 2;
+const DRAWN_MEETING = 1;
+const DRAWN_OTHERS = 1;
 
 interface UsedTargets {
   readonly revision: number;
+  /** Those of the gateway's region. */
+  readonly near: readonly TrackedTarget[];
   readonly entries: readonly TrackedTarget[];
 }
 
 /** What the candidates of one request depend on. */
 export interface CandidateOptions {
-  readonly previousTargetId: string | undefined;
+  /** The target of the conversation so far. */
+  readonly previous: TrackedTarget | undefined;
   /** Targets that rank first for the request's shared parts or object. */
   readonly ranked: readonly TrackedTarget[];
   /** Whether all targets in use are compared, or a sample of them. */
@@ -46,29 +51,71 @@
     index: TargetIndex<TrackedTarget>,
     options: CandidateOptions,
   ): TrackedTarget[] {
-    const { previousTargetId, ranked, isSampled, nowMs, takeRandom } = options;
+    const { previous, ranked, isSampled, nowMs, takeRandom } = options;
     const used = this.listUsed(index);
-    const listed = new Set(ranked);
-    const previous = used.find(({ target }) => target.id === previousTargetId);
-    if (previous !== undefined) listed.add(previous);
-    if (!isSampled || used.length <= DRAWN_TARGETS) {
-      for (const entry of used) listed.add(entry);
-    } else {
-      for (let drawn = 0; drawn < DRAWN_TARGETS; drawn += 1) {
-        const entry = used[Math.floor(takeRandom() * used.length)];
-        if (entry !== undefined) listed.add(entry);
-      }
+    const listed = new Set<TrackedTarget>();
+    // It may be another service's by now.
+    if (previous?.target.service === used[0]?.target.service) {
+      if (previous !== undefined) listed.add(previous);
     }
+    const drawn = isSampled
+      ? chooseSome(this.#getUsed(index).near, DRAWN_NEAR, takeRandom)
+      : used;
+    for (const entry of [...ranked, ...drawn]) listed.add(entry);
     return [...listed].filter((entry) => canTakeWork(entry, nowMs));
   }
 
+  /** Draws some of all targets in use, for a request that finds none near. */
+  chooseOthers(
+    index: TargetIndex<TrackedTarget>,
+    { nowMs, takeRandom }: Pick<CandidateOptions, "nowMs" | "takeRandom">,
+  ): TrackedTarget[] {
+    return chooseSome(this.listUsed(index), DRAWN_OTHERS, takeRandom)
+      .filter((entry) => canTakeWork(entry, nowMs));
+  }
+
+  /** Lists all targets in use, and others at random in a large service. */
+  listMany(
+    index: TargetIndex<TrackedTarget>,
+    { nowMs, takeRandom }: Pick<CandidateOptions, "nowMs" | "takeRandom">,
+  ): TrackedTarget[] {
+    const start = Math.floor(takeRandom() * index.entries.length);
+    const listed = new Set([
+      ...this.listUsed(index),
+      ...listSpread(index.entries, MAX_USED_TARGETS, start),
+    ]);
+    return [...listed].filter((entry) => canTakeWork(entry, nowMs));
+  }
+
+  /** Draws some of the targets at which the requests of a part meet. */
+  chooseMeeting(
+    ranked: readonly TrackedTarget[],
+    { nowMs, takeRandom }: Pick<CandidateOptions, "nowMs" | "takeRandom">,
+  ): TrackedTarget[] {
+    return chooseSome(
+      ranked.filter((entry) => canTakeWork(entry, nowMs)),
+      DRAWN_MEETING,
+      takeRandom,
+    );
+  }
+
   /** Lists the targets of a service that this gateway uses. */
   listUsed(index: TargetIndex<TrackedTarget>): readonly TrackedTarget[] {
+    return this.#getUsed(index).entries;
+  }
+
+  #getUsed(index: TargetIndex<TrackedTarget>): UsedTargets {
     const known = this.#used.get(index);
-    if (known?.revision === index.revision) return known.entries;
+    if (known?.revision === index.revision) return known;
+    const { regions, failureDomain } = this.#location;
+    const region = regions.get(failureDomain);
     const entries = this.#chooseUsed(index);
-    this.#used.set(index, { revision: index.revision, entries });
-    return entries;
+    const near = entries.filter(({ target }) =>
+      regions.get(target.failureDomain) === region
+    );
+    const used = { revision: index.revision, near, entries };
+    this.#used.set(index, used);
+    return used;
   }
 
   #chooseUsed(index: TargetIndex<TrackedTarget>): readonly TrackedTarget[] {
@@ -92,6 +139,18 @@
   }
 }
 
+/** Draws some entries, with or without a repetition. */
+function chooseSome<Entry>(
+  entries: readonly Entry[],
+  count: number,
+  takeRandom: () => number,
+): Entry[] {
+  return Array.from(
+    { length: count },
+    () => entries[Math.floor(takeRandom() * entries.length)],
+  ).filter((entry) => entry !== undefined);
+}
+
 /** Lists entries at even distances, which differ from gateway to gateway. */
 function listSpread<Entry>(
   entries: readonly Entry[],
