Keep large pieces of bodies instead of copying them

Copies of large chunks leave as much again to collect: 100 chunked bodies of 4 MB took 138 to 178 MB, beside 120 to 155 MB before bodies were copied. With pieces of 16 KB and more kept as they are: 132, 141 and 157 MB.

--- a/packages/gateway/src/exchange/request_body.ts
+++ b/packages/gateway/src/exchange/request_body.ts
@@ -8,7 +8,10 @@
 import type { CallerWait, CallerWaits } from "../decisions/caller_waits.ts";
 import type { BodyReadResult } from "./caller_exchange.ts";
 
-/** A buffer that grows exists beside the former one until that is collected. */
+/**
+ * A buffer that grows exists beside the former one until that is collected, and
+ * beside its copy when it's complete.
+ */
 const COPIES_WHILE_GROWING = 2;
 
 /** What the reading of a body uses. */
@@ -50,6 +53,8 @@
     this.#content = new GrowingBuffer({
       firstBytes: this.#declaredBytes,
       maxBytes,
+      // A body of known length is allocated once, and not copied any more.
+      keepsPieces: this.#declaredBytes === undefined,
     });
     this.#wait = this.#options.waits.open(
       performance.now(),
@@ -78,9 +83,11 @@
 
   #endComplete(): void {
     if (this.#hasEnded) return;
-    const heldBytes = this.#declaredBytes ?? this.#content.capacity;
+    const body = this.#content.view();
+    const heldBytes = this.#declaredBytes ?? body.buffer.byteLength;
+    this.#content.reset();
     this.#options.share.release(this.#reservedBytes - heldBytes);
-    this.end({ kind: "complete", body: this.#content.view() });
+    this.end({ kind: "complete", body });
   }
 
   #addChunk(chunk: Buffer): void {
@@ -90,7 +97,7 @@
     }
     this.#wait?.recordProgress(chunk.length, performance.now());
     const growth = this.#declaredBytes === undefined
-      ? this.#content.computeGrowth(chunk.length) * COPIES_WHILE_GROWING
+      ? this.#content.computeGrowth(chunk) * COPIES_WHILE_GROWING
       : 0;
     if (!this.#reserve(growth)) return this.end({ kind: "no_memory" });
     // It may have been evicted for its own bytes.
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -241,7 +241,7 @@
   }
 
   #addBuffered(chunk: Uint8Array): void {
-    const growth = this.#buffered.computeGrowth(chunk.length);
+    const growth = this.#buffered.computeGrowth(chunk);
     if (this.#buffered.length + chunk.length > MAX_BUFFERED_BYTES) {
       this.#endBroken("the response exceeds the size limit");
     } else if (!this.#options.share.reserve(growth)) {
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -81,7 +81,10 @@
 
   constructor(limits: BufferedResponseLimits) {
     this.#limits = limits;
-    this.#received = new GrowingBuffer({ maxBytes: limits.maxBytes });
+    this.#received = new GrowingBuffer({
+      maxBytes: limits.maxBytes,
+      keepsPieces: true,
+    });
     this.answer = new Promise((resolve) => {
       this.#resolve = resolve;
     });
@@ -131,7 +134,7 @@
       this.#buffer.set(chunk, offset);
       return;
     }
-    const growth = this.#received.computeGrowth(chunk.length);
+    const growth = this.#received.computeGrowth(chunk);
     this.#received.append(chunk);
     if (growth > 0) this.#reserve(growth, () => {});
   }
