--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -10,6 +10,7 @@
 import { endAfterRequest, writeBody } from "./response_writer.ts";
 
 const MS_PER_SECOND = 1_000;
+const STATUS_UNAVAILABLE = 503;
 /**
  * Largest body without a marked end: the kernel takes it in one write, so that
  * the end of this process can't cut it. The default send buffer has 16 KiB.
@@ -188,7 +189,10 @@
     });
     const isAtOnce = this.request.complete || error.isImmediate === true;
     if (isAtOnce) this.#response.end(body);
-    else endAfterRequest(this.#response, this.request, body);
+    else {
+      const isOverloaded = httpStatus === STATUS_UNAVAILABLE;
+      endAfterRequest(this.#response, this.request, { body, isOverloaded });
+    }
   }
 
   #setConnectionHeader(): void {
--- a/packages/gateway/src/exchange/response_writer.ts
+++ b/packages/gateway/src/exchange/response_writer.ts
@@ -12,6 +12,12 @@
 const STALL_MS = 10_000;
 /** How long the rest of a refused request is read, so that it ends in order. */
 const LINGER_MS = 1_000;
+/**
+ * How much of it is read while the process is overloaded: what is read and
+ * dropped has to be collected, and many large bodies at once would take more
+ * than the process may use until then.
+ */
+const OVERLOAD_LINGER_BYTES = 262_144;
 
 /** What the writing of a body uses. */
 export interface WriteOptions {
@@ -63,11 +69,19 @@
 export function endAfterRequest(
   response: ServerResponse,
   request: IncomingMessage,
-  body: string,
+  { body, isOverloaded }: {
+    readonly body: string;
+    readonly isOverloaded: boolean;
+  },
 ): void {
   response.write(body);
   const timer = setTimeout(() => response.end(), LINGER_MS);
   response.once("close", () => clearTimeout(timer));
   request.once("end", () => response.end());
+  let bytes = 0;
+  request.on("data", (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (isOverloaded && bytes > OVERLOAD_LINGER_BYTES) request.pause();
+  });
   request.resume();
 }
