End unread streams for requests that are refused for want of room

Streams whose callers read nothing count as running until their route's time ends, so that a crowd of them kept others out.

--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResultCodeDefinition } from "@camphorlock/codes/result_codes";
 import type { ByteShare } from "../decisions/byte_budget.ts";
-import type { CallerWaits } from "../decisions/caller_waits.ts";
+import type { CallerWait, CallerWaits } from "../decisions/caller_waits.ts";
 import { RequestBody } from "./request_body.ts";
 import { endAfterRequest, writeBody } from "./response_writer.ts";
 
@@ -54,6 +54,9 @@
   readonly share: ByteShare;
   readonly #response: ServerResponse;
   readonly #waits: CallerWaits;
+  readonly #streamWaits: CallerWaits;
+  /** While the caller doesn't read the events that it was sent. */
+  #streamWait: CallerWait | undefined;
   /** Whether the connection closes after the response. */
   readonly #isClosing: () => boolean;
   #handleDisconnect: () => void = () => {};
@@ -63,19 +66,24 @@
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    { share, waits, isClosing }: {
+    { share, waits, streamWaits, isClosing }: {
       readonly share: ByteShare;
       readonly waits: CallerWaits;
+      readonly streamWaits: CallerWaits;
       readonly isClosing: () => boolean;
     },
   ) {
     this.request = request;
     this.share = share;
     this.#waits = waits;
+    this.#streamWaits = streamWaits;
     this.#response = response;
     this.#isClosing = isClosing;
     response.on("close", () => this.recordClose());
-    response.on("drain", () => this.#handleDrain());
+    response.on("drain", () => {
+      this.#endStreamWait();
+      this.#handleDrain();
+    });
     response.on("error", () => this.recordClose());
     request.on("error", () => this.recordClose());
   }
@@ -161,7 +169,12 @@
   /** Sends events; false if the buffer is full until `onDrain` calls back. */
   sendEvents(bytes: Uint8Array): boolean {
     if (this.#isDisconnected) return true;
-    return this.#response.write(bytes);
+    if (this.#response.write(bytes)) return true;
+    this.#streamWait ??= this.#streamWaits.open(
+      performance.now(),
+      () => this.close(),
+    );
+    return false;
   }
 
   /** Ends a streamed response as complete. */
@@ -195,6 +208,11 @@
     }
   }
 
+  #endStreamWait(): void {
+    this.#streamWait?.end();
+    this.#streamWait = undefined;
+  }
+
   #setConnectionHeader(): void {
     // The rest of an unread body would be parsed as the next request.
     const isUnread = !this.request.complete;
@@ -205,6 +223,7 @@
 
   /** Records that the connection closed, or that the response has ended. */
   recordClose(): void {
+    this.#endStreamWait();
     if (this.#isDisconnected || this.#response.writableFinished) return;
     this.#isDisconnected = true;
     this.#handleDisconnect();
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -146,6 +146,7 @@
     const caller = new CallerExchange(request, response, {
       share,
       waits: this.#dependencies.waits,
+      streamWaits: this.#dependencies.streamWaits,
       isClosing: () => this.#dependencies.isDrainingConnections(),
     });
     void closed.then(() => caller.recordClose());
@@ -257,6 +258,8 @@
   }
 
   #refuseRun(caller: CallerExchange, fields?: RequestFields): void {
+    // Makes room for the caller's next attempt.
+    this.#dependencies.streamWaits.evictLongest(performance.now());
     const detail = "as many requests run as the process may have connections";
     this.#refuse(caller, { code: "ConnectionLimit", detail, fields });
   }
--- a/packages/gateway/src/front/client_limits.ts
+++ b/packages/gateway/src/front/client_limits.ts
@@ -16,6 +16,8 @@
   readonly bytes: ByteBudget;
   /** The exchanges that may be evicted for others. */
   readonly waits: CallerWaits;
+  /** Streams whose callers don't read; ended for others that are to run. */
+  readonly streamWaits: CallerWaits;
   readonly connectionBounds: ConnectionBounds;
 }
 
@@ -26,6 +28,7 @@
   return {
     bytes: createByteBudget(settings.memoryBytes, evict),
     waits,
+    streamWaits: new CallerWaits(),
     connectionBounds: computeConnectionBounds(settings),
   };
 }
