--- a/packages/gateway/src/decisions/caller_waits.ts
+++ b/packages/gateway/src/decisions/caller_waits.ts
@@ -34,6 +34,12 @@
 export class CallerWaits {
   /** The one without progress for the longest time first. */
   readonly #entries = new Set<WaitEntry>();
+  readonly #reportEvicted: () => void;
+
+  /** `reportEvicted` is called for each eviction. */
+  constructor(reportEvicted: () => void = () => {}) {
+    this.#reportEvicted = reportEvicted;
+  }
 
   get size(): number {
     return this.#entries.size;
@@ -55,6 +61,7 @@
     if (longest === undefined) return false;
     if (nowMs - longest.sinceMs < MIN_WAIT_MS) return false;
     this.#entries.delete(longest);
+    this.#reportEvicted();
     longest.evict();
     return true;
   }
--- a/packages/gateway/src/front/client_limits.ts
+++ b/packages/gateway/src/front/client_limits.ts
@@ -8,6 +8,7 @@
   computeConnectionBounds,
   type ConnectionBounds,
 } from "../decisions/connection_table.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewaySettings } from "../ports.ts";
 
 /** The limits of one process. */
@@ -22,13 +23,17 @@
 }
 
 /** Builds the limits from the settings. */
-export function buildClientLimits(settings: GatewaySettings): ClientLimits {
-  const waits = new CallerWaits();
+export function buildClientLimits(
+  settings: GatewaySettings,
+  metrics: GatewayMetrics,
+): ClientLimits {
+  const reportEvicted = () => metrics.add("callers_evicted");
+  const waits = new CallerWaits(reportEvicted);
   const evict = () => waits.evictLongest(performance.now());
   return {
     bytes: createByteBudget(settings.memoryBytes, evict),
     waits,
-    streamWaits: new CallerWaits(),
+    streamWaits: new CallerWaits(reportEvicted),
     connectionBounds: computeConnectionBounds(settings),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,7 +108,7 @@
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
     const getViewAgeMs = () => this.#watchers.computeAgeMs("targets");
-    const limits = this.#limits = buildClientLimits(settings);
+    const limits = this.#limits = buildClientLimits(settings, metrics);
     this.#ways = buildPathComponents({
       ...options,
       ...limits,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -45,6 +45,7 @@
   "sources_skipped",
   "log_lines_dropped",
   "connections_closed",
+  "callers_evicted",
 ] as const;
 
 /** The name of a counter. */
