--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -5,11 +5,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResultCodeDefinition } from "@camphorlock/codes/result_codes";
 import type { ByteShare } from "../decisions/byte_budget.ts";
-import type { CallerWaits } from "../decisions/caller_waits.ts";
+import type { CallerWait, CallerWaits } from "../decisions/caller_waits.ts";
 import { RequestBody } from "./request_body.ts";
 import { endAfterRequest, writeBody } from "./response_writer.ts";
 
 const MS_PER_SECOND = 1_000;
+const STATUS_UNAVAILABLE = 503;
 /**
  * Largest body without a marked end: the kernel takes it in one write, so that
  * the end of this process can't cut it. The default send buffer has 16 KiB.
@@ -53,6 +54,9 @@
   readonly share: ByteShare;
   readonly #response: ServerResponse;
   readonly #waits: CallerWaits;
+  readonly #streamWaits: CallerWaits;
+  /** While the caller doesn't read the events that it was sent. */
+  #streamWait: CallerWait | undefined;
   /** Whether the connection closes after the response. */
   readonly #isClosing: () => boolean;
   #handleDisconnect: () => void = () => {};
@@ -62,19 +66,24 @@
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    { share, waits, isClosing }: {
+    { share, waits, streamWaits, isClosing }: {
       readonly share: ByteShare;
       readonly waits: CallerWaits;
+      readonly streamWaits: CallerWaits;
       readonly isClosing: () => boolean;
     },
   ) {
     this.request = request;
     this.share = share;
     this.#waits = waits;
+    this.#streamWaits = streamWaits;
     this.#response = response;
     this.#isClosing = isClosing;
     response.on("close", () => this.recordClose());
-    response.on("drain", () => this.#handleDrain());
+    response.on("drain", () => {
+      this.#endStreamWait();
+      this.#handleDrain();
+    });
     response.on("error", () => this.recordClose());
     request.on("error", () => this.recordClose());
   }
@@ -160,7 +169,12 @@
   /** Sends events; false if the buffer is full until `onDrain` calls back. */
   sendEvents(bytes: Uint8Array): boolean {
     if (this.#isDisconnected) return true;
-    return this.#response.write(bytes);
+    if (this.#response.write(bytes)) return true;
+    this.#streamWait ??= this.#streamWaits.open(
+      performance.now(),
+      () => this.close(),
+    );
+    return false;
   }
 
   /** Ends a streamed response as complete. */
@@ -188,7 +202,15 @@
     });
     const isAtOnce = this.request.complete || error.isImmediate === true;
     if (isAtOnce) this.#response.end(body);
-    else endAfterRequest(this.#response, this.request, body);
+    else {
+      const isOverloaded = httpStatus === STATUS_UNAVAILABLE;
+      endAfterRequest(this.#response, this.request, { body, isOverloaded });
+    }
+  }
+
+  #endStreamWait(): void {
+    this.#streamWait?.end();
+    this.#streamWait = undefined;
   }
 
   #setConnectionHeader(): void {
@@ -201,6 +223,7 @@
 
   /** Records that the connection closed, or that the response has ended. */
   recordClose(): void {
+    this.#endStreamWait();
     if (this.#isDisconnected || this.#response.writableFinished) return;
     this.#isDisconnected = true;
     this.#handleDisconnect();
--- a/packages/gateway/src/front/client_limits.ts
+++ b/packages/gateway/src/front/client_limits.ts
@@ -8,6 +8,7 @@
   computeConnectionBounds,
   type ConnectionBounds,
 } from "../decisions/connection_table.ts";
+import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewaySettings } from "../ports.ts";
 
 /** The limits of one process. */
@@ -16,16 +17,23 @@
   readonly bytes: ByteBudget;
   /** The exchanges that may be evicted for others. */
   readonly waits: CallerWaits;
+  /** Streams whose callers don't read; ended for others that are to run. */
+  readonly streamWaits: CallerWaits;
   readonly connectionBounds: ConnectionBounds;
 }
 
 /** Builds the limits from the settings. */
-export function buildClientLimits(settings: GatewaySettings): ClientLimits {
-  const waits = new CallerWaits();
+export function buildClientLimits(
+  settings: GatewaySettings,
+  metrics: GatewayMetrics,
+): ClientLimits {
+  const reportEvicted = () => metrics.add("callers_evicted");
+  const waits = new CallerWaits(reportEvicted);
   const evict = () => waits.evictLongest(performance.now());
   return {
     bytes: createByteBudget(settings.memoryBytes, evict),
     waits,
+    streamWaits: new CallerWaits(reportEvicted),
     connectionBounds: computeConnectionBounds(settings),
   };
 }
