--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -30,7 +30,7 @@
 import type { ClientLimits } from "./client_limits.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import { type Refusal, refuseRequest } from "./refuse_request.ts";
-import type { ConfigurationInForce } from "../store/watched_state.ts";
+import type { ConfigurationAccess } from "../store/watch_components.ts";
 import type { TenantKeys } from "../tenants/tenant_keys.ts";
 
 /**
@@ -50,14 +50,8 @@
 
 /** Dependencies of the server. */
 export interface CallerServerDependencies
-  extends AcceptedRequestsDependencies, ClientLimits {
+  extends AcceptedRequestsDependencies, ClientLimits, ConfigurationAccess {
   readonly keys: Pick<TenantKeys, "check">;
-  /** Time since the configuration was last confirmed to be the latest. */
-  getConfigurationAgeMs(): number;
-  /** Waits for the first configuration, for `limitMs` at most. */
-  waitForConfiguration(
-    limitMs: number,
-  ): Promise<ConfigurationInForce | undefined>;
   /** Whether responses close their connections, to move callers elsewhere. */
   isDrainingConnections(): boolean;
 }
