--- a/packages/gateway/src/decisions/held_work.ts
+++ b/packages/gateway/src/decisions/held_work.ts
@@ -7,6 +7,9 @@
 /** Share of the expected work that a request counts for that exceeds it. */
 const OVERDUE_SHARE = 0.25;
 
+/** Shared parts that are remembered between two reports. */
+const MAX_SENT_PARTS = 64;
+
 /** The expected work of one attempt, at a target of average speed. */
 export interface AttemptWork {
   /** Until the first event or the response, with the wait, at this target. */
@@ -76,7 +79,9 @@
       const part = this.#parts.get(id) ?? { tokens, holders: 0 };
       part.holders += 1;
       this.#parts.set(id, part);
-      this.#sentParts.set(id, tokens);
+      if (this.#sentParts.size < MAX_SENT_PARTS) {
+        this.#sentParts.set(id, tokens);
+      }
     }
     this.#sentTokens += work.ownTokens;
   }
--- a/packages/gateway/src/load/load_components.ts
+++ b/packages/gateway/src/load/load_components.ts
@@ -22,7 +22,7 @@
   >;
   readonly targets: TargetTable;
   readonly directory: PeerDirectory;
-  readonly links: Pick<PeerLinks, "call">;
+  readonly links: Pick<PeerLinks, "callAddress">;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly findService: (name: string) => Service | undefined;
--- a/packages/gateway/src/load/load_exchange.ts
+++ b/packages/gateway/src/load/load_exchange.ts
@@ -21,10 +21,16 @@
 /** How many reports a collector that missed the list of targets may miss it. */
 const REPEAT_WANTED_REPORTS = 25;
 
+/**
+ * How long a collector that didn't respond is left out. It isn't suspected as a
+ * peer: a small VM that is busy for a moment would lose its accounts.
+ */
+const LEFT_OUT_MS = 2_000;
+
 /** The dependencies of the exchange. */
 export interface LoadExchangeDependencies {
-  readonly directory: Pick<PeerDirectory, "listAvailable" | "chooseHomeIn">;
-  readonly links: Pick<PeerLinks, "call">;
+  readonly directory: Pick<PeerDirectory, "listAvailable" | "sortHomes">;
+  readonly links: Pick<PeerLinks, "callAddress">;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly vmId: string;
@@ -45,6 +51,8 @@
   /** The targets that the collector was last told of. */
   #toldWanted = "";
   #reportsSinceTold = 0;
+  /** Collectors that didn't respond, by VM. */
+  readonly #leftOutUntilMs = new Map<string, number>();
   #isCalling = false;
 
   constructor(dependencies: LoadExchangeDependencies) {
@@ -63,6 +71,9 @@
 
   removeUnused(nowMs: number): void {
     this.#collector.removeUnused(nowMs);
+    for (const [vmId, untilMs] of this.#leftOutUntilMs) {
+      if (untilMs <= nowMs) this.#leftOutUntilMs.delete(vmId);
+    }
   }
 
   /** Answers a report, or records the sums of another region. */
@@ -109,7 +120,10 @@
     report: LoadReport,
   ): Promise<LoadAnswer | undefined> {
     const { links } = this.#dependencies;
-    return (await links.call(collector, report, CALL_TIMEOUT_MS))?.load;
+    const response = await links
+      .callAddress(collector, report, CALL_TIMEOUT_MS);
+    if (response === undefined) this.#evictCollector(collector);
+    return response?.load;
   }
 
   /** Tells the other regions' collectors what has changed. */
@@ -126,9 +140,12 @@
       const message: LoadReport = { kind: "report_load", sums, ageMs };
       // It counts as told before it responds, so that no call waits for one.
       this.#collector.recordShared(peer.vmId, sums);
-      void links.call(peer, message, CALL_TIMEOUT_MS).then((response) => {
-        if (response === undefined) this.#collector.recordUnshared(peer.vmId);
-      });
+      void links.callAddress(peer, message, CALL_TIMEOUT_MS)
+        .then((response) => {
+          if (response !== undefined) return;
+          this.#collector.recordUnshared(peer.vmId);
+          this.#evictCollector(peer);
+        });
     }
   }
 
@@ -137,8 +154,15 @@
     // The check of peers/protocol_version.ts goes here: gateways that don't
     // know `report_load` are no collectors.
     const { directory } = this.#dependencies;
-    const collector = directory.chooseHomeIn(region, COLLECTOR_KEY);
-    return collector.region === region ? collector : undefined;
+    const nowMs = performance.now();
+    return directory.sortHomes(COLLECTOR_KEY).find((peer) =>
+      peer.region === region &&
+      (this.#leftOutUntilMs.get(peer.vmId) ?? 0) <= nowMs
+    );
+  }
+
+  #evictCollector({ vmId }: PeerInfo): void {
+    this.#leftOutUntilMs.set(vmId, performance.now() + LEFT_OUT_MS);
   }
 
   #recordCollector(vmId: string): void {
