--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -40,7 +40,7 @@
   const nowMs = performance.now();
   const choice = placement.choose(accepted, {
     service,
-    previousTargetId,
+    previousTargetId: previousTargetId ?? findConversation(accepted, placement),
     isCrashCandidate: sends.isCrashCandidate,
     excluded: sends.excluded,
     avoidedAddress: options.avoidedAddress,
@@ -57,6 +57,14 @@
   return choice;
 }
 
+/** Finds the target of a turn that brings its whole prompt. */
+function findConversation(
+  { route, fields }: RequestReport["accepted"],
+  { conversations }: ExchangeDependencies["placement"],
+): string | undefined {
+  return route.kind === "streaming" ? conversations.find(fields) : undefined;
+}
+
 /** Lists the targets that may run a request bound to some; else undefined. */
 function listPermitted(
   targets: ExchangeDependencies["targets"],
--- a/packages/gateway/src/placement/choose_target.ts
+++ b/packages/gateway/src/placement/choose_target.ts
@@ -100,6 +100,10 @@
     : bestMs * (1 + EQUAL_COST_SHARE) + EQUAL_COST_MS;
   const equal = candidates.filter(({ costMs }) => costMs <= limitMs)
     .map(({ candidate }) => candidate);
+  const previous = equal.find(({ target }) =>
+    target.id === request.previousTargetId
+  );
+  if (previous !== undefined) return previous;
   if (!isObject) return chooseInTurn(equal, takeRandom);
   for (const id of meetingTargets ?? []) {
     const first = equal.find(({ target }) => target.id === id);
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -21,6 +21,7 @@
   type Location,
   type WorkInputs,
 } from "./compute_estimate.ts";
+import { ConversationTargets } from "./conversation_targets.ts";
 import { PartDemand } from "./part_demand.ts";
 import { type LoadSource, NO_LOAD } from "./target_load.ts";
 import type { PlacementChoice } from "./work_estimate.ts";
@@ -70,6 +71,7 @@
   readonly model: WorkModel;
   readonly learner: AttemptLearner;
   readonly candidates: Candidates;
+  readonly conversations = new ConversationTargets();
   readonly #options: PlacementOptions;
   readonly #load: LoadSource;
   readonly #inputs: WorkInputBuilder;
@@ -131,13 +133,16 @@
 
   /** Records that an attempt starts. */
   recordStart(
-    { fields }: Pick<PlacedRequest, "fields">,
+    { fields, route }: PlacedRequest,
     entry: TrackedTarget,
     nowMs: number,
   ): void {
     const [part] = listShared(fields.prompt);
     const { service } = entry.target;
     if (part !== undefined) this.#demand.record(service, part.id, nowMs);
+    if (route.kind === "streaming") {
+      this.conversations.record(fields, entry.target.id);
+    }
     this.#options.onStart?.(entry, nowMs);
   }
 
--- a/packages/gateway/src/placement/placement_test.ts
+++ b/packages/gateway/src/placement/placement_test.ts
@@ -42,6 +42,8 @@
       maxOutputTokens: 400,
       outputHint: undefined,
       resumeAfter: 0,
+      programId: undefined,
+      sessionId: undefined,
     },
     route: { name: "r", kind: "streaming" },
   };
--- a/packages/gateway/src/placement/simulated_gateways_test.ts
+++ b/packages/gateway/src/placement/simulated_gateways_test.ts
@@ -229,6 +229,8 @@
         maxOutputTokens: callMs === undefined ? outputTokens : undefined,
         outputHint: undefined,
         resumeAfter: 0,
+        programId: undefined,
+        sessionId: undefined,
       },
       route: {
         name: "r",
--- a/packages/gateway/src/placement/work_inputs.ts
+++ b/packages/gateway/src/placement/work_inputs.ts
@@ -13,6 +13,8 @@
     RequestFields,
     | "prompt"
     | "affinityKey"
+    | "programId"
+    | "sessionId"
     | "promptTokens"
     | "maxOutputTokens"
     | "outputHint"
