Choose targets by fixed costs unless the settings ask for learned ones

The learned costs and the load view run where the settings say placement = learned, until they're shown to serve callers better.

--- a/packages/gateway/src/exchange/next_target.ts
+++ b/packages/gateway/src/exchange/next_target.ts
@@ -60,9 +60,11 @@
 /** Finds the target of a turn that brings its whole prompt. */
 function findConversation(
   { route, fields }: RequestReport["accepted"],
-  { conversations }: ExchangeDependencies["placement"],
+  { conversations, isLearned }: ExchangeDependencies["placement"],
 ): string | undefined {
-  return route.kind === "streaming" ? conversations.find(fields) : undefined;
+  return isLearned && route.kind === "streaming"
+    ? conversations.find(fields)
+    : undefined;
 }
 
 /** Lists the targets that may run a request bound to some; else undefined. */
--- a/packages/gateway/src/gateway_fixture_test.ts
+++ b/packages/gateway/src/gateway_fixture_test.ts
@@ -237,6 +237,7 @@
       memoryBytes: 200_000_000,
       maxDescriptors: 4_000,
       quota: undefined,
+      placement: "fixed",
       bounds: {
         configurationMs: 2_500,
         drainMs: 2_500,
--- a/packages/gateway/src/load/load_components.ts
+++ b/packages/gateway/src/load/load_components.ts
@@ -18,7 +18,7 @@
 export interface LoadComponentsOptions {
   readonly settings: Pick<
     GatewaySettings,
-    "vmId" | "failureDomain" | "region" | "regions"
+    "vmId" | "failureDomain" | "region" | "regions" | "placement"
   >;
   readonly targets: TargetTable;
   readonly directory: PeerDirectory;
@@ -43,6 +43,7 @@
   const reporter = new LoadReporter(model);
   const placement = new Placement({
     ...settings,
+    policy: settings.placement,
     targets,
     findService,
     model,
--- a/packages/gateway/src/placement/choose_target.ts
+++ b/packages/gateway/src/placement/choose_target.ts
@@ -25,7 +25,7 @@
  * Keeps a request whose target has just ended and other requests apart: what
  * runs beside it would be lost with it, and couldn't be told from it.
  */
-const CRASH_CANDIDATE_COST_MS = 100;
+export const CRASH_CANDIDATE_COST_MS = 100;
 /** What the first event counts beside the end; callers watch both. */
 const FIRST_EVENT_WEIGHT = 0.25;
 /**
@@ -165,3 +165,11 @@
 ): number {
   return computeHash(`${affinityKey ?? vmId}|${candidate.target.id}`);
 }
+
+/** Whether there is no choice, or only one that has just failed. */
+export function isLastResort(
+  choice: PlacementChoice | undefined,
+  nowMs: number,
+): boolean {
+  return choice === undefined || choice.entry.avoidedUntilMs > nowMs;
+}
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -2,26 +2,31 @@
  * Decides at which target a request runs, and learns from its attempts.
  */
 import {
+  canTakeWork,
   getAddress,
   type TargetTable,
   type TrackedTarget,
 } from "../decisions/target_table.ts";
 import type { AttemptWork } from "../decisions/held_work.ts";
 import type { Service } from "../model/routing.ts";
+import type { PlacementPolicy } from "../ports.ts";
 import { AttemptLearner } from "./attempt_learner.ts";
+import { buildWork } from "./build_work.ts";
 import { Candidates } from "./candidates.ts";
-import { type PlacementRequest, placeRequest } from "./choose_target.ts";
+import {
+  isLastResort,
+  type PlacementRequest,
+  placeRequest,
+} from "./choose_target.ts";
 import {
   computeCrowdingMs,
-  computeRunMs,
-  countOwnTokens,
-  countUncached,
   hasShared,
   listShared,
   type Location,
   type WorkInputs,
 } from "./compute_estimate.ts";
 import { ConversationTargets } from "./conversation_targets.ts";
+import { placeByFixedCosts } from "./fixed_costs.ts";
 import { PartDemand } from "./part_demand.ts";
 import { type LoadSource, NO_LOAD } from "./target_load.ts";
 import type { PlacementChoice } from "./work_estimate.ts";
@@ -38,6 +43,7 @@
 /** The gateway's location, and where placement finds what it decides by. */
 export interface PlacementOptions extends Location {
   readonly vmId: string;
+  readonly policy: PlacementPolicy;
   readonly targets: TargetTable;
   readonly findService: (name: string) => Service | undefined;
   readonly model?: WorkModel;
@@ -103,6 +109,7 @@
   ): RecordedChoice | undefined {
     this.#usedAtMs.set(limits.service, nowMs);
     const built = this.#buildRequest(request, limits, nowMs);
+    if (!this.isLearned) return this.#chooseByFixedCosts(built, limits);
     const ranked = this.#listRanked(request, limits.service, nowMs);
     const isUsable = ({ target }: TrackedTarget) =>
       !limits.isPaused(target.id) &&
@@ -127,10 +134,33 @@
       ...choice,
       candidates: candidates.length,
       viewAgeMs: this.#load.computeAgeMs(nowMs),
-      work: this.#buildWork(choice, built),
+      work: buildWork(choice, built, this.#load),
+    };
+  }
+
+  #chooseByFixedCosts(
+    request: PlacementRequest & { readonly work: WorkInputs },
+    { service, only, isPaused, avoidedAddress }: PlacementLimits,
+  ): RecordedChoice | undefined {
+    const all = only ?? this.#options.targets.findIndex(service)?.entries ?? [];
+    const candidates = all.filter((entry) =>
+      canTakeWork(entry, request.nowMs) && !isPaused(entry.target.id) &&
+      getAddress(entry.target) !== avoidedAddress
+    );
+    const choice = placeByFixedCosts(candidates, request);
+    return choice && {
+      ...choice,
+      candidates: candidates.length,
+      viewAgeMs: Number.POSITIVE_INFINITY,
+      work: buildWork(choice, request, this.#load),
     };
   }
 
+  /** Whether targets are chosen by learned costs. */
+  get isLearned(): boolean {
+    return this.#options.policy === "learned";
+  }
+
   /** Records that an attempt starts. */
   recordStart(
     { fields, route }: PlacedRequest,
@@ -140,6 +170,7 @@
     const [part] = listShared(fields.prompt);
     const { service } = entry.target;
     if (part !== undefined) this.#demand.record(service, part.id, nowMs);
+    if (!this.isLearned) return;
     if (route.kind === "streaming") {
       this.conversations.record(fields, entry.target.id);
     }
@@ -266,34 +297,4 @@
       ? this.candidates.listMany(index, options)
       : this.candidates.chooseOthers(index, options);
   }
-
-  #buildWork(
-    { entry, estimate }: PlacementChoice,
-    request: PlacementRequest & { readonly work: WorkInputs },
-  ): AttemptWork {
-    const { work, prompt, nowMs } = request;
-    const { model, key } = work;
-    const load = this.#load.find(entry.target.id, nowMs);
-    const uncachedTokens = countUncached(entry, request, load);
-    const runMs = model.computeReadMs(key.service, uncachedTokens) +
-      computeRunMs(work);
-    const lateMs = work.isStream ? runMs : model.computeCall(key)?.lateMs ?? 0;
-    return {
-      firstMs: estimate.totalMs - (work.isStream ? estimate.runMs : 0),
-      runMs,
-      lateMs: Math.max(runMs, lateMs),
-      uncachedTokens,
-      waitMs: estimate.waitMs,
-      ownTokens: countOwnTokens(request, work),
-      shared: work.isStream ? listShared(prompt) : [],
-    };
-  }
-}
-
-/** Whether there is no choice, or only one that has just failed. */
-function isLastResort(
-  choice: PlacementChoice | undefined,
-  nowMs: number,
-): boolean {
-  return choice === undefined || choice.entry.avoidedUntilMs > nowMs;
 }
--- a/packages/gateway/src/placement/placement_test.ts
+++ b/packages/gateway/src/placement/placement_test.ts
@@ -73,6 +73,7 @@
   vmId = "g1",
 ): Placement {
   return new Placement({
+    policy: "learned",
     vmId,
     failureDomain: "d0",
     regions: new Map([0, 1, 2, 3, 4, 5].map((at) => [`d${at}`, `r${at % 3}`])),
--- a/packages/gateway/src/placement/simulated_gateways_test.ts
+++ b/packages/gateway/src/placement/simulated_gateways_test.ts
@@ -148,6 +148,7 @@
     const vmId = `g${index}`;
     const domain = index % DOMAINS;
     const placement: Placement = new Placement({
+      policy: "learned",
       vmId,
       failureDomain: `d${domain}`,
       regions: REGIONS,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -220,6 +220,12 @@
   readonly slack: number;
 }
 
+/**
+ * How targets are chosen: by fixed costs and the gateway's own requests, or by
+ * costs that gateways learn and by the load that they tell each other.
+ */
+export type PlacementPolicy = "fixed" | "learned";
+
 /** Settings of a gateway process, fixed at its start. */
 export interface GatewaySettings {
   readonly vmId: string;
@@ -241,6 +247,8 @@
   readonly memoryBytes: number;
   /** File descriptors that the process may use for sockets. */
   readonly maxDescriptors: number;
+  /** How targets are chosen. */
+  readonly placement: PlacementPolicy;
   /** Undefined where no quota has to hold. */
   readonly quota: QuotaBounds | undefined;
 }
