--- a/packages/gateway/src/load/load_exchange_test.ts
+++ b/packages/gateway/src/load/load_exchange_test.ts
@@ -4,6 +4,7 @@
 import { TargetTable } from "../decisions/target_table.ts";
 import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
+import { PROTOCOL_VERSION } from "../peers/protocol_version.ts";
 import { buildPeer } from "../peer_fixture_test.ts";
 import { WorkModel } from "../placement/work_model.ts";
 import { LoadExchange } from "./load_exchange.ts";
@@ -37,7 +38,11 @@
     this.#time = time;
     const infos = Array.from(
       { length: gateways },
-      (_, index) => buildPeer(`g${index}`, { region: `r${index % 2}` }),
+      (_, index) =>
+        buildPeer(`g${index}`, {
+          region: `r${index % 2}`,
+          protocol: PROTOCOL_VERSION,
+        }),
     );
     for (const info of infos) this.#addMember(info);
     for (const { directory } of this.members.values()) {
