--- a/packages/gateway/src/queue/work_queue.ts
+++ b/packages/gateway/src/queue/work_queue.ts
@@ -144,11 +144,6 @@
     if (state !== undefined && state.queue.size > 0) this.#scheduleSoon(state);
   }
 
-  /** Looks at all queues, since the view of the targets changed. */
-  updateAll(): void {
-    for (const service of this.#services.keys()) this.recordRoom(service);
-  }
-
   #getService(name: string): ServiceState {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
