--- a/packages/gateway/src/queue/service_queue.ts
+++ b/packages/gateway/src/queue/service_queue.ts
@@ -21,8 +21,8 @@
 import { WaitingOrder } from "./waiting_order.ts";
 
 /**
- * Each waiting request holds its caller's connection. The smallest gateways
- * have 2,212 descriptors, of which 200 are reserved.
+ * Each waiting request holds its caller's connection, so that the bound on
+ * connections is met first on most VMs; this one bounds a step's cost.
  */
 export const MAX_WAITING = 2_000;
 /**
