Reserve what kept turns hold from the bytes for exchanges

Seen by callers: nothing yet; found while the places where a request of a few bytes turns into memory were listed. A request that names a kept turn makes the gateway hold the turn's chain, up to 4 MB, and the output of the new turn, both beside the budget of bytes that bounds everything else.

Cause: `TurnHistory` and `OpenTurn` allocated without reserving.

The chain is now reserved once it's put together; beyond the budget the turn is refused with 6005 before any target has it. The output is reserved as it grows; a turn whose output doesn't fit isn't kept, which its caller is told as always.

Evidence: turn_history_test fails without the change (10 of 10 turns of 1 MB opened with 4 MB allowed, no byte reserved for an output of 100 KB), passes with it. kept_turns_test passes.

--- a/packages/gateway/src/turns/open_turn.ts
+++ b/packages/gateway/src/turns/open_turn.ts
@@ -16,6 +16,8 @@
   readonly #accepted: AcceptedRequest;
   readonly #save: (turn: KeptTurn, deadlineMs: number) => Promise<boolean>;
   readonly #output = new GrowingBuffer();
+  /** Whether the process could hold all of the output. */
+  #isComplete = true;
 
   constructor(
     accepted: AcceptedRequest,
@@ -33,14 +35,20 @@
 
   /** Records the data of an event that the caller receives. */
   addEvent(data: Buffer): void {
-    this.#output.append(data);
-    this.#output.append(LINE_FEED);
+    if (!this.#isComplete) return;
+    const line = Buffer.concat([data, LINE_FEED]);
+    const growth = this.#output.computeGrowth(line);
+    this.#isComplete = growth === 0 ||
+      this.#accepted.caller.share.reserve(growth);
+    if (this.#isComplete) this.#output.append(line);
+    else this.#output.reset();
   }
 
   /** Keeps the turn; false if it isn't certain to last. */
-  save(targetId: string, deadlineMs: number): Promise<boolean> {
+  async save(targetId: string, deadlineMs: number): Promise<boolean> {
+    if (!this.#isComplete) return false;
     const { fields, body, route, tenant } = this.#accepted;
-    return this.#save({
+    return await this.#save({
       id: fields.requestId,
       parentId: fields.previousTurnId,
       input: body,
--- a/packages/gateway/src/turns/turn_history.ts
+++ b/packages/gateway/src/turns/turn_history.ts
@@ -81,6 +81,11 @@
         `the chain has ${targetBody.length} bytes, the limit is ${maxBytes}`;
       return refuse("BodyTooLarge", detail);
     }
+    // A few bytes may ask for a chain of megabytes.
+    if (!accepted.caller.share.reserve(targetBody.length)) {
+      const detail = "other requests hold the memory for chains; try again";
+      return refuse("GatewayMemoryFull", detail);
+    }
     const keep = (turn: KeptTurn, deadlineMs: number) =>
       this.#save([...chain, turn], { accepted, deadlineMs });
     return {
