Bound the interim responses before a response

Cause: 256 KB of framing were read before a response counted as endless. Interim responses of 44 bytes are 6,000 of them, and the HTTP library makes strings and lists for each: about a hundred times its bytes to collect, for each attempt.

Now 128 interim responses end the exchange as broken, as too many bytes do. A server that reports progress every second sends fewer in two minutes.

--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -12,11 +12,7 @@
 import type { Dispatcher } from "undici";
 import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
 import { openDirectly, type SocketOpener } from "./open_socket.ts";
-import {
-  isDelimited,
-  isFramingExcessive,
-  isStatus,
-} from "./response_framing.ts";
+import { isDelimited, isStatus, ResponseFraming } from "./response_framing.ts";
 import type { UsedConnections } from "./used_connections.ts";
 
 /** Default limit on establishing a connection. */
@@ -158,7 +154,7 @@
   #isDelimited = true;
   /** Bytes that earlier responses have taken on the connection. */
   #earlierBytes = 0;
-  #bodyBytes = 0;
+  readonly #framing = new ResponseFraming();
 
   constructor(receiver: ResponseReceiver, hooks: ExchangeHooks) {
     this.#receiver = receiver;
@@ -213,7 +209,10 @@
       return;
     }
     // Announces a response that follows.
-    if (status < 200) return;
+    if (status < 200) {
+      this.#framing.recordInterim();
+      return this.#checkFraming();
+    }
     this.#timer.refresh();
     this.#isDelimited = this.#hooks.method === "HEAD" ||
       isDelimited(status, headers);
@@ -226,7 +225,7 @@
   ): void {
     if (this.#ended) return;
     this.#timer.refresh();
-    this.#bodyBytes += chunk.length;
+    this.#framing.recordBody(chunk.length);
     this.#receiver.handleData(chunk);
   }
 
@@ -249,9 +248,11 @@
 
   /** Ends a response that is all framing. */
   #checkFraming(): void {
+    if (this.#ended) return;
     const bytes = this.#hooks.connection.countBytesRead() - this.#earlierBytes;
-    if (this.#ended || !isFramingExcessive(bytes, this.#bodyBytes)) return;
-    this.#endFailed(`${bytes} bytes, of which the body has ${this.#bodyBytes}`);
+    const excess = this.#framing.findExcess(bytes);
+    if (excess === undefined) return;
+    this.#endFailed(excess);
     this.#controller?.abort(new Error("too much framing"));
   }
 
@@ -287,14 +288,10 @@
   return {
     method: request.method as Dispatcher.HttpMethod,
     path: request.path,
-    headers: isList(request.headers)
+    headers: Array.isArray(request.headers)
       ? [...request.headers]
-      : { ...request.headers },
+      : { ...request.headers } as Record<string, string>,
     body: request.body ?? null,
     idempotent: false,
   };
 }
-
-function isList(headers: PeerRequest["headers"]): headers is readonly string[] {
-  return Array.isArray(headers);
-}
--- a/packages/http/src/peer_connection_test.ts
+++ b/packages/http/src/peer_connection_test.ts
@@ -69,6 +69,18 @@
       .to.equal("ok");
   });
 
+  // Each left a kilobyte to collect, and 256 KB of them came before an end.
+  it("reads a response after some interim responses, not after many", async () => {
+    const send = (count: number) => (socket: Socket) =>
+      socket.write(
+        "HTTP/1.1 102 Processing\r\n\r\n".repeat(count) + COMPLETE_RESPONSE,
+      );
+    handleRequest = send(120);
+    expect(await run()).to.include({ kind: "answered", status: 200 });
+    handleRequest = send(1_000);
+    expect((await run({ freshConnection: true })).kind).to.equal("broken");
+  });
+
   // The HTTP library reports such a status like any other one.
   for (const status of ["000", "099", "600", "999"]) {
     it(`takes status ${status} for no response`, async () => {
--- a/packages/http/src/response_framing.ts
+++ b/packages/http/src/response_framing.ts
@@ -9,6 +9,12 @@
  * peer that fails may send such bytes without end.
  */
 const MAX_FRAMING_BYTES = 262_144;
+/**
+ * Interim responses before a response. Each takes far more memory than its bytes
+ * until it's collected; a server that reports its progress every second sends
+ * fewer than this in two minutes.
+ */
+const MAX_INTERIM_RESPONSES = 128;
 /** Framing of the smallest chunks, for each byte of the body. */
 const FRAMING_PER_BODY_BYTE = 8;
 /** Other statuses aren't of HTTP, and nobody can say what they mean. */
@@ -33,8 +39,27 @@
   return /(^|[,\s])chunked\s*$/i.test(codings);
 }
 
-/** Whether a response has too many bytes that aren't part of its body. */
-export function isFramingExcessive(bytes: number, bodyBytes: number): boolean {
-  const allowedBytes = MAX_FRAMING_BYTES + bodyBytes * FRAMING_PER_BODY_BYTE;
-  return bytes - bodyBytes > allowedBytes;
+/** Counts what frames one response, beside its body. */
+export class ResponseFraming {
+  #bodyBytes = 0;
+  #interimResponses = 0;
+
+  recordBody(bytes: number): void {
+    this.#bodyBytes += bytes;
+  }
+
+  recordInterim(): void {
+    this.#interimResponses += 1;
+  }
+
+  /** Describes framing without end, of so many bytes with the body, if it is. */
+  findExcess(bytes: number): string | undefined {
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+      return `${this.#interimResponses} interim responses`;
+    }
+    const allowedBytes = MAX_FRAMING_BYTES +
+      this.#bodyBytes * FRAMING_PER_BODY_BYTE;
+    if (bytes - this.#bodyBytes <= allowedBytes) return undefined;
+    return `${bytes} bytes, of which the body has ${this.#bodyBytes}`;
+  }
 }
