Parse what callers send in turns, and one request of a connection at a time

Cause: the HTTP parser took all that had arrived on a connection, 64 KB at a time, in the order of arrival. Nothing asked what it costs: a chunk of one byte takes as long as one of 16 KB, and 64 KB hold hundreds of requests, each with its objects, log line and response before the first was answered. What was refused was parsed on.

`CallerSocket`, a stream between the TCP socket and Node.js's HTTP server, now gives the server slices of about a millisecond. `InputScheduler` parses at most 10 ms of them in an iteration of the event loop, in the order of `InputQueue`, start-time fair queueing on measured processor time with a credit of 2 ms, so that cheap requests pass costly ones. A slice ends with the request it belongs to (`MessageSlicer`), and the next one isn't parsed before its response has ended; while input waits, the socket isn't read. A request that's refused before its end gets its response at once, and the rest is dropped without being parsed.

Weighed: a bound on chunks or requests by number (a body in small chunks is inside the limits and is still served in calm); pausing by `socket.pause()` after a request (the parser has the whole read by then).

`InputDelayed` and `input_delays` show when input waits.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -554,6 +554,12 @@
     "warn",
     "Connections were closed since there were too many, or one sent too many requests without waiting; at most one line a second.",
   ),
+  InputDelayed: defineEvent(
+    977,
+    "InputDelayed",
+    "warn",
+    "What callers sent waits to be parsed, since it takes more processor time than there is; at most one line a second.",
+  ),
   TenantsUnusable: defineEvent(
     980,
     "TenantsUnusable",
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -7,7 +7,7 @@
 import type { ByteShare } from "../decisions/byte_budget.ts";
 import type { CallerWait, CallerWaits } from "../decisions/caller_waits.ts";
 import { RequestBody } from "./request_body.ts";
-import { endAfterRequest, writeBody } from "./response_writer.ts";
+import { writeBody } from "./response_writer.ts";
 
 const MS_PER_SECOND = 1_000;
 const STATUS_UNAVAILABLE = 503;
@@ -16,6 +16,12 @@
  * the end of this process can't cut it. The default send buffer has 16 KiB.
  */
 const MAX_UNMARKED_BYTES = 8_192;
+/**
+ * How much of a refused request is read while the process is overloaded: what is
+ * read and dropped has to be collected, and many large bodies at once would take
+ * more than the process may use until then.
+ */
+const OVERLOAD_DROP_BYTES = 262_144;
 
 /** The result of reading a request body. */
 export type BodyReadResult =
@@ -59,6 +65,7 @@
   #streamWait: CallerWait | undefined;
   /** Whether the connection closes after the response. */
   readonly #isClosing: () => boolean;
+  readonly #stopParsing: (maxBytes?: number) => void;
   #handleDisconnect: () => void = () => {};
   #handleDrain: () => void = () => {};
   #isDisconnected = false;
@@ -66,11 +73,13 @@
   constructor(
     request: IncomingMessage,
     response: ServerResponse,
-    { share, waits, streamWaits, isClosing }: {
+    { share, waits, streamWaits, isClosing, stopParsing }: {
       readonly share: ByteShare;
       readonly waits: CallerWaits;
       readonly streamWaits: CallerWaits;
       readonly isClosing: () => boolean;
+      /** Drops what the connection still sends, read up to some bytes. */
+      readonly stopParsing: (maxBytes?: number) => void;
     },
   ) {
     this.request = request;
@@ -79,6 +88,7 @@
     this.#streamWaits = streamWaits;
     this.#response = response;
     this.#isClosing = isClosing;
+    this.#stopParsing = stopParsing;
     response.on("close", () => this.recordClose());
     response.on("drain", () => {
       this.#endStreamWait();
@@ -200,12 +210,11 @@
         "retry-after": String(error.retryAfterMs / MS_PER_SECOND),
       }),
     });
-    const isAtOnce = this.request.complete || error.isImmediate === true;
-    if (isAtOnce) this.#response.end(body);
-    else {
-      const isOverloaded = httpStatus === STATUS_UNAVAILABLE;
-      endAfterRequest(this.#response, this.request, { body, isOverloaded });
-    }
+    this.#response.end(body);
+    if (this.request.complete) return;
+    if (error.isImmediate === true) this.#stopParsing(0);
+    else if (httpStatus !== STATUS_UNAVAILABLE) this.#stopParsing();
+    else this.#stopParsing(OVERLOAD_DROP_BYTES);
   }
 
   #endStreamWait(): void {
--- a/packages/gateway/src/exchange/caller_exchange_test.ts
+++ b/packages/gateway/src/exchange/caller_exchange_test.ts
@@ -36,6 +36,7 @@
         waits: new CallerWaits(),
         streamWaits,
         isClosing: () => false,
+        stopParsing: () => {},
       },
     );
   });
--- a/packages/gateway/src/front/body_refusal.ts
+++ b/packages/gateway/src/front/body_refusal.ts
@@ -42,3 +42,11 @@
       return checkNever(kind);
   }
 }
+
+/** Builds the refusal of a stream to a caller that can't tell it was cut. */
+export function buildVersionRefusal(httpVersion: string): Refusal {
+  return {
+    code: "HttpVersionUnsupported",
+    detail: `HTTP/${httpVersion} can't mark the end of a stream; send HTTP/1.1`,
+  };
+}
--- a/packages/gateway/src/front/caller_connections.ts
+++ b/packages/gateway/src/front/caller_connections.ts
@@ -3,7 +3,6 @@
  * have to go.
  */
 import type { ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
 import {
   type ConnectionBounds,
@@ -11,6 +10,7 @@
 } from "../decisions/connection_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
+import type { CallerSocket } from "./caller_socket.ts";
 
 /** A crowd causes thousands of closures a second. */
 const LOG_INTERVAL_MS = 1_000;
@@ -24,9 +24,9 @@
 /** The connections of one listener. */
 export class CallerConnections {
   readonly #dependencies: CallerConnectionsDependencies;
-  readonly #table: ConnectionTable<Socket>;
+  readonly #table: ConnectionTable<CallerSocket>;
   /** Called when a connection closes, for each response that hasn't ended. */
-  readonly #unanswered = new Map<Socket, Set<() => void>>();
+  readonly #unanswered = new Map<CallerSocket, Set<() => void>>();
   #closed = 0;
   #loggedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -44,12 +44,12 @@
   }
 
   /** Lists the open connections. */
-  list(): Iterable<Socket> {
+  list(): Iterable<CallerSocket> {
     return this.#table.list();
   }
 
   /** Adds a connection, and closes another one if there are too many. */
-  add(socket: Socket): void {
+  add(socket: CallerSocket): void {
     const unanswered = new Set<() => void>();
     this.#unanswered.set(socket, unanswered);
     socket.on("close", () => {
@@ -69,7 +69,7 @@
    * connection is closed.
    */
   openRequest(
-    socket: Socket,
+    socket: CallerSocket,
     response: ServerResponse,
   ): Promise<void> | undefined {
     const unanswered = this.#unanswered.get(socket);
@@ -92,7 +92,10 @@
   }
 
   /** Runs a complete request; false if too many run. */
-  async run(socket: Socket, run: () => Promise<void>): Promise<boolean> {
+  async run(
+    socket: CallerSocket,
+    run: () => Promise<void>,
+  ): Promise<boolean> {
     if (!this.#table.startRun(socket)) return false;
     try {
       await run();
@@ -102,7 +105,8 @@
     return true;
   }
 
-  #close(socket: Socket, reason: string): void {
+  #close(socket: CallerSocket, reason: string): void {
+    const address = `${socket.localAddress}:${socket.localPort}`;
     socket.destroy();
     const { metrics, log } = this.#dependencies;
     metrics.add("connections_closed");
@@ -112,7 +116,7 @@
     this.#loggedAtMs = nowMs;
     log.write(EVENTS.ConnectionsClosed, {
       reason,
-      address: `${socket.localAddress}:${socket.localPort}`,
+      address,
       closed: this.#closed,
     });
   }
--- a/packages/gateway/src/front/caller_connections_test.ts
+++ b/packages/gateway/src/front/caller_connections_test.ts
@@ -1,10 +1,10 @@
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { expect } from "chai";
 import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
 import { CallerConnections } from "./caller_connections.ts";
+import type { CallerSocket } from "./caller_socket.ts";
 
 class FakeSocket extends EventEmitter {
   destroyed = false;
@@ -34,8 +34,8 @@
     );
   });
 
-  function open(): Socket {
-    const socket = new FakeSocket() as unknown as Socket;
+  function open(): CallerSocket {
+    const socket = new FakeSocket() as unknown as CallerSocket;
     connections.add(socket);
     return socket;
   }
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -8,7 +8,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import { serveAt } from "@camphorlock/channel";
 import { EVENTS } from "@camphorlock/codes/events";
 import { measureHead } from "../decisions/head_bytes.ts";
@@ -26,9 +25,10 @@
   AcceptedRequests,
   type AcceptedRequestsDependencies,
 } from "./accepted_requests.ts";
-import { buildBodyRefusal } from "./body_refusal.ts";
+import { buildBodyRefusal, buildVersionRefusal } from "./body_refusal.ts";
 import type { ClientLimits } from "./client_limits.ts";
 import { CallerConnections } from "./caller_connections.ts";
+import { getCallerSocket, scheduleInput } from "./caller_socket.ts";
 import { type Refusal, refuseRequest } from "./refuse_request.ts";
 import type { ConfigurationAccess } from "../store/watch_components.ts";
 import type { TenantKeys } from "../tenants/tenant_keys.ts";
@@ -77,9 +77,10 @@
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
       requestTimeout: 0,
     }, (request, response) => this.#handle(request, response));
-    this.#server.on(
-      "connection",
-      (socket: Socket) => this.#connections.add(socket),
+    scheduleInput(
+      this.#server,
+      dependencies.input,
+      (connection) => this.#connections.add(connection),
     );
   }
 
@@ -135,15 +136,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { socket } = request;
-    const closed = this.#connections.openRequest(socket, response);
+    const connection = getCallerSocket(request);
+    const closed = this.#connections.openRequest(connection, response);
     if (closed === undefined) return;
+    connection.startRequest(request, response);
     const share = this.#dependencies.bytes.open();
     const caller = new CallerExchange(request, response, {
       share,
       waits: this.#dependencies.waits,
       streamWaits: this.#dependencies.streamWaits,
       isClosing: () => this.#dependencies.isDrainingConnections(),
+      stopParsing: (maxBytes) => connection.stopParsing(maxBytes),
     });
     void closed.then(() => caller.recordClose());
     this.#openRequests += 1;
@@ -201,9 +204,8 @@
         configurationAgeMs: this.#dependencies.getConfigurationAgeMs(),
       });
     }
-    const { isPublic } = route;
     const admission = this.#dependencies.keys
-      .check({ key: fields.key, isPublic });
+      .check({ key: fields.key, isPublic: route.isPublic });
     if (admission.isErr()) {
       return refuseRequest(this.#dependencies, caller, {
         ...admission.error,
@@ -213,9 +215,7 @@
     }
     if (route.kind === "streaming" && !caller.canReadChunks) {
       return this.#refuse(caller, {
-        code: "HttpVersionUnsupported",
-        detail: `HTTP/${request.httpVersion} can't mark the end of a stream; ` +
-          "send HTTP/1.1",
+        ...buildVersionRefusal(request.httpVersion),
         fields,
       });
     }
@@ -234,19 +234,18 @@
       const refusal = buildBodyRefusal(read.kind, { headBytes, maxBytes });
       return this.#refuse(caller, { ...refusal, fields });
     }
-    const { body } = read;
     await this.#run({
       caller,
       fields,
       route,
       tenant: admission.value.tenant,
       admission: admission.value,
-      body,
+      body: read.body,
       fingerprint: computeFingerprint({
         method: request.method,
         host: request.headers.host,
         url: request.url,
-        body,
+        body: read.body,
       }),
       receivedAtMs,
       limitMs,
@@ -258,7 +257,7 @@
   async #run(accepted: AcceptedRequest): Promise<void> {
     const { caller, fields } = accepted;
     const isRun = await this.#connections.run(
-      caller.request.socket,
+      getCallerSocket(caller.request),
       () => this.#accepted.run(accepted),
     );
     if (!isRun) this.#refuseRun(caller, fields);
--- a/packages/gateway/src/front/client_limits.ts
+++ b/packages/gateway/src/front/client_limits.ts
@@ -9,7 +9,10 @@
   type ConnectionBounds,
 } from "../decisions/connection_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
+import type { GatewayLog } from "../log.ts";
 import type { GatewaySettings } from "../ports.ts";
+import { InputDelayLog } from "./input_delay_log.ts";
+import { InputScheduler } from "./input_scheduler.ts";
 
 /** The limits of one process. */
 export interface ClientLimits {
@@ -20,13 +23,17 @@
   /** Streams whose callers don't read; ended for others that are to run. */
   readonly streamWaits: CallerWaits;
   readonly connectionBounds: ConnectionBounds;
+  /** Shares the processor time for what clients send. */
+  readonly input: InputScheduler;
 }
 
 /** Builds the limits from the settings. */
-export function buildClientLimits(
-  settings: GatewaySettings,
-  metrics: GatewayMetrics,
-): ClientLimits {
+export function buildClientLimits({ settings, log, metrics }: {
+  readonly settings: GatewaySettings;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+}): ClientLimits {
+  const delays = new InputDelayLog(log, metrics);
   const reportEvicted = () => metrics.add("callers_evicted");
   const waits = new CallerWaits(reportEvicted);
   const evict = () => waits.evictLongest(performance.now());
@@ -35,5 +42,6 @@
     waits,
     streamWaits: new CallerWaits(reportEvicted),
     connectionBounds: computeConnectionBounds(settings),
+    input: new InputScheduler((delay) => delays.record(delay)),
   };
 }
--- a/packages/gateway/src/front/plain_text_server.ts
+++ b/packages/gateway/src/front/plain_text_server.ts
@@ -3,37 +3,46 @@
  * metrics.
  */
 import { createServer, type Server } from "node:http";
-import type { Socket } from "node:net";
 import { serveAt } from "@camphorlock/channel";
 import type { Address } from "../ports.ts";
 import {
   CallerConnections,
   type CallerConnectionsDependencies,
 } from "./caller_connections.ts";
+import { getCallerSocket, scheduleInput } from "./caller_socket.ts";
+import type { InputScheduler } from "./input_scheduler.ts";
 
 /** A probe or a scrape needs one connection, and each has a few senders. */
 const BOUNDS = { maxConnections: 32, maxRunning: 0 };
 
+/** Dependencies of the server. */
+export interface PlainTextServerDependencies
+  extends CallerConnectionsDependencies {
+  readonly input: InputScheduler;
+}
+
 /** Responds to every request with the current status and text. */
 export class PlainTextServer {
   readonly #server: Server;
 
   constructor(
-    dependencies: CallerConnectionsDependencies,
+    dependencies: PlainTextServerDependencies,
     getResponse: () => { status: number; text: string },
   ) {
     const connections = new CallerConnections(dependencies, BOUNDS);
     this.#server = createServer((request, response) => {
-      const { socket } = request;
-      if (connections.openRequest(socket, response) === undefined) return;
+      const connection = getCallerSocket(request);
+      if (connections.openRequest(connection, response) === undefined) return;
+      connection.startRequest(request, response);
       request.resume();
       const { status, text } = getResponse();
       response.writeHead(status, { "content-type": "text/plain" });
       response.end(text);
     });
-    this.#server.on(
-      "connection",
-      (socket: Socket) => connections.add(socket),
+    scheduleInput(
+      this.#server,
+      dependencies.input,
+      (connection) => connections.add(connection),
     );
   }
 
--- a/packages/gateway/src/front/status_servers.ts
+++ b/packages/gateway/src/front/status_servers.ts
@@ -2,10 +2,12 @@
  * The servers that tell others about this gateway: the load balancer's probes of
  * readiness, and the metrics.
  */
-import type { CallerConnectionsDependencies } from "./caller_connections.ts";
 import type { GatewaySettings } from "../ports.ts";
 import type { AddressWaiter } from "./address_waiter.ts";
-import { PlainTextServer } from "./plain_text_server.ts";
+import {
+  PlainTextServer,
+  type PlainTextServerDependencies,
+} from "./plain_text_server.ts";
 import type { ReadinessState } from "./readiness_state.ts";
 
 /** The servers. */
@@ -14,7 +16,7 @@
   readonly #metrics: PlainTextServer;
 
   constructor(
-    dependencies: CallerConnectionsDependencies,
+    dependencies: PlainTextServerDependencies,
     readiness: ReadinessState,
   ) {
     const { metrics } = dependencies;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -103,7 +103,7 @@
     const { settings, log, metrics } = options;
     this.#turns = buildTurnComponents(options);
     const getViewAgeMs = () => this.#watched.watchers.computeAgeMs("targets");
-    const limits = this.#limits = buildClientLimits(settings, metrics);
+    const limits = this.#limits = buildClientLimits(options);
     this.#ways = buildPathComponents({
       ...options,
       ...limits,
@@ -208,7 +208,10 @@
       countStopLeftMs: () => this.#stopAtMs - performance.now(),
       isDrainingConnections: () => this.#readinessState.isDrainingConnections,
     });
-    this.#statusServers = new StatusServers(options, this.#readinessState);
+    this.#statusServers = new StatusServers(
+      { ...options, ...limits },
+      this.#readinessState,
+    );
   }
 
   /**
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -68,6 +68,7 @@
   "log_lines_dropped",
   "connections_closed",
   "callers_evicted",
+  "input_delays",
 ] as const;
 
 /** The name of a counter. */
--- a/packages/gateway/src/queue/indexed_heap.ts
+++ b/packages/gateway/src/queue/indexed_heap.ts
@@ -34,6 +34,11 @@
     return this.#nodes[0]?.item;
   }
 
+  /** Whether the heap holds an item. */
+  has(item: T): boolean {
+    return this.#byItem.has(item);
+  }
+
   /** Lists all items, in no order. */
   listAll(): T[] {
     return this.#nodes.map(({ item }) => item);
--- a/tools/lint/verbs.ts
+++ b/tools/lint/verbs.ts
@@ -101,8 +101,10 @@
   "then",
   "_read",
   "_write",
+  "_writev",
   "_final",
   "_destroy",
+  "destroySoon",
 ];
 
 /** Whether a function may have the name. */
