Leave places to short requests, and to addresses that run few

Seen by callers: while 900 streams were open on a gateway of 178 MB, read or not, an ordinary request got 503 (6008) in all of 20 attempts, and so did a stream of another client.

Cause: all requests that may run (475 there) were one pool, first come, first served. A stream stays open for minutes, so that whoever came first kept it; and the connection to close was chosen without regard to whose it is.

Streams now leave an eighth of the running requests to others. One address may run as many requests, and streams, as eight times the free places (a dynamic threshold: 8 of 9 alone, less the more others run), and the connection that's closed for a new one is of the address with the most. Clients behind one address share its part, which is all but a ninth if there's no other.

Weighed: ending the oldest stream (it may be in the middle of a sound answer); a fixed number for each address (clients behind one address are common).

--- a/packages/gateway/src/decisions/connection_table.ts
+++ b/packages/gateway/src/decisions/connection_table.ts
@@ -4,9 +4,12 @@
  * The load: many more connections than the process has descriptors or memory
  * for, most of which never send a complete request, or leave early. Beyond the
  * bound, the connection that has waited longest without a complete request is
- * closed, so that an ordinary caller, whose request is complete after a few
- * round trips, still gets in. Each step takes constant time.
+ * closed, at the address with the most of them, so that an ordinary caller,
+ * whose request is complete after a few round trips, still gets in. Streams,
+ * which may stay open for minutes, leave a part of the running requests to
+ * others.
  */
+import { AddressRuns, WaitingConnections } from "./address_shares.ts";
 
 /**
  * Share of the descriptors for callers. Each running request may need another
@@ -23,6 +26,8 @@
 /** Connections beyond the running ones, on which others are refused. */
 const SPARE_SHARE = 0.125;
 const MIN_CONNECTIONS = 16;
+/** Share of the running requests that streams leave to others. */
+const SHORT_SHARE = 0.125;
 /**
  * Requests that a connection may send before the first is answered. Each is
  * held and run at once; common clients send one, few more than ten.
@@ -36,6 +41,13 @@
   readonly maxRunning: number;
 }
 
+/** How long a request's response takes. */
+export type ResponseLength =
+  /** Sent as a whole. */
+  | "short"
+  /** A stream, which may stay open. */
+  | "long";
+
 /** Computes the bounds from what the process may use. */
 export function computeConnectionBounds(
   { memoryBytes, maxDescriptors }: {
@@ -64,12 +76,20 @@
 export class ConnectionTable<Connection extends object> {
   readonly #bounds: ConnectionBounds;
   readonly #entries = new Map<Connection, ConnectionEntry>();
-  /** Those without a running request, the longest wait first. */
-  readonly #waiting = new Set<Connection>();
-  #running = 0;
+  /** Also of closed connections, whose requests may still run. */
+  readonly #addresses = new WeakMap<Connection, string>();
+  /** Those without a running request. */
+  readonly #waiting = new WaitingConnections<Connection>();
+  readonly #runs: AddressRuns;
+  readonly #streams: AddressRuns;
 
   constructor(bounds: ConnectionBounds) {
     this.#bounds = bounds;
+    const { maxRunning } = bounds;
+    this.#runs = new AddressRuns(maxRunning);
+    this.#streams = new AddressRuns(
+      maxRunning - Math.floor(maxRunning * SHORT_SHARE),
+    );
   }
 
   get size(): number {
@@ -78,7 +98,7 @@
 
   /** Whether another request may run. */
   get canRun(): boolean {
-    return this.#running < this.#bounds.maxRunning;
+    return this.#runs.hasRoom;
   }
 
   /** Lists the open connections. */
@@ -87,20 +107,21 @@
   }
 
   /** Adds a connection; returns the one to close for it, if there are too many. */
-  add(connection: Connection): Connection | undefined {
+  add(connection: Connection, address = ""): Connection | undefined {
     this.#entries.set(connection, { unanswered: 0, running: 0 });
-    this.#waiting.add(connection);
+    this.#addresses.set(connection, address);
+    this.#waiting.add(connection, address);
     if (this.#entries.size <= this.#bounds.maxConnections) return undefined;
     // The new one itself, if all others run requests.
-    const longest = this.#waiting.values().next().value;
-    if (longest !== undefined) this.remove(longest);
-    return longest;
+    const excess = this.#waiting.findExcess();
+    if (excess !== undefined) this.remove(excess);
+    return excess;
   }
 
   /** Removes a closed connection; its requests may still run. */
   remove(connection: Connection): void {
     this.#entries.delete(connection);
-    this.#waiting.delete(connection);
+    this.#waiting.remove(connection);
   }
 
   /**
@@ -111,7 +132,10 @@
     const entry = this.#entries.get(connection);
     if (entry === undefined || entry.unanswered >= MAX_UNANSWERED) return false;
     entry.unanswered += 1;
-    if (entry.unanswered === 1) this.#renewWait(connection);
+    const isFirst = entry.unanswered === 1;
+    if (isFirst && this.#waiting.has(connection)) {
+      this.#waiting.add(connection, this.#findAddress(connection));
+    }
     return true;
   }
 
@@ -121,28 +145,38 @@
     if (entry !== undefined) entry.unanswered -= 1;
   }
 
-  /** Counts a complete request as running; false if too many run. */
-  startRun(connection: Connection): boolean {
-    if (!this.canRun) return false;
-    this.#running += 1;
+  /**
+   * Counts a complete request as running; false if too many run, in all or of
+   * its address.
+   */
+  startRun(connection: Connection, length: ResponseLength = "short"): boolean {
+    const address = this.#findAddress(connection);
+    const counts = this.#listCounts(length);
+    if (!counts.every((count) => count.canStart(address))) return false;
+    for (const count of counts) count.add(address);
     const entry = this.#entries.get(connection);
     if (entry !== undefined) {
       entry.running += 1;
-      this.#waiting.delete(connection);
+      this.#waiting.remove(connection);
     }
     return true;
   }
 
   /** Counts the end of a run, after which the caller has to read its response. */
-  endRun(connection: Connection): void {
-    this.#running -= 1;
+  endRun(connection: Connection, length: ResponseLength = "short"): void {
+    const address = this.#findAddress(connection);
+    for (const count of this.#listCounts(length)) count.remove(address);
     const entry = this.#entries.get(connection);
     if (entry === undefined) return;
     entry.running -= 1;
-    if (entry.running === 0) this.#waiting.add(connection);
+    if (entry.running === 0) this.#waiting.add(connection, address);
+  }
+
+  #findAddress(connection: Connection): string {
+    return this.#addresses.get(connection) ?? "";
   }
 
-  #renewWait(connection: Connection): void {
-    if (this.#waiting.delete(connection)) this.#waiting.add(connection);
+  #listCounts(length: ResponseLength): readonly AddressRuns[] {
+    return length === "long" ? [this.#runs, this.#streams] : [this.#runs];
   }
 }
--- a/packages/gateway/src/decisions/connection_table_test.ts
+++ b/packages/gateway/src/decisions/connection_table_test.ts
@@ -89,6 +89,64 @@
     expect(table.openRequest(build("unknown"))).to.equal(false);
   });
 
+  // Streams that stay open took all requests that may run.
+  it("leaves a part of the running requests to those that aren't streams", () => {
+    const large = new ConnectionTable<Connection>({
+      maxConnections: 100,
+      maxRunning: 80,
+    });
+    const connections = Array.from({ length: 100 }, (_, at) => build(at));
+    connections.forEach((each, at) => large.add(each, `address-${at}`));
+    const streams = connections.filter((each) => large.startRun(each, "long"));
+    expect(streams).to.have.length(70);
+    for (const each of connections.slice(70, 80)) {
+      expect(large.startRun(each)).to.equal(true);
+    }
+    expect(large.canRun).to.equal(false);
+    large.endRun(streams[0] as Connection, "long");
+    expect(large.startRun(streams[0] as Connection, "long")).to.equal(true);
+  });
+
+  // One client with many requests took all that may run.
+  it("leaves the last free places to addresses that run few", () => {
+    const large = new ConnectionTable<Connection>({
+      maxConnections: 200,
+      maxRunning: 180,
+    });
+    const crowd = Array.from({ length: 180 }, (_, at) => build(at));
+    for (const each of crowd) large.add(each, "crowd");
+    const running = crowd.filter((each) => large.startRun(each));
+    expect(running).to.have.length(160);
+    const others = Array.from({ length: 20 }, (_, at) => build(at));
+    others.forEach((each, at) => large.add(each, `other-${at}`));
+    for (const each of others) expect(large.startRun(each)).to.equal(true);
+    for (const each of running) {
+      large.remove(each);
+      large.endRun(each);
+    }
+    expect(crowd.slice(160).every((each) => large.startRun(each)))
+      .to.equal(true);
+  });
+
+  // One client with many connections had those of others closed.
+  it("closes a connection of the address that has the most", () => {
+    const large = new ConnectionTable<Connection>({
+      maxConnections: 50,
+      maxRunning: 40,
+    });
+    const ordinary = [build("a"), build("b")];
+    ordinary.forEach((each, at) => large.add(each, `ordinary-${at}`));
+    const first = build("first");
+    large.add(first, "crowd");
+    const closed: (Connection | undefined)[] = [];
+    for (let at = 0; at < 1_000; at += 1) {
+      closed.push(large.add(build(at), "crowd"));
+    }
+    expect(closed.find((each) => each !== undefined)).to.equal(first);
+    expect(large.size).to.equal(50);
+    expect([...large.list()]).to.include.members(ordinary);
+  });
+
   it("leaves descriptors for targets, and memory for requests", () => {
     const bounds = computeConnectionBounds({
       memoryBytes: 178_000_000,
--- a/packages/gateway/src/front/caller_connections.ts
+++ b/packages/gateway/src/front/caller_connections.ts
@@ -7,6 +7,7 @@
 import {
   type ConnectionBounds,
   ConnectionTable,
+  type ResponseLength,
 } from "../decisions/connection_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
@@ -21,6 +22,11 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** How a request is run. */
+export interface RunOptions {
+  readonly length?: ResponseLength;
+}
+
 /** The connections of one listener. */
 export class CallerConnections {
   readonly #dependencies: CallerConnectionsDependencies;
@@ -57,7 +63,7 @@
       this.#unanswered.delete(socket);
       for (const handleClosed of unanswered) handleClosed();
     });
-    const excess = this.#table.add(socket);
+    const excess = this.#table.add(socket, socket.remoteAddress);
     if (excess !== undefined) {
       this.#close(excess, "too many connections; the longest wait");
     }
@@ -95,12 +101,13 @@
   async run(
     socket: CallerSocket,
     run: () => Promise<void>,
+    { length = "short" }: RunOptions = {},
   ): Promise<boolean> {
-    if (!this.#table.startRun(socket)) return false;
+    if (!this.#table.startRun(socket, length)) return false;
     try {
       await run();
     } finally {
-      this.#table.endRun(socket);
+      this.#table.endRun(socket, length);
     }
     return true;
   }
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -259,6 +259,7 @@
     const isRun = await this.#connections.run(
       getCallerSocket(caller.request),
       () => this.#accepted.run(accepted),
+      { length: accepted.route.kind === "streaming" ? "long" : "short" },
     );
     if (!isRun) this.#refuseRun(caller, fields);
   }
