Count requests as running until their targets have ended

Seen by callers: 500 callers that leave right after a complete request took 254 descriptors of 200 allowed, those for targets and for others included.

Cause: a request that runs at most once goes on at its target for a caller that left, but its place among the running requests was free at once. So callers that come and go could begin any number, each with a connection to a target until the route's timeout. Also, a connection that has just become idle isn't reused for 10 ms, so that a series of requests opened as many new ones beside the idle ones.

A request now counts as running until its target has ended. Before another connection to a target is opened, an idle one is closed if as many are open as requests may run. Who pays: the callers that leave, by the places of their address.

--- a/packages/gateway/src/exchange/attempt_runner.ts
+++ b/packages/gateway/src/exchange/attempt_runner.ts
@@ -78,9 +78,15 @@
     return result;
   }
 
-  /** Ends the wait for the running attempt, which is cancelled if asked to. */
-  stop({ isCancelled }: { readonly isCancelled: boolean }): void {
+  /**
+   * Ends the wait for the running attempt, which is cancelled if asked to.
+   * Resolves once the attempt has ended at its target.
+   */
+  async stop(
+    { isCancelled }: { readonly isCancelled: boolean },
+  ): Promise<void> {
     if (isCancelled) this.#running?.cancel();
     this.#endWait();
+    if (!isCancelled) await this.#running?.result;
   }
 }
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -58,6 +58,8 @@
   readonly request: IncomingMessage;
   /** What the process holds for this exchange. */
   readonly share: ByteShare;
+  /** Settled once no target works on the request, also for a caller that left. */
+  targetEnded: Promise<void> = Promise.resolve();
   readonly #response: ServerResponse;
   readonly #waits: CallerWaits;
   readonly #streamWaits: CallerWaits;
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -120,7 +120,7 @@
   /** Repeats the running attempt elsewhere, if its answer can't arrive. */
   resumeElsewhere(): void {
     if (!this.#isRepeatable || !this.#runner.isDirect) return;
-    this.#runner.stop({ isCancelled: true });
+    void this.#runner.stop({ isCancelled: true });
   }
 
   async #runAttempts(): Promise<RequestOutcome> {
@@ -249,7 +249,7 @@
     // A request that runs at most once and isn't a stream runs to its end.
     const isCancelled = reason !== "disconnected" || this.#isRepeatable ||
       this.#isStream;
-    this.#runner.stop({ isCancelled });
+    this.#accepted.caller.targetEnded = this.#runner.stop({ isCancelled });
     this.#turns.stop();
   }
 
--- a/packages/gateway/src/exchange/target_connections.ts
+++ b/packages/gateway/src/exchange/target_connections.ts
@@ -1,5 +1,6 @@
 /**
- * The connections to all targets, opened at their first use.
+ * The connections to all targets, opened at their first use. An idle one is
+ * closed where a new one would take a descriptor that others need.
  */
 import { type OpenedSocket, PeerConnection } from "@camphorlock/http/exchange";
 import type { Target } from "../model/target.ts";
@@ -31,9 +32,16 @@
 export class TargetConnections {
   readonly #open = new Map<string, OpenTarget>();
   readonly #openTarget: TargetOpener;
+  readonly #maxOpen: number;
+  #openSockets = 0;
 
-  constructor(openTarget: TargetOpener) {
+  /** Idle connections are closed before more than `maxOpen` are open. */
+  constructor(
+    openTarget: TargetOpener,
+    { maxOpen = Number.POSITIVE_INFINITY }: { readonly maxOpen?: number } = {},
+  ) {
     this.#openTarget = openTarget;
+    this.#maxOpen = maxOpen;
   }
 
   /** Gets the connections of one incarnation of a target. */
@@ -51,13 +59,36 @@
       idleMs: IDLE_MS,
       reuseDelayMs: REUSE_DELAY_MS,
       openSocket: (_address, timeoutMs) =>
-        this.#openTarget(added.target, timeoutMs),
+        this.#openSocket(added.target, timeoutMs),
     });
     const added: OpenTarget = { baseUrl, connection, target };
     this.#open.set(target.id, added);
     return connection;
   }
 
+  async #openSocket(
+    target: Target,
+    timeoutMs: number,
+  ): Promise<OpenedSocket> {
+    if (this.#openSockets >= this.#maxOpen) this.#closeLongestIdle();
+    this.#openSockets += 1;
+    const release = () => void (this.#openSockets -= 1);
+    try {
+      const opened = await this.#openTarget(target, timeoutMs);
+      opened.socket.once("close", release);
+      return opened;
+    } catch (error) {
+      release();
+      throw error;
+    }
+  }
+
+  #closeLongestIdle(): void {
+    for (const { connection } of this.#open.values()) {
+      if (connection.closeLongestIdle()) return;
+    }
+  }
+
   /** Closes the connections without an exchange. */
   closeIdle(): void {
     for (const { connection } of this.#open.values()) connection.closeIdle();
--- a/packages/gateway/src/front/caller_connections.ts
+++ b/packages/gateway/src/front/caller_connections.ts
@@ -25,6 +25,8 @@
 /** How a request is run. */
 export interface RunOptions {
   readonly length?: ResponseLength;
+  /** Waits for the end of what goes on for a caller that left. */
+  readonly waitForTarget?: () => Promise<void>;
 }
 
 /** The connections of one listener. */
@@ -97,17 +99,21 @@
     });
   }
 
-  /** Runs a complete request; false if too many run. */
+  /**
+   * Runs a complete request; false if too many run. It counts as running until
+   * its target has ended, too.
+   */
   async run(
     socket: CallerSocket,
     run: () => Promise<void>,
-    { length = "short" }: RunOptions = {},
+    { length = "short", waitForTarget = () => Promise.resolve() }: RunOptions =
+      {},
   ): Promise<boolean> {
     if (!this.#table.startRun(socket, length)) return false;
     try {
       await run();
     } finally {
-      this.#table.endRun(socket, length);
+      void waitForTarget().finally(() => this.#table.endRun(socket, length));
     }
     return true;
   }
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -259,7 +259,10 @@
     const isRun = await this.#connections.run(
       getCallerSocket(caller.request),
       () => this.#accepted.run(accepted),
-      { length: accepted.route.kind === "streaming" ? "long" : "short" },
+      {
+        length: accepted.route.kind === "streaming" ? "long" : "short",
+        waitForTarget: () => caller.targetEnded,
+      },
     );
     if (!isRun) this.#refuseRun(caller, fields);
   }
--- a/packages/gateway/src/paths/path_components.ts
+++ b/packages/gateway/src/paths/path_components.ts
@@ -4,6 +4,7 @@
 import { openDirectly, type SocketOpener } from "@camphorlock/http/exchange";
 import { CrashObserver, type TargetEnd } from "../crashes/crash_observer.ts";
 import type { ByteBudget } from "../decisions/byte_budget.ts";
+import type { ConnectionBounds } from "../decisions/connection_table.ts";
 import type { EndedTargets } from "../decisions/ended_targets.ts";
 import { PathMonitor } from "../decisions/path_monitor.ts";
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
@@ -25,6 +26,7 @@
   readonly settings: Pick<GatewaySettings, "bounds" | "vmId">;
   readonly requestCodec: RequestCodec;
   readonly bytes: ByteBudget;
+  readonly connectionBounds: ConnectionBounds;
   readonly ended: EndedTargets;
   /** Age of the cached target states. */
   readonly getViewAgeMs: () => number;
@@ -81,8 +83,10 @@
       options.onCutOff();
     },
   });
-  const connections = new TargetConnections((target, timeoutMs) =>
-    paths.open(target, timeoutMs)
+  const connections = new TargetConnections(
+    (target, timeoutMs) => paths.open(target, timeoutMs),
+    // As many as requests run at the same time.
+    { maxOpen: options.connectionBounds.maxRunning },
   );
   const verifier = new TargetVerifier({
     ...shared,
--- a/packages/http/src/connection_pool.ts
+++ b/packages/http/src/connection_pool.ts
@@ -94,6 +94,14 @@
     for (const connection of idle) this.remove(connection);
   }
 
+  /** Closes the connection that has been idle the longest, if there's one. */
+  closeLongestIdle(): boolean {
+    const longest = this.#idle.shift();
+    if (longest === undefined) return false;
+    this.remove(longest);
+    return true;
+  }
+
   /** Closes idle connections now and the others once they are released. */
   async closeWhenIdle(): Promise<void> {
     const all = [...this.#all];
--- a/packages/http/src/peer_connection.ts
+++ b/packages/http/src/peer_connection.ts
@@ -13,6 +13,7 @@
 import { ConnectionPool, type PooledConnection } from "./connection_pool.ts";
 import { openDirectly, type SocketOpener } from "./open_socket.ts";
 import { isDelimited, isStatus, ResponseFraming } from "./response_framing.ts";
+import { buildDispatchOptions } from "./dispatch_options.ts";
 import type { UsedConnections } from "./used_connections.ts";
 
 /** Default limit on establishing a connection. */
@@ -124,6 +125,11 @@
     this.#pool.closeIdle();
   }
 
+  /** Closes the connection that has been idle the longest, if there's one. */
+  closeLongestIdle(): boolean {
+    return this.#pool.closeLongestIdle();
+  }
+
   /** Accepts no new requests and closes once running exchanges have ended. */
   async closeWhenIdle(): Promise<void> {
     await this.#pool.closeWhenIdle();
@@ -281,17 +287,3 @@
     this.#hooks.handleClose(isReusable);
   }
 }
-
-function buildDispatchOptions(
-  request: PeerRequest,
-): Dispatcher.DispatchOptions {
-  return {
-    method: request.method as Dispatcher.HttpMethod,
-    path: request.path,
-    headers: Array.isArray(request.headers)
-      ? [...request.headers]
-      : { ...request.headers } as Record<string, string>,
-    body: request.body ?? null,
-    idempotent: false,
-  };
-}
