Bound what other processes' connections make a process hold

Seen by callers: 60 connections to a gateway's address for other gateways, each with a line of 7 MB that doesn't end, ended the process (SIGABRT, heap); 500 connections there took all 400 descriptors.

Cause: the listeners of gateways and of VMs with disks bounded a line, 8 MB, but neither the connections, nor their lines together, nor responses that aren't read, for which the back pressure of the socket was ignored.

Both now use `FrameServer`: beyond a number of connections the one without a message for the longest time is closed, beyond 10 MB of incomplete lines or of unread responses the one with the most. Gateways take three quarters of the descriptors that callers and running requests leave: 2,161 of 3,900 with 178 MB. Clients don't reach these addresses, so that only a process that fails meets the bounds; pages of turns and facts have 256 KB.

Evidence, crowd_test alone, before and since: lines without end: SIGABRT; 152 MB. Connections: 400 descriptors; 52. frame_server_test has the cases of unread responses and of relayed connections. The tests of gateway, turns and facts pass (638).

--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -31,6 +31,8 @@
   /** Absent where gateways exchange no load. */
   readonly answerLoadReport?: PeerGroupDependencies["answerLoadReport"];
   readonly relay: PathRelay;
+  /** Connections that other gateways may open. */
+  readonly maxPeerConnections: number;
   readonly blocked: BlockedRequests;
   readonly keptBlocks: KeptBlocks;
   /** Called when a request isn't sent to targets any more. */
@@ -66,6 +68,7 @@
     metrics,
     getSelf,
     relay: options.relay,
+    maxConnections: options.maxPeerConnections,
     handleMessage: (envelope) => accounting.group.handleMessage(envelope),
     onChange: (peer, change) => accounting.group.handleChange(peer, change),
   });
@@ -75,7 +78,10 @@
 
 /** Builds the components that account for tokens, on the given links. */
 export function buildTokenAccounting(
-  options: Omit<AccountComponentsOptions, "relay">,
+  options: Omit<
+    AccountComponentsOptions,
+    "relay" | "maxPeerConnections"
+  >,
   directory: PeerDirectory,
   links: Pick<PeerLinks, "call" | "callAddress">,
 ): TokenAccounting {
--- a/packages/gateway/src/decisions/connection_table.ts
+++ b/packages/gateway/src/decisions/connection_table.ts
@@ -26,6 +26,11 @@
 /** Connections beyond the running ones, on which others are refused. */
 const SPARE_SHARE = 0.125;
 const MIN_CONNECTIONS = 16;
+/**
+ * Share for other gateways of the descriptors that callers and targets leave; the
+ * rest is for this gateway's own connections to them, and to the store.
+ */
+const PEERS_SHARE = 0.75;
 /** Share of the running requests that streams leave to others. */
 const SHORT_SHARE = 0.125;
 /**
@@ -66,6 +71,18 @@
   return { maxConnections, maxRunning: maxConnections - spare };
 }
 
+/**
+ * Computes how many connections other gateways may open, out of the descriptors
+ * that callers and the targets of running requests leave.
+ */
+export function computePeerBound(
+  maxDescriptors: number,
+  { maxConnections, maxRunning }: ConnectionBounds,
+): number {
+  const leftDescriptors = maxDescriptors - maxConnections - maxRunning;
+  return Math.max(MIN_CONNECTIONS, Math.floor(leftDescriptors * PEERS_SHARE));
+}
+
 interface ConnectionEntry {
   /** Requests whose response hasn't ended. */
   unanswered: number;
--- a/packages/gateway/src/decisions/connection_table_test.ts
+++ b/packages/gateway/src/decisions/connection_table_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import {
   computeConnectionBounds,
+  computePeerBound,
   ConnectionTable,
 } from "./connection_table.ts";
 
@@ -159,5 +160,8 @@
     });
     expect(few).to.deep.equal({ maxConnections: 90, maxRunning: 78 });
     expect(few.maxConnections + few.maxRunning).to.be.below(200);
+    expect(few.maxConnections + few.maxRunning + computePeerBound(200, few))
+      .to.be.below(200);
+    expect(computePeerBound(3_900, bounds)).to.be.at.least(430);
   });
 });
--- a/packages/gateway/src/front/caller_connections.ts
+++ b/packages/gateway/src/front/caller_connections.ts
@@ -3,6 +3,7 @@
  * have to go.
  */
 import type { ServerResponse } from "node:http";
+import { ClosureReports } from "@camphorlock/channel";
 import { EVENTS } from "@camphorlock/codes/events";
 import {
   type ConnectionBounds,
@@ -13,9 +14,6 @@
 import type { GatewayLog } from "../log.ts";
 import type { CallerSocket } from "./caller_socket.ts";
 
-/** A crowd causes thousands of closures a second. */
-const LOG_INTERVAL_MS = 1_000;
-
 /** Dependencies of the connections. */
 export interface CallerConnectionsDependencies {
   readonly log: GatewayLog;
@@ -35,8 +33,7 @@
   readonly #table: ConnectionTable<CallerSocket>;
   /** Called when a connection closes, for each response that hasn't ended. */
   readonly #unanswered = new Map<CallerSocket, Set<() => void>>();
-  #closed = 0;
-  #loggedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #closures: ClosureReports;
 
   constructor(
     dependencies: CallerConnectionsDependencies,
@@ -44,6 +41,10 @@
   ) {
     this.#dependencies = dependencies;
     this.#table = new ConnectionTable(bounds);
+    const { log } = dependencies;
+    this.#closures = new ClosureReports((report) =>
+      log.write(EVENTS.ConnectionsClosed, { ...report })
+    );
   }
 
   /** Whether another request may run. */
@@ -121,16 +122,7 @@
   #close(socket: CallerSocket, reason: string): void {
     const address = `${socket.localAddress}:${socket.localPort}`;
     socket.destroy();
-    const { metrics, log } = this.#dependencies;
-    metrics.add("connections_closed");
-    this.#closed += 1;
-    const nowMs = performance.now();
-    if (nowMs - this.#loggedAtMs < LOG_INTERVAL_MS) return;
-    this.#loggedAtMs = nowMs;
-    log.write(EVENTS.ConnectionsClosed, {
-      reason,
-      address,
-      closed: this.#closed,
-    });
+    this.#dependencies.metrics.add("connections_closed");
+    this.#closures.record(reason, address);
   }
 }
--- a/packages/gateway/src/front/client_limits.ts
+++ b/packages/gateway/src/front/client_limits.ts
@@ -6,6 +6,7 @@
 import { CallerWaits } from "../decisions/caller_waits.ts";
 import {
   computeConnectionBounds,
+  computePeerBound,
   type ConnectionBounds,
 } from "../decisions/connection_table.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
@@ -23,6 +24,8 @@
   /** Streams whose callers don't read; ended for others that are to run. */
   readonly streamWaits: CallerWaits;
   readonly connectionBounds: ConnectionBounds;
+  /** Connections that other gateways may open. */
+  readonly maxPeerConnections: number;
   /** Shares the processor time for what clients send. */
   readonly input: InputScheduler;
 }
@@ -37,11 +40,16 @@
   const reportEvicted = () => metrics.add("callers_evicted");
   const waits = new CallerWaits(reportEvicted);
   const evict = () => waits.evictLongest(performance.now());
+  const connectionBounds = computeConnectionBounds(settings);
   return {
     bytes: createByteBudget(settings.memoryBytes, evict),
     waits,
     streamWaits: new CallerWaits(reportEvicted),
-    connectionBounds: computeConnectionBounds(settings),
+    connectionBounds,
+    maxPeerConnections: computePeerBound(
+      settings.maxDescriptors,
+      connectionBounds,
+    ),
     input: new InputScheduler((delay) => delays.record(delay)),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,6 +134,7 @@
     this.#keys = buildTenantKeys(options, this.#watched.configuration);
     this.#accounts = buildAccountComponents({
       ...options,
+      ...limits,
       getSelf: () => this.#buildSelf(),
       blocked: this.#blocked,
       keptBlocks: new KeptBlocks(this.#turns.facts),
--- a/packages/gateway/src/peers/peer_links.ts
+++ b/packages/gateway/src/peers/peer_links.ts
@@ -1,7 +1,6 @@
 /**
  * Calls other gateways and serves their calls.
  */
-import { createServer, type Server, type Socket } from "node:net";
 import { EVENTS } from "@camphorlock/codes/events";
 import type {
   PeerChange,
@@ -14,11 +13,12 @@
 import type { PathRelay } from "../paths/path_relay.ts";
 import type { Address } from "../ports.ts";
 import {
+  ClosureReports,
   type Frame,
+  type FrameConnection,
+  FrameServer,
+  type FrameServerClosure,
   PeerChannel,
-  readFrames,
-  serveAt,
-  writeFrame,
 } from "@camphorlock/channel";
 import { canReceive, isKindOfFirstVersion } from "./protocol_version.ts";
 import {
@@ -48,41 +48,38 @@
   readonly handleMessage: (envelope: PeerEnvelope) => Promise<PeerResponse>;
   /** Handles what other gateways ask and tell about ways to targets. */
   readonly relay: Pick<PathRelay, "serve" | "recordLeaving">;
+  /** Connections that others may open; the channel's default if absent. */
+  readonly maxConnections?: number;
   /** Called on each change of the directory. */
   readonly onChange: (peer: PeerInfo, change: PeerChange | "lost") => void;
 }
 
-/** A connection that another gateway opened. */
-interface AcceptedConnection {
-  readonly socket: Socket;
-  /** Ends the reading of messages there. */
-  readonly stopReading: () => void;
-}
-
 /** The links to all other gateways. */
 export class PeerLinks {
   readonly #dependencies: PeerLinksDependencies;
   readonly #channels = new Map<string, PeerChannel>();
   /** The connection on which each channel's peer has last responded. */
   readonly #greeted = new WeakMap<PeerChannel, number>();
-  readonly #server: Server;
-  readonly #acceptedSockets = new Set<Socket>();
+  readonly #server: FrameServer;
+  readonly #closures: ClosureReports;
 
   constructor(dependencies: PeerLinksDependencies) {
     this.#dependencies = dependencies;
-    this.#server = createServer({ noDelay: true }, (socket) => {
-      this.#acceptedSockets.add(socket);
-      socket.on("close", () => this.#acceptedSockets.delete(socket));
-      const stopReading = readFrames(
-        socket,
-        (frame) => void this.#handleFrame({ socket, stopReading }, frame),
-      );
+    const { log, maxConnections } = dependencies;
+    this.#closures = new ClosureReports((report) =>
+      log.write(EVENTS.ConnectionsClosed, { ...report })
+    );
+    this.#server = new FrameServer({
+      handleFrame: (connection, frame) =>
+        void this.#handleFrame(connection, frame),
+      reportClosed: (reason) => this.#reportClosed(reason),
+      ...(maxConnections === undefined ? {} : { maxConnections }),
     });
   }
 
   /** Listens; rejects when the address can't be used. */
   serve({ host, port }: Address): Promise<void> {
-    return serveAt(this.#server, { host, port });
+    return this.#server.serve({ host, port });
   }
 
   /**
@@ -175,19 +172,18 @@
 
   close(): void {
     this.#server.close();
-    for (const socket of this.#acceptedSockets) socket.destroy();
     for (const channel of this.#channels.values()) channel.close();
   }
 
   async #handleFrame(
-    { socket, stopReading }: AcceptedConnection,
+    connection: FrameConnection,
     { id, body }: Frame,
   ): Promise<void> {
     const { relay, getSelf, handleMessage, log } = this.#dependencies;
     const parsed = parseEnvelope(body);
     if (parsed.isErr()) {
       log.write(EVENTS.PeerMessageUnreadable, { detail: parsed.error });
-      socket.destroy();
+      connection.socket.destroy();
       return;
     }
     if (parsed.value.kind === "unknown") {
@@ -196,26 +192,33 @@
       log.write(EVENTS.PeerMessageUnreadable, { detail, peer: peer.vmId });
       // Other calls share the connection, so it stays open.
       const response = { from: getSelf(), error: detail };
-      return writeFrame(socket, { id, body: response });
+      return connection.write({ id, body: response });
     }
     const { from, message } = parsed.value.envelope;
     this.#recordContact(from);
     switch (message.kind) {
       case "open_path":
-        stopReading();
-        return await relay.serve(socket, message, (path) => {
-          writeFrame(socket, { id, body: { from: getSelf(), path } });
+        connection.stopReading();
+        return await relay.serve(connection.socket, message, (path) => {
+          connection.write({ id, body: { from: getSelf(), path } });
         });
       case "share_leaving":
         relay.recordLeaving(message);
-        return writeFrame(socket, { id, body: { from: getSelf() } });
+        return connection.write({ id, body: { from: getSelf() } });
       default: {
         const response = await handleMessage({ from, message });
-        writeFrame(socket, { id, body: response });
+        connection.write({ id, body: response });
       }
     }
   }
 
+  #reportClosed(reason: FrameServerClosure): void {
+    const { metrics, getSelf } = this.#dependencies;
+    metrics.add("connections_closed");
+    const { host, port } = getSelf();
+    this.#closures.record(reason, `${host}:${port}`);
+  }
+
   #recordContact(info: PeerInfo): void {
     const change = this.#dependencies.directory.set(info);
     if (change === "none") return;
--- a/packages/turns/src/disk/disk_server.ts
+++ b/packages/turns/src/disk/disk_server.ts
@@ -1,12 +1,12 @@
 /**
  * Listens for the messages of gateways and other disks.
  */
-import { createServer, type Server, type Socket } from "node:net";
 import {
   type Frame,
-  readFrames,
-  serveAt,
-  writeFrame,
+  type FrameConnection,
+  FrameServer,
+  type FrameServerClosure,
+  type ServeAddress,
 } from "@camphorlock/channel";
 import type { DiskMessage, DiskResponse } from "../messages.ts";
 
@@ -15,33 +15,36 @@
 
 /** The server of one disk. */
 export class DiskServer {
-  readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #server: FrameServer;
   readonly #handleMessage: HandleDiskMessage;
 
-  constructor(handleMessage: HandleDiskMessage) {
+  /** `reportClosed` is called for each connection that's closed for others. */
+  constructor(
+    handleMessage: HandleDiskMessage,
+    reportClosed: (reason: FrameServerClosure) => void,
+  ) {
     this.#handleMessage = handleMessage;
-    this.#server = createServer({ noDelay: true }, (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-      readFrames(socket, (frame) => void this.#handleFrame(socket, frame));
+    this.#server = new FrameServer({
+      handleFrame: (connection, frame) =>
+        void this.#handleFrame(connection, frame),
+      reportClosed,
     });
   }
 
   /** Listens; rejects when the address can't be used. */
-  serve(
-    { host, port }: { readonly host: string; readonly port: number },
-  ): Promise<void> {
-    return serveAt(this.#server, { host, port });
+  serve({ host, port }: ServeAddress): Promise<void> {
+    return this.#server.serve({ host, port });
   }
 
   close(): void {
     this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
   }
 
-  async #handleFrame(socket: Socket, { id, body }: Frame): Promise<void> {
+  async #handleFrame(
+    connection: FrameConnection,
+    { id, body }: Frame,
+  ): Promise<void> {
     const response = await this.#handleMessage(body as DiskMessage);
-    writeFrame(socket, { id, body: response });
+    connection.write({ id, body: response });
   }
 }
--- a/packages/turns/src/disk/turn_disk_process.ts
+++ b/packages/turns/src/disk/turn_disk_process.ts
@@ -1,7 +1,7 @@
 /**
  * Builds the parts that keep turns on one disk and runs them.
  */
-import { serveWhenFree } from "@camphorlock/channel";
+import { ClosureReports, serveWhenFree } from "@camphorlock/channel";
 import { EVENTS } from "@camphorlock/codes/events";
 import { type FactAnswer, FactCopier } from "@camphorlock/facts";
 import type { TimerService } from "@camphorlock/scheduler/timers";
@@ -127,7 +127,14 @@
       identity,
     );
     this.#facts = this.#createFactCopier();
-    this.#server = new DiskServer((message) => this.#handleMessage(message));
+    const { log, place: { host, port } } = options;
+    const closures = new ClosureReports((report) =>
+      log.write(EVENTS.ConnectionsClosed, { ...report })
+    );
+    this.#server = new DiskServer(
+      (message) => this.#handleMessage(message),
+      (reason) => closures.record(reason, `${host}:${port}`),
+    );
   }
 
   /** Listens and joins the other disks; rejects if the address stays in use. */
