Parse a request and its small body in one slice

Cost of: each request was parsed in two slices, one for its head and one for its body, went through a heap and three clock readings, and its connection through another heap.

What follows an empty line now stays in the same slice if it can't end another head. Input that needs no wait doesn't enter the queue, the scheduler alone reads the clock, and the order of waiting connections is looked up when one has to close instead of being kept. An error in a slice doesn't stop the scheduler any more: it left `#isScheduled` set, so that nothing else would have been parsed.

New tests: odd requests (tunnels, upgrades, unknown expectations, TLS and HTTP/2 prefaces, heads beyond the limit) end their connection alone.

--- a/packages/gateway/src/decisions/address_shares.ts
+++ b/packages/gateway/src/decisions/address_shares.ts
@@ -7,52 +7,60 @@
  * places to others, by a dynamic threshold: it may run a multiple of what's
  * free. Clients behind one address share its part.
  */
-import { IndexedHeap } from "../queue/indexed_heap.ts";
-
 /** How many times the free places one address may take: 8 of 9 if it's alone. */
 const FREE_MULTIPLE = 8;
 
-interface AddressGroup<Connection> {
-  readonly address: string;
-  /** With the order in which they began to wait, the longest wait first. */
-  readonly waiting: Map<Connection, number>;
-}
-
 /** The connections that may be closed for others. */
 export class WaitingConnections<Connection extends object> {
-  readonly #groups = new Map<string, AddressGroup<Connection>>();
-  readonly #byConnection = new Map<Connection, AddressGroup<Connection>>();
-  readonly #order = new IndexedHeap<AddressGroup<Connection>>(compareGroups);
+  /**
+   * By address, with the order in which they began to wait, the longest wait
+   * first.
+   */
+  readonly #byAddress = new Map<string, Map<Connection, number>>();
+  readonly #addresses = new Map<Connection, string>();
   #sequence = 0;
 
   /** Adds a connection, or moves it behind all that wait already. */
   add(connection: Connection, address: string): void {
     this.remove(connection);
-    const group = this.#groups.get(address) ?? { address, waiting: new Map() };
-    this.#groups.set(address, group);
-    this.#byConnection.set(connection, group);
-    this.#order.remove(group);
-    group.waiting.set(connection, this.#sequence += 1);
-    this.#order.add(group);
+    const waiting = this.#byAddress.get(address) ?? new Map();
+    this.#byAddress.set(address, waiting);
+    waiting.set(connection, this.#sequence += 1);
+    this.#addresses.set(connection, address);
   }
 
   has(connection: Connection): boolean {
-    return this.#byConnection.has(connection);
+    return this.#addresses.has(connection);
   }
 
   remove(connection: Connection): void {
-    const group = this.#byConnection.get(connection);
-    if (group === undefined) return;
-    this.#byConnection.delete(connection);
-    this.#order.remove(group);
-    group.waiting.delete(connection);
-    if (group.waiting.size > 0) this.#order.add(group);
-    else this.#groups.delete(group.address);
+    const address = this.#addresses.get(connection);
+    if (address === undefined) return;
+    this.#addresses.delete(connection);
+    const waiting = this.#byAddress.get(address);
+    waiting?.delete(connection);
+    if (waiting?.size === 0) this.#byAddress.delete(address);
   }
 
-  /** Finds the longest wait at the address that has the most. */
+  /**
+   * Finds the longest wait at the address that has the most. Looks at each
+   * address, of which there are at most as many as connections.
+   */
   findExcess(): Connection | undefined {
-    return this.#order.first?.waiting.keys().next().value;
+    let found: Connection | undefined;
+    let most = 0;
+    let earliest = 0;
+    for (const waiting of this.#byAddress.values()) {
+      if (waiting.size < most) continue;
+      const [first] = waiting;
+      if (first === undefined) continue;
+      const [connection, sequence] = first;
+      if (waiting.size === most && sequence > earliest) continue;
+      found = connection;
+      most = waiting.size;
+      earliest = sequence;
+    }
+    return found;
   }
 }
 
@@ -89,16 +97,3 @@
     else this.#byAddress.delete(address);
   }
 }
-
-/** Orders by the number of connections, then by the longest wait. */
-function compareGroups<Connection>(
-  left: AddressGroup<Connection>,
-  right: AddressGroup<Connection>,
-): number {
-  return right.waiting.size - left.waiting.size ||
-    getLongest(left) - getLongest(right);
-}
-
-function getLongest<Connection>({ waiting }: AddressGroup<Connection>): number {
-  return waiting.values().next().value ?? Number.POSITIVE_INFINITY;
-}
--- a/packages/gateway/src/decisions/message_slicer.ts
+++ b/packages/gateway/src/decisions/message_slicer.ts
@@ -1,11 +1,12 @@
 /**
  * Cuts what a connection sends into slices for the HTTP parser, none of which
- * contains the beginning of a second request.
+ * completes the heads of two requests.
  *
  * The load: hundreds of requests in one read, which the parser hands over all at
  * once, each with its objects and its response. A head and a chunked body end
- * with an empty line, a body with a length after so many bytes. An empty line
- * inside a chunked body only makes the slices smaller.
+ * with an empty line, a body with a length after so many bytes. What follows an
+ * empty line is in the same slice if it can't end another head. An empty line
+ * inside a body only makes the slices smaller.
  */
 
 const EMPTY_LINE = Buffer.from("\r\n\r\n");
@@ -22,12 +23,18 @@
   #framing: Framing = { kind: "lines" };
   /** How many bytes of an empty line the last slice ended with. */
   #matchedBytes = 0;
+  /** Bytes of the last slice behind its first empty line. */
+  #bytesBehindHead = 0;
 
-  /** Begins the body of a request, of a known length in bytes or in chunks. */
+  /**
+   * Begins the body of a request whose head ended in the last slice; of a known
+   * length in bytes, or in chunks.
+   */
   startBody(lengthBytes: number | undefined): void {
-    this.#framing = lengthBytes === undefined
-      ? { kind: "lines" }
-      : { kind: "length", leftBytes: lengthBytes };
+    this.#framing = lengthBytes === undefined ? { kind: "lines" } : {
+      kind: "length",
+      leftBytes: Math.max(0, lengthBytes - this.#bytesBehindHead),
+    };
   }
 
   /** Begins the head of the next request. */
@@ -39,15 +46,25 @@
   takeSlice(input: Buffer, maxBytes: number): number {
     const limitBytes = Math.min(input.length, maxBytes);
     const framing = this.#framing;
+    this.#bytesBehindHead = 0;
     if (framing.kind === "length" && framing.leftBytes > 0) {
       const bytes = Math.min(limitBytes, framing.leftBytes);
       framing.leftBytes -= bytes;
+      this.#matchedBytes = 0;
       return bytes;
     }
     const slice = input.subarray(0, limitBytes);
     const end = this.#findEmptyLine(slice);
-    this.#matchedBytes = end === undefined ? this.#countMatched(slice) : 0;
-    return end ?? limitBytes;
+    // A second empty line may end another head.
+    if (end !== undefined && slice.includes(EMPTY_LINE, end)) {
+      this.#matchedBytes = 0;
+      return end;
+    }
+    this.#bytesBehindHead = limitBytes - (end ?? limitBytes);
+    this.#matchedBytes = end === undefined
+      ? this.#countMatched(slice)
+      : this.#countMatchedAfter(slice, end);
+    return limitBytes;
   }
 
   /** Finds the end of the first empty line, which may have begun earlier. */
@@ -61,6 +78,11 @@
     return at < 0 ? undefined : at + EMPTY_LINE.length;
   }
 
+  #countMatchedAfter(slice: Buffer, end: number): number {
+    this.#matchedBytes = 0;
+    return this.#countMatched(slice.subarray(end));
+  }
+
   /** Counts how many bytes of an empty line the input now ends with. */
   #countMatched(input: Buffer): number {
     const last = input.at(-1);
--- a/packages/gateway/src/front/caller_socket.ts
+++ b/packages/gateway/src/front/caller_socket.ts
@@ -85,15 +85,23 @@
     if (!this.canParse) return;
     const bytes = this.#slicer.takeSlice(this.#input, this.#sliceBytes);
     const slice = this.#input.subarray(0, bytes);
-    this.#input = this.#input.subarray(bytes);
-    if (this.#input.length === 0) this.#input = NOTHING;
-    const startedAtMs = performance.now();
+    // An empty view would keep what was read.
+    this.#input = bytes === this.#input.length
+      ? NOTHING
+      : this.#input.subarray(bytes);
     this.#isWanted = this.push(slice);
-    this.#updateSliceBytes(performance.now() - startedAtMs);
     this.#updateReading();
     this.#endInput();
   }
 
+  /** Makes the slices of costly input smaller, and those of cheap input larger. */
+  recordCost(costMs: number): void {
+    if (costMs > SLICE_MS) this.#sliceBytes = MIN_SLICE_BYTES;
+    else if (costMs < SLICE_MS / 2) {
+      this.#sliceBytes = Math.min(this.#sliceBytes * 2, MAX_SLICE_BYTES);
+    }
+  }
+
   /** Holds further requests back until a request's response has ended. */
   startRequest(request: IncomingMessage, response: ServerResponse): void {
     const { headers } = request;
@@ -194,13 +202,6 @@
     if (this.#hasInputEnded && this.#input.length === 0) this.push(null);
   }
 
-  #updateSliceBytes(costMs: number): void {
-    if (costMs > SLICE_MS) this.#sliceBytes = MIN_SLICE_BYTES;
-    else if (costMs < SLICE_MS / 2) {
-      this.#sliceBytes = Math.min(this.#sliceBytes * 2, MAX_SLICE_BYTES);
-    }
-  }
-
   /** Reads from the socket only while nothing that was read waits. */
   #updateReading(): void {
     const isReading = this.#dropBytes === undefined
--- a/packages/gateway/src/front/caller_socket_test.ts
+++ b/packages/gateway/src/front/caller_socket_test.ts
@@ -150,6 +150,58 @@
     expect(urls).to.have.length(1);
   });
 
+  // Node.js treats a connection of these kinds in ways of its own.
+  for (
+    const [name, text] of Object.entries({
+      "a tunnel": "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+      "no method": "\x16\x03\x01\x02\x00\x01\x00\x01\r\n\r\n",
+      "another version": "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+      "an unknown expectation":
+        "GET / HTTP/1.1\r\nHost: a\r\nExpect: b\r\nConnection: close\r\n\r\n",
+      "an upgrade":
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, close\r\n" +
+        "Upgrade: b\r\n\r\n",
+      "a length and chunks":
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "a head beyond its limit": `GET / HTTP/1.1\r\nHost: a\r\na: ${
+        "b".repeat(20_000)
+      }\r\n\r\n`,
+    })
+  ) {
+    it(`ends after a request with ${name}, and others are served`, async () => {
+      const socket = call();
+      const ended = read(socket, () => false);
+      socket.write(text);
+      await ended;
+      const closed = new Promise((resolve) => socket.once("close", resolve));
+      socket.end();
+      await closed;
+      const other = call();
+      other.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+      await read(other, (received) => countResponses(received) === 1);
+      other.destroy();
+    });
+  }
+
+  it("continues a body for a caller that asks to", async () => {
+    const socket = call();
+    let received = "";
+    socket.on("data", (bytes) => received += String(bytes));
+    socket.write(
+      "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n" +
+        "Content-Length: 3\r\n\r\n",
+    );
+    while (!received.includes("100 Continue")) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    socket.write("abc");
+    while (countResponses(received) === 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    socket.destroy();
+  });
+
   it("reports a caller that leaves while its request runs", async () => {
     const socket = call();
     const closed = new Promise((resolve) => {
--- a/packages/gateway/src/front/input_scheduler.ts
+++ b/packages/gateway/src/front/input_scheduler.ts
@@ -23,6 +23,8 @@
   readonly canParse: boolean;
   /** Parses a slice of the input. */
   parseSlice(): void;
+  /** Reports the time that the last slice took. */
+  recordCost(costMs: number): void;
 }
 
 /** Input that waits for another iteration of the event loop. */
@@ -39,6 +41,8 @@
   readonly #queue = new InputQueue<InputSource>();
   #usedMs = 0;
   #usedSinceMs = 0;
+  /** Whether a slice is being parsed; what it causes waits for its end. */
+  #isRunning = false;
   #isScheduled = false;
   #costliest: InputSource | undefined;
   #highestCostMs = 0;
@@ -51,10 +55,18 @@
   /** Parses a connection's input now or in a later iteration. */
   schedule(source: InputSource): void {
     if (!source.canParse) return;
+    const isWaiting = this.#isRunning || this.#isScheduled;
+    if (isWaiting) return this.#queue.add(source);
     const nowMs = performance.now();
     if (nowMs - this.#usedSinceMs >= RENEWAL_MS) this.#resetUse(nowMs);
-    this.#queue.add(source);
-    if (this.#queue.size === 1 && !this.#isScheduled) this.#run();
+    this.#isRunning = true;
+    try {
+      while (source.canParse && this.#hasTime) this.#runSlice(source);
+    } finally {
+      if (source.canParse) this.#queue.add(source);
+      this.#isRunning = false;
+      this.#scheduleQueue();
+    }
   }
 
   /** Drops the input of a connection that closed. */
@@ -62,31 +74,39 @@
     this.#queue.remove(source);
   }
 
-  #run(): void {
-    // Not called again by what a slice causes.
-    this.#isScheduled = true;
-    while (this.#usedMs < ITERATION_MS) {
-      const source = this.#queue.takeNext();
-      if (source === undefined) {
-        this.#isScheduled = false;
-        return;
-      }
-      this.#runSlice(source);
-    }
-    if (this.#queue.size === 0) {
-      this.#isScheduled = false;
-      return;
-    }
+  get #hasTime(): boolean {
+    return this.#usedMs < ITERATION_MS;
+  }
+
+  #scheduleQueue(): void {
+    this.#isScheduled = this.#queue.size > 0;
+    if (!this.#isScheduled) return;
     this.#reportDelay({
       waiting: this.#queue.size,
       costliest: this.#costliest,
     });
     setImmediate(() => {
       this.#resetUse(performance.now());
-      this.#run();
+      this.#runQueue();
     });
   }
 
+  /** Parses what waits, as far as there's time. */
+  #runQueue(): void {
+    this.#isRunning = true;
+    try {
+      while (this.#hasTime) {
+        const source = this.#queue.takeNext();
+        if (source === undefined) break;
+        this.#runSlice(source);
+        if (source.canParse) this.#queue.add(source);
+      }
+    } finally {
+      this.#isRunning = false;
+      this.#scheduleQueue();
+    }
+  }
+
   #runSlice(source: InputSource): void {
     const startedAtMs = performance.now();
     source.parseSlice();
@@ -97,7 +117,7 @@
       this.#costliest = source;
     }
     this.#queue.recordCost(source, costMs);
-    if (source.canParse) this.#queue.add(source);
+    source.recordCost(costMs);
   }
 
   #resetUse(nowMs: number): void {
