Hold less for large responses that wait

Cause: a large response of known length was copied into a buffer of its own, so that the reads it came in and the copy waited for collection at the same time, and the young generation of the heap grew to three times 16 MB, in which large buffers count for little.

Responses from 64 KB on are now forwarded in the pieces in which they were read.

--- a/packages/gateway/src/exchange/buffered_attempt.ts
+++ b/packages/gateway/src/exchange/buffered_attempt.ts
@@ -21,7 +21,8 @@
   readonly kind: "answered";
   readonly status: number;
   readonly headers: ResponseHeaders;
-  readonly body: Uint8Array;
+  /** The body, in the pieces in which it's held. */
+  readonly pieces: readonly Uint8Array[];
   /** Whether the connection carried an earlier exchange. */
   readonly isReused: boolean;
 }
--- a/packages/gateway/src/exchange/caller_exchange.ts
+++ b/packages/gateway/src/exchange/caller_exchange.ts
@@ -149,20 +149,21 @@
    */
   sendResponse(
     { status, headers }: ResponseHead,
-    body: Uint8Array,
+    pieces: readonly Uint8Array[],
     isDelimited: boolean,
   ): void {
     if (this.#isDisconnected) return;
     this.#setConnectionHeader();
-    const isMarked = isDelimited || body.length > MAX_UNMARKED_BYTES;
+    const bytes = pieces.reduce((sum, piece) => sum + piece.length, 0);
+    const isMarked = isDelimited || bytes > MAX_UNMARKED_BYTES;
     if (!isMarked) {
       this.#response.setHeader("connection", "close");
       this.#response.useChunkedEncodingByDefault = false;
     }
     const hasLength = isMarked && hasBody(this.request.method, status);
-    const length = hasLength ? { "content-length": String(body.length) } : {};
+    const length = hasLength ? { "content-length": String(bytes) } : {};
     this.#response.writeHead(status, { ...headers, ...length });
-    writeBody(this.#response, body, {
+    writeBody(this.#response, pieces, {
       share: this.share,
       waits: this.#waits,
     });
--- a/packages/gateway/src/exchange/request_end.ts
+++ b/packages/gateway/src/exchange/request_end.ts
@@ -76,7 +76,7 @@
 export function sendResponse(
   { codec }: Pick<ExchangeDependencies, "codec">,
   { caller }: Pick<AcceptedRequest, "caller">,
-  { status, headers, body }: TargetResponse,
+  { status, headers, pieces }: TargetResponse,
 ): RequestOutcome {
   if (caller.hasSentHead) {
     return {
@@ -86,7 +86,7 @@
     };
   }
   const head = { status, headers: codec.encodeResponseHeaders(headers) };
-  caller.sendResponse(head, body, isDelimited(status, headers));
+  caller.sendResponse(head, pieces, isDelimited(status, headers));
   return { kind: "completed", status };
 }
 
--- a/packages/gateway/src/exchange/response_writer.ts
+++ b/packages/gateway/src/exchange/response_writer.ts
@@ -5,9 +5,9 @@
 import type { ByteShare } from "../decisions/byte_budget.ts";
 import type { CallerWaits } from "../decisions/caller_waits.ts";
 
-/** Bytes that are written at once; progress is seen between two pieces. */
-const PIECE_BYTES = 262_144;
-/** A caller that takes no piece for this long has stopped reading. */
+/** Bytes that are written at once; progress is seen between two parts. */
+const PART_BYTES = 262_144;
+/** A caller that takes no part for this long has stopped reading. */
 const STALL_MS = 10_000;
 
 /** What the writing of a body uses. */
@@ -17,17 +17,20 @@
 }
 
 /**
- * Writes a body piece by piece, and destroys the connection if that stalls, or
- * if others need the memory and the caller doesn't read.
+ * Writes a body part by part, and destroys the connection if that stalls, or if
+ * others need the memory and the caller doesn't read.
  */
 export function writeBody(
   response: ServerResponse,
-  body: Uint8Array,
+  pieces: readonly Uint8Array[],
   { share, waits }: WriteOptions,
 ): void {
   if (response.socket === null) {
     // An earlier response of the connection hasn't ended.
-    response.once("socket", () => writeBody(response, body, { share, waits }));
+    response.once(
+      "socket",
+      () => writeBody(response, pieces, { share, waits }),
+    );
     return;
   }
   const timer = setTimeout(() => response.destroy(), STALL_MS);
@@ -39,15 +42,41 @@
     clearTimeout(timer);
     wait.end();
   });
-  let offset = 0;
+  const parts = splitParts(pieces);
   const writeNext = (): void => {
     if (response.destroyed) return;
     timer.refresh();
-    if (offset > 0) wait.recordProgress(PIECE_BYTES, performance.now());
-    const piece = body.subarray(offset, offset + PIECE_BYTES);
-    offset += piece.length;
-    if (offset < body.length) response.write(piece, writeNext);
-    else response.end(piece);
+    const part = parts.shift() ?? [];
+    const last = part.pop();
+    response.cork();
+    for (const piece of part) response.write(piece);
+    if (parts.length > 0) {
+      response.write(last, () => {
+        wait.recordProgress(PART_BYTES, performance.now());
+        writeNext();
+      });
+    } else response.end(last);
+    response.uncork();
   };
   writeNext();
 }
+
+/** Splits the pieces of a body into parts of `PART_BYTES`, but for the last. */
+function splitParts(pieces: readonly Uint8Array[]): Uint8Array[][] {
+  const parts: Uint8Array[][] = [];
+  let leftBytes = 0;
+  for (const piece of pieces) {
+    let offset = 0;
+    while (offset < piece.length) {
+      if (leftBytes === 0) {
+        parts.push([]);
+        leftBytes = PART_BYTES;
+      }
+      const slice = piece.subarray(offset, offset + leftBytes);
+      parts.at(-1)?.push(slice);
+      offset += slice.length;
+      leftBytes -= slice.length;
+    }
+  }
+  return parts;
+}
--- a/packages/gateway/src/exchange/response_writer_test.ts
+++ b/packages/gateway/src/exchange/response_writer_test.ts
@@ -23,7 +23,7 @@
       const body = name === "large" ? LARGE : Buffer.from(name);
       const write = () => {
         response.writeHead(200, { "content-length": body.length });
-        writeBody(response, body, { share, waits });
+        writeBody(response, [body], { share, waits });
       };
       if (name === "late") setTimeout(write, 50);
       else write();
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -173,7 +173,7 @@
       kind: "answered",
       status: this.#status,
       headers: this.#headers,
-      body: this.#buffered.view(),
+      pieces: this.#buffered.listPieces(),
       isReused: this.#exchange?.isReused ?? false,
     }, this.#options) as TargetResponse | FailedAttempt;
   }
--- a/packages/http/src/buffered_response.ts
+++ b/packages/http/src/buffered_response.ts
@@ -11,13 +11,21 @@
   ResponseReceiver,
 } from "./peer_connection.ts";
 
+/**
+ * Shortest body that is kept in the pieces in which it arrives: many copies of
+ * large ones wait for collection at the same time.
+ */
+const PIECES_BYTES = 65_536;
+
 /** A complete response, or the reason for its absence. */
 export type BufferedResponse =
   | {
     readonly kind: "answered";
     readonly status: number;
     readonly headers: PeerHeaders;
+    /** The body as one buffer; a copy where there are several pieces. */
     readonly body: Uint8Array;
+    readonly pieces: readonly Uint8Array[];
     /** Whether the connection carried an earlier exchange. */
     readonly isReused: boolean;
   }
@@ -74,8 +82,9 @@
   #exchange: Exchange | undefined;
   #timer: NodeJS.Timeout | undefined;
   #bytes = 0;
-  /** Allocated at once where the length is known. */
+  /** Allocated at once where the length is known, and small. */
   #buffer: Uint8Array | undefined;
+  #isLengthReserved = false;
   #status = 0;
   #headers: PeerHeaders = {};
 
@@ -117,9 +126,11 @@
       return this.#endEarly("the response exceeds the size limit");
     }
     if (length === 0 || this.#limits.isDropping?.() === true) return;
+    this.#isLengthReserved = true;
     this.#reserve(length, () => {
       // What arrived during the wait is kept where it is.
-      if (this.#bytes === 0) this.#buffer = Buffer.allocUnsafe(length);
+      const isKept = this.#bytes > 0 || length >= PIECES_BYTES;
+      if (!isKept) this.#buffer = Buffer.allocUnsafe(length);
     });
   }
 
@@ -136,7 +147,7 @@
     }
     const growth = this.#received.computeGrowth(chunk);
     this.#received.append(chunk);
-    if (growth > 0) this.#reserve(growth, () => {});
+    if (growth > 0 && !this.#isLengthReserved) this.#reserve(growth, () => {});
   }
 
   #resetBody(): void {
@@ -171,12 +182,20 @@
 
   #buildResponse(end: ExchangeEnd): BufferedResponse {
     if (end.kind !== "ended") return end;
+    const pieces = this.#buffer === undefined
+      ? this.#received.listPieces()
+      : [this.#buffer.subarray(0, this.#bytes)];
     return {
       kind: "answered",
       status: this.#status,
       headers: this.#headers,
-      body: this.#buffer?.subarray(0, this.#bytes) ??
-        this.#received.view(),
+      get body() {
+        const [only] = pieces;
+        return pieces.length === 1 && only !== undefined
+          ? only
+          : Buffer.concat(pieces);
+      },
+      pieces,
       isReused: this.#exchange?.isReused ?? false,
     };
   }
--- a/packages/http/src/growing_buffer.ts
+++ b/packages/http/src/growing_buffer.ts
@@ -87,6 +87,12 @@
       : Buffer.concat([...this.#blocks, last]);
   }
 
+  /** Lists the content in the pieces in which it's held, none of them empty. */
+  listPieces(): Uint8Array[] {
+    const last = this.#last.subarray(0, this.#used);
+    return last.length === 0 ? [...this.#blocks] : [...this.#blocks, last];
+  }
+
   /** Drops the content; views of it stay valid. */
   reset(): void {
     this.#blocks = [];
