Test responses in pieces, and say what a slice completes

The response in pieces had no test of its own; the cases pass across the bounds of what is written at once, and for an empty body.

--- a/packages/gateway/src/decisions/address_shares.ts
+++ b/packages/gateway/src/decisions/address_shares.ts
@@ -7,6 +7,7 @@
  * places to others, by a dynamic threshold: it may run a multiple of what's
  * free. Clients behind one address share its part.
  */
+
 /** How many times the free places one address may take: 8 of 9 if it's alone. */
 const FREE_MULTIPLE = 8;
 
--- a/packages/gateway/src/decisions/connection_table.ts
+++ b/packages/gateway/src/decisions/connection_table.ts
@@ -34,8 +34,8 @@
 /** Share of the running requests that streams leave to others. */
 const SHORT_SHARE = 0.125;
 /**
- * Requests that a connection may send before the first is answered. Each is
- * held and run at once; common clients send one, few more than ten.
+ * Requests that a connection may have without a response, where a listener reads
+ * several at once; common clients send one, few more than ten.
  */
 const MAX_UNANSWERED = 32;
 
--- a/packages/gateway/src/decisions/message_slicer.ts
+++ b/packages/gateway/src/decisions/message_slicer.ts
@@ -62,8 +62,8 @@
     }
     this.#bytesBehindHead = limitBytes - (end ?? limitBytes);
     this.#matchedBytes = end === undefined
-      ? this.#countMatched(slice)
-      : this.#countMatchedAfter(slice, end);
+      ? countMatched(slice, this.#matchedBytes)
+      : countMatched(slice.subarray(end), 0);
     return limitBytes;
   }
 
@@ -77,25 +77,23 @@
     const at = input.indexOf(EMPTY_LINE);
     return at < 0 ? undefined : at + EMPTY_LINE.length;
   }
+}
 
-  #countMatchedAfter(slice: Buffer, end: number): number {
-    this.#matchedBytes = 0;
-    return this.#countMatched(slice.subarray(end));
-  }
-
-  /** Counts how many bytes of an empty line the input now ends with. */
-  #countMatched(input: Buffer): number {
-    const last = input.at(-1);
-    if (last !== CARRIAGE_RETURN && last !== LINE_FEED) return 0;
-    const tail = Buffer.concat([
-      EMPTY_LINE.subarray(0, this.#matchedBytes),
-      input.subarray(-EMPTY_LINE.length),
-    ]);
-    for (let count = EMPTY_LINE.length - 1; count > 0; count -= 1) {
-      if (tail.subarray(-count).equals(EMPTY_LINE.subarray(0, count))) {
-        return count;
-      }
+/**
+ * Counts how many bytes of an empty line input ends with, of which there were
+ * some before it.
+ */
+function countMatched(input: Buffer, matchedBytes: number): number {
+  const last = input.at(-1);
+  if (last !== CARRIAGE_RETURN && last !== LINE_FEED) return 0;
+  const tail = Buffer.concat([
+    EMPTY_LINE.subarray(0, matchedBytes),
+    input.subarray(-EMPTY_LINE.length),
+  ]);
+  for (let count = EMPTY_LINE.length - 1; count > 0; count -= 1) {
+    if (tail.subarray(-count).equals(EMPTY_LINE.subarray(0, count))) {
+      return count;
     }
-    return 0;
   }
+  return 0;
 }
--- a/packages/gateway/src/exchange/response_writer_test.ts
+++ b/packages/gateway/src/exchange/response_writer_test.ts
@@ -20,10 +20,11 @@
       const share = budget.open();
       share.reserve(1_000);
       response.once("close", () => share.close());
-      const body = name === "large" ? LARGE : Buffer.from(name);
+      const pieces = findPieces(name);
       const write = () => {
-        response.writeHead(200, { "content-length": body.length });
-        writeBody(response, [body], { share, waits });
+        const length = Buffer.concat(pieces).length;
+        response.writeHead(200, { "content-length": length });
+        writeBody(response, pieces, { share, waits });
       };
       if (name === "late") setTimeout(write, 50);
       else write();
@@ -45,6 +46,21 @@
     return socket;
   }
 
+  for (const name of ["large", "pieces", "empty"]) {
+    it(`is complete and in order: ${name}`, async () => {
+      const socket = open();
+      let received = Buffer.alloc(0);
+      socket.on("data", (bytes) => received = Buffer.concat([received, bytes]));
+      socket.write(
+        `GET /${name} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n`,
+      );
+      await new Promise((resolve) => socket.once("end", resolve));
+      const body = received.subarray(received.indexOf("\r\n\r\n") + 4);
+      expect(body.equals(Buffer.concat(findPieces(name)))).to.equal(true);
+      expect(waits.size).to.equal(0);
+    });
+  }
+
   // The time in which a caller must read ran while its connection still waited
   // for an earlier response.
   it("waits for the earlier ones of its connection before it counts as unread", async () => {
@@ -76,6 +92,23 @@
   });
 });
 
+/** The pieces of the response to a request by name. */
+function findPieces(name: string): readonly Buffer[] {
+  switch (name) {
+    case "large":
+      return [LARGE];
+    case "empty":
+      return [];
+    case "pieces":
+      // Across the bounds of what is written at once.
+      return [1, 262_143, 262_144, 65_536, 300_000, 2].map((length, at) =>
+        Buffer.alloc(length, 97 + at)
+      );
+    default:
+      return [Buffer.from(name)];
+  }
+}
+
 function waitFor(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
