Allow the unread responses of a start of all processes

After a start of all processes, dozens of gateways ask one for lists of some hundred kilobytes at the same time; where links are slow, the one with the most unread would have lost its list and asked again. Not seen: found on reading.

--- a/packages/channel/src/frame_server.ts
+++ b/packages/channel/src/frame_server.ts
@@ -18,11 +18,13 @@
 
 /** Default bound on connections; an installation has a few hundred processes. */
 const MAX_CONNECTIONS = 1_024;
+/** Default bound on incomplete lines: the longest one, and some of common size. */
+const MAX_INCOMPLETE_BYTES = 1.25 * MAX_LINE_BYTES;
 /**
- * Default bound on incomplete lines, and on unread responses: the longest line,
- * and as much as most processes send at the same time.
+ * Default bound on unread responses: after a start of all processes, dozens ask
+ * one of them for lists of some hundred kilobytes at the same time.
  */
-const MAX_HELD_BYTES = 1.25 * MAX_LINE_BYTES;
+const MAX_UNREAD_BYTES = 4 * MAX_LINE_BYTES;
 const LINE_FEED = 10;
 
 /** Why a connection was closed. */
@@ -46,7 +48,10 @@
   /** Called for each connection that is closed for others. */
   readonly reportClosed?: (reason: FrameServerClosure) => void;
   readonly maxConnections?: number;
-  readonly maxHeldBytes?: number;
+  /** Bytes of the lines that aren't complete, of all connections. */
+  readonly maxIncompleteBytes?: number;
+  /** Bytes of the responses that aren't read, of all connections. */
+  readonly maxUnreadBytes?: number;
 }
 
 interface ConnectionEntry {
@@ -58,7 +63,8 @@
 export class FrameServer {
   readonly #options: FrameServerOptions;
   readonly #maxConnections: number;
-  readonly #maxHeldBytes: number;
+  readonly #maxIncompleteBytes: number;
+  readonly #maxUnreadBytes: number;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   /** Those that are read; the longest time without a frame first. */
@@ -68,7 +74,9 @@
   constructor(options: FrameServerOptions) {
     this.#options = options;
     this.#maxConnections = options.maxConnections ?? MAX_CONNECTIONS;
-    this.#maxHeldBytes = options.maxHeldBytes ?? MAX_HELD_BYTES;
+    this.#maxIncompleteBytes = options.maxIncompleteBytes ??
+      MAX_INCOMPLETE_BYTES;
+    this.#maxUnreadBytes = options.maxUnreadBytes ?? MAX_UNREAD_BYTES;
     this.#server = createServer(
       { noDelay: true },
       (socket) => this.#add(socket),
@@ -122,7 +130,7 @@
       : bytes.length - end - 1;
     this.#lineBytes += lineBytes - entry.lineBytes;
     entry.lineBytes = lineBytes;
-    if (this.#lineBytes <= this.#maxHeldBytes) return;
+    if (this.#lineBytes <= this.#maxIncompleteBytes) return;
     const largest = this.#findLargest((_socket, each) => each.lineBytes);
     this.#close(largest, "too many bytes of incomplete messages");
   }
@@ -132,7 +140,7 @@
     if (socket.writableLength <= socket.writableHighWaterMark) return;
     let unreadBytes = 0;
     for (const each of this.#entries.keys()) unreadBytes += each.writableLength;
-    if (unreadBytes <= this.#maxHeldBytes) return;
+    if (unreadBytes <= this.#maxUnreadBytes) return;
     const largest = this.#findLargest((each) => each.writableLength);
     this.#close(largest, "too many bytes of unread responses");
   }
