Charge connections nothing for processor time that nobody waited for

Seen by callers: nothing yet; found on reading the whole change. A caller that had used its connection for long was parsed after a later crowd's input: the queue added what it used in calm to its start, while the virtual time only moved when something was taken from the queue. A connection with 5 s of use behind it would have waited for 5 s of each connection of the crowd.

The virtual time now follows what's charged while nothing waits. A source that is charged while it waits is put in order again; the heap must not hold an item whose order changes.

--- a/packages/gateway/src/decisions/input_queue.ts
+++ b/packages/gateway/src/decisions/input_queue.ts
@@ -59,7 +59,12 @@
   /** Charges the processor time of a source's turn, in milliseconds. */
   recordCost(source: Source, costMs: number): void {
     const entry = this.#findEntry(source);
+    const isWaiting = this.#waiting.remove(entry);
     entry.startMs = this.#computeStart(entry) + costMs;
+    if (isWaiting) this.#waiting.add(entry);
+    // Time that no other source waits for is free.
+    if (this.#waiting.size > 0) return;
+    this.#virtualMs = Math.max(this.#virtualMs, entry.startMs);
   }
 
   #computeStart({ startMs }: InputEntry<Source>): number {
--- a/packages/gateway/src/decisions/input_queue_test.ts
+++ b/packages/gateway/src/decisions/input_queue_test.ts
@@ -70,6 +70,29 @@
     expect(names.filter((name) => name === "busy").length).to.be.at.least(47);
   });
 
+  // What a connection had used while nothing waited kept it behind a later crowd.
+  it("charges nothing for time that nobody else wanted", () => {
+    const ordinary = { name: "ordinary", costMs: 1, slices: 0 };
+    // Input that needs no wait is charged without having been in the queue.
+    for (let at = 0; at < 5_000; at += 1) queue.recordCost(ordinary, 1);
+    for (let at = 0; at < 100; at += 1) add("crowd", 1, 1e6);
+    for (let at = 0; at < 500; at += 1) runNext();
+    ordinary.slices = 5;
+    queue.add(ordinary);
+    let turns = 0;
+    while (ordinary.slices > 0 && turns < 10_000) {
+      runNext();
+      turns += 1;
+    }
+    expect(turns).to.be.at.most(600);
+  });
+
+  it("keeps its order when a source that waits is charged", () => {
+    const [first] = ["a", "b", "c"].map((name) => add(name, 1, 1));
+    queue.recordCost(first as Source, 5);
+    expect([runNext(), runNext(), runNext()]).to.deep.equal(["b", "c", "a"]);
+  });
+
   it("keeps the order of arrival among equals, and drops what left", () => {
     const [first, , third] = ["a", "b", "c"].map((name) => add(name, 1, 1));
     queue.add(third as Source);
