--- a/review/standins-2/client.mjs
+++ b/review/standins-2/client.mjs
@@ -1,6 +1,7 @@
 /**
- * Clients that read at a pace of their own.
+ * Clients: one that waits for its answer, and one that reads it late.
  */
+import { request as sendRequest } from "node:http";
 import { connect } from "node:net";
 
 /**
@@ -50,3 +51,49 @@
     });
   });
 }
+
+/**
+ * Sends one request on a new connection and reads the whole answer. Resolves to
+ * `{ status, headers, body, isComplete, retryAfterS, error }`, with status 0 if
+ * there was no answer within `timeoutMs`; never rejects.
+ */
+export function call({ host, port, method, path, headers, body, timeoutMs }) {
+  return new Promise((resolve) => {
+    const length = body === undefined
+      ? {}
+      : { "Content-Length": Buffer.byteLength(body) };
+    const request = sendRequest({
+      host,
+      port,
+      method,
+      path,
+      agent: false,
+      headers: { ...headers, ...length },
+    });
+    const fail = (error) =>
+      resolve({ status: 0, headers: {}, body: "", isComplete: false, error });
+    const timer = setTimeout(() => request.destroy(), timeoutMs);
+    request.on("error", ({ code }) => fail(code));
+    request.on("close", () => clearTimeout(timer));
+    request.on("response", (response) => {
+      const parts = [];
+      const end = () =>
+        resolve({
+          status: response.statusCode,
+          headers: response.headers,
+          body: Buffer.concat(parts).toString(),
+          isComplete: response.complete,
+          retryAfterS: findNumber(response.headers["retry-after"]),
+        });
+      response.on("data", (part) => parts.push(part));
+      response.on("error", end);
+      response.on("close", end);
+    });
+    request.end(body);
+  });
+}
+
+function findNumber(text) {
+  const value = Number(text);
+  return text === undefined || !Number.isFinite(value) ? undefined : value;
+}
