Number the review cases by gravity

6: resumed streams (was 9). 7: the hang (was 8). 8: the planned stop (was 6). 10: half of each budget (was 7).

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/10/case.mjs
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,86 +1,131 @@
 /**
- * Clients that read their answers slowly, while the machine gets SIGTERM.
+ * Streams that may be resumed, from an engine that sends wrong bytes in the
+ * middle and breaks off.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { callSlowly } from "../standins-2/client.mjs";
+import { call } from "../standins-2/client.mjs";
 import { Engine } from "../standins-2/engine.mjs";
 import { BOUNDS, HAS_TROUBLE, runCase, wait } from "../standins-2/site.mjs";
 
-const BODY_BYTES = 4_190_000;
-/** Clients begin to read their answers so late, well inside the grace period. */
-const PAUSE_MS = 4_000;
-const CLIENTS = 4;
-/** The client's deadline and the route's timeout, later than the answer. */
-const DEADLINE_MS = 20_000;
-/** SIGTERM follows the requests, whose answers the engine has ended by then. */
-const TERM_AFTER_MS = 500;
+/** Events of each stream, numbered from 1. */
+const EVENTS = 7;
+const EVENT_INTERVAL_MS = 20;
+/** After so many events the faulty engine breaks off. */
+const EVENTS_BEFORE_BREAK = 3;
+/** Blank lines that it sends before that; no event, and no field of one. */
+const WRONG_BYTES = "\n".repeat(16);
+const STREAMS = 24;
+const TIMEOUT_MS = 3_000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (site) => {
-  const engine = new Engine({
+  const log = (id, engine, fields) =>
+    site.record("engine", { id, engine: engine.id, ...fields });
+  const faulty = new Engine({
     id: "i-1",
-    service: "desk",
-    answer: (_request, response, { id, engine: self }) => {
-      response.writeHead(200, {
-        ...self.buildHeaders(id),
-        "Content-Length": BODY_BYTES,
-      });
-      response.end(Buffer.alloc(BODY_BYTES, 97));
-      response.on("finish", () => site.record("engine answered", { id }));
+    service: "brain",
+    answer: (request, response, { id, engine }) => {
+      const after = Number(request.headers["last-event-id"] ?? 0);
+      log(id, engine, { after });
+      sendEvents(
+        response,
+        { id, engine, after, last: EVENTS_BEFORE_BREAK },
+        () => {
+          if (HAS_TROUBLE) response.write(WRONG_BYTES);
+          setTimeout(() => request.socket.destroy(), EVENT_INTERVAL_MS);
+        },
+      );
     },
   });
-  await engine.start();
-  site.addEngine(engine);
+  const sound = new Engine({
+    id: "i-2",
+    service: "brain",
+    answer: (request, response, { id, engine }) => {
+      const after = Number(request.headers["last-event-id"] ?? 0);
+      log(id, engine, { after });
+      sendEvents(
+        response,
+        { id, engine, after, last: EVENTS },
+        () => response.end(),
+      );
+    },
+  });
+  for (const engine of [faulty, sound]) {
+    await engine.start();
+    site.addEngine(engine);
+  }
   site.configure({
     routes: [{
       name: "r-1",
-      host: "desk.example",
-      pathPrefix: "/order/",
-      routeType: "non_idempotent",
-      timeoutMs: DEADLINE_MS,
-      targetLatencyMs: 500,
+      host: "brain.example",
+      pathPrefix: "/stream/",
+      routeType: "streaming",
+      timeoutMs: TIMEOUT_MS,
+      targetLatencyMs: 300,
       priority: 0,
-      service: "desk",
-      attempts: 1,
+      service: "brain",
+      attempts: 2,
+      resumable: true,
+      targetGapMs: 250,
     }],
-    services: [{ name: "desk", healthPath: "/healthz", maxConnections: 100 }],
+    services: [{ name: "brain", healthPath: "/healthz", maxConnections: 180 }],
   });
   const gateway = await site.addGateway("edge-1", "127.0.0.1");
   gateway.start();
   await gateway.waitUntilReady();
   await wait(BOUNDS.contactMs);
-  const calls = Array.from({ length: CLIENTS }, async (_, at) => {
-    const id = `order-${at}`;
-    const text = `POST /order/${at} HTTP/1.1\r\nHost: desk.example\r\n` +
-      `X-Attempt-Id: ${id}\r\nX-Deadline-Ms: ${DEADLINE_MS}\r\n` +
-      "Content-Length: 5\r\n\r\norder";
-    site.record("sent", { id });
-    const result = await callSlowly({
+  const broken = [];
+  for (let at = 0; at < STREAMS; at += 1) {
+    const id = `stream-${at}`;
+    const answer = await call({
       host: gateway.ip,
       port: gateway.callerPort,
-      text,
-      pauseMs: PAUSE_MS,
+      method: "POST",
+      path: `/stream/${at}`,
+      body: "prompt",
+      timeoutMs: TIMEOUT_MS + 1_000,
+      headers: {
+        Host: "brain.example",
+        "X-Attempt-Id": id,
+        "X-Deadline-Ms": String(TIMEOUT_MS),
+      },
     });
-    site.record("answered", { id, ...result });
-    return { id, ...result };
-  });
-  await wait(TERM_AFTER_MS);
-  const termMs = performance.now();
-  if (HAS_TROUBLE) gateway.signal("SIGTERM");
-  const results = await Promise.all(calls);
-  site.record("engine ran", { ids: engine.runs.map(({ id }) => id) });
-  // The rule: the request was passed on to an engine, and its connection ended
-  // without a complete answer, until one second after the grace period.
-  const untilMs = termMs + (BOUNDS.graceS + 1) * 1_000;
-  return results
-    .filter(({ id, isComplete, endedMs }) =>
-      engine.runs.some((run) => run.id === id) && !isComplete &&
-      endedMs <= untilMs
-    )
-    .map(({ id, bodyBytes, expectedBytes, sentMs, endedMs }) =>
-      `LOST: ${id} was run and its connection ended ` +
-      `${Math.round(endedMs - termMs)} ms after SIGTERM, ` +
-      `${Math.round(endedMs - sentMs)} ms after it was sent, with ` +
-      `${bodyBytes} of ${expectedBytes} bytes of the answer`
-    );
+    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)]
+      .map(([, number]) => Number(number));
+    site.record("answered", {
+      id,
+      status: answer.status,
+      isComplete: answer.isComplete,
+      ids,
+    });
+    // A stream that was broken off may lack its end; one that ended may not.
+    const isWhole = ids.length === EVENTS &&
+      ids.every((number, index) => number === index + 1);
+    if (answer.status === 200 && answer.isComplete && !isWhole) {
+      broken.push(
+        `ORDER: ${id} ended as complete with the events ${ids.join(" ")} ` +
+          `of ${EVENTS}`,
+      );
+    }
+  }
+  return broken;
 });
+
+/** Sends the events after one number up to another, then calls `end`. */
+function sendEvents(response, { id, engine, after, last }, end) {
+  response.writeHead(200, {
+    ...engine.buildHeaders(id),
+    "Content-Type": "text/event-stream",
+  });
+  response.flushHeaders();
+  let number = after;
+  const timer = setInterval(() => {
+    if (number >= last) {
+      clearInterval(timer);
+      return end();
+    }
+    number += 1;
+    response.write(`id: ${number}\ndata: ${engine.service} ${number}\n\n`);
+  }, EVENT_INTERVAL_MS);
+  response.on("close", () => clearInterval(timer));
+}
