Add a review case: wrong bytes get into kept turns

Blank lines of an engine's answer count as events, and each adds a line feed to the kept output of its turn. Every later turn of the chain reaches its engine with them.

Case: review/9, a script.

--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,56 +1,46 @@
 /**
- * Streams that may be resumed, from an engine that sends wrong bytes in the
- * middle and breaks off.
+ * Kept turns, of which an engine answers some with wrong bytes after the last
+ * event.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { call } from "../standins-2/client.mjs";
 import { Engine } from "../standins-2/engine.mjs";
-import { BOUNDS, HAS_TROUBLE, runCase, wait } from "../standins-2/site.mjs";
+import { HAS_TROUBLE, runCase, wait } from "../standins-2/site.mjs";
 
-/** Events of each stream, numbered from 1. */
 const EVENTS = 7;
-const EVENT_INTERVAL_MS = 20;
-/** After so many events the faulty engine breaks off. */
-const EVENTS_BEFORE_BREAK = 3;
-/** Blank lines that it sends before that; no event, and no field of one. */
+const EVENT_INTERVAL_MS = 10;
+/** Blank lines behind the last event; no event, and no field of one. */
 const WRONG_BYTES = "\n".repeat(16);
-const STREAMS = 24;
-const TIMEOUT_MS = 3_000;
+const PROGRAMS = 8;
+const TURNS = 3;
+/** A turn that failed is sent again, at most so often. */
+const TRIES = 4;
+const BOUNDS = {
+  contactMs: 4_000,
+  drainMs: 4_000,
+  configApplyMs: 4_000,
+  recoveryS: 15,
+};
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (site) => {
-  const log = (id, engine, fields) =>
-    site.record("engine", { id, engine: engine.id, ...fields });
-  const faulty = new Engine({
-    id: "i-1",
-    service: "brain",
-    answer: (request, response, { id, engine }) => {
-      const after = Number(request.headers["last-event-id"] ?? 0);
-      log(id, engine, { after });
-      sendEvents(
-        response,
-        { id, engine, after, last: EVENTS_BEFORE_BREAK },
-        () => {
-          if (HAS_TROUBLE) response.write(WRONG_BYTES);
-          setTimeout(() => request.socket.destroy(), EVENT_INTERVAL_MS);
-        },
-      );
-    },
-  });
-  const sound = new Engine({
-    id: "i-2",
-    service: "brain",
-    answer: (request, response, { id, engine }) => {
-      const after = Number(request.headers["last-event-id"] ?? 0);
-      log(id, engine, { after });
-      sendEvents(
-        response,
-        { id, engine, after, last: EVENTS },
-        () => response.end(),
-      );
-    },
-  });
-  for (const engine of [faulty, sound]) {
+  /** The body that each attempt brought to its engine, by its id. */
+  const bodies = new Map();
+  const createEngine = (id, isFaulty) =>
+    new Engine({
+      id,
+      service: "brain",
+      answer: (_request, response, { id: attempt, body, engine }) => {
+        bodies.set(attempt, body.toString());
+        site.record("engine", { id: attempt, engine: id, bytes: body.length });
+        sendEvents(response, { id: attempt, engine, isFaulty });
+      },
+    });
+  const engines = [
+    createEngine("i-1", HAS_TROUBLE),
+    createEngine("i-2", false),
+  ];
+  for (const engine of engines) {
     await engine.start();
     site.addEngine(engine);
   }
@@ -58,74 +48,122 @@
     routes: [{
       name: "r-1",
       host: "brain.example",
-      pathPrefix: "/stream/",
+      pathPrefix: "/turn/",
       routeType: "streaming",
-      timeoutMs: TIMEOUT_MS,
-      targetLatencyMs: 300,
+      timeoutMs: 4_000,
+      targetLatencyMs: 312,
       priority: 0,
       service: "brain",
-      attempts: 2,
-      resumable: true,
-      targetGapMs: 250,
+      attempts: 1,
+      serverHistory: true,
+      retentionS: 60,
+      sticky: true,
+      resumable: false,
+      targetGapMs: 400,
+    }],
+    services: [{
+      name: "brain",
+      healthPath: "/healthz",
+      maxConnections: 500,
+      engine: { slots: 16, kvCapacityTokens: 283_148, chunkTokens: 27 },
     }],
-    services: [{ name: "brain", healthPath: "/healthz", maxConnections: 180 }],
   });
-  const gateway = await site.addGateway("edge-1", "127.0.0.1");
-  gateway.start();
+  const storages = [];
+  for (const at of [1, 2, 3]) {
+    storages.push(
+      await site.addStorage(`storage-${at}`, `127.0.0.${at}`, {
+        bounds: BOUNDS,
+      }),
+    );
+  }
+  const gateway = await site.addGateway("edge-1", "127.0.0.1", {
+    bounds: BOUNDS,
+  });
+  for (const each of [...storages, gateway]) each.start();
   await gateway.waitUntilReady();
   await wait(BOUNDS.contactMs);
   const broken = [];
-  for (let at = 0; at < STREAMS; at += 1) {
-    const id = `stream-${at}`;
-    const answer = await call({
-      host: gateway.ip,
-      port: gateway.callerPort,
-      method: "POST",
-      path: `/stream/${at}`,
-      body: "prompt",
-      timeoutMs: TIMEOUT_MS + 1_000,
-      headers: {
-        Host: "brain.example",
-        "X-Attempt-Id": id,
-        "X-Deadline-Ms": String(TIMEOUT_MS),
-      },
-    });
-    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)]
-      .map(([, number]) => Number(number));
-    site.record("answered", {
-      id,
-      status: answer.status,
-      isComplete: answer.isComplete,
-      ids,
-    });
-    // A stream that was broken off may lack its end; one that ended may not.
-    const isWhole = ids.length === EVENTS &&
-      ids.every((number, index) => number === index + 1);
-    if (answer.status === 200 && answer.isComplete && !isWhole) {
-      broken.push(
-        `ORDER: ${id} ended as complete with the events ${ids.join(" ")} ` +
-          `of ${EVENTS}`,
-      );
-    }
+  for (let at = 0; at < PROGRAMS; at += 1) {
+    broken.push(...await runProgram(site, { gateway, bodies, at }));
   }
   return broken;
 });
 
-/** Sends the events after one number up to another, then calls `end`. */
-function sendEvents(response, { id, engine, after, last }, end) {
+/** Sends all events, and wrong bytes behind them if the engine is faulty. */
+function sendEvents(response, { id, engine, isFaulty }) {
   response.writeHead(200, {
     ...engine.buildHeaders(id),
     "Content-Type": "text/event-stream",
   });
-  response.flushHeaders();
-  let number = after;
+  let number = 0;
   const timer = setInterval(() => {
-    if (number >= last) {
-      clearInterval(timer);
-      return end();
-    }
     number += 1;
-    response.write(`id: ${number}\ndata: ${engine.service} ${number}\n\n`);
+    response.write(`id: ${number}\ndata: ${id} ${number}\n\n`);
+    if (number < EVENTS) return;
+    clearInterval(timer);
+    if (isFaulty) response.write(WRONG_BYTES);
+    response.end();
   }, EVENT_INTERVAL_MS);
   response.on("close", () => clearInterval(timer));
 }
+
+/** Runs the turns of one program; resolves to the bodies that were wrong. */
+async function runProgram(site, { gateway, bodies, at }) {
+  const broken = [];
+  let previous;
+  let chain = "";
+  for (let turn = 1; turn <= TURNS; turn += 1) {
+    const input = `<input ${turn} of program ${at}>`;
+    let ended;
+    for (
+      let attempt = 1;
+      attempt <= TRIES && ended === undefined;
+      attempt += 1
+    ) {
+      const id = `program-${at}-turn-${turn}-try-${attempt}`;
+      const answer = await call({
+        host: gateway.ip,
+        port: gateway.callerPort,
+        method: "POST",
+        path: `/turn/${at}`,
+        body: input,
+        timeoutMs: 5_000,
+        headers: {
+          Host: "brain.example",
+          "X-Attempt-Id": id,
+          "X-Deadline-Ms": "4000",
+          "X-Program-Id": `program-${at}`,
+          "X-Session-Id": `line-${at}`,
+          "X-Program-Deadline-Ms": "30000",
+          "X-Token-Budget": "4536",
+          "X-Token-Count": "1840,567",
+          ...(previous === undefined ? {} : { "X-Previous-Turn": previous }),
+        },
+      });
+      const body = bodies.get(id);
+      if (body !== undefined && body !== chain + input) {
+        broken.push(
+          `UNASKED: ${id} ran with a body of ${body.length} bytes, and its ` +
+            `chain and input have ${(chain + input).length}`,
+        );
+        site.record("wrong body", { id, body, expected: chain + input });
+      }
+      const data = [...answer.body.matchAll(/^id: \d+\ndata: (.*)$/gm)]
+        .map(([, text]) => text);
+      site.record("answered", {
+        id,
+        status: answer.status,
+        isComplete: answer.isComplete,
+        events: data.length,
+      });
+      const isWhole = answer.status === 200 && answer.isComplete &&
+        data.length === EVENTS;
+      if (isWhole) ended = { id, data };
+      else await wait(200);
+    }
+    if (ended === undefined) return broken;
+    previous = ended.id;
+    chain += input + ended.data.map((text) => `${text}\n`).join("");
+  }
+  return broken;
+}
