Keep review cases 6 and 9 inside the dose, and end all on interruption

The faulty engine of both spoiled all of its answers; the site files name 0.03 of them at most. It now spoils each 34th for 5 s. Processes of a script also end when it is interrupted, a case that can't run exits with 2, and ports no longer collide.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -15,18 +15,36 @@
 const EVENTS_BEFORE_BREAK = 3;
 /** Blank lines that it sends before that; no event, and no field of one. */
 const WRONG_BYTES = "\n".repeat(16);
-const STREAMS = 24;
+/** Of the faulty engine's answers each so many-th one, below 0.03 of them. */
+const SPOILED_EACH = 34;
+/** It does so for this long, as on the site's days. */
+const SPOILING_MS = 5_000;
+/** Streams, and how many of them run at the same time. */
+const STREAMS = 600;
+const LANES = 20;
 const TIMEOUT_MS = 3_000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (site) => {
   const log = (id, engine, fields) =>
     site.record("engine", { id, engine: engine.id, ...fields });
+  let answers = 0;
+  let spoilingUntilMs = 0;
   const faulty = new Engine({
     id: "i-1",
     service: "brain",
     answer: (request, response, { id, engine }) => {
       const after = Number(request.headers["last-event-id"] ?? 0);
-      log(id, engine, { after });
+      answers += 1;
+      const isSpoiled = answers % SPOILED_EACH === 0 &&
+        performance.now() < spoilingUntilMs;
+      log(id, engine, { after, isSpoiled });
+      if (!isSpoiled) {
+        return sendEvents(
+          response,
+          { id, engine, after, last: EVENTS },
+          () => response.end(),
+        );
+      }
       sendEvents(
         response,
         { id, engine, after, last: EVENTS_BEFORE_BREAK },
@@ -75,7 +93,15 @@
   await gateway.waitUntilReady();
   await wait(BOUNDS.contactMs);
   const broken = [];
-  for (let at = 0; at < STREAMS; at += 1) {
+  spoilingUntilMs = performance.now() + SPOILING_MS;
+  let started = 0;
+  const runLane = async () => {
+    while (started < STREAMS) {
+      started += 1;
+      await runStream(started);
+    }
+  };
+  const runStream = async (at) => {
     const id = `stream-${at}`;
     const answer = await call({
       host: gateway.ip,
@@ -107,7 +133,8 @@
           `of ${EVENTS}`,
       );
     }
-  }
+  };
+  await Promise.all(Array.from({ length: LANES }, runLane));
   return broken;
 });
 
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -12,8 +12,14 @@
 const EVENT_INTERVAL_MS = 10;
 /** Blank lines behind the last event; no event, and no field of one. */
 const WRONG_BYTES = "\n".repeat(16);
-const PROGRAMS = 8;
-const TURNS = 3;
+/** Of the faulty engine's answers each so many-th one, below 0.03 of them. */
+const SPOILED_EACH = 34;
+/** It does so for this long, as on the site's days. */
+const SPOILING_MS = 5_000;
+const PROGRAMS = 60;
+const TURNS = 6;
+/** Programs that run at the same time. */
+const LANES = 15;
 /** A turn that failed is sent again, at most so often. */
 const TRIES = 4;
 const BOUNDS = {
@@ -26,14 +32,24 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async (site) => {
   /** The body that each attempt brought to its engine, by its id. */
   const bodies = new Map();
+  let answers = 0;
+  let spoilingUntilMs = 0;
   const createEngine = (id, isFaulty) =>
     new Engine({
       id,
       service: "brain",
       answer: (_request, response, { id: attempt, body, engine }) => {
         bodies.set(attempt, body.toString());
-        site.record("engine", { id: attempt, engine: id, bytes: body.length });
-        sendEvents(response, { id: attempt, engine, isFaulty });
+        if (isFaulty) answers += 1;
+        const isSpoiled = isFaulty && answers % SPOILED_EACH === 0 &&
+          performance.now() < spoilingUntilMs;
+        site.record("engine", {
+          id: attempt,
+          engine: id,
+          bytes: body.length,
+          isSpoiled,
+        });
+        sendEvents(response, { id: attempt, engine, isSpoiled });
       },
     });
   const engines = [
@@ -83,14 +99,22 @@
   await gateway.waitUntilReady();
   await wait(BOUNDS.contactMs);
   const broken = [];
-  for (let at = 0; at < PROGRAMS; at += 1) {
-    broken.push(...await runProgram(site, { gateway, bodies, at }));
-  }
+  spoilingUntilMs = performance.now() + SPOILING_MS;
+  let started = 0;
+  const runLane = async () => {
+    while (started < PROGRAMS) {
+      started += 1;
+      broken.push(
+        ...await runProgram(site, { gateway, bodies, at: started }),
+      );
+    }
+  };
+  await Promise.all(Array.from({ length: LANES }, runLane));
   return broken;
 });
 
-/** Sends all events, and wrong bytes behind them if the engine is faulty. */
-function sendEvents(response, { id, engine, isFaulty }) {
+/** Sends all events, and wrong bytes behind them if the answer is spoiled. */
+function sendEvents(response, { id, engine, isSpoiled }) {
   response.writeHead(200, {
     ...engine.buildHeaders(id),
     "Content-Type": "text/event-stream",
@@ -101,7 +125,7 @@
     response.write(`id: ${number}\ndata: ${id} ${number}\n\n`);
     if (number < EVENTS) return;
     clearInterval(timer);
-    if (isFaulty) response.write(WRONG_BYTES);
+    if (isSpoiled) response.write(WRONG_BYTES);
     response.end();
   }, EVENT_INTERVAL_MS);
   response.on("close", () => clearInterval(timer));
--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -3,7 +3,7 @@
  * separate processes with the commands of the deploy file, and a stand-in for
  * the platform's store. Times are in milliseconds unless a name says otherwise.
  */
-import { spawn } from "node:child_process";
+import { fork, spawn } from "node:child_process";
 import {
   appendFileSync,
   mkdirSync,
@@ -30,6 +30,9 @@
   recoveryS: 12,
 };
 const READY_LIMIT_MS = 20_000;
+/** A case that takes longer couldn't run; it has 120 s. */
+const CASE_LIMIT_MS = 110_000;
+const STATUS_COULD_NOT_RUN = 2;
 
 /** Whether the case plays its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
@@ -39,13 +42,26 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** Finds a free port of a loopback address. */
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
+const givenPorts = new Set();
+
+/** Finds a free port of a loopback address, another one at each call. */
 export async function findPort(host) {
-  const server = createServer();
-  await new Promise((resolve) => server.listen(0, host, resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (givenPorts.has(port)) continue;
+    const server = createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, host, () => resolve(true));
+    });
+    if (!isFree) continue;
+    givenPorts.add(port);
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
 
 /** Reads a role's command from the deploy file, split at spaces. */
@@ -87,6 +103,7 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child = child;
+    this.#site.guard(child.pid);
     const append = (bytes) =>
       this.output = (this.output + bytes).slice(-2_000_000);
     child.stdout.on("data", append);
@@ -146,6 +163,11 @@
   #startedMs = performance.now();
   #engines = [];
   #seeds = [];
+  /** Ends what was started if this process is killed; see `guard.mjs`. */
+  #guard = fork(join(ROOT, "review/standins-2/guard.mjs"), [this.folder], {
+    detached: true,
+    stdio: ["ignore", "ignore", "ignore", "ipc"],
+  });
 
   /** `folder` is the case's folder, which gets `record.txt`. */
   constructor(folder) {
@@ -165,6 +187,11 @@
     appendFileSync(this.#recordPath, `${line}\n`);
   }
 
+  /** Has a process ended with this one, however this one ends. */
+  guard(pid) {
+    this.#guard.send({ pid });
+  }
+
   async start() {
     this.storePort = await this.store.start();
   }
@@ -320,6 +347,7 @@
     for (const engine of this.#engines) engine.stop();
     this.store.stop();
     rmSync(this.folder, { recursive: true, force: true });
+    this.#guard.kill("SIGKILL");
   }
 }
 
@@ -328,8 +356,18 @@
  * 0 if the list is empty, and 2 if it couldn't run.
  */
 export async function runCase(folder, play) {
+  // The guard ends what was started, as soon as this process has ended.
+  const giveUp = () => process.exit(STATUS_COULD_NOT_RUN);
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+    process.on(signal, giveUp);
+  }
+  process.on("uncaughtException", (error) => {
+    console.error(error);
+    giveUp();
+  });
+  setTimeout(giveUp, CASE_LIMIT_MS).unref();
   const site = new Site(folder);
-  let status = 2;
+  let status = STATUS_COULD_NOT_RUN;
   try {
     await site.start();
     const broken = await play(site);
