Record grants of first allowances, so that a lost holder costs no budget

Cause: the holder of a shard granted first allowances from memory. Its successor couldn't tell a program that was granted nothing from one that was, and granted nothing for an hour. The log of the unfixed code shows it: FirstAllowanceDecided with outcome doubtful, on a table one second old, for each new program; AccountRecorded begins at half of the budget, at one gateway only, which rules out a lost response and another home.

A first allowance is granted in up to four parts now. Each is durable on the disks before it's granted, as a kept turn without content, and the holder checks after that that it may still grant. A successor looks a program up when it's first asked, and goes on from there; what the disks can't tell isn't granted. Programs that began before a kill lose only the rest of the part that their home held. A holder counts as ended at once only if another process of its VM responds to a new call, since a late message of a former process may mislead the directory; after a silent one, which may live, its successor waits for twice the age of a usable table.

In tests, "needs_allowance" states the wanted tokens, too.

Looked at and found sound: records in the store, moves of accounts, credits of quotas, permits, blocks of crashing requests.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -390,7 +390,7 @@
     936,
     "AccountMet",
     "info",
-    "A home received a first turn; whether it got the first allowance.",
+    "A home requested a part of a first allowance; the tokens, or why none.",
   ),
   AccountsReceived: defineEvent(
     937,
@@ -402,7 +402,7 @@
     938,
     "FirstAllowanceDecided",
     "info",
-    "The first allowance of a program was granted or refused; the reason.",
+    "Parts of a first allowance were granted, or refused; the reason.",
   ),
   LogLinesDropped: defineEvent(
     941,
--- a/packages/gateway/src/accounts/account_components.ts
+++ b/packages/gateway/src/accounts/account_components.ts
@@ -16,6 +16,8 @@
 import type { PathRelay } from "../paths/path_relay.ts";
 import { AccountHandover } from "./account_handover.ts";
 import { AccountHome } from "./account_home.ts";
+import { FirstAllowanceClient } from "./first_allowance_client.ts";
+import type { GrantRecords } from "./grant_records.ts";
 import { ShardTableManager } from "./shard_table_manager.ts";
 import { TurnAccounts } from "./turn_accounts.ts";
 
@@ -40,6 +42,8 @@
   readonly ended: EndedTargets;
   /** Finds the cache of watched objects that this gateway relays to peers. */
   readonly findCache: (kind: ObjectKind) => ObjectCache | undefined;
+  /** Where granted parts of first allowances are recorded. */
+  readonly grants: GrantRecords;
 }
 
 /** The components that account for tokens. */
@@ -91,14 +95,15 @@
   const accounts = new TokenAccounts();
   const shared = { directory, links, accounts, log, self: getSelf() };
   const handover = new AccountHandover(shared);
-  const shards = new ShardTableManager({ ...shared, store });
+  const { grants } = options;
+  const shards = new ShardTableManager({ ...shared, store, grants });
+  const firstAllowances = new FirstAllowanceClient({ ...shared, shards });
   const home = new AccountHome({
     accounts,
     store,
     log,
     metrics,
-    acquireFirstAllowance: (programId) =>
-      shards.acquireFirstAllowance(programId),
+    acquireFirstAllowance: (request) => firstAllowances.acquire(request),
   });
   const crashes = new CrashExchange({
     ...shared,
--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -2,19 +2,26 @@
  * The home role of one gateway for token accounts: decides on turns, and
  * acquires an allowance before it grants tokens from it.
  *
- * The holder of a program's shard grants the first allowance, without a write
- * to the store. Every further allowance is acquired by a write to the program's
+ * The holder of a program's shard grants the first allowance in parts, without a
+ * write to the store. Every further allowance is acquired by a write to the program's
  * record in the store. If neither is available, the turn is refused and doesn't
  * run.
  */
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
-import { computeFirstAllowance } from "../decisions/first_allowances.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
-import type { TurnRequest, TurnResponse } from "../model/token_account.ts";
+import type {
+  TurnDecision,
+  TurnRequest,
+  TurnResponse,
+} from "../model/token_account.ts";
 import type { ObjectStore } from "../ports.ts";
 import { AccountLog } from "./account_log.ts";
 import { AllowanceRecords } from "./allowance_records.ts";
+import type {
+  FirstGrant,
+  FirstGrantRequest,
+} from "./first_allowance_granter.ts";
 
 /** Time after which a home responds that its decision is pending. */
 const PENDING_AFTER_MS = 60;
@@ -29,10 +36,14 @@
   readonly store: ObjectStore;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  /** Requests a program's first allowance from the holder of its shard. */
-  readonly acquireFirstAllowance: (programId: string) => Promise<boolean>;
+  /** Requests a part of a first allowance from the holder of its shard. */
+  readonly acquireFirstAllowance: (
+    request: FirstGrantRequest,
+  ) => Promise<FirstGrant>;
 }
 
+type NeededAllowance = Extract<TurnDecision, { kind: "needs_allowance" }>;
+
 /** The home role of one gateway. */
 export class AccountHome {
   readonly #dependencies: AccountHomeDependencies;
@@ -96,7 +107,7 @@
           return decision;
         case "needs_allowance": {
           const detail = allowances < MAX_ALLOWANCES_PER_REQUEST
-            ? await this.#acquireAllowance(turn, decision.missingTokens)
+            ? await this.#acquireAllowance(turn, decision)
             : `other turns of the program used up ${MAX_ALLOWANCES_PER_REQUEST} allowances`;
           if (detail === undefined) continue;
           this.#log.writeUnavailable(turn, detail);
@@ -109,12 +120,12 @@
   /** Acquires an allowance, one at a time; returns the reason on failure. */
   #acquireAllowance(
     turn: TurnRequest,
-    missingTokens: number,
+    needed: NeededAllowance,
   ): Promise<string | undefined> {
     const { programId } = turn;
     const inFlight = this.#pendingAllowances.get(programId);
     if (inFlight !== undefined) return inFlight;
-    const acquisition = this.#reserveAllowance(turn, missingTokens)
+    const acquisition = this.#reserveAllowance(turn, needed)
       .finally(() => this.#pendingAllowances.delete(programId));
     this.#pendingAllowances.set(programId, acquisition);
     return acquisition;
@@ -122,18 +133,24 @@
 
   async #reserveAllowance(
     turn: TurnRequest,
-    missingTokens: number,
+    { missingTokens, wantedTokens }: NeededAllowance,
   ): Promise<string | undefined> {
     const { programId, budgetTokens } = turn;
     const { accounts, acquireFirstAllowance } = this.#dependencies;
-    if (accounts.startFirstAllowanceRequest(programId)) {
-      const isGranted = await acquireFirstAllowance(programId);
-      this.#log.writeFirstAllowance(turn, isGranted);
-      if (isGranted) {
-        const tokens = computeFirstAllowance(budgetTokens);
-        this.#addAllowance(turn, tokens);
+    let firstDetail = "used";
+    if (!accounts.hasUsedFirstAllowance(programId)) {
+      const first = await acquireFirstAllowance({
+        programId,
+        budgetTokens,
+        wantedTokens,
+      });
+      this.#log.writeFirstAllowance(turn, first);
+      if (isLastGrant(first)) accounts.setFirstAllowanceUsed(programId);
+      if (first.kind === "granted" && first.tokens > 0) {
+        this.#addAllowance(turn, first.tokens);
         return undefined;
       }
+      if (first.kind === "refused") firstDetail = first.reason;
     }
     const request = { programId, budgetTokens, missingTokens };
     const result = await this.#records.acquire(request);
@@ -143,7 +160,8 @@
         return undefined;
       case "exhausted":
         if (!result.isSpent) {
-          return "the rest of the budget is allotted to other homes";
+          return "the rest of the budget is allotted to other homes; " +
+            `first allowance: ${firstDetail}`;
         }
         accounts.setSpent(programId);
         return turn.isRunning
@@ -162,3 +180,10 @@
       .addAllowance({ programId, budgetTokens, tokens }, performance.now());
   }
 }
+
+/** Whether the holder will grant no more; other refusals may pass. */
+function isLastGrant(first: FirstGrant): boolean {
+  return first.kind === "granted"
+    ? first.isLast
+    : first.reason === "given_before";
+}
--- a/packages/gateway/src/accounts/account_log.ts
+++ b/packages/gateway/src/accounts/account_log.ts
@@ -7,6 +7,7 @@
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { TurnRequest } from "../model/token_account.ts";
+import type { FirstGrant } from "./first_allowance_granter.ts";
 
 /** Dependencies of the log of a home. */
 export interface AccountLogDependencies {
@@ -44,17 +45,19 @@
     log.write(EVENTS.AccountUnavailable, { ...fields, detail });
   }
 
-  /** Logs whether this home was granted a program's first allowance. */
+  /** Logs the decision on this home's request for a first allowance. */
   writeFirstAllowance(
     { programId, turnId }: TurnRequest,
-    isGranted: boolean,
+    first: FirstGrant,
   ): void {
     const { log, metrics } = this.#dependencies;
-    if (isGranted) metrics.add("first_allowances");
+    const isGranted = first.kind === "granted";
+    metrics.add(isGranted ? "first_allowances" : "first_allowances_refused");
     log.write(EVENTS.AccountMet, {
       program: programId,
       request: turnId,
-      has_first_allowance: isGranted,
+      outcome: isGranted ? "given" : first.reason,
+      tokens: isGranted ? first.tokens : 0,
     });
   }
 
--- a/packages/gateway/src/accounts/account_simulation_test.ts
+++ b/packages/gateway/src/accounts/account_simulation_test.ts
@@ -1,22 +1,24 @@
 import { NO_CRASHES } from "../crashes/no_crashes_test.ts";
-import { err, ok, type Result } from "neverthrow";
 import { PeerDirectory, type PeerInfo } from "../decisions/peer_directory.ts";
 import { encodeShardTable, type ShardTable } from "../decisions/shard_table.ts";
 import { GatewayMetrics } from "../gateway_metrics.ts";
 import { GatewayLog } from "../log.ts";
 import { buildPeer, NO_LIMITS } from "../peer_fixture_test.ts";
 import type { PeerMessage, PeerResponse } from "../peers/peer_messages.ts";
-import type {
-  ObjectKind,
-  ObjectStore,
-  StoredObject,
-  StoreFailure,
-  StoreWrite,
-} from "../ports.ts";
+import { PROTOCOL_VERSION } from "../peers/protocol_version.ts";
 import {
   buildTokenAccounting,
   type TokenAccounting,
 } from "./account_components.ts";
+import {
+  type InjectedFault,
+  OFTEN,
+  PendingSteps,
+  SELDOM,
+  SimulatedStorage,
+  SOMETIMES,
+  type Step,
+} from "./simulated_storage_test.ts";
 import type { TurnGrant } from "./turn_accounts.ts";
 import type { VirtualTime } from "./virtual_time_test.ts";
 
@@ -27,29 +29,6 @@
 const MAX_TURNS = 40;
 const LOG = new GatewayLog({ write: (_text, done) => done() }, "test");
 
-/** Faults injected into the protocol, which the search must detect. */
-export type InjectedFault =
-  | "none"
-  | "turns are admitted while the store is unavailable"
-  | "a restarted shard holder keeps its boot ID"
-  | "the table drops the mark of unverified shards"
-  | "a moved account is delivered twice"
-  | "the holder evicts a first allowance too early"
-  | "writes to the store are unconditional"
-  | "a turn continues after it was closed";
-
-/** A possible next step of the simulation. */
-export interface Step {
-  readonly name: string;
-  /** Relative frequency of the step in random runs. */
-  readonly weight: number;
-  readonly run: () => void;
-}
-
-/** Weights of frequent, occasional and rare steps. */
-export const OFTEN = 40;
-const SOMETIMES = 8;
-const SELDOM = 1;
 /** Time skipped by one step; a few steps end every wait but the longest. */
 const TIME_STEP_MS = 20_000;
 const EARLY_EVICTION_MS = 10_000_000;
@@ -74,26 +53,31 @@
   readonly #time: VirtualTime;
   readonly #fault: InjectedFault;
   readonly #processes = new Map<string, Process>();
-  readonly #objects = new Map<string, StoredObject>();
   readonly #partitioned = new Set<string>();
-  #pending: Step[] = [];
+  readonly #steps = new PendingSteps();
   #turns: OpenTurn[] = [];
   readonly #endedTurns: OpenTurn[] = [];
   readonly #grants: TurnGrant[] = [];
   #openedTurns = 0;
   #startedProcesses = 0;
-  #revision = 1;
-  #isStoreDown = false;
+  readonly #storage: SimulatedStorage;
+  /** Former processes, whose last messages may still arrive. */
+  readonly #former: PeerInfo[] = [];
   extraTokens = 0;
 
   constructor(time: VirtualTime, fault: InjectedFault) {
     this.#time = time;
     this.#fault = fault;
+    this.#storage = new SimulatedStorage(this.#steps, fault);
     const infos = ["a", "b", "c"].map((vmId) => this.#buildInfo(vmId));
-    const holders = infos.map((each) => ({ ...each, isDoubtful: false }));
+    const holders = infos.map((each) => ({
+      ...each,
+      isDoubtful: false,
+      isRecorded: true,
+    }));
     const table = Array.from({ length: 1_024 }, (_, at) => holders[at % 3]);
     const encoded = encodeShardTable(table as ShardTable);
-    const { revision } = this.#put("accountShards main", encoded);
+    const { revision } = this.#storage.put("accountShards main", encoded);
     for (const info of infos) this.#startProcess(info);
     for (const { directory, accounting } of this.#processes.values()) {
       this.#discoverAll(directory, accounting);
@@ -112,12 +96,51 @@
   /** Ends every partition and outage, so that all tokens left can be spent. */
   heal(): void {
     this.#partitioned.clear();
-    this.#isStoreDown = false;
+    this.#storage.isStoreDown = false;
+  }
+
+  /** Finds the gateway that holds the program's shard, as another one sees it. */
+  findHolder(at: string): string | undefined {
+    return this.#processes.get(at)?.accounting.shards.findHolder("p")?.vmId;
+  }
+
+  /** Has all other gateways notice that one doesn't respond. */
+  suspect(vmId: string): void {
+    for (const { info, directory } of this.#processes.values()) {
+      if (info.vmId === vmId) continue;
+      directory.recordUnresponsive(vmId, this.#time.nowMs);
+    }
+  }
+
+  /** Cuts a gateway off from the others, which all notice it. */
+  separate(vmId: string): void {
+    this.#partitioned.add(vmId);
+    this.suspect(vmId);
+    const { directory } = this.#processes.get(vmId) as Process;
+    for (const other of this.#processes.keys()) {
+      directory.recordUnresponsive(other, this.#time.nowMs);
+    }
+  }
+
+  /** Has all other gateways receive a late message of a former process. */
+  receiveFormer(vmId: string): void {
+    const former = this.#former.find((each) => each.vmId === vmId);
+    for (const { info, directory } of this.#processes.values()) {
+      if (former !== undefined && info.vmId !== vmId) directory.set(former);
+    }
+  }
+
+  /** Kills gateways and starts them again; all of them if none is named. */
+  killAll(vmIds: readonly string[] = ["a", "b", "c"]): void {
+    for (const vmId of vmIds) {
+      const process = this.#processes.get(vmId);
+      if (process !== undefined) this.#restart(process);
+    }
   }
 
   /** Lists the possible next steps. */
   listSteps(): Step[] {
-    const steps = [...this.#pending];
+    const steps = [...this.#steps.list()];
     const timer = this.#time.nextStep;
     if (timer !== undefined) steps.push(timer);
     for (const process of this.#processes.values()) {
@@ -148,7 +171,7 @@
     steps.push({
       name: "store unavailable or available",
       weight: SELDOM,
-      run: () => this.#isStoreDown = !this.#isStoreDown,
+      run: () => this.#storage.isStoreDown = !this.#storage.isStoreDown,
     });
     return steps;
   }
@@ -183,6 +206,14 @@
         run: () => this.#discoverAll(directory, accounting),
       },
     ];
+    const former = this.#former.find((each) => each.vmId !== vmId);
+    if (former !== undefined) {
+      steps.push({
+        name: `late message of ${former.vmId}'s former process to ${vmId}`,
+        weight: SELDOM,
+        run: () => directory.set(former),
+      });
+    }
     if (this.#openedTurns < MAX_TURNS) {
       steps.push({
         name: `turn at ${vmId}`,
@@ -233,7 +264,10 @@
 
   #buildInfo(vmId: string): PeerInfo {
     this.#startedProcesses += 1;
-    return buildPeer(vmId, { bootId: `boot${this.#startedProcesses}` });
+    return buildPeer(vmId, {
+      bootId: `boot${this.#startedProcesses}`,
+      protocol: PROTOCOL_VERSION,
+    });
   }
 
   #startProcess(info: PeerInfo): void {
@@ -242,11 +276,12 @@
     const accounting = buildTokenAccounting(
       {
         settings: { seeds: [] },
-        store: this.#buildStore(process),
+        store: this.#storage.buildStore(process),
         log: LOG,
         metrics: new GatewayMetrics(),
         getSelf: () => info,
         findCache: () => undefined,
+        grants: this.#storage.buildGrants(process),
         ...NO_CRASHES,
         ...NO_LIMITS,
       },
@@ -266,10 +301,11 @@
     process.isAlive = false;
     this.#turns = this.#turns.filter(({ at }) => at !== process);
     const { vmId, bootId } = process.info;
+    this.#former.unshift(process.info);
     const keepsBootId =
       this.#fault === "a restarted shard holder keeps its boot ID";
     this.#startProcess(
-      keepsBootId ? buildPeer(vmId, { bootId }) : this.#buildInfo(vmId),
+      keepsBootId ? { ...process.info, bootId } : this.#buildInfo(vmId),
     );
   }
 
@@ -290,29 +326,36 @@
     message: PeerMessage,
   ): Promise<PeerResponse | undefined> {
     return new Promise((resolve) => {
-      const delivery = this.#add(`${message.kind} to ${peer.vmId}`, () => {
-        const to = this.#processes.get(peer.vmId);
-        if (to === undefined || this.#isPartitioned(from, to)) return;
-        if (!from.isAlive) return;
-        this.#deliver(from, { to, message }, (response) => {
-          this.#add("response", () => {
-            this.#remove(noResponse);
-            resolve(response);
+      const delivery = this.#steps.add(
+        `${message.kind} to ${peer.vmId}`,
+        () => {
+          const to = this.#processes.get(peer.vmId);
+          if (to === undefined || this.#isPartitioned(from, to)) return;
+          if (!from.isAlive) return;
+          this.#deliver(from, { to, message }, (response) => {
+            this.#steps.add("response", () => {
+              this.#steps.remove(noResponse);
+              resolve(this.#applyResponseFault(message, response));
+            });
           });
-        });
-        if (
-          message.kind === "move_accounts" &&
-          this.#fault === "a moved account is delivered twice"
-        ) this.#deliver(from, { to, message }, () => {});
-      });
-      const noResponse = this.#add(`no response from ${peer.vmId}`, () => {
-        // A message may still arrive after its sender has timed out.
-        if (message.kind !== "open_turn") this.#remove(delivery);
-        if (from.directory.recordUnresponsive(peer.vmId, this.#time.nowMs)) {
-          from.accounting.group.handleChange(peer, "lost");
-        }
-        resolve(undefined);
-      }, SELDOM);
+          if (
+            message.kind === "move_accounts" &&
+            this.#fault === "a moved account is delivered twice"
+          ) this.#deliver(from, { to, message }, () => {});
+        },
+      );
+      const noResponse = this.#steps.add(
+        `no response from ${peer.vmId}`,
+        () => {
+          // A message may still arrive after its sender has timed out.
+          if (message.kind !== "open_turn") this.#steps.remove(delivery);
+          if (from.directory.recordUnresponsive(peer.vmId, this.#time.nowMs)) {
+            from.accounting.group.handleChange(peer, "lost");
+          }
+          resolve(undefined);
+        },
+        SELDOM,
+      );
     });
   }
 
@@ -321,130 +364,34 @@
     { to, message }: { to: Process; message: PeerMessage },
     handleResponse: (response: PeerResponse) => void,
   ): void {
-    void to.accounting.group.handleMessage({ from: from.info, message })
+    const sent = message.kind === "share_shards"
+      ? { ...message, shards: this.#storage.removeMarks(message.shards) }
+      : message;
+    void to.accounting.group.handleMessage({ from: from.info, message: sent })
       .then((response) => {
-        if (to.isAlive) handleResponse(response);
-      });
-  }
-
-  #isPartitioned(from: Process, to: Process): boolean {
-    return this.#partitioned.has(from.info.vmId) !==
-      this.#partitioned.has(to.info.vmId);
-  }
-
-  #buildStore(process: Process): ObjectStore {
-    const write =
-      (isNew: boolean) => (kind: ObjectKind, storeWrite: StoreWrite) =>
-        this.#callStore(
-          process,
-          `${isNew ? "create" : "update"} ${kind}`,
-          () => this.#write(`${kind} ${storeWrite.name}`, storeWrite, isNew),
-        );
-    return {
-      list: () => Promise.resolve(ok({ objects: [], revision: 1 })),
-      find: (kind: ObjectKind, name: string) =>
-        this.#callStore(process, `find ${kind}`, () => {
-          const found = this.#objects.get(`${kind} ${name}`);
-          return found === undefined ? err({ kind: "absent" }) : ok(found);
-        }),
-      create: (kind: ObjectKind, storeWrite: StoreWrite) =>
-        kind === "gateways"
-          ? Promise.resolve(ok({ name: "", revision: 1 }))
-          : write(true)(kind, storeWrite),
-      update: write(false),
-    } as unknown as ObjectStore;
-  }
-
-  #callStore<T>(
-    process: Process,
-    name: string,
-    operation: () => Result<T, StoreFailure>,
-  ): Promise<Result<T, StoreFailure>> {
-    return new Promise((resolve) => {
-      if (!process.isAlive) return;
-      const applied = this.#add(`store: ${name}`, () => {
-        if (this.#isStoreDown) return this.#refuse(name, resolve, noResponse);
-        const result = operation();
-        this.#add(`store responds: ${name}`, () => {
-          this.#remove(noResponse);
-          resolve(result);
+        const { shards } = response;
+        if (!to.isAlive) return;
+        handleResponse({
+          ...response,
+          ...shards === undefined
+            ? {}
+            : { shards: this.#storage.removeMarks(shards) },
         });
       });
-      // A call without a response may still take effect later.
-      const noResponse = this.#add(`store response lost: ${name}`, () => {
-        void applied;
-        resolve(err({ kind: "uncertain", detail: "lost" }));
-      }, SELDOM);
-    });
-  }
-
-  #refuse<T>(
-    name: string,
-    resolve: (result: Result<T, StoreFailure>) => void,
-    noResponse: Step,
-  ): void {
-    this.#remove(noResponse);
-    const isWrite = name.includes("tokenAccounts");
-    if (
-      isWrite &&
-      this.#fault === "turns are admitted while the store is unavailable"
-    ) {
-      resolve(ok({ name: "p", revision: this.#revision } as T));
-    } else resolve(err({ kind: "refused", detail: "unavailable" }));
   }
 
-  #write(
-    key: string,
-    { value, revision }: StoreWrite,
-    isNew: boolean,
-  ): Result<StoredObject, StoreFailure> {
-    const current = this.#objects.get(key);
-    const isUnconditional =
-      this.#fault === "writes to the store are unconditional";
-    const matches = isNew
-      ? current === undefined
-      : current?.revision === revision;
-    if (!matches && !isUnconditional) {
-      return err({ kind: "conflict", current });
-    }
-    return ok(this.#put(key, this.#applyFault(key, value)));
-  }
-
-  #applyFault(key: string, value: unknown): unknown {
-    const isTable = key.startsWith("accountShards");
-    if (
-      !isTable ||
-      this.#fault !== "the table drops the mark of unverified shards"
-    ) {
-      return value;
-    }
-    const table = value as ReturnType<typeof encodeShardTable>;
-    const holders = table.holders
-      .map((each) => ({ ...each, isDoubtful: false }));
-    return { ...table, holders };
-  }
-
-  #put(key: string, value: unknown): StoredObject {
-    this.#revision += 1;
-    const object = { name: key, revision: this.#revision, value, status: null };
-    this.#objects.set(key, object);
-    return object;
-  }
-
-  #add(name: string, run: () => void, weight = OFTEN): Step {
-    const step: Step = {
-      name,
-      weight,
-      run: () => {
-        this.#remove(step);
-        run();
-      },
-    };
-    this.#pending.push(step);
-    return step;
+  #applyResponseFault(
+    { kind }: PeerMessage,
+    response: PeerResponse,
+  ): PeerResponse {
+    const countsAsEnded = kind === "hello" &&
+      this.#fault === "a holder that still runs counts as ended";
+    if (!countsAsEnded) return response;
+    return { ...response, from: { ...response.from, bootId: "other" } };
   }
 
-  #remove(step: Step): void {
-    this.#pending = this.#pending.filter((each) => each !== step);
+  #isPartitioned(from: Process, to: Process): boolean {
+    return this.#partitioned.has(from.info.vmId) !==
+      this.#partitioned.has(to.info.vmId);
   }
 }
--- a/packages/gateway/src/accounts/shard_table_manager.ts
+++ b/packages/gateway/src/accounts/shard_table_manager.ts
@@ -1,50 +1,51 @@
 /**
- * One gateway's part in the shard table: caches the table, grants the first
- * allowances of the shards that the gateway holds, and maintains the table if
+ * One gateway's part in the shard table: caches the table, and maintains it if
  * the gateway is the first by rank.
  *
  * The table is an object in the store. Gateways send each other updates of it,
  * so that the number of store calls doesn't grow with the number of gateways.
  */
 import { EVENTS } from "@camphorlock/codes/events";
-import {
-  type FirstAllowanceRefusal,
-  FirstAllowances,
-} from "../decisions/first_allowances.ts";
+import { FirstAllowances } from "../decisions/first_allowances.ts";
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
 import {
   buildShardTable,
   decodeShardTable,
   encodeShardTable,
   getShard,
+  type HolderCandidate,
+  setRecorded,
   type ShardHolder,
   type ShardTable,
-  updateEndedHolders,
   updateHolder,
+  updateLostHolders,
 } from "../decisions/shard_table.ts";
 import type { GatewayLog } from "../log.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
 import type { ShardTableUpdate } from "../peers/peer_messages.ts";
+import { canReceive } from "../peers/protocol_version.ts";
 import type { ObjectStore, StoredObject } from "../ports.ts";
+import { FirstAllowanceGranter } from "./first_allowance_granter.ts";
+import type { GrantRecords } from "./grant_records.ts";
+import { HolderLosses } from "./holder_losses.ts";
 
 const TABLE_NAME = "main";
 /** Interval between calls of `check`. */
 export const SHARD_CHECK_INTERVAL_MS = 500;
 /** Gateways that start together have discovered each other by this time. */
 const GROUP_FORMATION_MS = 1_000;
+/** Longest wait of a new table for the disks that record grants. */
+const DISKS_WAIT_MS = 1_500;
 /** Age at which the first gateway by rank confirms the table. */
 const FIRST_CONFIRM_AGE_MS = 4_000;
 /** Age at which any other gateway confirms it, if no update arrives. */
 const OTHERS_CONFIRM_AGE_MS = 15_000;
-/** Silence after which a process counts as ended for its shards. */
-const ENDED_AFTER_MS = 30_000;
-/** Time after the start until ended processes are replaced. */
-const REPLACE_AFTER_MS = 10_000;
-/** Longest wait for a first allowance; several times the network delay. */
-const FIRST_ALLOWANCE_TIMEOUT_MS = 100;
+/** Time after the start until lost processes are replaced. */
+const REPLACE_AFTER_MS = 2_500;
 /** Longest wait for another gateway to take shards over. */
 const TAKEOVER_TIMEOUT_MS = 600;
 const MAX_WRITES = 3;
+const MAX_LOGGED_AGE_MS = 60_000;
 
 /** Dependencies of the shard table manager. */
 export interface ShardTableManagerDependencies {
@@ -53,6 +54,8 @@
   readonly links: Pick<PeerLinks, "call">;
   readonly log: GatewayLog;
   readonly self: PeerInfo;
+  /** Where granted parts of first allowances are recorded. */
+  readonly grants: GrantRecords;
 }
 
 interface CachedTable {
@@ -62,8 +65,10 @@
 
 /** The shard table manager of one gateway. */
 export class ShardTableManager {
+  readonly granter: FirstAllowanceGranter;
   readonly #dependencies: ShardTableManagerDependencies;
   readonly #firstAllowances: FirstAllowances;
+  readonly #losses: HolderLosses;
   #cached: CachedTable | undefined;
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
   #joinedAtMs: number | undefined;
@@ -72,6 +77,16 @@
   constructor(dependencies: ShardTableManagerDependencies) {
     this.#dependencies = dependencies;
     this.#firstAllowances = new FirstAllowances(dependencies.self.bootId);
+    this.#losses = new HolderLosses(dependencies);
+    this.granter = new FirstAllowanceGranter({
+      ...dependencies,
+      allowances: this.#firstAllowances,
+      records: dependencies.grants,
+      describeTable: () => ({
+        revision: this.revision,
+        age_ms: Math.round(Math.min(this.#computeAgeMs(), MAX_LOGGED_AGE_MS)),
+      }),
+    });
   }
 
   /** Starts maintenance of the table once the other gateways are discovered. */
@@ -84,39 +99,6 @@
     return this.#cached?.table[getShard(programId)];
   }
 
-  /** Requests a program's first allowance from the holder of its shard. */
-  async acquireFirstAllowance(programId: string): Promise<boolean> {
-    const holder = this.findHolder(programId);
-    if (holder === undefined) return false;
-    const { self, directory, links } = this.#dependencies;
-    if (holder.bootId === self.bootId) {
-      return this.grantFirst(programId) === undefined;
-    }
-    const peer = directory.findLive(holder.vmId);
-    if (peer === undefined) return false;
-    const message = { kind: "grant_first", programId } as const;
-    const response = await links.call(
-      peer,
-      message,
-      FIRST_ALLOWANCE_TIMEOUT_MS,
-    );
-    return response?.isGiven === true;
-  }
-
-  /** Grants a first allowance, or returns the reason for refusal. */
-  grantFirst(programId: string): FirstAllowanceRefusal | undefined {
-    const refusal = this.#firstAllowances
-      .grant(programId, performance.now(), Date.now());
-    this.#dependencies.log.write(EVENTS.FirstAllowanceDecided, {
-      program: programId,
-      outcome: refusal ?? "given",
-      shard: getShard(programId),
-      revision: this.#cached?.revision ?? 0,
-      age_ms: Math.round(Math.min(this.#computeAgeMs(), ENDED_AFTER_MS * 2)),
-    });
-    return refusal;
-  }
-
   /** Builds an update, with the table if the other gateway's is older. */
   buildUpdate(otherRevision: number): ShardTableUpdate | undefined {
     if (this.#cached === undefined) return undefined;
@@ -149,8 +131,9 @@
     this.#isChecking = true;
     const limitMs = isFirst ? FIRST_CONFIRM_AGE_MS : OTHERS_CONFIRM_AGE_MS;
     if (this.#computeAgeMs() > limitMs) await this.#load(isFirst);
-    if (isFirst && nowMs - joinedAtMs > REPLACE_AFTER_MS) {
-      await this.#updateEnded();
+    if (nowMs - joinedAtMs > REPLACE_AFTER_MS) {
+      if (isFirst) await this.#updateLost();
+      await this.#updateRecorded();
     }
     this.#isChecking = false;
   }
@@ -180,7 +163,8 @@
     this.#firstAllowances.addGranted(granted, performance.now());
     return await this.#updateTable((table) => {
       if (!table.some(({ bootId }) => bootId === from.bootId)) return undefined;
-      return updateHolder(table, from.bootId, this.#dependencies.self);
+      const { self } = this.#dependencies;
+      return updateHolder(table, from.bootId, buildCandidate(self));
     });
   }
 
@@ -188,25 +172,46 @@
     this.#firstAllowances.removeExpired(nowMs);
   }
 
-  async #updateEnded(): Promise<void> {
+  async #updateLost(): Promise<void> {
+    const holders = this.#cached?.table ?? [];
+    const losses = await this.#losses.find(holders);
+    if (losses.size === 0) return;
     const { directory } = this.#dependencies;
-    const silentSinceMs = performance.now() - ENDED_AFTER_MS;
     await this.#updateTable((table) =>
-      updateEndedHolders(
+      updateLostHolders(
         table,
-        directory.listAvailable(),
-        (holder) => directory.hasEnded(holder, silentSinceMs),
+        directory.listAvailable().map(buildCandidate),
+        ({ bootId }) => losses.get(bootId),
+      )
+    );
+  }
+
+  /** Marks shards of an older build's table once all grants are recorded. */
+  async #updateRecorded(): Promise<void> {
+    if (!await this.granter.recordEarlier()) return;
+    await this.#updateTable((table) =>
+      setRecorded(
+        table,
+        this.#dependencies.self.bootId,
+        (shard) => this.#firstAllowances.isRecording(shard),
       )
     );
   }
 
   async #load(isFirst: boolean): Promise<void> {
-    const { store, directory } = this.#dependencies;
+    const { store, directory, grants } = this.#dependencies;
+    const joinedAtMs = this.#joinedAtMs ?? Number.NEGATIVE_INFINITY;
     const startedAtMs = performance.now();
     const found = await store.find("accountShards", TABLE_NAME);
     if (found.isOk()) return this.#applyStored(found.value, startedAtMs);
     if (found.error.kind !== "absent" || !isFirst) return;
-    const table = buildShardTable(directory.listAvailable());
+    if (!grants.canSave && startedAtMs - joinedAtMs < DISKS_WAIT_MS) return;
+    const table = buildShardTable(
+      directory.listAvailable().map((peer) => ({
+        ...buildCandidate(peer),
+        recordsGrants: grants.canSave && buildCandidate(peer).recordsGrants,
+      })),
+    );
     const value = encodeShardTable(table);
     const created = await store
       .create("accountShards", { name: TABLE_NAME, value });
@@ -286,3 +291,8 @@
     }
   }
 }
+
+function buildCandidate(peer: PeerInfo): HolderCandidate {
+  const { vmId, bootId } = peer;
+  return { vmId, bootId, recordsGrants: canReceive(peer, "grant_parts") };
+}
--- a/packages/gateway/src/accounts/turn_accounts_test.ts
+++ b/packages/gateway/src/accounts/turn_accounts_test.ts
@@ -11,6 +11,8 @@
   buildTokenAccounting,
   type TokenAccounting,
 } from "./account_components.ts";
+import { PROTOCOL_VERSION } from "../peers/protocol_version.ts";
+import { MemoryGrantRecords } from "./grant_records_fixture_test.ts";
 import type { NewTurn } from "./turn_accounts.ts";
 
 const LOG = new GatewayLog({ write: (_text, done) => done() }, "test");
@@ -25,7 +27,11 @@
 }
 
 function buildInfo(vmId: string): PeerInfo {
-  return buildPeer(vmId, { region: getRegion(vmId), bootId: `boot ${vmId}` });
+  return buildPeer(vmId, {
+    region: getRegion(vmId),
+    bootId: `boot ${vmId}`,
+    protocol: PROTOCOL_VERSION,
+  });
 }
 
 interface Member {
@@ -38,11 +44,14 @@
 class GatewayGroup {
   readonly store = new FakeStore();
   readonly cut = new Set<string>();
+  readonly grants = new MemoryGrantRecords();
   readonly #members = new Map<string, Member>();
 
   constructor(ids: readonly string[]) {
     const infos = ids.map(buildInfo);
-    const table = encodeShardTable(buildShardTable(infos));
+    const table = encodeShardTable(
+      buildShardTable(infos.map((info) => ({ ...info, recordsGrants: true }))),
+    );
     const { revision } = this.store.put("accountShards", "main", table);
     for (const info of infos) {
       const member = this.#build(info, infos);
@@ -101,6 +110,7 @@
         metrics: new GatewayMetrics(),
         getSelf: () => info,
         findCache: () => undefined,
+        grants: this.grants,
         ...NO_CRASHES,
         ...NO_LIMITS,
       },
--- a/packages/gateway/src/accounts/virtual_time_test.ts
+++ b/packages/gateway/src/accounts/virtual_time_test.ts
@@ -1,4 +1,4 @@
-import type { Step } from "./account_simulation_test.ts";
+import type { Step } from "./simulated_storage_test.ts";
 
 const TIMER_WEIGHT = 10;
 
--- a/packages/gateway/src/decisions/shard_table.ts
+++ b/packages/gateway/src/decisions/shard_table.ts
@@ -19,8 +19,26 @@
   readonly bootId: string;
   /** Whether an earlier holder may have granted unreported allowances. */
   readonly isDoubtful: boolean;
+  /**
+   * Whether all holders recorded on disks what they granted. Builds that don't
+   * record their grants drop this field from every entry that they write.
+   */
+  readonly isRecorded?: boolean;
+  /** Whether an earlier holder may still run, and grant until its table ages. */
+  readonly mayHaveSilentHolder?: boolean;
 }
 
+/** A process that may hold shards. */
+export interface HolderCandidate {
+  readonly vmId: string;
+  readonly bootId: string;
+  /** Whether the process records on disks what it grants. */
+  readonly recordsGrants: boolean;
+}
+
+/** How a holder was lost: surely ended, or only silent for a long time. */
+export type HolderLoss = "ended" | "silent";
+
 /** The holder of each shard, indexed by shard. */
 export type ShardTable = readonly ShardHolder[];
 
@@ -37,49 +55,84 @@
 
 /** Divides all shards among processes, before any process has held one. */
 export function buildShardTable(
-  processes: readonly Omit<ShardHolder, "isDoubtful">[],
+  processes: readonly HolderCandidate[],
 ): ShardTable {
-  return Array.from({ length: SHARD_COUNT }, (_, shard) => ({
-    ...placeShard(shard, processes),
-    isDoubtful: false,
-  }));
+  return Array.from({ length: SHARD_COUNT }, (_, shard) => {
+    const { vmId, bootId, recordsGrants } = placeShard(shard, processes);
+    return {
+      vmId,
+      bootId,
+      isDoubtful: false,
+      isRecorded: recordsGrants,
+      mayHaveSilentHolder: false,
+    };
+  });
 }
 
 /**
- * Reassigns the shards of processes that have ended; undefined if none of them
+ * Reassigns the shards of processes that were lost; undefined if none of them
  * holds a shard or no other process is left.
  */
-export function updateEndedHolders(
+export function updateLostHolders(
   table: ShardTable,
-  processes: readonly Omit<ShardHolder, "isDoubtful">[],
-  hasEnded: (holder: ShardHolder) => boolean,
+  processes: readonly HolderCandidate[],
+  findLoss: (holder: ShardHolder) => HolderLoss | undefined,
 ): ShardTable | undefined {
-  if (processes.length === 0 || !table.some(hasEnded)) return undefined;
-  return table.map((holder, shard) =>
-    hasEnded(holder)
-      ? { ...placeShard(shard, processes), isDoubtful: true }
-      : holder
-  );
+  if (processes.length === 0 || !table.some(findLoss)) return undefined;
+  return table.map((holder, shard) => {
+    const loss = findLoss(holder);
+    if (loss === undefined) return holder;
+    const { vmId, bootId, recordsGrants } = placeShard(shard, processes);
+    return {
+      vmId,
+      bootId,
+      isDoubtful: true,
+      isRecorded: holder.isRecorded === true && recordsGrants,
+      mayHaveSilentHolder: holder.mayHaveSilentHolder === true ||
+        loss === "silent",
+    };
+  });
 }
 
 /** Transfers the shards of a process to another that received its grants. */
 export function updateHolder(
   table: ShardTable,
   fromBootId: string,
-  to: Omit<ShardHolder, "isDoubtful">,
+  { vmId, bootId, recordsGrants }: HolderCandidate,
 ): ShardTable {
   return table.map((holder) =>
     holder.bootId === fromBootId
-      ? { ...to, isDoubtful: holder.isDoubtful }
+      ? {
+        ...holder,
+        vmId,
+        bootId,
+        isRecorded: holder.isRecorded === true && recordsGrants,
+      }
       : holder
   );
 }
 
+/** Marks the shards of a process whose grants have all been recorded. */
+export function setRecorded(
+  table: ShardTable,
+  bootId: string,
+  hasRecorded: (shard: number) => boolean,
+): ShardTable | undefined {
+  const isDue = (holder: ShardHolder, shard: number): boolean =>
+    holder.bootId === bootId && holder.isRecorded !== true &&
+    hasRecorded(shard);
+  if (!table.some(isDue)) return undefined;
+  return table.map((holder, shard) =>
+    isDue(holder, shard) ? { ...holder, isRecorded: true } : holder
+  );
+}
+
 export function encodeShardTable(table: ShardTable): EncodedShardTable {
   const indexes = new Map<string, number>();
   const holders: ShardHolder[] = [];
   const shards = table.map((holder) => {
-    const key = `${holder.bootId} ${holder.isDoubtful}`;
+    const { bootId, isDoubtful, isRecorded, mayHaveSilentHolder } = holder;
+    const key = [bootId, isDoubtful, isRecorded, mayHaveSilentHolder].join(" ");
     const index = indexes.get(key) ?? holders.push(holder) - 1;
     indexes.set(key, index);
     return index;
@@ -99,19 +152,26 @@
   const table: ShardHolder[] = [];
   for (const index of shards) {
     const holder = holders[index as number] as Partial<ShardHolder> | undefined;
-    const { vmId, bootId, isDoubtful } = holder ?? {};
+    const { vmId, bootId, isDoubtful, isRecorded, mayHaveSilentHolder } =
+      holder ?? {};
     if (typeof vmId !== "string" || typeof bootId !== "string") {
       return err(`the holder at index ${String(index)} is missing or invalid`);
     }
-    table.push({ vmId, bootId, isDoubtful: isDoubtful !== false });
+    table.push({
+      vmId,
+      bootId,
+      isDoubtful: isDoubtful !== false,
+      isRecorded: isRecorded === true,
+      mayHaveSilentHolder: mayHaveSilentHolder === true,
+    });
   }
   return ok(table);
 }
 
 function placeShard(
   shard: number,
-  processes: readonly Omit<ShardHolder, "isDoubtful">[],
-): Omit<ShardHolder, "isDoubtful"> {
+  processes: readonly HolderCandidate[],
+): HolderCandidate {
   let best = processes[0];
   let bestRank = -1;
   for (const each of processes) {
@@ -119,5 +179,5 @@
     if (rank > bestRank) [best, bestRank] = [each, rank];
   }
   if (best === undefined) throw new Error("no process to hold a shard");
-  return { vmId: best.vmId, bootId: best.bootId };
+  return best;
 }
--- a/packages/gateway/src/decisions/token_accounts.ts
+++ b/packages/gateway/src/decisions/token_accounts.ts
@@ -5,7 +5,7 @@
  * while gateways are partitioned, killed and restarted.
  *
  * A budget is divided among homes by allowances, each granted to exactly one
- * home: the first one by the holder of the program's shard, the others by
+ * home: those of the first one by the holder of the program's shard, others by
  * conditional writes to the store. A home grants turns no more than its own
  * allowances. The tokens that all homes forward therefore stay within the
  * budget, however many homes decide at once. The allowances of a failed home
@@ -33,7 +33,8 @@
   allowedTokens: number;
   /** Tokens that other homes forwarded before they moved the account here. */
   passedElsewhereTokens: number;
-  hasAskedFirst: boolean;
+  /** Whether the holder of the shard has no more of the first allowance. */
+  hasUsedFirst: boolean;
   isSpent: boolean;
   /** Whether the account has moved, except for its open turns. */
   hasMoved: boolean;
@@ -87,6 +88,7 @@
       return {
         kind: "needs_allowance",
         missingTokens: minTokens - availableTokens,
+        wantedTokens: turnTokens - availableTokens,
       };
     }
     if (!turn.isRunning) account.hasMoved = false;
@@ -122,12 +124,15 @@
     });
   }
 
-  /** Marks the first allowance as requested; false if it already was. */
-  startFirstAllowanceRequest(programId: string): boolean {
+  /** Whether nothing of a program's first allowance is left to request. */
+  hasUsedFirstAllowance(programId: string): boolean {
+    return this.#accounts.get(programId)?.hasUsedFirst ?? false;
+  }
+
+  /** Records that nothing of a program's first allowance is left. */
+  setFirstAllowanceUsed(programId: string): void {
     const account = this.#accounts.get(programId);
-    if (account === undefined || account.hasAskedFirst) return false;
-    account.hasAskedFirst = true;
-    return true;
+    if (account !== undefined) account.hasUsedFirst = true;
   }
 
   /**
@@ -139,7 +144,6 @@
     nowMs: number,
   ): void {
     const account = this.#get(programId, budgetTokens, nowMs);
-    account.hasAskedFirst = true;
     account.allowedTokens += tokens;
   }
 
@@ -180,8 +184,6 @@
     const account = this.#get(moved.programId, moved.budgetTokens, nowMs);
     account.allowedTokens += moved.allowedTokens;
     account.passedElsewhereTokens += moved.passedTokens;
-    // The sender requested it, or received the account from a home that did.
-    account.hasAskedFirst = true;
     account.isSpent ||= moved.isSpent;
     account.hasMoved = false;
   }
@@ -221,7 +223,7 @@
       budgetTokens,
       allowedTokens: 0,
       passedElsewhereTokens: 0,
-      hasAskedFirst: false,
+      hasUsedFirst: false,
       isSpent: false,
       hasMoved: false,
       turns: new Map(),
--- a/packages/gateway/src/decisions/token_accounts_test.ts
+++ b/packages/gateway/src/decisions/token_accounts_test.ts
@@ -53,7 +53,11 @@
 
   it("request an allowance before any tokens are granted", () => {
     expect(new TokenAccounts().open(buildTurn("a", 2_800), 0)).to.deep
-      .equal({ kind: "needs_allowance", missingTokens: TURN_TOKENS / 4 });
+      .equal({
+        kind: "needs_allowance",
+        missingTokens: TURN_TOKENS / 4,
+        wantedTokens: TURN_TOKENS,
+      });
   });
 
   it("grant the rest of an allowance, and more after another one", () => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,6 @@
   buildAccountComponents,
 } from "./accounts/account_components.ts";
 import { BlockedRequests } from "./decisions/blocked_requests.ts";
-import { KeptBlocks } from "./crashes/kept_blocks.ts";
 import type { PeerInfo } from "./decisions/peer_directory.ts";
 import { buildEntry } from "./peers/gateway_entry.ts";
 import { EndedTargets } from "./decisions/ended_targets.ts";
@@ -136,8 +135,8 @@
       ...options,
       ...limits,
       getSelf: () => this.#buildSelf(),
+      ...this.#turns.records,
       blocked: this.#blocked,
-      keptBlocks: new KeptBlocks(this.#turns.facts),
       ended: this.#ended,
       onBlocked: () => this.#callers.stopBlocked(),
       findCache: (kind) => this.#watched.watchers.findCache(kind),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -45,6 +45,7 @@
   "turns_admitted",
   "turns_without_allowance",
   "first_allowances",
+  "first_allowances_refused",
   "turns_over_budget",
   "account_records",
   "keys_accepted",
--- a/packages/gateway/src/model/token_account.ts
+++ b/packages/gateway/src/model/token_account.ts
@@ -24,8 +24,14 @@
   | { readonly kind: "admitted"; readonly grantedTokens: number }
   /** The budget doesn't cover the turn. */
   | { readonly kind: "over_budget" }
-  /** The home needs this many more tokens of the budget before it can grant. */
-  | { readonly kind: "needs_allowance"; readonly missingTokens: number };
+  /** The home needs more tokens of the budget before it can grant. */
+  | {
+    readonly kind: "needs_allowance";
+    /** With fewer, nothing can be granted. */
+    readonly missingTokens: number;
+    /** Enough for all that the turn declares. */
+    readonly wantedTokens: number;
+  };
 
 /** A home's response to a turn's request. */
 export type TurnResponse =
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -179,9 +179,13 @@
         logReceived(this.#dependencies.log, sender, message.accounts);
         return { from };
       case "grant_first": {
-        const isGiven = shards.grantFirst(message.programId) === undefined;
+        const isGiven = await shards.granter.grantWhole(message.programId);
         return { from, isGiven };
       }
+      case "grant_parts": {
+        const firstGrant = await shards.granter.grant(message.request);
+        return { from, firstGrant };
+      }
       case "take_shards":
         return { from, isTaken: await shards.acquire(sender, message.given) };
       case "share_shards":
--- a/packages/gateway/src/peers/peer_messages.ts
+++ b/packages/gateway/src/peers/peer_messages.ts
@@ -8,6 +8,10 @@
   TurnRequest,
   TurnResponse,
 } from "../model/token_account.ts";
+import type {
+  FirstGrant,
+  FirstGrantRequest,
+} from "../accounts/first_allowance_granter.ts";
 import type { EncodedShardTable } from "../decisions/shard_table.ts";
 import type { BlockedRequest, CrashReport } from "../model/crash_report.ts";
 import type { PeerInfo } from "../decisions/peer_directory.ts";
@@ -45,8 +49,10 @@
     readonly kind: "move_accounts";
     readonly accounts: readonly MovedAccount[];
   }
-  /** Requests a program's first allowance from the holder of its shard. */
+  /** Requests all of a program's first allowance; sent by older builds. */
   | { readonly kind: "grant_first"; readonly programId: string }
+  /** Requests a part of a first allowance from the holder of its shard. */
+  | { readonly kind: "grant_parts"; readonly request: FirstGrantRequest }
   /** Transfers the sender's shards, with the programs granted so far. */
   | { readonly kind: "take_shards"; readonly given: readonly string[] }
   /** Publishes a newer shard table. */
@@ -151,8 +157,10 @@
   readonly peers?: readonly PeerInfo[];
   readonly turn?: TurnResponse;
   readonly shards?: ShardTableUpdate;
-  /** Whether the first allowance was granted. */
+  /** Whether all of the first allowance was granted. */
   readonly isGiven?: boolean;
+  /** The decision on a part of a first allowance. */
+  readonly firstGrant?: FirstGrant;
   /** Whether the shards were transferred. */
   readonly isTaken?: boolean;
   readonly listed?: StoredList;
--- a/packages/gateway/src/peers/protocol_version.ts
+++ b/packages/gateway/src/peers/protocol_version.ts
@@ -12,7 +12,7 @@
 import type { PeerMessage } from "./peer_messages.ts";
 
 /** The version of this build. */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
 /** The version of builds whose entries state none. */
 const FIRST_VERSION = 1;
 
@@ -35,6 +35,7 @@
   ["open_path", 1],
   ["take_credits", 2],
   ["report_load", 2],
+  ["grant_parts", 3],
 ] as const satisfies readonly (readonly [SentKind, number])[];
 
 type SentKind = (PeerMessage | PathMessage)["kind"];
--- a/packages/gateway/src/token_budget_test.ts
+++ b/packages/gateway/src/token_budget_test.ts
@@ -7,6 +7,10 @@
 const TOKENS_PER_EVENT = 10;
 const BUDGET_TOKENS = 120;
 const TURN_TOKENS = 60;
+/** Turns of a budget, all of which generate what they declare. */
+const WHOLE_TURNS = 8;
+/** Time after a start within which lost holders of shards are replaced. */
+const REPLACEMENT_MS = 4_500;
 /** Time after which gateways that started together are in a steady state. */
 const START_MS = 2_500;
 
@@ -34,16 +38,17 @@
   afterEach(() => fixture.stop());
 
   /** Sends turns one after another and counts the tokens received. */
-  async function runTurns(port: number, count: number): Promise<number> {
+  async function runTurns(
+    port: number,
+    count: number,
+    budget = `p,${BUDGET_TOKENS},${TURN_TOKENS}`,
+  ): Promise<number> {
     let tokens = 0;
     for (let turn = 0; turn < count; turn += 1) {
       turns += 1;
       const { text } = await fixture.sendRequest(port, {
         path: "/stream/1",
-        headers: {
-          id: `turn-${turns}`,
-          budget: `p,${BUDGET_TOKENS},${TURN_TOKENS}`,
-        },
+        headers: { id: `turn-${turns}`, budget },
       });
       tokens += TOKENS_PER_EVENT * (text.match(/^id:/gm)?.length ?? 0);
       await new Promise((resolve) => setTimeout(resolve, 30));
@@ -67,4 +72,51 @@
     expect(before).to.be.greaterThan(0);
     expect(before + after).to.be.at.most(BUDGET_TOKENS + TURN_TOKENS);
   });
+
+  /** Starts two gateways and disks, and waits until first allowances are given. */
+  async function startWithDisks(): Promise<void> {
+    for (const vmId of ["d1", "d2", "d3"]) await fixture.addKeeper(vmId);
+    await fixture.addGateway("g1");
+    await fixture.addGateway("g2");
+    await new Promise((resolve) => setTimeout(resolve, START_MS));
+  }
+
+  /** Kills gateways and starts them again; they have new ports. */
+  async function killAndStart(vmIds: readonly string[]): Promise<void> {
+    await Promise.all(
+      vmIds.map((vmId) => fixture.gateways[vmId === "g1" ? 0 : 1]?.close()),
+    );
+    for (const vmId of vmIds) await fixture.addGateway(vmId);
+    await new Promise((resolve) => setTimeout(resolve, REPLACEMENT_MS));
+  }
+
+  // Programs got half of their budget, then 503, for an hour after a kill.
+  for (const vmIds of [["g1"], ["g2"], ["g1", "g2"]]) {
+    it(`is whole for programs that begin after a kill of ${vmIds}`, async () => {
+      await startWithDisks();
+      await killAndStart(vmIds);
+      const port = fixture.ports.at(-1) ?? 0;
+      for (const program of ["p", "q", "r", "s"]) {
+        const budget = `${program},${WHOLE_TURNS * 50},50`;
+        expect(await runTurns(port, WHOLE_TURNS + 2, budget))
+          .to.equal(WHOLE_TURNS * 50);
+      }
+    }).timeout(30_000);
+
+    it(`loses no turn that wasn't run to a kill of ${vmIds}`, async () => {
+      await startWithDisks();
+      const programs = ["p", "q", "r", "s"];
+      const buildBudget = (id: string) => `${id},${WHOLE_TURNS * 50},50`;
+      for (const program of programs) {
+        const port = fixture.ports[0] ?? 0;
+        expect(await runTurns(port, 2, buildBudget(program))).to.equal(100);
+      }
+      await killAndStart(vmIds);
+      const port = fixture.ports.at(-1) ?? 0;
+      for (const program of programs) {
+        expect(await runTurns(port, WHOLE_TURNS, buildBudget(program)))
+          .to.equal((WHOLE_TURNS - 2) * 50);
+      }
+    }).timeout(30_000);
+  }
 });
--- a/packages/gateway/src/turns/turn_components.ts
+++ b/packages/gateway/src/turns/turn_components.ts
@@ -5,6 +5,8 @@
 import { EVENTS } from "@camphorlock/codes/events";
 import { type FactAnswer, FactClient } from "@camphorlock/facts";
 import { type DiskInfo, DiskLinks, TurnClient } from "@camphorlock/turns";
+import { DiskGrantRecords } from "../accounts/grant_records.ts";
+import { KeptBlocks } from "../crashes/kept_blocks.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import type { GatewaySettings, ObjectStore } from "../ports.ts";
@@ -27,6 +29,11 @@
   readonly disks: WatchedDisks;
   readonly links: DiskLinks;
   readonly facts: FactClient<DiskInfo>;
+  /** What gateways record there for those that take their roles over. */
+  readonly records: {
+    readonly grants: DiskGrantRecords;
+    readonly keptBlocks: KeptBlocks;
+  };
 }
 
 /** Builds the components. */
@@ -43,13 +50,14 @@
     log.write(EVENTS.KeepersChanged, { keepers });
   });
   const registry = new StoredDiskRegistry(store);
-  const client = new TurnClient({
+  const access = {
     caller: links,
     region: settings.region,
     tolerance: settings.tolerance,
     listDisks: () => disks.list(),
     loadDisks: () => registry.list(),
-  });
+  };
+  const client = new TurnClient(access);
   const facts = new FactClient({
     listKeepers: () => disks.list(),
     call: async (keeper, message, timeoutMs) => {
@@ -62,5 +70,9 @@
     disks,
     links,
     facts,
+    records: {
+      grants: new DiskGrantRecords(access),
+      keptBlocks: new KeptBlocks(facts),
+    },
   };
 }
--- a/packages/gateway/src/turns/turn_history.ts
+++ b/packages/gateway/src/turns/turn_history.ts
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from "../gateway_metrics.ts";
 import type { GatewayLog } from "../log.ts";
 import { ChainCache } from "./chain_cache.ts";
+import { isReservedTurn } from "./reserved_turns.ts";
 import { OpenTurn } from "./open_turn.ts";
 
 /** Share of the request's time limit within which its chain is loaded. */
@@ -63,7 +64,11 @@
     if (!this.#dependencies.client.canSave) {
       return refuse("HistoryUnavailable", "too few disks are registered");
     }
-    const { previousTurnId } = fields;
+    const { previousTurnId, requestId } = fields;
+    if (isReservedTurn(previousTurnId)) return refuseUnknown(previousTurnId);
+    if (isReservedTurn(requestId)) {
+      return refuse("HeaderInvalid", `the id ${requestId} is reserved`);
+    }
     const loaded: ChainResult = previousTurnId === undefined
       ? { kind: "loaded", chain: [] }
       : await this.#loadChain(previousTurnId, accepted);
