Take for an event of a stream only what the standard calls one

Sound targets that send a comment before each event lost all of their events, since each comment took the number of the next one.

Cause: EventSplitter took whatever an empty line ends for an event. The progress from which another target resumes, the tokens charged and the kept data all follow it.

An event is what eventsource-parser dispatches now. Weighed: the library alone can't serve the gateway, which passes bytes on unchanged, since it returns no offsets and keeps incomplete events to itself; so the splitter finds the blocks and the library says what each is. Comments and empty lines pass on as they came; what else is no event is dropped, counted and logged, since an id without data would move the event from which the caller resumes. An event without a number ends the attempt: the protocol numbers all events, and a stream that is resumed by number can't hold another. More than 256 KiB without an event end it, too.

Looked at and found sound: token grants, the shared beginnings of streams, what placement learns, relayed connections, responses that aren't streams; all of them act on what the splitter returns, or pass on bytes.

--- a/packages/codes/src/events.ts
+++ b/packages/codes/src/events.ts
@@ -596,6 +596,12 @@
     "info",
     "Another gateway collects the load of the targets for this one's region.",
   ),
+  StreamBytesDropped: defineEvent(
+    996,
+    "StreamBytesDropped",
+    "warn",
+    "An answer of a target had bytes between its events that are neither events nor comments; they weren't forwarded.",
+  ),
 } as const;
 
 /** The name of a log event. */
--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -2,90 +2,187 @@
  * Splits the bytes of an event stream into complete events, so that a caller
  * never receives part of an event whose remainder was lost.
  *
- * The load: events of any size that arrive in pieces of any size. Each byte is
- * searched and copied a bounded number of times, also where a long event arrives
- * byte by byte.
+ * What counts as an event is what `eventsource-parser` dispatches, which follows
+ * https://html.spec.whatwg.org/multipage/server-sent-events.html: a block of
+ * lines with data, ended by an empty line. The library returns no bytes, so this
+ * module finds the blocks, and events are forwarded as they arrived. Comments
+ * and empty lines belong to a stream, too, but aren't events. Whatever else
+ * isn't an event is dropped: an id without data would change the event from
+ * which a caller resumes.
+ *
+ * The load: events of any size that arrive in pieces of any size, and bytes
+ * without events and without end. Each byte is searched and copied a bounded
+ * number of times.
  */
 import { GrowingBuffer } from "@camphorlock/http/exchange";
+import { createParser, type EventSourceMessage } from "eventsource-parser";
 
 const LINE_FEED = 0x0a;
-/** Longest buffered event; a longer one means that the stream is malformed. */
+const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
+const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+const DATA_FIELD = Buffer.from("data");
+/** Longest event with what precedes it; a longer one is malformed. */
 const MAX_EVENT_BYTES = 262_144;
-/** Longest mark of an event's end. */
-const MAX_END_BYTES = 3;
-const DATA_FIELD = "data:";
-const ID_PATTERN = /^id: ?(\d+)\r?$/m;
+const NUMBER_PATTERN = /^\d+$/;
 
 /** One complete event. */
 export interface StreamEvent {
-  /** Number of the event; undefined if it has none. */
+  readonly kind: "event";
+  /** Number of the event; undefined if its id isn't one. */
   readonly id: number | undefined;
+  /** The values of its `data` lines, joined by line feeds, as Latin-1. */
+  readonly data: string;
   readonly bytes: Buffer;
 }
 
+/** Comments and empty lines between events. */
+export interface StreamFiller {
+  readonly kind: "filler";
+  readonly bytes: Buffer;
+}
+
+/** A part of a stream that may be forwarded. */
+export type StreamPart = StreamEvent | StreamFiller;
+
+/** What a stream ended with. */
+export type StreamEnd =
+  | { readonly kind: "complete"; readonly rest: Buffer }
+  | { readonly kind: "within_event" };
+
 /** Splits one stream. */
 export class EventSplitter {
-  readonly #remainder = new GrowingBuffer();
+  /** The bytes of the block that isn't complete yet. */
+  readonly #block = new GrowingBuffer();
+  /** Offset in the block of the line that isn't complete yet. */
+  #lineStart = 0;
+  #endsWithReturn = false;
+  #hasData = false;
+  /** Whether the block has had only comments and empty lines. */
+  #isFiller = true;
+  #isFirstBlock = true;
+  #bytesSinceEvent = 0;
+  #droppedBytes = 0;
+  readonly #parsed: EventSourceMessage[] = [];
+  readonly #parser = createParser({
+    onEvent: (event) => void this.#parsed.push(event),
+  });
 
-  /** Number of buffered bytes of an incomplete event. */
+  /** Number of buffered bytes of an incomplete block. */
   get bufferedBytes(): number {
-    return this.#remainder.length;
+    return this.#block.length;
+  }
+
+  /** Number of bytes that were neither of events nor filler. */
+  get droppedBytes(): number {
+    return this.#droppedBytes;
   }
 
-  /** Whether the incomplete event is longer than any valid one. */
+  /** Whether more bytes arrived without an event than any valid one has. */
   get isOverlong(): boolean {
-    return this.#remainder.length > MAX_EVENT_BYTES;
+    return this.#bytesSinceEvent > MAX_EVENT_BYTES;
   }
 
-  /** Adds bytes and returns the events that they complete. */
-  append(chunk: Uint8Array): StreamEvent[] {
-    const searchedBytes = this.#remainder.length;
-    if (searchedBytes > 0) this.#remainder.append(chunk);
+  /** Adds bytes; returns the events that they complete, and what's between. */
+  append(chunk: Uint8Array): StreamPart[] {
+    const searchedBytes = this.#block.length;
+    if (searchedBytes > 0) this.#block.append(chunk);
     const bytes = searchedBytes > 0
-      ? this.#remainder.view()
+      ? this.#block.view()
       : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
-    const events: StreamEvent[] = [];
+    this.#bytesSinceEvent += chunk.length;
+    const parts: StreamPart[] = [];
     let start = 0;
-    const searchAt = Math.max(0, searchedBytes - MAX_END_BYTES + 1);
-    for (let end = findEventEnd(bytes, searchAt); end > 0;) {
-      events.push(createEvent(bytes.subarray(start, end)));
-      start = end;
-      end = findEventEnd(bytes, start);
+    for (let at = searchedBytes; at < bytes.length; at += 1) {
+      const byte = bytes[at];
+      const followsReturn = this.#endsWithReturn;
+      this.#endsWithReturn = byte === CARRIAGE_RETURN;
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
+      if (byte === LINE_FEED && followsReturn) {
+        // The rest of a line's end that came with an earlier chunk.
+        this.#lineStart = at + 1 - start;
+        continue;
+      }
+      const isEmpty = at === this.#lineStart + start;
+      if (!isEmpty) this.#addLine(bytes.subarray(this.#lineStart + start, at));
+      if (this.#endsWithReturn && bytes[at + 1] === LINE_FEED) {
+        this.#endsWithReturn = false;
+        at += 1;
+      }
+      this.#lineStart = at + 1 - start;
+      if (!isEmpty) continue;
+      this.#addBlock(parts, bytes.subarray(start, at + 1));
+      if (parts.at(-1)?.kind === "event") {
+        this.#bytesSinceEvent = bytes.length - at - 1;
+      }
+      start = at + 1;
+      this.#lineStart = 0;
     }
-    // Otherwise the remainder has all bytes.
+    // Otherwise the block has all bytes.
     if (start > 0 || searchedBytes === 0) {
-      this.#remainder.reset();
-      this.#remainder.append(bytes.subarray(start));
+      this.#block.reset();
+      this.#block.append(bytes.subarray(start));
     }
-    return events;
+    return parts;
   }
-}
 
-/**
- * Reads the data of an event: the values of its `data` lines, joined by line
- * feeds.
- */
-export function readEventData({ bytes }: StreamEvent): Buffer {
-  const values = bytes.toString("latin1").split(/\r?\n/)
-    .filter((line) => line === "data" || line.startsWith("data:"))
-    .map((line) => line.slice(DATA_FIELD.length).replace(/^ /, ""));
-  return Buffer.from(values.join("\n"), "latin1");
+  /** Ends the stream; what is left may be comments, or part of an event. */
+  end(): StreamEnd {
+    const rest = this.#block.view();
+    const line = rest.subarray(this.#lineStart);
+    const isFiller = this.#isFiller &&
+      (line.length === 0 || line[0] === COLON);
+    return isFiller ? { kind: "complete", rest } : { kind: "within_event" };
+  }
+
+  #addLine(line: Buffer): void {
+    const isMarked = this.#isFirstBlock && this.#lineStart === 0 &&
+      line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
+    const text = isMarked ? line.subarray(BYTE_ORDER_MARK.length) : line;
+    if (text[0] === COLON) return;
+    this.#isFiller = false;
+    const field = text.subarray(0, DATA_FIELD.length);
+    this.#hasData ||= field.equals(DATA_FIELD);
+  }
+
+  #addBlock(parts: StreamPart[], bytes: Buffer): void {
+    const event = this.#hasData ? this.#parse(bytes) : undefined;
+    if (event !== undefined) parts.push(event);
+    else if (this.#isFiller) addFiller(parts, bytes);
+    else this.#droppedBytes += bytes.length;
+    this.#hasData = false;
+    this.#isFiller = true;
+    this.#isFirstBlock = false;
+  }
+
+  /** Parses a block; undefined if it's no event. */
+  #parse(bytes: Buffer): StreamEvent | undefined {
+    // Latin-1 keeps every byte.
+    const text = bytes.toString("latin1");
+    // After a return, the parser waits for a line feed.
+    this.#parser.feed(text.endsWith("\r") ? `${text}\n` : text);
+    const parsed = this.#parsed.pop();
+    if (parsed === undefined) return undefined;
+    const { id = "", data } = parsed;
+    const number = NUMBER_PATTERN.test(id) ? Number(id) : undefined;
+    return { kind: "event", id: number, data, bytes };
+  }
 }
 
-/** Finds the first end of an event from `start` on; 0 if there is none. */
-function findEventEnd(bytes: Buffer, start: number): number {
-  for (
-    let at = bytes.indexOf(LINE_FEED, start);
-    at >= 0;
-    at = bytes.indexOf(LINE_FEED, at + 1)
-  ) {
-    if (bytes[at + 1] === LINE_FEED) return at + 2;
-    if (bytes[at + 1] === 0x0d && bytes[at + 2] === LINE_FEED) return at + 3;
+/** Adds filler to the part before if that's filler, too. */
+function addFiller(parts: StreamPart[], bytes: Buffer): void {
+  const last = parts.at(-1);
+  if (last?.kind !== "filler" || !isNext(last.bytes, bytes)) {
+    parts.push({ kind: "filler", bytes });
+    return;
   }
-  return 0;
+  const { buffer, byteOffset, length } = last.bytes;
+  const joined = Buffer.from(buffer, byteOffset, length + bytes.length);
+  parts[parts.length - 1] = { kind: "filler", bytes: joined };
 }
 
-function createEvent(bytes: Buffer): StreamEvent {
-  const match = ID_PATTERN.exec(bytes.toString("latin1"));
-  return { id: match === null ? undefined : Number(match[1]), bytes };
+/** Whether bytes follow others in the same memory. */
+function isNext(before: Buffer, bytes: Buffer): boolean {
+  return before.buffer === bytes.buffer &&
+    before.byteOffset + before.length === bytes.byteOffset;
 }
--- a/packages/gateway/src/exchange/request_runner.ts
+++ b/packages/gateway/src/exchange/request_runner.ts
@@ -6,10 +6,7 @@
 import { EVENTS } from "@camphorlock/codes/events";
 import { isDelimited } from "@camphorlock/http/exchange";
 import { chooseService } from "../decisions/choose_service.ts";
-import {
-  readEventData,
-  type StreamEvent,
-} from "../decisions/event_splitter.ts";
+import type { StreamEvent } from "../decisions/event_splitter.ts";
 import {
   type FailedAttempt,
   needsConfirmation,
@@ -231,7 +228,7 @@
 
   #recordEvent(entry: TrackedTarget, event: StreamEvent): void {
     const { progress } = this.#attempts;
-    this.#state.turn?.addEvent(readEventData(event));
+    this.#state.turn?.addEvent(Buffer.from(event.data, "latin1"));
     const { requestId } = this.#accepted.fields;
     entry.recordFirstResponse(requestId, performance.now());
     recordBeginning(this.#dependencies, this.#accepted, {
--- a/packages/gateway/src/exchange/start_attempt.ts
+++ b/packages/gateway/src/exchange/start_attempt.ts
@@ -1,6 +1,7 @@
 /**
  * Starts one attempt of a request at its target, as a stream or buffered.
  */
+import { EVENTS } from "@camphorlock/codes/events";
 import type { TurnGrant } from "../accounts/turn_accounts.ts";
 import type { StreamEvent } from "../decisions/event_splitter.ts";
 import type { TrackedTarget } from "../decisions/target_table.ts";
@@ -64,5 +65,14 @@
     caller,
     grant,
     recordEvent,
+    recordDropped: (bytes) => {
+      metrics.add("stream_bytes_dropped", bytes);
+      dependencies.log.write(EVENTS.StreamBytesDropped, {
+        request: fields.requestId,
+        target: entry.target.id,
+        bytes,
+        after_event: attempts.progress.lastEventId,
+      });
+    },
   });
 }
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -15,6 +15,7 @@
 import {
   EventSplitter,
   type StreamEvent,
+  type StreamPart,
 } from "../decisions/event_splitter.ts";
 import type { FailedAttempt } from "../decisions/next_step.ts";
 import {
@@ -64,6 +65,8 @@
   readonly grant: StreamGrant | undefined;
   /** Records an event before it's forwarded. */
   readonly recordEvent: (event: StreamEvent) => void;
+  /** Records at the attempt's end how many bytes weren't forwarded. */
+  readonly recordDropped: (bytes: number) => void;
 }
 
 /** Starts a streaming attempt. */
@@ -92,8 +95,10 @@
   #status = 0;
   #headers: PeerHeaders = {};
   #isStream = false;
-  /** Events that have arrived and wait for a grant. */
-  readonly #waitingEvents: StreamEvent[] = [];
+  /** What has arrived, from the first event on that waits for a grant. */
+  readonly #waitingParts: StreamPart[] = [];
+  /** Comments before the first event; an attempt without events sends none. */
+  readonly #heldFiller: Uint8Array[] = [];
   /** How the exchange ended while events were waiting. */
   #deferredEnd: ExchangeEnd | undefined;
   #hasEnded = false;
@@ -103,6 +108,8 @@
     this.result = new Promise((resolve) => {
       this.#resolve = (result) => {
         this.#hasEnded = true;
+        const { droppedBytes } = this.#splitter;
+        if (droppedBytes > 0) options.recordDropped(droppedBytes);
         resolve(result);
       };
     });
@@ -112,7 +119,7 @@
     const exchange = connection.start(request, this);
     this.#exchange = exchange;
     this.#options.caller.onDrain(() => {
-      if (this.#waitingEvents.length === 0) exchange.resume();
+      if (this.#waitingParts.length === 0) exchange.resume();
     });
     const { timeoutMs } = this.#options;
     this.#timer = setTimeout(
@@ -137,14 +144,16 @@
 
   handleData(chunk: Uint8Array): void {
     if (!this.#isStream) return this.#addBuffered(chunk);
-    const events = this.#splitter.append(chunk);
-    if (this.#splitter.isOverlong) return this.#endBroken("overlong event");
-    this.#waitingEvents.push(...events);
+    for (const part of this.#splitter.append(chunk)) {
+      this.#waitingParts.push(part);
+    }
     this.#forwardWaiting();
+    if (this.#hasEnded || !this.#splitter.isOverlong) return;
+    this.#endBroken("overlong event, or too much without an event");
   }
 
   handleEnd(end: ExchangeEnd): void {
-    if (this.#waitingEvents.length > 0) {
+    if (this.#waitingParts.length > 0) {
       this.#deferredEnd = end;
       return;
     }
@@ -161,10 +170,12 @@
 
   #buildResult(): StreamAttemptResult {
     if (!this.#isStream) return this.#checkResponse();
-    if (this.#splitter.bufferedBytes > 0) {
+    const end = this.#splitter.end();
+    if (end.kind === "within_event") {
       return { kind: "broken", detail: "the stream ended within an event" };
     }
     this.#openStream();
+    if (end.rest.length > 0) this.#options.caller.sendEvents(end.rest);
     return { kind: "completed" };
   }
 
@@ -181,11 +192,12 @@
   /** Forwards the granted events, then a deferred end of the exchange. */
   #forwardWaiting(): void {
     for (;;) {
-      const [event] = this.#waitingEvents;
-      if (event === undefined) break;
-      if (!this.#canForward(event)) return;
-      this.#waitingEvents.shift();
-      if (!this.#forwardEvent(event)) return;
+      const [part] = this.#waitingParts;
+      if (part === undefined) break;
+      if (part.kind === "event" && !this.#canForward(part)) return;
+      this.#waitingParts.shift();
+      if (part.kind === "filler") this.#forwardFiller(part.bytes);
+      else if (!this.#forwardEvent(part)) return;
     }
     if (this.#deferredEnd !== undefined) this.handleEnd(this.#deferredEnd);
   }
@@ -193,7 +205,11 @@
   /** Whether an event may be forwarded; if not, the stream is paused. */
   #canForward(event: StreamEvent): boolean {
     const { grant, progress } = this.#options;
-    const isNew = event.id === undefined || event.id > progress.lastEventId;
+    if (event.id === undefined) {
+      this.#endBroken("an event without a number");
+      return false;
+    }
+    const isNew = event.id > progress.lastEventId;
     if (grant === undefined || !isNew || grant.addEvent()) return true;
     if (grant.isFull) {
       this.#endBroken("more tokens than the request declares");
@@ -216,8 +232,8 @@
   #forwardEvent(event: StreamEvent): boolean {
     const { progress, caller } = this.#options;
     const expected = progress.lastEventId + 1;
-    if (event.id !== undefined && event.id < expected) return true;
-    if (event.id !== undefined && event.id > expected) {
+    if (event.id === undefined || event.id < expected) return true;
+    if (event.id > expected) {
       this.#endBroken(
         `event ${event.id} arrived after event ${progress.lastEventId}`,
       );
@@ -231,13 +247,23 @@
     return true;
   }
 
+  /** Forwards what isn't an event; it changes nothing in the progress. */
+  #forwardFiller(bytes: Uint8Array): void {
+    const { caller } = this.#options;
+    if (!caller.hasSentHead) this.#heldFiller.push(bytes);
+    else if (!caller.sendEvents(bytes)) this.#exchange?.pause();
+  }
+
+  /** Sends the response's head, and the comments before the first event. */
   #openStream(): void {
     const { caller, codec } = this.#options;
-    if (caller.hasSentHead) return;
-    caller.openStream({
-      status: this.#status,
-      headers: codec.encodeResponseHeaders(this.#headers),
-    });
+    if (!caller.hasSentHead) {
+      caller.openStream({
+        status: this.#status,
+        headers: codec.encodeResponseHeaders(this.#headers),
+      });
+    }
+    for (const bytes of this.#heldFiller.splice(0)) caller.sendEvents(bytes);
   }
 
   #addBuffered(chunk: Uint8Array): void {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -18,6 +18,7 @@
   "requests_abandoned",
   "sends",
   "sends_failed",
+  "stream_bytes_dropped",
   "sends_beyond_target_limit",
   "sends_without_deadline",
   "sends_to_limited_targets",
--- a/packages/gateway/src/turns/kept_turns_test.ts
+++ b/packages/gateway/src/turns/kept_turns_test.ts
@@ -140,6 +140,33 @@
     expect(received[3]).to.equal(`first.${findOutput(6)}other.`);
   });
 
+  // Line feeds that no event had were sent in all later bodies of the chain.
+  for (const wrong of ["\n".repeat(16), ": comment\n\n", "wrong\n\n"]) {
+    it(`contain only the data of events beside ${JSON.stringify(wrong)}`, async () => {
+      target.handle = (request, response) =>
+        readBody(request, (body) => {
+          received.push(body);
+          response.writeHead(200, { signed: "1" });
+          response.write(`${wrong}id: 1\ndata: a\n\n`);
+          response.end(`${wrong}id: 2\ndata: b\n\n${wrong}`);
+        });
+      await startWith(2);
+      expect((await sendTurn("a", "first.")).isComplete).to.equal(true);
+      await sendTurn("b", "second.", { previous: "a", gateway: 1 });
+      expect(received).to.deep.equal(["first.", "first.a\nb\nsecond."]);
+    });
+  }
+
+  // The gateways' own records are kept under such ids.
+  it("have no id that begins like those of the gateways' records", async () => {
+    await startWith(2);
+    const id = "camphorlock.grant.x";
+    expect((await sendTurn(id, "first.")).status).to.equal(400);
+    const next = await sendTurn("b", "second.", { previous: id });
+    expect(next.status).to.equal(404);
+    expect(received).to.deep.equal([]);
+  });
+
   it("are unknown with 404 only if enough disks say so", async () => {
     await startWith(3);
     const unknown = await sendTurn("b", "x", { previous: "nothing" });
