Wait at a planned stop until callers have taken their responses

Cause: a response counted as ended once it was handed to Node.js. So the process didn't wait for it, and closeIdleConnections, which close() calls, too, cut connections whose response had ended but wasn't written.

A request is open now until its response was written or its connection closed, and a connection is idle by the gateway's own account.

Looked at and found sound: streams, relayed connections, the processes on VMs with disks, the limits on callers that wait.

--- a/packages/gateway/src/front/caller_connections.ts
+++ b/packages/gateway/src/front/caller_connections.ts
@@ -57,6 +57,14 @@
     return this.#table.list();
   }
 
+  /** Closes the connections that wait for a request. */
+  closeIdle(): void {
+    for (const socket of [...this.#table.list()]) {
+      const unanswered = this.#unanswered.get(socket)?.size ?? 0;
+      if (unanswered === 0 && socket.isIdle) socket.destroy();
+    }
+  }
+
   /** Adds a connection, and closes another one if there are too many. */
   add(socket: CallerSocket): void {
     const unanswered = new Set<() => void>();
--- a/packages/gateway/src/front/caller_server.ts
+++ b/packages/gateway/src/front/caller_server.ts
@@ -77,14 +77,10 @@
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
       requestTimeout: 0,
     }, (request, response) => this.#handle(request, response));
-    scheduleInput(
-      this.#server,
-      dependencies.input,
-      (connection) => this.#connections.add(connection),
-    );
+    scheduleInput(this.#server, dependencies.input, this.#connections);
   }
 
-  /** Number of requests without a final response. */
+  /** Number of requests whose callers haven't taken the whole response. */
   get openRequests(): number {
     return this.#openRequests;
   }
@@ -108,7 +104,6 @@
   /** Accepts no further connections and closes idle ones. */
   stopListening(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /** Ends the open requests: with an error response, unless a stream began. */
@@ -160,9 +155,9 @@
       });
       caller.close();
     } finally {
-      this.#openRequests -= 1;
       // The response is held until the caller has taken it.
-      void closed.then(() => share.close());
+      void closed.then(() => share.close())
+        .then(() => this.#openRequests -= 1);
     }
   }
 
--- a/packages/gateway/src/front/caller_socket.ts
+++ b/packages/gateway/src/front/caller_socket.ts
@@ -37,6 +37,8 @@
   /** The request whose response hasn't ended. */
   #request: IncomingMessage | undefined;
   #hasInputEnded = false;
+  /** Whether the server has part of a request's head. */
+  #hasPartialHead = false;
   /** How many further bytes are read and dropped, once the rest is. */
   #dropBytes: number | undefined;
   #isLingering = true;
@@ -75,6 +77,12 @@
     return this;
   }
 
+  /** Whether no request is being read and no response is being written. */
+  get isIdle(): boolean {
+    return this.#request === undefined && !this.#hasPartialHead &&
+      this.#input.length === 0;
+  }
+
   get canParse(): boolean {
     return this.#input.length > 0 && this.#isWanted && !this.destroyed &&
       this.#dropBytes === undefined && this.#request?.complete !== true;
@@ -89,6 +97,7 @@
     this.#input = bytes === this.#input.length
       ? NOTHING
       : this.#input.subarray(bytes);
+    this.#hasPartialHead ||= this.#request === undefined;
     this.#isWanted = this.push(slice);
     this.#updateReading();
     this.#endInput();
@@ -110,6 +119,7 @@
       isChunked ? undefined : Number(headers["content-length"] ?? 0),
     );
     this.#request = request;
+    this.#hasPartialHead = false;
     response.once("close", () => {
       this.#request = undefined;
       this.#slicer.startHead();
@@ -218,18 +228,28 @@
   return socket as Duplex as CallerSocket;
 }
 
+/** The open connections of a server. */
+export interface OpenConnections {
+  add(connection: CallerSocket): void;
+  /** Closes the connections that wait for a request. */
+  closeIdle(): void;
+}
+
 /** Serves a server's connections through `CallerSocket`. */
 export function scheduleInput(
   server: Server,
   scheduler: InputScheduler,
-  handleConnection: (connection: CallerSocket) => void,
+  connections: OpenConnections,
 ): void {
+  // Called by `close`; Node.js's own also closes connections whose responses
+  // aren't written yet.
+  server.closeIdleConnections = () => connections.closeIdle();
   // The server's own handling of connections takes any duplex stream.
   const handlers = server.listeners("connection");
   server.removeAllListeners("connection");
   server.on("connection", (socket: Socket) => {
     const connection = new CallerSocket(socket, scheduler);
     for (const handle of handlers) handle.call(server, connection);
-    handleConnection(connection);
+    connections.add(connection);
   });
 }
--- a/packages/gateway/src/front/caller_socket_test.ts
+++ b/packages/gateway/src/front/caller_socket_test.ts
@@ -9,6 +9,7 @@
 import { getCallerSocket, scheduleInput } from "./caller_socket.ts";
 import { InputScheduler } from "./input_scheduler.ts";
 
+const NO_CONNECTIONS = { add: () => {}, closeIdle: () => {} };
 const LARGE = Buffer.alloc(4_000_000, 97);
 
 describe("a caller's connection", () => {
@@ -31,7 +32,7 @@
       getCallerSocket(request).startRequest(request, response);
       answer(request, response);
     });
-    scheduleInput(server, new InputScheduler(), () => {});
+    scheduleInput(server, new InputScheduler(), NO_CONNECTIONS);
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", () => resolve())
     );
@@ -226,7 +227,7 @@
     server.close();
     server = createServer({ connectionsCheckingInterval: 20 });
     server.headersTimeout = 50;
-    scheduleInput(server, new InputScheduler(), () => {});
+    scheduleInput(server, new InputScheduler(), NO_CONNECTIONS);
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", () => resolve())
     );
--- a/packages/gateway/src/front/plain_text_server.ts
+++ b/packages/gateway/src/front/plain_text_server.ts
@@ -39,11 +39,7 @@
       response.writeHead(status, { "content-type": "text/plain" });
       response.end(text);
     });
-    scheduleInput(
-      this.#server,
-      dependencies.input,
-      (connection) => connections.add(connection),
-    );
+    scheduleInput(this.#server, dependencies.input, connections);
   }
 
   /** Starts to listen; rejects if the address can't be used. */
--- a/packages/gateway/src/planned_stop_test.ts
+++ b/packages/gateway/src/planned_stop_test.ts
@@ -11,6 +11,10 @@
 const GRACE_MS = 4_000;
 /** Longer than what is left of the grace period for the late requests. */
 const WORK_MS = 2_600;
+/** More than the sockets hold; just inside what a gateway forwards. */
+const LARGE_BYTES = 4_190_000;
+/** After the listener has closed, inside the grace period. */
+const SLOW_READ_MS = 3_000;
 const ROUTE_TIMEOUT_MS = 3_000;
 const LONG_TIMEOUT_MS = 30_000;
 
@@ -99,6 +103,44 @@
     expect(refusal).to.match(/^retry-after: 0\r$/m);
   }).timeout(60_000);
 
+  // The process ended once all responses were handed over, not when they were
+  // written, and cut those that callers read slowly.
+  it("cuts off no response that its caller reads slowly", async () => {
+    const body = Buffer.alloc(LARGE_BYTES, "x");
+    target.handle = (_request, response) => {
+      response.writeHead(200, { signed: "1", "content-length": LARGE_BYTES });
+      response.end(body);
+    };
+    const connections = await Promise.all(
+      Array.from({ length: 3 }, () => openConnection()),
+    );
+    const answers = connections.map((socket) => {
+      const answer = sendLate(socket, "/once/1");
+      socket.pause();
+      return answer;
+    });
+    await waitUntil(() => target.receivedPaths.length === connections.length);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    const stopped = fixture.gateways[0]?.stop();
+    setTimeout(() => {
+      for (const socket of connections) socket.resume();
+    }, SLOW_READ_MS);
+    await stopped;
+    const lengths = (await Promise.all(answers))
+      .map((text) => text.length - text.indexOf("\r\n\r\n") - 4);
+    expect(lengths).to.deep.equal(connections.map(() => LARGE_BYTES));
+  }).timeout(60_000);
+
+  it("doesn't wait for idle connections", async () => {
+    const idle = await openConnection();
+    idle.resume();
+    const closed = new Promise((resolve) => idle.once("close", resolve));
+    const startedAtMs = performance.now();
+    await fixture.gateways[0]?.stop();
+    await closed;
+    expect(performance.now() - startedAtMs).to.be.lessThan(GRACE_MS);
+  }).timeout(60_000);
+
   it("answers a request that its target still holds at the end", async () => {
     setTimeouts(2, LONG_TIMEOUT_MS);
     await waitUntil(() => fixture.lines.some(({ version }) => version === 2));
