--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -111,10 +111,8 @@
       }
       this.#lineStart = at + 1 - start;
       if (!isEmpty) continue;
-      this.#addBlock(parts, bytes.subarray(start, at + 1));
-      if (parts.at(-1)?.kind === "event") {
-        this.#bytesSinceEvent = bytes.length - at - 1;
-      }
+      const isEvent = this.#addBlock(parts, bytes.subarray(start, at + 1));
+      if (isEvent) this.#bytesSinceEvent = bytes.length - at - 1;
       start = at + 1;
       this.#lineStart = 0;
     }
@@ -145,7 +143,8 @@
     this.#hasData ||= field.equals(DATA_FIELD);
   }
 
-  #addBlock(parts: StreamPart[], bytes: Buffer): void {
+  /** Adds a complete block; whether it's an event. */
+  #addBlock(parts: StreamPart[], bytes: Buffer): boolean {
     const event = this.#hasData ? this.#parse(bytes) : undefined;
     if (event !== undefined) parts.push(event);
     else if (this.#isFiller) addFiller(parts, bytes);
@@ -153,6 +152,7 @@
     this.#hasData = false;
     this.#isFiller = true;
     this.#isFirstBlock = false;
+    return event !== undefined;
   }
 
   /** Parses a block; undefined if it's no event. */
--- a/packages/gateway/src/decisions/event_splitter_test.ts
+++ b/packages/gateway/src/decisions/event_splitter_test.ts
@@ -176,6 +176,13 @@
     }
   });
 
+  it("counts what it drops behind an event", () => {
+    const splitter = new EventSplitter();
+    const wrong = "wrong\n\n".repeat(40_000);
+    splitText(`data: a\n\n${wrong}`, { splitter });
+    expect(splitter.isOverlong).to.equal(true);
+  });
+
   it("takes any number of comments between events", () => {
     const splitter = new EventSplitter();
     const chunk = Buffer.from(`${": x\n\n".repeat(40_000)}data: a\n\n`);
