Bound the time in which a holder decides on a grant

Homes take a holder that answers too late for lost. A request's time now begins when it arrives, the registry of disks is waited for 60 ms at most, and with too few known disks the refusal is immediate.

--- a/packages/gateway/src/accounts/account_home.ts
+++ b/packages/gateway/src/accounts/account_home.ts
@@ -3,9 +3,9 @@
  * acquires an allowance before it grants tokens from it.
  *
  * The holder of a program's shard grants the first allowance in parts, without a
- * write to the store. Every further allowance is acquired by a write to the program's
- * record in the store. If neither is available, the turn is refused and doesn't
- * run.
+ * write to the store. Every further allowance is acquired by a write to the
+ * program's record in the store. If neither is available, the turn is refused
+ * and doesn't run.
  */
 import type { TokenAccounts } from "../decisions/token_accounts.ts";
 import type { GatewayMetrics } from "../gateway_metrics.ts";
--- a/packages/gateway/src/accounts/first_allowance_client.ts
+++ b/packages/gateway/src/accounts/first_allowance_client.ts
@@ -12,7 +12,7 @@
 import type { ShardTableManager } from "./shard_table_manager.ts";
 
 /** Longest wait: for the way and for the disks. */
-const TIMEOUT_MS = 250;
+const TIMEOUT_MS = 300;
 
 /** Dependencies of the client. */
 export interface FirstAllowanceClientDependencies {
--- a/packages/gateway/src/accounts/first_allowance_granter.ts
+++ b/packages/gateway/src/accounts/first_allowance_granter.ts
@@ -18,8 +18,11 @@
 import type { GatewayLog } from "../log.ts";
 import type { GrantRecords } from "./grant_records.ts";
 
-/** Longest wait for the disks; several times their delay and a sync. */
-const DISKS_TIMEOUT_MS = 200;
+/**
+ * Longest time of a request: several times the delay of disks and a sync, and
+ * less than homes wait, since they take a holder that is later for lost.
+ */
+const REQUEST_TIMEOUT_MS = 150;
 /** Records of earlier grants that are written at the same time. */
 const RECORDS_AT_ONCE = 50;
 const EARLIER_GRANTS_TIMEOUT_MS = 5_000;
@@ -129,8 +132,9 @@
     | { readonly kind: "refused"; readonly reason: FirstAllowanceRefusal }
   > {
     const startedAtMs = performance.now();
+    const deadlineMs = startedAtMs + REQUEST_TIMEOUT_MS;
     const decision = (this.#pending.get(programId) ?? Promise.resolve())
-      .then(() => this.#settleGrant(programId, choose));
+      .then(() => this.#settleGrant(programId, { choose, deadlineMs }));
     this.#pending.set(programId, decision);
     const decided = await decision;
     if (this.#pending.get(programId) === decision) {
@@ -154,13 +158,15 @@
 
   async #settleGrant(
     programId: string,
-    choose: (before: number) => number | undefined,
+    { choose, deadlineMs }: {
+      readonly choose: (before: number) => number | undefined;
+      readonly deadlineMs: number;
+    },
   ): Promise<ChosenParts | FirstAllowanceRefusal> {
     const { allowances, records } = this.#dependencies;
     const holding = allowances.findHolding(programId);
     const refusal = this.#check(programId, holding);
     if (refusal !== undefined) return refusal;
-    const deadlineMs = performance.now() + DISKS_TIMEOUT_MS;
     const before = allowances.findParts(programId) ?? await records.find(
       programId,
       { registeredAtMs: allowances.findUsableAtMs(programId), deadlineMs },
@@ -176,9 +182,9 @@
       allowances.setParts(programId, FIRST_ALLOWANCE_PARTS, performance.now());
       return { before, parts: FIRST_ALLOWANCE_PARTS };
     }
-    if (!await records.save(programId, parts, deadlineMs)) {
-      return "not_recorded";
-    }
+    const isRecorded = records.canSave &&
+      await records.save(programId, parts, deadlineMs);
+    if (!isRecorded) return "not_recorded";
     // Another process may have become the holder during the save.
     const lateRefusal = this.#check(programId, holding);
     if (lateRefusal !== undefined) return lateRefusal;
--- a/packages/gateway/src/accounts/first_allowance_granter_test.ts
+++ b/packages/gateway/src/accounts/first_allowance_granter_test.ts
@@ -75,6 +75,12 @@
     expect(await grantTokens()).to.equal(10);
   });
 
+  it("refuses at once while too few disks are known", async () => {
+    records.canSave = false;
+    records.save = () => new Promise(() => {});
+    expect(await grantTokens()).to.equal("not_recorded");
+  });
+
   it("grants nothing while it can't find out what was granted", async () => {
     start({ isDoubtful: true });
     records.isReachable = false;
--- a/packages/gateway/src/accounts/grant_records.ts
+++ b/packages/gateway/src/accounts/grant_records.ts
@@ -9,6 +9,7 @@
  * of disks is read once after a holder was replaced.
  */
 import { createHash } from "node:crypto";
+import { setTimeout as waitFor } from "node:timers/promises";
 import {
   type DiskCaller,
   type DiskInfo,
@@ -22,6 +23,8 @@
 } from "../decisions/first_allowances.ts";
 import { RESERVED_TURN_PREFIX } from "../turns/reserved_turns.ts";
 
+/** Longest wait for the registry; a later answer serves the next request. */
+const REGISTRY_TIMEOUT_MS = 60;
 /** Pause after a failed read of the registry. */
 const REGISTRY_BACKOFF_MS = 500;
 /** Age at which the registry is read again if the disks don't suffice. */
@@ -138,7 +141,10 @@
     }
     this.#pendingRead ??= this.#readRegistry()
       .finally(() => this.#pendingRead = undefined);
-    return await this.#pendingRead;
+    return await Promise.race([
+      this.#pendingRead,
+      waitFor(REGISTRY_TIMEOUT_MS, undefined, { ref: false }),
+    ]);
   }
 
   async #readRegistry(): Promise<readonly DiskInfo[] | undefined> {
--- a/packages/gateway/src/accounts/grant_records_test.ts
+++ b/packages/gateway/src/accounts/grant_records_test.ts
@@ -148,6 +148,24 @@
     expect(disks.registryReads).to.be.at.most(2);
   });
 
+  // A store that answers late must not make holders seem lost.
+  it("aren't waited for beyond the time of a request", async () => {
+    const load = disks.list;
+    let answer = (): void => {};
+    records = new DiskGrantRecords({
+      caller: disks,
+      region: "north",
+      tolerance: { disks: 1, failureDomains: 0, regions: 0 },
+      listDisks: () => disks.list,
+      loadDisks: () => new Promise((resolve) => answer = () => resolve(load)),
+    });
+    const startedAtMs = performance.now();
+    expect(await find("p")).to.equal(undefined);
+    expect(performance.now() - startedAtMs).to.be.lessThan(300);
+    answer();
+    expect(await find("p")).to.equal(0);
+  });
+
   it("don't confuse programs whose ids aren't ids of turns", async () => {
     await save("a b/c", 1);
     expect(await find("a b/c")).to.equal(1);
