Keep looking programs up when a build without records writes the table

Such a build drops the marks of recorded shards. The holder's successor would have waited an hour, since nothing set them again; and a shard that came back from a holder in between, whose table never arrived, kept what was known before. Found on reading; both have tests.

--- a/packages/gateway/src/decisions/first_allowances.ts
+++ b/packages/gateway/src/decisions/first_allowances.ts
@@ -74,6 +74,8 @@
   readonly isDoubtful: boolean;
   /** Whether every grant of the shard was recorded on disks. */
   isRecorded: boolean;
+  /** Whether the table says so; a build without records drops the mark. */
+  isMarked: boolean;
   /** Whether new grants are recorded, while earlier ones are being. */
   isRecording: boolean;
 }
@@ -107,17 +109,23 @@
   /** Acquires and drops shards as a newer table assigns them. */
   applyTable(table: ShardTable, nowMs: number): void {
     for (const [shard, entry] of table.entries()) {
+      const { isDoubtful, isRecorded = false } = entry;
       const held = this.#held.get(shard);
+      // Doubt that is new comes from a holder in between.
+      const isSame = held !== undefined && (held.isDoubtful || !isDoubtful);
       if (entry.bootId !== this.#bootId) this.#held.delete(shard);
-      else if (held === undefined) {
-        const { isDoubtful, isRecorded = false } = entry;
+      else if (!isSame) {
         this.#held.set(shard, {
           usableAtMs: nowMs + computeWaitMs(entry),
           isDoubtful,
           isRecorded,
+          isMarked: isRecorded,
           isRecording: false,
         });
-      } else held.isRecorded ||= entry.isRecorded ?? false;
+      } else {
+        held.isRecorded ||= isRecorded;
+        held.isMarked = isRecorded;
+      }
     }
   }
 
@@ -181,16 +189,18 @@
 
   /**
    * Starts to record the grants of all usable shards; lists the parts that were
-   * granted before. Undefined if there is no shard whose grants aren't recorded.
+   * granted without a record. Undefined if the table marks all shards.
    */
   startRecording(nowMs: number): Map<string, number> | undefined {
     const shards = new Set<number>();
+    let isMarked = true;
     for (const [shard, held] of this.#held) {
-      if (held.isRecorded || nowMs < held.usableAtMs) continue;
+      if (held.isMarked || nowMs < held.usableAtMs) continue;
+      isMarked = false;
       held.isRecording = true;
-      shards.add(shard);
+      if (!held.isRecorded) shards.add(shard);
     }
-    if (shards.size === 0) return undefined;
+    if (isMarked) return undefined;
     const granted = new Map<string, number>();
     for (const programId of this.#programs.keys()) {
       if (!shards.has(getShard(programId))) continue;
@@ -202,10 +212,10 @@
     return granted;
   }
 
-  /** Whether the new grants of a shard are recorded, but not all earlier ones. */
+  /** Whether a shard's grants are recorded although the table doesn't say so. */
   isRecording(shard: number): boolean {
     const held = this.#held.get(shard);
-    return held !== undefined && held.isRecording && !held.isRecorded;
+    return held !== undefined && held.isRecording && !held.isMarked;
   }
 
   /** Stops granting permanently, and lists the programs with a grant. */
--- a/packages/gateway/src/decisions/first_allowances_test.ts
+++ b/packages/gateway/src/decisions/first_allowances_test.ts
@@ -133,6 +133,29 @@
     expect(allowances.findParts("p")).to.equal(undefined);
   });
 
+  // A build without records that writes the table drops the marks of all shards.
+  it("are still looked up after the table lost its mark, which is set again", () => {
+    const allowances = buildAllowances({ isDoubtful: true });
+    allowances.addGranted(["p"], 0);
+    allowances.applyTable(
+      buildTable({ isDoubtful: true, isRecorded: false }),
+      1,
+    );
+    expect(allowances.findParts("p")).to.equal(undefined);
+    expect(allowances.findParts("q")).to.equal(undefined);
+    expect(allowances.needsRecord("q")).to.equal(true);
+    expect([...allowances.startRecording(1) ?? ["none"]]).to.deep.equal([]);
+    expect(allowances.isRecording(1)).to.equal(true);
+  });
+
+  // The table that named the holder in between may never have arrived here.
+  it("are looked up again when the table says that another process held them", () => {
+    const allowances = buildAllowances();
+    allowances.setParts("p", 1, 0);
+    allowances.applyTable(buildTable({ isDoubtful: true }), 1);
+    expect(allowances.findParts("p")).to.equal(undefined);
+  });
+
   it("expire with their program", () => {
     const allowances = buildAllowances();
     allowances.setParts("p", 1, 0);
