Don't ask a holder that was restarted for a first allowance

After a restart of its VM nobody grants until the table names another process. Until then each request for an allowance went to the new process, across regions, only to be refused, before the home asked the store: in the seconds after a loss of power, when every gateway is short of processor time. The directory knows of the restart, so the home goes to the store at once.

--- a/packages/gateway/src/accounts/first_allowance_client.ts
+++ b/packages/gateway/src/accounts/first_allowance_client.ts
@@ -37,7 +37,10 @@
     const holder = shards.findHolder(programId);
     if (holder?.bootId === self.bootId) return shards.granter.grant(request);
     const peer = holder && directory.findLive(holder.vmId);
-    if (peer === undefined) return { kind: "refused", reason: "not_held" };
+    // After a restart of its VM, nobody grants until the table is updated.
+    if (peer === undefined || peer.bootId !== holder?.bootId) {
+      return { kind: "refused", reason: "not_held" };
+    }
     if (canReceive(peer, "grant_parts")) {
       const message = { kind: "grant_parts", request } as const;
       const response = await links.call(peer, message, TIMEOUT_MS);
