Split floods without an allocation for each empty line

The splitter made a view and an object for each line, for 256 KiB of each of twelve attempts of 16 streams, and split the rest of a read whose first event had already ended the attempt.

Filler is one view a read now, lines are checked in place, and parts are taken one by one.

--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -22,6 +22,7 @@
 const COLON = 0x3a;
 const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
 const DATA_FIELD = Buffer.from("data");
+const DATA_BYTES = DATA_FIELD.length;
 /** Longest event with what precedes it; a longer one is malformed. */
 const MAX_EVENT_BYTES = 262_144;
 const NUMBER_PATTERN = /^\d+$/;
@@ -83,16 +84,21 @@
     return this.#bytesSinceEvent > MAX_EVENT_BYTES;
   }
 
-  /** Adds bytes; returns the events that they complete, and what's between. */
-  append(chunk: Uint8Array): StreamPart[] {
+  /**
+   * Adds bytes; yields the events that they complete, and what's between. All
+   * must be taken before the next call, unless the stream is given up.
+   */
+  *append(chunk: Uint8Array): Generator<StreamPart> {
     const searchedBytes = this.#block.length;
     if (searchedBytes > 0) this.#block.append(chunk);
     const bytes = searchedBytes > 0
       ? this.#block.view()
       : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
     this.#bytesSinceEvent += chunk.length;
-    const parts: StreamPart[] = [];
+    /** Where the block begins that isn't complete yet. */
     let start = 0;
+    /** Where the filler begins that ends at the block; there may be none. */
+    let fillerStart = 0;
     for (let at = searchedBytes; at < bytes.length; at += 1) {
       const byte = bytes[at];
       const followsReturn = this.#endsWithReturn;
@@ -103,25 +109,37 @@
         this.#lineStart = at + 1 - start;
         continue;
       }
-      const isEmpty = at === this.#lineStart + start;
-      if (!isEmpty) this.#addLine(bytes.subarray(this.#lineStart + start, at));
+      const lineStart = this.#lineStart + start;
+      const isEmpty = at === lineStart;
+      if (!isEmpty) this.#checkLine(bytes, lineStart, at);
       if (this.#endsWithReturn && bytes[at + 1] === LINE_FEED) {
         this.#endsWithReturn = false;
         at += 1;
       }
-      this.#lineStart = at + 1 - start;
+      const end = at + 1;
+      this.#lineStart = end - start;
       if (!isEmpty) continue;
-      const isEvent = this.#addBlock(parts, bytes.subarray(start, at + 1));
-      if (isEvent) this.#bytesSinceEvent = bytes.length - at - 1;
-      start = at + 1;
-      this.#lineStart = 0;
+      if (!this.#isFiller) {
+        yield* buildFiller(bytes.subarray(fillerStart, start));
+        const event = this.#hasData
+          ? this.#parse(bytes.subarray(start, end))
+          : undefined;
+        if (event === undefined) this.#droppedBytes += end - start;
+        else {
+          this.#bytesSinceEvent = bytes.length - end;
+          yield event;
+        }
+        fillerStart = end;
+      }
+      start = end;
+      this.#startBlock();
     }
+    yield* buildFiller(bytes.subarray(fillerStart, start));
     // Otherwise the block has all bytes.
     if (start > 0 || searchedBytes === 0) {
       this.#block.reset();
       this.#block.append(bytes.subarray(start));
     }
-    return parts;
   }
 
   /** Ends the stream; what is left may be comments, or part of an event. */
@@ -133,26 +151,22 @@
     return isFiller ? { kind: "complete", rest } : { kind: "within_event" };
   }
 
-  #addLine(line: Buffer): void {
-    const isMarked = this.#isFirstBlock && this.#lineStart === 0 &&
-      line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
-    const text = isMarked ? line.subarray(BYTE_ORDER_MARK.length) : line;
-    if (text[0] === COLON) return;
-    this.#isFiller = false;
-    const field = text.subarray(0, DATA_FIELD.length);
-    this.#hasData ||= field.equals(DATA_FIELD);
-  }
-
-  /** Adds a complete block; whether it's an event. */
-  #addBlock(parts: StreamPart[], bytes: Buffer): boolean {
-    const event = this.#hasData ? this.#parse(bytes) : undefined;
-    if (event !== undefined) parts.push(event);
-    else if (this.#isFiller) addFiller(parts, bytes);
-    else this.#droppedBytes += bytes.length;
+  #startBlock(): void {
+    this.#lineStart = 0;
     this.#hasData = false;
     this.#isFiller = true;
     this.#isFirstBlock = false;
-    return event !== undefined;
+  }
+
+  /** Checks whether a complete line is a comment, or may be data. */
+  #checkLine(bytes: Buffer, lineStart: number, end: number): void {
+    const isFirst = this.#isFirstBlock && this.#lineStart === 0;
+    const start = isFirst ? skipMark(bytes, lineStart) : lineStart;
+    if (bytes[start] === COLON) return;
+    this.#isFiller = false;
+    if (bytes[start] !== DATA_FIELD[0]) return;
+    const field = bytes.subarray(start, Math.min(end, start + DATA_BYTES));
+    this.#hasData ||= field.equals(DATA_FIELD);
   }
 
   /** Parses a block; undefined if it's no event. */
@@ -169,20 +183,12 @@
   }
 }
 
-/** Adds filler to the part before if that's filler, too. */
-function addFiller(parts: StreamPart[], bytes: Buffer): void {
-  const last = parts.at(-1);
-  if (last?.kind !== "filler" || !isNext(last.bytes, bytes)) {
-    parts.push({ kind: "filler", bytes });
-    return;
-  }
-  const { buffer, byteOffset, length } = last.bytes;
-  const joined = Buffer.from(buffer, byteOffset, length + bytes.length);
-  parts[parts.length - 1] = { kind: "filler", bytes: joined };
+function buildFiller(bytes: Buffer): StreamFiller[] {
+  return bytes.length > 0 ? [{ kind: "filler", bytes }] : [];
 }
 
-/** Whether bytes follow others in the same memory. */
-function isNext(before: Buffer, bytes: Buffer): boolean {
-  return before.buffer === bytes.buffer &&
-    before.byteOffset + before.length === bytes.byteOffset;
+/** Finds the first byte after a byte order mark, if there is one. */
+function skipMark(bytes: Buffer, start: number): number {
+  const end = start + BYTE_ORDER_MARK.length;
+  return bytes.subarray(start, end).equals(BYTE_ORDER_MARK) ? end : start;
 }
--- a/packages/gateway/src/decisions/event_splitter_test.ts
+++ b/packages/gateway/src/decisions/event_splitter_test.ts
@@ -55,7 +55,7 @@
     const byte = Buffer.from("x");
     let events = 0;
     for (let at = 0; at < 250_000; at += 1) {
-      events += splitter.append(byte).length;
+      events += [...splitter.append(byte)].length;
     }
     expect(events).to.equal(0);
     const [first, second] = splitText("\n\nid: 2\ndata:\n\nrest", { splitter });
@@ -169,9 +169,9 @@
     for (const bytes of ["\n", ": x\n\n", "wrong\n\n", "id: 1\n\n"]) {
       const splitter = new EventSplitter();
       const chunk = Buffer.from(bytes.repeat(65_536 / bytes.length));
-      expect(splitter.append(chunk).length).to.be.at.most(1);
+      expect([...splitter.append(chunk)].length).to.be.at.most(1);
       expect(splitter.isOverlong).to.equal(false);
-      for (let at = 0; at < 4; at += 1) splitter.append(chunk);
+      for (let at = 0; at < 4; at += 1) Array.from(splitter.append(chunk));
       expect(splitter.isOverlong, bytes).to.equal(true);
     }
   });
@@ -187,7 +187,8 @@
     const splitter = new EventSplitter();
     const chunk = Buffer.from(`${": x\n\n".repeat(40_000)}data: a\n\n`);
     for (let at = 0; at < 5; at += 1) {
-      splitter.append(chunk);
+      const parts = [...splitter.append(chunk)];
+      expect(parts.at(-1)?.kind).to.equal("event");
       expect(splitter.isOverlong).to.equal(false);
     }
   });
--- a/packages/gateway/src/exchange/stream_attempt.ts
+++ b/packages/gateway/src/exchange/stream_attempt.ts
@@ -146,9 +146,11 @@
     if (!this.#isStream) return this.#addBuffered(chunk);
     for (const part of this.#splitter.append(chunk)) {
       this.#waitingParts.push(part);
+      // Most reads hold one event, but all of a flood's needn't be split.
+      if (this.#waitingParts.length === 1) this.#forwardWaiting();
+      if (this.#hasEnded) return;
     }
-    this.#forwardWaiting();
-    if (this.#hasEnded || !this.#splitter.isOverlong) return;
+    if (!this.#splitter.isOverlong) return;
     this.#endBroken("overlong event, or too much without an event");
   }
 
