--- a/packages/gateway/src/decisions/event_splitter.ts
+++ b/packages/gateway/src/decisions/event_splitter.ts
@@ -161,7 +161,7 @@
   /** Checks whether a complete line is a comment, or may be data. */
   #checkLine(bytes: Buffer, lineStart: number, end: number): void {
     const isFirst = this.#isFirstBlock && this.#lineStart === 0;
-    const start = isFirst ? skipMark(bytes, lineStart) : lineStart;
+    const start = isFirst ? findTextStart(bytes, lineStart) : lineStart;
     if (bytes[start] === COLON) return;
     this.#isFiller = false;
     if (bytes[start] !== DATA_FIELD[0]) return;
@@ -188,7 +188,7 @@
 }
 
 /** Finds the first byte after a byte order mark, if there is one. */
-function skipMark(bytes: Buffer, start: number): number {
+function findTextStart(bytes: Buffer, start: number): number {
   const end = start + BYTE_ORDER_MARK.length;
   return bytes.subarray(start, end).equals(BYTE_ORDER_MARK) ? end : start;
 }
