Pause after a holder's VM says that it isn't the holder

The change before compared the holder with the directory, which may know an older process of a gateway in another region for minutes: homes there would have asked for no first allowance until then. The answer of the process is current. Found on reading; both cases have tests.

--- a/packages/gateway/src/accounts/first_allowance_client.ts
+++ b/packages/gateway/src/accounts/first_allowance_client.ts
@@ -3,6 +3,7 @@
  */
 import { computeFirstAllowance } from "../decisions/first_allowances.ts";
 import type { PeerDirectory, PeerInfo } from "../decisions/peer_directory.ts";
+import { BoundedMap } from "../model/bounded_map.ts";
 import type { PeerLinks } from "../peers/peer_links.ts";
 import { canReceive } from "../peers/protocol_version.ts";
 import type {
@@ -14,6 +15,14 @@
 /** Longest wait: for the way and for the disks. */
 const TIMEOUT_MS = 300;
 
+/**
+ * Pause after a process says that it isn't the holder. After a restart of its
+ * VM nobody grants until the table names another one.
+ */
+const NOT_HELD_PAUSE_MS = 500;
+const MAX_REFUSING_HOLDERS = 500;
+const NOT_HELD: FirstGrant = { kind: "refused", reason: "not_held" };
+
 /** Dependencies of the client. */
 export interface FirstAllowanceClientDependencies {
   readonly self: PeerInfo;
@@ -25,6 +34,8 @@
 /** The requests of one gateway. */
 export class FirstAllowanceClient {
   readonly #dependencies: FirstAllowanceClientDependencies;
+  /** When a holder said that it isn't one, by the id of its process's start. */
+  readonly #refusedAtMs = new BoundedMap<string, number>(MAX_REFUSING_HOLDERS);
 
   constructor(dependencies: FirstAllowanceClientDependencies) {
     this.#dependencies = dependencies;
@@ -37,14 +48,17 @@
     const holder = shards.findHolder(programId);
     if (holder?.bootId === self.bootId) return shards.granter.grant(request);
     const peer = holder && directory.findLive(holder.vmId);
-    // After a restart of its VM, nobody grants until the table is updated.
-    if (peer === undefined || peer.bootId !== holder?.bootId) {
-      return { kind: "refused", reason: "not_held" };
-    }
+    if (peer === undefined || holder === undefined) return NOT_HELD;
+    const refusedAtMs = this.#refusedAtMs.get(holder.bootId) ?? -Infinity;
+    if (performance.now() - refusedAtMs < NOT_HELD_PAUSE_MS) return NOT_HELD;
     if (canReceive(peer, "grant_parts")) {
       const message = { kind: "grant_parts", request } as const;
       const response = await links.call(peer, message, TIMEOUT_MS);
-      return response?.firstGrant ?? { kind: "refused", reason: "not_held" };
+      const grant = response?.firstGrant ?? NOT_HELD;
+      if (grant.kind === "refused" && grant.reason === "not_held") {
+        this.#refusedAtMs.set(holder.bootId, performance.now());
+      }
+      return grant;
     }
     const message = { kind: "grant_first", programId } as const;
     const response = await links.call(peer, message, TIMEOUT_MS);
--- a/packages/gateway/src/accounts/first_allowance_granter_test.ts
+++ b/packages/gateway/src/accounts/first_allowance_granter_test.ts
@@ -1,5 +1,8 @@
 import { expect } from "chai";
-import { FirstAllowances } from "../decisions/first_allowances.ts";
+import {
+  type FirstAllowanceRefusal,
+  FirstAllowances,
+} from "../decisions/first_allowances.ts";
 import { buildShardTable, type ShardHolder } from "../decisions/shard_table.ts";
 import { GatewayLog } from "../log.ts";
 import { buildPeer } from "../peer_fixture_test.ts";
@@ -150,7 +153,10 @@
 describe("the client of first allowances", () => {
   const calls: PeerMessage["kind"][] = [];
 
-  function buildClient(protocol: number): FirstAllowanceClient {
+  function buildClient(
+    protocol: number,
+    reason?: FirstAllowanceRefusal,
+  ): FirstAllowanceClient {
     const holder = buildPeer("b", { bootId: "boot b", protocol });
     calls.length = 0;
     return new FirstAllowanceClient({
@@ -163,7 +169,9 @@
       links: {
         call: (_peer, message) => {
           calls.push(message.kind);
-          const firstGrant = { kind: "granted", tokens: 10, isLast: false };
+          const firstGrant = reason === undefined
+            ? { kind: "granted", tokens: 10, isLast: false }
+            : { kind: "refused", reason };
           return Promise.resolve(
             message.kind === "grant_parts"
               ? { from: holder, firstGrant } as never
@@ -174,6 +182,23 @@
     });
   }
 
+  // In the seconds after a loss of power each request crossed regions in vain.
+  it("pauses after the holder's VM says that it isn't the holder", async () => {
+    const client = buildClient(PROTOCOL_VERSION, "not_held");
+    for (let at = 0; at < 3; at += 1) {
+      expect(await client.acquire(REQUEST))
+        .to.deep.equal({ kind: "refused", reason: "not_held" });
+    }
+    expect(calls).to.deep.equal(["grant_parts"]);
+  });
+
+  it("asks again after another refusal", async () => {
+    const client = buildClient(PROTOCOL_VERSION, "not_recorded");
+    await client.acquire(REQUEST);
+    await client.acquire(REQUEST);
+    expect(calls).to.deep.equal(["grant_parts", "grant_parts"]);
+  });
+
   it("requests a part from a holder of this build", async () => {
     const client = buildClient(PROTOCOL_VERSION);
     expect(await client.acquire(REQUEST)).to.include({ tokens: 10 });
